--- /dev/null
+++ b/internal/kernel/plugin.go
@@ -0,0 +1,80 @@
+package kernel
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Namespace is the errorx namespace of all errors that commands return.
+var Namespace = errorx.NewNamespace("command")
+
+// Error types that survive replication: the kind of a stored error is restored as the same type.
+var (
+	// ErrInvalid reports a command with bad content.
+	ErrInvalid = Namespace.NewType("invalid")
+	// ErrConflict reports a command that lost against a newer state.
+	ErrConflict = Namespace.NewType("conflict")
+	// ErrNotFound reports a command that names something unknown.
+	ErrNotFound = Namespace.NewType("not-found")
+	// ErrHalted reports a command for a plug-in whose invariant was violated.
+	ErrHalted = Namespace.NewType("halted")
+)
+
+// Command is one change of the replicated state.
+type Command struct {
+	// Plugin names the plug-in that applies the command.
+	Plugin string
+	// ID is the operation identifier, empty for commands that the leader decides itself.
+	ID string
+	// At is the wall time of the leader since the Unix epoch; no lease depends on it.
+	At time.Duration
+	// Body is a protobuf message owned by the plug-in.
+	Body []byte
+}
+
+// Result is the outcome of an applied command.
+type Result struct {
+	// Index is the log index at which the command was first applied.
+	Index uint64
+	// Body is a protobuf message owned by the plug-in.
+	Body []byte
+	// Err is nil when the command succeeded.
+	Err error
+}
+
+// Event is unreplicated input to the leader, such as demand, usage or an answer of the platform.
+type Event interface{ EventName() string }
+
+// Action is output of the leader that a driver runs outside the kernel, such as a platform call.
+type Action interface{ ActionName() string }
+
+// Decision is what a plug-in wants done: commands to replicate and actions to run.
+type Decision struct {
+	Commands []Command
+	Actions  []Action
+}
+
+// Plugin is one part of the control state. Every function field may be nil.
+type Plugin struct {
+	// Name identifies the plug-in in commands and snapshots.
+	Name string
+	// View is true when entry processes apply the plug-in's commands too.
+	View bool
+	// Apply applies a committed command; it must be deterministic.
+	Apply func(c Command) ([]byte, error)
+	// Observe takes an event on the leader; it changes soft state only.
+	Observe func(now time.Duration, ev Event)
+	// Decide returns what the leader wants done; it runs after each event and tick.
+	Decide func(now time.Duration) Decision
+	// Lead resets the soft state when this process becomes leader.
+	Lead func(now time.Duration)
+	// Query answers a read on the leader, after a quorum confirmed its leadership.
+	Query func(req []byte) ([]byte, error)
+	// Snapshot encodes the replicated state.
+	Snapshot func() ([]byte, error)
+	// Restore replaces the replicated state.
+	Restore func(data []byte) error
+	// Check returns an error when an invariant of the replicated state does not hold.
+	Check func() error
+}
--- /dev/null
+++ b/internal/view/doc.go
@@ -0,0 +1,2 @@
+// Package view holds the immutable picture of the control state that traffic goroutines read.
+package view
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,143 @@
+package view
+
+import (
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/key"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Namespace is the errorx namespace of this package.
+var Namespace = errorx.NewNamespace("view")
+
+var (
+	// ErrNoLease reports that this process can't prove that its view is fresh.
+	ErrNoLease = Namespace.NewType("no-lease")
+	// ErrUnauthorized reports a missing, unknown or revoked key.
+	ErrUnauthorized = Namespace.NewType("unauthorized")
+	// ErrForbidden reports a key whose team may not use the queue.
+	ErrForbidden = Namespace.NewType("forbidden")
+)
+
+// Instance is an instance with its place in the fleet at the moment of the view.
+type Instance struct {
+	fleet.Instance
+	// Admit is true when new work may be sent to the instance.
+	Admit bool
+}
+
+// Config holds the content of a view.
+type Config struct {
+	Index         uint64
+	Version       uint64
+	Configuration *fleet.Configuration
+	Keys          map[string]key.Key
+	// Place returns the pool of an instance and whether new work may be sent to it; nil uses the configuration.
+	Place func(instance string) (pool string, admit bool)
+}
+
+// View is an immutable picture of the control state after one log index.
+type View struct {
+	cfg       Config
+	teams     map[string]fleet.Team
+	queues    map[string]fleet.Queue
+	instances map[string]Instance
+	pools     map[string][]Instance
+}
+
+// New builds a view.
+func New(cfg Config) *View {
+	v := &View{
+		cfg:       cfg,
+		teams:     make(map[string]fleet.Team, len(cfg.Configuration.Teams)),
+		queues:    make(map[string]fleet.Queue, len(cfg.Configuration.Queues)),
+		instances: make(map[string]Instance, len(cfg.Configuration.Instances)),
+		pools:     make(map[string][]Instance, len(cfg.Configuration.Pools)),
+	}
+	for _, t := range cfg.Configuration.Teams {
+		v.teams[t.Name] = t
+	}
+	for _, q := range cfg.Configuration.Queues {
+		v.queues[q.Name] = q
+	}
+	for _, in := range cfg.Configuration.Instances {
+		i := Instance{Instance: in, Admit: true}
+		if cfg.Place != nil {
+			i.Pool, i.Admit = cfg.Place(in.Name)
+		}
+		v.instances[i.Name] = i
+		v.pools[i.Pool] = append(v.pools[i.Pool], i)
+	}
+	return v
+}
+
+// Index returns the log index after which the view was taken.
+func (v *View) Index() uint64 { return v.cfg.Index }
+
+// Version returns the configuration version, 0 before the first submission.
+func (v *View) Version() uint64 { return v.cfg.Version }
+
+// Configuration returns the document in force, which must not be changed.
+func (v *View) Configuration() *fleet.Configuration { return v.cfg.Configuration }
+
+// Team returns a team by name.
+func (v *View) Team(name string) (fleet.Team, bool) {
+	t, ok := v.teams[name]
+	return t, ok
+}
+
+// Queue returns a queue by name.
+func (v *View) Queue(name string) (fleet.Queue, bool) {
+	q, ok := v.queues[name]
+	return q, ok
+}
+
+// Instance returns an instance by name.
+func (v *View) Instance(name string) (Instance, bool) {
+	i, ok := v.instances[name]
+	return i, ok
+}
+
+// PoolInstances returns the instances of a pool, which must not be changed.
+func (v *View) PoolInstances(pool string) []Instance { return v.pools[pool] }
+
+// Authorize returns the team to which work on the queue is charged. The presented key may be empty on open queues only;
+// a key that is presented must be valid there too. It fails with ErrUnauthorized or ErrForbidden.
+func (v *View) Authorize(q fleet.Queue, presented string) (string, error) {
+	if presented == "" {
+		if q.Open {
+			return q.OpenTeam, nil
+		}
+		return "", ErrUnauthorized.New("queue %s needs a key", q.Name)
+	}
+	team, err := v.Authenticate(presented)
+	if err != nil {
+		return "", err
+	}
+	if len(q.Teams) == 0 {
+		return team, nil
+	}
+	for _, t := range q.Teams {
+		if t == team {
+			return team, nil
+		}
+	}
+	return "", ErrForbidden.New("team %s may not use queue %s", team, q.Name)
+}
+
+// Authenticate returns the team of a presented key; it fails with ErrUnauthorized.
+func (v *View) Authenticate(presented string) (string, error) {
+	secret, err := key.ParseSecret(presented)
+	if err != nil {
+		return "", ErrUnauthorized.Wrap(err, "bad key")
+	}
+	k, ok := v.cfg.Keys[secret.ID()]
+	// An unknown identifier is compared too, so that timing doesn't tell which identifiers exist.
+	if match := secret.Matches(k.Hash()); !ok || !match {
+		return "", ErrUnauthorized.New("key is unknown or was revoked")
+	}
+	if _, ok := v.teams[k.Team()]; !ok {
+		return "", ErrUnauthorized.New("team %s of the key is no longer configured", k.Team())
+	}
+	return k.Team(), nil
+}
--- /dev/null
+++ b/pkg/fleet/doc.go
@@ -0,0 +1,3 @@
+// Package fleet builds, checks, compares and prints the configuration that operators hand to hibiscusroute: fleets of
+// instances, the pools they belong to, teams with shares and upper limits, queues, availability budgets and waves.
+package fleet
