--- a/internal/configuration/plugin.go
+++ b/internal/configuration/plugin.go
@@ -21,6 +21,7 @@
 	document   []byte
 	acceptedAt time.Duration
 	current    *fleet.Configuration
+	changed    []func()
 }
 
 func init() {
@@ -45,6 +46,9 @@
 // Current returns the document in force; it is replaced as a whole and must not be changed.
 func (s *State) Current() *fleet.Configuration { return s.current }
 
+// OnChange adds a function that runs on each replica after the document changed by a command.
+func (s *State) OnChange(f func()) { s.changed = append(s.changed, f) }
+
 // SubmitCommand returns the command that replaces the configuration when base is the version in force.
 func SubmitCommand(id string, base uint64, doc []byte) (kernel.Command, error) {
 	packed, err := compress(doc)
@@ -103,6 +107,9 @@
 	}
 	s.version++
 	s.document, s.current, s.acceptedAt = m.Document, cfg, c.At
+	for _, f := range s.changed {
+		f()
+	}
 	return proto.Marshal(&configurationpb.Accepted{Version: s.version})
 }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -75,10 +75,41 @@
 // Applied returns the index of the last applied command.
 func (k *Kernel) Applied() uint64 { return k.applied }
 
-// IsView reports whether entry processes apply commands of the plug-in.
-func (k *Kernel) IsView(plugin string) bool {
-	p, ok := k.byName[plugin]
-	return ok && p.View
+// Changes returns the changes that entry processes must merge after the command at Applied, and whether they apply the
+// command itself.
+func (k *Kernel) Changes(plugin string) (sections []*kernelpb.Section, ship bool, err error) {
+	for i := range k.plugins {
+		p := &k.plugins[i]
+		if !p.View {
+			continue
+		}
+		if p.Changes == nil {
+			ship = ship || p.Name == plugin
+			continue
+		}
+		data, err := p.Changes()
+		if err != nil {
+			return nil, false, errorx.Decorate(err, "changes of plug-in %s", p.Name)
+		}
+		if data != nil {
+			sections = append(sections, &kernelpb.Section{Plugin: p.Name, Data: data})
+		}
+	}
+	return sections, ship, nil
+}
+
+// Merge takes the changes that Changes returned after the command at index.
+func (k *Kernel) Merge(sections []*kernelpb.Section) error {
+	for _, sec := range sections {
+		p, ok := k.byName[sec.Plugin]
+		if !ok || p.Merge == nil {
+			continue
+		}
+		if err := p.Merge(sec.Data); err != nil {
+			return errorx.Decorate(err, "merge changes of plug-in %s", sec.Plugin)
+		}
+	}
+	return nil
 }
 
 // Skip records that the log entry at index holds no command for this kernel.
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -61,6 +61,11 @@
 	Name string
 	// View is true when entry processes apply the plug-in's commands too.
 	View bool
+	// Changes returns what entry processes must merge since the last call, nil for nothing. A view plug-in needs it
+	// when its state also depends on plug-ins that entry processes do not have; others ship their commands.
+	Changes func() ([]byte, error)
+	// Merge takes what Changes returned on another process.
+	Merge func(data []byte) error
 	// Apply applies a committed command; it must be deterministic.
 	Apply func(c Command) ([]byte, error)
 	// Observe takes an event on the leader; it changes soft state only.
--- /dev/null
+++ b/internal/member/plugin.go
@@ -0,0 +1,259 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/member/memberpb"
+)
+
+const (
+	// Name is the plug-in name in commands and snapshots.
+	Name = "member"
+
+	// Lease is how long a process may act on its view after it sent a renewal that was answered. It outlasts a
+	// fail-over of the control group and bounds how long a revoked key works on an isolated process.
+	Lease = 3 * time.Second
+	// Expiry is when the leader counts a lease as ended: the lease plus 1% clock drift plus margin.
+	Expiry = 3100 * time.Millisecond
+	// runMargin is added to the longest run time before what an expired process held is given to others; it covers
+	// the clock drift over the longest run and the time to abort a request at its deadline.
+	runMargin = 2 * time.Second
+)
+
+// Renewal is the event of a process that asked to renew its lease.
+type Renewal struct{ ID string }
+
+// EventName identifies the event in logs.
+func (Renewal) EventName() string { return "renewal" }
+
+// State holds all processes; it is owned by the kernel's goroutine.
+type State struct {
+	cfg     *configuration.State
+	members map[string]*memberpb.Member
+	removed []func(id string)
+
+	// Soft state of the leader.
+	leadSince time.Duration
+	renewed   map[string]time.Duration
+	expiredAt map[string]time.Duration
+	expiring  map[string]bool
+	removing  map[string]bool
+}
+
+func init() {
+	kernel.Register(Name, []string{configuration.Name}, build)
+}
+
+func build(k *kernel.Kernel) kernel.Plugin {
+	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
+	s := &State{cfg: cfg, members: map[string]*memberpb.Member{}}
+	s.lead(0)
+	cfg.OnChange(s.extendRuns)
+	k.Provide(Name, s)
+	return kernel.Plugin{
+		View:     true,
+		Apply:    s.apply,
+		Query:    func([]byte) ([]byte, error) { return s.encode() },
+		Observe:  s.observe,
+		Decide:   s.decide,
+		Lead:     s.lead,
+		Snapshot: s.encode,
+		Restore:  s.restore,
+	}
+}
+
+// OnRemove adds a function that runs when a process and all that it started have surely ended.
+func (s *State) OnRemove(f func(id string)) { s.removed = append(s.removed, f) }
+
+// Live reports whether the process is a member whose lease has not been counted as ended.
+func (s *State) Live(id string) bool {
+	m, ok := s.members[id]
+	return ok && !m.Expired
+}
+
+// Renewable reports whether the leader may answer a renewal of the process.
+func (s *State) Renewable(id string) bool { return s.Live(id) && !s.expiring[id] }
+
+// LiveIDs returns the identifiers of all live processes in alphabetical order.
+func (s *State) LiveIDs() []string {
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		if !s.members[id].Expired {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Members returns all processes in the order of their identifiers; they must not be changed.
+func (s *State) Members() []*memberpb.Member {
+	list := make([]*memberpb.Member, 0, len(s.members))
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		list = append(list, s.members[id])
+	}
+	return list
+}
+
+// ID returns the identifier of one run of a process.
+func ID(name, incarnation string) string { return name + "/" + incarnation }
+
+// JoinCommand returns the command that adds a process; its identifier is the operation identifier too.
+func JoinCommand(m *memberpb.Member) (kernel.Command, error) {
+	return command(m.Id, &memberpb.Command{Change: &memberpb.Command_Join{Join: m}})
+}
+
+// RemoveCommand returns the command with which a process leaves after it ended all its work.
+func RemoveCommand(id string) (kernel.Command, error) {
+	return command("leave/"+id, &memberpb.Command{Change: &memberpb.Command_Remove{Remove: id}})
+}
+
+// DecodeState returns all processes that a query answered.
+func DecodeState(body []byte) ([]*memberpb.Member, error) {
+	m := &memberpb.State{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, errorx.Decorate(err, "decode members")
+	}
+	return m.Members, nil
+}
+
+func command(id string, m *memberpb.Command) (kernel.Command, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return kernel.Command{}, errorx.Decorate(err, "encode member command")
+	}
+	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
+}
+
+func (s *State) apply(c kernel.Command) ([]byte, error) {
+	m := &memberpb.Command{}
+	if err := proto.Unmarshal(c.Body, m); err != nil {
+		return nil, kernel.ErrInvalid.New("decode member command: %v", err)
+	}
+	switch change := m.Change.(type) {
+	case *memberpb.Command_Join:
+		return nil, s.join(change.Join)
+	case *memberpb.Command_Expire:
+		return nil, s.expire(change.Expire)
+	case *memberpb.Command_Remove:
+		return nil, s.remove(change.Remove)
+	}
+	return nil, kernel.ErrInvalid.New("empty member command")
+}
+
+func (s *State) join(m *memberpb.Member) error {
+	if m.Name == "" || m.PeerAddress == "" || !strings.HasPrefix(m.Id, m.Name+"/") {
+		return kernel.ErrInvalid.New("member needs a name, an identifier and a peer address")
+	}
+	if _, ok := s.members[m.Id]; ok {
+		return kernel.ErrConflict.New("member %s exists", m.Id)
+	}
+	m.Expired, m.LongestRun = false, int64(s.longestRun())
+	s.members[m.Id] = m
+	return nil
+}
+
+func (s *State) expire(id string) error {
+	m, ok := s.members[id]
+	if !ok {
+		return kernel.ErrNotFound.New("no member %q", id)
+	}
+	m.Expired = true
+	return nil
+}
+
+func (s *State) remove(id string) error {
+	if _, ok := s.members[id]; !ok {
+		return kernel.ErrNotFound.New("no member %q", id)
+	}
+	delete(s.members, id)
+	for _, f := range s.removed {
+		f(id)
+	}
+	return nil
+}
+
+func (s *State) longestRun() time.Duration {
+	var longest time.Duration
+	for _, q := range s.cfg.Current().Queues {
+		longest = max(longest, q.MaxRun.Std())
+	}
+	return longest
+}
+
+// extendRuns keeps the longest run time of each process over all versions it has seen, because a request may still run
+// under an earlier version.
+func (s *State) extendRuns() {
+	longest := int64(s.longestRun())
+	for _, m := range s.members {
+		m.LongestRun = max(m.LongestRun, longest)
+	}
+}
+
+func (s *State) lead(now time.Duration) {
+	s.leadSince = now
+	s.renewed = map[string]time.Duration{}
+	s.expiredAt = map[string]time.Duration{}
+	s.expiring = map[string]bool{}
+	s.removing = map[string]bool{}
+}
+
+func (s *State) observe(now time.Duration, ev kernel.Event) {
+	if r, ok := ev.(Renewal); ok && s.Renewable(r.ID) {
+		s.renewed[r.ID] = now
+	}
+}
+
+// decide ends leases that were not renewed and removes processes whose requests have surely ended. Both waits start
+// anew under a new leader, because an earlier leader may have answered a renewal until just before.
+func (s *State) decide(now time.Duration) kernel.Decision {
+	var d kernel.Decision
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		m := s.members[id]
+		switch {
+		case m.Expired:
+			since, ok := s.expiredAt[id]
+			if !ok {
+				s.expiredAt[id] = now
+				continue
+			}
+			if !s.removing[id] && now-since > time.Duration(m.LongestRun)+runMargin {
+				s.removing[id] = true
+				d.Commands = append(d.Commands, own(&memberpb.Command{Change: &memberpb.Command_Remove{Remove: id}}))
+			}
+		case !s.expiring[id] && now-max(s.leadSince, s.renewed[id]) > Expiry:
+			s.expiring[id] = true
+			d.Commands = append(d.Commands, own(&memberpb.Command{Change: &memberpb.Command_Expire{Expire: id}}))
+		}
+	}
+	return d
+}
+
+// own encodes a command that the leader decided itself; encoding these messages can't fail.
+func own(m *memberpb.Command) kernel.Command {
+	body, _ := proto.Marshal(m)
+	return kernel.Command{Plugin: Name, Body: body}
+}
+
+func (s *State) encode() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&memberpb.State{Members: s.Members()})
+}
+
+func (s *State) restore(data []byte) error {
+	m := &memberpb.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errorx.Decorate(err, "decode members")
+	}
+	s.members = make(map[string]*memberpb.Member, len(m.Members))
+	for _, mem := range m.Members {
+		s.members[mem.Id] = mem
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quota/changes.go
@@ -0,0 +1,60 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/quota/quotapb"
+)
+
+type pair struct{ resource, holder string }
+
+// changes names what entry processes have yet to merge. The end of a process is not in it: entry processes drop its
+// allocations when they apply the member command.
+type changes struct {
+	allocations  map[pair]bool
+	reservations map[string]bool
+}
+
+func (c *changes) reset() {
+	c.allocations, c.reservations = map[pair]bool{}, map[string]bool{}
+}
+
+func (s *State) changes() ([]byte, error) {
+	if len(s.changed.allocations) == 0 && len(s.changed.reservations) == 0 {
+		return nil, nil
+	}
+	m := &quotapb.State{}
+	pairs := slices.SortedFunc(maps.Keys(s.changed.allocations), func(a, b pair) int {
+		return cmp.Or(cmp.Compare(a.resource, b.resource), cmp.Compare(a.holder, b.holder))
+	})
+	for _, p := range pairs {
+		r := s.resource(p.resource)
+		if _, ok := r.allocations[p.holder]; ok {
+			m.Allocations = append(m.Allocations, r.change(p.resource, p.holder))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.changed.reservations)) {
+		m.Reservations = append(m.Reservations, &quotapb.Reservation{Resource: name, Units: s.resource(name).reserved})
+	}
+	s.changed.reset()
+	return proto.Marshal(m)
+}
+
+func (s *State) merge(data []byte) error {
+	m := &quotapb.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errorx.Decorate(err, "decode changes of quotas")
+	}
+	for _, ch := range m.Allocations {
+		s.resource(ch.Resource).allocations[ch.Holder] = allocation{granted: ch.Granted, returned: ch.Returned}
+	}
+	for _, rv := range m.Reservations {
+		s.resource(rv.Resource).reserved = rv.Units
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quota/holder.go
@@ -0,0 +1,198 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/quota/quotapb"
+)
+
+// demandWindow is how long a process keeps reporting its highest recent demand. It covers the pauses within a burst, so
+// that allocations do not move back and forth.
+const demandWindow = 2 * time.Second
+
+// HolderConfig holds the settings of a holder.
+type HolderConfig struct {
+	// Leased reports whether the configuration lease of this process is valid at this moment.
+	Leased func() bool
+	// Now returns a monotonic time.
+	Now func() time.Duration
+	// Short is called when demand exceeds the allocation, so that a report can be sent early; it must not block.
+	Short func()
+}
+
+type held struct {
+	granted  uint64
+	returned uint64
+	// acked is the part of returned that is in the log; it needs no further report.
+	acked    uint64
+	ceiling  uint64
+	running  uint64
+	demand   uint64
+	peak     uint64
+	peakAt   time.Duration
+	reported uint64
+}
+
+func (h *held) units() uint64 { return h.granted - h.returned }
+
+// usable is the number of units that may run at once; a recalled ceiling counts what was returned since as well.
+func (h *held) usable() uint64 { return min(h.units(), h.ceiling) }
+
+// Holder uses the allocations of this process; it is safe for concurrent use.
+type Holder struct {
+	cfg HolderConfig
+
+	mu        sync.Mutex
+	id        string
+	resources map[string]*held
+	changed   chan struct{}
+}
+
+// NewHolder builds a holder without allocations.
+func NewHolder(cfg HolderConfig) *Holder {
+	return &Holder{cfg: cfg, resources: map[string]*held{}, changed: make(chan struct{})}
+}
+
+// Permit is one unit in use.
+type Permit struct {
+	once sync.Once
+	h    *Holder
+	held *held
+}
+
+// Release gives the unit back; calls after the first do nothing.
+func (p *Permit) Release() {
+	p.once.Do(func() {
+		p.h.mu.Lock()
+		defer p.h.mu.Unlock()
+		p.held.running--
+	})
+}
+
+// TryAcquire takes one unit of a resource; it fails without a free unit or without a lease.
+func (h *Holder) TryAcquire(resource string) (*Permit, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, ok := h.resources[resource]
+	if !ok || r.running >= r.usable() {
+		return nil, false
+	}
+	// The lease is checked last and under the lock, so that a unit is never taken after a reset.
+	if !h.cfg.Leased() {
+		return nil, false
+	}
+	r.running++
+	return &Permit{h: h, held: r}, true
+}
+
+// SetDemand sets how many units this process could use now, running and waiting ones.
+func (h *Holder) SetDemand(resource string, n int) {
+	now := h.cfg.Now()
+	h.mu.Lock()
+	r := h.get(resource)
+	r.demand = uint64(max(n, 0))
+	if r.demand >= r.peak || now-r.peakAt > demandWindow {
+		r.peak, r.peakAt = r.demand, now
+	}
+	short := r.demand > r.units() && r.peak > r.reported
+	h.mu.Unlock()
+	if short && h.cfg.Short != nil {
+		h.cfg.Short()
+	}
+}
+
+func (h *Holder) get(resource string) *held {
+	r, ok := h.resources[resource]
+	if !ok {
+		r = &held{}
+		h.resources[resource] = r
+	}
+	return r
+}
+
+// Changed returns a channel that is closed when an allocation grows.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Running returns the units in use of a resource.
+func (h *Holder) Running(resource string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r, ok := h.resources[resource]; ok {
+		return int(r.running)
+	}
+	return 0
+}
+
+// Reset starts over as a new member without allocations; permits of the old one stay valid until released.
+func (h *Holder) Reset(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.id, h.resources = id, map[string]*held{}
+}
+
+// Update takes the allocations of this process from the replicated state.
+func (h *Holder) Update(s *State) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	grew := false
+	for name, r := range s.resources {
+		a, ok := r.allocations[h.id]
+		if !ok {
+			continue
+		}
+		local := h.get(name)
+		before := local.usable()
+		local.granted = max(local.granted, a.granted)
+		local.acked = a.returned
+		local.ceiling = s.Ceiling(name, h.id)
+		grew = grew || local.usable() > before
+	}
+	if grew {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+}
+
+// Recall returns idle units above the targets.
+func (h *Holder) Recall(recalls []*quotapb.Recall) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, rc := range recalls {
+		r := h.get(rc.Resource)
+		if keep := max(r.running, rc.Target); r.units() > keep {
+			r.returned += r.units() - keep
+		}
+	}
+}
+
+// Report returns the demands that changed since the last report and the totals that were returned
+// and are not in the log yet. With full it returns
+// all demands, for a leader that knows none of them.
+func (h *Holder) Report(full bool) ([]*quotapb.Demand, []*quotapb.Returned) {
+	now := h.cfg.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var demands []*quotapb.Demand
+	var returned []*quotapb.Returned
+	for _, name := range slices.Sorted(maps.Keys(h.resources)) {
+		r := h.resources[name]
+		if now-r.peakAt > demandWindow {
+			r.peak, r.peakAt = r.demand, now
+		}
+		if full || r.peak != r.reported {
+			demands = append(demands, &quotapb.Demand{Resource: name, Units: r.peak})
+			r.reported = r.peak
+		}
+		if r.returned > r.acked {
+			returned = append(returned, &quotapb.Returned{Resource: name, Total: r.returned})
+		}
+	}
+	return demands, returned
+}
--- /dev/null
+++ b/internal/quota/policy.go
@@ -0,0 +1,259 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota/quotapb"
+)
+
+// maxChanges bounds the changes of one command, so that a burst can't fill the log or block heartbeats.
+const maxChanges = 256
+
+// Report is the event of a process that reports its demand and what it has returned.
+type Report struct {
+	Holder   string
+	Demands  []*quotapb.Demand
+	Returned []*quotapb.Returned
+}
+
+// EventName identifies the event in logs.
+func (Report) EventName() string { return "quota-report" }
+
+// policy is the soft state with which the leader divides capacities.
+type policy struct {
+	dirty    map[string]bool
+	demand   map[string]map[string]uint64 // by resource and holder
+	returned map[string]map[string]uint64 // by resource and holder, as reported
+	wanted   map[string]uint64            // by resource, for jobs
+	recalls  map[string]map[string]uint64 // by holder and resource: units to keep
+	liveKey  string
+}
+
+func (p *policy) reset() {
+	*p = policy{
+		dirty:    map[string]bool{},
+		demand:   map[string]map[string]uint64{},
+		returned: map[string]map[string]uint64{},
+		wanted:   map[string]uint64{},
+		recalls:  map[string]map[string]uint64{},
+	}
+}
+
+func set(m map[string]map[string]uint64, a, b string, v uint64) (changed bool) {
+	inner, ok := m[a]
+	if !ok {
+		inner = map[string]uint64{}
+		m[a] = inner
+	}
+	old, ok := inner[b]
+	inner[b] = v
+	return !ok || old != v
+}
+
+// Want tells how many units jobs could use of a resource, running ones included; it is soft state of the leader.
+func (s *State) Want(_ time.Duration, name string, units int) {
+	if s.policy.wanted[name] != uint64(units) {
+		s.policy.wanted[name] = uint64(units)
+		s.policy.dirty[name] = true
+	}
+}
+
+// Recalls returns what the holder should return when idle: by resource, the units to keep.
+func (s *State) Recalls(holder string) []*quotapb.Recall {
+	recalls := s.policy.recalls[holder]
+	list := make([]*quotapb.Recall, 0, len(recalls))
+	for _, name := range slices.Sorted(maps.Keys(recalls)) {
+		list = append(list, &quotapb.Recall{Resource: name, Target: recalls[name]})
+	}
+	return list
+}
+
+func (s *State) observe(_ time.Duration, ev kernel.Event) {
+	r, ok := ev.(Report)
+	if !ok || !s.members.Live(r.Holder) {
+		return
+	}
+	for _, d := range r.Demands {
+		if set(s.policy.demand, d.Resource, r.Holder, d.Units) {
+			s.policy.dirty[d.Resource] = true
+		}
+	}
+	for _, ret := range r.Returned {
+		if set(s.policy.returned, ret.Resource, r.Holder, ret.Total) {
+			s.policy.dirty[ret.Resource] = true
+		}
+	}
+}
+
+// decide divides the resources whose demand or state changed since the last call.
+func (s *State) decide(time.Duration) kernel.Decision {
+	holders := s.members.LiveIDs()
+	s.noteMembers(holders)
+	m := &quotapb.Command{}
+	for _, name := range slices.Sorted(maps.Keys(s.policy.dirty)) {
+		if len(m.Changes) >= maxChanges {
+			break
+		}
+		delete(s.policy.dirty, name)
+		m.Changes = append(m.Changes, s.divide(name, holders)...)
+	}
+	if len(m.Changes) == 0 {
+		return kernel.Decision{}
+	}
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return kernel.Decision{}
+	}
+	return kernel.Decision{Commands: []kernel.Command{{Plugin: Name, Body: body}}}
+}
+
+// noteMembers divides everything anew when a process came or went.
+func (s *State) noteMembers(holders []string) {
+	key := ""
+	for _, h := range holders {
+		key += h + "\n"
+	}
+	if key == s.policy.liveKey {
+		return
+	}
+	s.policy.liveKey = key
+	for name := range s.capacities {
+		s.policy.dirty[name] = true
+	}
+	for holder := range s.policy.recalls {
+		if !s.members.Live(holder) {
+			delete(s.policy.recalls, holder)
+		}
+	}
+	for _, inner := range s.policy.demand {
+		maps.DeleteFunc(inner, func(h string, _ uint64) bool { return !s.members.Live(h) })
+	}
+	for _, inner := range s.policy.returned {
+		maps.DeleteFunc(inner, func(h string, _ uint64) bool { return !s.members.Live(h) })
+	}
+}
+
+// divide returns the grants and returns of one resource, and sets its recalls.
+func (s *State) divide(name string, holders []string) []*quotapb.Change {
+	r := s.resource(name)
+	next := map[string]allocation{}
+	for _, h := range holders {
+		a := r.allocations[h]
+		if t := s.policy.returned[name][h]; t > a.returned && t <= a.granted {
+			a.returned = t
+		}
+		next[h] = a
+	}
+	used := r.used()
+	for _, h := range holders {
+		used -= r.allocations[h].units() - next[h].units()
+	}
+	capacity := s.capacities[name]
+	targets, jobs := divideTargets(name, capacity, max(r.reserved, s.policy.wanted[name]), s.policy.demand[name], holders)
+	s.recall(name, holders, next, targets, jobs > r.reserved)
+
+	// Units that waiting jobs are due stay free; the job plug-in reserves them.
+	keep := jobs - min(jobs, r.reserved)
+	var free uint64
+	if capacity > used+keep {
+		free = capacity - used - keep
+	}
+	for _, h := range holders {
+		a := next[h]
+		if grow := min(free, targets[h]-min(targets[h], a.units())); grow > 0 {
+			a.granted += grow
+			free -= grow
+			next[h] = a
+		}
+	}
+	var list []*quotapb.Change
+	for _, h := range holders {
+		if next[h] != r.allocations[h] {
+			list = append(list, &quotapb.Change{
+				Resource: name, Holder: h, Granted: next[h].granted, Returned: next[h].returned,
+			})
+		}
+	}
+	return list
+}
+
+// recall asks for units back only while a process or a job is short, so that allocations do not move without need.
+func (s *State) recall(
+	name string, holders []string, next map[string]allocation, targets map[string]uint64, short bool,
+) {
+	for _, h := range holders {
+		if units := next[h].units(); units < min(s.policy.demand[name][h], targets[h]) {
+			short = true
+		}
+	}
+	for _, h := range holders {
+		if short && next[h].units() > targets[h] {
+			set(s.policy.recalls, h, name, targets[h])
+		} else {
+			delete(s.policy.recalls[h], name)
+		}
+	}
+}
+
+// divideTargets returns the max-min fair division of a capacity between processes and jobs by demand. What no demand
+// takes is spread evenly over the processes, so that each can start work without a round trip; the order is rotated by
+// resource, so that small resources such as the slots of an instance do not all go to the same processes.
+func divideTargets(
+	name string, capacity, jobs uint64, demand map[string]uint64, holders []string,
+) (targets map[string]uint64, jobTarget uint64) {
+	targets = make(map[string]uint64, len(holders))
+	if len(holders) == 0 {
+		return targets, min(jobs, capacity)
+	}
+	offset := int(xxhash.Sum64String(name) % uint64(len(holders)))
+	rotated := append(slices.Clone(holders[offset:]), holders[:offset]...)
+	// Jobs come first in the order, so that a remainder goes to them and none waits forever for a last unit.
+	order := append([]string{""}, rotated...)
+	need := func(h string) uint64 {
+		if h == "" {
+			return jobs
+		}
+		return demand[h]
+	}
+	share := fill(capacity, order, need)
+	left := capacity
+	for _, units := range share {
+		left -= units
+	}
+	for i, h := range rotated {
+		even := left / uint64(len(rotated))
+		if uint64(i) < left%uint64(len(rotated)) {
+			even++
+		}
+		targets[h] = share[h] + even
+	}
+	return targets, share[""]
+}
+
+// fill divides a capacity max-min fairly: no one gets more than it needs, and what one does not need goes to others.
+func fill(capacity uint64, order []string, need func(string) uint64) map[string]uint64 {
+	share := make(map[string]uint64, len(order))
+	byNeed := slices.Clone(order)
+	slices.SortStableFunc(byNeed, func(a, b string) int {
+		if need(a) < need(b) {
+			return -1
+		}
+		if need(a) > need(b) {
+			return 1
+		}
+		return 0
+	})
+	left := capacity
+	for i, h := range byNeed {
+		rest := uint64(len(byNeed) - i)
+		share[h] = min(need(h), (left+rest-1)/rest)
+		left -= share[h]
+	}
+	return share
+}
--- /dev/null
+++ b/internal/quota/state.go
@@ -0,0 +1,334 @@
+package quota
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/member"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota/quotapb"
+)
+
+// Name is the plug-in name in commands and snapshots.
+const Name = "quota"
+
+const (
+	teamPrefix = "team/"
+	slotPrefix = "slot/"
+)
+
+// TeamResource returns the resource of a team's upper limit.
+func TeamResource(team string) string { return teamPrefix + team }
+
+// SlotResource returns the resource of the slots of an instance.
+func SlotResource(instance string) string { return slotPrefix + instance }
+
+type allocation struct{ granted, returned uint64 }
+
+func (a allocation) units() uint64 { return a.granted - a.returned }
+
+type resource struct {
+	allocations map[string]allocation
+	reserved    uint64
+	// ceiling bounds the units in use; it exceeds the capacity only after the capacity was lowered, and then only falls.
+	ceiling uint64
+}
+
+func (r *resource) used() uint64 {
+	used := r.reserved
+	for _, a := range r.allocations {
+		used += a.units()
+	}
+	return used
+}
+
+// State holds all allocations; it is owned by the kernel's goroutine.
+type State struct {
+	cfg        *configuration.State
+	members    *member.State
+	resources  map[string]*resource
+	capacities map[string]uint64
+	touched    map[string]bool
+	changed    changes
+	policy     policy
+}
+
+func init() {
+	kernel.Register(Name, []string{configuration.Name, member.Name}, build)
+}
+
+func build(k *kernel.Kernel) kernel.Plugin {
+	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
+	members, _ := kernel.Lookup[*member.State](k, member.Name)
+	s := &State{cfg: cfg, members: members, resources: map[string]*resource{}, touched: map[string]bool{}}
+	s.policy.reset()
+	s.changed.reset()
+	s.configure()
+	cfg.OnChange(s.configure)
+	members.OnRemove(s.release)
+	k.Provide(Name, s)
+	return kernel.Plugin{
+		View:     true,
+		Apply:    s.apply,
+		Query:    func([]byte) ([]byte, error) { return s.encode() },
+		Changes:  s.changes,
+		Merge:    s.merge,
+		Observe:  s.observe,
+		Decide:   s.decide,
+		Lead:     func(time.Duration) { s.policy.reset() },
+		Snapshot: s.encode,
+		Restore:  s.restore,
+		Check:    s.check,
+	}
+}
+
+// Capacity returns the units of a resource, 0 for one that is not configured.
+func (s *State) Capacity(name string) uint64 { return s.capacities[name] }
+
+// Granted returns the total that a holder was ever granted of each resource.
+func (s *State) Granted(holder string) map[string]uint64 {
+	granted := map[string]uint64{}
+	for name, r := range s.resources {
+		if a, ok := r.allocations[holder]; ok {
+			granted[name] = a.granted
+		}
+	}
+	return granted
+}
+
+// Ceiling returns how many units a holder may use at once. While a lowered capacity is being recalled this is its
+// proportional part, rounded down, so that all holders together stay within the new capacity.
+func (s *State) Ceiling(name, holder string) uint64 {
+	r, ok := s.resources[name]
+	if !ok {
+		return 0
+	}
+	a := r.allocations[holder]
+	used, capacity := r.used(), s.capacities[name]
+	if used <= capacity {
+		return a.units()
+	}
+	return a.units() * capacity / used
+}
+
+// Reserve takes one unit for a job, and reports whether one was free. It is called while a command is applied.
+func (s *State) Reserve(name string) bool {
+	r := s.resource(name)
+	if r.used() >= s.capacities[name] {
+		return false
+	}
+	r.reserved++
+	s.changed.reservations[name] = true
+	s.touch(name)
+	return true
+}
+
+// Unreserve gives back one unit of a job. It is called while a command is applied.
+func (s *State) Unreserve(name string) {
+	r, ok := s.resources[name]
+	if !ok || r.reserved == 0 {
+		return
+	}
+	r.reserved--
+	s.changed.reservations[name] = true
+	s.touch(name)
+}
+
+func (s *State) resource(name string) *resource {
+	r, ok := s.resources[name]
+	if !ok {
+		r = &resource{allocations: map[string]allocation{}, ceiling: s.capacities[name]}
+		s.resources[name] = r
+	}
+	return r
+}
+
+func (s *State) touch(name string) {
+	s.touched[name] = true
+	s.policy.dirty[name] = true
+}
+
+// configure takes the capacities from the configuration in force.
+func (s *State) configure() {
+	capacities := map[string]uint64{}
+	for _, t := range s.cfg.Current().Teams {
+		capacities[TeamResource(t.Name)] = uint64(max(t.UpperLimit, 0))
+	}
+	for _, in := range s.cfg.Current().Instances {
+		capacities[SlotResource(in.Name)] = uint64(max(in.Slots, 0))
+	}
+	s.capacities = capacities
+	for name := range capacities {
+		s.policy.dirty[name] = true
+	}
+	for name, r := range s.resources {
+		r.ceiling = max(capacities[name], r.used())
+		s.touch(name)
+	}
+}
+
+func (s *State) apply(c kernel.Command) ([]byte, error) {
+	m := &quotapb.Command{}
+	if err := proto.Unmarshal(c.Body, m); err != nil {
+		return nil, kernel.ErrInvalid.New("decode quota command: %v", err)
+	}
+	for _, ch := range m.Changes {
+		s.applyChange(ch)
+	}
+	return nil, nil
+}
+
+func (s *State) applyChange(ch *quotapb.Change) {
+	r := s.resource(ch.Resource)
+	a, ok := r.allocations[ch.Holder]
+	if !ok && !s.members.Live(ch.Holder) {
+		return
+	}
+	if ch.Returned > a.returned && ch.Returned <= a.granted {
+		a.returned = ch.Returned
+	}
+	if ch.Granted > a.granted && s.members.Live(ch.Holder) {
+		if r.used()-allocationUnits(r, ch.Holder)+ch.Granted-a.returned <= s.capacities[ch.Resource] {
+			a.granted = ch.Granted
+		}
+	}
+	r.allocations[ch.Holder] = a
+	s.changed.allocations[pair{ch.Resource, ch.Holder}] = true
+	s.touch(ch.Resource)
+}
+
+func allocationUnits(r *resource, holder string) uint64 { return r.allocations[holder].units() }
+
+// release frees what a process held after it and all that it started have surely ended.
+func (s *State) release(id string) {
+	for name, r := range s.resources {
+		if _, ok := r.allocations[id]; ok {
+			delete(r.allocations, id)
+			s.touch(name)
+		}
+	}
+}
+
+// check verifies the resources that the last command touched.
+func (s *State) check() error {
+	for name := range s.touched {
+		r := s.resources[name]
+		used := r.used()
+		if used > r.ceiling {
+			return errorx.IllegalState.New("%d units of %s are in use, above %d", used, name, r.ceiling)
+		}
+		r.ceiling = max(s.capacities[name], used)
+		for holder, a := range r.allocations {
+			if a.returned > a.granted {
+				return errorx.IllegalState.New("%s returned %d units of %s, granted %d", holder, a.returned, name, a.granted)
+			}
+		}
+	}
+	clear(s.touched)
+	return nil
+}
+
+func (s *State) encode() ([]byte, error) {
+	m := &quotapb.State{}
+	for _, name := range slices.Sorted(maps.Keys(s.resources)) {
+		r := s.resources[name]
+		for _, holder := range slices.Sorted(maps.Keys(r.allocations)) {
+			m.Allocations = append(m.Allocations, r.change(name, holder))
+		}
+		if r.reserved > 0 {
+			m.Reservations = append(m.Reservations, &quotapb.Reservation{Resource: name, Units: r.reserved})
+		}
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func (r *resource) change(name, holder string) *quotapb.Change {
+	a := r.allocations[holder]
+	return &quotapb.Change{Resource: name, Holder: holder, Granted: a.granted, Returned: a.returned}
+}
+
+func (s *State) restore(data []byte) error {
+	m := &quotapb.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errorx.Decorate(err, "decode quotas")
+	}
+	s.resources = map[string]*resource{}
+	s.policy.reset()
+	s.changed.reset()
+	s.configure()
+	for _, ch := range m.Allocations {
+		s.resource(ch.Resource).allocations[ch.Holder] = allocation{granted: ch.Granted, returned: ch.Returned}
+	}
+	for _, rv := range m.Reservations {
+		s.resource(rv.Resource).reserved = rv.Units
+	}
+	for _, r := range s.resources {
+		r.ceiling = max(r.ceiling, r.used())
+	}
+	return nil
+}
+
+// Usage is one resource as operators see it.
+type Usage struct {
+	resource string
+	capacity uint64
+	reserved uint64
+	holders  map[string]uint64
+}
+
+// Resource returns the name of the resource.
+func (u Usage) Resource() string { return u.resource }
+
+// Capacity returns the configured units; it is known on the leader only.
+func (u Usage) Capacity() uint64 { return u.capacity }
+
+// Reserved returns the units that running jobs use.
+func (u Usage) Reserved() uint64 { return u.reserved }
+
+// Holders returns the units allocated to each process.
+func (u Usage) Holders() map[string]uint64 { return u.holders }
+
+// DecodeState returns the resources that a query answered, ordered by name.
+func DecodeState(body []byte) ([]Usage, error) {
+	m := &quotapb.State{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, errorx.Decorate(err, "decode quotas")
+	}
+	byName := map[string]*Usage{}
+	get := func(name string) *Usage {
+		u, ok := byName[name]
+		if !ok {
+			u = &Usage{resource: name, holders: map[string]uint64{}}
+			byName[name] = u
+		}
+		return u
+	}
+	for _, ch := range m.Allocations {
+		get(ch.Resource).holders[ch.Holder] = ch.Granted - ch.Returned
+	}
+	for _, rv := range m.Reservations {
+		get(rv.Resource).reserved = rv.Units
+	}
+	var list []Usage
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, *byName[name])
+	}
+	return list, nil
+}
+
+// String returns the resource with its allocations on one line.
+func (u Usage) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s reserved=%d", u.resource, u.reserved)
+	for _, h := range slices.Sorted(maps.Keys(u.holders)) {
+		fmt.Fprintf(&b, " %s=%d", h, u.holders[h])
+	}
+	return b.String()
+}
