--- /dev/null
+++ b/internal/control/group.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+)
+
+// serveJoin adds a voter as learner; the leader promotes it once it has caught up.
+func (v *Voter) serveJoin(ctx context.Context, _ string, req *controlpb.JoinRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		if !v.leading {
+			answer(&controlpb.JoinResponse{Redirect: v.redirect()}, nil)
+			return
+		}
+		m := req.Member
+		if m == nil || m.Id == "" || m.Name == "" || m.Address == "" {
+			answer(nil, kernel.ErrInvalid.New("a voter needs an identity, a name and an address"))
+			return
+		}
+		for _, ms := range v.core.Status().Members {
+			if ms.Member.Id != m.Id {
+				continue
+			}
+			if ms.Member.Address != m.Address || ms.Member.Name != m.Name {
+				v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_UPDATE, Member: m})
+			}
+			answer(&controlpb.JoinResponse{Voter: ms.Member.Voter}, nil)
+			return
+		}
+		m.Voter = false
+		v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER, Member: m})
+		answer(&controlpb.JoinResponse{}, nil)
+	})
+}
+
+func (v *Voter) serveRemove(ctx context.Context, _ string, req *controlpb.RemoveRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		if !v.leading {
+			answer(&controlpb.RemoveResponse{Redirect: v.redirect()}, nil)
+			return
+		}
+		ch := &raftpb.MemberChange{
+			Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: &raftpb.Member{Id: req.Id}, Force: req.Force,
+		}
+		if _, err := v.core.ProposeMember(ch); err != nil {
+			answer(nil, kernel.ErrConflict.New("%v", err))
+			return
+		}
+		answer(&controlpb.RemoveResponse{}, nil)
+	})
+}
+
+func (v *Voter) serveTransfer(ctx context.Context, _ string, _ *controlpb.TransferRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		v.transfer()
+		answer(&controlpb.TransferRequest{}, nil)
+	})
+}
+
+// Transfer passes leadership to the voter that is most caught up, if this voter leads.
+func (v *Voter) Transfer(ctx context.Context) error {
+	return v.post(ctx, v.transfer)
+}
+
+func (v *Voter) transfer() {
+	st := v.core.Status()
+	if st.Role != raft.Leader {
+		return
+	}
+	var best raft.MemberStatus
+	for _, m := range st.Members {
+		if m.Member.Id != st.ID && m.Member.Voter && m.CaughtUp && (best.Member == nil || m.Match > best.Match) {
+			best = m
+		}
+	}
+	if best.Member == nil {
+		return
+	}
+	if err := v.core.Transfer(best.Member.Id); err != nil {
+		v.cfg.Log.Info("leadership was not passed on", "reason", err.Error())
+	}
+}
+
+// changeMember proposes a membership change; one that is refused is tried again by its cause.
+func (v *Voter) changeMember(ch *raftpb.MemberChange) {
+	if _, err := v.core.ProposeMember(ch); err != nil {
+		v.cfg.Log.V(1).Info("membership change must wait", "kind", ch.Kind.String(), "reason", err.Error())
+		return
+	}
+	v.cfg.Log.Info("changing the control group", "kind", ch.Kind.String(), "member", ch.Member.Id)
+	v.cfg.Record(timeline.Event{Kind: "member-change", Text: ch.Kind.String() + " " + ch.Member.Id})
+}
+
+// manageVoters promotes learners that have caught up, and removes the old identity of a voter that lost its disk once
+// its new identity is a voter.
+func (v *Voter) manageVoters() {
+	members := v.core.Status().Members
+	for _, m := range members {
+		if !m.Member.Voter && m.CaughtUp {
+			v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: m.Member})
+			return
+		}
+	}
+	for _, old := range members {
+		for _, m := range members {
+			replaced := m.Member.Name == old.Member.Name && m.Member.Id != old.Member.Id
+			if replaced && m.Member.Voter && m.CaughtUp && !old.CaughtUp {
+				v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: old.Member})
+				return
+			}
+		}
+	}
+}
+
+// Redundant reports whether each voter is caught up, as seen by the leader.
+func redundant(st raft.Status) bool {
+	for _, m := range st.Members {
+		if !m.Member.Voter || !m.CaughtUp {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/rollout.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+)
+
+// maxRollouts bounds the versions that the leader reports on.
+const maxRollouts = 64
+
+// rollout follows one configuration version until it is in force everywhere.
+type rollout struct {
+	version, index uint64
+	acceptedAt     time.Duration
+	inForceAt      time.Duration
+	waiting        map[string]bool
+}
+
+// rollouts is soft state of the leader.
+type rollouts struct{ list []*rollout }
+
+func (r *rollouts) reset() { r.list = nil }
+
+func (r *rollouts) accepted(version, index uint64, now time.Duration, members []string) {
+	ro := &rollout{version: version, index: index, acceptedAt: now, waiting: map[string]bool{}}
+	for _, id := range members {
+		ro.waiting[id] = true
+	}
+	r.list = append(r.list, ro)
+	if len(r.list) > maxRollouts {
+		r.list = r.list[1:]
+	}
+}
+
+// applied notes that a process applied an index.
+func (r *rollouts) applied(id string, index uint64) {
+	for _, ro := range r.list {
+		if index >= ro.index {
+			delete(ro.waiting, id)
+		}
+	}
+}
+
+// settle notes the versions that are in force now; live reports whether a process may still act.
+func (r *rollouts) settle(now time.Duration, live func(id string) bool) (settled []*rollout) {
+	for _, ro := range r.list {
+		if ro.inForceAt != 0 {
+			continue
+		}
+		for id := range ro.waiting {
+			if !live(id) {
+				delete(ro.waiting, id)
+			}
+		}
+		if len(ro.waiting) == 0 {
+			ro.inForceAt = now
+			settled = append(settled, ro)
+		}
+	}
+	return settled
+}
+
+func (r *rollouts) encode(wall func(time.Duration) int64) []*controlpb.Rollout {
+	var list []*controlpb.Rollout
+	for _, ro := range r.list {
+		m := &controlpb.Rollout{Version: ro.version, Index: ro.index, AcceptedAt: wall(ro.acceptedAt)}
+		if ro.inForceAt != 0 {
+			m.InForceAfter = int64(max(ro.inForceAt-ro.acceptedAt, 1))
+		}
+		for id := range ro.waiting {
+			m.Waiting = append(m.Waiting, id)
+		}
+		list = append(list, m)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/control/serve.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/member"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+)
+
+// Kinds of the streams that a voter serves.
+const (
+	ProposeKind  = "propose"
+	QueryKind    = "query"
+	RenewKind    = "renew"
+	FollowKind   = "follow"
+	JoinKind     = "join"
+	RemoveKind   = "remove"
+	TransferKind = "transfer"
+	StatusKind   = "status"
+)
+
+// chunkSize bounds the snapshot bytes of one frame.
+const chunkSize = 64 << 10
+
+func (v *Voter) handle() {
+	t := v.cfg.Transport
+	t.Handle(raftKind, v.serveRaft)
+	t.Handle(FollowKind, v.serveFollow)
+	t.Handle(ProposeKind, peer.Reply(t, v.servePropose))
+	t.Handle(QueryKind, peer.Reply(t, v.serveQuery))
+	t.Handle(RenewKind, peer.Reply(t, v.serveRenew))
+	t.Handle(JoinKind, peer.Reply(t, v.serveJoin))
+	t.Handle(RemoveKind, peer.Reply(t, v.serveRemove))
+	t.Handle(TransferKind, peer.Reply(t, v.serveTransfer))
+	t.Handle(StatusKind, peer.Reply(t, v.serveStatus))
+}
+
+func (v *Voter) serveRaft(ctx context.Context, _ string, s *peer.Stream) error {
+	for {
+		m := &raftpb.Message{}
+		if err := s.Receive(m); err != nil {
+			return err
+		}
+		v.sender.learn(m.From, m.Address)
+		err := v.post(ctx, func() {
+			if err := v.core.Step(m); err != nil {
+				v.cfg.Log.Info("rejected a message of a member", "from", m.From, "reason", err.Error())
+			}
+		})
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// redirect names the leader, for requests that only it may answer.
+func (v *Voter) redirect() *controlpb.Redirect {
+	st := v.core.Status()
+	for _, m := range st.Members {
+		if m.Member.Id == st.Leader && st.Leader != st.ID {
+			return &controlpb.Redirect{Leader: m.Member.Address}
+		}
+	}
+	return &controlpb.Redirect{}
+}
+
+// ask runs f in the control loop and waits for the response that f passes to its argument.
+func ask[T proto.Message](ctx context.Context, v *Voter, f func(answer func(T, error))) (T, error) {
+	type outcome struct {
+		m   T
+		err error
+	}
+	ch := make(chan outcome, 1)
+	var none T
+	if err := v.post(ctx, func() { f(func(m T, err error) { ch <- outcome{m, err} }) }); err != nil {
+		return none, err
+	}
+	select {
+	case o := <-ch:
+		return o.m, o.err
+	case <-v.done:
+		return none, peer.ErrInterrupted.New("the voter has stopped")
+	case <-ctx.Done():
+		return none, peer.ErrInterrupted.Wrap(ctx.Err(), "no answer of the control loop")
+	}
+}
+
+func (v *Voter) servePropose(ctx context.Context, _ string, req *controlpb.ProposeRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		if !v.leading {
+			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
+			return
+		}
+		reply := func(r kernel.Result, err error) {
+			if err != nil {
+				answer(nil, err)
+				return
+			}
+			resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body}
+			if r.Err != nil {
+				resp.ErrorKind, resp.Error = kernel.EncodeError(r.Err)
+			}
+			answer(resp, nil)
+		}
+		if req.Command == nil {
+			answer(nil, kernel.ErrInvalid.New("empty proposal"))
+			return
+		}
+		if err := v.propose(CommandOf(req.Command), reply); err != nil {
+			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
+		}
+	})
+}
+
+func (v *Voter) serveQuery(ctx context.Context, _ string, req *controlpb.QueryRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		if !v.leading {
+			answer(&controlpb.QueryResponse{Redirect: v.redirect()}, nil)
+			return
+		}
+		v.read(func(r raft.Read) {
+			if r.Failed {
+				answer(&controlpb.QueryResponse{Redirect: v.redirect()}, nil)
+				return
+			}
+			body, err := v.kernel.Query(req.Plugin, req.Request)
+			answer(&controlpb.QueryResponse{Body: body}, err)
+		})
+	})
+}
+
+// serveRenew answers after a quorum round, so that a leader that was deposed renews no lease.
+func (v *Voter) serveRenew(ctx context.Context, _ string, req *controlpb.RenewRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		if !v.leading {
+			answer(&controlpb.RenewResponse{Redirect: v.redirect()}, nil)
+			return
+		}
+		if !v.members.Renewable(req.Id) {
+			answer(&controlpb.RenewResponse{Rejoin: true}, nil)
+			return
+		}
+		now := v.now()
+		v.kernel.Observe(now, member.Renewal{ID: req.Id})
+		if len(req.Demands)+len(req.Returned) > 0 {
+			v.kernel.Observe(now, quota.Report{Holder: req.Id, Demands: req.Demands, Returned: req.Returned})
+			v.decideSoon = true
+		}
+		v.rollouts.applied(req.Id, req.Applied)
+		v.settleRollouts()
+		v.read(func(r raft.Read) {
+			if r.Failed {
+				answer(&controlpb.RenewResponse{Redirect: v.redirect()}, nil)
+				return
+			}
+			resp := &controlpb.RenewResponse{Commit: r.Index, Term: v.leadTerm, Recalls: v.quotas.Recalls(req.Id)}
+			for _, m := range v.core.Status().Members {
+				resp.Voters = append(resp.Voters, m.Member.Address)
+			}
+			answer(resp, nil)
+		})
+	})
+}
+
+func (v *Voter) settleRollouts() {
+	for _, ro := range v.rollouts.settle(v.now(), v.members.Live) {
+		v.cfg.Log.Info("configuration is in force", "version", ro.version, "after", (ro.inForceAt - ro.acceptedAt).String())
+		v.cfg.Record(timeline.Event{Kind: "configuration-in-force", Version: ro.version})
+	}
+}
+
+func (v *Voter) serveStatus(ctx context.Context, _ string, _ *controlpb.StatusRequest) (proto.Message, error) {
+	return ask(ctx, v, func(answer func(proto.Message, error)) {
+		v.settleRollouts()
+		st := v.core.Status()
+		resp := &controlpb.StatusResponse{
+			Name: v.cfg.Name, Identity: st.ID, Role: st.Role.String(), Term: st.Term, Leader: st.Leader,
+			Commit: st.Commit, Applied: st.Applied, Halted: map[string]string{},
+			Rollouts: v.rollouts.encode(func(d time.Duration) int64 { return v.start.Add(d).UnixNano() }),
+		}
+		for _, m := range st.Members {
+			resp.Voters = append(resp.Voters, &controlpb.VoterStatus{Member: m.Member, Match: m.Match, CaughtUp: m.CaughtUp})
+		}
+		for plugin, err := range v.kernel.Halted() {
+			resp.Halted[plugin] = err.Error()
+		}
+		answer(resp, nil)
+	})
+}
+
+// serveFollow streams the view: a snapshot unless the process can continue, then each update.
+func (v *Voter) serveFollow(ctx context.Context, _ string, s *peer.Stream) error {
+	req := &controlpb.FollowRequest{}
+	if err := s.Receive(req); err != nil {
+		return err
+	}
+	at := req.Applied
+	for {
+		updates, grown, ok := v.feed.after(at)
+		if !ok || at == 0 {
+			var err error
+			if at, err = v.sendSnapshot(ctx, s, at); err != nil {
+				return err
+			}
+			continue
+		}
+		for _, u := range updates {
+			if err := s.Send(&controlpb.FollowFrame{Update: u}); err != nil {
+				return err
+			}
+			at = u.Index
+		}
+		if len(updates) > 0 {
+			continue
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-v.done:
+			return nil
+		}
+	}
+}
+
+// sendSnapshot sends the view plug-ins in chunks and returns the index of the snapshot.
+func (v *Voter) sendSnapshot(ctx context.Context, s *peer.Stream, applied uint64) (uint64, error) {
+	type snapshot struct {
+		index uint64
+		data  []byte
+		err   error
+	}
+	ch := make(chan snapshot, 1)
+	err := v.post(ctx, func() {
+		data, err := v.kernel.Snapshot(true)
+		ch <- snapshot{v.kernel.Applied(), data, err}
+	})
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case sn := <-ch:
+		if sn.err != nil {
+			return 0, sn.err
+		}
+		if sn.index < applied || sn.index == 0 {
+			// This voter is behind the process, which must try another one.
+			return 0, s.Send(&controlpb.FollowFrame{Redirect: &controlpb.Redirect{}})
+		}
+		for chunk := range slices.Chunk(sn.data, chunkSize) {
+			if err := s.Send(&controlpb.FollowFrame{Chunk: chunk, Size: uint64(len(sn.data))}); err != nil {
+				return 0, err
+			}
+		}
+		return sn.index, nil
+	case <-v.done:
+		return 0, peer.ErrInterrupted.New("the voter has stopped")
+	}
+}
--- /dev/null
+++ b/internal/control/voter.go
@@ -0,0 +1,461 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/disk"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/member"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+)
+
+const (
+	// tick is the unit of the timers of the replicated log and the interval of the kernel's decisions.
+	tick = 100 * time.Millisecond
+	// heartbeatTicks and electionTicks give a heartbeat each 100 ms and an election timeout of 0.5 to 1 s.
+	heartbeatTicks = 1
+	electionTicks  = 5
+	// snapshotEntries is how many entries are applied between snapshots; replaying them takes well under a second.
+	snapshotEntries = 1000
+	// inboxSize bounds the events that wait for the control loop.
+	inboxSize = 1024
+	// maxBatch bounds the events that share one sync.
+	maxBatch = 256
+)
+
+// Config holds the settings of a voter.
+type Config struct {
+	Name             string
+	PeerAddress      string
+	AvailabilityZone string
+	Store            *disk.Store
+	Transport        *peer.Transport
+	// Bootstrap starts a new group of one voter when the data directory is empty.
+	Bootstrap bool
+	// Act runs the actions of the leader; it must not block. It may be nil.
+	Act func(actions []kernel.Action)
+	// Lead is called when this voter starts or stops leading; it must not block. It may be nil.
+	Lead func(leading bool)
+	// Violation is called with each violated invariant; it may be nil.
+	Violation func(plugin string, err error)
+	// Record adds an event to the time line; it may be nil.
+	Record func(e timeline.Event)
+	Log    logr.Logger
+}
+
+// Voter is one member of the control group.
+type Voter struct {
+	cfg    Config
+	core   *raft.Core
+	kernel *kernel.Kernel
+	start  time.Time
+	inbox  chan func()
+	done   chan struct{}
+	sender *sender
+	feed   *feed
+
+	// State of the control loop.
+	leading    bool
+	leadTerm   uint64
+	decideSoon bool
+	pending    map[uint64]pendingProposal
+	reads      map[uint64]func(raft.Read)
+	lateReads  []raft.Read
+	nextRead   uint64
+	snapshotAt uint64
+	rollouts   rollouts
+	members    *member.State
+	quotas     *quota.State
+	documents  *configuration.State
+	failed     error
+}
+
+type pendingProposal struct {
+	term  uint64
+	reply func(kernel.Result, error)
+}
+
+// New builds a voter from its data directory.
+func New(cfg Config) (*Voter, error) {
+	if cfg.Record == nil {
+		cfg.Record = func(timeline.Event) {}
+	}
+	persisted, err := cfg.Store.Load()
+	if err != nil {
+		return nil, err
+	}
+	if persisted.Snapshot == nil && cfg.Bootstrap {
+		if persisted, err = bootstrap(cfg); err != nil {
+			return nil, err
+		}
+	}
+	v := &Voter{
+		cfg:     cfg,
+		start:   time.Now(),
+		inbox:   make(chan func(), inboxSize),
+		done:    make(chan struct{}),
+		pending: map[uint64]pendingProposal{},
+		reads:   map[uint64]func(raft.Read){},
+	}
+	if v.kernel, err = kernel.New(kernel.Config{Violation: cfg.Violation, Log: cfg.Log}); err != nil {
+		return nil, err
+	}
+	v.members, _ = kernel.Lookup[*member.State](v.kernel, member.Name)
+	v.quotas, _ = kernel.Lookup[*quota.State](v.kernel, quota.Name)
+	v.documents, _ = kernel.Lookup[*configuration.State](v.kernel, configuration.Name)
+	if s := persisted.Snapshot; s != nil {
+		if err := v.restore(s); err != nil {
+			return nil, err
+		}
+	}
+	v.core, err = raft.New(raft.Config{
+		ID: cfg.Store.Identity(), Persisted: persisted,
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: rand.IntN,
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.sender = newSender(cfg.Transport, cfg.Log)
+	v.feed = newFeed(v.kernel.Applied())
+	v.handle()
+	return v, nil
+}
+
+func bootstrap(cfg Config) (raft.Persisted, error) {
+	p := raft.Bootstrap([]*raftpb.Member{self(cfg, true)})
+	if err := cfg.Store.SaveSnapshot(p.Snapshot.Meta, p.Snapshot.Data); err != nil {
+		return p, err
+	}
+	return p, cfg.Store.Save(p.HardState, nil)
+}
+
+func self(cfg Config, voter bool) *raftpb.Member {
+	return &raftpb.Member{
+		Id: cfg.Store.Identity(), Name: cfg.Name, Address: cfg.PeerAddress,
+		AvailabilityZone: cfg.AvailabilityZone, Voter: voter,
+	}
+}
+
+func (v *Voter) restore(s *raft.Snapshot) error {
+	if len(s.Data) > 0 {
+		if err := v.kernel.Restore(s.Data); err != nil {
+			return err
+		}
+	}
+	v.kernel.Skip(s.Meta.Index)
+	v.snapshotAt = s.Meta.Index
+	return nil
+}
+
+// now is the monotonic time that the kernel sees.
+func (v *Voter) now() time.Duration { return time.Since(v.start) }
+
+// Run drives the voter until ctx is done or its data directory fails.
+func (v *Voter) Run(ctx context.Context) error {
+	defer close(v.done)
+	defer v.sender.close()
+	defer v.feed.close()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for v.failed == nil {
+		if err := v.process(); err != nil {
+			v.failed = err
+			break
+		}
+		select {
+		case <-ctx.Done():
+			v.failPending()
+			return nil
+		case f := <-v.inbox:
+			f()
+			v.drain()
+		case <-ticker.C:
+			v.onTick()
+		}
+		if v.decideSoon {
+			v.decide()
+		}
+	}
+	v.failPending()
+	return v.failed
+}
+
+// drain handles the events that already wait, so that they share one sync.
+func (v *Voter) drain() {
+	for range maxBatch {
+		select {
+		case f := <-v.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (v *Voter) onTick() {
+	v.core.Tick()
+	v.noteRole()
+	if v.leading {
+		v.manageVoters()
+	}
+	v.decide()
+}
+
+// noteRole notices that this voter stopped leading. That it started is noticed when the first entry of its term is
+// applied, because only then its state holds everything that was accepted before.
+func (v *Voter) noteRole() {
+	st := v.core.Status()
+	if v.leading && (st.Role != raft.Leader || st.Term != v.leadTerm) {
+		v.leading = false
+		v.failPending()
+		v.cfg.Log.Info("stopped leading the control group", "term", v.leadTerm)
+		v.cfg.Record(timeline.Event{Kind: "leader-stopped", Version: v.leadTerm})
+		if v.cfg.Lead != nil {
+			v.cfg.Lead(false)
+		}
+	}
+}
+
+func (v *Voter) startLeading(term uint64) {
+	v.leading, v.leadTerm = true, term
+	v.rollouts.reset()
+	v.kernel.Lead(v.now())
+	v.decideSoon = true
+	v.cfg.Log.Info("started leading the control group", "term", term)
+	v.cfg.Record(timeline.Event{Kind: "leader-started", Version: term})
+	if v.cfg.Lead != nil {
+		v.cfg.Lead(true)
+	}
+}
+
+// failPending answers all waiting proposals; whether they were or will be committed is unknown.
+func (v *Voter) failPending() {
+	for index, p := range v.pending {
+		delete(v.pending, index)
+		p.reply(kernel.Result{}, peer.ErrInterrupted.New("leadership was lost before the command was committed"))
+	}
+}
+
+func (v *Voter) decide() {
+	v.decideSoon = false
+	if !v.leading {
+		return
+	}
+	d := v.kernel.Decide(v.now())
+	for _, c := range d.Commands {
+		if err := v.propose(c, nil); err != nil {
+			v.cfg.Log.V(1).Info("command of the leader was not proposed", "plugin", c.Plugin, "reason", err.Error())
+		}
+	}
+	if len(d.Actions) > 0 && v.cfg.Act != nil {
+		v.cfg.Act(d.Actions)
+	}
+}
+
+func (v *Voter) propose(c kernel.Command, reply func(kernel.Result, error)) error {
+	data, err := proto.Marshal(encodeCommand(c, time.Now()))
+	if err != nil {
+		return errorx.Decorate(err, "encode command")
+	}
+	index, err := v.core.Propose(data)
+	if err != nil {
+		return err
+	}
+	if reply != nil {
+		v.pending[index] = pendingProposal{term: v.core.Status().Term, reply: reply}
+	}
+	return nil
+}
+
+// process handles all work of the replicated log: save, send, apply, answer.
+func (v *Voter) process() error {
+	for {
+		rd, ok := v.core.Ready()
+		if !ok {
+			return nil
+		}
+		if rd.Snapshot != nil {
+			if err := v.install(rd.Snapshot); err != nil {
+				return err
+			}
+		}
+		if rd.HardState != nil || len(rd.Entries) > 0 {
+			if err := v.cfg.Store.Save(rd.HardState, rd.Entries); err != nil {
+				return err
+			}
+		}
+		v.send(rd.Messages)
+		for _, e := range rd.Committed {
+			if err := v.apply(e); err != nil {
+				return err
+			}
+		}
+		v.answerReads(rd.Reads)
+		v.core.Advance(rd)
+		v.noteRole()
+		if err := v.maybeSnapshot(); err != nil {
+			return err
+		}
+	}
+}
+
+func (v *Voter) install(s *raft.Snapshot) error {
+	if err := v.cfg.Store.SaveSnapshot(s.Meta, s.Data); err != nil {
+		return err
+	}
+	if err := v.restore(s); err != nil {
+		return err
+	}
+	v.feed.reset(v.kernel.Applied())
+	v.cfg.Log.Info("installed a snapshot of the leader", "index", s.Meta.Index)
+	return nil
+}
+
+func (v *Voter) send(messages []*raftpb.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	addresses := map[string]string{}
+	for _, m := range v.core.Status().Members {
+		addresses[m.Member.Id] = m.Member.Address
+	}
+	for _, m := range messages {
+		m.Address = v.cfg.PeerAddress
+		v.sender.send(m, addresses[m.To])
+	}
+}
+
+func (v *Voter) apply(e *raftpb.Entry) error {
+	update := &controlpb.Update{Index: e.Index}
+	var result kernel.Result
+	if e.Type == raftpb.EntryType_ENTRY_TYPE_COMMAND {
+		c, err := decodeCommand(e.Data)
+		if err != nil {
+			return errorx.Decorate(err, "entry %d", e.Index)
+		}
+		version := v.documents.Version()
+		result = v.kernel.Apply(e.Index, c)
+		sections, ship, err := v.kernel.Changes(c.Plugin)
+		if err != nil {
+			return err
+		}
+		update.Changes = sections
+		if ship {
+			update.Command = encodeCommand(c, time.Unix(0, int64(c.At)))
+		}
+		if next := v.documents.Version(); next != version {
+			v.noteVersion(next, e.Index)
+		}
+		v.decideSoon = true
+	} else {
+		v.kernel.Skip(e.Index)
+		if e.Type == raftpb.EntryType_ENTRY_TYPE_EMPTY {
+			if st := v.core.Status(); st.Role == raft.Leader && st.Term == e.Term && !v.leading {
+				v.startLeading(e.Term)
+			}
+		}
+	}
+	v.feed.add(update)
+	if p, ok := v.pending[e.Index]; ok {
+		delete(v.pending, e.Index)
+		if p.term == e.Term {
+			p.reply(result, nil)
+		} else {
+			p.reply(kernel.Result{}, peer.ErrInterrupted.New("another leader's command took the place in the log"))
+		}
+	}
+	return nil
+}
+
+func (v *Voter) noteVersion(version, index uint64) {
+	v.cfg.Record(timeline.Event{Kind: "configuration-applied", Version: version})
+	if v.leading {
+		v.rollouts.accepted(version, index, v.now(), v.members.LiveIDs())
+	}
+}
+
+// maybeSnapshot saves a snapshot when enough entries were applied since the last one, so that a restart stays short.
+func (v *Voter) maybeSnapshot() error {
+	applied := v.kernel.Applied()
+	if applied < v.snapshotAt+snapshotEntries || applied != v.core.Status().Applied {
+		return nil
+	}
+	meta, err := v.core.SnapshotMeta(applied)
+	if err != nil {
+		return err
+	}
+	state, err := v.kernel.Snapshot(false)
+	if err != nil {
+		return err
+	}
+	if err := v.cfg.Store.SaveSnapshot(meta, state); err != nil {
+		return err
+	}
+	if err := v.core.Compact(applied, state); err != nil {
+		return err
+	}
+	v.snapshotAt = applied
+	v.cfg.Log.V(1).Info("saved a snapshot", "index", applied, "bytes", len(state))
+	return nil
+}
+
+// answerReads answers confirmed reads once their index is applied.
+func (v *Voter) answerReads(reads []raft.Read) {
+	reads = append(v.lateReads, reads...)
+	v.lateReads = nil
+	for _, r := range reads {
+		if !r.Failed && r.Index > v.kernel.Applied() {
+			v.lateReads = append(v.lateReads, r)
+			continue
+		}
+		if f, ok := v.reads[r.ID]; ok {
+			delete(v.reads, r.ID)
+			f(r)
+		}
+	}
+}
+
+// read calls f after a quorum confirmed this voter's leadership in a round that began after the call.
+func (v *Voter) read(f func(raft.Read)) {
+	v.nextRead++
+	id := v.nextRead
+	v.reads[id] = f
+	if err := v.core.ReadIndex(id); err != nil {
+		delete(v.reads, id)
+		f(raft.Read{Failed: true})
+	}
+}
+
+// post hands an event to the control loop; it fails when ctx ends first or the loop has stopped.
+func (v *Voter) post(ctx context.Context, f func()) error {
+	select {
+	case v.inbox <- f:
+		return nil
+	case <-v.done:
+		return peer.ErrUnreachable.New("the voter has stopped")
+	case <-ctx.Done():
+		return peer.ErrUnreachable.Wrap(ctx.Err(), "the control loop is busy")
+	}
+}
+
+// Observe hands an event of a driver, such as a platform report, to the kernel of the leader.
+func (v *Voter) Observe(ctx context.Context, ev kernel.Event) error {
+	return v.post(ctx, func() {
+		if v.leading {
+			v.kernel.Observe(v.now(), ev)
+			v.decideSoon = true
+		}
+	})
+}
--- /dev/null
+++ b/internal/timeline/interim.go
@@ -0,0 +1,8 @@
+package timeline
+
+// Event is one event of a process.
+type Event struct {
+	Kind, Request, Job, Instance, Team string
+	Version                            uint64
+	Text                               string
+}
