--- /dev/null
+++ b/internal/raft/core.go
@@ -0,0 +1,310 @@
+package raft
+
+import (
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+const (
+	// maxAppendBytes bounds the entries of one message, so that a heartbeat never waits long behind it.
+	maxAppendBytes = 256 << 10
+	// maxInflight bounds the unanswered append messages to one member to about 2 MiB.
+	maxInflight = 8
+	// MaxEntryBytes is the largest proposal; with its envelope it fits into a peer frame of 1 MiB.
+	MaxEntryBytes = 512 << 10
+	// maxUncommittedBytes bounds the memory of a leader that has lost its quorum.
+	maxUncommittedBytes = 4 << 20
+	// maxCommittedBytes bounds the committed entries of one Ready.
+	maxCommittedBytes = 1 << 20
+	// maxTrailing is the number of entries that stay in memory before a snapshot, so that a member which lags slightly
+	// needs no snapshot transfer.
+	maxTrailing = 256
+	// maxTrailingBytes bounds the memory for these entries.
+	maxTrailingBytes = 1 << 20
+)
+
+// Role is the part that a member plays in its term.
+type Role int
+
+// Roles of a member.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role in kebab case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Snapshot is a state of the state machine with its position in the log.
+type Snapshot struct {
+	Meta *raftpb.SnapshotMeta
+	// Data is empty for the initial state of a new group.
+	Data []byte
+}
+
+// Persisted is what a member finds on its disk when it starts.
+type Persisted struct {
+	// HardState is nil when none was saved.
+	HardState *raftpb.HardState
+	// Snapshot is nil for a process that is not yet part of a group.
+	Snapshot *Snapshot
+	// Entries follow the snapshot without a gap.
+	Entries []*raftpb.Entry
+}
+
+// Config holds the settings of a core.
+type Config struct {
+	// ID is the identity of this member.
+	ID string
+	// Persisted is the synced state.
+	Persisted Persisted
+	// ElectionTicks is the minimum election timeout; the actual timeout is below twice this value.
+	ElectionTicks int
+	// HeartbeatTicks is the interval between heartbeats of the leader.
+	HeartbeatTicks int
+	// Rand returns a number of at least 0 and below n.
+	Rand func(n int) int
+}
+
+// Core is one member of the replicated log; it must be used from one goroutine only.
+type Core struct {
+	cfg Config
+
+	role   Role
+	term   uint64
+	vote   string
+	leader string
+
+	log         entryLog
+	commit      uint64
+	applied     uint64
+	snapshot    *Snapshot
+	baseMembers []*raftpb.Member // membership at the base of the log
+	members     []*raftpb.Member // membership at the end of the log, ordered by identity
+	lastChange  uint64           // index of the last membership change in the log
+
+	clock     uint64 // ticks since the start
+	elapsed   int    // ticks since a leader was heard or an election began
+	timeout   int
+	votes     map[string]bool
+	receiving *reception
+
+	// Leader only.
+	progress    map[string]*progress
+	beatElapsed int
+	beatCommit  uint64 // commit index at the last periodic heartbeat
+	termStart   uint64 // index of the first entry of the own term
+	uncommitted int    // bytes
+	unsent      bool   // entries wait to be sent with the next Ready
+	transferTo  string
+	transferEnd uint64
+	round       uint64
+	reads       []read
+
+	outstanding bool
+	emitted     raftpb.HardState
+	messages    []*raftpb.Message
+	install     *Snapshot
+	answers     []Read
+}
+
+// New builds a core from the synced state.
+func New(cfg Config) (*Core, error) {
+	if cfg.ID == "" || cfg.ElectionTicks <= cfg.HeartbeatTicks || cfg.HeartbeatTicks < 1 || cfg.Rand == nil {
+		return nil, ErrInvalid.New("configuration needs an ID, a random source and heartbeat ticks below election ticks")
+	}
+	c := &Core{cfg: cfg}
+	p := cfg.Persisted
+	c.cfg.Persisted = Persisted{}
+	if p.HardState != nil {
+		c.term, c.vote = p.HardState.Term, p.HardState.Vote
+	}
+	if s := p.Snapshot; s != nil {
+		c.snapshot = s
+		c.log.reset(s.Meta.Index, s.Meta.Term)
+		c.commit, c.applied = s.Meta.Index, s.Meta.Index
+		c.baseMembers = s.Meta.Members
+	}
+	for _, e := range p.Entries {
+		if e.Index != c.log.last()+1 || e.Term < c.log.lastTerm() {
+			return nil, ErrCorrupt.New("persisted entry %d of term %d follows entry %d of term %d", e.Index, e.Term,
+				c.log.last(), c.log.lastTerm())
+		}
+		if err := checkEntry(e); err != nil {
+			return nil, err
+		}
+		c.log.entries = append(c.log.entries, e)
+	}
+	c.log.stable = c.log.last()
+	// The log can be ahead of the hard state when the process stopped between two saves; no vote was given then.
+	if t := c.log.lastTerm(); t > c.term {
+		c.term, c.vote = t, ""
+	}
+	c.emitted.Term, c.emitted.Vote = c.term, c.vote
+	c.updateMembers()
+	c.becomeFollower(c.term, "")
+	return c, nil
+}
+
+// Bootstrap returns the state with which each first voter of a new group starts; the driver saves it before it calls
+// New. All voters use the same members.
+func Bootstrap(members []*raftpb.Member) Persisted {
+	return Persisted{
+		HardState: &raftpb.HardState{Term: 1},
+		Snapshot:  &Snapshot{Meta: &raftpb.SnapshotMeta{Index: 1, Term: 1, Members: sortedMembers(members)}},
+	}
+}
+
+// Tick advances the time by one tick.
+func (c *Core) Tick() {
+	c.clock++
+	c.elapsed++
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if c.elapsed >= c.timeout && c.promotable() {
+		c.campaign(PreCandidate, false)
+	}
+}
+
+func (c *Core) tickLeader() {
+	if !c.quorumHeard() {
+		c.becomeFollower(c.term, "")
+		return
+	}
+	if c.transferTo != "" && c.clock >= c.transferEnd {
+		c.transferTo = ""
+	}
+	if c.beatElapsed++; c.beatElapsed >= c.cfg.HeartbeatTicks {
+		c.beatElapsed = 0
+		c.beatCommit = c.commit
+		c.startRound()
+	}
+}
+
+// Step handles a message from another member. An error means that the message was ignored.
+func (c *Core) Step(m *raftpb.Message) error {
+	if m.To != c.cfg.ID || m.From == "" || m.From == c.cfg.ID {
+		return ErrInvalid.New("message from %q to %q reached %q", m.From, m.To, c.cfg.ID)
+	}
+	if err := checkMessage(m); err != nil {
+		return err
+	}
+	isVote := m.Type == raftpb.MessageType_MESSAGE_TYPE_VOTE || m.Type == raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE
+	if isVote && m.Term > c.term && !m.Transfer && c.leaderHeard() {
+		return nil
+	}
+	switch {
+	case m.Term < c.term:
+		c.answerOldTerm(m)
+		return nil
+	case m.Term > c.term && !isPreVote(m):
+		leader := ""
+		if fromLeader(m) {
+			leader = m.From
+		}
+		c.becomeFollower(m.Term, leader)
+	}
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE, raftpb.MessageType_MESSAGE_TYPE_VOTE:
+		c.onVote(m)
+		return nil
+	case raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_RESPONSE, raftpb.MessageType_MESSAGE_TYPE_VOTE_RESPONSE:
+		c.onVoteResponse(m)
+		return nil
+	}
+	if fromLeader(m) {
+		return c.stepFollower(m)
+	}
+	if m.Type == raftpb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW {
+		if c.role != Leader && c.promotable() {
+			c.campaign(Candidate, true)
+		}
+		return nil
+	}
+	if c.role == Leader {
+		return c.stepLeader(m)
+	}
+	return nil
+}
+
+func (c *Core) stepFollower(m *raftpb.Message) error {
+	if c.role == Leader || c.leader != "" && c.leader != m.From {
+		return ErrInvalid.New("%q claims to lead term %d, which %q leads", m.From, m.Term, c.leader)
+	}
+	if c.role != Follower || c.leader == "" {
+		c.becomeFollower(m.Term, m.From)
+	}
+	c.elapsed = 0
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_TYPE_APPEND:
+		return c.onAppend(m)
+	case raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT:
+		c.commitTo(min(m.Commit, c.log.last()))
+		c.send(&raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_RESPONSE, To: m.From, Round: m.Round,
+		})
+		return nil
+	}
+	return c.onSnapshot(m)
+}
+
+func (c *Core) stepLeader(m *raftpb.Message) error {
+	p, ok := c.progress[m.From]
+	if !ok {
+		return nil
+	}
+	p.heard = c.clock
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE:
+		return c.onAppendResponse(m, p)
+	case raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_RESPONSE:
+		c.onHeartbeatResponse(m, p)
+	case raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_RESPONSE:
+		c.onSnapshotResponse(m, p)
+	}
+	return nil
+}
+
+func isPreVote(m *raftpb.Message) bool {
+	// A granted pre-vote carries the term that the candidate asked for, which no member has entered yet.
+	return m.Type == raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE ||
+		m.Type == raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_RESPONSE && !m.Reject
+}
+
+func fromLeader(m *raftpb.Message) bool {
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
+		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
+		return true
+	}
+	return false
+}
+
+// answerOldTerm tells the sender of an outdated message about the current term.
+func (c *Core) answerOldTerm(m *raftpb.Message) {
+	switch {
+	case m.Type == raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE:
+		c.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_RESPONSE, To: m.From, Reject: true})
+	case m.Type == raftpb.MessageType_MESSAGE_TYPE_VOTE:
+		c.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_VOTE_RESPONSE, To: m.From, Reject: true})
+	case fromLeader(m):
+		c.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_RESPONSE, To: m.From})
+	}
+}
+
+// send queues a message; it gets the current term unless it has one.
+func (c *Core) send(m *raftpb.Message) {
+	m.From = c.cfg.ID
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	if self := findMember(c.members, c.cfg.ID); self != nil {
+		m.Address = self.Address
+	}
+	c.messages = append(c.messages, m)
+}
--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,147 @@
+package raft
+
+import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+
+// leaderHeard reports whether a leader is known to be active, so that an election would only disrupt it.
+func (c *Core) leaderHeard() bool {
+	return c.role == Leader || c.leader != "" && c.elapsed < c.cfg.ElectionTicks
+}
+
+// promotable reports whether this member may become leader.
+func (c *Core) promotable() bool {
+	self := findMember(c.members, c.cfg.ID)
+	return self != nil && self.Voter
+}
+
+func (c *Core) resetTimeout() {
+	c.elapsed = 0
+	c.timeout = c.cfg.ElectionTicks + c.cfg.Rand(c.cfg.ElectionTicks)
+}
+
+func (c *Core) becomeFollower(term uint64, leader string) {
+	if term > c.term {
+		c.term, c.vote = term, ""
+	}
+	c.failReads()
+	c.role, c.leader = Follower, leader
+	c.votes, c.progress, c.transferTo, c.unsent, c.uncommitted = nil, nil, "", false, 0
+	c.resetTimeout()
+}
+
+// campaign starts an election. As pre-candidate it only asks whether it could win and keeps its term.
+func (c *Core) campaign(role Role, transfer bool) {
+	c.role, c.leader = role, ""
+	c.votes = map[string]bool{c.cfg.ID: true}
+	c.resetTimeout()
+	term, kind := c.term+1, raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE
+	if role == Candidate {
+		c.term, c.vote = term, c.cfg.ID
+		kind = raftpb.MessageType_MESSAGE_TYPE_VOTE
+	}
+	for _, m := range c.members {
+		if m.Voter && m.Id != c.cfg.ID {
+			c.send(&raftpb.Message{
+				Type: kind, To: m.Id, Term: term, LogIndex: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer,
+			})
+		}
+	}
+	c.countVotes()
+}
+
+// onVote answers a request for a vote or pre-vote. Learners and members that are not in their own membership answer too,
+// because their log may lack their promotion.
+func (c *Core) onVote(m *raftpb.Message) {
+	pre := m.Type == raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE
+	free := c.vote == m.From || c.vote == "" && c.leader == "" || pre && m.Term > c.term
+	granted := free && c.log.upToDate(m.LogIndex, m.LogTerm)
+	r := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_VOTE_RESPONSE, To: m.From, Reject: !granted}
+	if pre {
+		r.Type = raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+		if granted {
+			r.Term = m.Term
+		}
+	} else if granted {
+		c.vote = m.From
+		c.resetTimeout()
+	}
+	c.send(r)
+}
+
+func (c *Core) onVoteResponse(m *raftpb.Message) {
+	pre := m.Type == raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+	switch {
+	case pre && c.role != PreCandidate, !pre && c.role != Candidate:
+		return
+	case pre && !m.Reject && m.Term != c.term+1:
+		return
+	}
+	if _, ok := c.votes[m.From]; !ok {
+		c.votes[m.From] = !m.Reject
+	}
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	granted, rejected := 0, 0
+	for _, m := range c.members {
+		if v, ok := c.votes[m.Id]; m.Voter && ok {
+			if v {
+				granted++
+			} else {
+				rejected++
+			}
+		}
+	}
+	switch q := c.quorum(); {
+	case granted >= q && c.role == PreCandidate:
+		c.campaign(Candidate, false)
+	case granted >= q:
+		c.becomeLeader()
+	case rejected >= q:
+		c.becomeFollower(c.term, "")
+	}
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader, c.votes = Leader, c.cfg.ID, nil
+	c.elapsed, c.beatElapsed, c.beatCommit = 0, 0, c.commit
+	c.progress = map[string]*progress{}
+	c.updateProgress()
+	c.termStart = c.log.last() + 1
+	c.appendOwn(raftpb.EntryType_ENTRY_TYPE_EMPTY, nil)
+}
+
+// quorumHeard reports whether a quorum of voters answered within the last minimum election timeout.
+func (c *Core) quorumHeard() bool {
+	n := 0
+	for _, m := range c.members {
+		if m.Voter && (m.Id == c.cfg.ID || c.clock-c.progress[m.Id].heard < uint64(c.cfg.ElectionTicks)) {
+			n++
+		}
+	}
+	return n >= c.quorum()
+}
+
+// Transfer hands the leadership to a voter once its log is complete. Proposals are refused until then, for at most the
+// minimum election timeout.
+func (c *Core) Transfer(to string) error {
+	if c.role != Leader {
+		return ErrNotLeader.New("member %s does not lead", c.cfg.ID)
+	}
+	m := findMember(c.members, to)
+	if m == nil || !m.Voter || to == c.cfg.ID {
+		return ErrInvalid.New("leadership can't be transferred to %q, which is not another voter", to)
+	}
+	if c.transferTo != "" {
+		return ErrBusy.New("a leadership transfer to %s is running", c.transferTo)
+	}
+	c.transferTo, c.transferEnd = to, c.clock+uint64(c.cfg.ElectionTicks)
+	c.continueTransfer(to, c.progress[to])
+	return nil
+}
+
+func (c *Core) continueTransfer(id string, p *progress) {
+	if c.transferTo == id && p.match == c.log.last() {
+		c.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW, To: id})
+	}
+}
--- /dev/null
+++ b/internal/raft/log.go
@@ -0,0 +1,92 @@
+package raft
+
+import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+
+// entryLog holds the entries after base in memory.
+type entryLog struct {
+	baseIndex, baseTerm uint64
+	entries             []*raftpb.Entry
+	stable              uint64 // last entry that the driver synced
+}
+
+func (l *entryLog) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	if n := len(l.entries); n > 0 {
+		return l.entries[n-1].Term
+	}
+	return l.baseTerm
+}
+
+// term returns the term of the entry at index i; ok is false outside of the log.
+func (l *entryLog) term(i uint64) (term uint64, ok bool) {
+	switch {
+	case i == l.baseIndex:
+		return l.baseTerm, true
+	case i < l.baseIndex || i > l.last():
+		return 0, false
+	}
+	return l.entries[i-l.baseIndex-1].Term, true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate reports whether a log that ends at the given position is at least as complete as this one.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.last()
+}
+
+// slice returns entries from lo through hi with at most limit bytes, but at least one entry.
+func (l *entryLog) slice(lo, hi uint64, limit int) []*raftpb.Entry {
+	if lo <= l.baseIndex || lo > hi {
+		return nil
+	}
+	part := l.entries[lo-l.baseIndex-1 : hi-l.baseIndex]
+	size := 0
+	for i, e := range part {
+		size += entrySize(e)
+		if i > 0 && size > limit {
+			return part[:i:i]
+		}
+	}
+	return part[:len(part):len(part)]
+}
+
+// entrySize is an upper estimate of the encoded size.
+func entrySize(e *raftpb.Entry) int { return len(e.Data) + 32 }
+
+// truncate removes the entries from index on. The rest is copied on the next append, so that slices handed out stay
+// unchanged.
+func (l *entryLog) truncate(index uint64) {
+	n := index - l.baseIndex - 1
+	l.entries = l.entries[:n:n]
+	l.stable = min(l.stable, index-1)
+}
+
+// discard removes the entries through index.
+func (l *entryLog) discard(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.baseIndex {
+		return
+	}
+	// Copying releases the removed entries to the garbage collector.
+	l.entries = append([]*raftpb.Entry(nil), l.entries[index-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = index, term
+}
+
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{baseIndex: index, baseTerm: term, stable: index}
+}
+
+// possibleMatch returns the highest position through index whose term is at most term.
+func (l *entryLog) possibleMatch(index, term uint64) (uint64, uint64) {
+	for i := min(index, l.last()); i > l.baseIndex; i-- {
+		if t, ok := l.term(i); ok && t <= term {
+			return i, t
+		}
+	}
+	return min(index, l.baseIndex), 0
+}
--- /dev/null
+++ b/internal/raft/member.go
@@ -0,0 +1,180 @@
+package raft
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+func sortedMembers(members []*raftpb.Member) []*raftpb.Member {
+	list := slices.Clone(members)
+	slices.SortFunc(list, func(a, b *raftpb.Member) int { return strings.Compare(a.Id, b.Id) })
+	return list
+}
+
+func findMember(members []*raftpb.Member, id string) *raftpb.Member {
+	for _, m := range members {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func countVoters(members []*raftpb.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) quorum() int { return countVoters(c.members)/2 + 1 }
+
+// changeMembers returns the membership after a change.
+func changeMembers(members []*raftpb.Member, ch *raftpb.MemberChange) []*raftpb.Member {
+	id := ch.Member.GetId()
+	list := make([]*raftpb.Member, 0, len(members)+1)
+	for _, m := range members {
+		if m.Id != id {
+			list = append(list, m)
+			continue
+		}
+		m = proto.CloneOf(m)
+		switch ch.Kind {
+		case raftpb.ChangeKind_CHANGE_KIND_REMOVE:
+			continue
+		case raftpb.ChangeKind_CHANGE_KIND_PROMOTE:
+			m.Voter = true
+		case raftpb.ChangeKind_CHANGE_KIND_UPDATE:
+			m.Name, m.Address, m.AvailabilityZone = ch.Member.Name, ch.Member.Address, ch.Member.AvailabilityZone
+		}
+		list = append(list, m)
+	}
+	if ch.Kind == raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER && findMember(members, id) == nil {
+		m := proto.CloneOf(ch.Member)
+		m.Voter = false
+		list = append(list, m)
+	}
+	return sortedMembers(list)
+}
+
+// membersAt returns the membership after the entry at index, which must not be before the base of the log.
+func (c *Core) membersAt(index uint64) []*raftpb.Member {
+	members := c.baseMembers
+	for _, e := range c.log.entries {
+		if e.Index > index {
+			break
+		}
+		if e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+			ch := &raftpb.MemberChange{}
+			if proto.Unmarshal(e.Data, ch) == nil { // checked when the entry arrived
+				members = changeMembers(members, ch)
+			}
+		}
+	}
+	return members
+}
+
+// updateMembers recomputes the membership, which takes effect as soon as its entry is in the log.
+func (c *Core) updateMembers() {
+	c.members = c.membersAt(c.log.last())
+	c.lastChange = 0
+	for _, e := range c.log.entries {
+		if e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+			c.lastChange = e.Index
+		}
+	}
+	if c.role == Leader {
+		c.updateProgress()
+	}
+}
+
+func (c *Core) updateProgress() {
+	for _, m := range c.members {
+		if c.progress[m.Id] == nil {
+			c.progress[m.Id] = &progress{next: c.log.last() + 1, heard: c.clock}
+		}
+	}
+	for id := range c.progress {
+		if findMember(c.members, id) == nil {
+			delete(c.progress, id)
+		}
+	}
+	c.progress[c.cfg.ID].match = c.log.stable
+}
+
+// ProposeMember appends a membership change to the log of the leader.
+func (c *Core) ProposeMember(ch *raftpb.MemberChange) (index uint64, err error) {
+	if err := c.acceptsProposals(); err != nil {
+		return 0, err
+	}
+	if c.commit < c.termStart || c.lastChange > c.commit {
+		return 0, ErrBusy.New("an earlier membership change may be uncommitted")
+	}
+	if err := c.checkChange(ch); err != nil {
+		return 0, err
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(ch)
+	if err != nil {
+		return 0, ErrInvalid.Wrap(err, "encode membership change")
+	}
+	return c.appendOwn(raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE, data), nil
+}
+
+func (c *Core) checkChange(ch *raftpb.MemberChange) error {
+	id := ch.GetMember().GetId()
+	m := findMember(c.members, id)
+	if id == "" || m == nil && ch.Kind != raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER {
+		return ErrInvalid.New("no member %q", id)
+	}
+	switch ch.Kind {
+	case raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER:
+		if m != nil {
+			return ErrInvalid.New("member %s is already part of the group", id)
+		}
+	case raftpb.ChangeKind_CHANGE_KIND_PROMOTE:
+		if m.Voter {
+			return ErrInvalid.New("member %s is already a voter", id)
+		}
+		if !c.caughtUp(id) {
+			return ErrNotCaughtUp.New("learner %s is not caught up", id)
+		}
+	case raftpb.ChangeKind_CHANGE_KIND_REMOVE:
+		return c.checkRemoval(m, ch.Force)
+	case raftpb.ChangeKind_CHANGE_KIND_UPDATE:
+	default:
+		return ErrInvalid.New("unknown membership change %d", ch.Kind)
+	}
+	return nil
+}
+
+func (c *Core) checkRemoval(m *raftpb.Member, force bool) error {
+	if !m.Voter {
+		return nil
+	}
+	// A leader that removes itself would have to lead a group that it is not part of.
+	if m.Id == c.cfg.ID {
+		return ErrInvalid.New("member %s leads; transfer the leadership before its removal", m.Id)
+	}
+	for _, other := range c.members {
+		if !force && other.Voter && other.Id != m.Id && !c.caughtUp(other.Id) {
+			return ErrNotCaughtUp.New("voter %s is not caught up, so the removal of %s could cost the quorum", other.Id, m.Id)
+		}
+	}
+	return nil
+}
+
+// caughtUp reports whether a member was heard within an election timeout and lags by at most a heartbeat interval.
+func (c *Core) caughtUp(id string) bool {
+	if id == c.cfg.ID {
+		return true
+	}
+	p := c.progress[id]
+	return p != nil && c.clock-p.heard < uint64(c.cfg.ElectionTicks) && p.match >= c.beatCommit
+}
--- /dev/null
+++ b/internal/raft/network_test.go
@@ -0,0 +1,170 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+// node is a member with its synced state and its applied commands.
+type node struct {
+	core    *Core
+	disk    Persisted
+	applied []*raftpb.Entry
+	state   string // commands applied so far
+	reads   []Read
+	last    uint64
+}
+
+// network connects members; drop decides about each message.
+type network struct {
+	t     testing.TB
+	ids   []string
+	nodes map[string]*node
+	drop  func(m *raftpb.Message) bool
+	rand  func(n int) int
+}
+
+func testMembers(n int) []*raftpb.Member {
+	var members []*raftpb.Member
+	for i := range n {
+		members = append(members, &raftpb.Member{Id: fmt.Sprintf("m%d", i+1), Address: "127.0.0.1:1", Voter: true})
+	}
+	return members
+}
+
+func newNetwork(t testing.TB, n int) *network {
+	seed := uint32(1)
+	w := &network{t: t, nodes: map[string]*node{}, drop: func(*raftpb.Message) bool { return false }}
+	w.rand = func(n int) int {
+		seed = seed*1664525 + 1013904223
+		return int(seed>>16) % n
+	}
+	for _, m := range testMembers(n) {
+		w.add(m.Id, Bootstrap(testMembers(n)))
+	}
+	return w
+}
+
+func (w *network) add(id string, p Persisted) {
+	if w.nodes[id] == nil {
+		w.ids = append(w.ids, id)
+	}
+	n := &node{disk: p}
+	if p.Snapshot != nil {
+		n.state, n.last = string(p.Snapshot.Data), p.Snapshot.Meta.Index
+	}
+	core, err := New(Config{ID: id, Persisted: p, ElectionTicks: 5, HeartbeatTicks: 1, Rand: w.rand})
+	assert.NilError(w.t, err)
+	n.core = core
+	w.nodes[id] = n
+}
+
+func (w *network) restart(id string) { w.add(id, w.nodes[id].disk) }
+
+// save does what the disk does.
+func (p *Persisted) save(rd Ready) {
+	if rd.Snapshot != nil {
+		p.Snapshot, p.Entries = rd.Snapshot, nil
+	}
+	if rd.HardState != nil {
+		p.HardState = rd.HardState
+	}
+	for _, e := range rd.Entries {
+		p.Entries = append(p.Entries[:e.Index-p.Snapshot.Meta.Index-1:e.Index-p.Snapshot.Meta.Index-1], e)
+	}
+}
+
+func (n *node) handle(rd Ready) {
+	n.disk.save(rd)
+	if rd.Snapshot != nil {
+		n.state, n.last = string(rd.Snapshot.Data), rd.Snapshot.Meta.Index
+	}
+	for _, e := range rd.Committed {
+		if e.Index != n.last+1 {
+			panic(fmt.Sprintf("entry %d applied after %d", e.Index, n.last))
+		}
+		n.last = e.Index
+		n.applied = append(n.applied, e)
+		n.state += string(e.Data)
+	}
+	n.reads = append(n.reads, rd.Reads...)
+	n.core.Advance(rd)
+}
+
+// settle delivers messages until none is left.
+func (w *network) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range w.ids {
+			n := w.nodes[id]
+			rd, ok := n.core.Ready()
+			if !ok {
+				continue
+			}
+			busy = true
+			n.handle(rd)
+			for _, m := range rd.Messages {
+				if to := w.nodes[m.To]; to != nil && !w.drop(m) {
+					_ = to.core.Step(proto.CloneOf(m))
+				}
+			}
+		}
+	}
+}
+
+func (w *network) tick(n int) {
+	for range n {
+		for _, id := range w.ids {
+			w.nodes[id].core.Tick()
+		}
+		w.settle()
+	}
+}
+
+// leader ticks until there is a leader that committed an entry of its term, and returns it.
+func (w *network) leader() *Core {
+	w.t.Helper()
+	for range 100 {
+		for _, id := range w.ids {
+			if c := w.nodes[id].core; c.role == Leader && c.commit >= c.termStart && c.quorumHeard() {
+				return c
+			}
+		}
+		w.tick(1)
+	}
+	w.t.Fatal("no leader within 100 ticks")
+	return nil
+}
+
+func (w *network) propose(data string) {
+	w.t.Helper()
+	_, err := w.leader().Propose([]byte(data))
+	assert.NilError(w.t, err)
+	w.settle()
+}
+
+// Guards against a group of any supported size that elects no leader or does not apply what is proposed.
+func TestGroupsCommit(t *testing.T) {
+	for _, size := range []int{1, 3, 5} {
+		w := newNetwork(t, size)
+		l := w.leader()
+		w.propose("a")
+		assert.NilError(t, l.ReadIndex(7))
+		w.settle()
+		w.tick(2)
+		assert.DeepEqual(t, w.nodes[l.cfg.ID].reads, []Read{{ID: 7, Index: l.commit}})
+		for _, id := range w.ids {
+			w.restart(id)
+		}
+		w.leader()
+		w.tick(1)
+		for _, id := range w.ids {
+			assert.Equal(t, w.nodes[id].state, "a", "%d members, %s", size, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/raft/read.go
@@ -0,0 +1,82 @@
+package raft
+
+import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+
+// Read is the answer to a ReadIndex.
+type Read struct {
+	ID uint64
+	// Index is the position through which the driver applies before it answers the read.
+	Index uint64
+	// Failed reports that the leadership was lost before the read was confirmed.
+	Failed bool
+}
+
+// read waits for a quorum to answer a heartbeat round that started after the request.
+type read struct {
+	id, round, index uint64 // round is zero until one started
+}
+
+// ReadIndex asks for a position that is at least as new as everything committed before the call. The answer arrives in
+// Ready.Reads under the same ID.
+func (c *Core) ReadIndex(id uint64) error {
+	if c.role != Leader {
+		return ErrNotLeader.New("member %s does not lead", c.cfg.ID)
+	}
+	c.reads = append(c.reads, read{id: id})
+	c.startWaitingReads()
+	return nil
+}
+
+// startWaitingReads starts a round for waiting reads unless one is in flight; reads that arrive meanwhile share the
+// next one.
+func (c *Core) startWaitingReads() {
+	if len(c.reads) > 0 && c.reads[0].round == 0 && c.commit >= c.termStart {
+		c.startRound()
+	}
+}
+
+// startRound sends a heartbeat to all members, which also restarts a round that was lost.
+func (c *Core) startRound() {
+	c.round++
+	c.progress[c.cfg.ID].round = c.round
+	if c.commit >= c.termStart {
+		for i := range c.reads {
+			if c.reads[i].round == 0 {
+				c.reads[i].round, c.reads[i].index = c.round, c.commit
+			}
+		}
+	}
+	for _, m := range c.members {
+		if m.Id != c.cfg.ID {
+			c.send(&raftpb.Message{
+				Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT, To: m.Id, Commit: min(c.commit, c.progress[m.Id].match),
+				Round: c.round,
+			})
+		}
+	}
+	c.confirmReads()
+}
+
+// confirmedRound returns the newest round that a quorum of voters answered.
+func (c *Core) confirmedRound() uint64 {
+	return c.quorumValue(func(p *progress) uint64 { return p.round })
+}
+
+func (c *Core) confirmReads() {
+	confirmed, n := c.confirmedRound(), 0
+	for n < len(c.reads) && c.reads[n].round != 0 && c.reads[n].round <= confirmed {
+		c.answers = append(c.answers, Read{ID: c.reads[n].id, Index: c.reads[n].index})
+		n++
+	}
+	if n > 0 {
+		c.reads = append([]read(nil), c.reads[n:]...)
+		c.startWaitingReads()
+	}
+}
+
+func (c *Core) failReads() {
+	for _, r := range c.reads {
+		c.answers = append(c.answers, Read{ID: r.id, Failed: true})
+	}
+	c.reads = nil
+}
--- /dev/null
+++ b/internal/raft/ready.go
@@ -0,0 +1,60 @@
+package raft
+
+import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+
+// Ready is work for the driver; see the package comment for the order.
+type Ready struct {
+	// Snapshot is saved and then restored into the state machine; nil when there is none.
+	Snapshot *Snapshot
+	// HardState and Entries are saved in one sync before any message is sent. HardState is nil when unchanged.
+	HardState *raftpb.HardState
+	Entries   []*raftpb.Entry
+	// Messages go to other members in any order; they may be lost.
+	Messages []*raftpb.Message
+	// Committed holds the next entries to apply, in order.
+	Committed []*raftpb.Entry
+	// Reads are answered once their index is applied.
+	Reads []Read
+}
+
+// Ready returns the next work; ok is false when there is none or when the previous work was not passed to Advance.
+func (c *Core) Ready() (rd Ready, ok bool) {
+	if c.outstanding {
+		return Ready{}, false
+	}
+	if c.unsent {
+		c.unsent = false
+		c.broadcast(false)
+	}
+	rd = Ready{
+		Snapshot: c.install, Messages: c.messages, Reads: c.answers,
+		Entries:   c.log.slice(c.log.stable+1, c.log.last(), int(^uint(0)>>1)),
+		Committed: c.log.slice(c.applied+1, c.commit, maxCommittedBytes),
+	}
+	if c.emitted.Term != c.term || c.emitted.Vote != c.vote {
+		c.emitted.Term, c.emitted.Vote = c.term, c.vote
+		rd.HardState = &raftpb.HardState{Term: c.term, Vote: c.vote}
+	}
+	c.install, c.messages, c.answers = nil, nil, nil
+	ok = rd.Snapshot != nil || rd.HardState != nil || len(rd.Entries)+len(rd.Messages)+len(rd.Committed)+len(rd.Reads) > 0
+	c.outstanding = ok
+	return rd, ok
+}
+
+// Advance records that the driver has handled rd: everything in it is synced, sent and applied.
+func (c *Core) Advance(rd Ready) {
+	c.outstanding = false
+	if n := len(rd.Entries); n > 0 {
+		// The entry may have been replaced since; then its replacement still has to be synced.
+		if e := rd.Entries[n-1]; c.log.matches(e.Index, e.Term) {
+			c.log.stable = max(c.log.stable, e.Index)
+		}
+	}
+	if n := len(rd.Committed); n > 0 {
+		c.applied = max(c.applied, rd.Committed[n-1].Index)
+	}
+	if c.role == Leader {
+		c.progress[c.cfg.ID].match = c.log.stable
+		c.commitByQuorum()
+	}
+}
--- /dev/null
+++ b/internal/raft/replicate.go
@@ -0,0 +1,191 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+// Propose appends a command to the log of the leader. The returned index holds this command only if the entry committed
+// there has the current term.
+func (c *Core) Propose(data []byte) (index uint64, err error) {
+	if err := c.acceptsProposals(); err != nil {
+		return 0, err
+	}
+	if len(data) > MaxEntryBytes {
+		return 0, ErrInvalid.New("command of %d bytes exceeds %d bytes", len(data), MaxEntryBytes)
+	}
+	if c.uncommitted > 0 && c.uncommitted+len(data) > maxUncommittedBytes {
+		return 0, ErrBusy.New("%d bytes wait to be committed", c.uncommitted)
+	}
+	return c.appendOwn(raftpb.EntryType_ENTRY_TYPE_COMMAND, data), nil
+}
+
+func (c *Core) acceptsProposals() error {
+	if c.role != Leader {
+		return ErrNotLeader.New("member %s does not lead", c.cfg.ID)
+	}
+	if c.transferTo != "" {
+		return ErrBusy.New("leadership is being transferred to %s", c.transferTo)
+	}
+	return nil
+}
+
+func (c *Core) appendOwn(kind raftpb.EntryType, data []byte) uint64 {
+	e := &raftpb.Entry{Index: c.log.last() + 1, Term: c.term, Type: kind, Data: data}
+	c.log.entries = append(c.log.entries, e)
+	c.uncommitted += entrySize(e)
+	c.unsent = true
+	if kind == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+		c.updateMembers()
+	}
+	return e.Index
+}
+
+func (c *Core) broadcast(evenEmpty bool) {
+	for _, m := range c.members {
+		if m.Id != c.cfg.ID {
+			c.replicate(m.Id, c.progress[m.Id], evenEmpty)
+		}
+	}
+}
+
+// replicate sends entries to a member as far as flow control permits.
+func (c *Core) replicate(id string, p *progress, evenEmpty bool) {
+	for !p.paused() && (evenEmpty || p.next <= c.log.last()) {
+		evenEmpty = false
+		prev, ok := c.log.term(p.next - 1)
+		if !ok {
+			c.startSnapshot(id, p)
+			return
+		}
+		entries := c.log.slice(p.next, c.log.last(), maxAppendBytes)
+		c.send(&raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, To: id, LogIndex: p.next - 1, LogTerm: prev, Entries: entries,
+			Commit: c.commit,
+		})
+		if p.state == probing {
+			p.waiting = true
+		} else if n := uint64(len(entries)); n > 0 {
+			p.next += n
+			p.inflight = append(p.inflight, p.next-1)
+		}
+	}
+}
+
+func (c *Core) onAppend(m *raftpb.Message) error {
+	r := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From}
+	if m.LogIndex < c.commit {
+		r.LogIndex = c.commit
+		c.send(r)
+		return nil
+	}
+	if !c.log.matches(m.LogIndex, m.LogTerm) {
+		r.Reject, r.LogIndex = true, m.LogIndex
+		r.HintIndex, r.HintTerm = c.log.possibleMatch(m.LogIndex, m.LogTerm)
+		c.send(r)
+		return nil
+	}
+	for i, e := range m.Entries {
+		if c.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= c.commit {
+			return ErrInvalid.New("%q replaces the committed entry %d", m.From, e.Index)
+		}
+		if e.Index <= c.log.last() {
+			c.log.truncate(e.Index)
+		}
+		c.log.entries = append(c.log.entries, m.Entries[i:]...)
+		c.updateMembers()
+		break
+	}
+	r.LogIndex = m.LogIndex + uint64(len(m.Entries))
+	c.commitTo(min(m.Commit, r.LogIndex))
+	c.send(r)
+	return nil
+}
+
+func (c *Core) onAppendResponse(m *raftpb.Message, p *progress) error {
+	if m.LogIndex > c.log.last() {
+		return ErrInvalid.New("%q acknowledges entry %d after the last entry %d", m.From, m.LogIndex, c.log.last())
+	}
+	if m.Reject {
+		c.onRejection(m, p)
+		return nil
+	}
+	p.acknowledge(m.LogIndex)
+	switch p.state {
+	case probing:
+		p.probe(p.match + 1)
+		p.state = replicating
+	case transferring:
+		if p.match >= p.transfer.snapshot.Meta.Index {
+			p.probe(p.match + 1)
+			p.state = replicating
+		}
+	}
+	if !c.commitByQuorum() {
+		c.replicate(m.From, p, false)
+	}
+	c.continueTransfer(m.From, p)
+	return nil
+}
+
+func (c *Core) onRejection(m *raftpb.Message, p *progress) {
+	if m.LogIndex <= p.match || p.state == transferring || p.state == probing && m.LogIndex != p.next-1 {
+		return // an old answer
+	}
+	hint := m.HintIndex
+	if m.HintTerm > 0 {
+		hint, _ = c.log.possibleMatch(m.HintIndex, m.HintTerm)
+	}
+	p.probe(max(min(m.LogIndex, hint+1), p.match+1))
+	c.replicate(m.From, p, true)
+}
+
+func (c *Core) onHeartbeatResponse(m *raftpb.Message, p *progress) {
+	p.round = max(p.round, min(m.Round, c.round))
+	c.confirmReads()
+	switch {
+	case p.state == transferring:
+		c.resumeSnapshot(m.From, p)
+	case p.match < c.log.last():
+		// The last append or its answer may be lost; an empty append finds out.
+		p.waiting = false
+		if p.state == replicating && p.paused() {
+			p.inflight = p.inflight[1:]
+		}
+		c.replicate(m.From, p, true)
+	}
+}
+
+// commitByQuorum commits what a quorum has synced, if the last such entry is of the own term.
+func (c *Core) commitByQuorum() bool {
+	index := c.quorumValue(func(p *progress) uint64 { return p.match })
+	if index <= c.commit || !c.log.matches(index, c.term) {
+		return false
+	}
+	for _, e := range c.log.slice(c.commit+1, index, int(^uint(0)>>1)) {
+		c.uncommitted -= entrySize(e)
+	}
+	c.uncommitted = max(c.uncommitted, 0)
+	c.commitTo(index)
+	c.startWaitingReads()
+	c.broadcast(true)
+	return true
+}
+
+// quorumValue returns the highest value that a quorum of voters has reached.
+func (c *Core) quorumValue(value func(p *progress) uint64) uint64 {
+	var values []uint64
+	for _, m := range c.members {
+		if m.Voter {
+			values = append(values, value(c.progress[m.Id]))
+		}
+	}
+	slices.Sort(values)
+	return values[len(values)-c.quorum()]
+}
+
+func (c *Core) commitTo(index uint64) { c.commit = max(c.commit, index) }
--- /dev/null
+++ b/internal/raft/snapshot.go
@@ -0,0 +1,140 @@
+package raft
+
+import (
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+const (
+	// maxChunkBytes bounds the snapshot data of one message.
+	maxChunkBytes = 64 << 10
+	// maxSnapshotBytes bounds the memory that a transfer can claim.
+	maxSnapshotBytes = 256 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// transfer is a snapshot on its way to a member; it stays the same when a newer snapshot is taken meanwhile.
+type transfer struct {
+	snapshot *Snapshot
+	checksum uint32
+	offset   uint64 // bytes that the member has
+	sent     uint64 // tick of the last chunk
+}
+
+// reception is a snapshot that arrives in chunks. It outlives a change of the leader, so that the transfer resumes.
+type reception struct {
+	meta     *raftpb.SnapshotMeta
+	size     uint64
+	checksum uint32
+	data     []byte
+}
+
+// startSnapshot begins with an empty chunk, whose answer tells how much the member already has.
+func (c *Core) startSnapshot(id string, p *progress) {
+	p.probe(p.next)
+	p.state = transferring
+	p.transfer = &transfer{snapshot: c.snapshot, checksum: crc32.Checksum(c.snapshot.Data, castagnoli)}
+	c.sendChunk(id, p, 0)
+}
+
+func (c *Core) sendChunk(id string, p *progress, limit uint64) {
+	t := p.transfer
+	t.sent = c.clock
+	size := uint64(len(t.snapshot.Data))
+	c.send(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT, To: id, Snapshot: t.snapshot.Meta, Size: size,
+		Checksum: t.checksum, Offset: t.offset, Data: t.snapshot.Data[t.offset:min(t.offset+limit, size)],
+	})
+}
+
+// resumeSnapshot repeats a chunk that was not answered for a heartbeat interval.
+func (c *Core) resumeSnapshot(id string, p *progress) {
+	if c.clock-p.transfer.sent >= uint64(c.cfg.HeartbeatTicks) {
+		c.sendChunk(id, p, 0)
+	}
+}
+
+func (c *Core) onSnapshotResponse(m *raftpb.Message, p *progress) {
+	if p.state != transferring || m.LogIndex != p.transfer.snapshot.Meta.Index || m.Checksum != p.transfer.checksum {
+		return
+	}
+	if size := uint64(len(p.transfer.snapshot.Data)); m.Offset < size {
+		p.transfer.offset = m.Offset
+		c.sendChunk(m.From, p, maxChunkBytes)
+	}
+}
+
+func (c *Core) onSnapshot(m *raftpb.Message) error {
+	meta := m.Snapshot
+	if meta.Index <= c.commit || c.log.matches(meta.Index, meta.Term) {
+		// The log already holds everything up to the snapshot.
+		c.commitTo(meta.Index)
+		c.receiving = nil
+		c.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From, LogIndex: c.commit})
+		return nil
+	}
+	r := c.receiving
+	if r == nil || !proto.Equal(r.meta, meta) || r.size != m.Size || r.checksum != m.Checksum {
+		r = &reception{meta: meta, size: m.Size, checksum: m.Checksum}
+		c.receiving = r
+	}
+	if m.Offset == uint64(len(r.data)) {
+		r.data = append(r.data, m.Data...)
+	}
+	if uint64(len(r.data)) < r.size {
+		c.send(&raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_RESPONSE, To: m.From, LogIndex: meta.Index,
+			Offset: uint64(len(r.data)), Checksum: r.checksum,
+		})
+		return nil
+	}
+	c.receiving = nil
+	if crc32.Checksum(r.data, castagnoli) != r.checksum {
+		return ErrInvalid.New("snapshot at %d from %q has a wrong checksum", meta.Index, m.From)
+	}
+	c.restore(&Snapshot{Meta: meta, Data: r.data})
+	c.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From, LogIndex: meta.Index})
+	return nil
+}
+
+// restore replaces the whole log by a snapshot.
+func (c *Core) restore(s *Snapshot) {
+	c.log.reset(s.Meta.Index, s.Meta.Term)
+	c.commit, c.applied = s.Meta.Index, s.Meta.Index
+	c.snapshot, c.install = s, s
+	c.baseMembers = s.Meta.Members
+	c.updateMembers()
+}
+
+// SnapshotMeta describes a snapshot of the state after the applied entry at index.
+func (c *Core) SnapshotMeta(index uint64) (*raftpb.SnapshotMeta, error) {
+	term, ok := c.log.term(index)
+	if !ok || index > c.applied || c.snapshot != nil && index < c.snapshot.Meta.Index {
+		return nil, ErrInvalid.New("no snapshot is possible at %d: entries through %d are applied", index, c.applied)
+	}
+	return &raftpb.SnapshotMeta{Index: index, Term: term, Members: c.membersAt(index)}, nil
+}
+
+// Compact records that a snapshot of the state after index was saved, and frees the entries before it.
+func (c *Core) Compact(index uint64, state []byte) error {
+	meta, err := c.SnapshotMeta(index)
+	if err != nil {
+		return err
+	}
+	c.snapshot = &Snapshot{Meta: meta, Data: state}
+	keep, size := index, 0
+	for keep > c.log.baseIndex && index-keep < maxTrailing {
+		if size += entrySize(c.log.entries[keep-c.log.baseIndex-1]); size > maxTrailingBytes {
+			break
+		}
+		keep--
+	}
+	members := c.membersAt(keep)
+	c.log.discard(keep)
+	c.baseMembers = members
+	return nil
+}
--- /dev/null
+++ b/internal/raft/status.go
@@ -0,0 +1,40 @@
+package raft
+
+import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+
+// Status is a copy of the state of a core.
+type Status struct {
+	ID      string
+	Role    Role
+	Term    uint64
+	Leader  string // empty when unknown
+	Commit  uint64
+	Applied uint64
+	Last    uint64 // last entry in the log
+	Members []MemberStatus
+}
+
+// MemberStatus is a member with what the leader knows about it.
+type MemberStatus struct {
+	Member *raftpb.Member
+	// Match is the last entry known to be synced at the member; zero on members that don't lead.
+	Match uint64
+	// CaughtUp reports that the member was heard within an election timeout and lags by at most a heartbeat interval.
+	CaughtUp bool
+}
+
+// Status returns the current state.
+func (c *Core) Status() Status {
+	s := Status{
+		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Commit: c.commit, Applied: c.applied,
+		Last: c.log.last(),
+	}
+	for _, m := range c.members {
+		ms := MemberStatus{Member: m}
+		if p := c.progress[m.Id]; c.role == Leader && p != nil {
+			ms.Match, ms.CaughtUp = p.match, c.caughtUp(m.Id)
+		}
+		s.Members = append(s.Members, ms)
+	}
+	return s
+}
