--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -118,13 +118,3 @@
 		}
 	}
 }
-
-// Redundant reports whether each voter is caught up, as seen by the leader.
-func redundant(st raft.Status) bool {
-	for _, m := range st.Members {
-		if !m.Member.Voter || !m.CaughtUp {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,427 @@
+package follower
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/control"
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/key"
+	"github.com/hibiscusroute/hibiscusroute/internal/member"
+	"github.com/hibiscusroute/hibiscusroute/internal/member/memberpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+	"github.com/hibiscusroute/hibiscusroute/internal/view"
+)
+
+const (
+	// renewInterval gives a lost renewal several further tries within a lease.
+	renewInterval = 500 * time.Millisecond
+	// earlyRenewal bounds how often demand above the allocations triggers a renewal before its time.
+	earlyRenewal = 50 * time.Millisecond
+	// retryPause is the time before a lost view stream is opened again.
+	retryPause = 100 * time.Millisecond
+	// joinTimeout bounds one try to become a member.
+	joinTimeout = 3 * time.Second
+)
+
+// Config holds the settings of a follower.
+type Config struct {
+	Name             string
+	PeerAddress      string
+	AvailabilityZone string
+	Client           *Client
+	Open             func(ctx context.Context, address, kind string) (*peer.Stream, error)
+	// Place returns the pool of an instance and whether it takes new work; nil uses the configuration.
+	Place func(k *kernel.Kernel) func(instance string) (pool string, admit bool)
+	// Record adds an event to the time line; it may be nil.
+	Record func(e timeline.Event)
+	Log    logr.Logger
+}
+
+// Follower keeps the view of one process fresh.
+type Follower struct {
+	cfg     Config
+	start   time.Time
+	holder  *quota.Holder
+	view    atomic.Pointer[view.View]
+	members atomic.Pointer[[]*memberpb.Member]
+	// leaseUntil is when the configuration lease ends, in nanoseconds after start; 0 means never leased.
+	leaseUntil atomic.Int64
+	wake       chan struct{}
+
+	// State of the follower's goroutine.
+	kernel *kernel.Kernel
+	// floor is the highest index ever applied; a state that is older is never acted on.
+	floor   uint64
+	id      string
+	pending []grant
+	full    bool
+	leader  string
+}
+
+// grant is an answered renewal that counts once its index is applied.
+type grant struct {
+	index uint64
+	until time.Duration
+}
+
+// New builds a follower; Run keeps it fresh.
+func New(cfg Config) (*Follower, error) {
+	if cfg.Record == nil {
+		cfg.Record = func(timeline.Event) {}
+	}
+	f := &Follower{cfg: cfg, start: time.Now(), wake: make(chan struct{}, 1)}
+	f.holder = quota.NewHolder(quota.HolderConfig{Leased: f.Leased, Now: f.now, Short: f.renewSoon})
+	if err := f.resetKernel(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Holder returns the allocations of this process.
+func (f *Follower) Holder() *quota.Holder { return f.holder }
+
+// Leased reports whether the view is surely fresh enough to act on.
+func (f *Follower) Leased() bool { return f.now() < time.Duration(f.leaseUntil.Load()) }
+
+// View returns the newest view; it fails with view.ErrNoLease when that may be outdated.
+func (f *Follower) View() (*view.View, error) {
+	// The view is loaded first: a view that is newer than the lease is fresh too.
+	v := f.view.Load()
+	if v == nil || !f.Leased() {
+		return nil, view.ErrNoLease.New("no fresh view of the control state")
+	}
+	return v, nil
+}
+
+// Last returns the newest view even when it may be outdated, nil before the first.
+func (f *Follower) Last() *view.View { return f.view.Load() }
+
+// Members returns the processes of the newest view.
+func (f *Follower) Members() []*memberpb.Member {
+	if list := f.members.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+func (f *Follower) now() time.Duration { return time.Since(f.start) }
+
+func (f *Follower) renewSoon() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) resetKernel() error {
+	k, err := kernel.New(kernel.Config{ViewOnly: true, Log: f.cfg.Log})
+	if err != nil {
+		return err
+	}
+	f.kernel = k
+	return nil
+}
+
+// Run follows the control group until ctx is done.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := f.join(ctx); err != nil {
+			f.cfg.Log.V(1).Info("can't join the control group yet", "reason", err.Error())
+			pause(ctx, retryPause)
+			continue
+		}
+		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
+			f.cfg.Log.Info("lost membership; joining again", "reason", err.Error())
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// join becomes a new member, because whatever an earlier one held is charged until it has surely ended.
+func (f *Follower) join(ctx context.Context) error {
+	incarnation, err := uuid.NewRandom()
+	if err != nil {
+		return errorx.Decorate(err, "draw incarnation")
+	}
+	id := member.ID(f.cfg.Name, incarnation.String()[:8])
+	cmd, err := member.JoinCommand(&memberpb.Member{
+		Id: id, Name: f.cfg.Name, PeerAddress: f.cfg.PeerAddress, AvailabilityZone: f.cfg.AvailabilityZone,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	r, err := f.cfg.Client.Propose(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	if r.Err != nil {
+		return r.Err
+	}
+	f.id, f.full, f.pending = id, true, nil
+	f.holder.Reset(id)
+	f.cfg.Log.Info("joined", "member", id)
+	f.cfg.Record(timeline.Event{Kind: "joined", Text: id})
+	return nil
+}
+
+type renewal struct {
+	sent time.Duration
+	resp *controlpb.RenewResponse
+	err  error
+}
+
+// follow applies the view stream and renews the lease until the membership is lost.
+func (f *Follower) follow(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	frames := make(chan *controlpb.FollowFrame, 16)
+	restart := make(chan uint64, 1)
+	go f.stream(ctx, frames, restart, f.kernel.Applied())
+	renewals := make(chan renewal, 1)
+	renewing := false
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var lastRenewal time.Duration
+	var snapshot []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			if !renewing {
+				renewing, lastRenewal = true, f.now()
+				go f.renew(ctx, f.request(), renewals)
+			}
+			timer.Reset(renewInterval)
+		case <-f.wake:
+			if wait := lastRenewal + earlyRenewal - f.now(); !renewing {
+				timer.Reset(max(wait, 0))
+			} else {
+				timer.Reset(max(wait, earlyRenewal))
+			}
+		case r := <-renewals:
+			renewing = false
+			if err := f.renewed(r); err != nil {
+				return err
+			}
+		case m := <-frames:
+			var err error
+			if snapshot, err = f.applyFrame(m, snapshot); err != nil {
+				f.cfg.Log.Error(err, "view stream does not fit the state; starting from a snapshot")
+				if err := f.resetKernel(); err != nil {
+					return err
+				}
+				snapshot = nil
+				restart <- 0
+			}
+		}
+	}
+}
+
+func (f *Follower) request() *controlpb.RenewRequest {
+	demands, returned := f.holder.Report(f.full)
+	f.full = false
+	return &controlpb.RenewRequest{Id: f.id, Applied: f.kernel.Applied(), Demands: demands, Returned: returned}
+}
+
+func (f *Follower) renew(ctx context.Context, req *controlpb.RenewRequest, out chan<- renewal) {
+	r := renewal{sent: f.now(), resp: &controlpb.RenewResponse{}}
+	tctx, cancel := context.WithTimeout(ctx, member.Lease)
+	defer cancel()
+	// Each try counts from the send time of the first one, which is the earliest.
+	r.err = f.cfg.Client.call(tctx, control.RenewKind, req, r.resp, false)
+	select {
+	case out <- r:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) renewed(r renewal) error {
+	if r.err != nil {
+		f.full = true
+		f.cfg.Log.V(1).Info("configuration lease was not renewed", "reason", r.err.Error())
+		return nil
+	}
+	if r.resp.Rejoin {
+		f.leaseUntil.Store(0)
+		return errorx.IllegalState.New("the control group counts %s as expired", f.id)
+	}
+	if leader := f.cfg.Client.Leader(); leader != f.leader {
+		// A new leader knows no demands.
+		f.leader, f.full = leader, true
+	}
+	f.cfg.Client.learn(r.resp.Voters)
+	f.holder.Recall(r.resp.Recalls)
+	f.pending = append(f.pending, grant{index: r.resp.Commit, until: r.sent + member.Lease})
+	f.extendLease()
+	return nil
+}
+
+// extendLease takes the answered renewals whose index is applied.
+func (f *Follower) extendLease() {
+	applied := f.kernel.Applied()
+	f.floor = max(f.floor, applied)
+	rest := f.pending[:0]
+	for _, g := range f.pending {
+		switch {
+		case g.index <= applied:
+			if int64(g.until) > f.leaseUntil.Load() {
+				f.leaseUntil.Store(int64(g.until))
+			}
+		case g.until > f.now():
+			rest = append(rest, g)
+		}
+	}
+	f.pending = rest
+}
+
+// stream receives view frames; a number on restart opens a new stream after that index.
+func (f *Follower) stream(ctx context.Context, frames chan<- *controlpb.FollowFrame, restart <-chan uint64, at uint64) {
+	for ctx.Err() == nil {
+		next, err := f.receive(ctx, frames, restart, at)
+		if err != nil {
+			f.cfg.Log.V(1).Info("view stream ended", "reason", err.Error())
+		}
+		at = next
+		pause(ctx, retryPause)
+	}
+}
+
+func (f *Follower) receive(
+	ctx context.Context, frames chan<- *controlpb.FollowFrame, restart <-chan uint64, at uint64,
+) (uint64, error) {
+	leader := f.cfg.Client.Leader()
+	if leader == "" {
+		return at, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := f.cfg.Open(ctx, leader, control.FollowKind)
+	if err != nil {
+		return at, err
+	}
+	defer func() { _ = s.Close() }()
+	if err := s.Send(&controlpb.FollowRequest{Applied: at}); err != nil {
+		return at, err
+	}
+	go f.watchLeader(ctx, cancel, leader)
+	for {
+		m := &controlpb.FollowFrame{}
+		if err := s.Receive(m); err != nil {
+			return at, err
+		}
+		if m.Redirect != nil {
+			return at, nil
+		}
+		select {
+		case frames <- m:
+		case at = <-restart:
+			return at, nil
+		case <-ctx.Done():
+			return at, ctx.Err()
+		}
+		if m.Update != nil {
+			at = m.Update.Index
+		}
+	}
+}
+
+// watchLeader ends a stream when another voter leads, because a voter that was cut off sends nothing new.
+func (f *Follower) watchLeader(ctx context.Context, cancel context.CancelFunc, leader string) {
+	ticker := time.NewTicker(retryPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if l := f.cfg.Client.Leader(); l != "" && l != leader {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
+// applyFrame applies one frame and returns the part of a snapshot that was received so far.
+func (f *Follower) applyFrame(m *controlpb.FollowFrame, snapshot []byte) ([]byte, error) {
+	if m.Update == nil {
+		snapshot = append(snapshot, m.Chunk...)
+		if uint64(len(snapshot)) < m.Size {
+			return snapshot, nil
+		}
+		if err := f.kernel.Restore(snapshot); err != nil {
+			return nil, err
+		}
+		if f.kernel.Applied() < f.floor {
+			return nil, errorx.IllegalState.New("snapshot at %d is older than the state at %d", f.kernel.Applied(), f.floor)
+		}
+		f.publish()
+		return nil, nil
+	}
+	u := m.Update
+	if u.Index <= f.kernel.Applied() {
+		return nil, nil
+	}
+	if u.Index != f.kernel.Applied()+1 {
+		return nil, errorx.IllegalState.New("update %d follows %d", u.Index, f.kernel.Applied())
+	}
+	if u.Command != nil {
+		f.kernel.Apply(u.Index, control.CommandOf(u.Command))
+	} else {
+		f.kernel.Skip(u.Index)
+	}
+	if err := f.kernel.Merge(u.Changes); err != nil {
+		return nil, err
+	}
+	if u.Command != nil || len(u.Changes) > 0 {
+		f.publish()
+	} else {
+		f.extendLease()
+	}
+	return nil, nil
+}
+
+// publish makes the state visible to the goroutines that serve traffic.
+func (f *Follower) publish() {
+	cfg, _ := kernel.Lookup[*configuration.State](f.kernel, configuration.Name)
+	keys, _ := kernel.Lookup[*key.State](f.kernel, key.Name)
+	members, _ := kernel.Lookup[*member.State](f.kernel, member.Name)
+	quotas, _ := kernel.Lookup[*quota.State](f.kernel, quota.Name)
+	vc := view.Config{
+		Index: f.kernel.Applied(), Version: cfg.Version(), Configuration: cfg.Current(), Keys: keys.Active(),
+	}
+	if f.cfg.Place != nil {
+		vc.Place = f.cfg.Place(f.kernel)
+	}
+	before := f.view.Load()
+	f.view.Store(view.New(vc))
+	list := members.Members()
+	f.members.Store(&list)
+	f.holder.Update(quotas)
+	f.extendLease()
+	if before == nil || before.Version() != cfg.Version() {
+		f.cfg.Record(timeline.Event{Kind: "configuration-applied", Version: cfg.Version()})
+		// The leader learns at once that this process has applied the version.
+		f.renewSoon()
+	}
+}
--- a/internal/member/plugin.go
+++ b/internal/member/plugin.go
@@ -165,7 +165,10 @@
 	if !ok {
 		return kernel.ErrNotFound.New("no member %q", id)
 	}
+	// Views share the messages, so a change makes a copy.
+	m = proto.CloneOf(m)
 	m.Expired = true
+	s.members[id] = m
 	return nil
 }
 
@@ -192,8 +195,12 @@
 // under an earlier version.
 func (s *State) extendRuns() {
 	longest := int64(s.longestRun())
-	for _, m := range s.members {
-		m.LongestRun = max(m.LongestRun, longest)
+	for id, m := range s.members {
+		if m.LongestRun < longest {
+			m = proto.CloneOf(m)
+			m.LongestRun = longest
+			s.members[id] = m
+		}
 	}
 }
 
