--- /dev/null
+++ b/internal/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller serves callers: it authorises, queues and sends their requests and answers each exactly once.
+package caller
