--- a/internal/configuration/plugin.go
+++ b/internal/configuration/plugin.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -95,11 +94,7 @@
 		return nil, kernel.ErrInvalid.New("%v", err)
 	}
 	if faults := cfg.Check(); len(faults) > 0 {
-		lines := make([]string, 0, len(faults))
-		for _, f := range faults {
-			lines = append(lines, f.String())
-		}
-		return nil, kernel.ErrInvalid.New("%s", strings.Join(lines, "\n"))
+		return nil, kernel.ErrInvalid.New("%s", fleet.JoinFaults(faults))
 	}
 	s.version++
 	s.document, s.current, s.acceptedAt = m.Document, cfg, c.At
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -22,11 +22,15 @@
 
 func submit(t *testing.T, id string, base uint64) kernel.Command {
 	t.Helper()
-	doc, err := (&fleet.Configuration{Format: fleet.Format}).Print()
+	f := fleet.New(fleet.Config{Processes: 1})
+	f.AddPool(fleet.Pool{Name: "spare", Spare: true})
+	c, err := f.Build()
 	assert.NilError(t, err)
-	c, err := configuration.SubmitCommand(id, base, doc)
+	doc, err := c.Print()
 	assert.NilError(t, err)
-	return c
+	cmd, err := configuration.SubmitCommand(id, base, doc)
+	assert.NilError(t, err)
+	return cmd
 }
 
 // Guards against a resent operation that is applied twice or gets another answer after a leader change.
--- a/pkg/fleet/document.go
+++ b/pkg/fleet/document.go
@@ -56,11 +56,24 @@
 	MaxUnavailablePercent int `json:"max-unavailable-percent"`
 }
 
+// Allowed returns how many of size instances may be unavailable at once; bounded is false when neither bound is set.
+func (b Budget) Allowed(size int) (n int, bounded bool) {
+	n = size
+	if b.MaxUnavailable > 0 {
+		n, bounded = min(n, b.MaxUnavailable), true
+	}
+	if b.MaxUnavailablePercent > 0 {
+		n, bounded = min(n, size*b.MaxUnavailablePercent/100), true
+	}
+	return n, bounded
+}
+
 // Instance is a machine that runs endpoints and jobs.
 type Instance struct {
 	Name             string `json:"name"`
 	AvailabilityZone string `json:"availability-zone"`
-	Rack             string `json:"rack"`
+	// Rack is unique within its availability zone.
+	Rack string `json:"rack"`
 	// Pool is the pool to which the operator assigns the instance.
 	Pool string `json:"pool"`
 	// Processors is a number of cores.
@@ -109,7 +122,7 @@
 	Name string `json:"name"`
 	// Pools lists the pools whose instances are rebooted.
 	Pools []string `json:"pools"`
-	// Order lists the availability zones in the order in which they are maintained.
+	// Order lists the availability zones in the order in which they are maintained; zones left out are not maintained.
 	Order []string `json:"order"`
 	// MaxParallel bounds how many instances are stopped at once over all pools of the wave.
 	MaxParallel int `json:"max-parallel"`
@@ -117,7 +130,7 @@
 	DrainDeadline Duration `json:"drain-deadline"`
 }
 
-// Weights sets the cost of each measure in the policy; only their ratios count.
+// Weights sets the cost of each measure in the policy; only their ratios count, and all zero means equal weights.
 type Weights struct {
 	Buffer  float64 `json:"buffer"`
 	RollOut float64 `json:"roll-out"`
--- a/pkg/fleet/parse.go
+++ b/pkg/fleet/parse.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
 
 	"github.com/joomcode/errorx"
 )
@@ -17,9 +19,24 @@
 }
 
 // String returns the path and the message.
-func (f Fault) String() string { return f.Path + ": " + f.Message }
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.Message
+	}
+	return f.Path + ": " + f.Message
+}
+
+// JoinFaults returns the faults as text, one per line.
+func JoinFaults(faults []Fault) string {
+	lines := make([]string, 0, len(faults))
+	for _, f := range faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
 
-// Parse reads a document and refuses unknown fields and trailing data; it does not run Check.
+// Parse reads a document and refuses unknown fields, fields that are given twice, and trailing data; it does not run
+// Check.
 func Parse(data []byte) (*Configuration, error) {
 	c := &Configuration{}
 	dec := json.NewDecoder(bytes.NewReader(data))
@@ -30,9 +47,51 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return nil, errorx.IllegalFormat.New("parse configuration: data after the document")
 	}
+	if err := refuseDuplicates(json.NewDecoder(bytes.NewReader(data)), ""); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
+// refuseDuplicates reads one value and fails on a field that is given twice, because the decoder keeps the last one and
+// drops the other silently. Field names are compared without case, as the decoder does.
+func refuseDuplicates(dec *json.Decoder, path string) error {
+	t, err := dec.Token()
+	if err != nil {
+		return errorx.IllegalFormat.Wrap(err, "parse configuration")
+	}
+	switch t {
+	case json.Delim('{'):
+		seen := map[string]bool{}
+		for dec.More() {
+			name, err := dec.Token()
+			if err != nil {
+				return errorx.IllegalFormat.Wrap(err, "parse configuration")
+			}
+			field := strings.TrimPrefix(fmt.Sprintf("%s.%v", path, name), ".")
+			folded := strings.ToLower(fmt.Sprint(name))
+			if seen[folded] {
+				return errorx.IllegalFormat.New("parse configuration: field %q is given twice", field)
+			}
+			seen[folded] = true
+			if err := refuseDuplicates(dec, field); err != nil {
+				return err
+			}
+		}
+	case json.Delim('['):
+		for i := 0; dec.More(); i++ {
+			if err := refuseDuplicates(dec, fmt.Sprintf("%s[%d]", path, i)); err != nil {
+				return err
+			}
+		}
+	default:
+		return nil
+	}
+	// The closing delimiter was checked by the first pass over the document.
+	_, err = dec.Token()
+	return err
+}
+
 // Print returns the document as indented JSON in a stable order.
 func (c *Configuration) Print() ([]byte, error) {
 	data, err := json.MarshalIndent(c, "", "  ")
