--- a/internal/key/plugin.go
+++ b/internal/key/plugin.go
@@ -58,7 +58,12 @@
 
 // GrantCommand returns the command that adds a key for a team.
 func GrantCommand(id, team string, secret Secret) (kernel.Command, error) {
-	grant := &keypb.Grant{Id: secret.ID(), Team: team, Hash: secret.Hash()}
+	return GrantHashCommand(id, team, secret.ID(), secret.Hash())
+}
+
+// GrantHashCommand returns the command that adds a key of which only the identifier and the SHA-256 hash are known.
+func GrantHashCommand(id, team, keyID string, hash []byte) (kernel.Command, error) {
+	grant := &keypb.Grant{Id: keyID, Team: team, Hash: hash}
 	return command(id, &keypb.Command{Change: &keypb.Command_Grant{Grant: grant}})
 }
 
--- /dev/null
+++ b/internal/operator/transport.go
@@ -0,0 +1,243 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	kitendpoint "github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// routes registers an endpoint per path. Health checks need no key, because load balancers have none.
+func (s *Server) routes() http.Handler {
+	api := http.NewServeMux()
+	handle := func(pattern string, e kitendpoint.Endpoint, dec kithttp.DecodeRequestFunc, enc kithttp.EncodeResponseFunc) {
+		h := kithttp.NewServer(s.logged(pattern)(e), dec, enc, kithttp.ServerErrorEncoder(writeError))
+		api.Handle(pattern, s.counted(pattern, h))
+	}
+	handle("GET /configuration", s.configuration, decodeNothing, encodeConfiguration)
+	handle("PUT /configuration", s.submit, s.decodeSubmission, kithttp.EncodeJSONResponse)
+	handle("GET /keys", s.keys, decodeNothing, kithttp.EncodeJSONResponse)
+	handle("POST /keys", s.grant, decodeGrant, kithttp.EncodeJSONResponse)
+	handle("DELETE /keys/{id}", s.revoke, decodeRevocation, kithttp.EncodeJSONResponse)
+	handle("GET /status", s.status, decodeNothing, kithttp.EncodeJSONResponse)
+	handle("GET /members", s.members, decodeNothing, kithttp.EncodeJSONResponse)
+	handle("POST /members", s.changeMember, decodeMemberChange, kithttp.EncodeJSONResponse)
+	handle("GET /timeline", s.timeline, decodeNothing, encodeStream("application/jsonl"))
+	handle("GET /metrics", s.metrics, decodeNothing, encodeStream("text/plain; version=0.0.4"))
+	api.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(r.Context(), fail(http.StatusNotFound, KindNotFound, "no such path or method: "+r.Method+" "+r.URL.Path), w)
+	})
+	root := http.NewServeMux()
+	root.Handle("/", s.authenticate(api))
+	root.Handle("GET /-/live", kithttp.NewServer(s.live, decodeNothing, kithttp.EncodeJSONResponse))
+	root.Handle("GET /-/ready",
+		kithttp.NewServer(s.ready, decodeNothing, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(writeError)))
+	return root
+}
+
+// statusRecorder remembers the status of an answer.
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+}
+
+func (w *statusRecorder) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (s *Server) counted(route string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(rec, r)
+		s.count(route, rec.status)
+	})
+}
+
+func decodeNothing(context.Context, *http.Request) (any, error) { return nil, nil }
+
+func operationID(r *http.Request) (string, error) {
+	id := r.Header.Get(HeaderOperationID)
+	if !validToken(id) {
+		return "", fail(http.StatusBadRequest, KindMalformed, "send an operation ID of 1 to 64 letters, digits, dots, "+
+			"hyphens or underscores in the header "+HeaderOperationID)
+	}
+	return id, nil
+}
+
+// validToken bounds identifiers, because they enter the replicated state and logs.
+func validToken(id string) bool {
+	for _, ch := range []byte(id) {
+		switch {
+		case ch >= 'a' && ch <= 'z', ch >= 'A' && ch <= 'Z', ch >= '0' && ch <= '9', ch == '.', ch == '-', ch == '_':
+		default:
+			return false
+		}
+	}
+	return id != "" && len(id) <= 64
+}
+
+// readBody reads at most limit bytes; it fails with an error that becomes status 413 beyond.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
+		return nil, fail(http.StatusBadRequest, KindMalformed, "read body: "+err.Error())
+	}
+	return data, err
+}
+
+func decodeJSON(r *http.Request, v any) error {
+	data, err := readBody(r, maxMessage)
+	if err != nil {
+		return err
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return fail(http.StatusBadRequest, KindMalformed, "decode body: "+err.Error())
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return fail(http.StatusBadRequest, KindMalformed, "decode body: data after the object")
+	}
+	return nil
+}
+
+// submission is a decoded PUT /configuration; document is the canonical print of what was sent.
+type submission struct {
+	id       string
+	base     uint64
+	document []byte
+	wait     bool
+}
+
+func (s *Server) decodeSubmission(_ context.Context, r *http.Request) (any, error) {
+	id, err := operationID(r)
+	if err != nil {
+		return nil, err
+	}
+	base, err := strconv.ParseUint(r.Header.Get(HeaderBaseVersion), 10, 64)
+	if err != nil {
+		return nil, fail(http.StatusBadRequest, KindMalformed,
+			"send the version that the document replaces, 0 for the first one, in the header "+HeaderBaseVersion)
+	}
+	wait := r.URL.Query().Get("wait")
+	if wait != "" && wait != "in-force" {
+		return nil, fail(http.StatusBadRequest, KindMalformed, "wait must be in-force or left out")
+	}
+	select {
+	case s.submissions <- struct{}{}:
+		defer func() { <-s.submissions }()
+	default:
+		return nil, fail(http.StatusServiceUnavailable, KindUnavailable,
+			"other submissions are being read; resend with the same operation ID")
+	}
+	data, err := readBody(r, configuration.MaxDocument)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := fleet.Parse(data)
+	if err != nil {
+		return nil, fail(http.StatusBadRequest, KindMalformed, err.Error())
+	}
+	if faults := cfg.Check(); len(faults) > 0 {
+		return nil, &Error{
+			Status: http.StatusUnprocessableEntity, Kind: KindInvalid, Message: "the configuration has faults", Faults: faults,
+		}
+	}
+	document, err := cfg.Print()
+	if err != nil {
+		return nil, errorx.Decorate(err, "print configuration")
+	}
+	return submission{id: id, base: base, document: document, wait: wait != ""}, nil
+}
+
+type grantRequest struct {
+	id    string
+	grant Grant
+}
+
+func decodeGrant(_ context.Context, r *http.Request) (any, error) {
+	id, err := operationID(r)
+	if err != nil {
+		return nil, err
+	}
+	req := grantRequest{id: id}
+	if err := decodeJSON(r, &req.grant); err != nil {
+		return nil, err
+	}
+	if !validToken(req.grant.ID) || !fleet.ValidName(req.grant.Team) || len(req.grant.Hash) != 32 {
+		return nil, fail(http.StatusBadRequest, KindMalformed,
+			"a grant needs the key's id, the name of its team, and the SHA-256 of its secret as base64")
+	}
+	return req, nil
+}
+
+type revocation struct{ id, key string }
+
+func decodeRevocation(_ context.Context, r *http.Request) (any, error) {
+	id, err := operationID(r)
+	if err != nil {
+		return nil, err
+	}
+	key := r.PathValue("id")
+	if !validToken(key) {
+		return nil, fail(http.StatusBadRequest, KindMalformed, "malformed key identifier")
+	}
+	return revocation{id: id, key: key}, nil
+}
+
+func decodeMemberChange(_ context.Context, r *http.Request) (any, error) {
+	id, err := operationID(r)
+	if err != nil {
+		return nil, err
+	}
+	ch := MemberChange{}
+	if err := decodeJSON(r, &ch); err != nil {
+		return nil, err
+	}
+	ch.OperationID = id
+	return ch, ch.check()
+}
+
+type document struct {
+	version uint64
+	data    []byte
+}
+
+func encodeConfiguration(_ context.Context, w http.ResponseWriter, response any) error {
+	d, _ := response.(document)
+	w.Header().Set(HeaderVersion, strconv.FormatUint(d.version, 10))
+	if d.version == 0 {
+		w.WriteHeader(http.StatusNoContent)
+		return nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, err := w.Write(d.data)
+	return err
+}
+
+// stream writes an answer of unknown length.
+type stream func(w io.Writer) error
+
+func encodeStream(contentType string) kithttp.EncodeResponseFunc {
+	return func(_ context.Context, w http.ResponseWriter, response any) error {
+		write, _ := response.(stream)
+		w.Header().Set("Content-Type", contentType)
+		if err := write(w); err != nil {
+			// Part of the answer may be sent; aborting the connection shows the client that it is truncated.
+			panic(http.ErrAbortHandler)
+		}
+		return nil
+	}
+}
