--- /dev/null
+++ b/internal/setting/doc.go
@@ -0,0 +1,2 @@
+// Package setting reads the settings of the subcommands from flags and environment variables and checks them.
+package setting
--- /dev/null
+++ b/internal/setting/node.go
@@ -0,0 +1,180 @@
+package setting
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Node holds the settings of a process as text; Load checks them.
+type Node struct {
+	Name             string   `long:"name" env:"HIBISCUSROUTE_NAME" description:"name of the process, unique and in kebab case"`
+	AvailabilityZone string   `long:"availability-zone" env:"HIBISCUSROUTE_AVAILABILITY_ZONE" description:"availability zone of the process"`
+	Caller           string   `long:"caller-address" env:"HIBISCUSROUTE_CALLER_ADDRESS" default:"127.0.0.1:9400" description:"IP address and port that serve callers"`
+	Endpoint         string   `long:"endpoint-address" env:"HIBISCUSROUTE_ENDPOINT_ADDRESS" default:"127.0.0.1:9401" description:"IP address and port that take announcements of endpoints"`
+	Operator         string   `long:"operator-address" env:"HIBISCUSROUTE_OPERATOR_ADDRESS" default:"127.0.0.1:9402" description:"IP address and port that serve operators"`
+	Peer             string   `long:"peer-address" env:"HIBISCUSROUTE_PEER_ADDRESS" default:"127.0.0.1:9403" description:"IP address and port that serve other processes"`
+	Voter            bool     `long:"voter" env:"HIBISCUSROUTE_VOTER" description:"join the control group"`
+	DataDirectory    string   `long:"data-directory" env:"HIBISCUSROUTE_DATA_DIRECTORY" description:"directory of the control state on a local disk"`
+	Bootstrap        bool     `long:"bootstrap" env:"HIBISCUSROUTE_BOOTSTRAP" description:"found a new control group; set it for one start of one voter only"`
+	Join             []string `long:"join" env:"HIBISCUSROUTE_JOIN" env-delim:"," description:"peer address of a running process; repeatable, comma-separated in the environment"`
+	OperatorKeyFile  string   `long:"operator-key-file" env:"HIBISCUSROUTE_OPERATOR_KEY_FILE" description:"file with the bearer key of operators"`
+	EndpointKeyFile  string   `long:"endpoint-key-file" env:"HIBISCUSROUTE_ENDPOINT_KEY_FILE" description:"file with the bearer key of endpoints"`
+	TLSCertificate   string   `long:"tls-certificate" env:"HIBISCUSROUTE_TLS_CERTIFICATE" description:"PEM file with the certificate for peers, valid for the peer address"`
+	TLSKey           string   `long:"tls-key" env:"HIBISCUSROUTE_TLS_KEY" description:"PEM file with the private key of the certificate"`
+	TLSAuthority     string   `long:"tls-authority" env:"HIBISCUSROUTE_TLS_AUTHORITY" description:"PEM file with the authorities that sign certificates of peers"`
+	Platform         string   `long:"platform-url" env:"HIBISCUSROUTE_PLATFORM_URL" description:"URL of the platform; empty for none"`
+	ShutdownWait     string   `long:"shutdown-wait" env:"HIBISCUSROUTE_SHUTDOWN_WAIT" default:"10s" description:"time between failing the readiness check and closing the listeners"`
+	Log              Log      `group:"Logging"`
+}
+
+// Process holds the checked settings of a process.
+type Process struct {
+	Name             string
+	AvailabilityZone string
+	// Caller, Endpoint, Operator and Peer are the addresses to listen on.
+	Caller, Endpoint, Operator, Peer netip.AddrPort
+	Voter                            bool
+	DataDirectory                    string
+	Bootstrap                        bool
+	Join                             []netip.AddrPort
+	// OperatorKey and EndpointKey are bearer keys, empty on loopback.
+	OperatorKey, EndpointKey string
+	// TLS is the configuration for mutual TLS between peers, nil on loopback.
+	TLS *tls.Config
+	// Platform is nil when no platform is set.
+	Platform     *url.URL
+	ShutdownWait time.Duration
+}
+
+// Load checks the settings and reads the files that they name; it fails with ErrFaults, which lists every fault.
+func (n *Node) Load() (*Process, error) {
+	f := &faults{settings: reflect.TypeFor[Node]()}
+	p := &Process{
+		Name: n.Name, AvailabilityZone: n.AvailabilityZone, Voter: n.Voter, DataDirectory: n.DataDirectory,
+		Bootstrap:    n.Bootstrap,
+		ShutdownWait: f.duration("ShutdownWait", n.ShutdownWait, 0, 10*time.Minute),
+		OperatorKey:  f.key("OperatorKeyFile", n.OperatorKeyFile),
+		EndpointKey:  f.key("EndpointKeyFile", n.EndpointKeyFile),
+	}
+	if !fleet.ValidName(n.Name) {
+		f.add("Name", "must be kebab case and at most %d bytes long, is %q", fleet.MaxName, n.Name)
+	}
+	if !fleet.ValidName(n.AvailabilityZone) {
+		f.add("AvailabilityZone", "must be kebab case and at most %d bytes long, is %q", fleet.MaxName, n.AvailabilityZone)
+	}
+	n.addresses(f, p)
+	n.group(f, p)
+	n.tls(f, p)
+	if n.Platform != "" {
+		u, err := url.Parse(n.Platform)
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			f.add("Platform", "must be an http or https URL, is %q", n.Platform)
+		}
+		p.Platform = u
+	}
+	n.Log.check(f)
+	return p, f.err()
+}
+
+func (n *Node) addresses(f *faults, p *Process) {
+	taken := map[netip.AddrPort]string{}
+	for _, l := range []struct {
+		field, text string
+		to          *netip.AddrPort
+	}{
+		{"Caller", n.Caller, &p.Caller}, {"Endpoint", n.Endpoint, &p.Endpoint},
+		{"Operator", n.Operator, &p.Operator}, {"Peer", n.Peer, &p.Peer},
+	} {
+		a := f.address(l.field, l.text)
+		*l.to = a
+		if a.Port() == 0 {
+			continue
+		}
+		if other, ok := taken[a]; ok {
+			f.add(l.field, "must differ from the address for the %s listener", other)
+		}
+		taken[a] = strings.ToLower(l.field)
+	}
+	if exposed(p.Operator) && n.OperatorKeyFile == "" {
+		f.add("OperatorKeyFile", "must be set, because the operator address %v is not on loopback", p.Operator)
+	}
+	if exposed(p.Endpoint) && n.EndpointKeyFile == "" {
+		f.add("EndpointKeyFile", "must be set, because the endpoint address %v is not on loopback", p.Endpoint)
+	}
+	if p.Peer.IsValid() && p.Peer.Addr().IsUnspecified() {
+		f.add("Peer", "must be the address at which other processes reach this one, is %v", p.Peer)
+	}
+	for _, text := range n.Join {
+		a := f.address("Join", text)
+		if a.IsValid() && a == p.Peer {
+			f.add("Join", "must name another process, %v is the peer address of this one", a)
+		}
+		p.Join = append(p.Join, a)
+	}
+}
+
+func exposed(a netip.AddrPort) bool { return a.IsValid() && !a.Addr().IsLoopback() }
+
+// group checks how the process finds its control group. A voter that has state knows the other members from it.
+func (n *Node) group(f *faults, p *Process) {
+	if n.Voter && n.DataDirectory == "" {
+		f.add("DataDirectory", "must be set for a voter")
+	}
+	if n.Bootstrap && !n.Voter {
+		f.add("Bootstrap", "is for voters only")
+	}
+	if n.Bootstrap && len(p.Join) > 0 {
+		f.add("Bootstrap", "must not be set together with --join: a process founds a group or joins one")
+	}
+	if n.Bootstrap || len(p.Join) > 0 {
+		return
+	}
+	if !n.Voter {
+		f.add("Join", "must name at least one process for a process that is no voter")
+	} else if entries, err := os.ReadDir(n.DataDirectory); n.DataDirectory != "" && (err != nil || len(entries) == 0) {
+		f.add("Join", "must name at least one process, because the data directory %s holds no state; "+
+			"to found a new group set --bootstrap", n.DataDirectory)
+	}
+}
+
+func (n *Node) tls(f *faults, p *Process) {
+	missing := false
+	for _, s := range []struct{ field, path string }{
+		{"TLSCertificate", n.TLSCertificate}, {"TLSKey", n.TLSKey}, {"TLSAuthority", n.TLSAuthority},
+	} {
+		if s.path != "" {
+			continue
+		}
+		missing = true
+		if exposed(p.Peer) {
+			f.add(s.field, "must be set, because the peer address %v is not on loopback", p.Peer)
+		} else if n.TLSCertificate+n.TLSKey+n.TLSAuthority != "" {
+			f.add(s.field, "must be set together with the other TLS files")
+		}
+	}
+	if missing {
+		return
+	}
+	pair, err := tls.LoadX509KeyPair(n.TLSCertificate, n.TLSKey)
+	if err != nil {
+		f.add("TLSCertificate", "%v", err)
+	}
+	authorities := x509.NewCertPool()
+	if data, err := os.ReadFile(n.TLSAuthority); err != nil {
+		f.add("TLSAuthority", "%v", err)
+	} else if !authorities.AppendCertsFromPEM(data) {
+		f.add("TLSAuthority", "%s holds no PEM certificate", n.TLSAuthority)
+	}
+	p.TLS = &tls.Config{
+		Certificates: []tls.Certificate{pair}, RootCAs: authorities, ClientCAs: authorities,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+}
