--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -180,7 +180,12 @@
 }
 
 func (v *Voter) serveStatus(ctx context.Context, _ string, _ *controlpb.StatusRequest) (proto.Message, error) {
-	return ask(ctx, v, func(answer func(proto.Message, error)) {
+	return v.Status(ctx)
+}
+
+// Status returns the state of this voter; what it says about others counts only while it leads.
+func (v *Voter) Status(ctx context.Context) (*controlpb.StatusResponse, error) {
+	return ask(ctx, v, func(answer func(*controlpb.StatusResponse, error)) {
 		v.settleRollouts()
 		st := v.core.Status()
 		resp := &controlpb.StatusResponse{
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -66,6 +67,9 @@
 	sender *sender
 	feed   *feed
 
+	// leads mirrors leading for other goroutines.
+	leads atomic.Bool
+
 	// State of the control loop.
 	leading    bool
 	leadTerm   uint64
@@ -159,6 +163,9 @@
 	return nil
 }
 
+// Leading reports whether this voter leads the control group as far as it knows.
+func (v *Voter) Leading() bool { return v.leads.Load() }
+
 // now is the monotonic time that the kernel sees.
 func (v *Voter) now() time.Duration { return time.Since(v.start) }
 
@@ -219,6 +226,7 @@
 	st := v.core.Status()
 	if v.leading && (st.Role != raft.Leader || st.Term != v.leadTerm) {
 		v.leading = false
+		v.leads.Store(false)
 		v.failPending()
 		v.cfg.Log.Info("stopped leading the control group", "term", v.leadTerm)
 		v.cfg.Record(timeline.Event{Kind: "leader-stopped", Version: v.leadTerm})
@@ -230,6 +238,7 @@
 
 func (v *Voter) startLeading(term uint64) {
 	v.leading, v.leadTerm = true, term
+	v.leads.Store(true)
 	v.rollouts.reset()
 	v.kernel.Lead(v.now())
 	v.decideSoon = true
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -56,6 +56,8 @@
 	members atomic.Pointer[[]*memberpb.Member]
 	// leaseUntil is when the configuration lease ends, in nanoseconds after start; 0 means never leased.
 	leaseUntil atomic.Int64
+	leaving    atomic.Bool
+	current    atomic.Pointer[string]
 	wake       chan struct{}
 
 	// State of the follower's goroutine.
@@ -91,7 +93,9 @@
 func (f *Follower) Holder() *quota.Holder { return f.holder }
 
 // Leased reports whether the view is surely fresh enough to act on.
-func (f *Follower) Leased() bool { return f.now() < time.Duration(f.leaseUntil.Load()) }
+func (f *Follower) Leased() bool {
+	return !f.leaving.Load() && f.now() < time.Duration(f.leaseUntil.Load())
+}
 
 // View returns the newest view; it fails with view.ErrNoLease when that may be outdated.
 func (f *Follower) View() (*view.View, error) {
@@ -134,7 +138,7 @@
 
 // Run follows the control group until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.leaving.Load() {
 		if err := f.join(ctx); err != nil {
 			f.cfg.Log.V(1).Info("can't join the control group yet", "reason", err.Error())
 			pause(ctx, retryPause)
@@ -177,12 +181,32 @@
 		return r.Err
 	}
 	f.id, f.full, f.pending = id, true, nil
+	f.current.Store(&id)
 	f.holder.Reset(id)
 	f.cfg.Log.Info("joined", "member", id)
 	f.cfg.Record(timeline.Event{Kind: "joined", Text: id})
 	return nil
 }
 
+// Leave ends the membership at once; the process must have ended all its work. Until it returns, Run must go on.
+func (f *Follower) Leave(ctx context.Context) error {
+	f.leaseUntil.Store(0)
+	f.leaving.Store(true)
+	id := f.current.Load()
+	if id == nil {
+		return nil
+	}
+	cmd, err := member.RemoveCommand(*id)
+	if err != nil {
+		return err
+	}
+	r, err := f.cfg.Client.Propose(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	return r.Err
+}
+
 type renewal struct {
 	sent time.Duration
 	resp *controlpb.RenewResponse
--- a/internal/member/plugin.go
+++ b/internal/member/plugin.go
@@ -41,7 +41,6 @@
 	removed []func(id string)
 
 	// Soft state of the leader.
-	leadSince time.Duration
 	renewed   map[string]time.Duration
 	expiredAt map[string]time.Duration
 	expiring  map[string]bool
@@ -204,8 +203,7 @@
 	}
 }
 
-func (s *State) lead(now time.Duration) {
-	s.leadSince = now
+func (s *State) lead(time.Duration) {
 	s.renewed = map[string]time.Duration{}
 	s.expiredAt = map[string]time.Duration{}
 	s.expiring = map[string]bool{}
@@ -235,7 +233,7 @@
 				s.removing[id] = true
 				d.Commands = append(d.Commands, own(&memberpb.Command{Change: &memberpb.Command_Remove{Remove: id}}))
 			}
-		case !s.expiring[id] && now-max(s.leadSince, s.renewed[id]) > Expiry:
+		case s.ended(id, now):
 			s.expiring[id] = true
 			d.Commands = append(d.Commands, own(&memberpb.Command{Change: &memberpb.Command_Expire{Expire: id}}))
 		}
@@ -243,6 +241,17 @@
 	return d
 }
 
+// ended reports whether the lease of a process has surely ended. A process that this leader has not seen before counts
+// as renewed now.
+func (s *State) ended(id string, now time.Duration) bool {
+	renewed, ok := s.renewed[id]
+	if !ok {
+		s.renewed[id] = now
+		return false
+	}
+	return !s.expiring[id] && now-renewed > Expiry
+}
+
 // own encodes a command that the leader decided itself; encoding these messages can't fail.
 func own(m *memberpb.Command) kernel.Command {
 	body, _ := proto.Marshal(m)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/caller"
+	"github.com/hibiscusroute/hibiscusroute/internal/control"
+	"github.com/hibiscusroute/hibiscusroute/internal/disk"
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/follower"
+	"github.com/hibiscusroute/hibiscusroute/internal/operator"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/setting"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+)
+
+const (
+	// maxHeaderBytes and headerTimeout bound what a slow or faulty sender costs.
+	maxHeaderBytes = 32 << 10
+	headerTimeout  = 5 * time.Second
+	// idleTimeout is above the keep-alive time of common balancers.
+	idleTimeout = 2 * time.Minute
+	// joinInterval is the time between requests to become a voter; the leader answers without a change if there is
+	// nothing to do.
+	joinInterval = time.Second
+	// handoverTimeout bounds the wait until another voter leads or the membership has ended.
+	handoverTimeout = 2 * time.Second
+)
+
+// Config holds the settings of a process.
+type Config struct {
+	Process *setting.Process
+	// Dial connects to a peer; nil uses a net.Dialer. Tests cut links with it.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Log  logr.Logger
+}
+
+// Node is one process.
+type Node struct {
+	cfg       Config
+	metrics   *metrics.Set
+	listeners listeners
+	transport *peer.Transport
+	store     *disk.Store
+	voter     *control.Voter
+	client    *follower.Client
+	follower  *follower.Follower
+	registry  *endpoint.Registry
+	caller    *caller.Server
+	operator  *operator.Server
+}
+
+type listeners struct{ caller, endpoint, operator, peer net.Listener }
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.caller, l.endpoint, l.operator, l.peer} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// New opens the listeners and the data directory of a process.
+func New(cfg Config) (*Node, error) {
+	n := &Node{cfg: cfg, metrics: metrics.NewSet()}
+	if err := n.build(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) build() error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	if err := n.buildControl(); err != nil {
+		return err
+	}
+	n.buildTraffic()
+	return n.buildOperator()
+}
+
+func (n *Node) close() {
+	n.listeners.close()
+	if n.store != nil {
+		if err := n.store.Close(); err != nil {
+			n.cfg.Log.Error(err, "close data directory")
+		}
+	}
+}
+
+func (n *Node) listen() error {
+	p := n.cfg.Process
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{p.Caller.String(), &n.listeners.caller},
+		{p.Endpoint.String(), &n.listeners.endpoint},
+		{p.Operator.String(), &n.listeners.operator},
+		{p.Peer.String(), &n.listeners.peer},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errorx.Decorate(err, "listen on %s", l.address)
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+// record adds an event to the time line of this process.
+func (n *Node) record(timeline.Event) {}
+
+func (n *Node) buildControl() error {
+	p := n.cfg.Process
+	var err error
+	n.transport, err = peer.New(peer.Config{
+		Name: p.Name, Listener: n.listeners.peer, TLS: p.TLS, Dial: n.cfg.Dial, Log: n.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	address := n.transport.Address()
+	var voters []string
+	for _, a := range p.Join {
+		voters = append(voters, a.String())
+	}
+	if p.Voter {
+		voters = append([]string{address}, voters...)
+		if n.store, err = disk.Open(disk.Config{Dir: p.DataDirectory, Log: n.cfg.Log}); err != nil {
+			return err
+		}
+		n.voter, err = control.New(control.Config{
+			Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Store: n.store,
+			Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.record, Log: n.cfg.Log,
+			Violation: func(plugin string, _ error) {
+				n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
+			},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	n.client = follower.NewClient(follower.ClientConfig{Voters: voters, Call: n.transport.Call})
+	n.follower, err = follower.New(follower.Config{
+		Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Client: n.client,
+		Open: n.transport.Open, Record: n.record, Log: n.cfg.Log,
+	})
+	return err
+}
+
+// Run serves until ctx is done and then shuts down gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.close()
+	var group sync.WaitGroup
+	defer group.Wait()
+	// The parts outlive ctx, because running requests need them until they have ended.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 8)
+	run := func(name string, f func(context.Context) error) {
+		group.Go(func() {
+			if err := f(parts); err != nil {
+				failed <- errorx.Decorate(err, "%s", name)
+			}
+		})
+	}
+	run("peer transport", n.transport.Serve)
+	if n.voter != nil {
+		run("control loop", n.voter.Run)
+		run("join of the control group", n.joinGroup)
+	}
+	run("follower", n.follower.Run)
+	run("operator API", func(ctx context.Context) error { return n.operator.Serve(ctx, n.listeners.operator) })
+	callers := n.httpServer(n.caller)
+	endpoints := n.httpServer(n.registry)
+	run("caller listener", serve(callers, n.listeners.caller))
+	run("endpoint listener", serve(endpoints, n.listeners.endpoint))
+	n.cfg.Log.Info("process started", "name", n.cfg.Process.Name, "caller", n.listeners.caller.Addr().String())
+	select {
+	case err := <-failed:
+		// The other parts can't go on without this one; callers see their connections close.
+		_ = callers.Close()
+		_ = endpoints.Close()
+		return err
+	case <-ctx.Done():
+	}
+	return n.shutdown(context.WithoutCancel(ctx), callers, endpoints)
+}
+
+func (n *Node) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+func serve(srv *http.Server, ln net.Listener) func(context.Context) error {
+	return func(context.Context) error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}
+}
+
+// joinGroup asks the leader to make this process a voter until it is one.
+func (n *Node) joinGroup(ctx context.Context) error {
+	m := &raftpb.Member{
+		Id: n.store.Identity(), Name: n.cfg.Process.Name, Address: n.transport.Address(),
+		AvailabilityZone: n.cfg.Process.AvailabilityZone,
+	}
+	for {
+		tctx, cancel := context.WithTimeout(ctx, joinInterval)
+		voter, err := n.client.Join(tctx, m)
+		cancel()
+		if err == nil && voter {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+// shutdown ends the caller's work first, then gives back what this process holds, then leadership.
+func (n *Node) shutdown(ctx context.Context, callers, endpoints *http.Server) error {
+	n.cfg.Log.Info("shutting down: the readiness check fails from now on")
+	if err := n.caller.Stop(ctx); err != nil {
+		n.cfg.Log.Error(err, "stop serving callers")
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		n.cfg.Log.Error(err, "close caller listener")
+	}
+	hctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	if err := n.follower.Leave(hctx); err != nil {
+		n.cfg.Log.Info("the membership ends by expiry", "reason", err.Error())
+	}
+	if err := endpoints.Shutdown(hctx); err != nil {
+		n.cfg.Log.Error(err, "close endpoint listener")
+	}
+	if n.voter != nil {
+		n.handOver(hctx)
+	}
+	return nil
+}
+
+// handOver passes leadership on and waits until another voter leads, so that no change waits for an election timeout.
+func (n *Node) handOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := n.voter.Transfer(ctx); err != nil {
+			return
+		}
+		if !n.voter.Leading() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/operate.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/operator"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+)
+
+// inForcePoll is the time between looks at the rollout of a version.
+const inForcePoll = 50 * time.Millisecond
+
+func (n *Node) buildOperator() error {
+	var err error
+	n.operator, err = operator.New(operator.Config{
+		Propose: n.client.Propose, Query: n.client.Query, InForce: n.inForce, Status: n.status,
+		Members: n.controlGroup, ChangeMember: n.changeMember, Ready: n.ready,
+		Metrics: n.metrics, Key: n.cfg.Process.OperatorKey, Log: n.cfg.Log,
+	})
+	return err
+}
+
+func (n *Node) ready() error {
+	_, err := n.follower.View()
+	return err
+}
+
+// inForce waits until the leader counts a version as in force on every process.
+func (n *Node) inForce(ctx context.Context, version uint64) (time.Duration, error) {
+	for {
+		st, err := n.client.Status(ctx)
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range st.Rollouts {
+			if r.Version == version && r.InForceAfter > 0 {
+				return time.Duration(r.InForceAfter), nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, peer.ErrInterrupted.Wrap(ctx.Err(), "version %d is not known to be in force yet", version)
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
+func (n *Node) status(ctx context.Context) (operator.Status, error) {
+	s := operator.Status{
+		Process: n.cfg.Process.Name, AvailabilityZone: n.cfg.Process.AvailabilityZone, Role: "entry",
+		Lease: n.follower.Leased(),
+	}
+	if v := n.follower.Last(); v != nil {
+		s.Version, s.Applied = v.Version(), v.Index()
+	}
+	if n.voter == nil {
+		return s, nil
+	}
+	st, err := n.voter.Status(ctx)
+	if err != nil {
+		return s, err
+	}
+	s.Role, s.Term, s.Commit, s.Applied, s.Halted = st.Role, st.Term, st.Commit, st.Applied, st.Halted
+	for _, m := range st.Voters {
+		if m.Member.Id == st.Leader {
+			s.Leader = m.Member.Name
+		}
+	}
+	return s, nil
+}
+
+func (n *Node) controlGroup(ctx context.Context) ([]operator.Member, error) {
+	st, err := n.client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var list []operator.Member
+	for _, m := range st.Voters {
+		role := "learner"
+		if m.Member.Voter {
+			role = "voter"
+		}
+		list = append(list, operator.Member{
+			Name: m.Member.Name, Identity: m.Member.Id, Address: m.Member.Address,
+			AvailabilityZone: m.Member.AvailabilityZone, Role: role, Leader: m.Member.Id == st.Leader,
+			Match: m.Match, CaughtUp: m.CaughtUp,
+		})
+	}
+	return list, nil
+}
+
+// changeMember removes a voter for good; voters join and are promoted by themselves.
+func (n *Node) changeMember(ctx context.Context, ch operator.MemberChange) error {
+	if ch.Action != operator.RemoveMember {
+		return kernel.ErrInvalid.New("voters join and are promoted by themselves: start a process with --voter and --join")
+	}
+	return n.client.Remove(ctx, ch.Identity, false)
+}
--- /dev/null
+++ b/internal/node/partition_test.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// partition cuts links between processes silently: what is sent over a cut link is lost, and no error is seen.
+type partition struct {
+	mu    sync.Mutex
+	names map[string]string // by peer address
+	cut   map[string]bool   // names of isolated processes
+	conns map[*cutConn]bool
+}
+
+func newPartition() *partition {
+	return &partition{names: map[string]string{}, cut: map[string]bool{}, conns: map[*cutConn]bool{}}
+}
+
+func (p *partition) name(n *testNode) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.names[n.transport.Address()] = n.cfg.Process.Name
+}
+
+// isolate cuts all links of a process to others.
+func (p *partition) isolate(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[name] = true
+}
+
+// heal ends all cuts; connections that lost data are closed, as their keep-alive would do.
+func (p *partition) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if p.isCut(c) {
+			_ = c.Conn.Close()
+		}
+	}
+	p.cut = map[string]bool{}
+}
+
+func (p *partition) isCut(c *cutConn) bool { return c.from != c.to && (p.cut[c.from] || p.cut[c.to]) }
+
+func (p *partition) dial(from string) func(ctx context.Context, address string) (net.Conn, error) {
+	if p == nil {
+		return nil
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		p.mu.Lock()
+		c := &cutConn{p: p, from: from, to: p.names[address]}
+		cut := p.isCut(c)
+		p.mu.Unlock()
+		if cut {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		c.Conn = conn
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.conns[c] = true
+		return c, nil
+	}
+}
+
+type cutConn struct {
+	net.Conn
+	p        *partition
+	from, to string
+}
+
+func (c *cutConn) lost() bool {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	return c.p.isCut(c)
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.lost() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *cutConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.lost() {
+			return n, err
+		}
+	}
+}
+
+func leaderOf(nodes []*testNode) *testNode {
+	for _, n := range nodes {
+		if n.voter != nil && n.voter.Leading() {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against a leader that goes on granting after it was cut off, against an entry process that serves a revoked
+// key while it is isolated, and against a returning member that disturbs the group.
+func TestSilentPartitionOfLeader(t *testing.T) {
+	cut := newPartition()
+	nodes := startGroup(t, cut, 3, 1)
+	submit(t, nodes[3], document(), 0)
+	id, key := grantKey(t, nodes[3], "billing")
+	old := leaderOf(nodes)
+	startEndpoint(t, old, "worker-1")
+	eventually(t, "answer at the leader", func() bool {
+		return old.request(t, "GET", "/queues/plates/x", key, "").status == 200
+	})
+	cut.isolate(old.cfg.Process.Name)
+	var rest []*testNode
+	for _, n := range nodes {
+		if n != old {
+			rest = append(rest, n)
+		}
+	}
+	eventually(t, "new leader", func() bool { return leaderOf(rest) != nil })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	assert.NilError(t, rest[2].operatorClient(t).Revoke(ctx, "revoke-1", id))
+	revoked := time.Now()
+	eventually(t, "isolated process refuses", func() bool {
+		r := old.request(t, "GET", "/queues/plates/x", key, "")
+		return r.status == 503 && r.outcome == "not-run"
+	})
+	t.Logf("isolated process refused %v after the revocation", time.Since(revoked))
+	assert.Assert(t, !old.voter.Leading())
+	leader := leaderOf(rest)
+	term := leader.term(t)
+	cut.heal()
+	eventually(t, "lease after the partition", old.leased)
+	assert.Equal(t, old.request(t, "GET", "/queues/plates/x", key, "").status, 401)
+	assert.Equal(t, leader.term(t), term)
+}
+
+func (n *testNode) term(t *testing.T) uint64 {
+	t.Helper()
+	st, err := n.voter.Status(context.Background())
+	assert.NilError(t, err)
+	return st.Term
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,9 +27,6 @@
 
 // session returns the open session to an address, or dials one.
 func (t *Transport) session(ctx context.Context, address string) (*yamux.Session, error) {
-	if !t.cfg.Reachable(address) {
-		return nil, ErrUnreachable.New("link to %s is cut", address)
-	}
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
@@ -67,18 +64,19 @@
 func (t *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	if t.cfg.TLS == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := t.cfg.Dial(ctx, address)
+	if err != nil || t.cfg.TLS == nil {
+		return conn, err
 	}
-	return (&tls.Dialer{Config: t.cfg.TLS}).DialContext(ctx, "tcp", address)
-}
-
-// Disconnect closes the session to an address, so that the next stream dials anew.
-func (t *Transport) Disconnect(address string) {
-	t.mu.Lock()
-	l, ok := t.links[address]
-	t.mu.Unlock()
-	if ok {
-		l.close()
+	cfg := t.cfg.TLS.Clone()
+	if cfg.ServerName, _, err = net.SplitHostPort(address); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	tc := tls.Client(conn, cfg)
+	if err := tc.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
+	return tc, nil
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -54,9 +54,9 @@
 	// Stamp and Observe pass the hybrid logical clock along; both may be nil.
 	Stamp   func() uint64
 	Observe func(stamp uint64)
-	// Reachable decides whether the peer at an address may be used; nil always does. Tests cut links with it.
-	Reachable func(address string) bool
-	Log       logr.Logger
+	// Dial connects to an address; nil uses a net.Dialer. Tests cut links with it.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Log  logr.Logger
 }
 
 // Transport opens streams to peers and serves those that peers open.
@@ -83,8 +83,10 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(uint64) {}
 	}
-	if cfg.Reachable == nil {
-		cfg.Reachable = func(string) bool { return true }
+	if cfg.Dial == nil {
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
 	}
 	return &Transport{
 		cfg:      cfg,
@@ -153,7 +155,7 @@
 		return ErrInterrupted.Wrap(err, "call %s at %s", kind, address)
 	}
 	t.cfg.Observe(m.Stamp)
-	if err := kernel.DecodeError(m.ErrorKind, m.Error); err != nil {
+	if err := decodeError(m); err != nil {
 		return err
 	}
 	if err := proto.Unmarshal(m.Body, resp); err != nil {
@@ -175,7 +177,7 @@
 		m := &peerpb.Response{Stamp: t.cfg.Stamp()}
 		resp, err := h(ctx, from, req)
 		if err != nil {
-			m.ErrorKind, m.Error = kernel.EncodeError(err)
+			encodeError(m, err)
 		} else if m.Body, err = proto.Marshal(resp); err != nil {
 			return errorx.Decorate(err, "encode response")
 		}
@@ -183,6 +185,29 @@
 	}
 }
 
+var ownErrors = []*errorx.Type{ErrUnreachable, ErrInterrupted}
+
+// encodeError keeps the types of this package besides those of commands: a handler that could not pass a request on
+// tells the caller whether the request may have been handled.
+func encodeError(m *peerpb.Response, err error) {
+	for _, t := range ownErrors {
+		if errorx.IsOfType(err, t) {
+			m.ErrorKind, m.Error = t.FullName(), errorx.Cast(err).Message()
+			return
+		}
+	}
+	m.ErrorKind, m.Error = kernel.EncodeError(err)
+}
+
+func decodeError(m *peerpb.Response) error {
+	for _, t := range ownErrors {
+		if m.ErrorKind == t.FullName() {
+			return t.New("%s", m.Error)
+		}
+	}
+	return kernel.DecodeError(m.ErrorKind, m.Error)
+}
+
 // Close ends all sessions and stops accepting peers.
 func (t *Transport) Close() error {
 	t.mu.Lock()
--- a/internal/timeline/interim.go
+++ b/internal/timeline/interim.go
@@ -1,3 +1,4 @@
+// Package timeline holds the events of a process.
 package timeline
 
 // Event is one event of a process.
