--- a/internal/disk/config.go
+++ b/internal/disk/config.go
@@ -39,8 +39,6 @@
 	Write func(f *os.File, p []byte) (int, error)
 	// Sync makes a file or a directory durable.
 	Sync func(f *os.File) error
-	// Truncate cuts a file.
-	Truncate func(f *os.File, size int64) error
 	// Rename replaces a file.
 	Rename func(from, to string) error
 	// Remove deletes a file.
@@ -63,9 +61,6 @@
 	if cfg.Sync == nil {
 		cfg.Sync = func(f *os.File) error { return f.Sync() }
 	}
-	if cfg.Truncate == nil {
-		cfg.Truncate = func(f *os.File, size int64) error { return f.Truncate(size) }
-	}
 	if cfg.Rename == nil {
 		cfg.Rename = os.Rename
 	}
--- a/internal/disk/segment.go
+++ b/internal/disk/segment.go
@@ -1,7 +1,9 @@
 package disk
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 
 	"github.com/joomcode/errorx"
@@ -114,17 +116,11 @@
 // replay applies a segment to the entries read so far. Only the last segment may end in a torn record.
 func (s *Store) replay(number uint64, last bool, entries []*raftpb.Entry) ([]*raftpb.Entry, error) {
 	path := s.path(fmt.Sprintf(segmentFormat, number))
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_APPEND, fileMode) //nolint:gosec // the operator chooses the data directory
-	if err != nil {
-		return nil, errorx.Decorate(err, "open log segment")
-	}
-	if last {
-		s.log = f
-	} else {
-		defer f.Close() //nolint:errcheck // the file is only read
-	}
 	data, err := os.ReadFile(path) //nolint:gosec // the operator chooses the data directory
-	if err != nil {
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return nil, damaged(path, 0, "the segment is missing")
+	case err != nil:
 		return nil, errorx.Decorate(err, "read log segment")
 	}
 	offset := 0
@@ -136,9 +132,6 @@
 			}
 			s.cfg.Log.Info("truncating a torn record at the end of the log", "file", path, "offset", offset,
 				"bytes", len(data)-offset)
-			if err := s.cfg.Truncate(f, int64(offset)); err != nil {
-				return nil, errorx.Decorate(err, "truncate %s", path)
-			}
 			break
 		}
 		if entries, err = s.replayRecord(path, offset, number, r, entries); err != nil {
@@ -150,9 +143,13 @@
 		return nil, damaged(path, 0, "the segment is empty")
 	}
 	if last {
-		// Records that the previous process wrote without a sync could still be lost.
-		if err := s.cfg.Sync(f); err != nil {
-			return nil, errorx.Decorate(err, "sync %s", path)
+		// The previous process may have stopped before or because of a failed sync. The operating system can then hold
+		// pages that are neither on disk nor written by another sync, so the segment is written again.
+		s.log, err = s.createFile(fmt.Sprintf(segmentFormat, number), func(f *os.File) error {
+			return s.writeAll(f, data[:offset])
+		})
+		if err != nil {
+			return nil, err
 		}
 		s.number, s.size = number, int64(offset)
 	}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -28,7 +29,7 @@
 	identity string
 	lock     *os.File
 	failed   error
-	loaded   raft.Persisted // until Load
+	loaded   *raft.Persisted // until Load
 
 	log     *os.File // newest segment
 	size    int64
@@ -170,7 +171,7 @@
 		return errorx.Decorate(err, "draw identity")
 	}
 	s.identity, s.oldest, s.state = id, 1, &raftpb.HardState{}
-	s.entries.first = 1
+	s.entries.first, s.loaded = 1, &raft.Persisted{}
 	if err := s.startSegment(1, false); err != nil {
 		return err
 	}
@@ -192,9 +193,15 @@
 
 // Load returns what was found when the directory was opened; it may be called once, before the first save.
 func (s *Store) Load() (raft.Persisted, error) {
-	p := s.loaded
-	s.loaded = raft.Persisted{}
-	return p, s.failed
+	if s.failed != nil {
+		return raft.Persisted{}, s.failed
+	}
+	if s.loaded == nil {
+		return raft.Persisted{}, errorx.IllegalState.New("the persisted state was already loaded")
+	}
+	p := *s.loaded
+	s.loaded = nil
+	return p, nil
 }
 
 // Save appends hs, unless it is nil, and entries to the log and syncs it. After an error the store is unusable: the
@@ -238,7 +245,7 @@
 		return err
 	}
 	if err := s.cfg.Sync(s.log); err != nil {
-		return errorx.Decorate(err, "sync %s", s.log.Name())
+		return errorx.Decorate(err, "sync %s", s.path(fmt.Sprintf(segmentFormat, s.number)))
 	}
 	s.seq++
 	s.size += int64(len(buf))
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -99,6 +99,7 @@
 	termStart   uint64 // index of the first entry of the own term
 	uncommitted int    // bytes
 	unsent      bool   // entries wait to be sent with the next Ready
+	announce    bool   // a new commit index waits to be sent with the next Ready
 	transferTo  string
 	transferEnd uint64
 	round       uint64
@@ -166,8 +167,12 @@
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && c.promotable() {
+	switch {
+	case c.elapsed < c.timeout:
+	case c.promotable():
 		c.campaign(PreCandidate, false)
+	default:
+		c.leader = "" // a learner stops naming a leader that it does not hear
 	}
 }
 
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -25,6 +25,7 @@
 	c.failReads()
 	c.role, c.leader = Follower, leader
 	c.votes, c.progress, c.transferTo, c.unsent, c.uncommitted = nil, nil, "", false, 0
+	c.announce = false
 	c.resetTimeout()
 }
 
@@ -108,6 +109,7 @@
 	c.progress = map[string]*progress{}
 	c.updateProgress()
 	c.termStart = c.log.last() + 1
+	c.uncommitted = c.log.bytes(c.commit+1, c.log.last())
 	c.appendOwn(raftpb.EntryType_ENTRY_TYPE_EMPTY, nil)
 }
 
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+import (
+	"math"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
 
 // entryLog holds the entries after base in memory.
 type entryLog struct {
@@ -55,6 +59,18 @@
 	return part[:len(part):len(part)]
 }
 
+// bytes returns the size of the entries from lo through hi.
+func (l *entryLog) bytes(lo, hi uint64) int {
+	size := 0
+	for _, e := range l.slice(lo, hi, unlimited) {
+		size += entrySize(e)
+	}
+	return size
+}
+
+// unlimited is a size limit that no slice reaches.
+const unlimited = math.MaxInt
+
 // entrySize is an upper estimate of the encoded size.
 func entrySize(e *raftpb.Entry) int { return len(e.Data) + 32 }
 
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -24,6 +24,8 @@
 	return nil
 }
 
+func isMemberChange(e *raftpb.Entry) bool { return e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE }
+
 func countVoters(members []*raftpb.Member) int {
 	n := 0
 	for _, m := range members {
@@ -71,7 +73,7 @@
 		if e.Index > index {
 			break
 		}
-		if e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+		if isMemberChange(e) {
 			ch := &raftpb.MemberChange{}
 			if proto.Unmarshal(e.Data, ch) == nil { // checked when the entry arrived
 				members = changeMembers(members, ch)
@@ -86,7 +88,7 @@
 	c.members = c.membersAt(c.log.last())
 	c.lastChange = 0
 	for _, e := range c.log.entries {
-		if e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+		if isMemberChange(e) {
 			c.lastChange = e.Index
 		}
 	}
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -17,6 +17,7 @@
 	state       progressState
 	waiting     bool     // probing: a message is unanswered
 	inflight    []uint64 // replicating: last index of each unanswered message
+	checked     uint64   // tick of the last search for lost messages
 	heard       uint64   // tick of the last message from the member
 	round       uint64   // last heartbeat round it answered
 	transfer    *transfer
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -22,13 +22,14 @@
 	if c.outstanding {
 		return Ready{}, false
 	}
-	if c.unsent {
-		c.unsent = false
-		c.broadcast(false)
+	if c.unsent || c.announce {
+		announce := c.announce
+		c.unsent, c.announce = false, false
+		c.broadcast(announce)
 	}
 	rd = Ready{
 		Snapshot: c.install, Messages: c.messages, Reads: c.answers,
-		Entries:   c.log.slice(c.log.stable+1, c.log.last(), int(^uint(0)>>1)),
+		Entries:   c.log.slice(c.log.stable+1, c.log.last(), unlimited),
 		Committed: c.log.slice(c.applied+1, c.commit, maxCommittedBytes),
 	}
 	if c.emitted.Term != c.term || c.emitted.Vote != c.vote {
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -93,11 +93,14 @@
 		if e.Index <= c.commit {
 			return ErrInvalid.New("%q replaces the committed entry %d", m.From, e.Index)
 		}
+		changed := e.Index <= c.lastChange
 		if e.Index <= c.log.last() {
 			c.log.truncate(e.Index)
 		}
 		c.log.entries = append(c.log.entries, m.Entries[i:]...)
-		c.updateMembers()
+		if changed || slices.ContainsFunc(m.Entries[i:], isMemberChange) {
+			c.updateMembers()
+		}
 		break
 	}
 	r.LogIndex = m.LogIndex + uint64(len(m.Entries))
@@ -125,9 +128,8 @@
 			p.state = replicating
 		}
 	}
-	if !c.commitByQuorum() {
-		c.replicate(m.From, p, false)
-	}
+	c.commitByQuorum()
+	c.replicate(m.From, p, false)
 	c.continueTransfer(m.From, p)
 	return nil
 }
@@ -147,12 +149,14 @@
 func (c *Core) onHeartbeatResponse(m *raftpb.Message, p *progress) {
 	p.round = max(p.round, min(m.Round, c.round))
 	c.confirmReads()
+	c.continueTransfer(m.From, p)
 	switch {
 	case p.state == transferring:
 		c.resumeSnapshot(m.From, p)
-	case p.match < c.log.last():
-		// The last append or its answer may be lost; an empty append finds out.
-		p.waiting = false
+	case p.match < c.log.last() && p.checked != c.clock:
+		// The last append or its answer may be lost; an empty append finds out. Reads can cause many rounds in one tick,
+		// which must not repeat it.
+		p.checked, p.waiting = c.clock, false
 		if p.state == replicating && p.paused() {
 			p.inflight = p.inflight[1:]
 		}
@@ -161,19 +165,15 @@
 }
 
 // commitByQuorum commits what a quorum has synced, if the last such entry is of the own term.
-func (c *Core) commitByQuorum() bool {
+func (c *Core) commitByQuorum() {
 	index := c.quorumValue(func(p *progress) uint64 { return p.match })
 	if index <= c.commit || !c.log.matches(index, c.term) {
-		return false
-	}
-	for _, e := range c.log.slice(c.commit+1, index, int(^uint(0)>>1)) {
-		c.uncommitted -= entrySize(e)
+		return
 	}
-	c.uncommitted = max(c.uncommitted, 0)
+	c.uncommitted -= c.log.bytes(c.commit+1, index)
 	c.commitTo(index)
+	c.announce = true
 	c.startWaitingReads()
-	c.broadcast(true)
-	return true
 }
 
 // quorumValue returns the highest value that a quorum of voters has reached.
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -51,9 +51,13 @@
 	})
 }
 
-// resumeSnapshot repeats a chunk that was not answered for a heartbeat interval.
+// resumeSnapshot asks for the position of the member when a chunk was not answered for a heartbeat interval.
 func (c *Core) resumeSnapshot(id string, p *progress) {
-	if c.clock-p.transfer.sent >= uint64(c.cfg.HeartbeatTicks) {
+	switch {
+	case c.clock-p.transfer.sent < uint64(c.cfg.HeartbeatTicks):
+	case p.transfer.offset == 0 && p.transfer.snapshot != c.snapshot:
+		c.startSnapshot(id, p)
+	default:
 		c.sendChunk(id, p, 0)
 	}
 }
