--- /dev/null
+++ b/cmd/hibiscusroute/standin.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/standin"
+)
+
+func init() {
+	register(command{
+		path: "standin", short: "Run a stand-in endpoint that announces itself, for trials",
+		build: func(a *app) flags.Commander { return &runStandin{app: a} },
+	})
+}
+
+type runStandin struct {
+	Instance string   `long:"instance" required:"true" description:"name of the instance in the configuration"`
+	Address  string   `long:"address" default:"127.0.0.1:0" description:"IP address and port that serve requests"`
+	Announce []string `long:"announce" required:"true" description:"endpoint address of a process, as host:port; repeatable"`
+	Size     int      `long:"size" default:"64" description:"bytes of an answer"`
+
+	app *app
+}
+
+// Execute serves until the process is told to stop, and then announces that it is leaving.
+func (c *runStandin) Execute([]string) error {
+	ln, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return errorx.Decorate(err, "listen")
+	}
+	e := newStandin(c.Instance, ln, c.Announce, c.Size)
+	return serveStandin(c.app.ctx, e, ln)
+}
+
+func newStandin(instance string, ln net.Listener, announce []string, size int) *standin.Endpoint {
+	var urls []string
+	for _, a := range announce {
+		urls = append(urls, "http://"+a+"/announce")
+	}
+	return standin.New(standin.Config{Instance: instance, Address: ln.Addr().String(), Announce: urls, Size: size})
+}
+
+func serveStandin(ctx context.Context, e *standin.Endpoint, ln net.Listener) error {
+	srv := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	err := e.Run(ctx)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), 10*time.Second)
+	defer cancel()
+	if serr := srv.Shutdown(stop); serr != nil && err == nil {
+		err = serr
+	}
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,3 +274,15 @@
 		}
 	}
 }
+
+// CallerAddress returns the address that serves callers.
+func (n *Node) CallerAddress() string { return n.listeners.caller.Addr().String() }
+
+// EndpointAddress returns the address that takes announcements of endpoints.
+func (n *Node) EndpointAddress() string { return n.listeners.endpoint.Addr().String() }
+
+// OperatorAddress returns the address that serves operators.
+func (n *Node) OperatorAddress() string { return n.listeners.operator.Addr().String() }
+
+// PeerAddress returns the address that serves other processes.
+func (n *Node) PeerAddress() string { return n.transport.Address() }
