--- /dev/null
+++ b/internal/kernel/kerneltest/run.go
@@ -0,0 +1,173 @@
+// Package kerneltest drives a kernel with virtual time in the tests of plug-ins.
+package kerneltest
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Tick is the interval at which the leader decides.
+const Tick = 100 * time.Millisecond
+
+// TB is the part of testing.TB and rapid.T that a run needs.
+type TB interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+var _ TB = (testing.TB)(nil)
+
+// Main runs the tests of a package with a fixed seed and number of rapid checks; flags on the command line win.
+func Main(m *testing.M, checks int) {
+	for name, value := range map[string]string{
+		"rapid.seed": "20260701", "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Run is a control group reduced to its leader: each command commits as soon as it is proposed.
+type Run struct {
+	// Kernel is the kernel of the present leader.
+	Kernel *kernel.Kernel
+	// Now is the virtual time.
+	Now time.Duration
+	// Index is the index of the last applied command.
+	Index uint64
+	// Lead is called with each new leader's kernel; it may be nil.
+	Lead func(k *kernel.Kernel)
+	// Act runs an action; it may be nil.
+	Act func(a kernel.Action)
+	// Applied is called after each command; it may be nil.
+	Applied func(c kernel.Command, r kernel.Result)
+	// FailAfter is the number of commands, counted from 1, after which the leader changes; LoseAt is the one that a
+	// leader change loses. Zero means never.
+	FailAfter, LoseAt uint64
+	// Proposed counts the commands decided by the leaders.
+	Proposed uint64
+
+	tb TB
+}
+
+// New returns a run with an empty kernel.
+func New(tb TB, lead func(k *kernel.Kernel)) *Run {
+	r := &Run{tb: tb, Lead: lead}
+	r.Kernel = r.build()
+	r.Kernel.Lead(r.Now)
+	return r
+}
+
+func (r *Run) build() *kernel.Kernel {
+	r.tb.Helper()
+	k, err := kernel.New(kernel.Config{
+		Log:       logr.Discard(),
+		Violation: func(plugin string, err error) { r.tb.Fatalf("invariant of plug-in %s: %v", plugin, err) },
+	})
+	if err != nil {
+		r.tb.Fatalf("build kernel: %v", err)
+	}
+	if r.Lead != nil {
+		r.Lead(k)
+	}
+	return k
+}
+
+// Apply commits a command.
+func (r *Run) Apply(c kernel.Command) kernel.Result {
+	r.Index++
+	c.At = time.Duration(r.Index) * time.Millisecond
+	res := r.Kernel.Apply(r.Index, c)
+	if r.Applied != nil {
+		r.Applied(c, res)
+	}
+	return res
+}
+
+// Must commits a command that must succeed.
+func (r *Run) Must(c kernel.Command, err error) kernel.Result {
+	r.tb.Helper()
+	if err != nil {
+		r.tb.Fatalf("build command: %v", err)
+	}
+	res := r.Apply(c)
+	if res.Err != nil {
+		r.tb.Fatalf("command %s: %v", c.Plugin, res.Err)
+	}
+	return res
+}
+
+// Configure submits a configuration.
+func (r *Run) Configure(cfg *fleet.Configuration) {
+	r.tb.Helper()
+	doc, err := cfg.Print()
+	if err != nil {
+		r.tb.Fatalf("print configuration: %v", err)
+	}
+	state, _ := kernel.Lookup[*configuration.State](r.Kernel, configuration.Name)
+	r.Must(configuration.SubmitCommand("", state.Version(), doc))
+}
+
+// Observe hands an event to the leader and lets it decide.
+func (r *Run) Observe(ev kernel.Event) {
+	r.Kernel.Observe(r.Now, ev)
+	r.decide()
+}
+
+// Advance runs the ticks of a time span.
+func (r *Run) Advance(d time.Duration) {
+	for end := r.Now + d; r.Now < end; {
+		r.Now += Tick
+		r.decide()
+	}
+}
+
+// decide lets the leader decide and commits its commands. After a leader change the rest of the decision is lost.
+func (r *Run) decide() {
+	d := r.Kernel.Decide(r.Now)
+	for _, c := range d.Commands {
+		r.Proposed++
+		if r.Proposed == r.LoseAt {
+			r.FailOver()
+			return
+		}
+		r.Apply(c)
+		if r.Proposed == r.FailAfter {
+			r.FailOver()
+			return
+		}
+	}
+	for _, a := range d.Actions {
+		if r.Act != nil {
+			r.Act(a)
+		}
+	}
+}
+
+// FailOver replaces the leader by one that was restored from its snapshot.
+func (r *Run) FailOver() {
+	r.tb.Helper()
+	data, err := r.Kernel.Snapshot(false)
+	if err != nil {
+		r.tb.Fatalf("snapshot: %v", err)
+	}
+	k := r.build()
+	if err := k.Restore(data); err != nil {
+		r.tb.Fatalf("restore: %v", err)
+	}
+	r.Kernel = k
+	k.Lead(r.Now)
+}
--- /dev/null
+++ b/internal/pool/decide.go
@@ -0,0 +1,171 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool/poolpb"
+)
+
+// resend is the time after which the leader proposes a change again that was not applied.
+const resend = time.Second
+
+// InstanceReport is what the platform last said about an instance.
+type InstanceReport struct {
+	Instance string
+	// Healthy is false when the platform can't reach the instance; its leases on tasks have then ended.
+	Healthy bool
+	// Drained is true once the platform finished the drain that it was asked for with Epoch.
+	Drained bool
+	// Booted is true once the instance came back from the reboot that was asked for with Epoch.
+	Booted bool
+	// Epoch is that of the platform's last drain or reboot call for the instance.
+	Epoch uint64
+}
+
+// EventName returns the name of the event.
+func (InstanceReport) EventName() string { return "instance-report" }
+
+// soft is the state of the leader that is not replicated.
+type soft struct {
+	reports  map[string]bool
+	wants    map[string]string
+	draining map[string]drain
+	sent     map[string]time.Duration
+	seen     uint64
+	next     time.Duration
+}
+
+type drain struct {
+	epoch uint64
+	since time.Duration
+}
+
+// AddBusy adds a check for work that still runs on an instance; an instance is drained when no check finds any.
+func (s *State) AddBusy(busy func(instance string) bool) { s.busy = append(s.busy, busy) }
+
+// WantQuarantine asks the leader to quarantine an instance; the request is soft and is repeated until it is in force.
+func (s *State) WantQuarantine(instance, reason string) { s.soft.wants[instance] = reason }
+
+// Busy reports whether work still runs on the instance.
+func (s *State) Busy(instance string) bool {
+	return slices.ContainsFunc(s.busy, func(busy func(string) bool) bool { return busy(instance) })
+}
+
+func (s *State) lead(time.Duration) {
+	s.soft = soft{
+		reports: map[string]bool{}, wants: map[string]string{},
+		draining: map[string]drain{}, sent: map[string]time.Duration{},
+	}
+}
+
+func (s *State) observe(_ time.Duration, ev kernel.Event) {
+	if r, ok := ev.(InstanceReport); ok {
+		s.soft.reports[r.Instance] = r.Healthy
+		s.soft.next = 0
+	}
+}
+
+// decide looks at all instances when something changed, and otherwise only while moves are under way.
+func (s *State) decide(now time.Duration) kernel.Decision {
+	var d kernel.Decision
+	if s.soft.seen == s.Changed() && now < s.soft.next && len(s.soft.wants) == 0 {
+		return d
+	}
+	s.soft.seen, s.soft.next = s.Changed(), now+resend
+	propose := func(key string, m *poolpb.Command) {
+		if at, ok := s.soft.sent[key]; ok && now < at+resend {
+			return
+		}
+		if c, err := command("", m); err == nil {
+			s.soft.sent[key] = now
+			d.Commands = append(d.Commands, c)
+		}
+	}
+	maps.DeleteFunc(s.soft.sent, func(_ string, at time.Duration) bool { return now >= at+resend })
+	if s.unsynced() {
+		propose("sync "+strconv.FormatUint(s.cfg.Version(), 10), &poolpb.Command{Change: &poolpb.Command_Sync{Sync: &poolpb.Sync{}}})
+	}
+	s.decideHealth(propose)
+	for _, instance := range slices.Sorted(maps.Keys(s.soft.wants)) {
+		if in, ok := s.instances[instance]; ok && !in.Quarantined && !in.Removed {
+			q := &poolpb.Quarantine{Instance: instance, On: true, Reason: s.soft.wants[instance]}
+			propose("quarantine "+instance, &poolpb.Command{Change: &poolpb.Command_Quarantine{Quarantine: q}})
+		}
+	}
+	clear(s.soft.wants)
+	started := map[string]int{}
+	for _, name := range slices.Sorted(maps.Keys(s.instances)) {
+		s.decideMove(now, s.instances[name], started, propose)
+	}
+	return d
+}
+
+func (s *State) decideHealth(propose func(key string, m *poolpb.Command)) {
+	h := &poolpb.Health{}
+	key := "health"
+	for _, name := range slices.Sorted(maps.Keys(s.soft.reports)) {
+		in, ok := s.instances[name]
+		switch healthy := s.soft.reports[name]; {
+		case !ok || healthy != in.Unhealthy:
+			continue
+		case healthy:
+			h.Healthy = append(h.Healthy, name)
+			key += " +" + name
+		default:
+			h.Unhealthy = append(h.Unhealthy, name)
+			key += " -" + name
+		}
+	}
+	if len(h.Healthy)+len(h.Unhealthy) > 0 {
+		propose(key, &poolpb.Command{Change: &poolpb.Command_Health{Health: h}})
+	}
+}
+
+// decideMove proposes the next step of a move. The number of moves started in one decision stays within the room of
+// the pool; the command is checked again when it is applied.
+func (s *State) decideMove(now time.Duration, in *poolpb.Instance, started map[string]int,
+	propose func(key string, m *poolpb.Command)) {
+	step := &poolpb.Step{Instance: in.Name, Epoch: in.Epoch}
+	switch {
+	case in.Removed:
+		if s.drained(now, in) {
+			propose("forget "+in.Name, &poolpb.Command{Change: &poolpb.Command_Forget{Forget: step}})
+		}
+	case in.Move == poolpb.Move_MOVE_NONE:
+		step.To = s.wanted(in)
+		c := s.Count(in.Pool)
+		n := started[in.Pool]
+		if step.To != in.Pool && available(in) && c.Room()-n >= 1 && c.Serving-n-1 >= s.minInstances(in.Pool) {
+			started[in.Pool]++
+			propose("begin "+in.Name, &poolpb.Command{Change: &poolpb.Command_Begin{Begin: step}})
+		}
+	case in.Move == poolpb.Move_MOVE_DRAINING && (s.wanted(in) != in.To || !s.mayRelease(in)):
+		propose("back "+in.Name, &poolpb.Command{Change: &poolpb.Command_GoBack{GoBack: step}})
+	case in.Move == poolpb.Move_MOVE_DRAINING && s.drained(now, in):
+		propose("release "+in.Name, &poolpb.Command{Change: &poolpb.Command_Release{Release: step}})
+	case in.Move == poolpb.Move_MOVE_RELEASED && !in.Unhealthy:
+		propose("use "+in.Name, &poolpb.Command{Change: &poolpb.Command_Use{Use: step}})
+	}
+}
+
+// drained reports whether no process can still send work to the instance and none runs there. A new leader waits the
+// whole lease again, because it doesn't know when the drain began.
+func (s *State) drained(now time.Duration, in *poolpb.Instance) bool {
+	d, ok := s.soft.draining[in.Name]
+	if !ok || d.epoch != in.Epoch {
+		d = drain{epoch: in.Epoch, since: now}
+		s.soft.draining[in.Name] = d
+	}
+	s.soft.next = min(s.soft.next, max(now, d.since+leaseWait))
+	return now >= d.since+leaseWait && !s.Busy(in.Name)
+}
+
+// Drained reports on the leader whether an instance that leaves can be stopped: leases have ended and nothing runs.
+func (s *State) Drained(now time.Duration, instance string) bool {
+	in, ok := s.instances[instance]
+	return ok && s.Leaving(instance) && s.drained(now, in)
+}
--- /dev/null
+++ b/internal/pool/plugin.go
@@ -0,0 +1,229 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool/poolpb"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Name is the plug-in name in commands and snapshots.
+const Name = "pool"
+
+// State holds the place of every instance; it is owned by the kernel's goroutine.
+type State struct {
+	cfg       *configuration.State
+	instances map[string]*poolpb.Instance
+	lastEpoch uint64
+	changed   uint64 // counts changes, so that other plug-ins and Check notice them cheaply
+
+	index   index
+	checked checked
+	busy    []func(instance string) bool
+	soft    soft
+}
+
+// index is derived from the configuration in force.
+type index struct {
+	current   *fleet.Configuration
+	instances map[string]*fleet.Instance
+	pools     map[string]*fleet.Pool
+	counts    map[string]Count
+	counted   uint64
+}
+
+func init() {
+	kernel.Register(Name, []string{configuration.Name}, build)
+}
+
+func build(k *kernel.Kernel) kernel.Plugin {
+	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
+	s := &State{cfg: cfg, instances: map[string]*poolpb.Instance{}}
+	s.lead(0)
+	k.Provide(Name, s)
+	return kernel.Plugin{
+		View:     true,
+		Apply:    s.apply,
+		Observe:  s.observe,
+		Decide:   s.decide,
+		Lead:     s.lead,
+		Query:    func([]byte) ([]byte, error) { return s.encode() },
+		Snapshot: s.encode,
+		Restore:  s.restore,
+		Check:    s.check,
+	}
+}
+
+// MoveCommand returns the command by which an operator moves an instance; naming its current pool cancels a move that
+// was not released yet. The request holds until the configuration gives the instance another pool.
+func MoveCommand(id, instance, pool string) (kernel.Command, error) {
+	r := &poolpb.Request{Instance: instance, Pool: pool}
+	return command(id, &poolpb.Command{Change: &poolpb.Command_Request{Request: r}})
+}
+
+// QuarantineCommand returns the command that stops (on) or allows new work on an instance.
+func QuarantineCommand(id, instance string, on bool, reason string) (kernel.Command, error) {
+	q := &poolpb.Quarantine{Instance: instance, On: on, Reason: reason}
+	return command(id, &poolpb.Command{Change: &poolpb.Command_Quarantine{Quarantine: q}})
+}
+
+// DecodeState returns all instances, ordered by name.
+func DecodeState(body []byte) ([]*poolpb.Instance, error) {
+	m := &poolpb.State{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, errorx.Decorate(err, "decode pools")
+	}
+	return m.Instances, nil
+}
+
+func command(id string, m *poolpb.Command) (kernel.Command, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return kernel.Command{}, errorx.Decorate(err, "encode pool command")
+	}
+	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
+}
+
+func (s *State) apply(c kernel.Command) ([]byte, error) {
+	m := &poolpb.Command{}
+	if err := proto.Unmarshal(c.Body, m); err != nil {
+		return nil, kernel.ErrInvalid.New("decode pool command: %v", err)
+	}
+	s.changed++
+	switch change := m.Change.(type) {
+	case *poolpb.Command_Sync:
+		s.sync()
+		return nil, nil
+	case *poolpb.Command_Request:
+		return nil, s.request(change.Request)
+	case *poolpb.Command_Begin:
+		return nil, s.begin(change.Begin)
+	case *poolpb.Command_Release:
+		return nil, s.release(change.Release)
+	case *poolpb.Command_Use:
+		return nil, s.use(change.Use)
+	case *poolpb.Command_GoBack:
+		return nil, s.goBack(change.GoBack)
+	case *poolpb.Command_Health:
+		s.health(change.Health)
+		return nil, nil
+	case *poolpb.Command_Quarantine:
+		return nil, s.quarantine(change.Quarantine)
+	case *poolpb.Command_Forget:
+		return nil, s.forget(change.Forget)
+	}
+	return nil, kernel.ErrInvalid.New("empty pool command")
+}
+
+// Changed counts the changes of the state and of the configuration's version; equal numbers mean equal states.
+func (s *State) Changed() uint64 { return s.changed + s.cfg.Version() }
+
+// Place returns the pool of an instance and whether new work may be sent to it.
+func (s *State) Place(instance string) (pool string, admit bool) {
+	in, ok := s.instances[instance]
+	if !ok || in.Removed {
+		return "", false
+	}
+	return in.Pool, available(in)
+}
+
+// Epoch returns the fencing epoch of an instance, 0 when it is unknown.
+func (s *State) Epoch(instance string) uint64 { return s.instances[instance].GetEpoch() }
+
+// Leaving reports whether an instance drains for a move or a planned stop.
+func (s *State) Leaving(instance string) bool {
+	in, ok := s.instances[instance]
+	return ok && (in.Removed || in.Move == poolpb.Move_MOVE_DRAINING || in.Stop == poolpb.Stop_STOP_DRAINING)
+}
+
+// Lost reports whether work on the instance can't be reached: it is unhealthy, stopped or no longer configured.
+func (s *State) Lost(instance string) bool {
+	in, ok := s.instances[instance]
+	return !ok || in.Removed || in.Unhealthy || in.Stop == poolpb.Stop_STOP_STOPPED
+}
+
+// Condition returns the state of an instance: serving, draining, stopped, unhealthy or quarantined. A planned stop
+// hides that the instance is unhealthy, because a rebooting instance doesn't answer.
+func Condition(in *poolpb.Instance) string {
+	switch {
+	case in.Stop == poolpb.Stop_STOP_STOPPED:
+		return "stopped"
+	case in.Unhealthy:
+		return "unhealthy"
+	case in.Quarantined:
+		return "quarantined"
+	case in.Stop == poolpb.Stop_STOP_DRAINING || in.Move != poolpb.Move_MOVE_NONE || in.Removed:
+		return "draining"
+	}
+	return "serving"
+}
+
+func available(in *poolpb.Instance) bool { return Condition(in) == "serving" }
+
+func (s *State) encode() ([]byte, error) {
+	m := &poolpb.State{LastEpoch: s.lastEpoch}
+	for _, name := range slices.Sorted(maps.Keys(s.instances)) {
+		m.Instances = append(m.Instances, s.instances[name])
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func (s *State) restore(data []byte) error {
+	m := &poolpb.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errorx.Decorate(err, "decode pools")
+	}
+	s.instances = make(map[string]*poolpb.Instance, len(m.Instances))
+	for _, in := range m.Instances {
+		s.instances[in.Name] = in
+	}
+	s.lastEpoch = m.LastEpoch
+	s.changed++
+	s.checked = checked{}
+	return nil
+}
+
+// refresh rebuilds the index when another configuration came into force.
+func (s *State) refresh() *index {
+	x := &s.index
+	cfg := s.cfg.Current()
+	if x.current == cfg {
+		return x
+	}
+	x.current, x.counts = cfg, nil
+	x.instances = make(map[string]*fleet.Instance, len(cfg.Instances))
+	for i := range cfg.Instances {
+		x.instances[cfg.Instances[i].Name] = &cfg.Instances[i]
+	}
+	x.pools = make(map[string]*fleet.Pool, len(cfg.Pools))
+	for i := range cfg.Pools {
+		x.pools[cfg.Pools[i].Name] = &cfg.Pools[i]
+	}
+	return x
+}
+
+// Instance returns the configured instance, nil when there is none.
+func (s *State) Instance(name string) *fleet.Instance { return s.refresh().instances[name] }
+
+// Members returns the configured instances that belong to the pool, in the order of the configuration.
+func (s *State) Members(pool string) []*fleet.Instance {
+	var list []*fleet.Instance
+	cfg := s.cfg.Current()
+	for i := range cfg.Instances {
+		if in, ok := s.instances[cfg.Instances[i].Name]; ok && in.Pool == pool && !in.Removed {
+			list = append(list, &cfg.Instances[i])
+		}
+	}
+	return list
+}
+
+// leaseWait is how long the leader waits after a drain began, until no process can act on an older view: a lease of
+// 3 s and the leader's margin of 0.1 s.
+const leaseWait = 3100 * time.Millisecond
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,209 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kerneltest"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+var shape = kerneltest.Shape{
+	Pools: 2, PerPool: 4, Processors: 16, MemoryMiB: 64 << 10, MinInstances: 3, Budget: fleet.Budget{MaxUnavailable: 1},
+}
+
+func TestMain(m *testing.M) { kerneltest.Main(m, 60) }
+
+func state(r *kerneltest.Run) *pool.State {
+	s, _ := kernel.Lookup[*pool.State](r.Kernel, pool.Name)
+	return s
+}
+
+func start(tb kerneltest.TB) *kerneltest.Run {
+	r := kerneltest.New(tb, nil)
+	r.Configure(shape.Configuration())
+	r.Advance(kerneltest.Tick)
+	return r
+}
+
+func place(r *kerneltest.Run, instance string) string {
+	p, admit := state(r).Place(instance)
+	if admit {
+		return p + " admitted"
+	}
+	return p
+}
+
+// Guards against a move that skips the lease wait, leaves the instance usable by two pools, or ignores running work.
+func TestMoveReleasesBeforeUse(t *testing.T) {
+	r := start(t)
+	busy := true
+	state(r).AddBusy(func(string) bool { return busy })
+	before := state(r).Epoch("worker-0000")
+	r.Must(pool.MoveCommand("op-1", "worker-0000", "pool-1"))
+	r.Advance(kerneltest.Tick)
+	assert.Equal(t, place(r, "worker-0000"), "pool-0")
+	r.Advance(time.Minute)
+	assert.Equal(t, place(r, "worker-0000"), "pool-0", "work still runs")
+	busy = false
+	r.Advance(300 * time.Millisecond)
+	assert.Equal(t, place(r, "worker-0000"), "pool-1 admitted")
+	assert.Assert(t, state(r).Epoch("worker-0000") > before)
+
+	r.Must(pool.MoveCommand("op-2", "worker-0001", "pool-1"))
+	r.Advance(time.Minute)
+	assert.Equal(t, place(r, "worker-0001"), "pool-0 admitted", "pool-0 may not go below 3 instances")
+}
+
+// Guards against a move that is lost, done twice or left half done when the leader changes at any step.
+func TestMoveSurvivesLeaderChangeAtEachStep(t *testing.T) {
+	for _, lose := range []bool{false, true} {
+		for at := uint64(1); at <= 6; at++ {
+			r := kerneltest.New(t, nil)
+			if lose {
+				r.LoseAt = at
+			} else {
+				r.FailAfter = at
+			}
+			r.Configure(shape.Configuration())
+			r.Advance(kerneltest.Tick)
+			for range 20 { // an operator resends until the instance is known
+				c, err := pool.MoveCommand("", "worker-0000", "pool-1")
+				assert.NilError(t, err)
+				if r.Apply(c).Err == nil {
+					break
+				}
+				r.Advance(kerneltest.Tick)
+			}
+			r.Advance(20 * time.Second)
+			assert.Equal(t, place(r, "worker-0000"), "pool-1 admitted", "leader change at %d", at)
+			assert.Equal(t, state(r).Count("pool-0").Serving, 3)
+		}
+	}
+}
+
+// Guards against a move that goes on although its pool can't give up the instance any more, and against one that is
+// forgotten afterwards.
+func TestMoveGoesBackWhenPoolLosesAnInstance(t *testing.T) {
+	r := start(t)
+	r.Must(pool.MoveCommand("op-1", "worker-0000", "pool-1"))
+	r.Advance(time.Second)
+	r.Observe(pool.InstanceReport{Instance: "worker-0001"})
+	r.Advance(10 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-0 admitted")
+	r.Observe(pool.InstanceReport{Instance: "worker-0001"}) // the same fault reported twice
+	r.Advance(time.Second)
+	assert.Equal(t, state(r).Count("pool-0").Lost, 1)
+	r.Observe(pool.InstanceReport{Instance: "worker-0001", Healthy: true})
+	r.Advance(10 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-1 admitted")
+}
+
+// Guards against an instance that changes pools without a release because it was removed and added again, and against
+// an operator's request that outlives a newer configuration.
+func TestConfigurationMovesInstances(t *testing.T) {
+	r := start(t)
+	cfg := shape.Configuration()
+	cfg.Instances = cfg.Instances[1:]
+	r.Configure(cfg)
+	r.Advance(time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "")
+	cfg = shape.Configuration()
+	cfg.Instances[0].Pool = kerneltest.Spare
+	r.Configure(cfg)
+	r.Advance(2 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-0")
+	r.Advance(3 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "spare admitted")
+	r.Must(pool.MoveCommand("op-1", "worker-0000", "pool-1"))
+	r.Advance(10 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-1 admitted")
+	r.Configure(shape.Configuration())
+	r.Advance(10 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-0 admitted")
+}
+
+// Guards against stops that exceed the budget, and against a late end of a stop that was already ended.
+func TestStopIsChargedToBudget(t *testing.T) {
+	r := start(t)
+	s := state(r)
+	epoch, err := s.BeginStop("worker-0000")
+	assert.NilError(t, err)
+	_, err = s.BeginStop("worker-0001")
+	assert.ErrorContains(t, err, "no room in its availability budget")
+	assert.NilError(t, s.MarkStopped("worker-0000", epoch))
+	r.Observe(pool.InstanceReport{Instance: "worker-0000"})
+	assert.Equal(t, s.Count("pool-0").Lost, 0, "a rebooting instance is no unplanned loss")
+	r.Observe(pool.InstanceReport{Instance: "worker-0000", Healthy: true})
+	assert.NilError(t, s.EndStop("worker-0000", epoch))
+	assert.ErrorContains(t, s.EndStop("worker-0000", epoch), "has epoch")
+	assert.Equal(t, place(r, "worker-0000"), "pool-0 admitted")
+}
+
+// Guards against any order of moves, losses, quarantines, configuration changes and leader changes that breaks single
+// membership or a budget (asserted by Check after each command), or that leaves a wish unfulfilled.
+func TestRandomOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := start(t)
+		cfg := shape.Configuration()
+		pools := []string{"pool-0", "pool-1", kerneltest.Spare}
+		worker := rapid.Custom(func(t *rapid.T) string { return kerneltest.Worker(rapid.IntRange(0, 7).Draw(t, "worker")) })
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				if c, err := pool.MoveCommand("", worker.Draw(t, "move"), rapid.SampledFrom(pools).Draw(t, "to")); err == nil {
+					r.Apply(c)
+				}
+			case 1:
+				healthy := rapid.Bool().Draw(t, "healthy")
+				r.Observe(pool.InstanceReport{Instance: worker.Draw(t, "report"), Healthy: healthy})
+			case 2:
+				i := rapid.IntRange(0, len(cfg.Instances)-1).Draw(t, "instance")
+				cfg.Instances[i].Pool = rapid.SampledFrom(pools).Draw(t, "pool")
+				r.Configure(cfg)
+			case 3:
+				r.FailOver()
+			case 4:
+				on := rapid.Bool().Draw(t, "on")
+				if c, err := pool.QuarantineCommand("", worker.Draw(t, "quarantine"), on, "test"); err == nil {
+					r.Apply(c)
+				}
+			case 5:
+				w := worker.Draw(t, "stop")
+				if epoch, err := state(r).BeginStop(w); err == nil {
+					assert.Assert(t, epoch > 0)
+					r.Must(pool.QuarantineCommand("", w, false, "")) // runs Check, as the command that stops would
+				}
+			case 6:
+				r.Advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "ticks")) * kerneltest.Tick)
+			}
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, bench := range []struct {
+		name  string
+		shape kerneltest.Shape
+	}{
+		{"50", kerneltest.Water},
+		{"250", kerneltest.Shape{Pools: 25, PerPool: 10, Teams: 40}},
+		{"1000", kerneltest.Shape{Pools: 110, PerPool: 9, Teams: 170}},
+	} {
+		b.Run(bench.name, func(b *testing.B) {
+			r := kerneltest.New(b, nil)
+			r.Configure(bench.shape.Configuration())
+			r.Advance(kerneltest.Tick)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r.Now += kerneltest.Tick
+				r.Observe(pool.InstanceReport{Instance: kerneltest.Worker(i / 2 % 50), Healthy: i%2 == 1})
+			}
+		})
+	}
+}
