--- /dev/null
+++ b/internal/job/check.go
@@ -0,0 +1,110 @@
+package job
+
+import (
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/placement"
+)
+
+// fullCheckInterval is the number of commands after which all jobs are recounted instead of the changed ones only; a
+// recount of 8,192 jobs takes about a millisecond.
+const fullCheckInterval = 1024
+
+// check asserts the invariants of the jobs that changed and, now and then, of all.
+func (s *State) check() error {
+	if s.full--; s.full < 0 {
+		s.full = fullCheckInterval
+		if err := s.recount(); err != nil {
+			return err
+		}
+	}
+	for key := range s.touched {
+		if j, ok := s.jobs[key]; ok {
+			if err := checkJob(j); err != nil {
+				return err
+			}
+		}
+	}
+	for _, key := range s.justStarted {
+		if j, ok := s.jobs[key]; ok && j.Instance != "" {
+			if err := s.checkStart(j); err != nil {
+				return err
+			}
+		}
+	}
+	clear(s.touched)
+	s.justStarted = s.justStarted[:0]
+	return nil
+}
+
+func checkJob(j *jobpb.Job) error {
+	active := j.Phase == jobpb.Phase_PHASE_STARTING || j.Phase == jobpb.Phase_PHASE_RUNNING ||
+		j.Phase == jobpb.Phase_PHASE_CHECKPOINTING
+	switch {
+	case j.Phase == jobpb.Phase_PHASE_NONE:
+		return errorx.IllegalState.New("job %s has no phase", j.Key)
+	case active != (j.Instance != "") && j.Phase != jobpb.Phase_PHASE_CANCELLED:
+		return errorx.IllegalState.New("job %s is %v on instance %q", j.Key, j.Phase, j.Instance)
+	case !j.Submit.Idempotent && j.Starts > 1:
+		return errorx.IllegalState.New("job %s is not idempotent and was started %d times", j.Key, j.Starts)
+	}
+	return nil
+}
+
+// checkStart asserts limits and capacity after a start; a changed configuration may lower them below what runs.
+func (s *State) checkStart(j *jobpb.Job) error {
+	in := s.pools.Instance(j.Instance)
+	u := s.use[j.Instance]
+	place, _ := s.pools.Place(j.Instance)
+	switch {
+	case in == nil || u == nil:
+		return errorx.IllegalState.New("job %s started on unknown instance %s", j.Key, j.Instance)
+	case !u.charge.Fits(capacity(in)):
+		return errorx.IllegalState.New("instance %s is charged %+v with %d jobs", j.Instance, u.charge, len(u.jobs))
+	case place != s.index().queues[j.Submit.Queue].Pool:
+		return errorx.IllegalState.New("job %s of queue %s started in pool %s", j.Key, j.Submit.Queue, place)
+	case s.running[j.Submit.Team] > s.index().teams[j.Submit.Team].UpperLimit:
+		return errorx.IllegalState.New("team %s runs %d jobs above its upper limit", j.Submit.Team,
+			s.running[j.Submit.Team])
+	}
+	return nil
+}
+
+// recount compares the derived counters with the jobs.
+func (s *State) recount() error {
+	running, charge, waiting, payload := map[string]int{}, map[string]placement.Resources{}, 0, 0
+	for _, j := range s.jobs {
+		if err := checkJob(j); err != nil {
+			return err
+		}
+		if j.Instance != "" {
+			running[j.Submit.Team]++
+			charge[j.Instance] = charge[j.Instance].Add(amount(j.Charge))
+		}
+		if j.Phase == jobpb.Phase_PHASE_WAITING {
+			waiting++
+		}
+		if !over(j) {
+			payload += len(j.Submit.Payload)
+		}
+	}
+	for team, n := range s.running {
+		if running[team] != n {
+			return errorx.IllegalState.New("team %s has %d jobs running, counted as %d", team, running[team], n)
+		}
+	}
+	for name, u := range s.use {
+		if charge[name] != u.charge {
+			return errorx.IllegalState.New("instance %s is charged %+v, counted as %+v", name, charge[name], u.charge)
+		}
+	}
+	for _, list := range s.waiting {
+		waiting -= len(list)
+	}
+	if waiting != 0 || len(charge) != len(s.use) || payload != s.payload {
+		return errorx.IllegalState.New("job counters differ: %d waiting, %d of %d instances, %d of %d payload bytes",
+			waiting, len(charge), len(s.use), payload, s.payload)
+	}
+	return nil
+}
--- a/internal/pool/move.go
+++ b/internal/pool/move.go
@@ -161,8 +161,9 @@
 		}
 	}
 	for _, name := range m.Unhealthy {
-		if in, ok := s.instances[name]; ok {
+		if in, ok := s.instances[name]; ok && !in.Unhealthy {
 			in.Unhealthy = true
+			in.Losses++
 		}
 	}
 }
--- a/internal/pool/plugin.go
+++ b/internal/pool/plugin.go
@@ -143,6 +143,12 @@
 	return ok && (in.Removed || in.Move == poolpb.Move_MOVE_DRAINING || in.Stop == poolpb.Stop_STOP_DRAINING)
 }
 
+// Losses returns how often the instance became unhealthy, so that a short loss isn't overlooked.
+func (s *State) Losses(instance string) uint64 { return s.instances[instance].GetLosses() }
+
+// Quarantined reports whether the instance is quarantined.
+func (s *State) Quarantined(instance string) bool { return s.instances[instance].GetQuarantined() }
+
 // Lost reports whether work on the instance can't be reached: it is unhealthy, stopped or no longer configured.
 func (s *State) Lost(instance string) bool {
 	in, ok := s.instances[instance]
