Drain instances by their slot quota and reserve quotas for jobs

Cause: the pool plug-in needs proof that no process can still start work on an instance, and job starts have to count against the same limits as requests. Change: an instance that takes no new work has a slot capacity of zero, so its allocations are recalled; it is drained when none is left. Jobs reserve units of the quota plug-in.

--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/placement"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
 )
 
 const (
@@ -41,6 +42,7 @@
 	lost      map[string]time.Duration
 	inflight  map[string]inflight
 	granted   map[string]grant // by job
+	short     map[string]bool  // instances on which a start found no free slot
 	estimator placement.Estimator
 	watchAt   time.Duration
 	sweepAt   time.Duration
@@ -69,6 +71,7 @@
 		stale: map[TaskRef]struct{}{}, issued: map[string]issued{}, sent: map[string]time.Duration{},
 		since: map[string]time.Duration{}, began: map[TaskRef]time.Duration{}, escalated: map[string]escalation{},
 		lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{},
+		short:   map[string]bool{},
 		watchAt: now, sweepAt: now,
 	}
 }
@@ -323,10 +326,20 @@
 		}
 	}
 	for _, team := range slices.Sorted(maps.Keys(teams)) {
-		s.quota.Want(d.now, TeamResource(team), teams[team])
+		s.quota.Want(d.now, quota.TeamResource(team), teams[team])
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.use)) {
-		s.quota.Want(d.now, SlotResource(name), len(s.use[name].jobs))
+	if len(s.waiting) == 0 {
+		clear(s.soft.short)
+	}
+	slots := map[string]int{}
+	for name := range s.use {
+		slots[name] = len(s.use[name].jobs)
+	}
+	for name := range s.soft.short {
+		slots[name]++
+	}
+	for _, name := range slices.Sorted(maps.Keys(slots)) {
+		s.quota.Want(d.now, quota.SlotResource(name), slots[name])
 	}
 }
 
--- a/internal/job/lifecycle.go
+++ b/internal/job/lifecycle.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/placement"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
@@ -244,8 +245,8 @@
 	if delete(u.jobs, j.Key); len(u.jobs) == 0 {
 		delete(s.use, j.Instance)
 	}
-	s.quota.Unreserve(TeamResource(j.Submit.Team))
-	s.quota.Unreserve(SlotResource(j.Instance))
+	s.quota.Unreserve(quota.TeamResource(j.Submit.Team))
+	s.quota.Unreserve(quota.SlotResource(j.Instance))
 	s.running[j.Submit.Team]--
 	if place, _ := s.pools.Place(j.Instance); place != "" {
 		s.dirty[place] = struct{}{}
--- a/internal/job/plugin.go
+++ b/internal/job/plugin.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/placement"
 	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
@@ -61,7 +62,7 @@
 }
 
 func init() {
-	kernel.Register(Name, []string{configuration.Name, pool.Name}, build)
+	kernel.Register(Name, []string{configuration.Name, pool.Name, quota.Name}, build)
 }
 
 func build(k *kernel.Kernel) kernel.Plugin {
@@ -70,7 +71,7 @@
 	s := &State{cfg: cfg, pools: pools}
 	s.reset()
 	s.lead(0)
-	s.quota = quotaFor(k, s)
+	s.quota = quotaFor(k)
 	pools.AddBusy(func(instance string) bool { return s.use[instance] != nil })
 	k.Provide(Name, s)
 	return kernel.Plugin{
@@ -230,8 +231,8 @@
 		switch {
 		case j.Instance != "":
 			s.occupy(j)
-			held[TeamResource(j.Submit.Team)]++
-			held[SlotResource(j.Instance)]++
+			held[quota.TeamResource(j.Submit.Team)]++
+			held[quota.SlotResource(j.Instance)]++
 		case over(j):
 			s.ended = append(s.ended, j.Key)
 		default:
--- a/internal/job/quota.go
+++ b/internal/job/quota.go
@@ -1,10 +1,10 @@
 package job
 
 import (
-	"strings"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/quota"
 )
 
 // Quota accounts for running jobs against the upper limit of teams and the slots of instances, together with requests.
@@ -20,56 +20,24 @@
 	Restored func(held map[string]int)
 }
 
-// TeamResource and SlotResource return the names under which jobs are accounted.
-func TeamResource(team string) string { return "team/" + team }
-
-// SlotResource returns the resource of the slots of an instance.
-func SlotResource(instance string) string { return "slot/" + instance }
-
-// quotaFor is the one place where quotas are wired: it returns the accounting for a new kernel. Until the quota plug-in
-// takes over, jobs are counted on their own against the configuration.
-func quotaFor(_ *kernel.Kernel, s *State) Quota { return countingQuota(s) }
-
-// countingQuota counts jobs only; requests that run at the same time are not seen.
-func countingQuota(s *State) Quota {
-	held := map[string]int{}
-	return Quota{
-		Reserve: func(resource string) bool {
-			if held[resource] >= s.limit(resource) {
-				return false
-			}
-			held[resource]++
-			return true
-		},
-		Unreserve: func(resource string) {
-			if held[resource]--; held[resource] <= 0 {
-				delete(held, resource)
-			}
-		},
-		Restored: func(now map[string]int) { held = now },
-	}
-}
-
-// limit returns the configured capacity of a resource.
-func (s *State) limit(resource string) int {
-	if team, ok := strings.CutPrefix(resource, "team/"); ok {
-		return s.index().teams[team].UpperLimit
-	}
-	if in := s.pools.Instance(strings.TrimPrefix(resource, "slot/")); in != nil {
-		return in.Slots
-	}
-	return 0
+// quotaFor returns the accounting of a new kernel. Its snapshots hold the reservations, so nothing is restored here.
+func quotaFor(k *kernel.Kernel) Quota {
+	q, _ := kernel.Lookup[*quota.State](k, quota.Name)
+	return Quota{Reserve: q.Reserve, Unreserve: q.Unreserve, Want: q.Want}
 }
 
 // reserve takes one unit of the team's limit and one slot, or nothing.
 func (s *State) reserve(team, instance string) bool {
-	if !s.quota.Reserve(TeamResource(team)) {
+	if !s.quota.Reserve(quota.TeamResource(team)) {
 		return false
 	}
-	if !s.quota.Reserve(SlotResource(instance)) {
-		s.quota.Unreserve(TeamResource(team))
+	if !s.quota.Reserve(quota.SlotResource(instance)) {
+		s.quota.Unreserve(quota.TeamResource(team))
+		// Requests hold all slots; the leader asks for one back while jobs wait.
+		s.soft.short[instance] = true
 		return false
 	}
+	delete(s.soft.short, instance)
 	return true
 }
 
--- a/internal/kernel/kerneltest/fleet.go
+++ b/internal/kernel/kerneltest/fleet.go
@@ -66,7 +66,7 @@
 		c.Pools = append(c.Pools, fleet.Pool{Name: Pool(p), Budget: s.Budget, MinInstances: s.MinInstances})
 		q := fleet.Queue{
 			Name: Queue(p), Pool: Pool(p), Teams: []string{}, MaxRun: fleet.Duration(time.Hour),
-			MaxWaiting: 100, MaxWait: fleet.Duration(time.Minute),
+			MaxWaiting: 100, MaxWait: fleet.Duration(3 * time.Second),
 		}
 		u := q
 		u.Name, u.Urgent = UrgentQueue(p), true
--- a/internal/pool/plugin.go
+++ b/internal/pool/plugin.go
@@ -26,6 +26,7 @@
 
 	index   index
 	checked checked
+	shipped shipped
 	busy    []func(instance string) bool
 	soft    soft
 }
@@ -47,9 +48,12 @@
 	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
 	s := &State{cfg: cfg, instances: map[string]*poolpb.Instance{}}
 	s.lead(0)
+	s.resetShipped()
 	k.Provide(Name, s)
 	return kernel.Plugin{
 		View:     true,
+		Changes:  s.changes,
+		Merge:    s.merge,
 		Apply:    s.apply,
 		Observe:  s.observe,
 		Decide:   s.decide,
@@ -193,6 +197,7 @@
 	s.lastEpoch = m.LastEpoch
 	s.changed++
 	s.checked = checked{}
+	s.resetShipped()
 	return nil
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -164,7 +164,11 @@
 				r.Observe(pool.InstanceReport{Instance: worker.Draw(t, "report"), Healthy: healthy})
 			case 2:
 				i := rapid.IntRange(0, len(cfg.Instances)-1).Draw(t, "instance")
+				before := cfg.Instances[i].Pool
 				cfg.Instances[i].Pool = rapid.SampledFrom(pools).Draw(t, "pool")
+				if len(cfg.Check()) > 0 { // no document with faults is ever accepted
+					cfg.Instances[i].Pool = before
+				}
 				r.Configure(cfg)
 			case 3:
 				r.FailOver()
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -93,6 +93,7 @@
 
 // decide divides the resources whose demand or state changed since the last call.
 func (s *State) decide(time.Duration) kernel.Decision {
+	s.refresh()
 	holders := s.members.LiveIDs()
 	s.noteMembers(holders)
 	m := &quotapb.Command{}
@@ -187,11 +188,15 @@
 func (s *State) recall(
 	name string, holders []string, next map[string]allocation, targets map[string]uint64, short bool,
 ) {
+	var allocated uint64
 	for _, h := range holders {
+		allocated += next[h].units()
 		if units := next[h].units(); units < min(s.policy.demand[name][h], targets[h]) {
 			short = true
 		}
 	}
+	// A lowered capacity is short too, and so is an instance that must be drained.
+	short = short || allocated > s.capacities[name]
 	for _, h := range holders {
 		if short && next[h].units() > targets[h] {
 			set(s.policy.recalls, h, name, targets[h])
--- a/internal/quota/state.go
+++ b/internal/quota/state.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/member"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool"
 	"github.com/hibiscusroute/hibiscusroute/internal/quota/quotapb"
 )
 
@@ -53,6 +54,8 @@
 type State struct {
 	cfg        *configuration.State
 	members    *member.State
+	pools      *pool.State
+	seen       uint64 // the change of the pools that capacities take into account
 	resources  map[string]*resource
 	capacities map[string]uint64
 	touched    map[string]bool
@@ -61,17 +64,20 @@
 }
 
 func init() {
-	kernel.Register(Name, []string{configuration.Name, member.Name}, build)
+	kernel.Register(Name, []string{configuration.Name, member.Name, pool.Name}, build)
 }
 
 func build(k *kernel.Kernel) kernel.Plugin {
 	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
 	members, _ := kernel.Lookup[*member.State](k, member.Name)
-	s := &State{cfg: cfg, members: members, resources: map[string]*resource{}, touched: map[string]bool{}}
+	pools, _ := kernel.Lookup[*pool.State](k, pool.Name)
+	s := &State{cfg: cfg, members: members, pools: pools, resources: map[string]*resource{}, touched: map[string]bool{}}
 	s.policy.reset()
 	s.changed.reset()
 	s.configure()
 	cfg.OnChange(s.configure)
+	// An instance is drained only when no process could still start work on it and no job runs there.
+	pools.AddBusy(func(instance string) bool { return s.used(SlotResource(instance)) > 0 })
 	members.OnRemove(s.release)
 	k.Provide(Name, s)
 	return kernel.Plugin{
@@ -90,7 +96,10 @@
 }
 
 // Capacity returns the units of a resource, 0 for one that is not configured.
-func (s *State) Capacity(name string) uint64 { return s.capacities[name] }
+func (s *State) Capacity(name string) uint64 {
+	s.refresh()
+	return s.capacities[name]
+}
 
 // Granted returns the total that a holder was ever granted of each resource.
 func (s *State) Granted(holder string) map[string]uint64 {
@@ -106,6 +115,7 @@
 // Ceiling returns how many units a holder may use at once. While a lowered capacity is being recalled this is its
 // proportional part, rounded down, so that all holders together stay within the new capacity.
 func (s *State) Ceiling(name, holder string) uint64 {
+	s.refresh()
 	r, ok := s.resources[name]
 	if !ok {
 		return 0
@@ -120,6 +130,7 @@
 
 // Reserve takes one unit for a job, and reports whether one was free. It is called while a command is applied.
 func (s *State) Reserve(name string) bool {
+	s.refresh()
 	r := s.resource(name)
 	if r.used() >= s.capacities[name] {
 		return false
@@ -155,14 +166,36 @@
 	s.policy.dirty[name] = true
 }
 
-// configure takes the capacities from the configuration in force.
+func (s *State) used(name string) uint64 {
+	r, ok := s.resources[name]
+	if !ok {
+		return 0
+	}
+	return r.used()
+}
+
+// refresh takes changes of the pools into account; it runs before each use of the capacities.
+func (s *State) refresh() {
+	if s.seen != s.pools.Changed() {
+		s.configure()
+	}
+}
+
+// configure takes the capacities from the configuration in force. An instance that takes no new work has no slots, so
+// that processes stop starting work there and return what is idle.
 func (s *State) configure() {
+	s.seen = s.pools.Changed()
 	capacities := map[string]uint64{}
 	for _, t := range s.cfg.Current().Teams {
 		capacities[TeamResource(t.Name)] = uint64(max(t.UpperLimit, 0))
 	}
 	for _, in := range s.cfg.Current().Instances {
-		capacities[SlotResource(in.Name)] = uint64(max(in.Slots, 0))
+		if _, admit := s.pools.Place(in.Name); admit {
+			capacities[SlotResource(in.Name)] = uint64(max(in.Slots, 0))
+		}
+	}
+	for name := range s.capacities {
+		s.policy.dirty[name] = true
 	}
 	s.capacities = capacities
 	for name := range capacities {
@@ -179,6 +212,7 @@
 	if err := proto.Unmarshal(c.Body, m); err != nil {
 		return nil, kernel.ErrInvalid.New("decode quota command: %v", err)
 	}
+	s.refresh()
 	for _, ch := range m.Changes {
 		s.applyChange(ch)
 	}
@@ -218,6 +252,7 @@
 
 // check verifies the resources that the last command touched.
 func (s *State) check() error {
+	s.refresh()
 	for name := range s.touched {
 		r := s.resources[name]
 		used := r.used()
