--- /dev/null
+++ b/internal/claim/id.go
@@ -0,0 +1,52 @@
+package claim
+
+import (
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+)
+
+const (
+	idSize    = 16
+	tokenSize = 8   // 64 random bits; only claimants of one request ID are ever told apart by it
+	maxTeam   = 256 // bytes of a team name, so that journal records stay bounded
+)
+
+// requestID is a UUIDv7 in binary form, so that spellings of the same identifier are equal.
+type requestID [idSize]byte
+
+// claimToken tells the claimants of one request ID apart.
+type claimToken [tokenSize]byte
+
+// parseID reads a request ID in the canonical text form of a UUID.
+func parseID(text string) (requestID, error) {
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return requestID{}, errorx.IllegalFormat.New("request ID is not a UUID: %v", err)
+	}
+	return checkID(requestID(id))
+}
+
+func checkID(id requestID) (requestID, error) {
+	if u := uuid.UUID(id); u.Version() != 7 || u.Variant() != uuid.RFC4122 {
+		return requestID{}, errorx.IllegalFormat.New("request ID %s is not a UUIDv7", u)
+	}
+	return id, nil
+}
+
+// time returns the time in the identifier in milliseconds since the Unix epoch.
+func (id requestID) time() int64 {
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
+
+// decodeClaim checks the fields that a claim and a release have in common.
+func decodeClaim(team string, id, token []byte) (requestID, claimToken, error) {
+	if len(id) != idSize || len(token) != tokenSize || len(team) > maxTeam {
+		return requestID{}, claimToken{}, errorx.IllegalFormat.New("claim has a malformed request ID, token or team")
+	}
+	checked, err := checkID(requestID(id))
+	return checked, claimToken(token), err
+}
--- /dev/null
+++ b/internal/claim/table.go
@@ -0,0 +1,174 @@
+package claim
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
+)
+
+// bucketSpan is the range of ID times in one bucket in milliseconds. Expired claims are dropped bucket by bucket, and
+// a copy sorts one bucket for each chunk, which at 1,000 claims per second is 10,000 claims.
+const bucketSpan = 10_000
+
+type claimKey struct {
+	id   requestID
+	team uint32 // index into the names of the table
+}
+
+// table holds the claims in memory. Nearly every request ID has one holder; only a transfer can add others.
+type table struct {
+	names   []string
+	teams   map[string]uint32
+	buckets map[int64]map[claimKey]claimToken
+	others  map[claimKey][]claimToken
+	count   int
+}
+
+func newTable() *table {
+	return &table{
+		teams: map[string]uint32{}, buckets: map[int64]map[claimKey]claimToken{}, others: map[claimKey][]claimToken{},
+	}
+}
+
+func (t *table) key(team string, id requestID) claimKey {
+	n, ok := t.teams[team]
+	if !ok {
+		n = uint32(len(t.names))
+		t.names = append(t.names, team)
+		t.teams[team] = n
+	}
+	return claimKey{id: id, team: n}
+}
+
+// holders returns the tokens that hold a key.
+func (t *table) holders(k claimKey) []claimToken {
+	first, ok := t.buckets[k.id.time()/bucketSpan][k]
+	if !ok {
+		return nil
+	}
+	return append([]claimToken{first}, t.others[k]...)
+}
+
+// add records a token beside those that hold the key already.
+func (t *table) add(k claimKey, token claimToken) {
+	n := k.id.time() / bucketSpan
+	bucket := t.buckets[n]
+	if bucket == nil {
+		bucket = map[claimKey]claimToken{}
+		t.buckets[n] = bucket
+	}
+	first, ok := bucket[k]
+	switch {
+	case !ok:
+		bucket[k] = token
+		t.count++
+	case first != token && !slices.Contains(t.others[k], token):
+		t.others[k] = append(t.others[k], token)
+	}
+}
+
+// remove takes a token from a key and reports whether it held the key.
+func (t *table) remove(k claimKey, token claimToken) bool {
+	left := t.holders(k)
+	i := slices.Index(left, token)
+	if i < 0 {
+		return false
+	}
+	left = slices.Delete(left, i, i+1)
+	delete(t.others, k)
+	if len(left) == 0 {
+		delete(t.buckets[k.id.time()/bucketSpan], k)
+		t.count--
+		return true
+	}
+	t.buckets[k.id.time()/bucketSpan][k] = left[0]
+	if len(left) > 1 {
+		t.others[k] = left[1:]
+	}
+	return true
+}
+
+// drop forgets the buckets that lie below the floor as a whole.
+func (t *table) drop(floor int64) {
+	for n, bucket := range t.buckets {
+		if (n+1)*bucketSpan <= floor {
+			t.count -= len(bucket)
+			delete(t.buckets, n)
+		}
+	}
+	for k := range t.others {
+		if _, ok := t.buckets[k.id.time()/bucketSpan]; !ok {
+			delete(t.others, k)
+		}
+	}
+}
+
+// position is a place in the order of a copy. It holds the team by name, because the index of a team changes when the
+// sender restarts between two chunks.
+type position struct {
+	bucket int64
+	id     requestID
+	team   string
+}
+
+// decodePosition reads an encoded position; false means the start.
+func decodePosition(data []byte) (position, bool) {
+	if len(data) < 8+idSize {
+		return position{}, false
+	}
+	return position{
+		bucket: int64(binary.BigEndian.Uint64(data)),
+		id:     requestID(data[8 : 8+idSize]),
+		team:   string(data[8+idSize:]),
+	}, true
+}
+
+func (t *table) encodePosition(bucket int64, k claimKey) []byte {
+	data := binary.BigEndian.AppendUint64(nil, uint64(bucket))
+	data = append(data, k.id[:]...)
+	return append(data, t.names[k.team]...)
+}
+
+// after returns the keys of the first bucket that has any behind a position, unordered, and the number of that bucket.
+// Keys that stay in the table during a copy are returned exactly once.
+func (t *table) after(encoded []byte) (keys []claimKey, bucket int64) {
+	p, resumed := decodePosition(encoded)
+	numbers := make([]int64, 0, len(t.buckets))
+	for n := range t.buckets {
+		if n >= p.bucket {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		for k := range t.buckets[n] {
+			if n > p.bucket || !resumed ||
+				cmp.Or(bytes.Compare(k.id[:], p.id[:]), cmp.Compare(t.names[k.team], p.team)) > 0 {
+				keys = append(keys, k)
+			}
+		}
+		if len(keys) > 0 {
+			return keys, n
+		}
+	}
+	return nil, 0
+}
+
+// compare orders keys as a copy sends them.
+func (t *table) compare(a, b claimKey) int {
+	return cmp.Or(bytes.Compare(a.id[:], b.id[:]), cmp.Compare(t.names[a.team], t.names[b.team]))
+}
+
+// entries returns the claims of the keys that are still held.
+func (t *table) entries(keys []claimKey) []*claimpb.Entry {
+	var list []*claimpb.Entry
+	for _, k := range keys {
+		for _, token := range t.holders(k) {
+			list = append(list, &claimpb.Entry{Team: t.names[k.team], Id: bytes.Clone(k.id[:]), Token: bytes.Clone(token[:])})
+		}
+	}
+	return list
+}
