--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -5,11 +5,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+	"github.com/hibiscusroute/hibiscusroute/internal/voter"
 )
 
 // serveJoin adds a voter as learner; the leader promotes it once it has caught up.
@@ -102,6 +104,7 @@
 // its new identity is a voter.
 func (v *Voter) manageVoters() {
 	members := v.core.Status().Members
+	v.publishVoters(members)
 	for _, m := range members {
 		if !m.Member.Voter && m.CaughtUp {
 			v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: m.Member})
@@ -118,3 +121,25 @@
 		}
 	}
 }
+
+// publishVoters makes the voters known to the at-most-once record when they changed.
+func (v *Voter) publishVoters(members []raft.MemberStatus) {
+	var voters []*claimpb.Voter
+	for _, m := range members {
+		if m.Member.Voter {
+			voters = append(voters, &claimpb.Voter{Identity: m.Member.Id, Address: m.Member.Address})
+		}
+	}
+	if voter.Same(voters, v.voters.Newest().GetVoters()) || voter.Same(voters, v.setVoters) {
+		return
+	}
+	c, err := voter.SetCommand(voters)
+	if err == nil {
+		err = v.propose(c, nil)
+	}
+	if err != nil {
+		v.cfg.Log.Info("voters are not published yet", "reason", err.Error())
+		return
+	}
+	v.setVoters = voters
+}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/disk"
@@ -20,6 +21,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
+	"github.com/hibiscusroute/hibiscusroute/internal/voter"
 )
 
 const (
@@ -42,7 +44,9 @@
 	PeerAddress      string
 	AvailabilityZone string
 	Store            *disk.Store
-	Transport        *peer.Transport
+	// Persisted is what the store loaded.
+	Persisted raft.Persisted
+	Transport *peer.Transport
 	// Bootstrap starts a new group of one voter when the data directory is empty.
 	Bootstrap bool
 	// Act runs the actions of the leader; it must not block. It may be nil.
@@ -83,6 +87,8 @@
 	members    *member.State
 	quotas     *quota.State
 	documents  *configuration.State
+	voters     *voter.State
+	setVoters  []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	failed     error
 }
 
@@ -96,10 +102,9 @@
 	if cfg.Record == nil {
 		cfg.Record = func(timeline.Event) {}
 	}
-	persisted, err := cfg.Store.Load()
-	if err != nil {
-		return nil, err
-	}
+	persisted := cfg.Persisted
+	cfg.Persisted = raft.Persisted{}
+	var err error
 	if persisted.Snapshot == nil && cfg.Bootstrap {
 		if persisted, err = bootstrap(cfg); err != nil {
 			return nil, err
@@ -119,6 +124,7 @@
 	v.members, _ = kernel.Lookup[*member.State](v.kernel, member.Name)
 	v.quotas, _ = kernel.Lookup[*quota.State](v.kernel, quota.Name)
 	v.documents, _ = kernel.Lookup[*configuration.State](v.kernel, configuration.Name)
+	v.voters, _ = kernel.Lookup[*voter.State](v.kernel, voter.Name)
 	if s := persisted.Snapshot; s != nil {
 		if err := v.restore(s); err != nil {
 			return nil, err
@@ -240,6 +246,7 @@
 	v.leading, v.leadTerm = true, term
 	v.leads.Store(true)
 	v.rollouts.reset()
+	v.setVoters = nil
 	v.kernel.Lead(v.now())
 	v.decideSoon = true
 	v.cfg.Log.Info("started leading the control group", "term", term)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
 	"github.com/hibiscusroute/hibiscusroute/internal/control"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
@@ -17,9 +18,11 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/member"
 	"github.com/hibiscusroute/hibiscusroute/internal/member/memberpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool"
 	"github.com/hibiscusroute/hibiscusroute/internal/quota"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 	"github.com/hibiscusroute/hibiscusroute/internal/view"
+	"github.com/hibiscusroute/hibiscusroute/internal/voter"
 )
 
 const (
@@ -40,8 +43,6 @@
 	AvailabilityZone string
 	Client           *Client
 	Open             func(ctx context.Context, address, kind string) (*peer.Stream, error)
-	// Place returns the pool of an instance and whether it takes new work; nil uses the configuration.
-	Place func(k *kernel.Kernel) func(instance string) (pool string, admit bool)
 	// Record adds an event to the time line; it may be nil.
 	Record func(e timeline.Event)
 	Log    logr.Logger
@@ -54,6 +55,7 @@
 	holder  *quota.Holder
 	view    atomic.Pointer[view.View]
 	members atomic.Pointer[[]*memberpb.Member]
+	voters  atomic.Pointer[[]*claimpb.Membership]
 	// leaseUntil is when the configuration lease ends, in nanoseconds after start; 0 means never leased.
 	leaseUntil atomic.Int64
 	leaving    atomic.Bool
@@ -118,6 +120,14 @@
 	return nil
 }
 
+// Voters returns the memberships of the at-most-once record in the newest view, oldest first.
+func (f *Follower) Voters() []*claimpb.Membership {
+	if list := f.voters.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 func (f *Follower) now() time.Duration { return time.Since(f.start) }
 
 func (f *Follower) renewSoon() {
@@ -431,14 +441,15 @@
 	keys, _ := kernel.Lookup[*key.State](f.kernel, key.Name)
 	members, _ := kernel.Lookup[*member.State](f.kernel, member.Name)
 	quotas, _ := kernel.Lookup[*quota.State](f.kernel, quota.Name)
-	vc := view.Config{
-		Index: f.kernel.Applied(), Version: cfg.Version(), Configuration: cfg.Current(), Keys: keys.Active(),
-	}
-	if f.cfg.Place != nil {
-		vc.Place = f.cfg.Place(f.kernel)
-	}
+	pools, _ := kernel.Lookup[*pool.State](f.kernel, pool.Name)
+	voters, _ := kernel.Lookup[*voter.State](f.kernel, voter.Name)
 	before := f.view.Load()
-	f.view.Store(view.New(vc))
+	f.view.Store(view.New(view.Config{
+		Index: f.kernel.Applied(), Version: cfg.Version(), Configuration: cfg.Current(), Keys: keys.Active(),
+		Place: pools.Place,
+	}))
+	chain := voters.Chain()
+	f.voters.Store(&chain)
 	list := members.Members()
 	f.members.Store(&list)
 	f.holder.Update(quotas)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/caller"
+	"github.com/hibiscusroute/hibiscusroute/internal/claim"
 	"github.com/hibiscusroute/hibiscusroute/internal/control"
 	"github.com/hibiscusroute/hibiscusroute/internal/disk"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
@@ -52,6 +53,8 @@
 	listeners listeners
 	transport *peer.Transport
 	store     *disk.Store
+	keeper    *claim.Keeper
+	claims    *claim.Client
 	voter     *control.Voter
 	client    *follower.Client
 	follower  *follower.Follower
@@ -93,6 +96,9 @@
 
 func (n *Node) close() {
 	n.listeners.close()
+	if n.keeper != nil {
+		n.keeper.Close()
+	}
 	if n.store != nil {
 		if err := n.store.Close(); err != nil {
 			n.cfg.Log.Error(err, "close data directory")
@@ -142,9 +148,16 @@
 		if n.store, err = disk.Open(disk.Config{Dir: p.DataDirectory, Log: n.cfg.Log}); err != nil {
 			return err
 		}
+		persisted, err := n.store.Load()
+		if err != nil {
+			return err
+		}
+		if err := n.openKeeper(persisted.Snapshot == nil); err != nil {
+			return err
+		}
 		n.voter, err = control.New(control.Config{
 			Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Store: n.store,
-			Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.record, Log: n.cfg.Log,
+			Persisted: persisted, Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.record, Log: n.cfg.Log,
 			Violation: func(plugin string, _ error) {
 				n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
 			},
@@ -181,6 +194,7 @@
 	if n.voter != nil {
 		run("control loop", n.voter.Run)
 		run("join of the control group", n.joinGroup)
+		run("at-most-once record", n.keep)
 	}
 	run("follower", n.follower.Run)
 	run("operator API", func(ctx context.Context) error { return n.operator.Serve(ctx, n.listeners.operator) })
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -1,13 +1,12 @@
 package node
 
 import (
-	"context"
-
 	"github.com/hibiscusroute/hibiscusroute/internal/caller"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
 )
 
 func (n *Node) buildTraffic() {
+	n.buildClaims()
 	holder := n.follower.Holder()
 	acquire := func(resource string) (func(), bool) {
 		p, ok := holder.TryAcquire(resource)
@@ -36,7 +35,3 @@
 	}
 	return max(v.Configuration().Processes, 1)
 }
-
-func (n *Node) claim(context.Context, string, string) (caller.Claim, error) {
-	return caller.Claim{Outcome: caller.ClaimNotWon}, nil
-}
