--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/key"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
 const operatorKey = "test-operator-key"
@@ -386,6 +387,63 @@
 	}
 }
 
+// Guards against faults of a document that only the replicas find and that lose their paths, and against reads that end
+// at the first process that can't confirm them.
+func TestAnswersOfOtherProcesses(t *testing.T) {
+	t.Parallel()
+	ctl := newControl(t)
+	strict := ctl.serve(t, func(cfg *operator.Config) {
+		cfg.Propose = func(context.Context, kernel.Command) (kernel.Result, error) {
+			return kernel.Result{Err: kernel.ErrInvalid.New("pools[0].name: too short\ntoo many weights")}, nil
+		}
+		cfg.Query = func(context.Context, string, []byte) ([]byte, error) { return nil, errors.New("no quorum") }
+	})
+	_, err := client(t, strict).Submit(t.Context(), operator.Submission{Document: example(t)})
+	var e *operator.Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.DeepEqual(t, e.Faults, []fleet.Fault{{Path: "pools[0].name", Message: "too short"}, {Message: "too many weights"}})
+	_, _, err = client(t, strict, ctl.serve(t, nil)).Configuration(t.Context())
+	assert.NilError(t, err)
+	_, _, err = hasty(t, strict).Configuration(t.Context())
+	assert.Equal(t, kindOf(err), operator.KindUnavailable)
+}
+
+// Guards against a shutdown that cuts a running change, and against headers without a bound.
+func TestServe(t *testing.T) {
+	t.Parallel()
+	ctl := newControl(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, err := operator.New(operator.Config{Query: ctl.query, Metrics: metrics.NewSet(), Key: operatorKey,
+		Propose: func(ctx context.Context, c kernel.Command) (kernel.Result, error) {
+			close(started)
+			<-release
+			return ctl.propose(ctx, c)
+		}})
+	assert.NilError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served, submitted := make(chan error, 1), make(chan error, 1)
+	go func() { served <- s.Serve(ctx, ln) }()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ln.Addr().String()+"/status", nil)
+	assert.NilError(t, err)
+	req.Header.Set("X-Long", strings.Repeat("a", 32<<10))
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	c, doc := client(t, ln.Addr().String()), example(t)
+	go func() {
+		_, err := c.Submit(t.Context(), operator.Submission{Document: doc})
+		submitted <- err
+	}()
+	<-started
+	cancel()
+	close(release)
+	assert.NilError(t, <-submitted)
+	assert.NilError(t, <-served)
+}
+
 // Guards against functions that the API doesn't reach, and member changes that lose their operation ID or outcome.
 func TestDelegates(t *testing.T) {
 	t.Parallel()
--- a/pkg/fleet/parse.go
+++ b/pkg/fleet/parse.go
@@ -47,49 +47,50 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return nil, errorx.IllegalFormat.New("parse configuration: data after the document")
 	}
-	if err := refuseDuplicates(json.NewDecoder(bytes.NewReader(data)), ""); err != nil {
-		return nil, err
+	if path, err := findDuplicate(json.NewDecoder(bytes.NewReader(data))); err != nil {
+		return nil, errorx.IllegalFormat.Wrap(err, "parse configuration")
+	} else if path != "" {
+		return nil, errorx.IllegalFormat.New("parse configuration: field %q is given twice", strings.TrimPrefix(path, "."))
 	}
 	return c, nil
 }
 
-// refuseDuplicates reads one value and fails on a field that is given twice, because the decoder keeps the last one and
-// drops the other silently. Field names are compared without case, as the decoder does.
-func refuseDuplicates(dec *json.Decoder, path string) error {
+// findDuplicate reads one value and returns the path of a field that is given twice, because the decoder keeps the last
+// one and drops the other silently. Field names are compared without case, as the decoder does.
+func findDuplicate(dec *json.Decoder) (string, error) {
 	t, err := dec.Token()
 	if err != nil {
-		return errorx.IllegalFormat.Wrap(err, "parse configuration")
+		return "", err
 	}
 	switch t {
 	case json.Delim('{'):
-		seen := map[string]bool{}
+		seen := make(map[string]struct{}, 9)
 		for dec.More() {
-			name, err := dec.Token()
+			t, err := dec.Token()
 			if err != nil {
-				return errorx.IllegalFormat.Wrap(err, "parse configuration")
+				return "", err
 			}
-			field := strings.TrimPrefix(fmt.Sprintf("%s.%v", path, name), ".")
-			folded := strings.ToLower(fmt.Sprint(name))
-			if seen[folded] {
-				return errorx.IllegalFormat.New("parse configuration: field %q is given twice", field)
+			name, _ := t.(string)
+			folded := strings.ToLower(name)
+			if _, ok := seen[folded]; ok {
+				return "." + name, nil
 			}
-			seen[folded] = true
-			if err := refuseDuplicates(dec, field); err != nil {
-				return err
+			seen[folded] = struct{}{}
+			if path, err := findDuplicate(dec); err != nil || path != "" {
+				return "." + name + path, err
 			}
 		}
 	case json.Delim('['):
 		for i := 0; dec.More(); i++ {
-			if err := refuseDuplicates(dec, fmt.Sprintf("%s[%d]", path, i)); err != nil {
-				return err
+			if path, err := findDuplicate(dec); err != nil || path != "" {
+				return fmt.Sprintf("[%d]%s", i, path), err
 			}
 		}
 	default:
-		return nil
+		return "", nil
 	}
-	// The closing delimiter was checked by the first pass over the document.
-	_, err = dec.Token()
-	return err
+	_, err = dec.Token() // the closing delimiter
+	return "", err
 }
 
 // Print returns the document as indented JSON in a stable order.
