--- a/pkg/fleet/example_test.go
+++ b/pkg/fleet/example_test.go
@@ -3,91 +3,11 @@
 import (
 	"fmt"
 	"log"
-	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/examples"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
-// addis builds the fleet of the Addis Water and Power Authority: 5 services of 10 workers and 6 spare workers, four to
-// a rack, in 3 zones. Moves and rollout time weigh most.
-func addis() (*fleet.Configuration, error) {
-	f := fleet.New(fleet.Config{Processes: 9, Weights: fleet.Weights{Buffer: 1, RollOut: 4, Moves: 5, Share: 1}})
-	zones := []string{"addis-a", "addis-b", "addis-c"}
-	f.AddZones("addis", zones...)
-	spread := fleet.Spread{
-		AvailabilityZones: zones, PerRack: 4,
-		Size: fleet.Size{Processors: 16, MemoryMiB: 64 << 10, Slots: 8, Connections: 64},
-	}
-	// A stalled job leaves a crew without a plate, so engraving and dispatch wait longer before they are rejected.
-	services := []string{"engraving", "registry", "dispatch", "inspection", "billing"}
-	for _, s := range services {
-		f.AddPool(fleet.Pool{Name: s, Budget: fleet.Budget{MaxUnavailable: 2, MaxUnavailablePercent: 20}, MinInstances: 7})
-		spread.Pools = append(spread.Pools, fleet.PoolCount{Pool: s, Instances: 10})
-	}
-	f.AddPool(fleet.Pool{Name: "spare", Spare: true, Budget: fleet.Budget{MaxUnavailable: 4}})
-	spread.Pools = append(spread.Pools, fleet.PoolCount{Pool: "spare", Instances: 6})
-	f.AddSpread(spread)
-	for _, t := range []fleet.Team{
-		{Name: "water-networks", Share: 30, UpperLimit: 200},
-		{Name: "power-networks", Share: 30, UpperLimit: 200},
-		{Name: "field-crews", Share: 20, UpperLimit: 120},
-		{Name: "asset-register", Share: 10, UpperLimit: 60},
-		{Name: "customer-care", Share: 5, UpperLimit: 40},
-		{Name: "audit", Share: 5, UpperLimit: 40},
-	} {
-		f.AddTeam(t)
-	}
-	for _, s := range services {
-		f.AddQueue(fleet.Queue{Name: s, Pool: s, MaxRun: fleet.Duration(2 * time.Minute), MaxWaiting: 400,
-			MaxWait: fleet.Duration(30 * time.Second)})
-	}
-	f.AddQueue(fleet.Queue{Name: "urgent-dispatch", Pool: "dispatch", Teams: []string{"field-crews"},
-		MaxRun: fleet.Duration(30 * time.Second), MaxWaiting: 100, MaxWait: fleet.Duration(3 * time.Second), Urgent: true})
-	f.AddWave(fleet.Wave{Name: "reboot", Pools: append(services, "spare"), Order: zones, MaxParallel: 4,
-		DrainDeadline: fleet.Duration(10 * time.Minute)})
-	return f.Build()
-}
-
-// bokkJarr builds the fleet of Bokk Jarr Labs: 5 services of 10 workers and a buffer of only 2 spare workers, because
-// buffer cost and closeness to share weigh most.
-func bokkJarr() (*fleet.Configuration, error) {
-	f := fleet.New(fleet.Config{Processes: 8, Weights: fleet.Weights{Buffer: 5, RollOut: 1, Moves: 1, Share: 4}})
-	zones := []string{"jarr-1", "jarr-2", "jarr-3"}
-	f.AddZones("jarr", zones...)
-	spread := fleet.Spread{
-		AvailabilityZones: zones, PerRack: 4,
-		Size: fleet.Size{Processors: 32, MemoryMiB: 128 << 10, Slots: 8, Connections: 64},
-	}
-	services := []string{"intake", "washing", "credit", "tracking", "returns"}
-	for _, s := range services {
-		f.AddPool(fleet.Pool{Name: s, Budget: fleet.Budget{MaxUnavailablePercent: 20}, MinInstances: 6})
-		spread.Pools = append(spread.Pools, fleet.PoolCount{Pool: s, Instances: 10})
-	}
-	f.AddPool(fleet.Pool{Name: "spare", Spare: true, Budget: fleet.Budget{MaxUnavailable: 1}})
-	spread.Pools = append(spread.Pools, fleet.PoolCount{Pool: "spare", Instances: 2})
-	f.AddSpread(spread)
-	for _, t := range []fleet.Team{
-		{Name: "cafes", Share: 35, UpperLimit: 240},
-		{Name: "grocers", Share: 35, UpperLimit: 240},
-		{Name: "canteens", Share: 12, UpperLimit: 100},
-		{Name: "markets", Share: 8, UpperLimit: 60},
-		{Name: "depots", Share: 5, UpperLimit: 40},
-		{Name: "public", Share: 5, UpperLimit: 40},
-	} {
-		f.AddTeam(t)
-	}
-	for _, s := range services {
-		f.AddQueue(fleet.Queue{Name: s, Pool: s, MaxRun: fleet.Duration(time.Minute), MaxWaiting: 400,
-			MaxWait: fleet.Duration(10 * time.Second)})
-	}
-	// Anyone may look up a jar without a key.
-	f.AddQueue(fleet.Queue{Name: "jar-lookup", Pool: "tracking", Open: true, OpenTeam: "public",
-		MaxRun: fleet.Duration(5 * time.Second), MaxWaiting: 100, MaxWait: fleet.Duration(2 * time.Second)})
-	f.AddWave(fleet.Wave{Name: "reboot", Pools: append(services, "spare"), Order: zones, MaxParallel: 3,
-		DrainDeadline: fleet.Duration(5 * time.Minute)})
-	return f.Build()
-}
-
 func describe(c *fleet.Configuration) {
 	racks := map[string]bool{}
 	pools := map[string]int{}
@@ -103,7 +23,7 @@
 }
 
 func Example_addis() {
-	c, err := addis()
+	c, err := examples.Addis()
 	if err != nil {
 		log.Fatal(err)
 	}
@@ -115,7 +35,7 @@
 }
 
 func Example_bokkJarr() {
-	c, err := bokkJarr()
+	c, err := examples.BokkJarr()
 	if err != nil {
 		log.Fatal(err)
 	}
@@ -127,11 +47,11 @@
 }
 
 func ExampleDiff() {
-	a, err := bokkJarr()
+	a, err := examples.BokkJarr()
 	if err != nil {
 		log.Fatal(err)
 	}
-	b, err := bokkJarr()
+	b, err := examples.BokkJarr()
 	if err != nil {
 		log.Fatal(err)
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/hibiscusroute/hibiscusroute/examples"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
@@ -20,7 +21,7 @@
 	for _, tt := range []struct {
 		file  string
 		build func() (*fleet.Configuration, error)
-	}{{"addis.json", addis}, {"bokk-jarr.json", bokkJarr}} {
+	}{{"addis.json", examples.Addis}, {"bokk-jarr.json", examples.BokkJarr}} {
 		c, err := tt.build()
 		assert.NilError(t, err)
 		data, err := c.Print()
@@ -37,7 +38,7 @@
 
 // Guards against a spread that puts so much of a pool into one rack or zone that its loss stops the service.
 func TestAddSpread(t *testing.T) {
-	for _, build := range []func() (*fleet.Configuration, error){addis, bokkJarr} {
+	for _, build := range []func() (*fleet.Configuration, error){examples.Addis, examples.BokkJarr} {
 		c, err := build()
 		assert.NilError(t, err)
 		count := map[string]int{}
@@ -129,7 +130,7 @@
 		{func(c *doc) { c.Waves = make([]fleet.Wave, fleet.MaxWaves+1) }, "waves: must have at most 1024 items, has 1025"},
 	} {
 		t.Run(tt.want, func(t *testing.T) {
-			c, err := bokkJarr()
+			c, err := examples.BokkJarr()
 			assert.NilError(t, err)
 			tt.change(c)
 			faults, want := c.Check(), strings.Split(tt.want, "\n")
@@ -154,9 +155,9 @@
 
 // Guards against changes that Diff overlooks, or lists in an order that varies between runs.
 func TestDiff(t *testing.T) {
-	a, err := addis()
+	a, err := examples.Addis()
 	assert.NilError(t, err)
-	b, err := addis()
+	b, err := examples.Addis()
 	assert.NilError(t, err)
 	assert.Equal(t, fleet.Diff(a, b).String(), "")
 	b.Processes = 8
