--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -62,7 +62,7 @@
 		// want holds the start of each fault, one per line.
 		want string
 	}{
-		{func(*doc) {}, ""},
+		{func(c *doc) { c.Instances[0].Connections = c.Processes }, ""},
 		{func(c *doc) { c.Format = 2 }, "format: must be 1"},
 		{func(c *doc) { c.Processes = 0 }, "processes: must be between 1"},
 		{func(c *doc) { c.AvailabilityZones[0].Region = "" }, "availability-zones[0].region: must not be empty"},
