--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -69,6 +69,11 @@
 	Rand func(n int) int
 }
 
+type hardState struct {
+	term uint64
+	vote string
+}
+
 // Core is one member of the replicated log; it must be used from one goroutine only.
 type Core struct {
 	cfg Config
@@ -106,7 +111,7 @@
 	reads       []read
 
 	outstanding bool
-	emitted     raftpb.HardState
+	synced      hardState // last one in a Ready
 	messages    []*raftpb.Message
 	install     *Snapshot
 	answers     []Read
@@ -144,7 +149,7 @@
 	if t := c.log.lastTerm(); t > c.term {
 		c.term, c.vote = t, ""
 	}
-	c.emitted.Term, c.emitted.Vote = c.term, c.vote
+	c.synced = hardState{c.term, c.vote}
 	c.updateMembers()
 	c.becomeFollower(c.term, "")
 	return c, nil
--- /dev/null
+++ b/internal/raft/explore_test.go
@@ -0,0 +1,237 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+// full makes the exploration larger than the time of the normal test run permits.
+var full = flag.Bool("full", false, "explore the larger models")
+
+// world is one state of a model; it is not changed after its creation. Messages stay in sent for ever, so that delivering
+// some of them in any order, more than once or never covers loss, duplication and reordering.
+type world struct {
+	nodes    []*node
+	hashes   []uint64 // of the nodes
+	sent     map[uint64]*raftpb.Message
+	restarts int
+	checker  checker
+	path     *step
+}
+
+type step struct {
+	previous *step
+	actor    string
+	what     any
+}
+
+func (s *step) String() string {
+	if s == nil {
+		return ""
+	}
+	return fmt.Sprint(s.previous, "\n", s.actor, ": ", s.what)
+}
+
+// model bounds the exploration.
+type model struct {
+	name       string
+	size       int
+	lead       bool // m1 leads at the start and its first entry is committed
+	campaign   Role // first role of a member whose timeout passes
+	maxTerm    uint64
+	maxLast    uint64
+	votesOnly  bool // appends are lost
+	restarts   int
+	candidates int // members that campaign
+	proposals  bool
+	changes    []*raftpb.MemberChange
+	maxStates  int // 0: until exhausted
+}
+
+func (c *Core) clone() *Core {
+	d := *c
+	d.log.entries = slices.Clip(c.log.entries)
+	d.votes = maps.Clone(c.votes)
+	d.progress = maps.Clone(c.progress)
+	for id, p := range d.progress {
+		q := *p
+		q.inflight = slices.Clone(p.inflight)
+		d.progress[id] = &q
+	}
+	return &d
+}
+
+// hash identifies the state without the clocks, which no safety property depends on.
+func (n *node) hash() uint64 {
+	c := n.core
+	b := fmt.Appendf(nil, "%d %d %s %s %d %v", c.role, c.term, c.vote, c.leader, c.commit, c.votes)
+	for _, e := range c.log.entries {
+		b = fmt.Appendf(b, ",%d %d %s", e.Term, e.Type, e.Data)
+	}
+	for _, m := range c.members {
+		if p := c.progress[m.Id]; p != nil {
+			b = fmt.Appendf(b, ";%d %d %d %t %v", p.match, p.next, p.state, p.waiting, p.inflight)
+		}
+	}
+	return xxhash.Sum64(b)
+}
+
+// next returns the state after a step of node i, or nil when it was seen before.
+func (w *world) next(seen map[uint64]bool, i int, f func(n *node) bool) (*world, error) {
+	n := *w.nodes[i]
+	n.core = n.core.clone()
+	n.disk.Entries = slices.Clip(n.disk.Entries)
+	if !f(&n) {
+		return nil, nil
+	}
+	d := &world{sent: w.sent, restarts: w.restarts}
+	for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
+		n.handle(rd)
+		for _, m := range rd.Messages {
+			data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+			if err != nil {
+				return nil, err
+			}
+			if h := xxhash.Sum64(data); d.sent[h] == nil {
+				d.sent = maps.Clone(d.sent)
+				d.sent[h] = m
+			}
+		}
+	}
+	n.core.elapsed = n.core.cfg.ElectionTicks // a recently heard leader never hides an election
+	d.nodes, d.hashes = slices.Clone(w.nodes), slices.Clone(w.hashes)
+	d.nodes[i], d.hashes[i] = &n, n.hash()
+	var sum uint64
+	for h := range d.sent {
+		sum += h
+	}
+	key := xxhash.Sum64(fmt.Appendf(nil, "%d %d %d", sum, d.restarts, d.hashes))
+	if seen[key] {
+		return nil, nil
+	}
+	seen[key] = true
+	d.checker = w.checker.clone()
+	return d, d.checker.check(d.nodes)
+}
+
+// successors returns the unseen states that one step reaches.
+func (m *model) successors(t *testing.T, w *world, seen map[uint64]bool) []*world {
+	var list []*world
+	try := func(i int, what any, f func(n *node) bool) {
+		next, err := w.next(seen, i, f)
+		if next != nil {
+			next.path = &step{w.path, w.nodes[i].core.cfg.ID, what}
+			list = append(list, next)
+		}
+		if err != nil {
+			t.Fatalf("%v after:%v", err, next.path)
+		}
+	}
+	for i, n := range w.nodes {
+		if i < m.candidates && n.core.role != Leader && n.core.promotable() && n.core.term < m.maxTerm {
+			try(i, "campaigns", func(n *node) bool { n.core.campaign(m.campaign, m.campaign == Candidate); return true })
+		}
+		if w.restarts < m.restarts {
+			w.restarts++ // counted in the successor
+			try(i, "restarts", func(n *node) bool {
+				cfg := n.core.cfg
+				cfg.Persisted = n.disk
+				core, err := New(cfg)
+				*n = node{core: core, disk: n.disk, last: n.disk.Snapshot.Meta.Index, state: string(n.disk.Snapshot.Data)}
+				return err == nil
+			})
+			w.restarts--
+		}
+		if n.core.role != Leader || n.core.log.last() >= m.maxLast {
+			continue
+		}
+		if m.proposals {
+			try(i, "proposes", func(n *node) bool { _, err := n.core.Propose([]byte(n.core.cfg.ID)); return err == nil })
+		}
+		for _, ch := range m.changes {
+			try(i, ch, func(n *node) bool { _, err := n.core.ProposeMember(ch); return err == nil })
+		}
+	}
+	for _, msg := range w.sent {
+		if m.votesOnly && !strings.Contains(msg.Type.String(), "VOTE") {
+			continue
+		}
+		for i, n := range w.nodes {
+			if n.core.cfg.ID == msg.To {
+				try(i, msg, func(n *node) bool { _ = n.core.Step(msg); return true })
+			}
+		}
+	}
+	return list
+}
+
+// explore visits states in breadth-first order and returns their number.
+func (m *model) explore(t *testing.T) (states int, exhausted bool) {
+	net := newNetwork(t, m.size)
+	if m.lead {
+		net.nodes["m1"].core.campaign(Candidate, false)
+		net.settle()
+	}
+	start := &world{sent: map[uint64]*raftpb.Message{}, checker: net.checker}
+	for _, n := range net.list() {
+		n.core.elapsed = n.core.cfg.ElectionTicks
+		start.nodes, start.hashes = append(start.nodes, n), append(start.hashes, n.hash())
+	}
+	seen := map[uint64]bool{}
+	for frontier := []*world{start}; len(frontier) > 0; {
+		w := frontier[0]
+		frontier[0] = nil
+		frontier = append(frontier[1:], m.successors(t, w, seen)...)
+		if m.maxStates > 0 && len(seen) >= m.maxStates {
+			return len(seen), false
+		}
+	}
+	return len(seen), true
+}
+
+// Guards against a sequence of steps that breaks a safety property in a small group.
+func TestExploreSmallModels(t *testing.T) {
+	change := func(kind raftpb.ChangeKind, id string, force bool) *raftpb.MemberChange {
+		return &raftpb.MemberChange{Kind: kind, Member: &raftpb.Member{Id: id}, Force: force}
+	}
+	remove := func(ids ...string) (list []*raftpb.MemberChange) {
+		for _, id := range ids {
+			list = append(list, change(raftpb.ChangeKind_CHANGE_KIND_REMOVE, id, true))
+		}
+		return list
+	}
+	models := []model{
+		{name: "election", size: 3, candidates: 2, campaign: Candidate, maxTerm: 3, votesOnly: true},
+		{name: "election with three candidates", size: 3, candidates: 3, campaign: Candidate, maxTerm: 2, votesOnly: true,
+			restarts: 3},
+		{name: "pre-vote", size: 3, candidates: 2, campaign: PreCandidate, maxTerm: 2, votesOnly: true},
+		{name: "replication", size: 3, lead: true, candidates: 2, campaign: Candidate, maxTerm: 3, maxLast: 3, proposals: true,
+			maxStates: 8000},
+		{name: "membership", size: 3, lead: true, candidates: 2, campaign: Candidate, maxTerm: 3, maxLast: 4,
+			changes: remove("m1", "m2", "m3")},
+		{name: "membership of four", size: 4, lead: true, candidates: 2, campaign: Candidate, maxTerm: 4, maxLast: 4,
+			changes: remove("m1", "m4"), maxStates: 8000},
+	}
+	if *full {
+		models[0].restarts, models[2].restarts, models[4].restarts = 1, 1, 1
+		models[3].maxStates, models[5].maxStates = 0, 400000
+	}
+	for _, m := range models {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			states, exhausted := m.explore(t)
+			t.Logf("%d states, exhausted: %t", states, exhausted)
+			assert.Equal(t, exhausted, m.maxStates == 0)
+		})
+	}
+}
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -12,12 +12,12 @@
 
 // node is a member with its synced state and its applied commands.
 type node struct {
-	core    *Core
-	disk    Persisted
-	applied []*raftpb.Entry
-	state   string // commands applied so far
-	reads   []Read
-	last    uint64
+	core     *Core
+	disk     Persisted
+	state    string // commands applied so far
+	installs int
+	reads    []Read
+	last     uint64
 }
 
 // network connects members; drop decides about each message.
@@ -27,6 +27,8 @@
 	nodes map[string]*node
 	drop  func(m *raftpb.Message) bool
 	rand  func(n int) int
+
+	checker checker
 }
 
 func testMembers(n int) []*raftpb.Member {
@@ -39,7 +41,7 @@
 
 func newNetwork(t testing.TB, n int) *network {
 	seed := uint32(1)
-	w := &network{t: t, nodes: map[string]*node{}, drop: func(*raftpb.Message) bool { return false }}
+	w := &network{t: t, nodes: map[string]*node{}, checker: newChecker(), drop: func(*raftpb.Message) bool { return false }}
 	w.rand = func(n int) int {
 		seed = seed*1664525 + 1013904223
 		return int(seed>>16) % n
@@ -64,6 +66,14 @@
 	w.nodes[id] = n
 }
 
+func (w *network) list() []*node {
+	var nodes []*node
+	for _, id := range w.ids {
+		nodes = append(nodes, w.nodes[id])
+	}
+	return nodes
+}
+
 func (w *network) restart(id string) { w.add(id, w.nodes[id].disk) }
 
 // save does what the disk does.
@@ -83,13 +93,13 @@
 	n.disk.save(rd)
 	if rd.Snapshot != nil {
 		n.state, n.last = string(rd.Snapshot.Data), rd.Snapshot.Meta.Index
+		n.installs++
 	}
 	for _, e := range rd.Committed {
 		if e.Index != n.last+1 {
 			panic(fmt.Sprintf("entry %d applied after %d", e.Index, n.last))
 		}
 		n.last = e.Index
-		n.applied = append(n.applied, e)
 		n.state += string(e.Data)
 	}
 	n.reads = append(n.reads, rd.Reads...)
@@ -108,6 +118,7 @@
 			}
 			busy = true
 			n.handle(rd)
+			assert.NilError(w.t, w.checker.check(w.list()))
 			for _, m := range rd.Messages {
 				if to := w.nodes[m.To]; to != nil && !w.drop(m) {
 					_ = to.core.Step(proto.CloneOf(m))
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -32,8 +32,8 @@
 		Entries:   c.log.slice(c.log.stable+1, c.log.last(), unlimited),
 		Committed: c.log.slice(c.applied+1, c.commit, maxCommittedBytes),
 	}
-	if c.emitted.Term != c.term || c.emitted.Vote != c.vote {
-		c.emitted.Term, c.emitted.Vote = c.term, c.vote
+	if c.synced != (hardState{c.term, c.vote}) {
+		c.synced = hardState{c.term, c.vote}
 		rd.HardState = &raftpb.HardState{Term: c.term, Vote: c.vote}
 	}
 	c.install, c.messages, c.answers = nil, nil, nil
