--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -104,7 +104,7 @@
 }
 
 func (c *Core) becomeLeader() {
-	c.role, c.leader, c.votes = Leader, c.cfg.ID, nil
+	c.role, c.leader, c.votes, c.receiving = Leader, c.cfg.ID, nil, nil
 	c.elapsed, c.beatElapsed, c.beatCommit = 0, 0, c.commit
 	c.progress = map[string]*progress{}
 	c.updateProgress()
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -39,15 +39,17 @@
 	return members
 }
 
-func newNetwork(t testing.TB, n int) *network {
+func newNetwork(t testing.TB, n int) *network { return newNetworkOf(t, testMembers(n)) }
+
+func newNetworkOf(t testing.TB, members []*raftpb.Member) *network {
 	seed := uint32(1)
 	w := &network{t: t, nodes: map[string]*node{}, checker: newChecker(), drop: func(*raftpb.Message) bool { return false }}
 	w.rand = func(n int) int {
 		seed = seed*1664525 + 1013904223
 		return int(seed>>16) % n
 	}
-	for _, m := range testMembers(n) {
-		w.add(m.Id, Bootstrap(testMembers(n)))
+	for _, m := range members {
+		w.add(m.Id, Bootstrap(members))
 	}
 	return w
 }
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -61,6 +61,23 @@
 	assert.Equal(t, w.nodes[old.cfg.ID].state, "kept")
 }
 
+// Guards against a learner that keeps a leader without a quorum of voters in office.
+func TestLearnerKeepsNoLeader(t *testing.T) {
+	members := testMembers(4)
+	members[2].Voter, members[3].Voter = false, false
+	w := newNetworkOf(t, members)
+	l := w.leader()
+	voter := w.other(l.cfg.ID, "m3", "m4")
+	w.isolate(voter)
+	w.tick(l.cfg.ElectionTicks)
+	assert.Equal(t, l.role, Follower)
+	w.tick(100)
+	assert.Equal(t, l.role, PreCandidate)
+	w.heal()
+	w.propose("a")
+	assert.Equal(t, w.nodes["m4"].state, "a")
+}
+
 // Guards against a vote that interrupts a leader which is heard by others.
 func TestVotesAreIgnoredWhileLeaderIsHeard(t *testing.T) {
 	w := newNetwork(t, 3)
@@ -111,6 +128,20 @@
 	assert.Equal(t, len(c.reads), 0)
 }
 
+// Guards against a follower that commits entries of its own which the leader has not confirmed.
+func TestFollowerCommitsOnlyConfirmedEntries(t *testing.T) {
+	p := Bootstrap(testMembers(3))
+	for i := uint64(2); i < 5; i++ {
+		p.Entries = append(p.Entries, &raftpb.Entry{Index: i, Term: 2})
+	}
+	c, err := New(Config{ID: "m1", Persisted: p, ElectionTicks: 5, HeartbeatTicks: 1, Rand: func(int) int { return 0 }})
+	assert.NilError(t, err)
+	assert.NilError(t, c.Step(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, From: "m2", To: "m1", Term: 3, LogIndex: 2, LogTerm: 2, Commit: 4,
+	}))
+	assert.Equal(t, c.commit, uint64(2))
+}
+
 // Guards against a graceful shutdown that waits for an election timeout, and against a transfer that never ends.
 func TestTransfer(t *testing.T) {
 	w := newNetwork(t, 3)
@@ -157,6 +188,12 @@
 	assert.Assert(t, errorx.IsOfType(change(remove, healthy, false), ErrNotCaughtUp))
 	w.add("m9", Persisted{Snapshot: &Snapshot{Meta: &raftpb.SnapshotMeta{}}})
 	w.tick(5)
+	commit := l.commit
+	w.drop = func(m *raftpb.Message) bool { return m.From == healthy || m.From == lost || m.To == lost }
+	w.propose("not committed by a learner")
+	assert.Equal(t, l.commit, commit)
+	w.isolate(lost)
+	w.tick(1)
 	assert.NilError(t, change(promote, "m9", false))
 	w.settle()
 	assert.NilError(t, change(remove, lost, false))
@@ -172,7 +209,7 @@
 	assert.Equal(t, len(l.Status().Members), 2)
 }
 
-// Guards against a snapshot transfer that starts over after a lost chunk or exceeds the chunk size.
+// Guards against a snapshot transfer that starts over after a lost chunk or a change of the leader, or that exceeds the chunk size.
 func TestSnapshotTransferResumes(t *testing.T) {
 	w := newNetwork(t, 3)
 	l := w.leader()
@@ -181,20 +218,24 @@
 	for range 5 {
 		w.propose(strings.Repeat("s", 200<<10))
 	}
+	w.tick(1)
 	w.nodes[l.cfg.ID].compact()
-	sent, chunks := 0, 0
+	sent, chunks, next := 0, 0, w.other(l.cfg.ID, away)
+	w.nodes[next].compact()
 	w.drop = func(m *raftpb.Message) bool {
 		if m.Type != raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT || len(m.Data) == 0 {
 			return false
 		}
 		assert.Assert(t, len(m.Data) <= maxChunkBytes)
 		chunks++
-		if chunks%4 == 0 {
+		if chunks%4 == 0 || chunks > 8 && m.From == l.cfg.ID {
 			return true
 		}
 		sent += len(m.Data)
 		return false
 	}
+	w.tick(10)
+	assert.NilError(t, l.Transfer(next)) // the new leader has the same snapshot
 	w.tick(30)
 	assert.Equal(t, w.nodes[away].installs, 1)
 	assert.Equal(t, sent, 1000<<10)
