--- a/internal/disk/segment.go
+++ b/internal/disk/segment.go
@@ -24,11 +24,11 @@
 	return n, err == nil && fmt.Sprintf(pattern, n) == name
 }
 
-// startSegment begins a new segment; with reset, entries of older segments are void.
-func (s *Store) startSegment(number uint64, reset bool) error {
+// startSegment begins a new segment.
+func (s *Store) startSegment(number uint64) error {
 	h := &diskpb.SegmentHeader{
 		Format: format, Identity: s.identity, Number: number, FirstNeeded: s.oldest, HardState: s.state,
-		SnapshotIndex: s.snap.index, SnapshotTerm: s.snap.term, Reset_: reset,
+		SnapshotIndex: s.snap.index, SnapshotTerm: s.snap.term,
 	}
 	buf, err := encodeMessage(recordSegment, s.seq+1, h)
 	if err != nil {
@@ -168,9 +168,6 @@
 		}
 		s.state = h.HardState
 		s.snap = position{h.SnapshotIndex, h.SnapshotTerm}
-		if h.Reset_ {
-			entries = nil
-		}
 		return s.dropThrough(entries, s.snap.index), nil
 	}
 	b := &diskpb.Batch{}
--- a/internal/disk/snapshot.go
+++ b/internal/disk/snapshot.go
@@ -76,13 +76,14 @@
 	if !keep || len(s.entries.list) == 0 {
 		s.entries = entryIndex{first: p.index + 1}
 	}
+	// Segments without a live entry are not read again, so entries that the snapshot voids can't come back.
 	first := s.number + 1
 	for _, e := range s.entries.list {
 		first = min(first, e.segment)
 	}
 	old := s.oldest
 	s.oldest = first
-	if err := s.startSegment(s.number+1, !keep); err != nil {
+	if err := s.startSegment(s.number + 1); err != nil {
 		return err
 	}
 	for number := old; number < first; number++ {
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -172,7 +172,7 @@
 	}
 	s.identity, s.oldest, s.state = id, 1, &raftpb.HardState{}
 	s.entries.first, s.loaded = 1, &raft.Persisted{}
-	if err := s.startSegment(1, false); err != nil {
+	if err := s.startSegment(1); err != nil {
 		return err
 	}
 	f, err := s.createFile(identityName, func(f *os.File) error {
@@ -233,7 +233,7 @@
 
 func (s *Store) save(hs *raftpb.HardState, entries []*raftpb.Entry) error {
 	if s.size >= s.cfg.SegmentBytes {
-		if err := s.startSegment(s.number+1, false); err != nil {
+		if err := s.startSegment(s.number + 1); err != nil {
 			return err
 		}
 	}
