--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -246,18 +246,24 @@
 	resp, err = d.Claim(ctx, request(t, id, 3, 2))
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Status, claimpb.Status_STATUS_REFUSED)
+	_, err = d.Copy(ctx, &claimpb.CopyRequest{Epoch: 3})
+	assert.ErrorContains(t, err, "not ready for epoch 2")
 	assert.NilError(t, d.Transfer(ctx, count))
 	assert.Assert(t, calls > 2 && d.Stats().Claims == 3001, "%d calls, %d claims", calls, d.Stats().Claims)
 	assert.Assert(t, !d.Stats().Floor.Before(g["a"].Stats().Floor))
 	resp, err = d.Claim(ctx, request(t, id, 1, 2))
 	assert.NilError(t, err)
 	assert.Equal(t, len(resp.Holders), 2)
-	resp, err = g["a"].Claim(ctx, request(t, idAt(clock.Now(), 3), 1, 1))
-	assert.NilError(t, err)
-	assert.Equal(t, resp.Status, claimpb.Status_STATUS_REFUSED)
+	for _, voter := range []*Keeper{g["a"], d} {
+		resp, err = voter.Claim(ctx, request(t, idAt(clock.Now(), 3), 1, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, claimpb.Status_STATUS_REFUSED)
+	}
 	// A step from five to four voters leaves a claim with two of four, so the voters that stay need copies.
-	five, four := &claimpb.Membership{Voters: voters("a", "b", "c", "d", "e")}, &claimpb.Membership{Voters: voters("a", "b", "c", "d")}
-	assert.Assert(t, !keeps(five, four) && keeps(four, five) && keeps(genesis[0], chain[1]) && keeps(genesis[0], four))
+	five := &claimpb.Membership{Epoch: 1, Voters: voters("a", "b", "c", "d", "e")}
+	four := &claimpb.Membership{Epoch: 2, Voters: voters("a", "b", "c", "d")}
+	assert.Assert(t, !open(t, config("a", clock, newDisk()), []*claimpb.Membership{five, four}).Stats().Serving)
+	assert.Assert(t, keeps(four, five) && keeps(genesis[0], chain[1]) && keeps(genesis[0], four))
 }
 
 // FuzzDecodeSegment guards against a panic or an endless loop on arbitrary bytes, and against a valid prefix that does
