--- /dev/null
+++ b/internal/timeline/filter.go
@@ -0,0 +1,43 @@
+package timeline
+
+import "time"
+
+// Filter selects entries; zero fields select all.
+type Filter struct {
+	Kind, Request, Job, Instance, Team string
+	Version                            uint64
+	// From and To are inclusive, to the millisecond.
+	From, To time.Time
+}
+
+// Apply returns the entries that match, in the same order. Gaps that overlap the time range are kept whatever the other
+// fields say, because the missing events could match.
+func (f Filter) Apply(entries []Entry) []Entry {
+	var selected []Entry
+	for _, e := range entries {
+		if f.inTime(e) && (e.Kind == KindGap || f.matches(e.Event)) {
+			selected = append(selected, e)
+		}
+	}
+	return selected
+}
+
+func (f Filter) inTime(e Entry) bool {
+	end := e.Stamp
+	if e.Kind == KindGap {
+		if end = e.Until; end == 0 {
+			end = ^uint64(0)
+		}
+	}
+	if !f.From.IsZero() && end < stampAt(f.From) {
+		return false
+	}
+	return f.To.IsZero() || e.Stamp < stampAt(f.To.Add(time.Millisecond))
+}
+
+func (f Filter) matches(e Event) bool {
+	return selects(f.Kind, e.Kind) && selects(f.Request, e.Request) && selects(f.Job, e.Job) &&
+		selects(f.Instance, e.Instance) && selects(f.Team, e.Team) && (f.Version == 0 || f.Version == e.Version)
+}
+
+func selects(want, have string) bool { return want == "" || want == have }
--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,76 @@
+package timeline
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Dump is what one process answered.
+type Dump struct {
+	Process string
+	Entries []Entry
+	// Err is set when the process could not be asked or its answer ended early; Entries may hold a part then.
+	Err error
+}
+
+type origin struct{ process, incarnation string }
+
+// Merge returns the events of all dumps ordered by stamp, each once, with a gap entry before events whose predecessors
+// were overwritten and one for each process whose dump failed. It is applied to whole dumps, before any filter, because
+// a filter leaves holes in the sequence numbers.
+func Merge(dumps []Dump) []Entry {
+	var merged []Entry
+	byOrigin := map[origin][]Entry{}
+	for _, d := range dumps {
+		if d.Err != nil {
+			merged = append(merged, failedDump(d))
+		}
+		for _, e := range d.Entries {
+			if e.Kind == KindGap {
+				continue // of an earlier merge; it is found again
+			}
+			o := origin{e.Process, e.Incarnation}
+			byOrigin[o] = append(byOrigin[o], e)
+		}
+	}
+	for o, entries := range byOrigin {
+		merged = append(merged, withGaps(o, entries)...)
+	}
+	slices.SortFunc(merged, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(a.Process, b.Process),
+			cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Sequence, b.Sequence))
+	})
+	return merged
+}
+
+// failedDump returns a gap that starts behind the last event that was received.
+func failedDump(d Dump) Entry {
+	gap := Entry{Process: d.Process, Event: Event{Kind: KindGap, Text: fmt.Sprintf("dump failed: %v", d.Err)}}
+	for _, e := range d.Entries {
+		if e.Stamp >= gap.Stamp && e.Kind != KindGap {
+			gap.Stamp, gap.Incarnation, gap.Sequence = e.Stamp, e.Incarnation, e.Sequence+1
+		}
+	}
+	return gap
+}
+
+// withGaps orders the entries of one origin by sequence number, removes duplicates and adds gaps.
+func withGaps(o origin, entries []Entry) []Entry {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	entries = slices.CompactFunc(entries, func(a, b Entry) bool { return a.Sequence == b.Sequence })
+	var list []Entry
+	var last Entry
+	for _, e := range entries {
+		if missing := e.Sequence - last.Sequence - 1; missing > 0 {
+			list = append(list, Entry{
+				Stamp: last.Stamp, Process: o.process, Incarnation: o.incarnation, Sequence: last.Sequence + 1,
+				Event:   Event{Kind: KindGap, Text: fmt.Sprintf("%d events are missing", missing)},
+				Missing: missing, Until: e.Stamp,
+			})
+		}
+		list = append(list, e)
+		last = e
+	}
+	return list
+}
