--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -276,7 +276,7 @@
 	voter.waiting = 0
 }
 
-var largeModel = flag.Bool("large-model", false, "search the large models too; takes minutes with the race detector")
+var largeModel = flag.Bool("large-model", false, "search the large models too; slow with the race detector")
 
 // Guards against two attempts of one request ID that both send, and against one that sends after it gave up, over all
 // orders of delivery, loss, crashes and the replacement of a voter.
