--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -36,7 +36,7 @@
 		for seed := range int64(3) {
 			clock, d := newClock(), newDisk()
 			d.crashAt = crashAt
-			held := map[string]bool{}
+			held := map[string]time.Time{}
 			promised, floor := uint64(0), time.Time{}
 			k, err := Open(config("a", clock, d))
 			if err == nil {
@@ -47,7 +47,7 @@
 					clock.advance(5 * time.Minute)
 					id := idAt(clock.Now(), i)
 					if _, err = k.Claim(ctx, request(t, id, 1, 1)); err == nil {
-						held[id], floor = true, k.Stats().Floor
+						held[id], floor = clock.Now(), k.Stats().Floor
 					}
 					if err == nil && i%4 == 0 {
 						// From here on the claim may or may not be there.
@@ -64,24 +64,18 @@
 			cfg.Create = promised == 0
 			k = open(t, cfg, genesis)
 			assert.Assert(t, k.Stats().Epoch >= promised && !k.Stats().Floor.Before(floor), "step %d", crashAt)
-			for id := range held {
+			for id, at := range held {
 				resp, err := k.Claim(ctx, request(t, id, 2, 1))
 				assert.NilError(t, err)
 				gone := resp.Status == claimpb.Status_STATUS_EXPIRED
 				assert.Assert(t, gone || resp.Holders[0][7] == 1, "step %d seed %d lost %s", crashAt, seed, id)
-				assert.Equal(t, gone, uuidTime(t, id).Before(k.Stats().Floor))
+				assert.Equal(t, gone, at.Before(k.Stats().Floor))
 			}
 			k.Close()
 		}
 	}
 }
 
-func uuidTime(t *testing.T, id string) time.Time {
-	parsed, err := parseID(id)
-	assert.NilError(t, err)
-	return time.UnixMilli(parsed.time())
-}
-
 // Guards against damage that is taken for a torn tail, which would lose answered claims silently.
 func TestDamageIsRefusedAndTornTailIsCut(t *testing.T) {
 	clock, d := newClock(), newDisk()
@@ -246,18 +240,24 @@
 	resp, err = d.Claim(ctx, request(t, id, 3, 2))
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Status, claimpb.Status_STATUS_REFUSED)
+	_, err = d.Copy(ctx, &claimpb.CopyRequest{Epoch: 3})
+	assert.ErrorContains(t, err, "not ready for epoch 2")
 	assert.NilError(t, d.Transfer(ctx, count))
 	assert.Assert(t, calls > 2 && d.Stats().Claims == 3001, "%d calls, %d claims", calls, d.Stats().Claims)
 	assert.Assert(t, !d.Stats().Floor.Before(g["a"].Stats().Floor))
 	resp, err = d.Claim(ctx, request(t, id, 1, 2))
 	assert.NilError(t, err)
 	assert.Equal(t, len(resp.Holders), 2)
-	resp, err = g["a"].Claim(ctx, request(t, idAt(clock.Now(), 3), 1, 1))
-	assert.NilError(t, err)
-	assert.Equal(t, resp.Status, claimpb.Status_STATUS_REFUSED)
+	for _, voter := range []*Keeper{g["a"], d} {
+		resp, err = voter.Claim(ctx, request(t, idAt(clock.Now(), 3), 1, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, claimpb.Status_STATUS_REFUSED)
+	}
 	// A step from five to four voters leaves a claim with two of four, so the voters that stay need copies.
-	five, four := &claimpb.Membership{Voters: voters("a", "b", "c", "d", "e")}, &claimpb.Membership{Voters: voters("a", "b", "c", "d")}
-	assert.Assert(t, !keeps(five, four) && keeps(four, five) && keeps(genesis[0], chain[1]) && keeps(genesis[0], four))
+	five := &claimpb.Membership{Epoch: 1, Voters: voters("a", "b", "c", "d", "e")}
+	four := &claimpb.Membership{Epoch: 2, Voters: voters("a", "b", "c", "d")}
+	assert.Assert(t, !open(t, config("a", clock, newDisk()), []*claimpb.Membership{five, four}).Stats().Serving)
+	assert.Assert(t, keeps(four, five) && keeps(genesis[0], chain[1]) && keeps(genesis[0], four))
 }
 
 // FuzzDecodeSegment guards against a panic or an endless loop on arbitrary bytes, and against a valid prefix that does
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -83,17 +83,9 @@
 			}
 		}
 	}
-	if old := &m.voters[2]; old.promised == 2 && m.copied&0b100 != 0 {
-		*old = modelVoter{promised: 3} // it serves no more and has sent its copy
-	}
-	for c := range m.claimants {
-		if a := &m.claimants[c]; a.phase == gaveUp && a.claims|a.acks|a.votes|a.releases == 0 {
-			a.epoch = 0
-		}
-	}
 	// Claimants are alike: order them by their state, with their bits in the voters.
 	for c := 1; c < s.claimants; c++ {
-		for d := c; d > 0 && m.claimants[d-1].less(m.claimants[d]); d-- {
+		for d := c; d > 0 && m.claimants[d-1].number() < m.claimants[d].number(); d-- {
 			m.swap(d-1, d)
 		}
 	}
@@ -104,8 +96,6 @@
 		uint64(a.votes)<<8 | uint64(a.releases)
 }
 
-func (a modelClaimant) less(b modelClaimant) bool { return a.number() < b.number() }
-
 func (m *modelState) swap(c, d int) {
 	m.claimants[c], m.claimants[d] = m.claimants[d], m.claimants[c]
 	for v := range m.voters {
@@ -237,12 +227,11 @@
 		n := m
 		n.sync(v)
 		s.push(n)
-	}
-	if m.crashes > 0 && (old.durable != old.held || old.waiting != 0) {
-		n := m
-		n.crashes--
-		n.voters[v].held, n.voters[v].waiting = old.durable, 0
-		s.push(n)
+		if n = m; n.crashes > 0 {
+			n.crashes--
+			n.voters[v].held, n.voters[v].waiting = old.durable, 0
+			s.push(n)
+		}
 	}
 	if !s.replace {
 		return
@@ -269,7 +258,7 @@
 			fresh.held |= old.held
 		}
 		fresh.durable = fresh.held
-		if need := 2; bits.OnesCount8(n.copied) >= need || s.fault == copyFromOne {
+		if bits.OnesCount8(n.copied) >= 2 || s.fault == copyFromOne {
 			fresh.promised, fresh.serving = 2, 2
 		}
 		s.push(n)
@@ -287,7 +276,7 @@
 	voter.waiting = 0
 }
 
-var largeModel = flag.Bool("large-model", false, "search the large models too; takes minutes with the race detector")
+var largeModel = flag.Bool("large-model", false, "search the large models too; slow with the race detector")
 
 // Guards against two attempts of one request ID that both send, and against one that sends after it gave up, over all
 // orders of delivery, loss, crashes and the replacement of a voter.
@@ -312,17 +301,23 @@
 
 // Guards against a search that is too weak to notice a missing rule of the protocol.
 func TestModelFindsFaults(t *testing.T) {
+	// One vote is there and the next one is on its way.
+	onTheWay := func(m *modelState) {
+		m.voters[0].held = 0b01
+		m.claimants[0] = modelClaimant{phase: pending, epoch: 1, claims: 0b100, votes: 0b001}
+	}
+	// The first claimant won at voters 0 and 2; the second one holds voter 1 and gave up.
+	split := func(m *modelState) {
+		m.voters[0].held, m.voters[2].held, m.voters[1].held = 0b01, 0b01, 0b10
+		m.claimants[0] = modelClaimant{phase: won, epoch: 1}
+		m.claimants[1] = modelClaimant{phase: gaveUp, epoch: 1, releases: 0b010}
+	}
 	for _, s := range []search{
 		{claimants: 2, crashes: 1, fault: answerBeforeSync},
 		{claimants: 1, fault: countAfterGivingUp},
-		{claimants: 2, replace: true, fault: copyWithoutPromise},
-		{claimants: 3, replace: true, fault: copyOneHolder, prefix: func(m *modelState) {
-			// The first claimant won at voters 0 and 2; the second one holds voter 1 and gave up.
-			m.voters[0].held, m.voters[2].held, m.voters[1].held = 0b01, 0b01, 0b10
-			m.claimants[0] = modelClaimant{phase: won, epoch: 1}
-			m.claimants[1] = modelClaimant{phase: gaveUp, epoch: 1, releases: 0b010}
-		}},
-		{claimants: 2, replace: true, fault: copyFromOne},
+		{claimants: 2, replace: true, fault: copyWithoutPromise, prefix: onTheWay},
+		{claimants: 3, replace: true, fault: copyOneHolder, prefix: split},
+		{claimants: 3, replace: true, fault: copyFromOne, prefix: split},
 		{claimants: 2, replace: true, fault: voteBesideOther},
 	} {
 		t.Run(fmt.Sprintf("fault-%d", s.fault), func(t *testing.T) {
