--- a/internal/endpoint/announce.go
+++ b/internal/endpoint/announce.go
@@ -4,14 +4,22 @@
 	"crypto/subtle"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
 )
 
 // maxAnnouncement bounds the body of an announcement; a real one has about 150 bytes.
 const maxAnnouncement = 4 << 10
 
+const (
+	maxName    = 128
+	maxRunning = 1_000_000
+)
+
 const (
 	stateReady   = "ready"
 	stateLeaving = "leaving"
@@ -48,7 +56,7 @@
 	if r.cfg.Key != "" {
 		key, _ := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
 		if subtle.ConstantTimeCompare([]byte(key), []byte(r.cfg.Key)) != 1 {
-			http.Error(w, "bad endpoint key", http.StatusUnauthorized)
+			r.refuse(w, http.StatusUnauthorized, "bad endpoint key")
 			return
 		}
 	}
@@ -56,25 +64,140 @@
 	dec := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAnnouncement))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&a); err != nil {
-		http.Error(w, "bad announcement: "+err.Error(), http.StatusBadRequest)
+		r.refuse(w, http.StatusBadRequest, "bad announcement: "+err.Error())
 		return
 	}
 	if _, err := dec.Token(); err != io.EOF {
-		http.Error(w, "bad announcement: data after the body", http.StatusBadRequest)
+		r.refuse(w, http.StatusBadRequest, "bad announcement: data after the body")
+		return
+	}
+	if fault := a.check(); fault != "" {
+		r.refuse(w, http.StatusBadRequest, "bad announcement: "+fault)
+		return
+	}
+	next, status := r.announce(a)
+	if status != http.StatusOK {
+		r.refuse(w, status, "instance "+a.Instance+" is not in the configuration")
 		return
 	}
+	// Headers that endpoints don't need are left out: answers are most of the control traffic of a large fleet.
+	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
+	if err := json.NewEncoder(w).Encode(Answer{NextMs: next.Milliseconds()}); err != nil {
+		r.cfg.Log.V(1).Info("answer to announcement failed", "instance", a.Instance, "error", err.Error())
+	}
+}
+
+func (r *Registry) refuse(w http.ResponseWriter, status int, text string) {
+	r.stat.refused.Inc()
+	http.Error(w, text, status)
+}
+
+// check returns what is wrong with the announcement, or nothing.
+func (a *Announcement) check() string {
+	host, port, err := net.SplitHostPort(a.Address)
+	switch {
+	case a.Instance == "" || len(a.Instance) > maxName:
+		return "instance must have 1 to 128 bytes"
+	case err != nil || host == "" || port == "" || len(a.Address) > maxName:
+		return "address must be host:port"
+	case a.Incarnation == 0 || a.Sequence == 0:
+		return "incarnation and sequence must be positive"
+	case a.State != stateReady && a.State != stateLeaving:
+		return "state must be ready or leaving"
+	case a.Running < 0 || a.Running > maxRunning:
+		return "running must be between 0 and 1000000"
+	}
+	return ""
+}
+
+// announce records an announcement made to this process and returns the time until the next one. The push to other
+// processes happens before the answer, so an endpoint that got the answer to leaving can count on it.
+func (r *Registry) announce(a Announcement) (time.Duration, int) {
+	known := r.configured(a.Instance)
 	r.mu.Lock()
+	now := r.cfg.Now()
 	i := r.instances[a.Instance]
 	if i == nil {
+		// Without a lease the configuration may be unknown here, so a bounded number is recorded unseen.
+		if known == unknownInstance || known == noView && len(r.instances) >= r.cfg.MaxInstances {
+			r.mu.Unlock()
+			return 0, http.StatusForbidden
+		}
 		i = &instance{name: a.Instance}
 		r.instances[a.Instance] = i
 	}
-	i.address, i.incarnation, i.sequence = a.Address, a.Incarnation, a.Sequence
-	i.leaving, i.running, i.seen = a.State == stateLeaving, a.Running, r.cfg.Now()
-	r.notify()
+	next := interval(max(r.countLive(now), 1))
+	result := r.apply(i, nil, a, now, next)
+	var push *endpointpb.Update
+	switch {
+	case result == applyStale:
+		r.stat.stale.Inc()
+	case i.id == 0 || result == applyChanged || i.sentAddress != i.address || i.sentEpoch != i.incarnation:
+		push = &endpointpb.Update{Boot: r.boot, Reports: []*endpointpb.Report{r.report(i, now)}}
+		r.stat.accepted.Inc()
+	default:
+		r.pending[i] = struct{}{}
+		r.stat.accepted.Inc()
+	}
 	r.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(Answer{NextMs: time.Second.Milliseconds()}); err != nil {
-		r.cfg.Log.V(1).Info("answer to announcement failed", "instance", a.Instance, "error", err.Error())
+	if push != nil && r.cfg.Send != nil {
+		r.cfg.Send(push)
+	}
+	// Up to 10% earlier, so that endpoints started together spread out; never later, because the TTL counts from it.
+	return next - next/10*time.Duration(r.cfg.Rand(100))/100, http.StatusOK
+}
+
+type knowledge int
+
+const (
+	noView knowledge = iota
+	knownInstance
+	unknownInstance
+)
+
+func (r *Registry) configured(name string) knowledge {
+	v, err := r.cfg.View()
+	if err != nil {
+		return noView
+	}
+	if _, ok := v.Instance(name); !ok {
+		return unknownInstance
+	}
+	return knownInstance
+}
+
+type applied int
+
+const (
+	applyStale applied = iota
+	applyRenewed
+	applyChanged
+)
+
+// apply records an announcement. Incarnation and sequence number order the announcements of an instance, and leaving
+// is final for an incarnation, so that a late or repeated announcement never revives an endpoint.
+func (r *Registry) apply(i *instance, from *peer, a Announcement, seen time.Time, interval time.Duration) applied {
+	leaving := a.State == stateLeaving
+	switch {
+	case a.Incarnation < i.incarnation:
+		return applyStale
+	case a.Incarnation == i.incarnation && i.leaving:
+		return applyStale
+	case a.Incarnation == i.incarnation && a.Sequence <= i.sequence && !leaving:
+		return applyStale
+	}
+	now := r.cfg.Now()
+	changed := a.Incarnation > i.incarnation || leaving || a.Address != i.address || !i.live(now)
+	if changed {
+		r.cfg.Log.Info("endpoint changed", "instance", i.name, "address", a.Address,
+			"incarnation", a.Incarnation, "state", a.State)
+	}
+	i.incarnation, i.sequence, i.address, i.leaving = a.Incarnation, max(a.Sequence, 1), a.Address, leaving
+	i.seen, i.interval, i.reporter = seen, interval, from
+	i.others = max(a.Running-i.local, 0)
+	if changed {
+		r.notify()
+		return applyChanged
 	}
+	return applyRenewed
 }
--- a/internal/endpoint/dispatch.go
+++ b/internal/endpoint/dispatch.go
@@ -2,15 +2,27 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 )
 
+const (
+	// maxResponseHeader bounds the header of a response in bytes.
+	maxResponseHeader = 64 << 10
+	// idleTimeout closes pooled connections without traffic.
+	idleTimeout = 30 * time.Second
+	// linkRetention is the time after which an unused link is dropped.
+	linkRetention = 5 * time.Minute
+)
+
 // SendState says whether a byte of a request can have reached an endpoint.
 type SendState int
 
@@ -29,57 +41,22 @@
 	return "maybe-sent"
 }
 
-// attempt decides between the first write to a connection and the conclusion that nothing was written.
-type attempt struct{ state atomic.Int32 }
-
-const (
-	attemptOpen = iota
-	attemptWritten
-	attemptSealed
-)
-
-// write reports whether a byte may be written for the attempt.
-func (a *attempt) write() bool {
-	return a.state.CompareAndSwap(attemptOpen, attemptWritten) || a.state.Load() == attemptWritten
-}
-
-// seal forbids any later write and reports the state; it settles races with a write that is about to start.
-func (a *attempt) seal() SendState {
-	if a.state.CompareAndSwap(attemptOpen, attemptSealed) || a.state.Load() == attemptSealed {
-		return NotSent
-	}
-	return MaybeSent
-}
-
-// conn is a connection to an endpoint that belongs to one attempt at a time.
-type conn struct {
-	net.Conn
-	attempt atomic.Pointer[attempt]
-}
-
-// Write refuses bytes unless the connection belongs to an attempt that may still write.
-func (c *conn) Write(p []byte) (int, error) {
-	if a := c.attempt.Load(); a == nil || !a.write() {
-		return 0, errorx.IllegalState.New("write after the attempt was given up")
-	}
-	return c.Conn.Write(p)
-}
-
 // DispatcherConfig holds the settings of a dispatcher.
 type DispatcherConfig struct {
-	// Processes returns the number of hibiscusroute processes among which connections are divided.
-	Processes func() int
 	// DialTimeout bounds the time to connect; 0 uses 1 s.
 	DialTimeout time.Duration
 	// Dial connects to an endpoint; nil uses a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Now returns the time; nil uses time.Now.
+	Now func() time.Time
 }
 
 // Dispatcher sends attempts to endpoints; it is safe for concurrent use.
 type Dispatcher struct {
-	cfg       DispatcherConfig
-	dedicated *http.Transport
-	pooled    *http.Transport
+	cfg DispatcherConfig
+
+	mu    sync.Mutex
+	links map[string]*link
 }
 
 // NewDispatcher builds a dispatcher.
@@ -90,20 +67,42 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
-	d := &Dispatcher{cfg: cfg}
-	d.dedicated = &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true}
-	d.pooled = &http.Transport{DialContext: d.dial, DisableCompression: true}
-	return d
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Dispatcher{cfg: cfg, links: map[string]*link{}}
 }
 
-func (d *Dispatcher) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.DialTimeout)
-	defer cancel()
-	c, err := d.cfg.Dial(ctx, network, address)
-	if err != nil {
-		return nil, err
+// link returns the connections to the target; a new address gets a new link and closes the old idle connections.
+func (d *Dispatcher) link(t *Target) *link {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	l := d.links[t.instance]
+	if l == nil || l.address != t.address || l.limit != t.connections {
+		if l != nil {
+			l.pooled.CloseIdleConnections()
+		}
+		l = newLink(d.cfg, t.address, t.connections)
+		d.links[t.instance] = l
+		for name, old := range d.links {
+			if old != l && now.Sub(old.used) > linkRetention {
+				old.pooled.CloseIdleConnections()
+				delete(d.links, name)
+			}
+		}
+	}
+	l.used = now
+	return l
+}
+
+// Close closes the idle connections.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.links {
+		l.pooled.CloseIdleConnections()
 	}
-	return &conn{Conn: c}, nil
 }
 
 type idempotentKey struct{}
@@ -113,8 +112,10 @@
 	return context.WithValue(ctx, idempotentKey{}, true)
 }
 
-// Do sends one attempt to the target. The body of the response must be closed. On an error, NotSent is certain.
-// Requests use a connection of their own unless the context was marked by WithIdempotent.
+// Do sends one attempt to the target. The body of the response must be closed; reading it fails with ErrTruncated
+// when the response ends before its framing says so. On an error, NotSent is certain. A request uses a new connection
+// of its own unless the context was marked by WithIdempotent, because the HTTP transport silently repeats some
+// requests on a reused connection.
 func (d *Dispatcher) Do(ctx context.Context, t *Target, req *http.Request) (*http.Response, SendState, error) {
 	a := &attempt{}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -122,15 +123,50 @@
 			c.attempt.Store(a)
 		}
 	}}
-	transport := d.dedicated
+	l := d.link(t)
+	transport := l.dedicated
 	if ctx.Value(idempotentKey{}) != nil {
-		transport = d.pooled
+		transport = l.pooled
 	}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
-	req.URL.Scheme, req.URL.Host = "http", t.address
+	req = req.Clone(httptrace.WithClientTrace(ctx, trace))
+	req.URL.Scheme, req.URL.Host = "http", l.address
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, a.seal(), errorx.Decorate(err, "send to instance %s", t.instance)
 	}
+	if err := checkFraming(resp); err != nil {
+		_ = resp.Body.Close() // the response is unusable anyway
+		return nil, MaybeSent, errorx.Decorate(err, "response of instance %s", t.instance)
+	}
+	resp.Body = &wholeBody{body: resp.Body}
 	return resp, MaybeSent, nil
 }
+
+// checkFraming refuses a response whose end can't be told from a broken connection, and a change of protocol.
+func checkFraming(resp *http.Response) error {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return errorx.UnsupportedOperation.New("endpoint switched protocols")
+	}
+	if resp.Request.Method == http.MethodHead {
+		return nil
+	}
+	if resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked") {
+		return ErrTruncated.New("response is framed by the end of the connection only")
+	}
+	return nil
+}
+
+// wholeBody reports a response that ends early as truncated.
+type wholeBody struct{ body io.ReadCloser }
+
+// Read reads from the response.
+func (b *wholeBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = ErrTruncated.Wrap(err, "response ended early")
+	}
+	return n, err
+}
+
+// Close closes the response.
+func (b *wholeBody) Close() error { return b.body.Close() }
--- /dev/null
+++ b/internal/endpoint/exchange.go
@@ -0,0 +1,166 @@
+package endpoint
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
+)
+
+// Bounds of the time between batches of renewals. The upper bound leaves two lost updates before peerTimeout.
+const (
+	minBatch = 250 * time.Millisecond
+	maxBatch = time.Second
+)
+
+// report returns the report of what was announced to this process and assigns a number to the instance.
+func (r *Registry) report(i *instance, now time.Time) *endpointpb.Report {
+	if i.id == 0 {
+		r.lastID++
+		i.id = r.lastID
+	}
+	i.sentAddress, i.sentEpoch = i.address, i.incarnation
+	delete(r.pending, i)
+	return &endpointpb.Report{
+		Id: i.id, Instance: i.name, Address: i.address, Incarnation: i.incarnation, Sequence: i.sequence,
+		Leaving: i.leaving, Running: uint32(i.others + i.local),
+		AgeMs: uint32(now.Sub(i.seen).Milliseconds()), IntervalMs: uint32(i.interval.Milliseconds()),
+	}
+}
+
+// Full returns the first update for a process that just connected: everything announced to this process, and every
+// endpoint known to be leaving, whoever reported it.
+func (r *Registry) Full() *endpointpb.Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	u := &endpointpb.Update{Boot: r.boot, Full: true}
+	for _, name := range slices.Sorted(maps.Keys(r.instances)) {
+		if i := r.instances[name]; i.reporter == nil && i.id != 0 || i.leaving {
+			u.Reports = append(u.Reports, r.report(i, now))
+		}
+	}
+	return u
+}
+
+// Receive takes an update from another process. Updates before the first full one of a run of that process are ignored.
+func (r *Registry) Receive(from string, u *endpointpb.Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	p := r.peers[from]
+	if p == nil {
+		p = &peer{}
+		r.peers[from] = p
+	}
+	if u.Full {
+		p.boot, p.byID = u.Boot, map[uint32]*instance{}
+	}
+	if p.byID == nil || p.boot != u.Boot {
+		return
+	}
+	if now.Sub(p.contact) > peerTimeout {
+		r.notify()
+	}
+	p.contact = now
+	for _, m := range u.Reports {
+		r.receiveReport(p, m, now)
+	}
+	if n := u.Renewals; n != nil && len(n.Ids) == len(n.Sequences) && len(n.Ids) == len(n.Running) {
+		// A renewal may have waited for its batch, so its age is taken as the longest time between batches.
+		every := time.Duration(n.IntervalMs) * time.Millisecond
+		seen := now.Add(-batchPeriod(every))
+		for k, id := range n.Ids {
+			i := p.byID[id]
+			if i == nil {
+				continue
+			}
+			a := Announcement{
+				Instance: i.name, Address: i.address, Incarnation: i.incarnation, Sequence: n.Sequences[k],
+				State: stateReady, Running: int(n.Running[k]),
+			}
+			r.apply(i, p, a, seen, every)
+		}
+	}
+}
+
+func (r *Registry) receiveReport(p *peer, m *endpointpb.Report, now time.Time) {
+	a := Announcement{
+		Instance: m.Instance, Address: m.Address, Incarnation: m.Incarnation, Sequence: m.Sequence,
+		State: stateReady, Running: int(m.Running),
+	}
+	if m.Leaving {
+		a.State = stateLeaving
+	}
+	if a.check() != "" {
+		return
+	}
+	i := r.instances[m.Instance]
+	if i == nil {
+		if len(r.instances) >= r.cfg.MaxInstances {
+			return
+		}
+		i = &instance{name: m.Instance}
+		r.instances[m.Instance] = i
+	}
+	age, every := time.Duration(m.AgeMs)*time.Millisecond, time.Duration(m.IntervalMs)*time.Millisecond
+	r.apply(i, p, a, now.Add(-age), min(every, maxInterval))
+	// A renewal refers to the announced incarnation, so an outdated report gets no number.
+	if m.Incarnation == i.incarnation {
+		p.byID[m.Id] = i
+	} else {
+		delete(p.byID, m.Id)
+	}
+}
+
+// Flush sends the pending renewals to the other processes; the update is empty when there are none, which tells them
+// that this process is reachable. It also forgets records past their retention.
+func (r *Registry) Flush() {
+	r.mu.Lock()
+	now := r.cfg.Now()
+	u := &endpointpb.Update{Boot: r.boot}
+	if len(r.pending) > 0 {
+		u.Renewals = &endpointpb.Renewals{IntervalMs: uint32(interval(r.countLive(now)).Milliseconds())}
+		for i := range r.pending {
+			u.Renewals.Ids = append(u.Renewals.Ids, i.id)
+			u.Renewals.Sequences = append(u.Renewals.Sequences, i.sequence)
+			u.Renewals.Running = append(u.Renewals.Running, uint32(i.others+i.local))
+		}
+		clear(r.pending)
+	}
+	for name, i := range r.instances {
+		if now.Sub(i.seen) > retention && i.local == 0 {
+			delete(r.instances, name)
+		}
+	}
+	for name, p := range r.peers {
+		if now.Sub(p.contact) > retention {
+			delete(r.peers, name)
+		}
+	}
+	r.mu.Unlock()
+	if r.cfg.Send != nil {
+		r.cfg.Send(u)
+	}
+}
+
+func batchPeriod(interval time.Duration) time.Duration {
+	return min(max(interval/4, minBatch), maxBatch)
+}
+
+// Run sends batches until the context ends.
+func (r *Registry) Run(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		wait := batchPeriod(interval(r.countLive(r.cfg.Now())))
+		r.mu.Unlock()
+		select {
+		case <-time.After(wait):
+			r.Flush()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/endpoint/pick.go
+++ b/internal/endpoint/pick.go
@@ -3,13 +3,18 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/view"
 )
 
 // Target is an endpoint chosen for one attempt; it holds a slot permit until Release.
 type Target struct {
+	registry    *Registry
+	record      *instance
+	view        *view.View
 	instance    string
+	pool        string
 	zone        string
 	rack        string
 	address     string
@@ -28,10 +33,28 @@
 func (t *Target) Rack() string { return t.rack }
 
 // Release returns the slot permit; further calls do nothing.
-func (t *Target) Release() { t.once.Do(t.release) }
+func (t *Target) Release() {
+	t.once.Do(func() {
+		t.release()
+		r := t.registry
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		t.record.local--
+		r.notify()
+	})
+}
+
+// candidate is a usable endpoint of the pool.
+type candidate struct {
+	vi    view.Instance
+	i     *instance
+	load  float64
+	limit int // connections of this process
+}
 
-// Pick chooses a usable endpoint of the queue's pool and takes a slot permit of it; avoid names instances of earlier
-// attempts. It fails with ErrNoEndpoint or ErrNoSlot.
+// Pick chooses a usable endpoint of the queue's pool and takes a slot permit of it. It never returns an instance named
+// in avoid, and prefers another availability zone, then another rack, than theirs. It fails with ErrNoEndpoint or
+// ErrNoSlot.
 func (r *Registry) Pick(v *view.View, queue string, avoid []string) (*Target, error) {
 	q, ok := v.Queue(queue)
 	if !ok {
@@ -39,32 +62,169 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	list := r.candidates(v, q.Pool, now)
 	usable := false
-	for _, vi := range v.PoolInstances(q.Pool) {
+	for _, tier := range tiers(v, list, avoid) {
+		usable = usable || len(tier) > 0
+		if t := r.pickFrom(v, q.Pool, tier); t != nil {
+			return t, nil
+		}
+	}
+	if usable {
+		return nil, ErrNoSlot.New("no free slot permit for queue %s", queue)
+	}
+	return nil, ErrNoEndpoint.New("no usable endpoint for queue %s", queue)
+}
+
+// candidates returns the usable endpoints of a pool. When more than a third of the live ones are ejected, because
+// others vanished since, those whose ejection ends first are used again.
+func (r *Registry) candidates(v *view.View, pool string, now time.Time) []candidate {
+	processes := max(v.Configuration().Processes, 1)
+	all := v.PoolInstances(pool)
+	list := make([]candidate, 0, len(all))
+	var ejected, resting []candidate
+	live := 0
+	for _, vi := range all {
 		i := r.instances[vi.Name]
-		if i == nil || !vi.Admit || i.leaving || slices.Contains(avoid, vi.Name) {
+		if i == nil || !vi.Admit || !i.live(now) {
 			continue
 		}
-		usable = true
-		release, ok := r.cfg.TryAcquire(slotResource + vi.Name)
-		if !ok {
+		live++
+		c := candidate{vi: vi, i: i, limit: vi.Connections / processes}
+		c.load = float64(i.local+i.others+1) / float64(max(vi.Slots, 1)) * (1 + failurePenalty*i.health.decayed(now))
+		switch {
+		case c.limit == 0:
+		case i.health.ejected(now):
+			ejected = append(ejected, c)
+		case i.health.share(now) < float64(r.cfg.Rand(1000))/1000:
+			resting = append(resting, c)
+		default:
+			list = append(list, c)
+		}
+	}
+	if surplus := len(ejected) - live/ejectDivisor; surplus > 0 {
+		slices.SortFunc(ejected, func(a, b candidate) int { return a.i.health.until.Compare(b.i.health.until) })
+		list = append(list, ejected[:surplus]...)
+	}
+	if len(list) == 0 {
+		return resting
+	}
+	return list
+}
+
+// tiers splits the candidates into those in another zone than the avoided instances, in another rack, and the rest.
+func tiers(v *view.View, list []candidate, avoid []string) [][]candidate {
+	if len(avoid) == 0 {
+		return [][]candidate{list}
+	}
+	split := make([][]candidate, 3)
+	for _, c := range list {
+		tier := 0
+		for _, name := range avoid {
+			other, ok := v.Instance(name)
+			switch {
+			case name == c.vi.Name:
+				tier = len(split)
+			case ok && other.AvailabilityZone == c.vi.AvailabilityZone && other.Rack == c.vi.Rack:
+				tier = max(tier, 2)
+			case ok && other.AvailabilityZone == c.vi.AvailabilityZone:
+				tier = max(tier, 1)
+			}
+		}
+		if tier < len(split) {
+			split[tier] = append(split[tier], c)
+		}
+	}
+	return split
+}
+
+// pickFrom chooses the less loaded of two random candidates until a slot permit is free. The second is drawn from
+// another zone or rack than the first where there is one, which spreads the work over failure domains.
+func (r *Registry) pickFrom(v *view.View, pool string, list []candidate) *Target {
+	for len(list) > 0 {
+		k := r.cfg.Rand(len(list))
+		if o := r.second(list, k); o >= 0 && list[o].load < list[k].load {
+			k = o
+		}
+		c := list[k]
+		if c.i.local < c.limit {
+			if release, ok := r.cfg.TryAcquire(slotResource + c.vi.Name); ok {
+				c.i.local++
+				return &Target{
+					registry: r, record: c.i, view: v, instance: c.vi.Name, pool: pool, zone: c.vi.AvailabilityZone,
+					rack: c.vi.Rack, address: c.i.address, connections: c.limit, release: release,
+				}
+			}
+		}
+		list[k] = list[len(list)-1]
+		list = list[:len(list)-1]
+	}
+	return nil
+}
+
+// second draws a candidate other than k, from another zone first and another rack next; it is negative without one.
+func (r *Registry) second(list []candidate, k int) int {
+	best, bestRank, seen := -1, -1, 0
+	for o := range list {
+		if o == k {
 			continue
 		}
-		i.local++
-		return &Target{
-			instance: vi.Name, zone: vi.AvailabilityZone, rack: vi.Rack, address: i.address,
-			connections: vi.Connections,
-			release: func() {
-				release()
-				r.mu.Lock()
-				i.local--
-				r.notify()
-				r.mu.Unlock()
-			},
-		}, nil
+		rank := 0
+		if list[o].vi.AvailabilityZone != list[k].vi.AvailabilityZone {
+			rank = 2
+		} else if list[o].vi.Rack != list[k].vi.Rack {
+			rank = 1
+		}
+		switch {
+		case rank > bestRank:
+			best, bestRank, seen = o, rank, 1
+		case rank == bestRank:
+			seen++
+			if r.cfg.Rand(seen) == 0 {
+				best = o
+			}
+		}
 	}
-	if usable {
-		return nil, ErrNoSlot.New("no free slot permit for queue %s", queue)
+	return best
+}
+
+// Demand reports to the quota holder how many slot permits of each usable instance of a pool this process could use:
+// those in use and an equal part of the waiting requests.
+func (r *Registry) Demand(v *view.View, pool string, waiting int) {
+	if r.cfg.SetDemand == nil {
+		return
+	}
+	type demand struct {
+		resource string
+		n        int
+	}
+	r.mu.Lock()
+	now := r.cfg.Now()
+	all := v.PoolInstances(pool)
+	list := make([]demand, 0, len(all))
+	live := 0
+	for _, vi := range all {
+		i := r.instances[vi.Name]
+		if i == nil {
+			continue
+		}
+		n := i.local
+		if vi.Admit && i.live(now) && !i.health.ejected(now) {
+			live++
+			n = -n - 1 // marks an instance that shares the waiting requests
+		}
+		list = append(list, demand{slotResource + vi.Name, n})
+	}
+	r.mu.Unlock()
+	part := 0
+	if live > 0 {
+		part = (waiting + live - 1) / live
+	}
+	for _, d := range list {
+		if d.n < 0 {
+			d.n = -d.n - 1 + part
+		}
+		r.cfg.SetDemand(d.resource, d.n)
 	}
-	return nil, ErrNoEndpoint.New("no usable endpoint for queue %s", queue)
 }
--- /dev/null
+++ b/internal/endpoint/pick_test.go
@@ -0,0 +1,206 @@
+package endpoint
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+)
+
+func seeded(t *testing.T) func(int) int {
+	t.Helper()
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	return rand.New(rand.NewPCG(seed, 0)).IntN
+}
+
+func announceAll(r *Registry, n int, seq uint64) {
+	for k := range n {
+		r.announce(ready(fmt.Sprintf("i-%d", k), 1, seq))
+	}
+}
+
+// Guards against work that piles up on one instance, rack or zone.
+func TestPickSpreadsWork(t *testing.T) {
+	v, c := fleetView(12), newClock()
+	r := newRegistry(c, v, func(cfg *Config) { cfg.Rand = seeded(t) })
+	announceAll(r, 12, 1)
+	zones, instances := map[string]int{}, map[string]int{}
+	for range 48 {
+		target, err := r.Pick(v, "plates", nil)
+		assert.NilError(t, err)
+		zones[target.AvailabilityZone()]++
+		instances[target.Instance()]++
+	}
+	for name, n := range zones {
+		assert.Assert(t, n >= 12 && n <= 20, "zone %s got %d of 48", name, n)
+	}
+	for name, n := range instances {
+		assert.Assert(t, n <= 7, "instance %s got %d of 48", name, n)
+	}
+}
+
+// Guards against a retry in the failure domain that just failed, and one on the same instance.
+func TestPickAvoids(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		n     int
+		avoid []string
+		check func(t *Target) bool
+	}{
+		{"other zone", 6, []string{"i-0"}, func(t *Target) bool { return t.AvailabilityZone() != "z-0" }},
+		{"third zone", 6, []string{"i-0", "i-1"}, func(t *Target) bool { return t.AvailabilityZone() == "z-2" }},
+		{"other rack", 6, []string{"i-0", "i-1", "i-2"}, func(t *Target) bool { return t.Rack()[4:] == "r-1" }},
+		{"last", 3, []string{"i-0", "i-2"}, func(t *Target) bool { return t.Instance() == "i-1" }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			v, c := fleetView(tc.n), newClock()
+			r := newRegistry(c, v, nil)
+			announceAll(r, tc.n, 1)
+			for range 50 {
+				target, err := r.Pick(v, "plates", tc.avoid)
+				assert.NilError(t, err)
+				assert.Assert(t, tc.check(target), target.Instance())
+				target.Release()
+			}
+		})
+	}
+	v, c := fleetView(1), newClock()
+	r := newRegistry(c, v, nil)
+	announceAll(r, 1, 1)
+	_, err := r.Pick(v, "plates", []string{"i-0"})
+	assert.Assert(t, errorx.IsOfType(err, ErrNoEndpoint))
+}
+
+// Guards against a send without a slot permit or above the connections of this process.
+func TestPickNeedsPermitAndConnection(t *testing.T) {
+	v, c := fleetView(2), newClock()
+	permits := map[string]int{"slot/i-0": 3, "slot/i-1": 100}
+	r := newRegistry(c, v, func(cfg *Config) {
+		cfg.TryAcquire = func(resource string) (func(), bool) {
+			if permits[resource] == 0 {
+				return nil, false
+			}
+			permits[resource]--
+			return func() { permits[resource]++ }, true
+		}
+	})
+	announceAll(r, 2, 1)
+	got := map[string]int{}
+	var last *Target
+	for {
+		target, err := r.Pick(v, "plates", nil)
+		if err != nil {
+			assert.Assert(t, errorx.IsOfType(err, ErrNoSlot))
+			break
+		}
+		got[target.Instance()]++
+		last = target
+	}
+	assert.DeepEqual(t, got, map[string]int{"i-0": 3, "i-1": 8}) // 64 connections over 8 processes
+	changed := r.Changed()
+	last.Release()
+	last.Release()
+	<-changed
+	_, err := r.Pick(v, "plates", nil)
+	assert.NilError(t, err)
+	_, err = r.Pick(v, "plates", nil)
+	assert.Assert(t, errorx.IsOfType(err, ErrNoSlot), "a second release gave a second permit")
+}
+
+// Guards against an ejection that takes away more than a third of a pool, and against failing endpoints that attract
+// work because they fail fast.
+func TestEjectionIsCapped(t *testing.T) {
+	for _, tc := range []struct{ n, failing, ejected int }{
+		{1, 1, 0}, {2, 2, 0}, {3, 1, 1}, {3, 3, 1}, {10, 2, 2}, {10, 10, 3},
+	} {
+		t.Run(fmt.Sprintf("%d of %d fail", tc.failing, tc.n), func(t *testing.T) {
+			v, c := fleetView(tc.n), newClock()
+			r := newRegistry(c, v, func(cfg *Config) { cfg.Rand = seeded(t) })
+			announceAll(r, tc.n, 1)
+			sent, failed := 0, 0
+			var running []*Target
+			for range 2000 {
+				// Healthy endpoints are almost full, failing ones end at once and look idle.
+				c.add(time.Millisecond)
+				if len(running) >= 7*(tc.n-tc.failing) && len(running) > 0 {
+					running[0].Report(true)
+					running[0].Release()
+					running = running[1:]
+				}
+				target, err := r.Pick(v, "plates", nil)
+				assert.NilError(t, err)
+				sent++
+				var k int
+				_, err = fmt.Sscanf(target.Instance(), "i-%d", &k)
+				assert.NilError(t, err)
+				if k >= tc.failing {
+					running = append(running, target)
+					continue
+				}
+				failed++
+				target.Report(false)
+				target.Release()
+			}
+			ejected := 0
+			for _, i := range r.instances {
+				if i.health.ejected(c.Now()) {
+					ejected++
+				}
+			}
+			assert.Equal(t, ejected, tc.ejected)
+			if tc.failing == tc.ejected && tc.failing < tc.n {
+				assert.Assert(t, failed <= 10*tc.failing, "%d of %d attempts went to failing endpoints", failed, sent)
+			}
+		})
+	}
+}
+
+// Guards against an ejected endpoint that returns at full share at once, or never.
+func TestReadmissionIsSlow(t *testing.T) {
+	v, c := fleetView(4), newClock()
+	r := newRegistry(c, v, func(cfg *Config) { cfg.Rand = seeded(t) })
+	announceAll(r, 4, 1)
+	bad := r.instances["i-0"]
+	for range maxConsecutive {
+		(&Target{registry: r, record: bad, view: v, instance: "i-0", pool: "web"}).Report(false)
+	}
+	seq := uint64(1)
+	share := func() int {
+		seq++
+		announceAll(r, 4, seq)
+		n := 0
+		for range 1000 {
+			target, err := r.Pick(v, "plates", nil)
+			assert.NilError(t, err)
+			if target.record == bad {
+				n++
+			}
+			target.Release()
+		}
+		return n
+	}
+	assert.Equal(t, share(), 0)
+	c.add(ejectBase)
+	first := share()
+	assert.Assert(t, first > 0 && first < 80, "%d of 1000 just after the ejection", first)
+	c.add(rampLength / 2)
+	half := share()
+	assert.Assert(t, half > first && half < 220, "%d of 1000 halfway", half)
+	c.add(rampLength / 2)
+	full := share()
+	assert.Assert(t, full > 190, "%d of 1000 after the ramp", full)
+	(&Target{registry: r, record: bad, view: v, instance: "i-0", pool: "web"}).Report(true)
+	assert.Assert(t, !bad.health.bad(c.Now()))
+	// A failure during a later ramp ejects again, for longer.
+	for range maxConsecutive {
+		(&Target{registry: r, record: bad, view: v, instance: "i-0", pool: "web"}).Report(false)
+	}
+	c.add(ejectBase + time.Second)
+	announceAll(r, 4, seq+1)
+	(&Target{registry: r, record: bad, view: v, instance: "i-0", pool: "web"}).Report(false)
+	assert.Assert(t, bad.health.until.Sub(c.Now()) > ejectBase)
+}
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -25,6 +25,17 @@
 	ErrTruncated = Namespace.NewType("truncated")
 )
 
+const (
+	ttlIntervals = 3
+	maxInterval  = time.Minute
+	// peerTimeout is the silence after which the reports of another process no longer count.
+	peerTimeout = 3 * time.Second
+	// retention keeps records that are no longer live, so that a late announcement is still recognised as old. It is
+	// far longer than a connection can delay a message.
+	retention           = time.Hour
+	defaultMaxInstances = 8192
+)
+
 // slotResource is the prefix of the quota resource for the slots of an instance.
 const slotResource = "slot/"
 
@@ -40,6 +51,8 @@
 	SetDemand func(resource string, n int)
 	// Send hands an update to every connected process without blocking; nil sends nothing.
 	Send func(u *endpointpb.Update)
+	// MaxInstances bounds the records of instances that the configuration doesn't name; 0 uses 8,192.
+	MaxInstances int
 	// Now returns the time; nil uses time.Now.
 	Now func() time.Time
 	// Rand draws a number in [0, n); nil uses math/rand/v2.
@@ -52,11 +65,17 @@
 
 // Registry holds the endpoints known to this process; it is safe for concurrent use.
 type Registry struct {
-	cfg Config
+	cfg  Config
+	boot uint64
+	stat statistics
 
 	mu        sync.Mutex
 	instances map[string]*instance
+	peers     map[string]*peer
+	lastID    uint32
+	pending   map[*instance]struct{} // renewals that the next batch sends
 	changed   chan struct{}
+	watched   bool // changed was handed out since it was made
 }
 
 // instance is what is known about the endpoint of one instance.
@@ -66,9 +85,28 @@
 	incarnation uint64
 	sequence    uint64
 	leaving     bool
-	running     int // as announced
-	seen        time.Time
-	local       int // attempts of this process
+	seen        time.Time // when the newest announcement was received
+	interval    time.Duration
+	reporter    *peer // nil when this process received the newest announcement
+
+	id          uint32 // in updates of this process, 0 before the first
+	sentAddress string // as last reported to other processes
+	sentEpoch   uint64
+
+	local  int // attempts of this process
+	others int // estimate of the requests that other processes run there
+	health health
+}
+
+// peer is another process that reports what was announced to it.
+type peer struct {
+	boot    uint64
+	contact time.Time
+	byID    map[uint32]*instance
+}
+
+type statistics struct {
+	accepted, stale, refused, ejected, capped *metrics.Counter
 }
 
 // New builds a registry.
@@ -82,17 +120,65 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
-	return &Registry{cfg: cfg, instances: map[string]*instance{}, changed: make(chan struct{})}
+	if cfg.MaxInstances == 0 {
+		cfg.MaxInstances = defaultMaxInstances
+	}
+	m := cfg.Metrics
+	r := &Registry{
+		cfg: cfg, boot: rand.Uint64(), //nolint:gosec // tells runs apart, no secret
+		instances: map[string]*instance{}, peers: map[string]*peer{}, pending: map[*instance]struct{}{},
+		changed: make(chan struct{}),
+		stat: statistics{
+			accepted: m.GetOrCreateCounter(`hibiscusroute_announcements_total{result="accepted"}`),
+			stale:    m.GetOrCreateCounter(`hibiscusroute_announcements_total{result="stale"}`),
+			refused:  m.GetOrCreateCounter(`hibiscusroute_announcements_total{result="refused"}`),
+			ejected:  m.GetOrCreateCounter(`hibiscusroute_ejections_total{result="ejected"}`),
+			capped:   m.GetOrCreateCounter(`hibiscusroute_ejections_total{result="capped"}`),
+		},
+	}
+	m.GetOrCreateGauge("hibiscusroute_endpoints_live", func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return float64(r.countLive(r.cfg.Now()))
+	})
+	return r
 }
 
 // Changed returns a channel that is closed when an endpoint or a slot may have become usable.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.watched = true
 	return r.changed
 }
 
 func (r *Registry) notify() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+	if r.watched {
+		close(r.changed)
+		r.changed, r.watched = make(chan struct{}), false
+	}
+}
+
+// live reports whether the newest announcement still counts and the endpoint takes new work.
+func (i *instance) live(now time.Time) bool {
+	if i.leaving || i.address == "" || now.Sub(i.seen) > ttlIntervals*i.interval {
+		return false
+	}
+	return i.reporter == nil || now.Sub(i.reporter.contact) <= peerTimeout
+}
+
+func (r *Registry) countLive(now time.Time) int {
+	n := 0
+	for _, i := range r.instances {
+		if i.live(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// interval returns the time between announcements with n live endpoints: 100 announcements per second over all
+// processes together keep the traffic bounded, and 1 s is short enough at today's 50 endpoints.
+func interval(n int) time.Duration {
+	return min(max(time.Duration(n)*10*time.Millisecond, time.Second), maxInterval)
 }
