--- /dev/null
+++ b/internal/caller/attempt.go
@@ -0,0 +1,239 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+)
+
+// maxAnswer is the length up to which a response is buffered and can fail cleanly.
+const maxAnswer = 256 << 10
+
+var errMismatch = Namespace.NewType("mismatch")
+
+// result is the outcome of one attempt. Without an error, head holds the response or, unless whole, its beginning.
+type result struct {
+	resp  *http.Response
+	state endpoint.SendState
+	err   error
+	head  []byte
+	whole bool
+}
+
+// attempt sends the request once. When the caller's deadline passes or the caller is gone, a request of which no byte
+// was written is given up. Any other goes on without the caller and keeps its permits until it ends, because the
+// endpoint still runs it; detached is true then.
+func (t *run) attempt() (res result, detached bool) {
+	q, s := t.q, t.q.s
+	out, err := q.outgoing()
+	if err != nil {
+		return result{err: err}, false
+	}
+	ctx := t.ctx
+	if q.idempotent {
+		ctx = endpoint.WithIdempotent(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	a := &endpoint.Attempt{}
+	done := make(chan result, 1)
+	started := s.cfg.Now()
+	go func() { done <- q.exchange(ctx, a, t.grant.target, out) }()
+	select {
+	case res = <-done:
+	case <-t.caller.Done():
+		if a.Seal() == endpoint.MaybeSent {
+			t.detach(done, cancel)
+			return result{}, true
+		}
+		cancel()
+		res = <-done
+	}
+	q.served += s.cfg.Now().Sub(started)
+	if res.err != nil || res.whole {
+		cancel()
+		t.report(res)
+	} else {
+		// The rest of the response is read under this context, which ends with the run.
+		context.AfterFunc(t.ctx, cancel)
+	}
+	return res, false
+}
+
+// detach lets the attempt go on without the caller.
+func (t *run) detach(done chan result, cancel context.CancelFunc) {
+	t.maybe = true
+	t.q.s.more()
+	rest := *t
+	t.over = true
+	go func() {
+		defer rest.q.s.end()
+		defer rest.release()
+		defer cancel()
+		res := <-done
+		if res.err == nil && !res.whole {
+			if _, res.err = io.Copy(io.Discard, res.resp.Body); res.err == nil {
+				res.whole = true
+			}
+			_ = res.resp.Body.Close() // nobody takes the response any more
+		}
+		rest.report(res)
+	}()
+}
+
+// report tells the registry whether the endpoint served the attempt; faults of the caller don't count.
+func (t *run) report(res result) {
+	q := t.q
+	if q.stream != nil && q.stream.fault.Load() != nil {
+		return
+	}
+	if res.err != nil {
+		if res.state == endpoint.NotSent && t.caller.Err() != nil {
+			return
+		}
+		if errorx.IsOfType(res.err, endpoint.ErrTruncated) {
+			q.s.stat.truncated.Inc()
+			q.s.cfg.Record(Event{
+				Kind: "response-truncated", Request: q.id, Team: q.team, Instance: t.grant.target.Instance(),
+			})
+		}
+		t.grant.target.Report(false)
+		return
+	}
+	code := res.resp.StatusCode
+	t.grant.target.Report(code < http.StatusInternalServerError || code == http.StatusNotImplemented)
+}
+
+// exchange sends the request and reads the response up to the buffered length.
+func (q *request) exchange(ctx context.Context, a *endpoint.Attempt, t *endpoint.Target, out *http.Request) result {
+	resp, state, err := q.s.cfg.Dispatcher.DoAttempt(ctx, a, t, out)
+	if err != nil {
+		return result{state: state, err: err}
+	}
+	res := result{resp: resp, state: state}
+	if id := resp.Header.Get(headerRequestID); id != "" && id != q.id {
+		q.s.violation("own-answer", "instance "+t.Instance()+" answered request "+q.id+" with the answer to "+id)
+		res.err = errMismatch.New("the response belongs to another request")
+	} else {
+		res.head, res.err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	}
+	res.whole = res.err == nil && len(res.head) <= maxAnswer
+	if res.err != nil || res.whole {
+		if err := resp.Body.Close(); err != nil && res.err == nil {
+			q.s.cfg.Log.V(1).Info("close of response failed", "request", q.id, "error", err.Error())
+		}
+	}
+	return res
+}
+
+// outgoing builds the request for an endpoint.
+func (q *request) outgoing() (*http.Request, error) {
+	u, err := url.ParseRequestURI(q.path)
+	if err != nil {
+		return nil, errorx.Decorate(err, "parse path")
+	}
+	u.RawQuery = q.in.URL.RawQuery
+	out := &http.Request{
+		Method: q.in.Method, URL: u, Host: q.in.Host, Header: make(http.Header, len(q.in.Header)+2),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: q.length,
+	}
+	copyHeader(out.Header, q.in.Header)
+	delete(out.Header, "Authorization") // the key is for hibiscusroute only
+	delete(out.Header, "Expect")
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	out.Header.Set(headerRequestID, q.id)
+	left := q.queue.MaxRun.Std()
+	if !q.deadline.IsZero() {
+		left = min(left, q.deadline.Sub(q.s.cfg.Now()))
+	}
+	out.Header.Set(headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	switch {
+	case q.stream != nil:
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(q.body), q.stream))
+	case q.length > 0:
+		out.Body = io.NopCloser(bytes.NewReader(q.body))
+	}
+	return out, nil
+}
+
+// answer passes the response on. A whole one gives its permits back before the caller takes it.
+func (t *run) answer(res result) {
+	q, s, rp := t.q, t.q.s, t.q.rp
+	if res.resp.Request.Header.Get(headerRequestID) != rp.id {
+		s.violation("own-answer", "response for another request than "+rp.id)
+		t.release()
+		rp.reject(http.StatusInternalServerError, outcomeUnknown, "internal", "the response belongs to another request")
+		return
+	}
+	if res.whole {
+		t.release()
+	}
+	if !rp.take() {
+		return
+	}
+	h := rp.w.Header()
+	copyHeader(h, res.resp.Header)
+	if s.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	h.Set(headerRequestID, q.id)
+	code := res.resp.StatusCode
+	if res.whole && q.in.Method != http.MethodHead && code != http.StatusNoContent && code != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(res.head)))
+	}
+	s.stat.added.Update((s.cfg.Now().Sub(q.arrived) - q.waited - q.served).Seconds())
+	control := http.NewResponseController(rp.w)
+	_ = control.SetWriteDeadline(time.Now().Add(s.cfg.WriteTimeout))
+	rp.w.WriteHeader(code)
+	_, err := rp.w.Write(res.head)
+	if res.whole {
+		if err != nil {
+			s.cfg.Log.V(1).Info("caller took no answer", "request", q.id, "error", err.Error())
+		}
+		_ = control.SetWriteDeadline(time.Time{})
+		return
+	}
+	t.stream(res, control, err)
+}
+
+// stream copies the rest of a long response. The caller's connection is aborted when the response is truncated, so
+// that the caller can't take a part for the whole.
+func (t *run) stream(res result, control *http.ResponseController, writeErr error) {
+	q := t.q
+	buf := make([]byte, 32<<10)
+	var readErr error
+	for writeErr == nil && readErr == nil {
+		var n int
+		n, readErr = res.resp.Body.Read(buf)
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(q.s.cfg.WriteTimeout))
+			_, writeErr = q.rp.w.Write(buf[:n])
+		}
+	}
+	if writeErr != nil && readErr == nil {
+		// The endpoint still runs the request; its permits go back when the response ended.
+		done := make(chan result, 1)
+		done <- res
+		t.detach(done, func() {})
+		panic(http.ErrAbortHandler)
+	}
+	_ = res.resp.Body.Close() // read to its end or unusable
+	if readErr != io.EOF {
+		res.err = readErr
+	}
+	t.report(res)
+	t.release()
+	if res.err != nil || writeErr != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = control.SetWriteDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/caller/fair.go
@@ -0,0 +1,160 @@
+package caller
+
+import "time"
+
+const (
+	// firstCost is the run time in seconds that a flow is charged before any of its requests ended.
+	firstCost = 0.05
+	// costSmoothing is the weight of the newest run time in the estimate.
+	costSmoothing = 0.2
+	// estimateGrants is the number of starts after which the pace of a flow is taken as known.
+	estimateGrants = 16
+)
+
+// poolQueue orders the requests that compete for the slots of one pool: urgent ones first, then by start-time fair
+// queueing between teams. The cost of a request is the slot time that it takes divided by the share of its team.
+type poolQueue struct {
+	name    string
+	waiting int
+	classes [2]class // urgent, others
+}
+
+// class holds the flows of one urgency and their virtual time.
+type class struct {
+	flows   map[string]*flow
+	virtual float64
+}
+
+// flow is the requests of one team in order of arrival.
+type flow struct {
+	team    string
+	weight  float64
+	list    []*waiter
+	start   float64 // virtual start time of the next request
+	cost    float64 // estimated run time in seconds
+	running int     // charged and not yet settled
+	blocked bool    // in the current pass
+
+	since  time.Time // start of the period for which pace is measured
+	grants int       // in that period
+}
+
+func newPoolQueue(name string) *poolQueue {
+	p := &poolQueue{name: name}
+	for k := range p.classes {
+		p.classes[k].flows = map[string]*flow{}
+	}
+	return p
+}
+
+// flow returns the flow of a team. One that was idle starts at the current virtual time and so gets no credit for it.
+func (p *poolQueue) flow(urgent bool, team string, weight float64, now time.Time) *flow {
+	c := &p.classes[1]
+	if urgent {
+		c = &p.classes[0]
+	}
+	f := c.flows[team]
+	if f == nil {
+		f = &flow{team: team, cost: firstCost}
+		c.flows[team] = f
+	}
+	f.weight = max(weight, 1)
+	if len(f.list) == 0 {
+		f.start = max(f.start, c.virtual)
+		f.since, f.grants = now, 0
+	}
+	return f
+}
+
+func (p *poolQueue) all() []*flow {
+	var list []*flow
+	for _, c := range p.classes {
+		for _, f := range c.flows {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// explain notes why no request of the pool starts.
+func (p *poolQueue) explain(why string) {
+	for _, f := range p.all() {
+		if f.blocked {
+			continue
+		}
+		for _, w := range f.list {
+			w.blocked = why
+		}
+	}
+}
+
+func (p *poolQueue) unblock() {
+	for _, c := range p.classes {
+		for _, f := range c.flows {
+			f.blocked = false
+		}
+	}
+}
+
+// next returns the flow whose turn it is, or nil.
+func (p *poolQueue) next() *flow {
+	for _, c := range p.classes {
+		var best *flow
+		for _, f := range c.flows {
+			if len(f.list) == 0 || f.blocked {
+				continue
+			}
+			if best == nil || f.start < best.start || f.start == best.start && f.team < best.team {
+				best = f
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// charge moves the virtual time to the flow's start and returns the estimated cost that the flow was charged.
+func (p *poolQueue) charge(f *flow, now time.Time) float64 {
+	for k := range p.classes {
+		if c := &p.classes[k]; c.flows[f.team] == f {
+			c.virtual = max(c.virtual, f.start)
+		}
+	}
+	f.start += f.cost / f.weight
+	f.running++
+	f.grants++
+	if f.grants >= 16*estimateGrants {
+		f.since = now.Add(-now.Sub(f.since) / 2)
+		f.grants /= 2
+	}
+	return f.cost
+}
+
+// settle replaces the charged estimate by the time that a request took, so that wrong estimates don't earn a team more
+// than its share.
+func (f *flow) settle(charged float64, took time.Duration) {
+	f.running--
+	f.start += (took.Seconds() - charged) / f.weight
+	f.cost += costSmoothing * (took.Seconds() - f.cost)
+}
+
+// estimate returns how long a request that joins the flow now would wait, or 0 while the pace is unknown.
+func (f *flow) estimate(now time.Time) time.Duration {
+	if len(f.list) == 0 || f.grants < estimateGrants {
+		return 0
+	}
+	return now.Sub(f.since) / time.Duration(f.grants) * time.Duration(len(f.list))
+}
+
+// prune drops idle flows that the virtual time has passed, which are the same as new ones.
+func (p *poolQueue) prune() {
+	for _, c := range p.classes {
+		for team, f := range c.flows {
+			if len(f.list) == 0 && f.running == 0 && f.start <= c.virtual {
+				delete(c.flows, team)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/request.go
@@ -0,0 +1,243 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/view"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+const (
+	// maxBuffer is the part of a request's body that is kept for retries.
+	maxBuffer = 1 << 20
+	// maxDeadline bounds the deadline that a caller may ask for.
+	maxDeadline = 24 * time.Hour
+	maxID       = 128
+	uuidV7      = 7
+	// urgentWait is the time within which work of urgent queues starts.
+	urgentWait = 3300 * time.Millisecond
+)
+
+// request is one admitted request of a caller.
+type request struct {
+	s          *Server
+	rp         *reply
+	in         *http.Request
+	id         string
+	queue      fleet.Queue
+	team       string
+	presented  string // key
+	path       string // escaped, without the prefix of the queue
+	idempotent bool
+	deadline   time.Time // zero without one
+	arrived    time.Time
+
+	body     []byte
+	stream   *streamedBody // nil when body is the whole
+	length   int64         // of the body, -1 when unknown
+	buffered int64         // bytes charged to the server
+
+	waited time.Duration
+	served time.Duration // by endpoints
+}
+
+// refusal is an error response before anything was sent.
+type refusal struct {
+	status          int
+	reason, message string
+}
+
+// parse authorises a request and reads its headers.
+func (s *Server) parse(rp *reply, r *http.Request, rest string) (*request, *refusal) {
+	q := &request{s: s, rp: rp, in: r, arrived: s.cfg.Now(), length: r.ContentLength}
+	escaped, path, _ := strings.Cut(rest, "/")
+	q.path = "/" + path
+	name, err := url.PathUnescape(escaped)
+	if err != nil {
+		return nil, &refusal{http.StatusBadRequest, "bad-path", err.Error()}
+	}
+	v, err := s.cfg.View()
+	if err != nil {
+		return nil, &refusal{http.StatusServiceUnavailable, "no-lease", err.Error()}
+	}
+	if header := r.Header.Get("Authorization"); header != "" {
+		var ok bool
+		if q.presented, ok = strings.CutPrefix(header, "Bearer "); !ok || q.presented == "" {
+			return nil, &refusal{http.StatusUnauthorized, "unauthorized", "Authorization must be Bearer <key>"}
+		}
+	}
+	if ref := q.authorize(v, name); ref != nil {
+		return nil, ref
+	}
+	s.stat.request(name)
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return nil, &refusal{http.StatusNotImplemented, "unsupported", "protocol changes are not supported"}
+	}
+	if ref := q.parseHeaders(r); ref != nil {
+		return nil, ref
+	}
+	rp.id = q.id
+	return q, nil
+}
+
+// authorize checks the key against the queue as the view has it; it is called again after the request waited, because
+// the key may be revoked or the queue changed meanwhile.
+func (q *request) authorize(v *view.View, name string) *refusal {
+	queue, ok := v.Queue(name)
+	if !ok {
+		return &refusal{http.StatusNotFound, "unknown-queue", "no such queue in the configuration"}
+	}
+	q.queue = queue
+	team, err := v.Authorize(queue, q.presented)
+	switch {
+	case errorx.IsOfType(err, view.ErrUnauthorized):
+		return &refusal{http.StatusUnauthorized, "unauthorized", err.Error()}
+	case err != nil:
+		return &refusal{http.StatusForbidden, "forbidden", err.Error()}
+	case q.team != "" && q.team != team:
+		return &refusal{http.StatusForbidden, "forbidden", "the team of the queue changed"}
+	}
+	q.team = team
+	return nil
+}
+
+func (q *request) parseHeaders(r *http.Request) *refusal {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		q.idempotent = true
+	}
+	if text := r.Header.Get(headerIdempotent); text != "" {
+		if text != "true" && text != "false" {
+			return &refusal{http.StatusBadRequest, "bad-idempotent", headerIdempotent + " must be true or false"}
+		}
+		q.idempotent = text == "true"
+	}
+	q.id = r.Header.Get(headerRequestID)
+	switch {
+	case len(q.id) > maxID || strings.ContainsFunc(q.id, func(c rune) bool { return c <= ' ' || c > '~' }):
+		q.id = ""
+		return &refusal{http.StatusBadRequest, "bad-request-id", "request identifiers have up to 128 visible characters"}
+	case !q.idempotent:
+		if id, err := uuid.Parse(q.id); err != nil || id.Version() != uuidV7 || len(q.id) != 36 {
+			return &refusal{
+				http.StatusBadRequest, "bad-request-id",
+				"a request that is not idempotent needs a UUIDv7 in " + headerRequestID,
+			}
+		}
+		q.id = strings.ToLower(q.id)
+	case q.id == "":
+		id, err := uuid.NewV7()
+		if err != nil {
+			return &refusal{http.StatusServiceUnavailable, "internal", err.Error()}
+		}
+		q.id = id.String()
+	}
+	if text := r.Header.Get(headerDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+			return &refusal{http.StatusBadRequest, "bad-deadline", headerDeadline + " must be between 1 and 86400000"}
+		}
+		q.deadline = q.arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return nil
+}
+
+// maxWait returns the time that the request may wait for permits.
+func (q *request) maxWait() time.Duration {
+	wait := q.queue.MaxWait.Std()
+	if q.queue.Urgent {
+		wait = min(wait, urgentWait)
+	}
+	return wait
+}
+
+// readBody buffers the body for retries; what is longer than the buffer is streamed later.
+func (q *request) readBody(w http.ResponseWriter) *refusal {
+	s, r := q.s, q.in
+	if r.ContentLength > s.cfg.MaxBody {
+		return &refusal{http.StatusRequestEntityTooLarge, "body-too-large", "the body is longer than allowed"}
+	}
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		q.length = 0
+		return nil
+	}
+	reserve := int64(maxBuffer)
+	if r.ContentLength > 0 {
+		reserve = min(reserve, r.ContentLength)
+	}
+	if s.buffered.Add(reserve) > s.cfg.MaxBuffered {
+		s.buffered.Add(-reserve)
+		return &refusal{http.StatusServiceUnavailable, "overloaded", "too many bodies are buffered in this process"}
+	}
+	q.buffered = reserve
+	control := http.NewResponseController(w)
+	// Writers without deadlines, as in tests, are bounded by the request's context only.
+	_ = control.SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBuffer+1))
+	if err != nil {
+		return &refusal{http.StatusRequestTimeout, "body-incomplete", "read body: " + err.Error()}
+	}
+	q.body = body
+	if len(body) <= maxBuffer {
+		q.length = int64(len(body))
+		_ = control.SetReadDeadline(time.Time{})
+		return nil
+	}
+	_ = control.SetReadDeadline(time.Now().Add(q.maxWait() + q.queue.MaxRun.Std()))
+	q.stream = &streamedBody{r: r.Body, left: s.cfg.MaxBody - int64(len(body))}
+	return nil
+}
+
+func (q *request) releaseBody() { q.s.buffered.Add(-q.buffered) }
+
+var errBodyTooLarge = errors.New("body is longer than allowed")
+
+// streamedBody is the part of a body beyond the buffer; it notes faults of the caller.
+type streamedBody struct {
+	r       io.Reader
+	left    int64
+	started atomic.Bool
+	fault   atomic.Pointer[error]
+}
+
+// Read reads from the caller.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	b.started.Store(true)
+	n, err := b.r.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		n, err = 0, errBodyTooLarge
+	}
+	if err != nil && err != io.EOF {
+		b.fault.Store(&err)
+	}
+	return n, err
+}
+
+// waitContext bounds waiting by the deadline and the queue's maximum wait.
+func (q *request) waitContext() (context.Context, context.CancelFunc) {
+	end := q.s.cfg.Now().Add(q.maxWait())
+	if !q.deadline.IsZero() && q.deadline.Before(end) {
+		end = q.deadline
+	}
+	return context.WithDeadline(q.in.Context(), end)
+}
+
+// callerContext ends when the caller's deadline passes or the caller is gone.
+func (q *request) callerContext() (context.Context, context.CancelFunc) {
+	if q.deadline.IsZero() {
+		return context.WithCancel(q.in.Context())
+	}
+	return context.WithDeadline(q.in.Context(), q.deadline)
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,271 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/view"
+)
+
+// Namespace is the errorx namespace of this package.
+var Namespace = errorx.NewNamespace("caller")
+
+// ClaimOutcome is the answer to a claim of a request identifier.
+type ClaimOutcome int
+
+const (
+	// ClaimNotWon means that the claim was certainly not won, and no other is known.
+	ClaimNotWon ClaimOutcome = iota
+	// ClaimWon means that this process alone may send the request.
+	ClaimWon
+	// ClaimDuplicate means that another sending of the request holds the claim.
+	ClaimDuplicate
+	// ClaimExpired means that the identifier is older than the record reaches.
+	ClaimExpired
+)
+
+// Claim is the result of claiming a request identifier.
+type Claim struct {
+	// Outcome says who holds the claim.
+	Outcome ClaimOutcome
+	// Release gives the claim back; it is called only when certainly no byte was sent. It may be nil.
+	Release func(ctx context.Context)
+}
+
+// Event is an entry for the timeline.
+type Event struct {
+	// Kind is in kebab case.
+	Kind string
+	// Request, Instance and Team say what the event concerns; each may be empty.
+	Request, Instance, Team string
+	// Text is for people.
+	Text string
+}
+
+// Config holds the settings of a server for callers.
+type Config struct {
+	// View returns the control state; its error means that there is no lease.
+	View func() (*view.View, error)
+	// Registry selects endpoints.
+	Registry *endpoint.Registry
+	// Dispatcher sends attempts.
+	Dispatcher *endpoint.Dispatcher
+	// TryAcquire takes a permit of a quota resource such as team/<name>.
+	TryAcquire func(resource string) (release func(), ok bool)
+	// SetDemand reports how many permits of a resource this process could use; it may be nil.
+	SetDemand func(resource string, n int)
+	// Changed returns a channel that is closed when an allocation grew; it may be nil.
+	Changed func() <-chan struct{}
+	// Claim claims a request identifier of a team at the voters.
+	Claim func(ctx context.Context, team, requestID string) (Claim, error)
+	// SubmitJob, GetJob and CancelJob serve the job paths; the job identifier is the path value "id".
+	SubmitJob, GetJob, CancelJob http.HandlerFunc
+	// Record adds to the timeline; it may be nil.
+	Record func(e Event)
+
+	// MaxBody bounds the body of a request in bytes; 0 uses 64 MiB.
+	MaxBody int64
+	// MaxBuffered bounds the bodies buffered at once over all requests in bytes; 0 uses 64 MiB.
+	MaxBuffered int64
+	// MaxRequests bounds the requests in the process, waiting ones included; 0 uses 4,096.
+	MaxRequests int
+	// MaxConnections bounds the connections of callers; 0 uses 8,192.
+	MaxConnections int
+	// BodyTimeout bounds the time to read the buffered part of a body; 0 uses 30 s.
+	BodyTimeout time.Duration
+	// HeaderTimeout bounds the time to read a header; 0 uses 5 s.
+	HeaderTimeout time.Duration
+	// WriteTimeout bounds the time for which a caller takes no byte of the answer; 0 uses 30 s.
+	WriteTimeout time.Duration
+	// StopDelay is the time for which a stopping server still accepts work; 0 uses 5 s.
+	StopDelay time.Duration
+	// Now returns the time; nil uses time.Now.
+	Now func() time.Time
+	// Metrics receives counters, gauges and histograms; nil uses a set of its own.
+	Metrics *metrics.Set
+	// Log receives faults of requests.
+	Log logr.Logger
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.MaxBody, 64<<20)
+	setDefault(&c.MaxBuffered, 64<<20)
+	setDefault(&c.MaxRequests, 4096)
+	setDefault(&c.MaxConnections, 8192)
+	setDefault(&c.BodyTimeout, 30*time.Second)
+	setDefault(&c.HeaderTimeout, 5*time.Second)
+	setDefault(&c.WriteTimeout, 30*time.Second)
+	setDefault(&c.StopDelay, 5*time.Second)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Record == nil {
+		c.Record = func(Event) {}
+	}
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// Server serves callers; it is safe for concurrent use.
+type Server struct {
+	cfg    Config
+	stat   statistics
+	sched  *scheduler
+	budget *budget
+	server *http.Server
+
+	stopping atomic.Bool  // the readiness check fails
+	refusing atomic.Bool  // new work is rejected
+	buffered atomic.Int64 // bytes of buffered bodies
+
+	mu     sync.Mutex
+	active int // requests in handlers, and attempts that go on without their caller
+	idle   chan struct{}
+}
+
+// New builds a server; Stop ends its background work.
+func New(cfg Config) *Server {
+	cfg.setDefaults()
+	s := &Server{cfg: cfg, budget: newBudget(), idle: make(chan struct{}, 1)}
+	s.stat = newStatistics(cfg.Metrics)
+	s.sched = newScheduler(schedulerConfig{
+		view: cfg.View, pick: cfg.Registry.Pick, demand: cfg.Registry.Demand, endpoints: cfg.Registry.Changed,
+		tryAcquire: cfg.TryAcquire, setDemand: cfg.SetDemand, changed: cfg.Changed, now: cfg.Now, metrics: cfg.Metrics,
+		violation: s.violation,
+	})
+	s.server = &http.Server{
+		Handler: s, ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	return s
+}
+
+const (
+	// idleTimeout is longer than the usual idle timeouts of load balancers, so that they close first.
+	idleTimeout = 75 * time.Second
+	// maxHeader bounds the header of a request in bytes; net/http adds 4 KiB.
+	maxHeader = 32 << 10
+	maxJob    = 1 << 20
+)
+
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	path := r.URL.EscapedPath()
+	switch path {
+	case "/-/ready":
+		s.serveReady(w)
+		return
+	case "/-/live":
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	rp := &reply{s: s, w: w}
+	if !s.begin() {
+		rp.reject(http.StatusServiceUnavailable, outcomeNotRun, "overloaded", "too many requests in this process")
+		return
+	}
+	defer s.end()
+	if s.refusing.Load() {
+		rp.reject(http.StatusServiceUnavailable, outcomeNotRun, "stopping", "this process is stopping")
+		return
+	}
+	switch rest, ok := strings.CutPrefix(path, "/queues/"); {
+	case ok:
+		s.serveQueue(rp, r, rest)
+	case path == "/jobs" || strings.HasPrefix(path, "/jobs/"):
+		s.serveJob(rp, r)
+	default:
+		rp.reject(http.StatusNotFound, outcomeNotRun, "unknown-path", "paths are /queues/<queue>/<rest> and /jobs")
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter) {
+	if _, err := s.cfg.View(); err != nil || s.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveJob(rp *reply, r *http.Request) {
+	id := strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, "/jobs"), "/")
+	var h http.HandlerFunc
+	switch {
+	case id == "" && r.Method == http.MethodPost:
+		h = s.cfg.SubmitJob
+	case id != "" && r.Method == http.MethodGet:
+		h = s.cfg.GetJob
+	case id != "" && r.Method == http.MethodDelete:
+		h = s.cfg.CancelJob
+	default:
+		rp.reject(http.StatusMethodNotAllowed, outcomeNotRun, "bad-method", "use POST /jobs, GET or DELETE /jobs/<id>")
+		return
+	}
+	if h == nil {
+		rp.reject(http.StatusNotImplemented, outcomeNotRun, "no-jobs", "this process takes no jobs")
+		return
+	}
+	if _, err := s.cfg.View(); err != nil {
+		rp.rejectNoLease(err)
+		return
+	}
+	r.SetPathValue("id", id)
+	r.Body = http.MaxBytesReader(rp.w, r.Body, maxJob)
+	rp.done = true // the job package answers
+	h(rp.w, r)
+}
+
+// begin counts a request; it fails when there are too many.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active >= s.cfg.MaxRequests {
+		return false
+	}
+	s.active++
+	return true
+}
+
+// more counts an attempt that goes on without its caller; it is called while the request is still counted.
+func (s *Server) more() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active++
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	if s.active == 0 {
+		select {
+		case s.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// violation reports an invariant that does not hold.
+func (s *Server) violation(name, text string) {
+	s.stat.violations.Inc()
+	s.cfg.Log.Error(errorx.AssertionFailed.New("%s", text), "invariant violated", "invariant", name)
+}
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -11,8 +11,9 @@
 	"github.com/joomcode/errorx"
 )
 
-// attempt decides between the first write to a connection and the conclusion that nothing was written.
-type attempt struct{ state atomic.Int32 }
+// Attempt decides between the first write to a connection and the conclusion that nothing was written. Its zero value
+// is an attempt that has not started.
+type Attempt struct{ state atomic.Int32 }
 
 const (
 	attemptOpen = iota
@@ -21,13 +22,13 @@
 )
 
 // write reports whether a byte may be written for the attempt.
-func (a *attempt) write() bool {
+func (a *Attempt) write() bool {
 	return a.state.CompareAndSwap(attemptOpen, attemptWritten) || a.state.Load() == attemptWritten
 }
 
-// seal forbids a first write from now on and reports the state. It settles the race with a transport goroutine that
-// is about to write when the attempt ends, for instance at its deadline.
-func (a *attempt) seal() SendState {
+// Seal forbids a first write from now on and reports the state. It settles the race with a transport goroutine that
+// is about to write when the attempt ends, for instance at its deadline. After MaybeSent the attempt goes on.
+func (a *Attempt) Seal() SendState {
 	if a.state.CompareAndSwap(attemptOpen, attemptSealed) || a.state.Load() == attemptSealed {
 		return NotSent
 	}
@@ -37,7 +38,7 @@
 // conn is a connection to an endpoint that belongs to one attempt at a time.
 type conn struct {
 	net.Conn
-	attempt atomic.Pointer[attempt]
+	attempt atomic.Pointer[Attempt]
 	once    sync.Once
 	closed  func()
 }
--- a/internal/endpoint/dispatch.go
+++ b/internal/endpoint/dispatch.go
@@ -117,7 +117,13 @@
 // of its own unless the context was marked by WithIdempotent, because the HTTP transport silently repeats some
 // requests on a reused connection.
 func (d *Dispatcher) Do(ctx context.Context, t *Target, req *http.Request) (*http.Response, SendState, error) {
-	a := &attempt{}
+	return d.DoAttempt(ctx, &Attempt{}, t, req)
+}
+
+// DoAttempt is Do for an attempt that another goroutine may seal meanwhile.
+func (d *Dispatcher) DoAttempt(
+	ctx context.Context, a *Attempt, t *Target, req *http.Request,
+) (*http.Response, SendState, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			c.attempt.Store(a)
@@ -132,7 +138,7 @@
 	req.URL.Scheme, req.URL.Host = "http", l.address
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, a.seal(), errorx.Decorate(err, "send to instance %s", t.instance)
+		return nil, a.Seal(), errorx.Decorate(err, "send to instance %s", t.instance)
 	}
 	if err := checkFraming(resp); err != nil {
 		_ = resp.Body.Close() // the response is unusable anyway
--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+)
+
+// retryDelay is the time before an announcement that failed is sent to the next listener.
+const retryDelay = 100 * time.Millisecond
+
+// Announce sends one announcement to the i-th announcement listener and returns the time until the next.
+func (e *Endpoint) Announce(ctx context.Context, i int) (time.Duration, error) {
+	a := endpoint.Announcement{
+		Instance: e.cfg.Instance, Address: e.cfg.Address, Incarnation: e.incarnation,
+		Sequence: e.sequence.Add(1), State: "ready", Running: int(e.running.Load()),
+	}
+	if e.leaving.Load() {
+		a.State = "leaving"
+	}
+	body, err := json.Marshal(a)
+	if err != nil {
+		return 0, errorx.Decorate(err, "encode announcement")
+	}
+	url := e.cfg.Announce[i%len(e.cfg.Announce)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, errorx.Decorate(err, "build announcement")
+	}
+	if e.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+e.cfg.Key)
+	}
+	resp, err := e.cfg.Client.Do(req)
+	if err != nil {
+		return 0, errorx.Decorate(err, "send announcement")
+	}
+	defer resp.Body.Close() //nolint:errcheck // nothing is left to read
+	if resp.StatusCode != http.StatusOK {
+		return 0, errorx.ExternalError.New("announcement was refused with status %d", resp.StatusCode)
+	}
+	var answer endpoint.Answer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return 0, errorx.Decorate(err, "decode answer to announcement")
+	}
+	return time.Duration(answer.NextMs) * time.Millisecond, nil
+}
+
+// Run announces the endpoint until the context ends or the endpoint leaves. After a failure it turns to the next
+// announcement listener.
+func (e *Endpoint) Run(ctx context.Context) {
+	for i := 0; !e.leaving.Load(); {
+		wait, err := e.Announce(ctx, i)
+		if err != nil {
+			i++
+			wait = retryDelay
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Leave announces that the endpoint takes no more work, until a listener accepted it.
+func (e *Endpoint) Leave(ctx context.Context) error {
+	e.leaving.Store(true)
+	for i := 0; ; i++ {
+		_, err := e.Announce(ctx, i)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(retryDelay):
+		case <-ctx.Done():
+			return errorx.Decorate(err, "announce that the endpoint is leaving")
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/behavior.go
@@ -0,0 +1,152 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Behavior says how the endpoint answers. The fields are query parameters of a request too, in kebab case.
+type Behavior struct {
+	// Size is the length of the answer in bytes.
+	Size int
+	// Status is the status of the answer; 0 is 200.
+	Status int
+	// Delay is the time before the answer. It is kept when the client is gone, which makes the answer late.
+	Delay time.Duration
+	// Cut closes the connection after n-1 bytes of the body were written; 0 writes the whole body.
+	Cut int
+	// Reset resets the connection "before" or "after" the body of the request was read.
+	Reset string
+	// Framing is "length", "chunked" or "close"; empty is "length".
+	Framing string
+	// Trickle is the number of bytes between pauses of 1 ms in the body; 0 writes it without a pause.
+	Trickle int
+	// Identify adds the request identifier to the header of the answer.
+	Identify bool
+}
+
+func (b Behavior) override(query url.Values) (Behavior, error) {
+	var err error
+	number := func(name string, p *int) {
+		if text := query.Get(name); text != "" && err == nil {
+			*p, err = strconv.Atoi(text)
+			if err == nil && *p < 0 {
+				err = errorx.IllegalArgument.New("%s must not be negative", name)
+			}
+		}
+	}
+	number("size", &b.Size)
+	number("status", &b.Status)
+	number("cut", &b.Cut)
+	number("trickle", &b.Trickle)
+	if text := query.Get("delay"); text != "" && err == nil {
+		b.Delay, err = time.ParseDuration(text)
+	}
+	if text := query.Get("reset"); text != "" {
+		b.Reset = text
+	}
+	if text := query.Get("framing"); text != "" {
+		b.Framing = text
+	}
+	return b, err
+}
+
+func (b Behavior) answer(w http.ResponseWriter, r *http.Request, id string) {
+	if b.Reset == "before" {
+		reset(w)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if b.Reset != "" {
+		reset(w)
+		return
+	}
+	time.Sleep(b.Delay)
+	status := b.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	if b.Identify {
+		w.Header().Set("Hibiscusroute-Request-Id", id)
+	}
+	body := Content(id, b.Size)
+	if b.Cut > 0 || b.Framing == "close" {
+		b.raw(w, status, body)
+		return
+	}
+	if b.Framing != "chunked" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	if b.Framing == "chunked" {
+		_ = http.NewResponseController(w).Flush() // makes the server choose chunked framing
+	}
+	_ = b.write(w, body) // a client that is gone takes no answer
+}
+
+func (b Behavior) write(w io.Writer, body []byte) error {
+	for step := b.Trickle; step > 0 && len(body) > step; body = body[step:] {
+		if _, err := w.Write(body[:step]); err != nil {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_, err := w.Write(body)
+	return err
+}
+
+// raw writes an answer that net/http refuses to write.
+func (b Behavior) raw(w http.ResponseWriter, status int, body []byte) {
+	c, out, ok := hijack(w)
+	if !ok {
+		return
+	}
+	defer c.Close() //nolint:errcheck // a broken connection is what the request asked for
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	part := body
+	if b.Cut > 0 {
+		part = body[:min(b.Cut-1, len(body))]
+	}
+	switch b.Framing {
+	case "close":
+		head += "Connection: close\r\n"
+	case "chunked":
+		head += "Transfer-Encoding: chunked\r\n"
+		if len(part) > 0 {
+			part = fmt.Appendf(nil, "%x\r\n%s\r\n", len(part), part)
+		}
+	default:
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	if _, err := out.WriteString(head + "\r\n"); err != nil {
+		return
+	}
+	_ = b.write(out, part) // a client that is gone takes no answer
+	_ = out.Flush()
+}
+
+func hijack(w http.ResponseWriter) (net.Conn, *bufio.ReadWriter, bool) {
+	c, rw, err := http.NewResponseController(w).Hijack()
+	return c, rw, err == nil
+}
+
+func reset(w http.ResponseWriter) {
+	c, _, ok := hijack(w)
+	if !ok {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // makes Close send a reset
+	}
+	_ = c.Close() // a broken connection is what the request asked for
+}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -1,62 +1,73 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"net"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
-
-	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
 )
 
 // Config holds the settings of a stand-in endpoint.
 type Config struct {
 	// Instance is the name under which the endpoint announces itself.
 	Instance string
-	// Address is the host:port under which Handler is served.
+	// Address is the host:port under which the endpoint is served.
 	Address string
 	// Announce lists the URLs of announcement listeners, such as http://127.0.0.1:7002/announce.
 	Announce []string
 	// Key is the bearer key for announcements.
 	Key string
-	// Size is the length of an answer in bytes when the request doesn't give one.
-	Size int
-	// Client sends announcements; nil uses http.DefaultClient.
+	// Behavior is what the endpoint does unless the query of a request says otherwise.
+	Behavior Behavior
+	// Client sends announcements; nil uses a client with a timeout of 2 s.
 	Client *http.Client
 	// Now returns the time; nil uses time.Now.
 	Now func() time.Time
 }
 
-// Endpoint is a stand-in endpoint.
+// Endpoint is a stand-in endpoint; it is safe for concurrent use.
 type Endpoint struct {
 	cfg         Config
 	incarnation uint64
-	sequence    atomic.Uint64
+	server      *http.Server
 	running     atomic.Int64
+	sequence    atomic.Uint64
 	leaving     atomic.Bool
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu       sync.Mutex
+	behavior Behavior
+	runs     map[string]int
+	most     int
 }
 
 // New builds a stand-in endpoint.
 func New(cfg Config) *Endpoint {
 	if cfg.Client == nil {
-		cfg.Client = http.DefaultClient
+		cfg.Client = &http.Client{Timeout: 2 * time.Second}
 	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Endpoint{cfg: cfg, incarnation: uint64(cfg.Now().UnixNano()), runs: map[string]int{}}
+	e := &Endpoint{
+		cfg: cfg, incarnation: uint64(cfg.Now().UnixNano()), behavior: cfg.Behavior, runs: map[string]int{},
+	}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	return e
 }
 
-// Runs returns how often each request identifier ran.
+// SetBehavior replaces what the endpoint does by default.
+func (e *Endpoint) SetBehavior(b Behavior) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.behavior = b
+}
+
+// Runs returns how often each request identifier arrived, whatever became of it.
 func (e *Endpoint) Runs() map[string]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -67,56 +78,65 @@
 	return runs
 }
 
-// ServeHTTP answers one request with a whole response.
+// MostRunning returns the largest number of requests that ran at once.
+func (e *Endpoint) MostRunning() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.most
+}
+
+// Content returns the body of a whole answer to a request: its identifier, repeated up to the size.
+func Content(id string, size int) []byte {
+	if id == "" {
+		id = "none"
+	}
+	return []byte(strings.Repeat(id+"\n", size/(len(id)+1)+1)[:size])
+}
+
+// ServeHTTP answers one request as its query or the default behavior says.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.running.Add(1)
+	n := int(e.running.Add(1))
 	defer e.running.Add(-1)
 	id := r.Header.Get("Hibiscusroute-Request-Id")
 	e.mu.Lock()
 	e.runs[id]++
+	e.most = max(e.most, n)
+	b := e.behavior
 	e.mu.Unlock()
-	size := e.cfg.Size
-	if n, err := strconv.Atoi(r.URL.Query().Get("size")); err == nil && n >= 0 {
-		size = n
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(size))
-	if _, err := w.Write(bytes.Repeat([]byte{'a'}, size)); err != nil {
+	b, err := b.override(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	b.answer(w, r, id)
 }
 
-// Announce sends one announcement to the i-th announcement listener and returns the time until the next.
-func (e *Endpoint) Announce(ctx context.Context, i int) (time.Duration, error) {
-	state := "ready"
-	if e.leaving.Load() {
-		state = "leaving"
-	}
-	body, err := json.Marshal(endpoint.Announcement{
-		Instance: e.cfg.Instance, Address: e.cfg.Address, Incarnation: e.incarnation,
-		Sequence: e.sequence.Add(1), State: state, Running: int(e.running.Load()),
-	})
-	if err != nil {
-		return 0, errorx.Decorate(err, "encode announcement")
+// Serve takes requests on the listener until Stop.
+func (e *Endpoint) Serve(l net.Listener) error {
+	if err := e.server.Serve(l); err != http.ErrServerClosed {
+		return errorx.Decorate(err, "serve stand-in endpoint")
 	}
-	url := e.cfg.Announce[i%len(e.cfg.Announce)]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, errorx.Decorate(err, "build announcement")
-	}
-	if e.cfg.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+e.cfg.Key)
-	}
-	resp, err := e.cfg.Client.Do(req)
-	if err != nil {
-		return 0, errorx.Decorate(err, "send announcement")
+	return nil
+}
+
+// Stop announces that the endpoint is leaving, waits until no request arrived for the grace period and closes.
+func (e *Endpoint) Stop(ctx context.Context, grace time.Duration) error {
+	if err := e.Leave(ctx); err != nil {
+		return err
 	}
-	defer resp.Body.Close() //nolint:errcheck // nothing is left to read
-	if resp.StatusCode != http.StatusOK {
-		return 0, errorx.ExternalError.New("announcement was refused with status %d", resp.StatusCode)
+	for quiet := time.Duration(0); quiet < grace; {
+		const step = 10 * time.Millisecond
+		select {
+		case <-time.After(step):
+		case <-ctx.Done():
+			return errorx.Decorate(ctx.Err(), "stop with %d requests in progress", e.running.Load())
+		}
+		if quiet += step; e.running.Load() > 0 {
+			quiet = 0
+		}
 	}
-	var answer endpoint.Answer
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return 0, errorx.Decorate(err, "decode answer to announcement")
+	if err := e.server.Shutdown(ctx); err != nil {
+		return errorx.Decorate(err, "close stand-in endpoint")
 	}
-	return time.Duration(answer.NextMs) * time.Millisecond, nil
+	return nil
 }
