--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -32,6 +32,9 @@
 	lose    func() bool                     // nil: no answer is lost
 	stuck   bool                            // checkpoints get no answer
 	preempt int                             // checkpoints, throttles and stops of running tasks
+	moves   int                             // starts in another place than before
+	last    map[string]string               // last place by job
+	begun   map[string]time.Duration        // first start by job
 }
 
 type task struct {
@@ -44,7 +47,8 @@
 func newWorld(tb kerneltest.TB, shape kerneltest.Shape) *world {
 	w := &world{
 		tb: tb, tasks: map[string]*task{}, ended: map[job.TaskRef]jobpb.Outcome{}, starts: map[string]int{},
-		run: map[string]time.Duration{}, dead: map[string]bool{},
+		run: map[string]time.Duration{}, dead: map[string]bool{}, last: map[string]string{},
+		begun: map[string]time.Duration{},
 	}
 	w.Run = kerneltest.New(tb, nil)
 	w.Act = w.act
@@ -86,6 +90,7 @@
 			w.answer(ref, o, false)
 		} else if !w.stuck && !w.dead[t.instance] {
 			w.preempt++
+			w.run[ref.Job] = t.end - w.Now
 			w.finish(ref, jobpb.Outcome_OUTCOME_CHECKPOINTED)
 			w.answer(ref, jobpb.Outcome_OUTCOME_CHECKPOINTED, false)
 		}
@@ -130,7 +135,12 @@
 		w.answer(ref, jobpb.Outcome_OUTCOME_REFUSED, false)
 		return
 	}
-	w.starts[a.Job]++
+	if w.starts[a.Job]++; w.starts[a.Job] == 1 {
+		w.begun[a.Job] = w.Now
+	} else if w.last[a.Job] != a.Instance {
+		w.moves++
+	}
+	w.last[a.Job] = a.Instance
 	if w.fails != nil && w.fails(a.Job, a.Instance) {
 		w.finish(ref, jobpb.Outcome_OUTCOME_FAILED)
 		w.answer(ref, jobpb.Outcome_OUTCOME_FAILED, false)
@@ -192,8 +202,10 @@
 	return job.Key(m.Team, m.Id)
 }
 
-func (w *world) jobs() []*jobpb.Job {
-	q, err := job.TeamQuery("")
+func (w *world) jobs() []*jobpb.Job { return w.list(false) }
+
+func (w *world) list(live bool) []*jobpb.Job {
+	q, err := job.TeamQuery("", live)
 	if err != nil {
 		w.tb.Fatalf("encode query: %v", err)
 	}
--- a/internal/job/plugin.go
+++ b/internal/job/plugin.go
@@ -103,8 +103,11 @@
 	return proto.Marshal(&jobpb.Query{Key: Key(team, id)})
 }
 
-// TeamQuery returns the query for all jobs of a team, or of everyone when the team is empty.
-func TeamQuery(team string) ([]byte, error) { return proto.Marshal(&jobpb.Query{Team: team}) }
+// TeamQuery returns the query for all jobs of a team, or of everyone when the team is empty; with live it leaves out
+// those that have ended.
+func TeamQuery(team string, live bool) ([]byte, error) {
+	return proto.Marshal(&jobpb.Query{Team: team, Live: live})
+}
 
 // DecodeJob returns the job that a submission, a cancellation or a Query answered, without its payload.
 func DecodeJob(body []byte) (*jobpb.Job, error) {
@@ -175,7 +178,7 @@
 	}
 	list := &jobpb.Jobs{}
 	for _, j := range s.jobs {
-		if m.Team == "" || j.Submit.Team == m.Team {
+		if (m.Team == "" || j.Submit.Team == m.Team) && (!m.Live || !over(j)) {
 			list.Jobs = append(list.Jobs, withoutPayload(j))
 		}
 	}
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -35,6 +35,9 @@
 	// latter.
 	agedGrant    = 10 * time.Minute
 	preemptGrant = 30 * time.Second
+	// urgentHold is how long urgent work waits for others to end before it preempts; checkpoint, throttle and stop take
+	// 2 s more before the last one is tried, which leaves 0.7 s of the 3.3 s for calls.
+	urgentHold = 600 * time.Millisecond
 	// endsSoon is the expected time to the end below which waiting is cheaper than preempting.
 	endsSoon = 5 * time.Second
 )
@@ -127,7 +130,7 @@
 	r := &round{
 		decision: d, pool: pool, at: map[string]int{}, teams: map[string]*teamRound{},
 		spread: map[string]*placement.Spread{}, preempted: map[string]struct{}{},
-		gap:  min(0.3, max(0.02, 0.05*cost)),
+		gap:  min(0.3, max(0.04, 0.05*cost)),
 		hold: min(30*time.Second, max(2*time.Second, time.Duration(float64(5*time.Second)*cost))),
 	}
 	for _, in := range s.poolMembers(pool) {
@@ -260,7 +263,10 @@
 	}
 	r.startGranted(grantedUrgent)
 	for _, j := range r.fill(urgent) {
-		r.makeRoom(j, true)
+		if r.now >= s.soft.since[j.Key]+urgentHold {
+			r.makeRoom(j, true)
+		}
+		s.dirty[r.pool] = struct{}{} // looks again at the next tick
 	}
 	r.startGranted(grantedNormal)
 	blocked := r.fill(normal)
--- /dev/null
+++ b/internal/platform/message.go
@@ -0,0 +1,102 @@
+package platform
+
+import "github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+
+// Task states of the protocol.
+const (
+	Running      = "running"
+	Finished     = "finished"
+	Failed       = "failed"
+	Checkpointed = "checkpointed"
+	Stopped      = "stopped"
+	Refused      = "refused"
+	Lost         = "lost"
+)
+
+// StartRequest is the body of a start.
+type StartRequest struct {
+	Job             string `json:"job"`
+	Epoch           uint64 `json:"epoch"`
+	Instance        string `json:"instance"`
+	InstanceEpoch   uint64 `json:"instance-epoch"`
+	MilliProcessors int64  `json:"milli-processors"`
+	MemoryMiB       int64  `json:"memory-mib"`
+	Accelerators    int64  `json:"accelerators"`
+	Payload         []byte `json:"payload"`
+	FromCheckpoint  bool   `json:"from-checkpoint"`
+}
+
+// TaskRequest is the body of a checkpoint, a throttle or a stop; On is used by throttles only.
+type TaskRequest struct {
+	Job   string `json:"job"`
+	Epoch uint64 `json:"epoch"`
+	On    bool   `json:"on"`
+}
+
+// Task is a task as the platform reports it.
+type Task struct {
+	Job       string `json:"job"`
+	Epoch     uint64 `json:"epoch"`
+	State     string `json:"state"`
+	Throttled bool   `json:"throttled"`
+	Reason    string `json:"reason"`
+}
+
+// Tasks is the answer to a list of tasks.
+type Tasks struct {
+	Tasks []Task `json:"tasks"`
+}
+
+// InstanceRequest is the body of a drain, a reboot or a resume.
+type InstanceRequest struct {
+	Instance string `json:"instance"`
+	Epoch    uint64 `json:"epoch"`
+}
+
+// Instance is an instance as the platform reports it.
+type Instance struct {
+	Instance string `json:"instance"`
+	Healthy  bool   `json:"healthy"`
+	Epoch    uint64 `json:"epoch"`
+	Drained  bool   `json:"drained"`
+	Booted   bool   `json:"booted"`
+}
+
+// Instances is the answer to a list of instances.
+type Instances struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Sample is a usage sample of a task.
+type Sample struct {
+	Job             string `json:"job"`
+	Epoch           uint64 `json:"epoch"`
+	MilliProcessors int64  `json:"milli-processors"`
+	MemoryMiB       int64  `json:"memory-mib"`
+	Accelerators    int64  `json:"accelerators"`
+	RanMs           int64  `json:"ran-ms"`
+}
+
+// Usage is the answer to a query for usage.
+type Usage struct {
+	Samples []Sample `json:"samples"`
+}
+
+// outcome translates a task state.
+func outcome(state string) jobpb.Outcome {
+	switch state {
+	case Running:
+		return jobpb.Outcome_OUTCOME_RUNNING
+	case Finished:
+		return jobpb.Outcome_OUTCOME_FINISHED
+	case Failed:
+		return jobpb.Outcome_OUTCOME_FAILED
+	case Checkpointed:
+		return jobpb.Outcome_OUTCOME_CHECKPOINTED
+	case Stopped, Lost: // both mean that the task ended without an outcome
+		return jobpb.Outcome_OUTCOME_STOPPED
+	case Refused:
+		return jobpb.Outcome_OUTCOME_REFUSED
+	}
+	return jobpb.Outcome_OUTCOME_UNKNOWN
+}
--- /dev/null
+++ b/internal/platform/platformtest/platform.go
@@ -0,0 +1,288 @@
+package platformtest
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/platform"
+)
+
+// Config holds the settings of a stand-in.
+type Config struct {
+	// Instances are the names of the workers.
+	Instances []string
+	// Now is the clock; nil uses the real one.
+	Now func() time.Time
+	// Run returns how long a task runs; nil is 1 s.
+	Run func(m platform.StartRequest) time.Duration
+	// Boot is how long a reboot takes; 0 is 1 s.
+	Boot time.Duration
+	// UsageDelay is how late usage samples are.
+	UsageDelay time.Duration
+	// LoseAnswer is asked after each call took effect; true aborts the connection without an answer. It may be nil.
+	LoseAnswer func(path string) bool
+}
+
+// Platform is the stand-in; it is safe for concurrent use.
+type Platform struct {
+	cfg Config
+
+	mu        sync.Mutex
+	tasks     map[ref]*task
+	highest   map[string]uint64
+	instances map[string]*instance
+	starts    map[string]int
+}
+
+type ref struct {
+	job   string
+	epoch uint64
+}
+
+type task struct {
+	platform.Task
+	request platform.StartRequest
+	began   time.Time
+	end     time.Time
+}
+
+type instance struct {
+	platform.Instance
+	draining, failing, lost, stuck bool
+	back                           time.Time
+}
+
+// New returns a stand-in with all instances healthy.
+func New(cfg Config) *Platform {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Run == nil {
+		cfg.Run = func(platform.StartRequest) time.Duration { return time.Second }
+	}
+	if cfg.Boot == 0 {
+		cfg.Boot = time.Second
+	}
+	p := &Platform{
+		cfg: cfg, tasks: map[ref]*task{}, highest: map[string]uint64{}, instances: map[string]*instance{},
+		starts: map[string]int{},
+	}
+	for _, name := range cfg.Instances {
+		p.instances[name] = &instance{Instance: platform.Instance{Instance: name, Healthy: true}}
+	}
+	return p
+}
+
+// FailTasks makes every task that starts on the instance fail, or ends that.
+func (p *Platform) FailTasks(name string, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[name].failing = on
+}
+
+// Lose makes an instance unreachable and its tasks lost, or brings it back.
+func (p *Platform) Lose(name string, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.update()
+	p.instances[name].lost = on
+	if on {
+		p.endTasks(name, platform.Lost)
+	}
+}
+
+// NeverReturn makes reboots of the instance never end.
+func (p *Platform) NeverReturn(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[name].stuck = true
+}
+
+// Starts returns how often tasks of the job were really run.
+func (p *Platform) Starts(job string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts[job]
+}
+
+// ServeHTTP answers the calls of the protocol.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answer, code := p.serve(r)
+	if p.cfg.LoseAnswer != nil && p.cfg.LoseAnswer(r.URL.Path) {
+		panic(http.ErrAbortHandler)
+	}
+	if code != http.StatusOK {
+		http.Error(w, http.StatusText(code), code)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer) // a failed write shows as a lost answer
+}
+
+func (p *Platform) serve(r *http.Request) (answer any, code int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.update()
+	switch r.Method + " " + r.URL.Path {
+	case "GET /tasks":
+		return p.list(), http.StatusOK
+	case "GET /instances":
+		var list platform.Instances
+		for _, name := range slices.Sorted(maps.Keys(p.instances)) {
+			list.Instances = append(list.Instances, p.instances[name].Instance)
+		}
+		return list, http.StatusOK
+	case "GET /usage":
+		return p.usage(), http.StatusOK
+	case "POST /tasks/start":
+		var m platform.StartRequest
+		if json.NewDecoder(r.Body).Decode(&m) != nil {
+			return nil, http.StatusBadRequest
+		}
+		return p.start(m)
+	case "POST /tasks/checkpoint", "POST /tasks/throttle", "POST /tasks/stop":
+		var m platform.TaskRequest
+		if json.NewDecoder(r.Body).Decode(&m) != nil {
+			return nil, http.StatusBadRequest
+		}
+		return p.change(r.URL.Path, m)
+	case "POST /instances/drain", "POST /instances/reboot", "POST /instances/resume":
+		var m platform.InstanceRequest
+		if json.NewDecoder(r.Body).Decode(&m) != nil {
+			return nil, http.StatusBadRequest
+		}
+		return p.maintain(r.URL.Path, m)
+	}
+	return nil, http.StatusNotFound
+}
+
+// update ends tasks whose time is over and reboots that are done.
+func (p *Platform) update() {
+	now := p.cfg.Now()
+	busy := map[string]bool{}
+	for _, t := range p.tasks {
+		if t.State == platform.Running && !now.Before(t.end) {
+			t.State = platform.Finished
+		}
+		if t.State == platform.Running {
+			busy[t.request.Instance] = true
+		}
+	}
+	for name, in := range p.instances {
+		if !in.back.IsZero() && !now.Before(in.back) && !in.stuck {
+			in.back, in.draining, in.Booted = time.Time{}, false, true
+		}
+		in.Healthy = !in.lost && in.back.IsZero()
+		in.Drained = in.draining && !busy[name]
+	}
+}
+
+func (p *Platform) endTasks(instance, state string) {
+	for _, t := range p.tasks {
+		if t.request.Instance == instance && t.State == platform.Running {
+			t.State = state
+		}
+	}
+}
+
+func (p *Platform) start(m platform.StartRequest) (answer any, code int) {
+	id := ref{m.Job, m.Epoch}
+	if t, ok := p.tasks[id]; ok {
+		return t.Task, http.StatusOK
+	}
+	if m.Epoch <= p.highest[m.Job] {
+		return nil, http.StatusConflict
+	}
+	t := &task{Task: platform.Task{Job: m.Job, Epoch: m.Epoch, State: platform.Running}, request: m, began: p.cfg.Now()}
+	t.end = t.began.Add(p.cfg.Run(m))
+	in, ok := p.instances[m.Instance]
+	if !ok || in.draining || !in.Healthy || m.InstanceEpoch < in.Epoch {
+		t.State = platform.Refused
+	} else {
+		if old, ok := p.tasks[ref{m.Job, p.highest[m.Job]}]; ok && old.State == platform.Running {
+			old.State = platform.Stopped
+		}
+		p.starts[m.Job]++
+		if in.failing {
+			t.State, t.Reason = platform.Failed, "the worker fails all tasks"
+		}
+	}
+	p.tasks[id], p.highest[m.Job] = t, m.Epoch
+	return t.Task, http.StatusOK
+}
+
+func (p *Platform) change(path string, m platform.TaskRequest) (answer any, code int) {
+	if m.Epoch < p.highest[m.Job] {
+		return nil, http.StatusConflict
+	}
+	t, ok := p.tasks[ref{m.Job, m.Epoch}]
+	switch {
+	case !ok && path == "/tasks/stop":
+		t = &task{Task: platform.Task{Job: m.Job, Epoch: m.Epoch, State: platform.Stopped}}
+		p.tasks[ref{m.Job, m.Epoch}], p.highest[m.Job] = t, m.Epoch
+	case !ok:
+		return nil, http.StatusNotFound
+	case t.State != platform.Running:
+	case path == "/tasks/stop":
+		t.State = platform.Stopped
+	case path == "/tasks/checkpoint":
+		t.State = platform.Checkpointed
+	default:
+		t.Throttled = m.On
+	}
+	return t.Task, http.StatusOK
+}
+
+func (p *Platform) maintain(path string, m platform.InstanceRequest) (answer any, code int) {
+	in, ok := p.instances[m.Instance]
+	if !ok {
+		return nil, http.StatusNotFound
+	}
+	if m.Epoch < in.Epoch {
+		return nil, http.StatusConflict
+	}
+	newer := m.Epoch > in.Epoch
+	in.Epoch = m.Epoch
+	if newer {
+		in.Booted = false
+	}
+	switch path {
+	case "/instances/drain":
+		in.draining = in.draining || newer
+	case "/instances/resume":
+		in.draining = false
+	case "/instances/reboot":
+		if in.back.IsZero() && !in.Booted {
+			in.back = p.cfg.Now().Add(p.cfg.Boot)
+			p.endTasks(m.Instance, platform.Lost)
+		}
+	}
+	p.update()
+	return in.Instance, http.StatusOK
+}
+
+func (p *Platform) list() platform.Tasks {
+	var list platform.Tasks
+	for _, t := range p.tasks {
+		list.Tasks = append(list.Tasks, t.Task)
+	}
+	return list
+}
+
+func (p *Platform) usage() platform.Usage {
+	var list platform.Usage
+	at := p.cfg.Now().Add(-p.cfg.UsageDelay)
+	for _, t := range p.tasks {
+		if t.State == platform.Running && at.After(t.began) {
+			list.Samples = append(list.Samples, platform.Sample{
+				Job: t.Job, Epoch: t.Epoch, MilliProcessors: t.request.MilliProcessors, MemoryMiB: t.request.MemoryMiB,
+				Accelerators: t.request.Accelerators, RanMs: at.Sub(t.began).Milliseconds(),
+			})
+		}
+	}
+	return list
+}
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -13,22 +13,6 @@
 // resend is the time after which the leader proposes a change again that was not applied.
 const resend = time.Second
 
-// InstanceReport is what the platform last said about an instance.
-type InstanceReport struct {
-	Instance string
-	// Healthy is false when the platform can't reach the instance; its leases on tasks have then ended.
-	Healthy bool
-	// Drained is true once the platform finished the drain that it was asked for with Epoch.
-	Drained bool
-	// Booted is true once the instance came back from the reboot that was asked for with Epoch.
-	Booted bool
-	// Epoch is that of the platform's last drain or reboot call for the instance.
-	Epoch uint64
-}
-
-// EventName returns the name of the event.
-func (InstanceReport) EventName() string { return "instance-report" }
-
 // soft is the state of the leader that is not replicated.
 type soft struct {
 	reports  map[string]bool
@@ -63,10 +47,17 @@
 }
 
 func (s *State) observe(_ time.Duration, ev kernel.Event) {
-	if r, ok := ev.(InstanceReport); ok {
-		s.soft.reports[r.Instance] = r.Healthy
-		s.soft.next = 0
+	switch e := ev.(type) {
+	case InstanceReport:
+		s.soft.reports[e.Instance] = e.Healthy
+	case InstanceReports:
+		for _, r := range e {
+			s.soft.reports[r.Instance] = r.Healthy
+		}
+	default:
+		return
 	}
+	s.soft.next = 0
 }
 
 // decide looks at all instances when something changed, and otherwise only while moves are under way.
