--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -147,6 +147,9 @@
 	c := placement.Candidate{
 		Name: in.Name, Zone: in.AvailabilityZone, Rack: in.Rack, Capacity: capacity(in), Free: capacity(in),
 	}
+	if s.pools.Ramping(in.Name) { // a quarter of the slots at first
+		c.Free.Slots = max(1, c.Free.Slots/4)
+	}
 	later := c.Free
 	if u := s.use[in.Name]; u != nil {
 		c.Free = c.Free.Sub(u.charge)
--- /dev/null
+++ b/internal/maintenance/maintenance_test.go
@@ -0,0 +1,367 @@
+package maintenance_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kerneltest"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance/maintenancepb"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+func TestMain(m *testing.M) { kerneltest.Main(m, 40) }
+
+const wave = "monthly"
+
+var shape = kerneltest.Shape{
+	Pools: 2, PerPool: 6, Processors: 16, MemoryMiB: 64 << 10, Budget: fleet.Budget{MaxUnavailable: 2},
+}
+
+// world is a run with a fake of the platform's instances in memory.
+type world struct {
+	*kerneltest.Run
+	tb        kerneltest.TB
+	instances map[string]*instance
+	order     []string // instances in the order of their reboots
+	silent    bool     // no word about redundancy
+}
+
+type instance struct {
+	epoch             uint64
+	drained, booted   bool
+	back              time.Duration
+	dead, stuck, busy bool // dead: unreachable; stuck: never returns; busy: never drained
+}
+
+func newWorld(tb kerneltest.TB) *world {
+	w := &world{tb: tb, instances: map[string]*instance{}}
+	w.Run = kerneltest.New(tb, nil)
+	w.Act = w.act
+	cfg := configuration()
+	for _, in := range cfg.Instances {
+		w.instances[in.Name] = &instance{}
+	}
+	w.Configure(cfg)
+	w.pass(time.Second)
+	return w
+}
+
+func configuration() *fleet.Configuration {
+	cfg := shape.Configuration()
+	cfg.Waves = []fleet.Wave{{
+		Name: wave, Pools: []string{"pool-0", "pool-1"}, Order: []string{"zone-c", "zone-a", "zone-b"}, MaxParallel: 3,
+		DrainDeadline: fleet.Duration(5 * time.Minute),
+	}}
+	return cfg
+}
+
+func (w *world) act(a kernel.Action) {
+	switch a := a.(type) {
+	case pool.DrainInstance:
+		in := w.instances[a.Instance]
+		if a.Epoch >= in.epoch && !in.busy && !in.dead {
+			in.epoch, in.drained, in.booted = a.Epoch, true, false
+		}
+	case pool.RebootInstance:
+		in := w.instances[a.Instance]
+		if a.Epoch >= in.epoch && in.back == 0 && (!in.booted || a.Epoch > in.epoch) && !in.dead {
+			in.epoch, in.drained, in.booted, in.back = a.Epoch, false, false, w.Now+time.Minute
+			w.order = append(w.order, a.Instance)
+		}
+	case pool.ResumeInstance:
+		if in := w.instances[a.Instance]; a.Epoch >= in.epoch && !in.dead {
+			in.epoch, in.drained = a.Epoch, false
+		}
+	}
+}
+
+// pass advances the time and reports all instances every second.
+func (w *world) pass(d time.Duration) {
+	for end := w.Now + d; w.Now < end; {
+		w.Advance(time.Second)
+		var list pool.InstanceReports
+		for i := range len(w.instances) {
+			name := kerneltest.Worker(i)
+			in := w.instances[name]
+			if in.back > 0 && w.Now >= in.back && !in.stuck {
+				in.back, in.booted = 0, true
+			}
+			list = append(list, pool.InstanceReport{
+				Instance: name, Healthy: !in.dead && in.back == 0, Epoch: in.epoch, Drained: in.drained, Booted: in.booted,
+			})
+		}
+		if !w.silent {
+			w.Kernel.Observe(w.Now, maintenance.Redundancy{Full: true})
+		}
+		w.Observe(list)
+	}
+}
+
+func (w *world) control(verb maintenancepb.Verb) error {
+	c, err := maintenance.ControlCommand("", wave, verb)
+	if err != nil {
+		return err
+	}
+	return w.Apply(c).Err
+}
+
+func (w *world) choose(instance string, choice maintenancepb.Choice) error {
+	c, err := maintenance.DecideCommand("", instance, choice)
+	if err != nil {
+		return err
+	}
+	return w.Apply(c).Err
+}
+
+func (w *world) wave() *maintenancepb.Wave {
+	body, err := w.Kernel.Query(maintenance.Name, nil)
+	if err != nil {
+		w.tb.Fatalf("query: %v", err)
+	}
+	waves, err := maintenance.DecodeState(body)
+	if err != nil || len(waves) != 1 {
+		w.tb.Fatalf("%d waves: %v", len(waves), err)
+	}
+	return waves[0]
+}
+
+func (w *world) pools() *pool.State {
+	s, _ := kernel.Lookup[*pool.State](w.Kernel, pool.Name)
+	return s
+}
+
+func zone(name string) string {
+	for _, in := range configuration().Instances {
+		if in.Name == name {
+			return in.AvailabilityZone
+		}
+	}
+	return ""
+}
+
+// Guards against a wave that skips an instance, reboots one twice, mixes zones, or stalls when the leader changes at any
+// step or a command is lost. Check asserts that each stop has a permit and each permit its charge.
+func TestWaveSurvivesLeaderChangeAtEachStep(t *testing.T) {
+	for at := uint64(0); at <= 40; at += 2 {
+		for _, lose := range []bool{false, true} {
+			w := newWorld(t)
+			if lose {
+				w.LoseAt = w.Proposed + at
+			} else {
+				w.FailAfter = w.Proposed + at + 1
+			}
+			assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+			w.pass(30 * time.Minute)
+			assert.Equal(t, w.wave().Phase, maintenancepb.Phase_PHASE_DONE, "change at %d: %v", at, w.wave())
+			assert.Equal(t, len(w.order), 12)
+			zones := ""
+			for _, name := range w.order {
+				if z := zone(name); !strings.HasSuffix(zones, z) {
+					zones += " " + z
+				}
+			}
+			assert.Equal(t, zones, " zone-c zone-a zone-b")
+		}
+	}
+}
+
+// Guards against permits without redundancy of the control group, while a failure uses up the budget, while paused, or
+// after an abort.
+func TestNoPermit(t *testing.T) {
+	w := newWorld(t)
+	w.silent = true
+	w.FailOver()
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+	w.pass(time.Minute)
+	assert.Equal(t, len(w.wave().Permits), 0, "redundancy unknown")
+	w.Observe(maintenance.Redundancy{Full: false})
+	w.pass(time.Minute)
+	assert.Equal(t, len(w.wave().Permits), 0)
+	w.silent = false
+	w.instances[kerneltest.Worker(0)].dead = true
+	w.instances[kerneltest.Worker(1)].dead = true // both of the budget of pool-0
+	w.pass(2 * time.Second)
+	for _, p := range w.wave().Permits {
+		place, _ := w.pools().Place(p.Instance)
+		assert.Equal(t, place, "pool-1")
+	}
+	assert.Assert(t, len(w.wave().Permits) > 0)
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_PAUSE))
+	w.pass(10 * time.Minute)
+	maintained := len(w.wave().Maintained)
+	assert.Equal(t, len(w.wave().Permits), 0)
+	w.pass(10 * time.Minute)
+	assert.Equal(t, len(w.wave().Maintained), maintained)
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_RESUME))
+	w.pass(time.Second)
+	assert.Assert(t, len(w.wave().Permits) > 0)
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_ABORT))
+	w.pass(5 * time.Minute)
+	assert.Equal(t, len(w.wave().Permits), 0)
+	assert.Equal(t, w.pools().Count("pool-1").Serving, 6)
+	assert.ErrorContains(t, w.control(maintenancepb.Verb_VERB_RESUME), "isn't under way")
+}
+
+// Guards against a wave that goes on after a rack or zone was lost in a drain, or after instances fail once maintained.
+func TestCorrelatedFailuresHalt(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		fail func(w *world) []string
+	}{
+		{"rack and zone lost in a drain", func(*world) []string {
+			return []string{kerneltest.Worker(2), kerneltest.Worker(5), kerneltest.Worker(8)}
+		}},
+		{"maintained instances fail", func(w *world) []string {
+			w.pass(3 * time.Minute)
+			return w.wave().Maintained[:2]
+		}},
+	} {
+		w := newWorld(t)
+		assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+		w.pass(time.Second)
+		failed := test.fail(w)
+		for _, name := range failed {
+			w.instances[name].dead = true
+		}
+		w.pass(2 * time.Second)
+		assert.Equal(t, w.wave().Phase, maintenancepb.Phase_PHASE_HALTED, test.name)
+		assert.Assert(t, strings.Contains(w.wave().Reason, failed[0]), w.wave().Reason)
+		w.pass(20 * time.Minute)
+		n := len(w.order)
+		w.pass(20 * time.Minute)
+		assert.Equal(t, len(w.order), n, "%s: a halted wave goes on", test.name)
+		for _, name := range failed {
+			w.instances[name].dead = false
+		}
+		w.pass(20 * time.Minute)
+		for _, p := range w.wave().Permits { // a drain on a lost instance is stuck until the operator decides
+			assert.NilError(t, w.choose(p.Instance, maintenancepb.Choice_CHOICE_WAIT))
+		}
+		assert.NilError(t, w.control(maintenancepb.Verb_VERB_RESUME))
+		w.pass(time.Hour)
+		assert.Equal(t, w.wave().Phase, maintenancepb.Phase_PHASE_DONE, "%s: %v", test.name, w.wave())
+	}
+}
+
+// Guards against a stuck drain that is forced without an operator, and an instance that never comes back and lets the
+// wave go on or holds it for ever.
+func TestStuckInstances(t *testing.T) {
+	w := newWorld(t)
+	first := kerneltest.Worker(2)
+	w.instances[first].busy = true
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+	w.pass(time.Minute)
+	assert.ErrorContains(t, w.choose(first, maintenancepb.Choice_CHOICE_FORCE), "isn't stuck")
+	w.pass(time.Hour)
+	assert.Equal(t, len(w.wave().Permits), 1)
+	assert.Assert(t, w.wave().Permits[0].Stuck)
+	assert.NilError(t, w.choose(first, maintenancepb.Choice_CHOICE_WAIT))
+	w.pass(time.Minute)
+	assert.Assert(t, !w.wave().Permits[0].Stuck)
+	w.pass(5 * time.Minute)
+	assert.Assert(t, w.wave().Permits[0].Stuck)
+	w.instances[first].stuck = true
+	assert.NilError(t, w.choose(first, maintenancepb.Choice_CHOICE_FORCE))
+	w.pass(time.Hour)
+	assert.Equal(t, w.wave().Permits[0].Stage, maintenancepb.Stage_STAGE_REBOOTING)
+	assert.Equal(t, len(w.wave().Permits), 1)
+	assert.NilError(t, w.choose(first, maintenancepb.Choice_CHOICE_GIVE_UP))
+	w.pass(time.Second)
+	assert.Equal(t, w.pools().Count("pool-0").Lost, 1)
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_RESUME))
+	w.pass(time.Hour)
+	assert.Equal(t, w.wave().Phase, maintenancepb.Phase_PHASE_DONE)
+	assert.Equal(t, len(w.wave().Maintained), 11)
+}
+
+// Guards against instances that are removed from the configuration while a permit is in force.
+func TestInstanceRemoved(t *testing.T) {
+	w := newWorld(t)
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+	w.pass(5 * time.Second)
+	cfg := configuration()
+	cfg.Instances = append(cfg.Instances[:2], cfg.Instances[3:]...) // worker-0002 is among the first
+	w.Configure(cfg)
+	w.pass(30 * time.Minute)
+	assert.Equal(t, w.wave().Phase, maintenancepb.Phase_PHASE_DONE, "%v", w.wave())
+	assert.Equal(t, len(w.wave().Maintained), 11)
+}
+
+// Guards against any order of failures, decisions, pauses, moves and leader changes that breaks an invariant or leaves a
+// wave that can't end.
+func TestRandomOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+		worker := rapid.Custom(func(t *rapid.T) string { return kerneltest.Worker(rapid.IntRange(0, 11).Draw(t, "n")) })
+		for range rapid.IntRange(5, 30).Draw(t, "steps") {
+			in := w.instances[worker.Draw(t, "worker")]
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0:
+				in.dead = !in.dead
+			case 1:
+				in.busy = !in.busy
+			case 2:
+				in.stuck = !in.stuck
+			case 3:
+				w.FailOver()
+			case 4: // most verbs and choices don't apply, and are refused
+				_ = w.control(maintenancepb.Verb(rapid.IntRange(2, 3).Draw(t, "verb")))
+			case 5:
+				choice := maintenancepb.Choice(rapid.IntRange(1, 3).Draw(t, "choice"))
+				_ = w.choose(worker.Draw(t, "stuck"), choice)
+			case 6:
+				c, err := pool.MoveCommand("", worker.Draw(t, "move"), "pool-1")
+				assert.NilError(t, err)
+				w.Apply(c)
+			case 7:
+				w.pass(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)
+			}
+		}
+		for _, in := range w.instances {
+			in.dead, in.busy, in.stuck = false, false, false
+		}
+		for range 40 {
+			w.pass(time.Minute)
+			for _, p := range w.wave().Permits {
+				_ = w.choose(p.Instance, maintenancepb.Choice_CHOICE_WAIT)
+			}
+			_ = w.control(maintenancepb.Verb_VERB_RESUME)
+		}
+		w.pass(time.Minute)
+		assert.Equal(t, w.wave().Phase, maintenancepb.Phase_PHASE_DONE, "%v", w.wave())
+	})
+}
+
+// Guards against a full pass over 1,000 instances in 110 pools that takes longer than the 7 weeks allowed for it.
+func TestFullPassTakesLessThanSevenWeeks(t *testing.T) {
+	large := kerneltest.Shape{Pools: 110, PerPool: 9, Budget: fleet.Budget{MaxUnavailable: 1}}
+	cfg := large.Configuration()
+	for i := range 10 {
+		in := cfg.Instances[i]
+		in.Name = kerneltest.Worker(990 + i)
+		cfg.Instances = append(cfg.Instances, in)
+	}
+	w := fleet.Wave{Order: []string{"zone-a", "zone-b", "zone-c"}, MaxParallel: 4}
+	for _, p := range cfg.Pools {
+		w.Pools = append(w.Pools, p.Name)
+	}
+	times := maintenance.Times{Drain: time.Hour, Boot: 15 * time.Minute, SlowStart: 30 * time.Second}
+	plan := maintenance.Compute(w, cfg.Pools, cfg.Instances, times)
+	n := 0
+	for _, b := range plan.Batches {
+		n += len(b)
+	}
+	assert.Equal(t, n, 1000)
+	t.Logf("%d batches take %v", len(plan.Batches), plan.Takes)
+	assert.Assert(t, plan.Takes < 7*7*24*time.Hour)
+	w.MaxParallel = 1
+	assert.Assert(t, maintenance.Compute(w, cfg.Pools, cfg.Instances, times).Takes > 7*7*24*time.Hour)
+}
--- /dev/null
+++ b/internal/maintenance/plan.go
@@ -0,0 +1,92 @@
+package maintenance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Times are the expected durations of the steps for one instance.
+type Times struct {
+	Drain, Boot, SlowStart time.Duration
+}
+
+// Plan is the course of a wave when nothing fails.
+type Plan struct {
+	// Batches lists the instances that are stopped together.
+	Batches [][]string
+	// Takes is how long the wave takes.
+	Takes time.Duration
+}
+
+// Compute returns the course of a wave over the given instances and pools. A pool whose budget allows no planned stop
+// is left out, so that its instances are in no batch.
+func Compute(w fleet.Wave, pools []fleet.Pool, instances []fleet.Instance, times Times) Plan {
+	size, room := map[string]int{}, map[string]int{}
+	for i := range instances {
+		size[instances[i].Pool]++
+	}
+	for _, p := range pools {
+		room[p.Name] = size[p.Name]
+		if p.Budget.MaxUnavailable > 0 {
+			room[p.Name] = min(room[p.Name], p.Budget.MaxUnavailable)
+		}
+		if p.Budget.MaxUnavailablePercent > 0 {
+			room[p.Name] = min(room[p.Name], size[p.Name]*p.Budget.MaxUnavailablePercent/100)
+		}
+	}
+	var pending []*fleet.Instance
+	for i := range instances {
+		if slices.Contains(w.Pools, instances[i].Pool) {
+			pending = append(pending, &instances[i])
+		}
+	}
+	sortByDomain(pending, w.Order)
+	var p Plan
+	for {
+		next := batch(pending, w.MaxParallel, func(pool string) int { return room[pool] })
+		if len(next) == 0 {
+			return p
+		}
+		names := make([]string, 0, len(next))
+		for _, in := range next {
+			names = append(names, in.Name)
+		}
+		pending = slices.DeleteFunc(pending, func(in *fleet.Instance) bool { return slices.Contains(names, in.Name) })
+		p.Batches = append(p.Batches, names)
+		p.Takes += times.Drain + times.Boot + times.SlowStart
+	}
+}
+
+// sortByDomain orders instances by zone, with those that order doesn't name last, then by rack.
+func sortByDomain(list []*fleet.Instance, order []string) {
+	rank := func(zone string) int {
+		if i := slices.Index(order, zone); i >= 0 {
+			return i
+		}
+		return len(order)
+	}
+	slices.SortFunc(list, func(a, b *fleet.Instance) int {
+		return cmp.Or(cmp.Compare(rank(a.AvailabilityZone), rank(b.AvailabilityZone)),
+			cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// batch returns the next instances to stop together: all in one zone, at most maxParallel (at least 1), and at most
+// room(pool) of each pool. Instances of pools without room are passed over.
+func batch(pending []*fleet.Instance, maxParallel int, room func(pool string) int) []*fleet.Instance {
+	var list []*fleet.Instance
+	taken := map[string]int{}
+	for _, in := range pending {
+		if len(list) > 0 && (len(list) >= max(1, maxParallel) || in.AvailabilityZone != list[0].AvailabilityZone) {
+			break
+		}
+		if taken[in.Pool] < room(in.Pool) {
+			taken[in.Pool]++
+			list = append(list, in)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/maintenance/plugin.go
@@ -0,0 +1,205 @@
+package maintenance
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance/maintenancepb"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Name is the plug-in name in commands and snapshots.
+const Name = "maintenance"
+
+// State holds the waves; it is owned by the kernel's goroutine.
+type State struct {
+	cfg     *configuration.State
+	pools   *pool.State
+	waves   map[string]*maintenancepb.Wave
+	permits map[string]*maintenancepb.Permit // of all waves, by instance
+	changed uint64
+	checked uint64
+	granted string // instance of the permit granted since the last check
+	soft    soft
+}
+
+func init() {
+	kernel.Register(Name, []string{configuration.Name, pool.Name}, build)
+}
+
+func build(k *kernel.Kernel) kernel.Plugin {
+	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
+	pools, _ := kernel.Lookup[*pool.State](k, pool.Name)
+	s := &State{
+		cfg: cfg, pools: pools, waves: map[string]*maintenancepb.Wave{}, permits: map[string]*maintenancepb.Permit{},
+	}
+	s.lead(0)
+	k.Provide(Name, s)
+	return kernel.Plugin{
+		View:     true, // permits change the pools' state, which entry processes follow
+		Apply:    s.apply,
+		Observe:  s.observe,
+		Decide:   s.decide,
+		Lead:     s.lead,
+		Query:    func([]byte) ([]byte, error) { return s.encode() },
+		Snapshot: s.encode,
+		Restore:  s.restore,
+		Check:    s.check,
+	}
+}
+
+// ControlCommand returns the command by which an operator starts, pauses, resumes or aborts a wave.
+func ControlCommand(id, wave string, verb maintenancepb.Verb) (kernel.Command, error) {
+	c := &maintenancepb.Control{Wave: wave, Verb: verb}
+	return command(id, &maintenancepb.Command{Change: &maintenancepb.Command_Control{Control: c}})
+}
+
+// DecideCommand returns the command that holds an operator's decision about a stuck instance.
+func DecideCommand(id, instance string, choice maintenancepb.Choice) (kernel.Command, error) {
+	d := &maintenancepb.Decide{Instance: instance, Choice: choice}
+	return command(id, &maintenancepb.Command{Change: &maintenancepb.Command_Decide{Decide: d}})
+}
+
+// DecodeState returns all waves, ordered by name.
+func DecodeState(body []byte) ([]*maintenancepb.Wave, error) {
+	m := &maintenancepb.State{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, errorx.Decorate(err, "decode waves")
+	}
+	return m.Waves, nil
+}
+
+func command(id string, m *maintenancepb.Command) (kernel.Command, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return kernel.Command{}, errorx.Decorate(err, "encode maintenance command")
+	}
+	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
+}
+
+func (s *State) apply(c kernel.Command) ([]byte, error) {
+	m := &maintenancepb.Command{}
+	if err := proto.Unmarshal(c.Body, m); err != nil {
+		return nil, kernel.ErrInvalid.New("decode maintenance command: %v", err)
+	}
+	s.changed++
+	switch change := m.Change.(type) {
+	case *maintenancepb.Command_Control:
+		return nil, s.control(change.Control, c.At)
+	case *maintenancepb.Command_Decide:
+		return nil, s.choose(change.Decide)
+	case *maintenancepb.Command_Permit:
+		return nil, s.permit(change.Permit)
+	case *maintenancepb.Command_Stopped:
+		return nil, s.stopped(change.Stopped)
+	case *maintenancepb.Command_Back:
+		return nil, s.back(change.Back)
+	case *maintenancepb.Command_Done:
+		return nil, s.done(change.Done, c.At)
+	case *maintenancepb.Command_Stuck:
+		return nil, s.stuck(change.Stuck)
+	case *maintenancepb.Command_Drop:
+		return nil, s.drop(change.Drop, c.At)
+	case *maintenancepb.Command_Halt:
+		return nil, s.halt(change.Halt)
+	}
+	return nil, kernel.ErrInvalid.New("empty maintenance command")
+}
+
+func (s *State) encode() ([]byte, error) {
+	m := &maintenancepb.State{}
+	for _, name := range slices.Sorted(maps.Keys(s.waves)) {
+		m.Waves = append(m.Waves, s.waves[name])
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func (s *State) restore(data []byte) error {
+	m := &maintenancepb.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errorx.Decorate(err, "decode waves")
+	}
+	s.waves, s.permits = map[string]*maintenancepb.Wave{}, map[string]*maintenancepb.Permit{}
+	for _, w := range m.Waves {
+		s.waves[w.Name] = w
+		for _, p := range w.Permits {
+			s.permits[p.Instance] = p
+		}
+	}
+	s.changed++
+	s.granted = ""
+	return nil
+}
+
+func (s *State) configured(name string) (fleet.Wave, bool) {
+	for _, w := range s.cfg.Current().Waves {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return fleet.Wave{}, false
+}
+
+// check asserts that planned stops and permits match one to one, and that a wave grants no more than it may.
+func (s *State) check() error {
+	if now := s.changed + s.pools.Changed(); s.checked != now {
+		s.checked = now
+	} else {
+		return nil
+	}
+	stops := s.pools.Stops()
+	for name, epoch := range stops {
+		if p := s.permits[name]; p == nil || p.Epoch != epoch || p.Stage == maintenancepb.Stage_STAGE_RETURNING {
+			return errorx.IllegalState.New("instance %s has a planned stop without a permit", name)
+		}
+	}
+	n := 0
+	for _, w := range s.waves {
+		for _, p := range w.Permits {
+			n++
+			if s.permits[p.Instance] != p {
+				return errorx.IllegalState.New("instance %s has two permits", p.Instance)
+			}
+			if _, ok := stops[p.Instance]; !ok && p.Stage != maintenancepb.Stage_STAGE_RETURNING && !s.void(p) {
+				return errorx.IllegalState.New("permit of instance %s isn't charged to a budget", p.Instance)
+			}
+		}
+		if err := s.checkGranted(w); err != nil {
+			return err
+		}
+	}
+	s.granted = ""
+	if n != len(s.permits) {
+		return errorx.IllegalState.New("%d permits in waves, %d known", n, len(s.permits))
+	}
+	return nil
+}
+
+func (s *State) checkGranted(w *maintenancepb.Wave) error {
+	if !slices.ContainsFunc(w.Permits, func(p *maintenancepb.Permit) bool { return p.Instance == s.granted }) {
+		return nil
+	}
+	cfg, ok := s.configured(w.Name)
+	if !ok || w.Phase != maintenancepb.Phase_PHASE_RUNNING || len(w.Permits) > max(1, cfg.MaxParallel) {
+		return errorx.IllegalState.New("wave %s is %v and granted its permit number %d", w.Name, w.Phase, len(w.Permits))
+	}
+	return nil
+}
+
+// void reports whether the stop of a permit ended without the permit, because its instance was removed from the
+// configuration.
+func (s *State) void(p *maintenancepb.Permit) bool { return s.pools.Epoch(p.Instance) != p.Epoch }
+
+const (
+	// slowStart is how long an instance must be healthy before its maintenance counts as done.
+	slowStart = 30 * time.Second
+	// bootLimit is the time after which a reboot is stuck.
+	bootLimit = 15 * time.Minute
+)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -90,11 +90,10 @@
 
 // Guards against a task that runs twice because an answer was lost, a call was repeated or came late.
 func TestStartRunsOnce(t *testing.T) {
-	lost := 0
+	var starts atomic.Int32
 	f := start(t, func(cfg *platformtest.Config) {
 		cfg.LoseAnswer = func(path string) bool {
-			lost++
-			return path == "/tasks/start" && lost%3 != 0
+			return path == "/tasks/start" && starts.Add(1)%3 != 0
 		}
 	})
 	s := job.StartTask{Job: "team/1", Epoch: 2, Instance: "a"}
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -195,18 +195,41 @@
 	return nil
 }
 
-// EndStop ends a planned stop; late calls with its epoch are fenced off by the new epoch.
-func (s *State) EndStop(instance string, epoch uint64) error {
+// EndStop ends a planned stop and returns the new epoch, which fences off late calls. The instance is re-admitted
+// slowly until EndRamp.
+func (s *State) EndStop(instance string, epoch uint64) (next uint64, err error) {
 	in, err := s.at(instance, epoch)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if in.Stop == poolpb.Stop_STOP_NONE {
-		return kernel.ErrConflict.New("instance %s isn't stopped", instance)
+		return 0, kernel.ErrConflict.New("instance %s isn't stopped", instance)
 	}
-	in.Stop = poolpb.Stop_STOP_NONE
+	in.Stop, in.Ramping = poolpb.Stop_STOP_NONE, true
 	s.touch(in)
-	return nil
+	return in.Epoch, nil
+}
+
+// EndRamp ends the slow re-admission of an instance.
+func (s *State) EndRamp(instance string) {
+	if in, ok := s.instances[instance]; ok {
+		in.Ramping = false
+		s.changed++
+	}
+}
+
+// Ramping reports whether an instance is being re-admitted slowly.
+func (s *State) Ramping(instance string) bool { return s.instances[instance].GetRamping() }
+
+// Stops returns the epochs of all instances with a planned stop.
+func (s *State) Stops() map[string]uint64 {
+	stops := map[string]uint64{}
+	for name, in := range s.instances {
+		if in.Stop != poolpb.Stop_STOP_NONE {
+			stops[name] = in.Epoch
+		}
+	}
+	return stops
 }
 
 // touch gives the instance the next epoch.
--- a/internal/pool/move.go
+++ b/internal/pool/move.go
@@ -180,7 +180,10 @@
 	if !m.On {
 		in.Reason = ""
 	}
-	s.touch(in)
+	// The epoch of a planned stop fences its platform calls and must not change before its end.
+	if in.Stop == poolpb.Stop_STOP_NONE {
+		s.touch(in)
+	}
 	return nil
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -140,8 +140,10 @@
 	r.Observe(pool.InstanceReport{Instance: "worker-0000"})
 	assert.Equal(t, s.Count("pool-0").Lost, 0, "a rebooting instance is no unplanned loss")
 	r.Observe(pool.InstanceReport{Instance: "worker-0000", Healthy: true})
-	assert.NilError(t, s.EndStop("worker-0000", epoch))
-	assert.ErrorContains(t, s.EndStop("worker-0000", epoch), "has epoch")
+	_, err = s.EndStop("worker-0000", epoch)
+	assert.NilError(t, err)
+	_, err = s.EndStop("worker-0000", epoch)
+	assert.ErrorContains(t, err, "has epoch")
 	assert.Equal(t, place(r, "worker-0000"), "pool-0 admitted")
 }
 
