--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -16,8 +16,11 @@
 	reissue = 2 * time.Second
 	// sweep is the interval of the work that depends on time only.
 	sweep = time.Second
-	// watch is the interval at which the driver compares running jobs with the platform's tasks.
-	watch = 5 * time.Second
+	// watch is the interval at which the driver compares all running jobs with the platform's tasks; changes reach the
+	// kernel sooner. Since 8,000 tasks are about 800 KB, a shorter interval would take more than the 6 KB/s allowed.
+	watch = 5 * time.Minute
+	// watchSoon is the least interval when an instance came back, which may have lost its tasks.
+	watchSoon = 10 * time.Second
 	// lostAfter is how long an instance must be lost before its tasks are given up. The platform's leases on tasks end
 	// within this time, so that none of them still runs.
 	lostAfter = 30 * time.Second
@@ -43,6 +46,8 @@
 	granted   map[string]grant // by job
 	estimator placement.Estimator
 	watchAt   time.Duration
+	watched   time.Duration
+	losses    map[string]uint64 // by instance, at the last look
 	sweepAt   time.Duration
 	pools     uint64
 }
@@ -68,7 +73,7 @@
 	s.soft = soft{
 		stale: map[TaskRef]struct{}{}, issued: map[string]issued{}, sent: map[string]time.Duration{},
 		since: map[string]time.Duration{}, began: map[TaskRef]time.Duration{}, escalated: map[string]escalation{},
-		lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{},
+		lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{}, losses: map[string]uint64{},
 		watchAt: now, sweepAt: now,
 	}
 }
@@ -77,13 +82,25 @@
 	switch e := ev.(type) {
 	case TaskReport:
 		s.observeTask(now, e)
+	case TaskReports:
+		for _, r := range e {
+			s.observeTask(now, r)
+		}
 	case UsageReport:
-		if j, ok := s.jobs[e.Job]; ok && j.Epoch == e.Epoch && !j.Throttled {
-			s.soft.estimator.Used(class(j), amount(j.Submit.Declared), e.Used, e.Ran)
+		s.observeUsage(e)
+	case UsageReports:
+		for _, r := range e {
+			s.observeUsage(r)
 		}
 	}
 }
 
+func (s *State) observeUsage(e UsageReport) {
+	if j, ok := s.jobs[e.Job]; ok && j.Epoch == e.Epoch && !j.Throttled {
+		s.soft.estimator.Used(class(j), amount(j.Submit.Declared), e.Used, e.Ran)
+	}
+}
+
 func (s *State) observeTask(now time.Duration, e TaskReport) {
 	alive := e.Outcome == jobpb.Outcome_OUTCOME_STARTED || e.Outcome == jobpb.Outcome_OUTCOME_RUNNING
 	ref := TaskRef{Job: e.Job, Epoch: e.Epoch}
@@ -248,6 +265,10 @@
 	s := d.s
 	for _, name := range slices.Sorted(maps.Keys(s.use)) {
 		lost, leaving := s.pools.Lost(name), s.pools.Leaving(name)
+		if n := s.pools.Losses(name); !lost && s.soft.losses[name] != n {
+			s.soft.losses[name] = n
+			s.soft.watchAt = min(s.soft.watchAt, max(d.now, s.soft.watched+watchSoon))
+		}
 		since, ok := s.soft.lost[name]
 		switch {
 		case !lost:
@@ -299,7 +320,7 @@
 	if d.now < s.soft.watchAt {
 		return
 	}
-	s.soft.watchAt = d.now + watch
+	s.soft.watchAt, s.soft.watched = d.now+watch, d.now
 	w := WatchTasks{}
 	for _, key := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[key]
--- a/internal/job/event.go
+++ b/internal/job/event.go
@@ -23,6 +23,12 @@
 // EventName returns the name of the event.
 func (TaskReport) EventName() string { return "task-report" }
 
+// TaskReports is a group of answers.
+type TaskReports []TaskReport
+
+// EventName returns the name of the event.
+func (TaskReports) EventName() string { return "task-reports" }
+
 // UsageReport is a usage sample of a task, which may come late.
 type UsageReport struct {
 	Job   string
@@ -35,6 +41,12 @@
 // EventName returns the name of the event.
 func (UsageReport) EventName() string { return "usage-report" }
 
+// UsageReports is a group of samples.
+type UsageReports []UsageReport
+
+// EventName returns the name of the event.
+func (UsageReports) EventName() string { return "usage-reports" }
+
 // StartTask asks the platform to run a task. A repeated call with the same epoch never runs it again.
 type StartTask struct {
 	Job           string
@@ -84,7 +96,7 @@
 	Epoch uint64
 }
 
-// WatchTasks asks the driver to list the platform's tasks and to report each of the named ones: as listed, or as
+// WatchTasks asks the driver to list all tasks of the platform and to report each of the named ones: as listed, or as
 // unknown to the platform. It names only tasks that the platform confirmed before.
 type WatchTasks struct{ Tasks []TaskRef }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -98,14 +100,14 @@
 	return post[Task](ctx, c, "/tasks/stop", m)
 }
 
-// Tasks lists the tasks.
-func (c *Client) Tasks(ctx context.Context) (Tasks, error) {
-	return call[Tasks](ctx, c, http.MethodGet, "/tasks", nil)
+// Tasks lists the tasks that changed after the cursor, or all when it is empty.
+func (c *Client) Tasks(ctx context.Context, after string) (Tasks, error) {
+	return call[Tasks](ctx, c, http.MethodGet, "/tasks?after="+url.QueryEscape(after), nil)
 }
 
-// Instances lists the instances.
-func (c *Client) Instances(ctx context.Context) (Instances, error) {
-	return call[Instances](ctx, c, http.MethodGet, "/instances", nil)
+// Instances lists the instances that changed after the cursor, or all when it is empty.
+func (c *Client) Instances(ctx context.Context, after string) (Instances, error) {
+	return call[Instances](ctx, c, http.MethodGet, "/instances?after="+url.QueryEscape(after), nil)
 }
 
 // Drain keeps new tasks off an instance until Resume or Reboot.
@@ -123,9 +125,9 @@
 	return post[Instance](ctx, c, "/instances/resume", m)
 }
 
-// Usage returns the latest usage samples.
-func (c *Client) Usage(ctx context.Context) (Usage, error) {
-	return call[Usage](ctx, c, http.MethodGet, "/usage", nil)
+// Usage returns at most n usage samples, of other tasks each time.
+func (c *Client) Usage(ctx context.Context, n int) (Usage, error) {
+	return call[Usage](ctx, c, http.MethodGet, "/usage?max="+strconv.Itoa(n), nil)
 }
 
 func post[T any](ctx context.Context, c *Client, path string, m any) (T, error) {
--- a/internal/platform/driver.go
+++ b/internal/platform/driver.go
@@ -10,7 +10,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/job"
-	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/placement"
 	"github.com/hibiscusroute/hibiscusroute/internal/pool"
@@ -31,8 +30,8 @@
 	Log  logr.Logger
 }
 
-// fullEvery is the number of polls after which unchanged instances are reported too.
-const fullEvery = 15
+// maxSamples bounds the usage samples of one poll; with the default interval they take less than 1.5 KB/s.
+const maxSamples = 20
 
 // Driver runs actions of the leader. Each action may be issued again at any time; one that is still waiting or running
 // is not run a second time in parallel.
@@ -42,8 +41,9 @@
 
 	mu     sync.Mutex
 	active map[string]bool
-	known  map[string]pool.InstanceReport
-	polls  int
+
+	// Cursors of the polls, which run one after the other.
+	tasks, instances string
 }
 
 // NewDriver returns a driver; Run must be called to make it work.
@@ -58,8 +58,7 @@
 		cfg.Poll = 2 * time.Second
 	}
 	return &Driver{
-		cfg: cfg, queue: make(chan kernel.Action, cfg.Waiting),
-		active: map[string]bool{}, known: map[string]pool.InstanceReport{},
+		cfg: cfg, queue: make(chan kernel.Action, cfg.Waiting), active: map[string]bool{},
 	}
 }
 
@@ -195,22 +194,23 @@
 // report turns the answer about a task into an event. Without an answer nothing is known, and the kernel issues the
 // action again.
 func (d *Driver) report(action, name string, epoch uint64, t Task, err error) {
-	ev := job.TaskReport{Job: name, Epoch: epoch, Throttled: t.Throttled, Reason: t.Reason}
-	switch {
-	case errorx.IsOfType(err, ErrNotFound):
-		ev.Outcome = jobpb.Outcome_OUTCOME_UNKNOWN
-	case err != nil:
+	if errorx.IsOfType(err, ErrNotFound) {
+		t, err = Task{}, nil
+	}
+	if err != nil {
 		d.failure(action, err)
 		return
-	default:
-		ev.Outcome = outcome(t.State)
 	}
-	d.cfg.Observe(ev)
+	d.cfg.Observe(taskReport(name, epoch, t))
+}
+
+func taskReport(name string, epoch uint64, t Task) job.TaskReport {
+	return job.TaskReport{Job: name, Epoch: epoch, Outcome: outcome(t.State), Throttled: t.Throttled, Reason: t.Reason}
 }
 
 // watch reports every task that the kernel asked for and every running one, so that those given up are stopped.
 func (d *Driver) watch(ctx context.Context, a job.WatchTasks) {
-	list, err := d.cfg.Client.Tasks(ctx)
+	list, err := d.cfg.Client.Tasks(ctx, "")
 	if err != nil {
 		d.failure(a.ActionName(), err)
 		return
@@ -219,52 +219,67 @@
 	for _, t := range list.Tasks {
 		found[job.TaskRef{Job: t.Job, Epoch: t.Epoch}] = t
 	}
+	var reports job.TaskReports
 	for _, ref := range a.Tasks {
 		t := found[ref] // without a state when the platform doesn't know the task
 		delete(found, ref)
-		d.report(a.ActionName(), ref.Job, ref.Epoch, t, nil)
+		reports = append(reports, taskReport(ref.Job, ref.Epoch, t))
 	}
 	for ref, t := range found {
 		if t.State == Running {
-			d.report(a.ActionName(), ref.Job, ref.Epoch, t, nil)
+			reports = append(reports, taskReport(ref.Job, ref.Epoch, t))
 		}
 	}
+	d.cfg.Observe(reports)
 }
 
-// Poll reads instances and usage once. Unchanged instances are reported on the first and on each 15th poll only.
+// Poll reads usage and what changed in tasks and instances. A new driver reads all tasks and instances first, so that
+// a new leader learns what an earlier one was told.
 func (d *Driver) Poll(ctx context.Context) {
-	if list, err := d.cfg.Client.Instances(ctx); err != nil {
+	c := d.cfg.Client
+	if list, err := c.Instances(ctx, d.instances); err != nil {
 		d.failure("list-instances", err)
-	} else if reports := d.changed(list); len(reports) > 0 {
-		d.cfg.Observe(reports)
+	} else {
+		d.instances = list.Cursor
+		reports := make(pool.InstanceReports, 0, len(list.Instances))
+		for _, in := range list.Instances {
+			reports = append(reports, pool.InstanceReport(in))
+		}
+		if len(reports) > 0 {
+			d.cfg.Observe(reports)
+		}
 	}
-	usage, err := d.cfg.Client.Usage(ctx)
+	if list, err := c.Tasks(ctx, d.tasks); err != nil {
+		d.failure("list-tasks", err)
+	} else {
+		d.tasks = list.Cursor
+		reports := make(job.TaskReports, 0, len(list.Tasks))
+		for _, t := range list.Tasks {
+			reports = append(reports, taskReport(t.Job, t.Epoch, t))
+		}
+		if len(reports) > 0 {
+			d.cfg.Observe(reports)
+		}
+	}
+	d.usage(ctx)
+}
+
+func (d *Driver) usage(ctx context.Context) {
+	usage, err := d.cfg.Client.Usage(ctx, maxSamples)
 	if err != nil {
 		d.failure("usage", err)
 		return
 	}
+	reports := make(job.UsageReports, 0, len(usage.Samples))
 	for _, u := range usage.Samples {
-		d.cfg.Observe(job.UsageReport{
+		reports = append(reports, job.UsageReport{
 			Job: u.Job, Epoch: u.Epoch, Ran: time.Duration(u.RanMs) * time.Millisecond,
 			Used: placement.Resources{
 				MilliProcessors: u.MilliProcessors, MemoryMiB: u.MemoryMiB, Accelerators: u.Accelerators, Slots: 1,
 			},
 		})
 	}
-}
-
-func (d *Driver) changed(list Instances) pool.InstanceReports {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	full := d.polls%fullEvery == 0
-	d.polls++
-	var reports pool.InstanceReports
-	for _, in := range list.Instances {
-		r := pool.InstanceReport(in)
-		if before, ok := d.known[r.Instance]; full || !ok || before != r {
-			reports = append(reports, r)
-		}
-		d.known[r.Instance] = r
+	if len(reports) > 0 {
+		d.cfg.Observe(reports)
 	}
-	return reports
 }
--- a/internal/platform/message.go
+++ b/internal/platform/message.go
@@ -45,6 +45,8 @@
 // Tasks is the answer to a list of tasks.
 type Tasks struct {
 	Tasks []Task `json:"tasks"`
+	// Cursor is given in the next call to get only what changed since.
+	Cursor string `json:"cursor"`
 }
 
 // InstanceRequest is the body of a drain, a reboot or a resume.
@@ -65,6 +67,8 @@
 // Instances is the answer to a list of instances.
 type Instances struct {
 	Instances []Instance `json:"instances"`
+	// Cursor is given in the next call to get only what changed since.
+	Cursor string `json:"cursor"`
 }
 
 // Sample is a usage sample of a task.
--- a/internal/platform/platformtest/platform.go
+++ b/internal/platform/platformtest/platform.go
@@ -5,6 +5,8 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,8 @@
 	highest   map[string]uint64
 	instances map[string]*instance
 	starts    map[string]int
+	changes   uint64
+	sampled   int // tasks passed over by the next usage call
 }
 
 type ref struct {
@@ -48,12 +52,16 @@
 	request platform.StartRequest
 	began   time.Time
 	end     time.Time
+	seen    platform.Task
+	changed uint64
 }
 
 type instance struct {
 	platform.Instance
 	draining, failing, lost, stuck bool
 	back                           time.Time
+	seen                           platform.Instance
+	changed                        uint64
 }
 
 // New returns a stand-in with all instances healthy.
@@ -129,15 +137,12 @@
 	p.update()
 	switch r.Method + " " + r.URL.Path {
 	case "GET /tasks":
-		return p.list(), http.StatusOK
+		return p.listTasks(r.FormValue("after")), http.StatusOK
 	case "GET /instances":
-		var list platform.Instances
-		for _, name := range slices.Sorted(maps.Keys(p.instances)) {
-			list.Instances = append(list.Instances, p.instances[name].Instance)
-		}
-		return list, http.StatusOK
+		return p.listInstances(r.FormValue("after")), http.StatusOK
 	case "GET /usage":
-		return p.usage(), http.StatusOK
+		n, _ := strconv.Atoi(r.FormValue("max"))
+		return p.usage(n), http.StatusOK
 	case "POST /tasks/start":
 		var m platform.StartRequest
 		if json.NewDecoder(r.Body).Decode(&m) != nil {
@@ -265,24 +270,66 @@
 	return in.Instance, http.StatusOK
 }
 
-func (p *Platform) list() platform.Tasks {
-	var list platform.Tasks
+// number stamps what changed since the last call and returns the cursor as a number.
+func (p *Platform) number(after string) uint64 {
+	p.changes++
+	for _, t := range p.tasks {
+		if t.changed == 0 || t.seen != t.Task {
+			t.seen, t.changed = t.Task, p.changes
+		}
+	}
+	for _, in := range p.instances {
+		if in.changed == 0 || in.seen != in.Instance {
+			in.seen, in.changed = in.Instance, p.changes
+		}
+	}
+	n, err := strconv.ParseUint(after, 10, 64)
+	if err != nil || n > p.changes {
+		return 0
+	}
+	return n
+}
+
+func (p *Platform) listTasks(after string) platform.Tasks {
+	n := p.number(after)
+	list := platform.Tasks{Cursor: strconv.FormatUint(p.changes, 10)}
 	for _, t := range p.tasks {
-		list.Tasks = append(list.Tasks, t.Task)
+		if t.changed > n {
+			list.Tasks = append(list.Tasks, t.Task)
+		}
 	}
 	return list
 }
 
-func (p *Platform) usage() platform.Usage {
-	var list platform.Usage
+func (p *Platform) listInstances(after string) platform.Instances {
+	n := p.number(after)
+	list := platform.Instances{Cursor: strconv.FormatUint(p.changes, 10)}
+	for _, name := range slices.Sorted(maps.Keys(p.instances)) {
+		if in := p.instances[name]; in.changed > n {
+			list.Instances = append(list.Instances, in.Instance)
+		}
+	}
+	return list
+}
+
+// usage returns samples of up to n running tasks, and those of the following tasks on the next call.
+func (p *Platform) usage(n int) platform.Usage {
+	var running []*task
 	at := p.cfg.Now().Add(-p.cfg.UsageDelay)
 	for _, t := range p.tasks {
 		if t.State == platform.Running && at.After(t.began) {
-			list.Samples = append(list.Samples, platform.Sample{
-				Job: t.Job, Epoch: t.Epoch, MilliProcessors: t.request.MilliProcessors, MemoryMiB: t.request.MemoryMiB,
-				Accelerators: t.request.Accelerators, RanMs: at.Sub(t.began).Milliseconds(),
-			})
+			running = append(running, t)
 		}
 	}
+	slices.SortFunc(running, func(a, b *task) int { return strings.Compare(a.Job, b.Job) })
+	var list platform.Usage
+	for i := range min(n, len(running)) {
+		t := running[(p.sampled+i)%len(running)]
+		list.Samples = append(list.Samples, platform.Sample{
+			Job: t.Job, Epoch: t.Epoch, MilliProcessors: t.request.MilliProcessors, MemoryMiB: t.request.MemoryMiB,
+			Accelerators: t.request.Accelerators, RanMs: at.Sub(t.began).Milliseconds(),
+		})
+	}
+	p.sampled += n
 	return list
 }
