--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -239,6 +239,57 @@
 	assert.Equal(t, w.job(large).Phase, jobpb.Phase_PHASE_FINISHED)
 }
 
+// Guards against a second start of a non-idempotent job whose first one got no answer before its worker was lost for a
+// moment, and against tasks that run on after their start was given up.
+func TestStartWithoutAnswer(t *testing.T) {
+	w := newWorld(t, small)
+	w.lose = func() bool { return true }
+	key := w.submit(submission(0, 0, queue, false))
+	w.pass(kerneltest.Tick)
+	assert.Equal(t, w.starts[key], 1)
+	clear(w.late)
+	instance := w.job(key).Instance
+	w.kill(instance)
+	delete(w.dead, instance)
+	w.Observe(pool.InstanceReport{Instance: instance, Healthy: true})
+	w.lose = nil
+	w.pass(time.Minute)
+	assert.Equal(t, w.job(key).Phase, jobpb.Phase_PHASE_UNKNOWN)
+	w.once()
+
+	ghost := job.TaskRef{Job: key, Epoch: 1}
+	w.tasks[key] = &task{ref: ghost, instance: instance, end: w.Now + time.Hour}
+	w.Observe(job.TaskReports{{Job: key, Epoch: 1, Outcome: jobpb.Outcome_OUTCOME_RUNNING}})
+	w.pass(kerneltest.Tick)
+	assert.Equal(t, len(w.tasks), 0)
+}
+
+// Guards against the start of a job that was cancelled while the start was on its way through the log.
+func TestCancelRacesStart(t *testing.T) {
+	w := newWorld(t, small)
+	w.Must(job.SubmitCommand("", submission(0, 0, queue, true)))
+	d := w.Kernel.Decide(w.Now)
+	assert.Equal(t, len(d.Commands), 1)
+	w.Must(job.CancelCommand("", kerneltest.Team(0), uuidv7(0)))
+	assert.ErrorContains(t, w.Apply(d.Commands[0]).Err, "CANCELLED")
+	w.pass(time.Second)
+	assert.Equal(t, len(w.starts), 0)
+}
+
+// Guards against a drain that aborts work whose checkpoint gets no answer.
+func TestDrainWaitsForCheckpoint(t *testing.T) {
+	w := newWorld(t, small)
+	for n := range 6 {
+		w.run[w.submit(submission(n, 0, queue, true))] = time.Hour
+	}
+	w.pass(time.Second)
+	w.stuck = true
+	w.Must(pool.MoveCommand("", kerneltest.Worker(0), kerneltest.Spare))
+	w.pass(5 * time.Minute)
+	assert.Equal(t, len(w.tasks), 6)
+	assert.Equal(t, w.preempt, 0)
+}
+
 // Guards against a drain that leaves idempotent jobs behind, or that interrupts others.
 func TestDrainEmptiesInstance(t *testing.T) {
 	w := newWorld(t, small)
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -1,6 +1,7 @@
 package maintenance_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 	instances map[string]*instance
 	order     []string // instances in the order of their reboots
 	silent    bool     // no word about redundancy
+	batch     []string // permits of the last second, when one of them was no longer draining
 }
 
 type instance struct {
@@ -102,6 +104,37 @@
 			w.Kernel.Observe(w.Now, maintenance.Redundancy{Full: true})
 		}
 		w.Observe(list)
+		w.checkBatch()
+	}
+}
+
+// checkBatch asserts that no instance gets a permit while previous ones of the wave are down or returning.
+func (w *world) checkBatch() {
+	body, err := w.Kernel.Query(maintenance.Name, nil)
+	if err != nil {
+		w.tb.Fatalf("query: %v", err)
+	}
+	waves, err := maintenance.DecodeState(body)
+	if err != nil {
+		w.tb.Fatalf("decode waves: %v", err)
+	}
+	before := w.batch
+	w.batch = nil
+	for _, wave := range waves {
+		down := false
+		var now []string
+		for _, p := range wave.Permits {
+			down = down || p.Stage != maintenancepb.Stage_STAGE_DRAINING
+			now = append(now, p.Instance)
+		}
+		if down {
+			w.batch = now
+		}
+		for _, name := range now {
+			if len(before) > 0 && down && !slices.Contains(before, name) {
+				w.tb.Fatalf("instance %s got a permit while %v were not healthy again", name, before)
+			}
+		}
 	}
 }
 
@@ -251,12 +284,32 @@
 	}
 }
 
+// Guards against a rebooted instance that counts as healthy, or takes all its work, at once.
+func TestSlowStart(t *testing.T) {
+	w := newWorld(t)
+	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
+	for len(w.wave().Permits) == 0 || w.wave().Permits[0].Stage != maintenancepb.Stage_STAGE_RETURNING {
+		w.pass(time.Second)
+	}
+	name := w.wave().Permits[0].Instance
+	w.pass(20 * time.Second)
+	assert.Equal(t, len(w.wave().Maintained), 0)
+	assert.Assert(t, w.pools().Ramping(name))
+	w.instances[name].dead = true
+	w.pass(time.Second)
+	w.instances[name].dead = false
+	w.pass(20 * time.Second)
+	assert.Assert(t, w.pools().Ramping(name), "it must be healthy for the whole time")
+	w.pass(20 * time.Second)
+	assert.Assert(t, !w.pools().Ramping(name))
+}
+
 // Guards against a stuck drain that is forced without an operator, and an instance that never comes back and lets the
 // wave go on or holds it for ever.
 func TestStuckInstances(t *testing.T) {
 	w := newWorld(t)
 	first := kerneltest.Worker(2)
-	w.instances[first].busy = true
+	w.instances[first].busy, w.instances[first].booted = true, true // the latter from an earlier wave
 	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
 	w.pass(time.Minute)
 	assert.ErrorContains(t, w.choose(first, maintenancepb.Choice_CHOICE_FORCE), "isn't stuck")
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -104,6 +104,30 @@
 	assert.Equal(t, place(r, "worker-0000"), "pool-1 admitted")
 }
 
+// Guards against a release that commits after the operator took the move back, and against a moving instance that is
+// used although it was lost on the way.
+func TestMoveRaces(t *testing.T) {
+	r := start(t)
+	r.Must(pool.MoveCommand("op-1", "worker-0000", "pool-1"))
+	r.Advance(3 * time.Second)
+	r.Now += time.Second
+	d := r.Kernel.Decide(r.Now)
+	assert.Equal(t, len(d.Commands), 1)
+	r.Must(pool.MoveCommand("op-2", "worker-0000", "pool-0"))
+	assert.ErrorContains(t, r.Apply(d.Commands[0]).Err, "isn't wanted in pool pool-1")
+	r.Advance(time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-0 admitted")
+	r.Must(pool.MoveCommand("op-3", "worker-0000", "pool-1"))
+	r.Advance(time.Second)
+	r.Observe(pool.InstanceReport{Instance: "worker-0000"})
+	r.Advance(10 * time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-1")
+	assert.Equal(t, state(r).Count("pool-1").Members, 4, "not a member before it is used")
+	r.Observe(pool.InstanceReport{Instance: "worker-0000", Healthy: true})
+	r.Advance(time.Second)
+	assert.Equal(t, place(r, "worker-0000"), "pool-1 admitted")
+}
+
 // Guards against an instance that changes pools without a release because it was removed and added again, and against
 // an operator's request that outlives a newer configuration.
 func TestConfigurationMovesInstances(t *testing.T) {
