Don't blame workers for starts that the platform refused

A worker that was just lost refuses everything before the kernel knows of the loss. A loop test of kernel, driver and stand-in showed such workers being quarantined.

--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -26,6 +26,8 @@
 	lostAfter = 30 * time.Second
 	// maxReports bounds one command of reports to about 32 KB.
 	maxReports = 256
+	// refusedFor is how long a job isn't started again on an instance for which the platform refused it.
+	refusedFor = 30 * time.Second
 	// urgentPatience and patience are how long one means of preemption is given before the next is tried. Urgent work
 	// must start within 3.3 s: checkpoint, throttle and stop have 1 s each.
 	urgentPatience = time.Second
@@ -44,6 +46,7 @@
 	lost      map[string]time.Duration
 	inflight  map[string]inflight
 	granted   map[string]grant // by job
+	refused   map[refusal]time.Duration
 	estimator placement.Estimator
 	watchAt   time.Duration
 	watched   time.Duration
@@ -58,6 +61,9 @@
 	at    time.Duration
 }
 
+// refusal names a job and an instance on which the platform refused to start it.
+type refusal struct{ key, instance string }
+
 type escalation struct {
 	how jobpb.How
 	at  time.Duration
@@ -74,6 +80,7 @@
 		stale: map[TaskRef]struct{}{}, issued: map[string]issued{}, sent: map[string]time.Duration{},
 		since: map[string]time.Duration{}, began: map[TaskRef]time.Duration{}, escalated: map[string]escalation{},
 		lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{}, losses: map[string]uint64{},
+		refused: map[refusal]time.Duration{},
 		watchAt: now, sweepAt: now,
 	}
 }
@@ -120,6 +127,9 @@
 			return // nothing new
 		}
 	}
+	if e.Outcome == jobpb.Outcome_OUTCOME_REFUSED {
+		s.soft.refused[refusal{e.Job, j.Instance}] = now
+	}
 	if e.Outcome == jobpb.Outcome_OUTCOME_FINISHED {
 		if at, ok := s.soft.began[ref]; ok {
 			s.soft.estimator.Ran(class(j), time.Duration(j.Submit.ExpectedRun), now-at)
@@ -310,6 +320,7 @@
 	maps.DeleteFunc(s.soft.issued, func(key string, _ issued) bool { return gone(key) })
 	maps.DeleteFunc(s.soft.escalated, func(key string, _ escalation) bool { return gone(key) })
 	maps.DeleteFunc(s.soft.began, func(r TaskRef, _ time.Duration) bool { return gone(r.Job) || s.jobs[r.Job].Epoch != r.Epoch })
+	maps.DeleteFunc(s.soft.refused, func(_ refusal, at time.Duration) bool { return d.now >= at+refusedFor })
 	maps.DeleteFunc(s.soft.granted, func(key string, g grant) bool { return d.now >= g.until || s.jobs[key] == nil })
 	maps.DeleteFunc(s.soft.since, func(key string, _ time.Duration) bool {
 		j, ok := s.jobs[key]
--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -30,6 +30,7 @@
 	late    map[time.Duration][]kernel.Event
 	dead    map[string]bool                 // instances that don't answer
 	fails   func(job, instance string) bool // nil: no task fails
+	refuses func(job, instance string) bool // nil: no start is refused
 	lose    func() bool                     // nil: no answer is lost
 	stuck   bool                            // checkpoints get no answer
 	preempt int                             // checkpoints, throttles and stops of running tasks
@@ -140,6 +141,11 @@
 		w.answer(ref, jobpb.Outcome_OUTCOME_REFUSED, false)
 		return
 	}
+	if w.refuses != nil && w.refuses(a.Job, a.Instance) {
+		w.ended[ref] = jobpb.Outcome_OUTCOME_REFUSED
+		w.answer(ref, jobpb.Outcome_OUTCOME_REFUSED, false)
+		return
+	}
 	if w.starts[a.Job]++; w.starts[a.Job] == 1 {
 		w.begun[a.Job] = w.Now
 	} else if w.last[a.Job] != a.Instance {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -158,6 +158,23 @@
 	assert.Assert(t, pools.Count("pool-0").Quarantined <= 2)
 }
 
+// Guards against jobs that fail, or workers that are quarantined, because a worker refused starts before the kernel knew
+// of its loss, and against jobs that are refused for ever.
+func TestRefusedStarts(t *testing.T) {
+	w := newWorld(t, small)
+	poison := w.submit(submission(100, 0, queue, false))
+	w.refuses = func(key, instance string) bool { return key == poison || instance < kerneltest.Worker(4) }
+	for n := range 12 {
+		w.submit(submission(n, 0, queue, n%2 == 0))
+	}
+	w.pass(2 * time.Minute)
+	assert.Equal(t, w.phases()[jobpb.Phase_PHASE_FINISHED], 12, "%v", w.phases())
+	assert.Equal(t, w.job(poison).Phase, jobpb.Phase_PHASE_FAILED)
+	assert.Equal(t, w.starts[poison], 0)
+	pools, _ := kernel.Lookup[*pool.State](w.Kernel, pool.Name)
+	assert.Equal(t, pools.Count("pool-0").Quarantined, 0)
+}
+
 // Guards against a non-idempotent job that runs again after its worker was lost, and an idempotent one that doesn't.
 func TestWorkersLost(t *testing.T) {
 	w := newWorld(t, small)
@@ -337,6 +354,21 @@
 	}
 }
 
+// Guards against a non-idempotent job that runs again because its record was dropped to bound the state.
+func TestDroppedRecordsStayKnown(t *testing.T) {
+	w := newWorld(t, small)
+	for n := range 4200 {
+		w.Must(job.SubmitCommand("", submission(n, 0, queue, false)))
+		w.Must(job.CancelCommand("", kerneltest.Team(0), uuidv7(n)))
+	}
+	assert.Equal(t, len(w.jobs()), 4096)
+	w.FailOver()
+	c, err := job.SubmitCommand("", submission(7, 0, queue, false))
+	assert.NilError(t, err)
+	assert.ErrorContains(t, w.Apply(c).Err, "outcome unknown")
+	w.submit(submission(4200, 0, queue, false))
+}
+
 // Guards against any order of submissions, cancellations, losses, failing workers, lost answers, stuck checkpoints and
 // leader changes that loses a job or starts a non-idempotent one twice. Check runs after each command.
 func TestRandomOrders(t *testing.T) {
--- a/internal/job/lifecycle.go
+++ b/internal/job/lifecycle.go
@@ -28,6 +28,9 @@
 	maxAhead = time.Minute
 	// maxWorkers is the number of distinct workers on which a job may fail.
 	maxWorkers = 3
+	// maxRefusals is the number of starts that the platform may refuse. It is larger than maxWorkers because a worker
+	// that was just lost refuses everything until the kernel knows of the loss.
+	maxRefusals = 10
 	// maxRow is the number of different jobs in a row after which a worker is quarantined.
 	maxRow = 3
 )
--- a/internal/job/report.go
+++ b/internal/job/report.go
@@ -30,8 +30,10 @@
 			s.end(j, jobpb.Phase_PHASE_FINISHED, "", at)
 		}
 		s.vacate(j)
-	case jobpb.Outcome_OUTCOME_FAILED, jobpb.Outcome_OUTCOME_REFUSED:
+	case jobpb.Outcome_OUTCOME_FAILED:
 		s.failed(j, r, at)
+	case jobpb.Outcome_OUTCOME_REFUSED:
+		s.refused(j, r, at)
 	case jobpb.Outcome_OUTCOME_CHECKPOINTED:
 		j.Checkpoint = true
 		s.interrupted(j, "checkpointed", at)
@@ -60,15 +62,10 @@
 
 func (s *State) failed(j *jobpb.Job, r *jobpb.Report, at time.Duration) {
 	instance := j.Instance
-	refused := r.Outcome == jobpb.Outcome_OUTCOME_REFUSED
 	switch {
 	case over(j):
 		s.vacate(j)
 		return
-	case refused && j.Phase != jobpb.Phase_PHASE_STARTING:
-		return // the platform confirmed this start before, so the refusal belongs to a repeated call
-	case refused:
-		j.Starts--
 	case !j.Submit.Idempotent:
 		s.end(j, jobpb.Phase_PHASE_FAILED, r.Reason, at)
 		s.vacate(j)
@@ -85,6 +82,21 @@
 	}
 }
 
+// refused takes the platform's word that a start was not run and never will be. The worker isn't to blame for it.
+func (s *State) refused(j *jobpb.Job, r *jobpb.Report, at time.Duration) {
+	switch {
+	case over(j):
+		s.vacate(j)
+	case j.Phase == jobpb.Phase_PHASE_STARTING: // otherwise it was confirmed before, and a repeated call was refused
+		j.Starts--
+		j.Refusals++
+		s.wait(j, r.Reason)
+		if j.Refusals >= maxRefusals {
+			s.end(j, jobpb.Phase_PHASE_FAILED, "refused by the platform: "+r.Reason, at)
+		}
+	}
+}
+
 // countFailure extends the row of failures of a worker. When the row is full the worker is quarantined and its
 // failures no longer count against jobs.
 func (s *State) countFailure(j *jobpb.Job, instance string) {
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -212,7 +212,8 @@
 	}
 	need := r.size(j)
 	i := placement.Pick(need, r.list, *r.kind(j), j.Previous, func(name string) bool {
-		return slices.Contains(j.FailedOn, name)
+		_, refused := s.soft.refused[refusal{j.Key, name}]
+		return refused || slices.Contains(j.FailedOn, name)
 	})
 	if i < 0 {
 		return false
--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -50,6 +50,9 @@
 	if !ok {
 		return kernel.ErrNotFound.New("no wave %q in the configuration", name)
 	}
+	if !s.pools.Synced() {
+		return kernel.ErrConflict.New("instances of the newest configuration aren't in their pools yet; try again")
+	}
 	for _, other := range s.waves {
 		if !active(other) && len(other.Permits) == 0 {
 			continue
--- /dev/null
+++ b/internal/platform/loop_test.go
@@ -0,0 +1,164 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/job"
+	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kerneltest"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance/maintenancepb"
+	"github.com/hibiscusroute/hibiscusroute/internal/platform"
+	"github.com/hibiscusroute/hibiscusroute/internal/platform/platformtest"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// loop runs a kernel against the stand-in over HTTP; a millisecond of real time is a tick of virtual time.
+type loop struct {
+	*kerneltest.Run
+	mu     sync.Mutex
+	clock  time.Duration
+	events chan kernel.Event
+	driver *platform.Driver
+	stop   func()
+}
+
+func (l *loop) now() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Unix(0, 0).Add(l.clock)
+}
+
+// lead starts a driver as a new leader does.
+func (l *loop) lead(address string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.driver = platform.NewDriver(platform.DriverConfig{
+		Client: platform.NewClient(platform.ClientConfig{Address: address, Backoff: time.Millisecond}),
+		Poll:   20 * time.Millisecond, Log: logr.Discard(),
+		Observe: func(ev kernel.Event) {
+			select {
+			case l.events <- ev:
+			case <-ctx.Done():
+			}
+		},
+	})
+	var wg sync.WaitGroup
+	wg.Go(func() { l.driver.Run(ctx) })
+	l.stop = func() { cancel(); wg.Wait() }
+}
+
+func (l *loop) pass(ticks int) {
+	for range ticks {
+		time.Sleep(time.Millisecond)
+		l.Observe(maintenance.Redundancy{Full: true})
+		for more := true; more; {
+			select {
+			case ev := <-l.events:
+				l.Observe(ev)
+			default:
+				more = false
+			}
+		}
+		l.Advance(kerneltest.Tick)
+		l.mu.Lock()
+		l.clock = l.Now
+		l.mu.Unlock()
+	}
+}
+
+// Guards against jobs that are lost or run twice, and a wave that stalls, when kernel, driver and protocol work
+// together with lost answers, a worker that fails everything, a lost worker, cancellations and leader changes.
+func TestKernelDriverAndProtocol(t *testing.T) {
+	shape := kerneltest.Shape{
+		Pools: 2, PerPool: 6, Teams: 3, Processors: 16, MemoryMiB: 64 << 10, Budget: fleet.Budget{MaxUnavailable: 2},
+	}
+	cfg := shape.Configuration()
+	cfg.Waves = []fleet.Wave{{
+		Name: "wave", Pools: []string{"pool-0", "pool-1"}, MaxParallel: 4, DrainDeadline: fleet.Duration(time.Hour),
+	}}
+	var names []string
+	for _, in := range cfg.Instances {
+		names = append(names, in.Name)
+	}
+	l := &loop{events: make(chan kernel.Event, 1000)}
+	rnd := rand.New(rand.NewSource(1))
+	var mu sync.Mutex
+	fake := platformtest.New(platformtest.Config{
+		Instances: names, Now: l.now, Boot: 10 * time.Second, UsageDelay: 5 * time.Second,
+		Run: func(platform.StartRequest) time.Duration { return 15 * time.Second },
+		LoseAnswer: func(string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return rnd.Float64() < 0.2
+		},
+	})
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	l.Run = kerneltest.New(t, nil)
+	l.Act = func(a kernel.Action) { l.driver.Do(a) }
+	l.lead(server.URL)
+	defer func() { l.stop() }()
+	l.Configure(cfg)
+	fake.FailTasks(names[1], true)
+	early, err := maintenance.ControlCommand("", "wave", maintenancepb.Verb_VERB_START)
+	assert.NilError(t, err)
+	assert.ErrorContains(t, l.Apply(early).Err, "try again", "a wave over no instance")
+	l.pass(3)
+	l.Must(early, nil)
+	for n := range 120 {
+		l.Must(job.SubmitCommand("", &jobpb.Submit{
+			Id: fmt.Sprintf("00000000-%04x-7000-8000-000000000000", 1+n), Team: kerneltest.Team(n % 3),
+			Queue: kerneltest.Queue(n % 2), Idempotent: n%3 > 0, ExpectedRun: int64(15 * time.Second),
+			Declared: &jobpb.Resources{MilliProcessors: 4000, MemoryMib: 1024},
+		}))
+		if n%10 == 9 {
+			l.Must(job.CancelCommand("", kerneltest.Team((n-5)%3), fmt.Sprintf("00000000-%04x-7000-8000-000000000000", 1+n-5)))
+		}
+		l.pass(3)
+		switch n {
+		case 40:
+			fake.Lose(names[2], true)
+		case 60, 90:
+			l.stop()
+			l.FailOver()
+			l.lead(server.URL)
+		case 100:
+			fake.Lose(names[2], false)
+		}
+	}
+	var list []*jobpb.Job
+	var waves []*maintenancepb.Wave
+	for range 100 {
+		l.pass(100)
+		q, err := job.TeamQuery("", true)
+		assert.NilError(t, err)
+		body, err := l.Kernel.Query(job.Name, q)
+		assert.NilError(t, err)
+		list, err = job.DecodeJobs(body)
+		assert.NilError(t, err)
+		body, err = l.Kernel.Query(maintenance.Name, nil)
+		assert.NilError(t, err)
+		waves, err = maintenance.DecodeState(body)
+		assert.NilError(t, err)
+		if len(list) == 0 && len(waves[0].Pending) <= 1 && len(waves[0].Permits) == 0 {
+			break
+		}
+	}
+	assert.Equal(t, len(list), 0, "%v", list)
+	// The worker that fails everything is quarantined, so that its maintenance waits for an operator.
+	assert.Assert(t, len(waves[0].Permits) == 0 && len(waves[0].Maintained) >= 11, "%v", waves[0])
+	for n := 0; n < 120; n += 3 {
+		key := job.Key(kerneltest.Team(n%3), fmt.Sprintf("00000000-%04x-7000-8000-000000000000", 1+n))
+		assert.Assert(t, fake.Starts(key) <= 1, "job %s ran %d times", key, fake.Starts(key))
+	}
+}
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -77,7 +77,7 @@
 		}
 	}
 	maps.DeleteFunc(s.soft.sent, func(_ string, at time.Duration) bool { return now >= at+resend })
-	if s.unsynced() {
+	if !s.Synced() {
 		propose("sync "+strconv.FormatUint(s.cfg.Version(), 10), &poolpb.Command{Change: &poolpb.Command_Sync{Sync: &poolpb.Sync{}}})
 	}
 	s.decideHealth(propose)
--- a/internal/pool/move.go
+++ b/internal/pool/move.go
@@ -33,19 +33,19 @@
 	}
 }
 
-// unsynced reports whether the configuration lists other instances than the state.
-func (s *State) unsynced() bool {
+// Synced reports whether the configuration lists the same instances as the state.
+func (s *State) Synced() bool {
 	x := s.refresh()
 	n := 0
 	for name, in := range s.instances {
 		if _, ok := x.instances[name]; ok == in.Removed {
-			return true
+			return false
 		}
 		if !in.Removed {
 			n++
 		}
 	}
-	return n != len(x.instances)
+	return n == len(x.instances)
 }
 
 func (s *State) request(m *poolpb.Request) error {
