--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -17,13 +17,18 @@
 	reissue = 2 * time.Second
 	// sweep is the interval of the work that depends on time only.
 	sweep = time.Second
-	// watch is the interval at which the driver compares running jobs with the platform's tasks.
-	watch = 5 * time.Second
+	// watch is the interval at which the driver compares all running jobs with the platform's tasks; changes reach the
+	// kernel sooner. Since 8,000 tasks are about 800 KB, a shorter interval would take more than the 6 KB/s allowed.
+	watch = 5 * time.Minute
+	// watchSoon is the least interval when an instance came back, which may have lost its tasks.
+	watchSoon = 10 * time.Second
 	// lostAfter is how long an instance must be lost before its tasks are given up. The platform's leases on tasks end
 	// within this time, so that none of them still runs.
 	lostAfter = 30 * time.Second
 	// maxReports bounds one command of reports to about 32 KB.
 	maxReports = 256
+	// refusedFor is how long a job isn't started again on an instance for which the platform refused it.
+	refusedFor = 30 * time.Second
 	// urgentPatience and patience are how long one means of preemption is given before the next is tried. Urgent work
 	// must start within 3.3 s: checkpoint, throttle and stop have 1 s each.
 	urgentPatience = time.Second
@@ -43,8 +48,11 @@
 	inflight  map[string]inflight
 	granted   map[string]grant // by job
 	short     map[string]bool  // instances on which a start found no free slot
+	refused   map[refusal]time.Duration
 	estimator placement.Estimator
 	watchAt   time.Duration
+	watched   time.Duration
+	losses    map[string]uint64 // by instance, at the last look
 	sweepAt   time.Duration
 	pools     uint64
 }
@@ -55,6 +63,9 @@
 	at    time.Duration
 }
 
+// refusal names a job and an instance on which the platform refused to start it.
+type refusal struct{ key, instance string }
+
 type escalation struct {
 	how jobpb.How
 	at  time.Duration
@@ -70,8 +81,8 @@
 	s.soft = soft{
 		stale: map[TaskRef]struct{}{}, issued: map[string]issued{}, sent: map[string]time.Duration{},
 		since: map[string]time.Duration{}, began: map[TaskRef]time.Duration{}, escalated: map[string]escalation{},
-		lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{},
-		short:   map[string]bool{},
+		short: map[string]bool{}, lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{}, losses: map[string]uint64{},
+		refused: map[refusal]time.Duration{},
 		watchAt: now, sweepAt: now,
 	}
 }
@@ -80,13 +91,25 @@
 	switch e := ev.(type) {
 	case TaskReport:
 		s.observeTask(now, e)
+	case TaskReports:
+		for _, r := range e {
+			s.observeTask(now, r)
+		}
 	case UsageReport:
-		if j, ok := s.jobs[e.Job]; ok && j.Epoch == e.Epoch && !j.Throttled {
-			s.soft.estimator.Used(class(j), amount(j.Submit.Declared), e.Used, e.Ran)
+		s.observeUsage(e)
+	case UsageReports:
+		for _, r := range e {
+			s.observeUsage(r)
 		}
 	}
 }
 
+func (s *State) observeUsage(e UsageReport) {
+	if j, ok := s.jobs[e.Job]; ok && j.Epoch == e.Epoch && !j.Throttled {
+		s.soft.estimator.Used(class(j), amount(j.Submit.Declared), e.Used, e.Ran)
+	}
+}
+
 func (s *State) observeTask(now time.Duration, e TaskReport) {
 	alive := e.Outcome == jobpb.Outcome_OUTCOME_STARTED || e.Outcome == jobpb.Outcome_OUTCOME_RUNNING
 	ref := TaskRef{Job: e.Job, Epoch: e.Epoch}
@@ -106,6 +129,9 @@
 			return // nothing new
 		}
 	}
+	if e.Outcome == jobpb.Outcome_OUTCOME_REFUSED {
+		s.soft.refused[refusal{e.Job, j.Instance}] = now
+	}
 	if e.Outcome == jobpb.Outcome_OUTCOME_FINISHED {
 		if at, ok := s.soft.began[ref]; ok {
 			s.soft.estimator.Ran(class(j), time.Duration(j.Submit.ExpectedRun), now-at)
@@ -251,6 +277,10 @@
 	s := d.s
 	for _, name := range slices.Sorted(maps.Keys(s.use)) {
 		lost, leaving := s.pools.Lost(name), s.pools.Leaving(name)
+		if n := s.pools.Losses(name); !lost && s.soft.losses[name] != n {
+			s.soft.losses[name] = n
+			s.soft.watchAt = min(s.soft.watchAt, max(d.now, s.soft.watched+watchSoon))
+		}
 		since, ok := s.soft.lost[name]
 		switch {
 		case !lost:
@@ -292,6 +322,7 @@
 	maps.DeleteFunc(s.soft.issued, func(key string, _ issued) bool { return gone(key) })
 	maps.DeleteFunc(s.soft.escalated, func(key string, _ escalation) bool { return gone(key) })
 	maps.DeleteFunc(s.soft.began, func(r TaskRef, _ time.Duration) bool { return gone(r.Job) || s.jobs[r.Job].Epoch != r.Epoch })
+	maps.DeleteFunc(s.soft.refused, func(_ refusal, at time.Duration) bool { return d.now >= at+refusedFor })
 	maps.DeleteFunc(s.soft.granted, func(key string, g grant) bool { return d.now >= g.until || s.jobs[key] == nil })
 	maps.DeleteFunc(s.soft.since, func(key string, _ time.Duration) bool {
 		j, ok := s.jobs[key]
@@ -302,7 +333,7 @@
 	if d.now < s.soft.watchAt {
 		return
 	}
-	s.soft.watchAt = d.now + watch
+	s.soft.watchAt, s.soft.watched = d.now+watch, d.now
 	w := WatchTasks{}
 	for _, key := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[key]
--- /dev/null
+++ b/internal/platform/driver.go
@@ -0,0 +1,285 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/job"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/placement"
+	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+)
+
+// DriverConfig holds the settings of a driver.
+type DriverConfig struct {
+	Client *Client
+	// Observe hands an event to the control loop; it may block for a short time.
+	Observe func(ev kernel.Event)
+	// Parallel bounds the calls at once; 0 is 16.
+	Parallel int
+	// Waiting bounds the actions that wait for a call; further ones are dropped, since the kernel issues them again.
+	// 0 is 1,024.
+	Waiting int
+	// Poll is the interval at which instances and usage are read; 0 is 2 s.
+	Poll time.Duration
+	Log  logr.Logger
+}
+
+// maxSamples bounds the usage samples of one poll; with the default interval they take less than 1.5 KB/s.
+const maxSamples = 20
+
+// Driver runs actions of the leader. Each action may be issued again at any time; one that is still waiting or running
+// is not run a second time in parallel.
+type Driver struct {
+	cfg   DriverConfig
+	queue chan kernel.Action
+
+	mu     sync.Mutex
+	active map[string]bool
+
+	// Cursors of the polls, which run one after the other.
+	tasks, instances string
+}
+
+// NewDriver returns a driver; Run must be called to make it work.
+func NewDriver(cfg DriverConfig) *Driver {
+	if cfg.Parallel == 0 {
+		cfg.Parallel = 16
+	}
+	if cfg.Waiting == 0 {
+		cfg.Waiting = 1024
+	}
+	if cfg.Poll == 0 {
+		cfg.Poll = 2 * time.Second
+	}
+	return &Driver{
+		cfg: cfg, queue: make(chan kernel.Action, cfg.Waiting), active: map[string]bool{},
+	}
+}
+
+// Run works until the context ends, that is as long as this process leads.
+func (d *Driver) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range d.cfg.Parallel {
+		wg.Go(func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case a := <-d.queue:
+					d.run(ctx, a)
+					d.release(a)
+				}
+			}
+		})
+	}
+	wg.Go(func() {
+		t := time.NewTicker(d.cfg.Poll)
+		defer t.Stop()
+		for {
+			d.Poll(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	})
+	wg.Wait()
+}
+
+// Do accepts an action without blocking and reports whether it did; it ignores actions of other drivers.
+func (d *Driver) Do(a kernel.Action) bool {
+	id, ok := identity(a)
+	if !ok {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active[id] {
+		return true
+	}
+	select {
+	case d.queue <- a:
+		d.active[id] = true
+		return true
+	default:
+		d.cfg.Log.V(1).Info("too many actions wait for the platform; action dropped until it is issued again", "action", id)
+		return false
+	}
+}
+
+func (d *Driver) release(a kernel.Action) {
+	id, _ := identity(a)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.active, id)
+}
+
+// identity names an action; two with the same name have the same effect.
+func identity(a kernel.Action) (string, bool) {
+	var of string
+	switch a := a.(type) {
+	case job.StartTask:
+		of = fmt.Sprintf("%s %d", a.Job, a.Epoch)
+	case job.CheckpointTask:
+		of = fmt.Sprintf("%s %d", a.Job, a.Epoch)
+	case job.ThrottleTask:
+		of = fmt.Sprintf("%s %d %t", a.Job, a.Epoch, a.On)
+	case job.StopTask:
+		of = fmt.Sprintf("%s %d", a.Job, a.Epoch)
+	case job.WatchTasks:
+	case pool.DrainInstance:
+		of = fmt.Sprintf("%s %d", a.Instance, a.Epoch)
+	case pool.RebootInstance:
+		of = fmt.Sprintf("%s %d", a.Instance, a.Epoch)
+	case pool.ResumeInstance:
+		of = fmt.Sprintf("%s %d", a.Instance, a.Epoch)
+	default:
+		return "", false
+	}
+	return a.ActionName() + " " + of, true
+}
+
+func (d *Driver) run(ctx context.Context, a kernel.Action) {
+	c := d.cfg.Client
+	switch a := a.(type) {
+	case job.StartTask:
+		t, err := c.Start(ctx, StartRequest{
+			Job: a.Job, Epoch: a.Epoch, Instance: a.Instance, InstanceEpoch: a.InstanceEpoch,
+			MilliProcessors: a.Limits.MilliProcessors, MemoryMiB: a.Limits.MemoryMiB, Accelerators: a.Limits.Accelerators,
+			Payload: a.Payload, FromCheckpoint: a.Checkpoint,
+		})
+		if errorx.IsOfType(err, ErrRefused) {
+			t, err = Task{State: Refused, Reason: errorx.Cast(err).Message()}, nil
+		}
+		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+	case job.CheckpointTask:
+		t, err := c.Checkpoint(ctx, TaskRequest{Job: a.Job, Epoch: a.Epoch})
+		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+	case job.ThrottleTask:
+		t, err := c.Throttle(ctx, TaskRequest{Job: a.Job, Epoch: a.Epoch, On: a.On})
+		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+	case job.StopTask:
+		t, err := c.Stop(ctx, TaskRequest{Job: a.Job, Epoch: a.Epoch})
+		if errorx.IsOfType(err, ErrRefused) {
+			t, err = Task{State: Stopped, Reason: "superseded by a newer start"}, nil
+		}
+		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+	case job.WatchTasks:
+		d.watch(ctx, a)
+	case pool.DrainInstance:
+		_, err := c.Drain(ctx, InstanceRequest(a))
+		d.failure(a.ActionName(), err)
+	case pool.RebootInstance:
+		_, err := c.Reboot(ctx, InstanceRequest(a))
+		d.failure(a.ActionName(), err)
+	case pool.ResumeInstance:
+		_, err := c.Resume(ctx, InstanceRequest(a))
+		d.failure(a.ActionName(), err)
+	}
+}
+
+func (d *Driver) failure(action string, err error) {
+	if err != nil {
+		d.cfg.Log.V(1).Info("call of platform failed", "action", action, "error", err.Error())
+	}
+}
+
+// report turns the answer about a task into an event. Without an answer nothing is known, and the kernel issues the
+// action again.
+func (d *Driver) report(action, name string, epoch uint64, t Task, err error) {
+	if errorx.IsOfType(err, ErrNotFound) {
+		t, err = Task{}, nil
+	}
+	if err != nil {
+		d.failure(action, err)
+		return
+	}
+	d.cfg.Observe(taskReport(name, epoch, t))
+}
+
+func taskReport(name string, epoch uint64, t Task) job.TaskReport {
+	return job.TaskReport{Job: name, Epoch: epoch, Outcome: outcome(t.State), Throttled: t.Throttled, Reason: t.Reason}
+}
+
+// watch reports every task that the kernel asked for and every running one, so that those given up are stopped.
+func (d *Driver) watch(ctx context.Context, a job.WatchTasks) {
+	list, err := d.cfg.Client.Tasks(ctx, "")
+	if err != nil {
+		d.failure(a.ActionName(), err)
+		return
+	}
+	found := make(map[job.TaskRef]Task, len(list.Tasks))
+	for _, t := range list.Tasks {
+		found[job.TaskRef{Job: t.Job, Epoch: t.Epoch}] = t
+	}
+	var reports job.TaskReports
+	for _, ref := range a.Tasks {
+		t := found[ref] // without a state when the platform doesn't know the task
+		delete(found, ref)
+		reports = append(reports, taskReport(ref.Job, ref.Epoch, t))
+	}
+	for ref, t := range found {
+		if t.State == Running {
+			reports = append(reports, taskReport(ref.Job, ref.Epoch, t))
+		}
+	}
+	d.cfg.Observe(reports)
+}
+
+// Poll reads usage and what changed in tasks and instances. A new driver reads all tasks and instances first, so that
+// a new leader learns what an earlier one was told.
+func (d *Driver) Poll(ctx context.Context) {
+	c := d.cfg.Client
+	if list, err := c.Instances(ctx, d.instances); err != nil {
+		d.failure("list-instances", err)
+	} else {
+		d.instances = list.Cursor
+		reports := make(pool.InstanceReports, 0, len(list.Instances))
+		for _, in := range list.Instances {
+			reports = append(reports, pool.InstanceReport(in))
+		}
+		if len(reports) > 0 {
+			d.cfg.Observe(reports)
+		}
+	}
+	if list, err := c.Tasks(ctx, d.tasks); err != nil {
+		d.failure("list-tasks", err)
+	} else {
+		d.tasks = list.Cursor
+		reports := make(job.TaskReports, 0, len(list.Tasks))
+		for _, t := range list.Tasks {
+			reports = append(reports, taskReport(t.Job, t.Epoch, t))
+		}
+		if len(reports) > 0 {
+			d.cfg.Observe(reports)
+		}
+	}
+	d.usage(ctx)
+}
+
+func (d *Driver) usage(ctx context.Context) {
+	usage, err := d.cfg.Client.Usage(ctx, maxSamples)
+	if err != nil {
+		d.failure("usage", err)
+		return
+	}
+	reports := make(job.UsageReports, 0, len(usage.Samples))
+	for _, u := range usage.Samples {
+		reports = append(reports, job.UsageReport{
+			Job: u.Job, Epoch: u.Epoch, Ran: time.Duration(u.RanMs) * time.Millisecond,
+			Used: placement.Resources{
+				MilliProcessors: u.MilliProcessors, MemoryMiB: u.MemoryMiB, Accelerators: u.Accelerators, Slots: 1,
+			},
+		})
+	}
+	if len(reports) > 0 {
+		d.cfg.Observe(reports)
+	}
+}
