--- a/cmd/hibiscusroute/demo.go
+++ b/cmd/hibiscusroute/demo.go
@@ -52,6 +52,7 @@
 		Process: &setting.Process{
 			Name: "demo", AvailabilityZone: "zone-1", Caller: any, Endpoint: any, Operator: any, Peer: any,
 			Voter: true, Bootstrap: true, DataDirectory: filepath.Join(dir, "data"),
+			ShutdownWait: 100 * time.Millisecond,
 		},
 		Log: logr.Discard(),
 	})
@@ -152,6 +153,11 @@
 	}
 	for _, want := range []int{http.StatusOK, http.StatusConflict} {
 		r, err := c.call(ctx, http.MethodPost, key, id.String())
+		for err == nil && r.status == http.StatusServiceUnavailable && r.outcome == "not-run" && ctx.Err() == nil {
+			// The voters of a new group start to keep claims a moment later; a request that was not run is safe to resend.
+			time.Sleep(50 * time.Millisecond)
+			r, err = c.call(ctx, http.MethodPost, key, id.String())
+		}
 		if err != nil {
 			return err
 		}
--- a/cmd/hibiscusroute/standin.go
+++ b/cmd/hibiscusroute/standin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -19,6 +18,12 @@
 	})
 }
 
+const (
+	// standinGrace is how long a leaving endpoint waits for processes that have not heard of it yet.
+	standinGrace = 3 * time.Second
+	standinStop  = 20 * time.Second
+)
+
 type runStandin struct {
 	Instance string   `long:"instance" required:"true" description:"name of the instance in the configuration"`
 	Address  string   `long:"address" default:"127.0.0.1:0" description:"IP address and port that serve requests"`
@@ -43,17 +48,21 @@
 	for _, a := range announce {
 		urls = append(urls, "http://"+a+"/announce")
 	}
-	return standin.New(standin.Config{Instance: instance, Address: ln.Addr().String(), Announce: urls, Size: size})
+	return standin.New(standin.Config{
+		Instance: instance, Address: ln.Addr().String(), Announce: urls, Behavior: standin.Behavior{Size: size},
+	})
 }
 
 func serveStandin(ctx context.Context, e *standin.Endpoint, ln net.Listener) error {
-	srv := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = srv.Serve(ln) }()
-	err := e.Run(ctx)
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), 10*time.Second)
-	defer cancel()
-	if serr := srv.Shutdown(stop); serr != nil && err == nil {
-		err = serr
+	served := make(chan error, 1)
+	go func() { served <- e.Serve(ln) }()
+	go e.Run(ctx)
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
 	}
-	return err
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinStop)
+	defer cancel()
+	return e.Stop(stop, standinGrace)
 }
--- /dev/null
+++ b/internal/caller/job.go
@@ -0,0 +1,252 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/job"
+	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/view"
+)
+
+// maxJobBody bounds a submitted job: a payload of 64 KiB in base64 with its other fields.
+const maxJobBody = 96 << 10
+
+// jobTimeout bounds the wait for the control group.
+const jobTimeout = 5 * time.Second
+
+// JobRequest is the JSON body of POST /jobs.
+type JobRequest struct {
+	// ID is chosen by the caller and repeated when it resends; a UUIDv7 when the job is not idempotent.
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	// Processors is a number of cores, which may be a fraction.
+	Processors   float64 `json:"processors"`
+	MemoryMiB    int64   `json:"memory-mib"`
+	Accelerators int64   `json:"accelerators"`
+	// ExpectedRun is a time span such as "30s".
+	ExpectedRun string `json:"expected-run"`
+	Idempotent  bool   `json:"idempotent"`
+	// Payload is handed to the task, in base64, at most 64 KiB.
+	Payload []byte `json:"payload"`
+}
+
+// JobStatus is the JSON answer about a job.
+type JobStatus struct {
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	// State is waiting, starting, running, checkpointing, finished, failed, cancelled or unknown.
+	State    string `json:"state"`
+	Reason   string `json:"reason,omitempty"`
+	Instance string `json:"instance,omitempty"`
+	Starts   int32  `json:"starts"`
+	Moves    int32  `json:"moves"`
+}
+
+// JobConfig holds what the job paths need.
+type JobConfig struct {
+	View    func() (*view.View, error)
+	Propose func(ctx context.Context, c kernel.Command) (kernel.Result, error)
+	Query   func(ctx context.Context, plugin string, req []byte) ([]byte, error)
+}
+
+// Jobs serves the job paths.
+type Jobs struct{ cfg JobConfig }
+
+// NewJobs builds the handlers of the job paths.
+func NewJobs(cfg JobConfig) *Jobs { return &Jobs{cfg: cfg} }
+
+// Submit accepts a job durably and answers with its state; a resent job gets the state of the first one.
+func (j *Jobs) Submit(w http.ResponseWriter, r *http.Request) {
+	v, err := j.cfg.View()
+	if err != nil {
+		writeRejection(w, http.StatusServiceUnavailable, Rejection{outcomeNotRun, "no-lease", err.Error()})
+		return
+	}
+	req, err := decodeJob(w, r)
+	if err != nil {
+		status := http.StatusBadRequest
+		if errors.As(err, new(*http.MaxBytesError)) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		writeRejection(w, status, Rejection{outcomeNotRun, "malformed", err.Error()})
+		return
+	}
+	queue, ok := v.Queue(req.Queue)
+	if !ok {
+		writeRejection(w, http.StatusNotFound, Rejection{outcomeNotRun, "unknown-queue", "no queue " + req.Queue})
+		return
+	}
+	team, err := v.Authorize(queue, presentedKey(r))
+	if err != nil {
+		writeRejection(w, authorizationStatus(err), Rejection{outcomeNotRun, "unauthorized", err.Error()})
+		return
+	}
+	m, err := req.message(team)
+	if err != nil {
+		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		return
+	}
+	c, err := job.SubmitCommand("", m)
+	if err != nil {
+		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		return
+	}
+	j.change(w, r, c, http.StatusAccepted)
+}
+
+// Get answers with the state of a job of the key's team.
+func (j *Jobs) Get(w http.ResponseWriter, r *http.Request) {
+	team, ok := j.team(w, r)
+	if !ok {
+		return
+	}
+	q, err := job.Query(team, r.PathValue("id"))
+	if err != nil {
+		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), jobTimeout)
+	defer cancel()
+	body, err := j.cfg.Query(ctx, job.Name, q)
+	if err != nil {
+		writeRejection(w, jobStatusCode(err), Rejection{outcomeNotRun, "query-failed", err.Error()})
+		return
+	}
+	writeJob(w, http.StatusOK, body)
+}
+
+// Cancel cancels a job of the key's team; it may be repeated, and answers with the state that was committed first.
+func (j *Jobs) Cancel(w http.ResponseWriter, r *http.Request) {
+	team, ok := j.team(w, r)
+	if !ok {
+		return
+	}
+	c, err := job.CancelCommand("", team, r.PathValue("id"))
+	if err != nil {
+		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		return
+	}
+	j.change(w, r, c, http.StatusOK)
+}
+
+func (j *Jobs) team(w http.ResponseWriter, r *http.Request) (string, bool) {
+	v, err := j.cfg.View()
+	if err != nil {
+		writeRejection(w, http.StatusServiceUnavailable, Rejection{outcomeNotRun, "no-lease", err.Error()})
+		return "", false
+	}
+	team, err := v.Authenticate(presentedKey(r))
+	if err != nil {
+		writeRejection(w, authorizationStatus(err), Rejection{outcomeNotRun, "unauthorized", err.Error()})
+		return "", false
+	}
+	return team, true
+}
+
+// change commits a command. Submissions and cancellations are idempotent by the job's identifier, so a caller may
+// resend either after an unknown outcome.
+func (j *Jobs) change(w http.ResponseWriter, r *http.Request, c kernel.Command, status int) {
+	ctx, cancel := context.WithTimeout(r.Context(), jobTimeout)
+	defer cancel()
+	res, err := j.cfg.Propose(ctx, c)
+	if err != nil {
+		writeRejection(w, http.StatusGatewayTimeout, Rejection{
+			outcomeUnknown, "outcome-unknown", "the control group did not answer; send the same job again: " + err.Error(),
+		})
+		return
+	}
+	if res.Err != nil {
+		writeRejection(w, jobStatusCode(res.Err), Rejection{outcomeNotRun, "rejected", res.Err.Error()})
+		return
+	}
+	writeJob(w, status, res.Body)
+}
+
+func decodeJob(w http.ResponseWriter, r *http.Request) (*JobRequest, error) {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBody))
+	dec.DisallowUnknownFields()
+	req := &JobRequest{}
+	if err := dec.Decode(req); err != nil {
+		return nil, errorx.Decorate(err, "decode job")
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errorx.IllegalFormat.New("data after the job")
+	}
+	return req, nil
+}
+
+func (q *JobRequest) message(team string) (*jobpb.Submit, error) {
+	run, err := time.ParseDuration(q.ExpectedRun)
+	if err != nil {
+		return nil, errorx.IllegalFormat.New("expected-run must be a time span such as \"30s\"")
+	}
+	if !q.Idempotent {
+		if id, err := uuid.Parse(q.ID); err != nil || id.Version() != 7 {
+			return nil, errorx.IllegalFormat.New("id must be a UUIDv7, because the job is not idempotent")
+		}
+	}
+	return &jobpb.Submit{
+		Id: q.ID, Team: team, Queue: q.Queue, ExpectedRun: int64(run), Idempotent: q.Idempotent, Payload: q.Payload,
+		Declared: &jobpb.Resources{
+			MilliProcessors: int64(q.Processors * 1000), MemoryMib: q.MemoryMiB, Accelerators: q.Accelerators,
+		},
+	}, nil
+}
+
+func presentedKey(r *http.Request) string {
+	presented, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return presented
+}
+
+func authorizationStatus(err error) int {
+	if errorx.IsOfType(err, view.ErrUnauthorized) {
+		return http.StatusUnauthorized
+	}
+	return http.StatusForbidden
+}
+
+func jobStatusCode(err error) int {
+	switch {
+	case errorx.IsOfType(err, kernel.ErrInvalid):
+		return http.StatusBadRequest
+	case errorx.IsOfType(err, kernel.ErrNotFound):
+		return http.StatusNotFound
+	case errorx.IsOfType(err, kernel.ErrConflict):
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeJob(w http.ResponseWriter, status int, body []byte) {
+	m, err := job.DecodeJob(body)
+	if err != nil {
+		writeRejection(w, http.StatusInternalServerError, Rejection{outcomeUnknown, "internal", err.Error()})
+		return
+	}
+	state := strings.ToLower(strings.TrimPrefix(m.Phase.String(), "PHASE_"))
+	writeJSON(w, status, JobStatus{
+		ID: m.Submit.GetId(), Queue: m.Submit.GetQueue(), State: state, Reason: m.Reason, Instance: m.Instance,
+		Starts: m.Starts, Moves: m.Moves,
+	})
+}
+
+func writeRejection(w http.ResponseWriter, status int, r Rejection) {
+	w.Header().Set(headerOutcome, r.Outcome)
+	writeJSON(w, status, r)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a caller that is gone gets no answer
+}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
@@ -104,7 +105,7 @@
 // its new identity is a voter.
 func (v *Voter) manageVoters() {
 	members := v.core.Status().Members
-	v.publishVoters(members)
+	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: redundant(members)})
 	for _, m := range members {
 		if !m.Member.Voter && m.CaughtUp {
 			v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: m.Member})
@@ -122,6 +123,18 @@
 	}
 }
 
+// redundant reports whether the group could lose a voter now: there are at least three, and all are caught up.
+func redundant(members []raft.MemberStatus) bool {
+	voters := 0
+	for _, m := range members {
+		if !m.Member.Voter || !m.CaughtUp {
+			return false
+		}
+		voters++
+	}
+	return voters >= 3
+}
+
 // publishVoters makes the voters known to the at-most-once record when they changed.
 func (v *Voter) publishVoters(members []raft.MemberStatus) {
 	var voters []*claimpb.Voter
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -269,6 +269,7 @@
 	if !v.leading {
 		return
 	}
+	v.publishVoters(v.core.Status().Members)
 	d := v.kernel.Decide(v.now())
 	for _, c := range d.Commands {
 		if err := v.propose(c, nil); err != nil {
--- /dev/null
+++ b/internal/node/exchange.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/member/memberpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+)
+
+const (
+	announcementsKind = "announcements"
+	// exchangeQueue bounds the updates that wait for one process; after an overflow the stream starts anew with all.
+	exchangeQueue = 256
+	// exchangeInterval is the time between looks at the processes, and before a lost stream is opened again.
+	exchangeInterval = 500 * time.Millisecond
+)
+
+// exchange passes announcements of endpoints to the other processes, with one stream for each.
+type exchange struct {
+	registry *endpoint.Registry
+	open     func(ctx context.Context, address, kind string) (*peer.Stream, error)
+	members  func() []*memberpb.Member
+	self     string // peer address
+
+	mu    sync.Mutex
+	links map[string]*exchangeLink // by peer address
+}
+
+type exchangeLink struct {
+	cancel context.CancelFunc
+	// queue is nil until the stream is open; a full queue ends the stream.
+	queue chan *endpointpb.Update
+	end   context.CancelFunc
+}
+
+func newExchange(n *Node) *exchange {
+	return &exchange{
+		registry: n.registry, open: n.transport.Open, members: n.follower.Members, self: n.transport.Address(),
+		links: map[string]*exchangeLink{},
+	}
+}
+
+// run keeps a stream to each other process until ctx is done.
+func (x *exchange) run(ctx context.Context) error {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		x.connect(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// connect starts streams to processes that joined and ends those to processes that left.
+func (x *exchange) connect(ctx context.Context) {
+	current := map[string]bool{}
+	for _, m := range x.members() {
+		if !m.Expired && m.PeerAddress != x.self {
+			current[m.PeerAddress] = true
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for address, l := range x.links {
+		if !current[address] {
+			l.cancel()
+			delete(x.links, address)
+		}
+	}
+	for address := range current {
+		if _, ok := x.links[address]; !ok {
+			lctx, cancel := context.WithCancel(ctx)
+			l := &exchangeLink{cancel: cancel}
+			x.links[address] = l
+			go x.keep(lctx, address, l)
+		}
+	}
+}
+
+func (x *exchange) keep(ctx context.Context, address string, l *exchangeLink) {
+	for ctx.Err() == nil {
+		x.stream(ctx, address, l)
+		select {
+		case <-ctx.Done():
+		case <-time.After(exchangeInterval):
+		}
+	}
+}
+
+func (x *exchange) stream(ctx context.Context, address string, l *exchangeLink) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := x.open(ctx, address, announcementsKind)
+	if err != nil {
+		return
+	}
+	defer func() { _ = s.Close() }()
+	queue := make(chan *endpointpb.Update, exchangeQueue)
+	x.mu.Lock()
+	l.queue, l.end = queue, cancel
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		l.queue = nil
+	}()
+	// What changes after this state is already queued.
+	if err := s.Send(x.registry.Full()); err != nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-queue:
+			if err := s.Send(u); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// send queues an update for every connected process without blocking.
+func (x *exchange) send(u *endpointpb.Update) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, l := range x.links {
+		if l.queue == nil {
+			continue
+		}
+		select {
+		case l.queue <- u:
+		default:
+			l.end()
+			l.queue = nil
+		}
+	}
+}
+
+// serve takes the updates of another process.
+func (x *exchange) serve(_ context.Context, from string, s *peer.Stream) error {
+	for {
+		u := &endpointpb.Update{}
+		if err := s.Receive(u); err != nil {
+			return err
+		}
+		x.registry.Receive(from, u)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/disk"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
 	"github.com/hibiscusroute/hibiscusroute/internal/follower"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
@@ -61,6 +63,9 @@
 	registry  *endpoint.Registry
 	caller    *caller.Server
 	operator  *operator.Server
+	exchange  *exchange
+	platform  *platformDriver
+	timeline  *timeline.Recorder
 }
 
 type listeners struct{ caller, endpoint, operator, peer net.Listener }
@@ -76,6 +81,9 @@
 // New opens the listeners and the data directory of a process.
 func New(cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, metrics: metrics.NewSet()}
+	n.timeline = timeline.New(timeline.Config{
+		Process: cfg.Process.Name, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), Now: time.Now,
+	})
 	if err := n.build(); err != nil {
 		n.close()
 		return nil, err
@@ -126,14 +134,12 @@
 	return nil
 }
 
-// record adds an event to the time line of this process.
-func (n *Node) record(timeline.Event) {}
-
 func (n *Node) buildControl() error {
 	p := n.cfg.Process
 	var err error
 	n.transport, err = peer.New(peer.Config{
-		Name: p.Name, Listener: n.listeners.peer, TLS: p.TLS, Dial: n.cfg.Dial, Log: n.cfg.Log,
+		Name: p.Name, Listener: n.listeners.peer, TLS: p.TLS, Dial: n.cfg.Dial,
+		Stamp: n.timeline.Stamp, Observe: n.timeline.Observe, Log: n.cfg.Log,
 	})
 	if err != nil {
 		return err
@@ -157,7 +163,8 @@
 		}
 		n.voter, err = control.New(control.Config{
 			Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Store: n.store,
-			Persisted: persisted, Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.record, Log: n.cfg.Log,
+			Persisted: persisted, Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.timeline.Record, Log: n.cfg.Log,
+			Act: n.act, Lead: n.lead,
 			Violation: func(plugin string, _ error) {
 				n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
 			},
@@ -166,14 +173,29 @@
 			return err
 		}
 	}
+	if n.voter != nil && p.Platform != nil {
+		n.platform = newPlatformDriver(n)
+	}
 	n.client = follower.NewClient(follower.ClientConfig{Voters: voters, Call: n.transport.Call})
 	n.follower, err = follower.New(follower.Config{
 		Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Client: n.client,
-		Open: n.transport.Open, Record: n.record, Log: n.cfg.Log,
+		Open: n.transport.Open, Record: n.timeline.Record, Log: n.cfg.Log,
 	})
 	return err
 }
 
+func (n *Node) act(actions []kernel.Action) {
+	if n.platform != nil {
+		n.platform.act(actions)
+	}
+}
+
+func (n *Node) lead(leading bool) {
+	if n.platform != nil {
+		n.platform.lead(leading)
+	}
+}
+
 // Run serves until ctx is done and then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.close()
@@ -198,20 +220,27 @@
 	}
 	run("follower", n.follower.Run)
 	run("operator API", func(ctx context.Context) error { return n.operator.Serve(ctx, n.listeners.operator) })
-	callers := n.httpServer(n.caller)
+	run("exchange of announcements", n.exchange.run)
+	run("batches of announcements", func(ctx context.Context) error {
+		n.registry.Run(ctx)
+		return nil
+	})
+	if n.platform != nil {
+		run("platform driver", n.platform.run)
+	}
 	endpoints := n.httpServer(n.registry)
-	run("caller listener", serve(callers, n.listeners.caller))
+	run("caller listener", func(context.Context) error { return n.caller.Serve(n.listeners.caller) })
 	run("endpoint listener", serve(endpoints, n.listeners.endpoint))
 	n.cfg.Log.Info("process started", "name", n.cfg.Process.Name, "caller", n.listeners.caller.Addr().String())
 	select {
 	case err := <-failed:
 		// The other parts can't go on without this one; callers see their connections close.
-		_ = callers.Close()
 		_ = endpoints.Close()
+		_ = n.listeners.caller.Close()
 		return err
 	case <-ctx.Done():
 	}
-	return n.shutdown(context.WithoutCancel(ctx), callers, endpoints)
+	return n.shutdown(context.WithoutCancel(ctx), endpoints)
 }
 
 func (n *Node) httpServer(h http.Handler) *http.Server {
@@ -251,14 +280,11 @@
 }
 
 // shutdown ends the caller's work first, then gives back what this process holds, then leadership.
-func (n *Node) shutdown(ctx context.Context, callers, endpoints *http.Server) error {
+func (n *Node) shutdown(ctx context.Context, endpoints *http.Server) error {
 	n.cfg.Log.Info("shutting down: the readiness check fails from now on")
 	if err := n.caller.Stop(ctx); err != nil {
 		n.cfg.Log.Error(err, "stop serving callers")
 	}
-	if err := callers.Shutdown(ctx); err != nil {
-		n.cfg.Log.Error(err, "close caller listener")
-	}
 	hctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	if err := n.follower.Leave(hctx); err != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -37,7 +37,7 @@
 	if !p.Peer.IsValid() {
 		p.Peer = loopback
 	}
-	p.AvailabilityZone = "zone-1"
+	p.AvailabilityZone, p.ShutdownWait = "zone-1", time.Millisecond
 	log := logr.Discard()
 	if testing.Verbose() {
 		log = testr.NewWithOptions(t, testr.Options{Verbosity: 1}).WithName(p.Name)
@@ -178,7 +178,8 @@
 	t.Helper()
 	srv := httptest.NewUnstartedServer(nil)
 	e := standin.New(standin.Config{
-		Instance: instance, Address: srv.Listener.Addr().String(), Size: 64,
+		Instance: instance, Address: srv.Listener.Addr().String(),
+		Behavior: standin.Behavior{Size: 64},
 		Announce: []string{"http://" + n.listeners.endpoint.Addr().String() + "/announce"},
 	})
 	srv.Config.Handler = e
@@ -186,15 +187,7 @@
 	t.Cleanup(srv.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go func() {
-		for ctx.Err() == nil {
-			wait, err := e.Announce(ctx, 0)
-			if err != nil {
-				wait = 100 * time.Millisecond
-			}
-			time.Sleep(wait)
-		}
-	}()
+	go e.Run(ctx)
 	return e
 }
 
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
 // inForcePoll is the time between looks at the rollout of a version.
@@ -16,7 +18,7 @@
 	var err error
 	n.operator, err = operator.New(operator.Config{
 		Propose: n.client.Propose, Query: n.client.Query, InForce: n.inForce, Status: n.status,
-		Members: n.controlGroup, ChangeMember: n.changeMember, Ready: n.ready,
+		Members: n.controlGroup, ChangeMember: n.changeMember, Ready: n.ready, Timeline: n.dumpTimeline,
 		Metrics: n.metrics, Key: n.cfg.Process.OperatorKey, Log: n.cfg.Log,
 	})
 	return err
@@ -98,3 +100,8 @@
 	}
 	return n.client.Remove(ctx, ch.Identity, false)
 }
+
+// dumpTimeline writes the events of this process.
+func (n *Node) dumpTimeline(_ context.Context, w io.Writer) error {
+	return timeline.Encode(w, n.timeline.Dump())
+}
--- /dev/null
+++ b/internal/node/platform.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/platform"
+)
+
+// observeTimeout bounds the wait for the control loop; a report that is lost is read again with the next poll.
+const observeTimeout = time.Second
+
+// platformDriver runs the driver of the platform while this process leads the control group.
+type platformDriver struct {
+	n       *Node
+	leading chan bool
+	actions chan []kernel.Action
+}
+
+func newPlatformDriver(n *Node) *platformDriver {
+	return &platformDriver{n: n, leading: make(chan bool, 16), actions: make(chan []kernel.Action, 64)}
+}
+
+// lead is called by the control loop when it starts or stops leading.
+func (d *platformDriver) lead(leading bool) {
+	select {
+	case d.leading <- leading:
+	default: // the channel holds many changes already; the loop that reads it takes the newest
+	}
+}
+
+// act is called by the control loop; actions that find no room are issued again by the kernel.
+func (d *platformDriver) act(actions []kernel.Action) {
+	select {
+	case d.actions <- actions:
+	default:
+	}
+}
+
+func (d *platformDriver) run(ctx context.Context) error {
+	client := platform.NewClient(platform.ClientConfig{Address: d.n.cfg.Process.Platform.String()})
+	var driver *platform.Driver
+	stop := func() {}
+	defer func() { stop() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case leading := <-d.leading:
+			stop()
+			driver, stop = nil, func() {}
+			if leading {
+				driver, stop = d.start(ctx, client)
+			}
+		case actions := <-d.actions:
+			if driver == nil {
+				continue
+			}
+			for _, a := range actions {
+				driver.Do(a)
+			}
+		}
+	}
+}
+
+func (d *platformDriver) start(ctx context.Context, client *platform.Client) (*platform.Driver, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	driver := platform.NewDriver(platform.DriverConfig{
+		Client: client, Log: d.n.cfg.Log,
+		Observe: func(ev kernel.Event) {
+			octx, done := context.WithTimeout(ctx, observeTimeout)
+			defer done()
+			if err := d.n.voter.Observe(octx, ev); err != nil {
+				d.n.cfg.Log.V(1).Info("report of the platform was lost", "reason", err.Error())
+			}
+		},
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		driver.Run(ctx)
+	}()
+	return driver, func() {
+		cancel()
+		<-ended
+	}
+}
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/hibiscusroute/hibiscusroute/internal/caller"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
 func (n *Node) buildTraffic() {
@@ -17,21 +19,21 @@
 	}
 	n.registry = endpoint.New(endpoint.Config{
 		Key: n.cfg.Process.EndpointKey, View: n.follower.View, TryAcquire: acquire, SetDemand: holder.SetDemand,
-		Metrics: n.metrics, Log: n.cfg.Log,
+		Send: func(u *endpointpb.Update) { n.exchange.send(u) }, Metrics: n.metrics, Log: n.cfg.Log,
 	})
-	dispatcher := endpoint.NewDispatcher(endpoint.DispatcherConfig{Processes: n.processes})
+	n.exchange = newExchange(n)
+	n.transport.Handle(announcementsKind, n.exchange.serve)
+	dispatcher := endpoint.NewDispatcher(endpoint.DispatcherConfig{})
+	jobs := caller.NewJobs(caller.JobConfig{View: n.follower.View, Propose: n.client.Propose, Query: n.client.Query})
 	n.caller = caller.New(caller.Config{
 		View: n.follower.View, Registry: n.registry, Dispatcher: dispatcher,
-		TryAcquire: acquire, SetDemand: holder.SetDemand, Changed: holder.Changed,
-		Claim: n.claim, StopDelay: n.cfg.Process.ShutdownWait, Metrics: n.metrics, Log: n.cfg.Log,
+		TryAcquire: acquire, SetDemand: holder.SetDemand, Changed: holder.Changed, Claim: n.claim,
+		SubmitJob: jobs.Submit, GetJob: jobs.Get, CancelJob: jobs.Cancel,
+		Record: func(e caller.Event) {
+			n.timeline.Record(timeline.Event{
+				Kind: e.Kind, Request: e.Request, Instance: e.Instance, Team: e.Team, Text: e.Text,
+			})
+		},
+		StopDelay: n.cfg.Process.ShutdownWait, Metrics: n.metrics, Log: n.cfg.Log,
 	})
 }
-
-// processes returns the number of processes among which the connections of an instance are divided.
-func (n *Node) processes() int {
-	v := n.follower.Last()
-	if v == nil {
-		return 1
-	}
-	return max(v.Configuration().Processes, 1)
-}
