--- a/internal/raft/bench_test.go
+++ b/internal/raft/bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 )
 
-// BenchmarkProposeCommit measures a proposal until all members applied it, without a disk.
+// BenchmarkProposeCommit measures a proposal until the leader applied it, without a disk.
 func BenchmarkProposeCommit(b *testing.B) {
 	for _, size := range []int{3, 5} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
@@ -19,15 +19,18 @@
 			data := make([]byte, 256)
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := l.Propose(data); err != nil {
+				index, err := l.Propose(data)
+				if err != nil {
 					b.Fatal(err)
 				}
-				for _, id := range w.ids {
-					n := w.nodes[id]
-					for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
-						n.core.Advance(rd)
-						for _, m := range rd.Messages {
-							_ = w.nodes[m.To].core.Step(m)
+				for l.applied < index {
+					for _, id := range w.ids {
+						n := w.nodes[id]
+						for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
+							n.core.Advance(rd)
+							for _, m := range rd.Messages {
+								_ = w.nodes[m.To].core.Step(m)
+							}
 						}
 					}
 				}
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -95,20 +95,20 @@
 	elapsed   int    // ticks since a leader was heard or an election began
 	timeout   int
 	votes     map[string]bool
-	receiving *reception
+	receiving *incomingSnapshot
 
 	// Leader only.
-	progress    map[string]*progress
-	beatElapsed int
-	beatCommit  uint64 // commit index at the last periodic heartbeat
-	termStart   uint64 // index of the first entry of the own term
-	uncommitted int    // bytes
-	unsent      bool   // entries wait to be sent with the next Ready
-	announce    bool   // a new commit index waits to be sent with the next Ready
-	transferTo  string
-	transferEnd uint64
-	round       uint64
-	reads       []read
+	progress         map[string]*progress
+	heartbeatElapsed int
+	heartbeatCommit  uint64 // commit index at the last periodic heartbeat
+	termStart        uint64 // index of the first entry of the own term
+	uncommitted      int    // bytes
+	unsent           bool   // entries wait to be sent with the next Ready
+	announce         bool   // a new commit index waits to be sent with the next Ready
+	transferTo       string
+	transferEnd      uint64
+	round            uint64
+	reads            []read
 
 	outstanding bool
 	synced      hardState // last one in a Ready
@@ -189,9 +189,9 @@
 	if c.transferTo != "" && c.clock >= c.transferEnd {
 		c.transferTo = ""
 	}
-	if c.beatElapsed++; c.beatElapsed >= c.cfg.HeartbeatTicks {
-		c.beatElapsed = 0
-		c.beatCommit = c.commit
+	if c.heartbeatElapsed++; c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		c.heartbeatElapsed = 0
+		c.heartbeatCommit = c.commit
 		c.startRound()
 	}
 }
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -105,7 +105,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes, c.receiving = Leader, c.cfg.ID, nil, nil
-	c.elapsed, c.beatElapsed, c.beatCommit = 0, 0, c.commit
+	c.elapsed, c.heartbeatElapsed, c.heartbeatCommit = 0, 0, c.commit
 	c.progress = map[string]*progress{}
 	c.updateProgress()
 	c.termStart = c.log.last() + 1
--- a/internal/raft/explore_test.go
+++ b/internal/raft/explore_test.go
@@ -18,9 +18,9 @@
 // full makes the exploration larger than the time of the normal test run permits.
 var full = flag.Bool("full", false, "explore the larger models")
 
-// world is one state of a model; it is not changed after its creation. Messages stay in sent for ever, so that delivering
+// modelState is one state of a model; it is not changed after its creation. Messages stay in sent for ever, so that delivering
 // some of them in any order, more than once or never covers loss, duplication and reordering.
-type world struct {
+type modelState struct {
 	nodes    []*node
 	hashes   []uint64 // of the nodes
 	sent     map[uint64]*raftpb.Message
@@ -87,14 +87,14 @@
 }
 
 // next returns the state after a step of node i, or nil when it was seen before.
-func (w *world) next(seen map[uint64]bool, i int, f func(n *node) bool) (*world, error) {
+func (w *modelState) next(seen map[uint64]bool, i int, f func(n *node) bool) (*modelState, error) {
 	n := *w.nodes[i]
 	n.core = n.core.clone()
 	n.disk.Entries = slices.Clip(n.disk.Entries)
 	if !f(&n) {
 		return nil, nil
 	}
-	d := &world{sent: w.sent, restarts: w.restarts}
+	d := &modelState{sent: w.sent, restarts: w.restarts}
 	for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
 		n.handle(rd)
 		for _, m := range rd.Messages {
@@ -125,8 +125,8 @@
 }
 
 // successors returns the unseen states that one step reaches.
-func (m *model) successors(t *testing.T, w *world, seen map[uint64]bool) []*world {
-	var list []*world
+func (m *model) successors(t *testing.T, w *modelState, seen map[uint64]bool) []*modelState {
+	var list []*modelState
 	try := func(i int, what any, f func(n *node) bool) {
 		next, err := w.next(seen, i, f)
 		if next != nil {
@@ -182,13 +182,13 @@
 		net.nodes["m1"].core.campaign(Candidate, false)
 		net.settle()
 	}
-	start := &world{sent: map[uint64]*raftpb.Message{}, checker: net.checker}
+	start := &modelState{sent: map[uint64]*raftpb.Message{}, checker: net.checker}
 	for _, n := range net.list() {
 		n.core.elapsed = n.core.cfg.ElectionTicks
 		start.nodes, start.hashes = append(start.nodes, n), append(start.hashes, n.hash())
 	}
 	seen := map[uint64]bool{}
-	for frontier := []*world{start}; len(frontier) > 0; {
+	for frontier := []*modelState{start}; len(frontier) > 0; {
 		w := frontier[0]
 		frontier[0] = nil
 		frontier = append(frontier[1:], m.successors(t, w, seen)...)
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -178,5 +178,5 @@
 		return true
 	}
 	p := c.progress[id]
-	return p != nil && c.clock-p.heard < uint64(c.cfg.ElectionTicks) && p.match >= c.beatCommit
+	return p != nil && c.clock-p.heard < uint64(c.cfg.ElectionTicks) && p.match >= c.heartbeatCommit
 }
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -20,7 +20,7 @@
 	checked     uint64   // tick of the last search for lost messages
 	heard       uint64   // tick of the last message from the member
 	round       uint64   // last heartbeat round it answered
-	transfer    *transfer
+	transfer    *snapshotTransfer
 }
 
 func (p *progress) probe(next uint64) {
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -74,9 +74,9 @@
 			i = s.random.IntN(len(s.inflight))
 		}
 		m := s.inflight[i]
-		if fate := s.random.IntN(20); fate != 0 {
+		if chance := s.random.IntN(20); chance != 0 {
 			s.inflight = slices.Delete(s.inflight, i, i+1)
-			if fate == 1 {
+			if chance == 1 {
 				return
 			}
 		}
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -31,17 +31,17 @@
 func TestReturningMemberKeepsTerm(t *testing.T) {
 	w := newNetwork(t, 3)
 	l := w.leader()
-	away := w.other(l.cfg.ID)
+	isolated := w.other(l.cfg.ID)
 	term := l.term
-	w.isolate(away)
+	w.isolate(isolated)
 	w.tick(1000)
 	w.propose("a")
 	w.heal()
 	w.tick(50)
 	assert.Equal(t, w.leader(), l)
 	assert.Equal(t, l.term, term)
-	assert.Equal(t, w.nodes[away].core.term, term)
-	assert.Equal(t, w.nodes[away].state, "a")
+	assert.Equal(t, w.nodes[isolated].core.term, term)
+	assert.Equal(t, w.nodes[isolated].state, "a")
 }
 
 // Guards against a leader that goes on leading, reading or granting without a quorum.
@@ -151,10 +151,10 @@
 	w.settle()
 	assert.Equal(t, w.leader().cfg.ID, to)
 	l = w.leader()
-	gone := w.other(to)
-	w.isolate(gone)
+	unreachable := w.other(to)
+	w.isolate(unreachable)
 	w.propose("a")
-	assert.NilError(t, l.Transfer(gone))
+	assert.NilError(t, l.Transfer(unreachable))
 	_, err := l.Propose([]byte("b"))
 	assert.Assert(t, errorx.IsOfType(err, ErrBusy))
 	w.tick(l.cfg.ElectionTicks)
@@ -213,14 +213,14 @@
 func TestSnapshotTransferResumes(t *testing.T) {
 	w := newNetwork(t, 3)
 	l := w.leader()
-	away := w.other(l.cfg.ID)
-	w.isolate(away)
+	isolated := w.other(l.cfg.ID)
+	w.isolate(isolated)
 	for range 5 {
 		w.propose(strings.Repeat("s", 200<<10))
 	}
 	w.tick(1)
 	w.nodes[l.cfg.ID].compact()
-	sent, chunks, next := 0, 0, w.other(l.cfg.ID, away)
+	sent, chunks, next := 0, 0, w.other(l.cfg.ID, isolated)
 	w.nodes[next].compact()
 	w.drop = func(m *raftpb.Message) bool {
 		if m.Type != raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT || len(m.Data) == 0 {
@@ -237,9 +237,9 @@
 	w.tick(10)
 	assert.NilError(t, l.Transfer(next)) // the new leader has the same snapshot
 	w.tick(30)
-	assert.Equal(t, w.nodes[away].installs, 1)
+	assert.Equal(t, w.nodes[isolated].installs, 1)
 	assert.Equal(t, sent, 1000<<10)
-	assert.Equal(t, w.nodes[away].state, w.nodes[l.cfg.ID].state)
+	assert.Equal(t, w.nodes[isolated].state, w.nodes[l.cfg.ID].state)
 }
 
 // Guards against a leader that sends without bound to a member which does not answer, or accepts without bound.
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -17,16 +17,16 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// transfer is a snapshot on its way to a member; it stays the same when a newer snapshot is taken meanwhile.
-type transfer struct {
+// snapshotTransfer is a snapshot on its way to a member; it stays the same when a newer snapshot is taken meanwhile.
+type snapshotTransfer struct {
 	snapshot *Snapshot
 	checksum uint32
 	offset   uint64 // bytes that the member has
 	sent     uint64 // tick of the last chunk
 }
 
-// reception is a snapshot that arrives in chunks. It outlives a change of the leader, so that the transfer resumes.
-type reception struct {
+// incomingSnapshot is a snapshot that arrives in chunks. It outlives a change of the leader, so that the transfer resumes.
+type incomingSnapshot struct {
 	meta     *raftpb.SnapshotMeta
 	size     uint64
 	checksum uint32
@@ -37,7 +37,7 @@
 func (c *Core) startSnapshot(id string, p *progress) {
 	p.probe(p.next)
 	p.state = transferring
-	p.transfer = &transfer{snapshot: c.snapshot, checksum: crc32.Checksum(c.snapshot.Data, castagnoli)}
+	p.transfer = &snapshotTransfer{snapshot: c.snapshot, checksum: crc32.Checksum(c.snapshot.Data, castagnoli)}
 	c.sendChunk(id, p, 0)
 }
 
@@ -83,7 +83,7 @@
 	}
 	r := c.receiving
 	if r == nil || !proto.Equal(r.meta, meta) || r.size != m.Size || r.checksum != m.Checksum {
-		r = &reception{meta: meta, size: m.Size, checksum: m.Checksum}
+		r = &incomingSnapshot{meta: meta, size: m.Size, checksum: m.Checksum}
 		c.receiving = r
 	}
 	if m.Offset == uint64(len(r.data)) {
