--- a/internal/caller/fair.go
+++ b/internal/caller/fair.go
@@ -34,6 +34,7 @@
 	cost    float64 // estimated run time in seconds
 	running int     // charged and not yet settled
 	blocked bool    // in the current pass
+	why     string  // the first request did not start
 
 	since  time.Time // start of the period for which pace is measured
 	grants int       // in that period
@@ -79,11 +80,8 @@
 // explain notes why no request of the pool starts.
 func (p *poolQueue) explain(why string) {
 	for _, f := range p.all() {
-		if f.blocked {
-			continue
-		}
-		for _, w := range f.list {
-			w.blocked = why
+		if !f.blocked {
+			f.why = why
 		}
 	}
 }
--- /dev/null
+++ b/internal/caller/fair_test.go
@@ -0,0 +1,233 @@
+package caller
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/view"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// ending is a request that runs until a moment of the simulated time.
+type ending struct {
+	at time.Duration
+	g  grant
+	w  *waiter
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// load is the demand of one team in a simulation.
+type load struct {
+	team   string
+	share  int
+	urgent bool
+	every  time.Duration // between arrivals
+	takes  time.Duration // run time
+	limit  int           // team permits
+}
+
+type usage struct {
+	slotTime time.Duration
+	longest  time.Duration // wait
+	most     int
+}
+
+// simulate runs the scheduler in simulated time on one pool with 8 slots.
+func simulate(t *testing.T, length time.Duration, loads []load) map[string]*usage {
+	t.Helper()
+	start := time.Unix(1_700_000_000, 0)
+	now := start
+	limits, used := map[string]int{"slot/i-0": 8}, map[string]int{}
+	c := &fleet.Configuration{
+		Processes: 1, Instances: []fleet.Instance{{Name: "i-0", Pool: "web", Slots: 8, Connections: 64}},
+		Queues: []fleet.Queue{{Name: "urgent", Pool: "web", Urgent: true, MaxWaiting: 1 << 20}, {Name: "other", Pool: "web", MaxWaiting: 1 << 20}},
+	}
+	for _, l := range loads {
+		limits["team/"+l.team] = l.limit
+		c.Teams = append(c.Teams, fleet.Team{Name: l.team, Share: l.share})
+	}
+	v := view.New(view.Config{Configuration: c})
+	acquire := func(resource string) (func(), bool) {
+		if used[resource] >= limits[resource] {
+			return nil, false
+		}
+		used[resource]++
+		return func() { used[resource]-- }, true
+	}
+	viewNow := func() (*view.View, error) { return v, nil }
+	r := endpoint.New(endpoint.Config{
+		View: viewNow, TryAcquire: acquire, Now: func() time.Time { return start }, Log: logr.Discard(),
+	})
+	r.Receive("peer", &endpointpb.Update{Boot: 1, Full: true, Reports: []*endpointpb.Report{
+		{Id: 1, Instance: "i-0", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, IntervalMs: 1000},
+	}})
+	s := &scheduler{
+		cfg: schedulerConfig{
+			view: viewNow, pick: r.Pick, demand: r.Demand, endpoints: r.Changed, tryAcquire: acquire,
+			now: func() time.Time { return now }, metrics: metrics.NewSet(),
+			violation: func(name, text string) { t.Errorf("%s: %s", name, text) },
+		},
+		wake: make(chan struct{}, 1), closed: make(chan struct{}),
+		pools: map[string]*poolQueue{}, teams: map[string]*teamCount{}, queues: map[string]*queueCount{},
+	}
+	result := map[string]*usage{}
+	next := make([]time.Duration, len(loads))
+	var running endings
+	granted, waiting := map[string]chan grant{}, map[string][]ending{}
+	takes := map[string]time.Duration{}
+	for _, l := range loads {
+		result[l.team] = &usage{}
+		takes[l.team], granted[l.team] = l.takes, make(chan grant, 1)
+	}
+	// collect moves granted requests to the running ones; a team's requests start in order of arrival.
+	collect := func() {
+		for _, l := range loads {
+			if len(granted[l.team]) == 0 {
+				continue
+			}
+			g := <-granted[l.team]
+			assert.NilError(t, g.err)
+			w, at := waiting[l.team][0].w, start.Add(waiting[l.team][0].at)
+			waiting[l.team] = waiting[l.team][1:]
+			assert.Assert(t, s.start(w.team, w.queue.Name))
+			u := result[w.team]
+			u.longest = max(u.longest, now.Sub(at))
+			u.most = max(u.most, s.teams[w.team].running)
+			heap.Push(&running, ending{now.Sub(start) + takes[w.team], g, w})
+		}
+	}
+	for at := time.Duration(0); at < length; {
+		at = length
+		for _, n := range next {
+			at = min(at, n)
+		}
+		if len(running) > 0 {
+			at = min(at, running[0].at)
+		}
+		now = start.Add(at)
+		for len(running) > 0 && running[0].at <= at {
+			e := heap.Pop(&running).(ending)
+			s.settle(e.g)
+			s.finish(e.w.team, e.w.queue.Name, e.g.permit, true)
+			result[e.w.team].slotTime += takes[e.w.team]
+			collect()
+		}
+		for k, l := range loads {
+			if next[k] > at {
+				continue
+			}
+			next[k] = at + l.every
+			q, _ := v.Queue(map[bool]string{true: "urgent", false: "other"}[l.urgent])
+			w := &waiter{queue: q, team: l.team, weight: float64(l.share), ready: granted[l.team]}
+			s.mu.Lock()
+			assert.NilError(t, s.enqueue(context.Background(), w))
+			s.mu.Unlock()
+			waiting[l.team] = append(waiting[l.team], ending{at: at, w: w})
+			collect()
+		}
+	}
+	return result
+}
+
+// Guards against a team that gets more than its share of a full pool by sending more, longer or in bursts, a team
+// within its share that waits for others, and a team above its permits.
+func TestTeamsShareAFullPool(t *testing.T) {
+	const length = 20 * time.Second
+	for _, tc := range []struct {
+		name  string
+		loads []load
+		check func(u map[string]*usage) error
+	}{
+		{"equal shares, burst of five times the mean", []load{
+			{"a", 1, false, 2500 * time.Microsecond, 100 * time.Millisecond, 100},  // asks for 40 slots
+			{"b", 1, false, 12500 * time.Microsecond, 100 * time.Millisecond, 100}, // asks for 8
+		}, func(u map[string]*usage) error { return ratio(u, 1) }},
+		{"shares of 3 and 1", []load{
+			{"a", 3, false, 5 * time.Millisecond, 100 * time.Millisecond, 100},
+			{"b", 1, false, 5 * time.Millisecond, 100 * time.Millisecond, 100},
+		}, func(u map[string]*usage) error { return ratio(u, 3) }},
+		{"run times that differ tenfold", []load{
+			{"a", 1, false, 10 * time.Millisecond, 500 * time.Millisecond, 100},
+			{"b", 1, false, time.Millisecond, 50 * time.Millisecond, 100},
+		}, func(u map[string]*usage) error { return ratio(u, 1) }},
+		{"a team within its share hardly waits", []load{
+			{"a", 1, false, 2500 * time.Microsecond, 100 * time.Millisecond, 100},
+			{"b", 1, false, 50 * time.Millisecond, 100 * time.Millisecond, 100}, // asks for 2 slots of 4
+		}, func(u map[string]*usage) error {
+			if got := u["b"].slotTime; got < length*19/10 {
+				return fmt.Errorf("b got %s", got)
+			}
+			if u["b"].longest > 250*time.Millisecond {
+				return fmt.Errorf("b waited %s", u["b"].longest)
+			}
+			return nil
+		}},
+		{"urgent work goes first", []load{
+			{"a", 100, false, 2500 * time.Microsecond, 100 * time.Millisecond, 100},
+			{"b", 1, true, 25 * time.Millisecond, 100 * time.Millisecond, 100}, // asks for 4 slots
+		}, func(u map[string]*usage) error {
+			if u["b"].longest > 100*time.Millisecond {
+				return fmt.Errorf("urgent work waited %s", u["b"].longest)
+			}
+			return nil
+		}},
+		{"upper limit below the share", []load{
+			{"a", 1, false, 5 * time.Millisecond, 100 * time.Millisecond, 2},
+			{"b", 1, false, 5 * time.Millisecond, 100 * time.Millisecond, 100},
+		}, func(u map[string]*usage) error {
+			if u["a"].most > 2 {
+				return fmt.Errorf("a ran %d", u["a"].most)
+			}
+			return ratio(u, 2.0/6)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := simulate(t, length, tc.loads)
+			t.Logf("a: %+v, b: %+v", *u["a"], *u["b"])
+			assert.NilError(t, tc.check(u))
+		})
+	}
+}
+
+// ratio checks that a got want times the slot time of b, within 5%.
+func ratio(u map[string]*usage, want float64) error {
+	got := float64(u["a"].slotTime) / float64(u["b"].slotTime)
+	if got < want*0.95 || got > want*1.05 {
+		return fmt.Errorf("ratio is %.3f, want %.3f", got, want)
+	}
+	return nil
+}
+
+// Guards against retries that multiply an overload.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := newBudget()
+	retries := 0
+	for range 1000 {
+		b.request()
+		for b.retry() {
+			retries++
+		}
+	}
+	assert.Assert(t, retries <= 1000*retryShare+retryBurst, "%d retries", retries)
+	assert.Assert(t, retries >= 1000*retryShare, "%d retries", retries)
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -225,13 +225,10 @@
 	return n, err
 }
 
-// waitContext bounds waiting by the deadline and the queue's maximum wait.
-func (q *request) waitContext() (context.Context, context.CancelFunc) {
-	end := q.s.cfg.Now().Add(q.maxWait())
-	if !q.deadline.IsZero() && q.deadline.Before(end) {
-		end = q.deadline
-	}
-	return context.WithDeadline(q.in.Context(), end)
+// waitContext bounds waiting by the queue's maximum wait. It is derived from the caller's context, so that the latter
+// has ended when it is the cause.
+func (q *request) waitContext(caller context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(caller, q.s.cfg.Now().Add(q.maxWait()))
 }
 
 // callerContext ends when the caller's deadline passes or the caller is gone.
--- a/internal/caller/scheduler.go
+++ b/internal/caller/scheduler.go
@@ -62,14 +62,13 @@
 
 // waiter is a request that waits for a team permit and a slot permit.
 type waiter struct {
-	queue   fleet.Queue
-	team    string
-	weight  float64
-	avoid   []string
-	permit  func() // the team permit that a retry already holds
-	flow    *flow
-	ready   chan grant
-	blocked string // why it didn't start at the last look
+	queue  fleet.Queue
+	team   string
+	weight float64
+	avoid  []string
+	permit func() // the team permit that a retry already holds
+	flow   *flow
+	ready  chan grant
 }
 
 // grant is the outcome of waiting.
@@ -165,7 +164,7 @@
 	}
 	s.mu.Lock()
 	removed := s.remove(w)
-	blocked := w.blocked
+	blocked := w.flow.why
 	s.mu.Unlock()
 	if removed {
 		return grant{}, errorx.Decorate(ctx.Err(), "%s", blocked)
@@ -200,7 +199,7 @@
 	}
 	if w.permit == nil && qc.waiting > w.queue.MaxWaiting {
 		s.remove(w)
-		return errQueueFull.New("%d requests wait in queue %s; %s", qc.waiting, w.queue.Name, w.blocked)
+		return errQueueFull.New("%d requests wait in queue %s; %s", qc.waiting, w.queue.Name, w.flow.why)
 	}
 	select {
 	case s.wake <- struct{}{}:
@@ -300,10 +299,7 @@
 		permit := w.permit
 		if permit == nil {
 			if permit = s.acquireTeam(w.team); permit == nil {
-				for _, w := range f.list {
-					w.blocked = "the team holds no free permit"
-				}
-				f.blocked = true
+				f.blocked, f.why = true, "the team holds no free permit"
 				continue
 			}
 		}
@@ -312,13 +308,13 @@
 			if w.permit == nil {
 				s.returnTeam(w.team, permit)
 			}
-			w.blocked = "no free slot"
+			f.why = "no free slot"
 			if errorx.IsOfType(err, endpoint.ErrNoEndpoint) {
-				w.blocked = "no usable endpoint"
+				f.why = "no usable endpoint"
 			}
 			if len(w.avoid) == 0 {
 				// No other request of the pool would find a slot either.
-				p.explain(w.blocked)
+				p.explain(f.why)
 				return
 			}
 			if errorx.IsOfType(err, endpoint.ErrNoEndpoint) {
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -44,7 +44,7 @@
 	s.budget.request()
 	caller, cancelCaller := q.callerContext()
 	defer cancelCaller()
-	wait, cancelWait := q.waitContext()
+	wait, cancelWait := q.waitContext(caller)
 	defer cancelWait()
 	started := s.cfg.Now()
 	g, err := s.sched.acquire(wait, q.waiter())
