--- a/internal/caller/fair.go
+++ b/internal/caller/fair.go
@@ -1,6 +1,9 @@
 package caller
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// firstCost is the run time in seconds that a flow is charged before any of its requests ended.
@@ -30,11 +33,13 @@
 	team    string
 	weight  float64
 	list    []*waiter
-	start   float64 // virtual start time of the next request
-	cost    float64 // estimated run time in seconds
-	running int     // charged and not yet settled
-	blocked bool    // in the current pass
-	why     string  // the first request did not start
+	retries []*waiter // go before the list
+	start   float64   // virtual start time of the next request
+	cost    float64   // estimated run time in seconds
+	running int       // charged and not yet settled
+	blocked bool      // in the current pass
+	stalled bool      // in the current pass: no slot of another endpoint for the first retry
+	why     string    // the first request did not start
 
 	since  time.Time // start of the period for which pace is measured
 	grants int       // in that period
@@ -60,7 +65,7 @@
 		c.flows[team] = f
 	}
 	f.weight = max(weight, 1)
-	if len(f.list) == 0 {
+	if f.idle() {
 		f.start = max(f.start, c.virtual)
 		f.since, f.grants = now, 0
 	}
@@ -89,7 +94,7 @@
 func (p *poolQueue) unblock() {
 	for _, c := range p.classes {
 		for _, f := range c.flows {
-			f.blocked = false
+			f.blocked, f.stalled = false, false
 		}
 	}
 }
@@ -99,7 +104,7 @@
 	for _, c := range p.classes {
 		var best *flow
 		for _, f := range c.flows {
-			if len(f.list) == 0 || f.blocked {
+			if f.blocked || f.head() == nil {
 				continue
 			}
 			if best == nil || f.start < best.start || f.start == best.start && f.team < best.team {
@@ -113,6 +118,34 @@
 	return nil
 }
 
+// head returns the request of the flow that starts next, or nil. A retry that finds no slot of another endpoint
+// doesn't hold up the others, which may use any.
+func (f *flow) head() *waiter {
+	switch {
+	case len(f.retries) > 0 && !f.stalled:
+		return f.retries[0]
+	case len(f.list) > 0:
+		return f.list[0]
+	}
+	return nil
+}
+
+func (f *flow) idle() bool { return len(f.list)+len(f.retries) == 0 }
+
+// remove takes a request out of the flow; it is false when the request is not in it.
+func (f *flow) remove(w *waiter) bool {
+	for _, list := range []*[]*waiter{&f.retries, &f.list} {
+		if k := slices.Index(*list, w); k == 0 {
+			*list = (*list)[1:]
+			return true
+		} else if k > 0 {
+			*list = slices.Delete(*list, k, k+1)
+			return true
+		}
+	}
+	return false
+}
+
 // charge moves the virtual time to the flow's start and returns the estimated cost that the flow was charged.
 func (p *poolQueue) charge(f *flow, now time.Time) float64 {
 	for k := range p.classes {
@@ -150,7 +183,7 @@
 func (p *poolQueue) prune() {
 	for _, c := range p.classes {
 		for team, f := range c.flows {
-			if len(f.list) == 0 && f.running == 0 && f.start <= c.virtual {
+			if f.idle() && f.running == 0 && f.start <= c.virtual {
 				delete(c.flows, team)
 			}
 		}
--- a/internal/caller/load_test.go
+++ b/internal/caller/load_test.go
@@ -327,3 +327,26 @@
 	}
 	t.Logf("%d requests, %v", len(all), outcomes)
 }
+
+// Guards against a retry that waits for a slot of another endpoint and holds up requests that can use any.
+func TestStalledRetryHoldsUpNobody(t *testing.T) {
+	h := newHarness(t, options{endpoints: 2, behavior: standin.Behavior{Size: 10}})
+	h.quotas.limit["slot/i-1"] = 0
+	h.endpoints[0].SetBehavior(standin.Behavior{Reset: "after"})
+	done := make(chan answer)
+	go func() { done <- h.send(http.MethodGet, "/queues/plates/x", nil) }()
+	for len(h.runs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	h.endpoints[0].SetBehavior(standin.Behavior{Size: 10})
+	started := time.Now()
+	a := h.send(http.MethodGet, "/queues/plates/x", nil)
+	assert.Equal(t, a.status, http.StatusOK, a.reason)
+	assert.Assert(t, time.Since(started) < time.Second)
+	h.quotas.mu.Lock()
+	h.quotas.limit["slot/i-1"] = 1
+	h.quotas.mu.Unlock()
+	a = <-done
+	assert.Equal(t, a.status, http.StatusOK, a.reason)
+}
--- a/internal/caller/outcome_test.go
+++ b/internal/caller/outcome_test.go
@@ -205,3 +205,33 @@
 func (d *discard) Header() http.Header         { return d.header }
 func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
 func (d *discard) WriteHeader(int)             {}
+
+// Guards against a readiness check that doesn't follow the lease, and job paths that miss their handlers.
+func TestHealthAndJobPaths(t *testing.T) {
+	var jobs []string
+	note := func(what string) http.HandlerFunc {
+		return func(_ http.ResponseWriter, r *http.Request) { jobs = append(jobs, what+" "+r.PathValue("id")) }
+	}
+	h := newHarness(t, options{config: func(c *caller.Config) {
+		c.SubmitJob, c.GetJob, c.CancelJob = note("submit"), note("get"), note("cancel")
+	}})
+	for _, tc := range []struct {
+		noLease      bool
+		method, path string
+		status       int
+	}{
+		{false, "GET", "/-/ready", 204},
+		{true, "GET", "/-/ready", 503},
+		{true, "GET", "/-/live", 204},
+		{true, "POST", "/jobs", 503},
+		{false, "POST", "/jobs", 200},
+		{false, "GET", "/jobs/a", 200},
+		{false, "DELETE", "/jobs/b", 200},
+	} {
+		h.noLease.Store(tc.noLease)
+		a := h.send(tc.method, tc.path, nil)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, tc.status, "%s %s", tc.method, tc.path)
+	}
+	assert.DeepEqual(t, jobs, []string{"submit ", "get a", "cancel b"})
+}
--- a/internal/caller/scheduler.go
+++ b/internal/caller/scheduler.go
@@ -185,7 +185,7 @@
 		}
 	}
 	if w.permit != nil {
-		w.flow.list = append([]*waiter{w}, w.flow.list...)
+		w.flow.retries = append(w.flow.retries, w)
 	} else {
 		w.flow.list = append(w.flow.list, w)
 	}
@@ -244,14 +244,11 @@
 
 // remove takes a request out of its flow; it is false when the request was granted or failed meanwhile.
 func (s *scheduler) remove(w *waiter) bool {
-	for k, other := range w.flow.list {
-		if other == w {
-			w.flow.list = append(w.flow.list[:k], w.flow.list[k+1:]...)
-			s.uncount(w)
-			return true
-		}
+	if !w.flow.remove(w) {
+		return false
 	}
-	return false
+	s.uncount(w)
+	return true
 }
 
 func (s *scheduler) uncount(w *waiter) {
@@ -262,11 +259,11 @@
 
 func (s *scheduler) failAll(p *poolQueue, err error) {
 	for _, f := range p.all() {
-		for _, w := range f.list {
+		for _, w := range append(f.retries, f.list...) {
 			s.uncount(w)
 			w.ready <- grant{err: err}
 		}
-		f.list = nil
+		f.list, f.retries = nil, nil
 	}
 }
 
@@ -295,7 +292,7 @@
 		if f == nil {
 			return
 		}
-		w := f.list[0]
+		w := f.head()
 		permit := w.permit
 		if permit == nil {
 			if permit = s.acquireTeam(w.team); permit == nil {
@@ -318,16 +315,14 @@
 				return
 			}
 			if errorx.IsOfType(err, endpoint.ErrNoEndpoint) {
-				f.list = f.list[1:]
-				s.uncount(w)
+				s.remove(w)
 				w.ready <- grant{err: errNoOther.New("no other usable endpoint")}
 				continue
 			}
-			f.blocked = true
+			f.stalled = true
 			continue
 		}
-		f.list = f.list[1:]
-		s.uncount(w)
+		s.remove(w)
 		now := s.cfg.now()
 		w.ready <- grant{view: v, target: target, permit: permit, flow: f, cost: p.charge(f, now), at: now}
 	}
