--- a/internal/endpoint/pick_test.go
+++ b/internal/endpoint/pick_test.go
@@ -204,3 +204,24 @@
 	(&Target{registry: r, record: bad, view: v, instance: "i-0", pool: "web"}).Report(false)
 	assert.Assert(t, bad.health.until.Sub(c.Now()) > ejectBase)
 }
+
+// Guards against slot permits that are never asked for, or asked for at endpoints that can't use them.
+func TestDemandIsSpreadOverUsableEndpoints(t *testing.T) {
+	v, c := fleetView(3), newClock()
+	demand := map[string]int{}
+	r := newRegistry(c, v, func(cfg *Config) { cfg.SetDemand = func(resource string, n int) { demand[resource] = n } })
+	announceAll(r, 3, 1)
+	var held []*Target
+	for range 6 {
+		target, err := r.Pick(v, "plates", nil)
+		assert.NilError(t, err)
+		held = append(held, target)
+	}
+	r.announce(leaving("i-0", 1, 2))
+	r.Demand(v, "web", 5)
+	want := map[string]int{"slot/i-0": 0, "slot/i-1": 3, "slot/i-2": 3}
+	for _, target := range held {
+		want["slot/"+target.Instance()]++
+	}
+	assert.DeepEqual(t, demand, want)
+}
