--- a/internal/caller/scheduler.go
+++ b/internal/caller/scheduler.go
@@ -62,14 +62,13 @@
 
 // waiter is a request that waits for a team permit and a slot permit.
 type waiter struct {
-	queue   fleet.Queue
-	team    string
-	weight  float64
-	avoid   []string
-	permit  func() // the team permit that a retry already holds
-	flow    *flow
-	ready   chan grant
-	blocked string // why it didn't start at the last look
+	queue  fleet.Queue
+	team   string
+	weight float64
+	avoid  []string
+	permit func() // the team permit that a retry already holds
+	flow   *flow
+	ready  chan grant
 }
 
 // grant is the outcome of waiting.
@@ -165,7 +164,7 @@
 	}
 	s.mu.Lock()
 	removed := s.remove(w)
-	blocked := w.blocked
+	blocked := w.flow.why
 	s.mu.Unlock()
 	if removed {
 		return grant{}, errorx.Decorate(ctx.Err(), "%s", blocked)
@@ -186,7 +185,7 @@
 		}
 	}
 	if w.permit != nil {
-		w.flow.list = append([]*waiter{w}, w.flow.list...)
+		w.flow.retries = append(w.flow.retries, w)
 	} else {
 		w.flow.list = append(w.flow.list, w)
 	}
@@ -200,7 +199,7 @@
 	}
 	if w.permit == nil && qc.waiting > w.queue.MaxWaiting {
 		s.remove(w)
-		return errQueueFull.New("%d requests wait in queue %s; %s", qc.waiting, w.queue.Name, w.blocked)
+		return errQueueFull.New("%d requests wait in queue %s; %s", qc.waiting, w.queue.Name, w.flow.why)
 	}
 	select {
 	case s.wake <- struct{}{}:
@@ -245,14 +244,11 @@
 
 // remove takes a request out of its flow; it is false when the request was granted or failed meanwhile.
 func (s *scheduler) remove(w *waiter) bool {
-	for k, other := range w.flow.list {
-		if other == w {
-			w.flow.list = append(w.flow.list[:k], w.flow.list[k+1:]...)
-			s.uncount(w)
-			return true
-		}
+	if !w.flow.remove(w) {
+		return false
 	}
-	return false
+	s.uncount(w)
+	return true
 }
 
 func (s *scheduler) uncount(w *waiter) {
@@ -263,11 +259,11 @@
 
 func (s *scheduler) failAll(p *poolQueue, err error) {
 	for _, f := range p.all() {
-		for _, w := range f.list {
+		for _, w := range append(f.retries, f.list...) {
 			s.uncount(w)
 			w.ready <- grant{err: err}
 		}
-		f.list = nil
+		f.list, f.retries = nil, nil
 	}
 }
 
@@ -296,14 +292,11 @@
 		if f == nil {
 			return
 		}
-		w := f.list[0]
+		w := f.head()
 		permit := w.permit
 		if permit == nil {
 			if permit = s.acquireTeam(w.team); permit == nil {
-				for _, w := range f.list {
-					w.blocked = "the team holds no free permit"
-				}
-				f.blocked = true
+				f.blocked, f.why = true, "the team holds no free permit"
 				continue
 			}
 		}
@@ -312,26 +305,24 @@
 			if w.permit == nil {
 				s.returnTeam(w.team, permit)
 			}
-			w.blocked = "no free slot"
+			f.why = "no free slot"
 			if errorx.IsOfType(err, endpoint.ErrNoEndpoint) {
-				w.blocked = "no usable endpoint"
+				f.why = "no usable endpoint"
 			}
 			if len(w.avoid) == 0 {
 				// No other request of the pool would find a slot either.
-				p.explain(w.blocked)
+				p.explain(f.why)
 				return
 			}
 			if errorx.IsOfType(err, endpoint.ErrNoEndpoint) {
-				f.list = f.list[1:]
-				s.uncount(w)
+				s.remove(w)
 				w.ready <- grant{err: errNoOther.New("no other usable endpoint")}
 				continue
 			}
-			f.blocked = true
+			f.stalled = true
 			continue
 		}
-		f.list = f.list[1:]
-		s.uncount(w)
+		s.remove(w)
 		now := s.cfg.now()
 		w.ready <- grant{view: v, target: target, permit: permit, flow: f, cost: p.charge(f, now), at: now}
 	}
