--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -165,3 +165,25 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures the heap that 16,384 waiting jobs of 50 workers take, without payloads.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		w := newWorld(b, kerneltest.Water)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for n := range 16384 {
+			m := submission(n, n%6, queue, true)
+			m.Payload = nil
+			w.Must(job.SubmitCommand("", m))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/16384, "B/job")
+		at := time.Now()
+		w.Kernel.Decide(w.Now)
+		b.ReportMetric(float64(time.Since(at).Microseconds()), "µs/first-decision")
+		runtime.KeepAlive(w)
+	}
+}
--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -7,8 +7,9 @@
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/job/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/job/schedule"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
-	"github.com/hibiscusroute/hibiscusroute/internal/placement"
 )
 
 const (
@@ -26,8 +27,6 @@
 	lostAfter = 30 * time.Second
 	// maxReports bounds one command of reports to about 32 KB.
 	maxReports = 256
-	// refusedFor is how long a job isn't started again on an instance for which the platform refused it.
-	refusedFor = 30 * time.Second
 	// urgentPatience and patience are how long one means of preemption is given before the next is tried. Urgent work
 	// must start within 3.3 s: checkpoint, throttle and stop have 1 s each.
 	urgentPatience = time.Second
@@ -40,14 +39,8 @@
 	stale     map[TaskRef]struct{}
 	issued    map[string]issued
 	sent      map[string]time.Duration
-	since     map[string]time.Duration // when the leader first saw a job wait
-	began     map[TaskRef]time.Duration
 	escalated map[string]escalation
 	lost      map[string]time.Duration
-	inflight  map[string]inflight
-	granted   map[string]grant // by job
-	refused   map[refusal]time.Duration
-	estimator placement.Estimator
 	watchAt   time.Duration
 	watched   time.Duration
 	losses    map[string]uint64 // by instance, at the last look
@@ -61,26 +54,16 @@
 	at    time.Duration
 }
 
-// refusal names a job and an instance on which the platform refused to start it.
-type refusal struct{ key, instance string }
-
 type escalation struct {
 	how jobpb.How
 	at  time.Duration
 }
 
-// inflight holds the starts of a pool that were proposed and not applied yet.
-type inflight struct {
-	keys map[string]struct{}
-	at   time.Duration
-}
-
 func (s *State) lead(now time.Duration) {
+	s.scheduler.Reset()
 	s.soft = soft{
 		stale: map[TaskRef]struct{}{}, issued: map[string]issued{}, sent: map[string]time.Duration{},
-		since: map[string]time.Duration{}, began: map[TaskRef]time.Duration{}, escalated: map[string]escalation{},
-		lost: map[string]time.Duration{}, inflight: map[string]inflight{}, granted: map[string]grant{}, losses: map[string]uint64{},
-		refused: map[refusal]time.Duration{},
+		escalated: map[string]escalation{}, lost: map[string]time.Duration{}, losses: map[string]uint64{},
 		watchAt: now, sweepAt: now,
 	}
 }
@@ -103,15 +86,15 @@
 }
 
 func (s *State) observeUsage(e UsageReport) {
-	if j, ok := s.jobs[e.Job]; ok && j.Epoch == e.Epoch && !j.Throttled {
-		s.soft.estimator.Used(class(j), amount(j.Submit.Declared), e.Used, e.Ran)
+	if j, ok := s.ledger.Jobs()[e.Job]; ok && j.Epoch == e.Epoch && !j.Throttled {
+		s.scheduler.Estimator().Used(schedule.Class(j), ledger.Amount(j.Submit.Declared), e.Used, e.Ran)
 	}
 }
 
 func (s *State) observeTask(now time.Duration, e TaskReport) {
 	alive := e.Outcome == jobpb.Outcome_OUTCOME_STARTED || e.Outcome == jobpb.Outcome_OUTCOME_RUNNING
 	ref := TaskRef{Job: e.Job, Epoch: e.Epoch}
-	j, ok := s.jobs[e.Job]
+	j, ok := s.ledger.Jobs()[e.Job]
 	if !ok || j.Instance == "" || j.Epoch != e.Epoch {
 		// The task runs although its start was given up, or its record is gone.
 		if alive {
@@ -120,28 +103,22 @@
 		return
 	}
 	if alive {
-		if _, ok := s.soft.began[ref]; !ok {
-			s.soft.began[ref] = now
-		}
+		s.scheduler.Began(now, j)
 		if j.Phase != jobpb.Phase_PHASE_STARTING && (e.Throttled == j.Throttled || e.Throttled != j.Throttle) {
 			return // nothing new
 		}
 	}
 	if e.Outcome == jobpb.Outcome_OUTCOME_REFUSED {
-		s.soft.refused[refusal{e.Job, j.Instance}] = now
+		s.scheduler.Refused(now, j)
 	}
 	if e.Outcome == jobpb.Outcome_OUTCOME_FINISHED {
-		if at, ok := s.soft.began[ref]; ok {
-			s.soft.estimator.Ran(class(j), time.Duration(j.Submit.ExpectedRun), now-at)
-		}
+		s.scheduler.Finished(now, j)
 	}
 	s.soft.reports = append(s.soft.reports, &jobpb.Report{
 		Key: e.Job, Epoch: e.Epoch, Outcome: e.Outcome, Throttled: e.Throttled, Reason: e.Reason,
 	})
 }
 
-func class(j *jobpb.Job) string { return j.Submit.Team + "/" + j.Submit.Queue }
-
 func (s *State) decide(now time.Duration) kernel.Decision {
 	d := &decision{s: s, now: now}
 	for len(s.soft.reports) > 0 {
@@ -164,17 +141,17 @@
 		s.soft.sweepAt = now + sweep
 		d.sweep()
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.workers)) {
-		if s.unwanted(name) {
+	for _, name := range slices.Sorted(maps.Keys(s.ledger.Workers())) {
+		if s.ledger.Unwanted(name) {
 			s.pools.WantQuarantine(name, "failed 3 different jobs in a row")
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.dirty)) {
-		if f, ok := s.soft.inflight[name]; ok && now < f.at+sweep {
+	for _, name := range slices.Sorted(maps.Keys(s.ledger.Dirty())) {
+		if s.scheduler.InFlight(now, name) {
 			continue
 		}
-		delete(s.dirty, name)
-		d.schedule(name)
+		delete(s.ledger.Dirty(), name)
+		s.scheduler.Schedule(now, name, d.propose)
 	}
 	return d.out
 }
@@ -214,12 +191,12 @@
 // actions issues what the platform has to do for committed state, and tries the next means of preemption.
 func (d *decision) actions() {
 	s := d.s
-	for _, key := range slices.Sorted(maps.Keys(s.pending)) {
-		j := s.jobs[key]
+	for _, key := range slices.Sorted(maps.Keys(s.ledger.Pending())) {
+		j := s.ledger.Jobs()[key]
 		if j.Phase == jobpb.Phase_PHASE_CHECKPOINTING {
 			d.escalate(j)
 		}
-		if s.doubtful(j) {
+		if s.ledger.Doubtful(j) {
 			d.lost(j)
 			continue
 		}
@@ -236,11 +213,11 @@
 // action returns what the platform has to do for a pending job.
 func action(j *jobpb.Job) kernel.Action {
 	switch {
-	case over(j) || j.Preempted == jobpb.How_HOW_STOP:
+	case ledger.Over(j) || j.Preempted == jobpb.How_HOW_STOP:
 		return StopTask{Job: j.Key, Epoch: j.Epoch}
 	case j.Phase == jobpb.Phase_PHASE_STARTING:
 		return StartTask{
-			Job: j.Key, Epoch: j.Epoch, Instance: j.Instance, InstanceEpoch: j.InstanceEpoch, Limits: amount(j.Charge),
+			Job: j.Key, Epoch: j.Epoch, Instance: j.Instance, InstanceEpoch: j.InstanceEpoch, Limits: ledger.Amount(j.Charge),
 			Payload: j.Submit.Payload, Checkpoint: j.Checkpoint,
 		}
 	case j.Throttle != j.Throttled:
@@ -266,14 +243,13 @@
 }
 
 func (d *decision) preempt(j *jobpb.Job, how jobpb.How, urgent, drain bool) {
-	m := &jobpb.Preempt{Key: j.Key, Epoch: j.Epoch, How: how, Urgent: urgent, Drain: drain}
-	d.propose(fmt.Sprintf("preempt %v %s %d", how, j.Key, j.Epoch), &jobpb.Command{Change: &jobpb.Command_Preempt{Preempt: m}})
+	d.propose(schedule.Preempt(j, how, urgent, drain))
 }
 
 // instances looks at the instances with jobs: those that leave are emptied, those that are lost are given up.
 func (d *decision) instances() {
 	s := d.s
-	for _, name := range slices.Sorted(maps.Keys(s.use)) {
+	for _, name := range slices.Sorted(maps.Keys(s.ledger.Uses())) {
 		lost, leaving := s.pools.Lost(name), s.pools.Leaving(name)
 		if n := s.pools.Losses(name); !lost && s.soft.losses[name] != n {
 			s.soft.losses[name] = n
@@ -290,8 +266,8 @@
 		if !givenUp && !leaving {
 			continue
 		}
-		for _, key := range slices.Sorted(maps.Keys(s.use[name].jobs)) {
-			j := s.jobs[key]
+		for _, key := range slices.Sorted(maps.Keys(s.ledger.Uses()[name].Jobs())) {
+			j := s.ledger.Jobs()[key]
 			switch {
 			case givenUp:
 				d.lost(j)
@@ -310,22 +286,16 @@
 // sweep does what depends on time only.
 func (d *decision) sweep() {
 	s := d.s
-	for queue, list := range s.waiting {
+	for queue, list := range s.ledger.Waiting() {
 		if len(list) > 0 {
-			s.dirty[s.index().queues[queue].Pool] = struct{}{}
+			s.ledger.Dirty()[s.ledger.Index().Queues[queue].Pool] = struct{}{}
 		}
 	}
 	maps.DeleteFunc(s.soft.sent, func(_ string, at time.Duration) bool { return d.now >= at+sweep })
-	gone := func(key string) bool { j, ok := s.jobs[key]; return !ok || j.Instance == "" }
+	gone := func(key string) bool { j, ok := s.ledger.Jobs()[key]; return !ok || j.Instance == "" }
 	maps.DeleteFunc(s.soft.issued, func(key string, _ issued) bool { return gone(key) })
 	maps.DeleteFunc(s.soft.escalated, func(key string, _ escalation) bool { return gone(key) })
-	maps.DeleteFunc(s.soft.began, func(r TaskRef, _ time.Duration) bool { return gone(r.Job) || s.jobs[r.Job].Epoch != r.Epoch })
-	maps.DeleteFunc(s.soft.refused, func(_ refusal, at time.Duration) bool { return d.now >= at+refusedFor })
-	maps.DeleteFunc(s.soft.granted, func(key string, g grant) bool { return d.now >= g.until || s.jobs[key] == nil })
-	maps.DeleteFunc(s.soft.since, func(key string, _ time.Duration) bool {
-		j, ok := s.jobs[key]
-		return !ok || j.Phase != jobpb.Phase_PHASE_WAITING
-	})
+	s.scheduler.Sweep(d.now)
 	d.want()
 	d.unthrottle()
 	if d.now < s.soft.watchAt {
@@ -333,8 +303,8 @@
 	}
 	s.soft.watchAt, s.soft.watched = d.now+watch, d.now
 	w := WatchTasks{}
-	for _, key := range slices.Sorted(maps.Keys(s.jobs)) {
-		j := s.jobs[key]
+	for _, key := range slices.Sorted(maps.Keys(s.ledger.Jobs())) {
+		j := s.ledger.Jobs()[key]
 		if j.Phase == jobpb.Phase_PHASE_RUNNING || j.Phase == jobpb.Phase_PHASE_CHECKPOINTING {
 			w.Tasks = append(w.Tasks, TaskRef{Job: key, Epoch: j.Epoch})
 		}
@@ -345,30 +315,30 @@
 // want tells the quota plug-in the demand for teams and slots.
 func (d *decision) want() {
 	s := d.s
-	if s.quota.Want == nil {
+	if s.ledger.Quota().Want == nil {
 		return
 	}
-	teams := maps.Clone(s.running)
-	for _, list := range s.waiting {
+	teams := maps.Clone(s.ledger.Running())
+	for _, list := range s.ledger.Waiting() {
 		for _, j := range list {
 			teams[j.Submit.Team]++
 		}
 	}
 	for _, team := range slices.Sorted(maps.Keys(teams)) {
-		s.quota.Want(d.now, TeamResource(team), teams[team])
+		s.ledger.Quota().Want(d.now, ledger.TeamResource(team), teams[team])
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.use)) {
-		s.quota.Want(d.now, SlotResource(name), len(s.use[name].jobs))
+	for _, name := range slices.Sorted(maps.Keys(s.ledger.Uses())) {
+		s.ledger.Quota().Want(d.now, ledger.SlotResource(name), len(s.ledger.Uses()[name].Jobs()))
 	}
 }
 
 // unthrottle gives processors back where there is room and nobody waits.
 func (d *decision) unthrottle() {
 	s := d.s
-	for _, name := range slices.Sorted(maps.Keys(s.use)) {
-		for _, key := range slices.Sorted(maps.Keys(s.use[name].jobs)) {
-			j := s.jobs[key]
-			if j.Phase != jobpb.Phase_PHASE_RUNNING || !j.Throttled || !j.Throttle || len(s.waiting[j.Submit.Queue]) > 0 {
+	for _, name := range slices.Sorted(maps.Keys(s.ledger.Uses())) {
+		for _, key := range slices.Sorted(maps.Keys(s.ledger.Uses()[name].Jobs())) {
+			j := s.ledger.Jobs()[key]
+			if j.Phase != jobpb.Phase_PHASE_RUNNING || !j.Throttled || !j.Throttle || len(s.ledger.Waiting()[j.Submit.Queue]) > 0 {
 				continue
 			}
 			ref := &jobpb.Ref{Key: key, Epoch: j.Epoch}
@@ -376,16 +346,3 @@
 		}
 	}
 }
-
-// started removes a start from those in flight.
-func (s *State) started(m *jobpb.Start) {
-	place, _ := s.pools.Place(m.Instance)
-	f, ok := s.soft.inflight[place]
-	if !ok {
-		return
-	}
-	if delete(f.keys, m.Key); len(f.keys) == 0 {
-		delete(s.soft.inflight, place)
-		s.dirty[place] = struct{}{}
-	}
-}
--- a/internal/job/check.go
+++ b/internal/job/ledger/check.go
@@ -1,4 +1,4 @@
-package job
+package ledger
 
 import (
 	"github.com/joomcode/errorx"
@@ -11,8 +11,8 @@
 // recount of 8,192 jobs takes about a millisecond.
 const fullCheckInterval = 1024
 
-// check asserts the invariants of the jobs that changed and, now and then, of all.
-func (s *State) check() error {
+// Check asserts the invariants of the jobs that changed and, now and then, of all.
+func (s *State) Check() error {
 	if s.full--; s.full < 0 {
 		s.full = fullCheckInterval
 		if err := s.recount(); err != nil {
@@ -60,11 +60,11 @@
 	switch {
 	case in == nil || u == nil:
 		return errorx.IllegalState.New("job %s started on unknown instance %s", j.Key, j.Instance)
-	case !u.charge.Fits(capacity(in)):
+	case !u.charge.Fits(Capacity(in)):
 		return errorx.IllegalState.New("instance %s is charged %+v with %d jobs", j.Instance, u.charge, len(u.jobs))
-	case place != s.index().queues[j.Submit.Queue].Pool:
+	case place != s.Index().Queues[j.Submit.Queue].Pool:
 		return errorx.IllegalState.New("job %s of queue %s started in pool %s", j.Key, j.Submit.Queue, place)
-	case s.running[j.Submit.Team] > s.index().teams[j.Submit.Team].UpperLimit:
+	case s.running[j.Submit.Team] > s.Index().Teams[j.Submit.Team].UpperLimit:
 		return errorx.IllegalState.New("team %s runs %d jobs above its upper limit", j.Submit.Team,
 			s.running[j.Submit.Team])
 	}
@@ -80,12 +80,12 @@
 		}
 		if j.Instance != "" {
 			running[j.Submit.Team]++
-			charge[j.Instance] = charge[j.Instance].Add(amount(j.Charge))
+			charge[j.Instance] = charge[j.Instance].Add(Amount(j.Charge))
 		}
 		if j.Phase == jobpb.Phase_PHASE_WAITING {
 			waiting++
 		}
-		if !over(j) {
+		if !Over(j) {
 			payload += len(j.Submit.Payload)
 		}
 	}
--- a/internal/job/lifecycle.go
+++ b/internal/job/ledger/lifecycle.go
@@ -1,4 +1,4 @@
-package job
+package ledger
 
 import (
 	"bytes"
@@ -18,9 +18,10 @@
 const (
 	// MaxPayload bounds the payload of one job in bytes.
 	MaxPayload = 64 << 10
-	// maxLive and maxLivePayload bound the jobs that haven't ended, so that a voter stays within its 32 MB.
-	maxLive        = 8192
-	maxLivePayload = 8 << 20
+	// maxLive and maxLivePayload bound the jobs that haven't ended, so that a voter stays within its 32 MB: 1,000 workers
+	// run at most 8,000 jobs at once, and as many may wait.
+	maxLive        = 16384
+	maxLivePayload = 4 << 20
 	// maxEnded bounds the records of ended jobs.
 	maxEnded = 4096
 	// maxAhead is how far the time in an identifier may be ahead of the leader's clock; without it one bad clock would
@@ -35,20 +36,23 @@
 	maxRow = 3
 )
 
-func over(j *jobpb.Job) bool { return j.Phase >= jobpb.Phase_PHASE_FINISHED }
+// Over reports whether the outcome of a job is committed.
+func Over(j *jobpb.Job) bool { return j.Phase >= jobpb.Phase_PHASE_FINISHED }
 
-// amount returns what a job takes, with its slot.
-func amount(r *jobpb.Resources) placement.Resources {
+// Amount returns what a job takes, with its slot.
+func Amount(r *jobpb.Resources) placement.Resources {
 	return placement.Resources{
 		MilliProcessors: r.GetMilliProcessors(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators(), Slots: 1,
 	}
 }
 
-func message(r placement.Resources) *jobpb.Resources {
+// Message encodes an amount.
+func Message(r placement.Resources) *jobpb.Resources {
 	return &jobpb.Resources{MilliProcessors: r.MilliProcessors, MemoryMib: r.MemoryMiB, Accelerators: r.Accelerators}
 }
 
-func capacity(in *fleet.Instance) placement.Resources {
+// Capacity returns what an instance has.
+func Capacity(in *fleet.Instance) placement.Resources {
 	return placement.Resources{
 		MilliProcessors: int64(in.Processors) * 1000, MemoryMiB: int64(in.MemoryMiB),
 		Accelerators: int64(in.Accelerators), Slots: int64(in.Slots),
@@ -84,7 +88,7 @@
 	s.jobs[key] = j
 	s.payload += len(m.Payload)
 	s.enqueue(j)
-	if reason := s.misfits(j); reason != "" {
+	if reason := s.Misfits(j); reason != "" {
 		s.end(j, jobpb.Phase_PHASE_FAILED, reason, at)
 	}
 	s.track(j)
@@ -92,15 +96,15 @@
 }
 
 func (s *State) validate(m *jobpb.Submit) error {
-	x := s.index()
-	q, ok := x.queues[m.Queue]
+	x := s.Index()
+	q, ok := x.Queues[m.Queue]
 	if !ok {
 		return kernel.ErrNotFound.New("no queue %q", m.Queue)
 	}
-	if _, ok := x.teams[m.Team]; !ok {
+	if _, ok := x.Teams[m.Team]; !ok {
 		return kernel.ErrNotFound.New("no team %q", m.Team)
 	}
-	d := amount(m.Declared)
+	d := Amount(m.Declared)
 	switch {
 	case len(q.Teams) > 0 && !slices.Contains(q.Teams, m.Team) && (!q.Open || q.OpenTeam != m.Team):
 		return kernel.ErrInvalid.New("team %s may not use queue %s", m.Team, m.Queue)
@@ -147,18 +151,18 @@
 	return ms, true
 }
 
-// misfits returns why a job can never run: its queue is gone, or no member of the pool could run it even when empty.
+// Misfits returns why a job can never run: its queue is gone, or no member of the pool could run it even when empty.
 // A pool without members may get some, so that its jobs wait.
-func (s *State) misfits(j *jobpb.Job) string {
-	q, ok := s.index().queues[j.Submit.Queue]
+func (s *State) Misfits(j *jobpb.Job) string {
+	q, ok := s.Index().Queues[j.Submit.Queue]
 	if !ok {
 		return "queue is no longer configured"
 	}
-	need := amount(j.Submit.Declared)
-	list := s.poolMembers(q.Pool)
+	need := Amount(j.Submit.Declared)
+	list := s.Members(q.Pool)
 	reason := "fits no worker of the pool"
 	for _, in := range list {
-		if !need.Fits(capacity(in)) {
+		if !need.Fits(Capacity(in)) {
 			continue
 		}
 		if !slices.Contains(j.FailedOn, in.Name) {
@@ -172,8 +176,8 @@
 	return reason
 }
 
-// poolMembers returns the instances of a pool; the list is built again when pools or configuration changed.
-func (s *State) poolMembers(name string) []*fleet.Instance {
+// Members returns the instances of a pool; the list is built again when pools or configuration changed.
+func (s *State) Members(name string) []*fleet.Instance {
 	if now := s.pools.Changed(); s.seen != now {
 		s.seen = now
 		clear(s.members)
@@ -192,7 +196,7 @@
 	if !ok {
 		return nil, kernel.ErrNotFound.New("no job %q", m.Key)
 	}
-	if !over(j) {
+	if !Over(j) {
 		s.end(j, jobpb.Phase_PHASE_CANCELLED, "", at)
 		s.track(j)
 	}
@@ -212,13 +216,13 @@
 		return kernel.ErrConflict.New("job %s was started before", j.Key)
 	}
 	place, admit := s.pools.Place(m.Instance)
-	if !admit || place != s.index().queues[j.Submit.Queue].Pool || s.pools.Epoch(m.Instance) != m.InstanceEpoch ||
-		s.unwanted(m.Instance) {
+	if !admit || place != s.Index().Queues[j.Submit.Queue].Pool || s.pools.Epoch(m.Instance) != m.InstanceEpoch ||
+		s.Unwanted(m.Instance) {
 		return kernel.ErrConflict.New("instance %s takes no jobs of queue %s", m.Instance, j.Submit.Queue)
 	}
 	in := s.pools.Instance(m.Instance)
-	charge := amount(m.Charge)
-	if in == nil || !amount(j.Submit.Declared).Fits(capacity(in)) || !s.charged(m.Instance).Add(charge).Fits(capacity(in)) {
+	charge := Amount(m.Charge)
+	if in == nil || !Amount(j.Submit.Declared).Fits(Capacity(in)) || !s.charged(m.Instance).Add(charge).Fits(Capacity(in)) {
 		return kernel.ErrConflict.New("job %s doesn't fit on instance %s", j.Key, m.Instance)
 	}
 	if !s.reserve(j.Submit.Team, m.Instance) {
@@ -229,7 +233,7 @@
 		j.Moves++
 	}
 	j.Phase, j.Epoch, j.Instance, j.InstanceEpoch = jobpb.Phase_PHASE_STARTING, m.Epoch, m.Instance, m.InstanceEpoch
-	j.Charge, j.Losses = message(charge), s.pools.Losses(m.Instance)
+	j.Charge, j.Losses = Message(charge), s.pools.Losses(m.Instance)
 	j.Starts++
 	s.occupy(j)
 	s.justStarted = append(s.justStarted, j.Key)
@@ -243,7 +247,7 @@
 		return
 	}
 	u := s.use[j.Instance]
-	u.charge = u.charge.Sub(amount(j.Charge))
+	u.charge = u.charge.Sub(Amount(j.Charge))
 	if delete(u.jobs, j.Key); len(u.jobs) == 0 {
 		delete(s.use, j.Instance)
 	}
@@ -255,7 +259,7 @@
 	}
 	j.Previous, j.Instance, j.InstanceEpoch, j.Charge = j.Instance, "", 0, nil
 	j.Preempted, j.UrgentPreempt, j.Drain, j.Throttle, j.Throttled = jobpb.How_HOW_NONE, false, false, false, false
-	if over(j) {
+	if Over(j) {
 		s.retire(j)
 	}
 }
@@ -263,10 +267,10 @@
 func (s *State) occupy(j *jobpb.Job) {
 	u := s.use[j.Instance]
 	if u == nil {
-		u = &use{jobs: map[string]*jobpb.Job{}}
+		u = &Use{jobs: map[string]*jobpb.Job{}}
 		s.use[j.Instance] = u
 	}
-	u.charge = u.charge.Add(amount(j.Charge))
+	u.charge = u.charge.Add(Amount(j.Charge))
 	u.jobs[j.Key] = j
 	s.running[j.Submit.Team]++
 }
@@ -287,14 +291,14 @@
 
 func (s *State) enqueue(j *jobpb.Job) {
 	list := s.waiting[j.Submit.Queue]
-	i, _ := slices.BinarySearchFunc(list, j, bySeq)
+	i, _ := slices.BinarySearchFunc(list, j, BySeq)
 	s.waiting[j.Submit.Queue] = slices.Insert(list, i, j)
-	s.dirty[s.index().queues[j.Submit.Queue].Pool] = struct{}{}
+	s.dirty[s.Index().Queues[j.Submit.Queue].Pool] = struct{}{}
 }
 
 func (s *State) dequeue(j *jobpb.Job) {
 	list := s.waiting[j.Submit.Queue]
-	if i, ok := slices.BinarySearchFunc(list, j, bySeq); ok {
+	if i, ok := slices.BinarySearchFunc(list, j, BySeq); ok {
 		s.waiting[j.Submit.Queue] = slices.Delete(list, i, i+1)
 	}
 }
@@ -332,7 +336,7 @@
 // track notes a changed job for the next check and decision.
 func (s *State) track(j *jobpb.Job) {
 	s.touched[j.Key] = struct{}{}
-	waits := j.Phase == jobpb.Phase_PHASE_STARTING || j.Instance != "" && over(j) ||
+	waits := j.Phase == jobpb.Phase_PHASE_STARTING || j.Instance != "" && Over(j) ||
 		j.Phase == jobpb.Phase_PHASE_CHECKPOINTING || j.Instance != "" && j.Throttle != j.Throttled
 	if waits {
 		s.pending[j.Key] = struct{}{}
--- a/internal/job/quota.go
+++ b/internal/job/ledger/quota.go
@@ -1,10 +1,8 @@
-package job
+package ledger
 
 import (
 	"strings"
 	"time"
-
-	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 )
 
 // Quota accounts for running jobs against the upper limit of teams and the slots of instances, together with requests.
@@ -26,11 +24,7 @@
 // SlotResource returns the resource of the slots of an instance.
 func SlotResource(instance string) string { return "slot/" + instance }
 
-// quotaFor is the one place where quotas are wired: it returns the accounting for a new kernel. Until the quota plug-in
-// takes over, jobs are counted on their own against the configuration.
-func quotaFor(_ *kernel.Kernel, s *State) Quota { return countingQuota(s) }
-
-// countingQuota counts jobs only; requests that run at the same time are not seen.
+// countingQuota counts jobs on their own against the configuration; requests that run at the same time are not seen.
 func countingQuota(s *State) Quota {
 	held := map[string]int{}
 	return Quota{
@@ -53,7 +47,7 @@
 // limit returns the configured capacity of a resource.
 func (s *State) limit(resource string) int {
 	if team, ok := strings.CutPrefix(resource, "team/"); ok {
-		return s.index().teams[team].UpperLimit
+		return s.Index().Teams[team].UpperLimit
 	}
 	if in := s.pools.Instance(strings.TrimPrefix(resource, "slot/")); in != nil {
 		return in.Slots
@@ -75,3 +69,6 @@
 
 // SetQuota replaces the accounting; it is called while the kernel is built, before any command.
 func (s *State) SetQuota(q Quota) { s.quota = q }
+
+// Quota returns the accounting.
+func (s *State) Quota() Quota { return s.quota }
--- a/internal/job/preempt.go
+++ b/internal/job/schedule/preempt.go
@@ -1,4 +1,4 @@
-package job
+package schedule
 
 import (
 	"cmp"
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/job/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/placement"
 )
 
@@ -37,17 +38,17 @@
 		r.later[best] = r.later[best].Add(freed(v))
 		t := r.team(v.Submit.Team)
 		t.used = t.used.Sub(freed(v))
-		r.preempt(v, how, urgent, false)
+		r.propose(Preempt(v, how, urgent, false))
 	}
 	r.keep(best, j)
-	r.s.soft.granted[j.Key] = grant{instance: r.list[best].Name, until: r.now + preemptGrant}
+	r.granted[j.Key] = grant{instance: r.list[best].Name, until: r.now + preemptGrant}
 	t := r.team(j.Submit.Team)
 	t.used = t.used.Add(need)
 }
 
 // freed returns what the preemption of a job frees: everything, or half its processors when it can only be throttled.
 func freed(j *jobpb.Job) placement.Resources {
-	charge := amount(j.Charge)
+	charge := ledger.Amount(j.Charge)
 	if j.Submit.Idempotent {
 		return charge
 	}
@@ -56,19 +57,19 @@
 
 // victims returns the jobs of an instance that must go for the need to fit, or false when that isn't enough.
 func (r *round) victims(i int, need placement.Resources, urgent bool) ([]*jobpb.Job, bool) {
-	s := r.s
+	s := r.Scheduler
 	room := r.later[i]
 	if need.Fits(room) {
 		return nil, true
 	}
-	u := s.use[r.list[i].Name]
+	u := s.ledger.Uses()[r.list[i].Name]
 	if u == nil {
 		return nil, false
 	}
 	var list []*jobpb.Job
-	for _, v := range u.jobs {
+	for _, v := range u.Jobs() {
 		if _, ok := r.preempted[v.Key]; !ok && v.Phase == jobpb.Phase_PHASE_RUNNING && v.Preempted == jobpb.How_HOW_NONE &&
-			!v.Throttled && !s.index().queues[v.Submit.Queue].Urgent {
+			!v.Throttled && !s.ledger.Index().Queues[v.Submit.Queue].Urgent {
 			list = append(list, v)
 		}
 	}
@@ -102,11 +103,11 @@
 
 // remaining returns the expected time to the end of a running job, from the corrected run times of its class.
 func (r *round) remaining(j *jobpb.Job) time.Duration {
-	began, ok := r.s.soft.began[TaskRef{Job: j.Key, Epoch: j.Epoch}]
+	began, ok := r.began[ref{j.Key, j.Epoch}]
 	if !ok {
 		began = r.now
 	}
-	run := r.s.soft.estimator.Run(class(j), time.Duration(j.Submit.ExpectedRun))
+	run := r.estimator.Run(Class(j), time.Duration(j.Submit.ExpectedRun))
 	if left := began + run - r.now; left > 0 {
 		return left
 	}
--- a/internal/job/schedule.go
+++ b/internal/job/schedule/schedule.go
@@ -1,4 +1,4 @@
-package job
+package schedule
 
 import (
 	"cmp"
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/job/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/placement"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
@@ -21,9 +22,6 @@
 	FirstInFirstOut
 )
 
-// UsePolicy selects the policy of this leader.
-func (s *State) UsePolicy(p Policy) { s.policy = p }
-
 const (
 	// maxStarts bounds the starts of a pool in one decision, so that a burst doesn't delay other commands.
 	maxStarts = 32
@@ -52,7 +50,9 @@
 
 // round is one decision for one pool.
 type round struct {
-	*decision
+	*Scheduler
+	now       time.Duration
+	propose   Propose
 	pool      string
 	list      []placement.Candidate
 	later     []placement.Resources // free once the preempted jobs are gone
@@ -82,27 +82,26 @@
 	return t.used.Dominant(total) / t.weight
 }
 
-// schedule starts waiting jobs of a pool and preempts for those that must not wait.
-func (d *decision) schedule(pool string) {
-	s := d.s
+// Schedule starts waiting jobs of a pool and preempts for those that must not wait.
+func (s *Scheduler) Schedule(now time.Duration, pool string, propose Propose) {
 	var waiting []*jobpb.Job
 	for _, q := range s.cfg.Current().Queues {
 		if q.Pool == pool {
-			waiting = append(waiting, s.waiting[q.Name]...)
+			waiting = append(waiting, s.ledger.Waiting()[q.Name]...)
 		}
 	}
 	if len(waiting) == 0 {
 		return
 	}
-	r := d.round(pool)
-	slices.SortFunc(waiting, bySeq)
+	r := s.round(now, pool, propose)
+	slices.SortFunc(waiting, ledger.BySeq)
 	for _, j := range waiting {
-		if _, ok := s.soft.since[j.Key]; !ok {
-			s.soft.since[j.Key] = d.now
+		if _, ok := s.since[j.Key]; !ok {
+			s.since[j.Key] = now
 		}
-		if s.misfits(j) != "" {
+		if s.ledger.Misfits(j) != "" {
 			ref := &jobpb.Ref{Key: j.Key, Epoch: j.Epoch}
-			d.propose("misfit "+j.Key, &jobpb.Command{Change: &jobpb.Command_Misfit{Misfit: ref}})
+			propose("misfit "+j.Key, &jobpb.Command{Change: &jobpb.Command_Misfit{Misfit: ref}})
 			continue
 		}
 		t := r.team(j.Submit.Team)
@@ -117,24 +116,23 @@
 		r.fair()
 	}
 	if r.starts >= maxStarts {
-		s.dirty[pool] = struct{}{}
+		s.ledger.Dirty()[pool] = struct{}{}
 	}
 }
 
-func (d *decision) round(pool string) *round {
-	s := d.s
+func (s *Scheduler) round(now time.Duration, pool string, propose Propose) *round {
 	weights := s.cfg.Current().Weights
 	// Only the ratio of the weights counts: the more moves cost against share, the larger a difference of shares and
 	// the longer a wait are accepted before work is preempted.
 	cost := (1 + weights.Moves) / (1 + weights.Share)
 	r := &round{
-		decision: d, pool: pool, at: map[string]int{}, teams: map[string]*teamRound{},
+		Scheduler: s, now: now, propose: propose, pool: pool, at: map[string]int{}, teams: map[string]*teamRound{},
 		spread: map[string]*placement.Spread{}, preempted: map[string]struct{}{},
 		gap:  min(0.3, max(0.04, 0.05*cost)),
 		hold: min(30*time.Second, max(2*time.Second, time.Duration(float64(5*time.Second)*cost))),
 	}
-	for _, in := range s.poolMembers(pool) {
-		if _, admit := s.pools.Place(in.Name); !admit || s.unwanted(in.Name) {
+	for _, in := range s.ledger.Members(pool) {
+		if _, admit := s.pools.Place(in.Name); !admit || s.ledger.Unwanted(in.Name) {
 			continue
 		}
 		r.add(in)
@@ -143,24 +141,24 @@
 }
 
 func (r *round) add(in *fleet.Instance) {
-	s := r.s
+	s := r.Scheduler
 	c := placement.Candidate{
-		Name: in.Name, Zone: in.AvailabilityZone, Rack: in.Rack, Capacity: capacity(in), Free: capacity(in),
+		Name: in.Name, Zone: in.AvailabilityZone, Rack: in.Rack, Capacity: ledger.Capacity(in), Free: ledger.Capacity(in),
 	}
 	if s.pools.Ramping(in.Name) { // a quarter of the slots at first
 		c.Free.Slots = max(1, c.Free.Slots/4)
 	}
 	later := c.Free
-	if u := s.use[in.Name]; u != nil {
-		c.Free = c.Free.Sub(u.charge)
+	if u := s.ledger.Uses()[in.Name]; u != nil {
+		c.Free = c.Free.Sub(u.Charge())
 		later = c.Free
-		for _, j := range u.jobs {
+		for _, j := range u.Jobs() {
 			t := r.team(j.Submit.Team)
-			t.used = t.used.Add(amount(j.Charge))
-			t.want = t.want.Add(amount(j.Charge))
+			t.used = t.used.Add(ledger.Amount(j.Charge))
+			t.want = t.want.Add(ledger.Amount(j.Charge))
 			r.kind(j).Add(c, 1)
-			if j.Phase == jobpb.Phase_PHASE_CHECKPOINTING || over(j) {
-				later = later.Add(amount(j.Charge))
+			if j.Phase == jobpb.Phase_PHASE_CHECKPOINTING || ledger.Over(j) {
+				later = later.Add(ledger.Amount(j.Charge))
 			} else if j.Throttle && !j.Throttled {
 				later.MilliProcessors += j.Charge.MilliProcessors / 2
 			}
@@ -175,26 +173,26 @@
 func (r *round) team(name string) *teamRound {
 	t, ok := r.teams[name]
 	if !ok {
-		cfg := r.s.index().teams[name]
-		t = &teamRound{name: name, weight: float64(max(1, cfg.Share)), room: cfg.UpperLimit - r.s.running[name]}
+		cfg := r.ledger.Index().Teams[name]
+		t = &teamRound{name: name, weight: float64(max(1, cfg.Share)), room: cfg.UpperLimit - r.ledger.Running()[name]}
 		r.teams[name] = t
 	}
 	return t
 }
 
 func (r *round) kind(j *jobpb.Job) *placement.Spread {
-	p, ok := r.spread[class(j)]
+	p, ok := r.spread[Class(j)]
 	if !ok {
 		p = &placement.Spread{}
-		r.spread[class(j)] = p
+		r.spread[Class(j)] = p
 	}
 	return p
 }
 
 // size returns what a job is charged: the estimate, as far as the largest worker has room for it.
 func (r *round) size(j *jobpb.Job) placement.Resources {
-	declared := amount(j.Submit.Declared)
-	size := r.s.soft.estimator.Size(class(j), declared)
+	declared := ledger.Amount(j.Submit.Declared)
+	size := r.estimator.Size(Class(j), declared)
 	for i := range r.list {
 		if size.Fits(r.list[i].Capacity) {
 			return size
@@ -205,14 +203,14 @@
 
 // try starts a job when it fits now.
 func (r *round) try(j *jobpb.Job) bool {
-	s := r.s
+	s := r.Scheduler
 	t := r.team(j.Submit.Team)
 	if r.starts >= maxStarts || t.room < 1 {
 		return false
 	}
 	need := r.size(j)
 	i := placement.Pick(need, r.list, *r.kind(j), j.Previous, func(name string) bool {
-		_, refused := s.soft.refused[refusal{j.Key, name}]
+		_, refused := s.refused[refusal{j.Key, name}]
 		return refused || slices.Contains(j.FailedOn, name)
 	})
 	if i < 0 {
@@ -220,15 +218,15 @@
 	}
 	c := &r.list[i]
 	m := &jobpb.Start{
-		Key: j.Key, Epoch: j.Epoch + 1, Instance: c.Name, InstanceEpoch: s.pools.Epoch(c.Name), Charge: message(need),
+		Key: j.Key, Epoch: j.Epoch + 1, Instance: c.Name, InstanceEpoch: s.pools.Epoch(c.Name), Charge: ledger.Message(need),
 	}
 	if !r.propose(fmt.Sprintf("start %s %d", j.Key, m.Epoch), &jobpb.Command{Change: &jobpb.Command_Start{Start: m}}) {
 		return false
 	}
-	f, ok := s.soft.inflight[r.pool]
+	f, ok := s.inflight[r.pool]
 	if !ok {
 		f = inflight{keys: map[string]struct{}{}, at: r.now}
-		s.soft.inflight[r.pool] = f
+		s.inflight[r.pool] = f
 	}
 	f.keys[j.Key] = struct{}{}
 	c.Free, r.later[i] = c.Free.Sub(need), r.later[i].Sub(need)
@@ -236,21 +234,21 @@
 	t.used = t.used.Add(need)
 	t.room--
 	r.starts++
-	delete(s.soft.granted, j.Key)
+	delete(s.granted, j.Key)
 	return true
 }
 
 // fair starts urgent jobs first, then those of the teams with the smallest weighted share. Jobs that don't fit are
 // passed over, but room is kept for those that preempted others and for one that has waited long.
 func (r *round) fair() {
-	s := r.s
-	queues := s.index().queues
+	s := r.Scheduler
+	queues := s.ledger.Index().Queues
 	urgent, normal := map[string][]*jobpb.Job{}, map[string][]*jobpb.Job{}
 	var grantedUrgent, grantedNormal []*jobpb.Job
 	aged := false
 	for name, t := range r.teams {
 		for _, j := range t.waiting {
-			g, granted := s.soft.granted[j.Key]
+			g, granted := s.granted[j.Key]
 			granted = granted && r.now < g.until
 			switch first := queues[j.Submit.Queue].Urgent; {
 			case granted && first:
@@ -267,10 +265,10 @@
 	}
 	r.startGranted(grantedUrgent)
 	for _, j := range r.fill(urgent) {
-		if r.now >= s.soft.since[j.Key]+urgentHold {
+		if r.now >= s.since[j.Key]+urgentHold {
 			r.makeRoom(j, true)
 		}
-		s.dirty[r.pool] = struct{}{} // looks again at the next tick
+		s.ledger.Dirty()[r.pool] = struct{}{} // looks again at the next tick
 	}
 	r.startGranted(grantedNormal)
 	blocked := r.fill(normal)
@@ -278,9 +276,9 @@
 		return
 	}
 	r.ideals()
-	slices.SortFunc(blocked, bySeq)
+	slices.SortFunc(blocked, ledger.BySeq)
 	for _, j := range blocked {
-		waited := r.now - s.soft.since[j.Key]
+		waited := r.now - s.since[j.Key]
 		t := r.team(j.Submit.Team)
 		if waited >= r.hold && t.room > 0 && t.ideal-t.used.Dominant(r.total) > r.gap {
 			r.makeRoom(j, false)
@@ -293,11 +291,11 @@
 
 // startGranted starts jobs for which room was made, and keeps that room for the others.
 func (r *round) startGranted(list []*jobpb.Job) {
-	slices.SortFunc(list, bySeq)
+	slices.SortFunc(list, ledger.BySeq)
 	for _, j := range list {
-		i, ok := r.at[r.s.soft.granted[j.Key].instance]
+		i, ok := r.at[r.granted[j.Key].instance]
 		if !ok {
-			delete(r.s.soft.granted, j.Key) // the instance left the pool
+			delete(r.granted, j.Key) // the instance left the pool
 		}
 		if !r.try(j) && ok {
 			r.keep(i, j)
@@ -374,7 +372,7 @@
 	if best < 0 {
 		return false
 	}
-	r.s.soft.granted[j.Key] = grant{
+	r.granted[j.Key] = grant{
 		instance: r.list[best].Name, until: r.now + agedGrant, aged: true,
 	}
 	return true
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan/plan.go
@@ -1,4 +1,5 @@
-package maintenance
+// Package plan orders the instances of a maintenance wave by failure domain and computes how long a wave takes.
+package plan
 
 import (
 	"cmp"
@@ -43,10 +44,10 @@
 			pending = append(pending, &instances[i])
 		}
 	}
-	sortByDomain(pending, w.Order)
+	SortByDomain(pending, w.Order)
 	var p Plan
 	for {
-		next := batch(pending, w.MaxParallel, func(pool string) int { return room[pool] })
+		next := Batch(pending, w.MaxParallel, func(pool string) int { return room[pool] })
 		if len(next) == 0 {
 			return p
 		}
@@ -60,8 +61,8 @@
 	}
 }
 
-// sortByDomain orders instances by zone, with those that order doesn't name last, then by rack.
-func sortByDomain(list []*fleet.Instance, order []string) {
+// SortByDomain orders instances by zone, with those that order doesn't name last, then by rack.
+func SortByDomain(list []*fleet.Instance, order []string) {
 	rank := func(zone string) int {
 		if i := slices.Index(order, zone); i >= 0 {
 			return i
@@ -74,9 +75,9 @@
 	})
 }
 
-// batch returns the next instances to stop together: all in one zone, at most maxParallel (at least 1), and at most
+// Batch returns the next instances to stop together: all in one zone, at most maxParallel (at least 1), and at most
 // room(pool) of each pool. Instances of pools without room are passed over.
-func batch(pending []*fleet.Instance, maxParallel int, room func(pool string) int) []*fleet.Instance {
+func Batch(pending []*fleet.Instance, maxParallel int, room func(pool string) int) []*fleet.Instance {
 	var list []*fleet.Instance
 	taken := map[string]int{}
 	for _, in := range pending {
--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/maintenance/maintenancepb"
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance/plan"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
@@ -71,7 +72,7 @@
 	for _, p := range cfg.Pools {
 		list = append(list, s.pools.Members(p)...)
 	}
-	sortByDomain(list, cfg.Order)
+	plan.SortByDomain(list, cfg.Order)
 	w := &maintenancepb.Wave{Name: name, Phase: maintenancepb.Phase_PHASE_RUNNING, StartedAt: int64(at)}
 	for _, in := range list {
 		w.Pending = append(w.Pending, in.Name)
