--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -370,10 +370,12 @@
 }
 
 // Guards against any order of submissions, cancellations, losses, failing workers, lost answers, stuck checkpoints and
-// leader changes that loses a job or starts a non-idempotent one twice. Check runs after each command.
+// leader changes that loses a job, starts a non-idempotent one twice or makes replicas differ. Check runs after each
+// command.
 func TestRandomOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, small)
+		replica := w.Replicate(false)
 		w.lose = lossy(rapid.Int64().Draw(t, "seed"), rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss"))
 		n := 0
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
@@ -428,5 +430,6 @@
 			assert.Assert(t, j.Phase >= jobpb.Phase_PHASE_FINISHED, "job %s is still %v: %s", j.Key, j.Phase, j.Reason)
 		}
 		w.once()
+		w.Same(replica, false)
 	})
 }
--- a/internal/kernel/kerneltest/run.go
+++ b/internal/kernel/kerneltest/run.go
@@ -2,6 +2,7 @@
 package kerneltest
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
@@ -60,7 +61,47 @@
 	// Proposed counts the commands decided by the leaders.
 	Proposed uint64
 
-	tb TB
+	tb       TB
+	replicas []replica
+}
+
+type replica struct {
+	kernel   *kernel.Kernel
+	viewOnly bool
+}
+
+// Replicate makes another kernel apply every command from now on; with viewOnly it is that of an entry process.
+func (r *Run) Replicate(viewOnly bool) *kernel.Kernel {
+	r.tb.Helper()
+	k, err := kernel.New(kernel.Config{ViewOnly: viewOnly, Log: logr.Discard()})
+	if err != nil {
+		r.tb.Fatalf("build replica: %v", err)
+	}
+	data, err := r.Kernel.Snapshot(viewOnly)
+	if err != nil {
+		r.tb.Fatalf("snapshot: %v", err)
+	}
+	if err := k.Restore(data); err != nil {
+		r.tb.Fatalf("restore replica: %v", err)
+	}
+	r.replicas = append(r.replicas, replica{kernel: k, viewOnly: viewOnly})
+	return k
+}
+
+// Same fails the test when the replica's state differs from the leader's.
+func (r *Run) Same(replica *kernel.Kernel, viewOnly bool) {
+	r.tb.Helper()
+	want, err := r.Kernel.Snapshot(viewOnly)
+	if err != nil {
+		r.tb.Fatalf("snapshot: %v", err)
+	}
+	got, err := replica.Snapshot(viewOnly)
+	if err != nil {
+		r.tb.Fatalf("snapshot of replica: %v", err)
+	}
+	if !bytes.Equal(want, got) {
+		r.tb.Fatalf("replica differs from leader after command %d", r.Index)
+	}
 }
 
 // New returns a run with an empty kernel.
@@ -91,6 +132,13 @@
 	r.Index++
 	c.At = time.Duration(r.Index) * time.Millisecond
 	res := r.Kernel.Apply(r.Index, c)
+	for _, other := range r.replicas {
+		if other.viewOnly && !r.Kernel.IsView(c.Plugin) {
+			other.kernel.Skip(r.Index)
+		} else {
+			other.kernel.Apply(r.Index, c)
+		}
+	}
 	if r.Applied != nil {
 		r.Applied(c, res)
 	}
