--- /dev/null
+++ b/internal/job/ledger/quota.go
@@ -0,0 +1,65 @@
+package ledger
+
+import "github.com/hibiscusroute/hibiscusroute/internal/quota"
+
+// Quota accounts for running jobs against the upper limit of teams and the slots of instances, together with requests.
+// Reserve and Unreserve are called while commands are applied and must be deterministic.
+type Quota struct {
+	// Reserve takes one unit of the resource, or reports false when none is free.
+	Reserve func(resource string) bool
+	// Unreserve returns one unit.
+	Unreserve func(resource string)
+	// Wants tells the leader's whole demand by resource, running and waiting jobs together; it may be nil.
+	Wants func(wants map[string]int)
+}
+
+// quotaFor returns the accounting of the quota plug-in, whose own snapshots hold the reservations.
+func quotaFor(q *quota.State) Quota {
+	return Quota{Reserve: q.Reserve, Unreserve: q.Unreserve, Wants: q.SetWants}
+}
+
+// reserve takes one unit of the team's limit and one slot, or nothing.
+func (s *State) reserve(team, instance string) bool {
+	if !s.quota.Reserve(quota.TeamResource(team)) {
+		return false
+	}
+	if !s.quota.Reserve(quota.SlotResource(instance)) {
+		s.quota.Unreserve(quota.TeamResource(team))
+		// Requests hold all slots; the leader asks for one back while jobs wait.
+		s.short[instance] = true
+		return false
+	}
+	delete(s.short, instance)
+	return true
+}
+
+// Wants returns the demand of jobs by quota resource, running and waiting ones together.
+func (s *State) Wants() map[string]int {
+	wants := map[string]int{}
+	for team, n := range s.running {
+		wants[quota.TeamResource(team)] = n
+	}
+	waiting := 0
+	for _, list := range s.waiting {
+		for _, j := range list {
+			wants[quota.TeamResource(j.Submit.Team)]++
+			waiting++
+		}
+	}
+	for instance, u := range s.use {
+		wants[quota.SlotResource(instance)] = len(u.jobs)
+	}
+	if waiting == 0 {
+		clear(s.short)
+	}
+	for instance := range s.short {
+		wants[quota.SlotResource(instance)]++
+	}
+	return wants
+}
+
+// SetQuota replaces the accounting; it is called while the kernel is built, before any command.
+func (s *State) SetQuota(q Quota) { s.quota = q }
+
+// Quota returns the accounting.
+func (s *State) Quota() Quota { return s.quota }
--- a/internal/platform/loop_test.go
+++ b/internal/platform/loop_test.go
@@ -86,6 +86,9 @@
 	cfg.Waves = []fleet.Wave{{
 		Name: "wave", Pools: []string{"pool-0", "pool-1"}, MaxParallel: 4, DrainDeadline: fleet.Duration(time.Hour),
 	}}
+	for _, z := range cfg.AvailabilityZones {
+		cfg.Waves[0].Order = append(cfg.Waves[0].Order, z.Name)
+	}
 	var names []string
 	for _, in := range cfg.Instances {
 		names = append(names, in.Name)
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -56,11 +56,19 @@
 	return !ok || old != v
 }
 
-// Want tells how many units jobs could use of a resource, running ones included; it is soft state of the leader.
-func (s *State) Want(_ time.Duration, name string, units int) {
-	if s.policy.wanted[name] != uint64(units) {
-		s.policy.wanted[name] = uint64(units)
-		s.policy.dirty[name] = true
+// SetWants tells how many units jobs could use of each resource, running ones included; it is soft state of the leader.
+func (s *State) SetWants(wants map[string]int) {
+	for name := range s.policy.wanted {
+		if _, ok := wants[name]; !ok {
+			delete(s.policy.wanted, name)
+			s.policy.dirty[name] = true
+		}
+	}
+	for name, n := range wants {
+		if units := uint64(max(n, 0)); s.policy.wanted[name] != units {
+			s.policy.wanted[name] = units
+			s.policy.dirty[name] = true
+		}
 	}
 }
 
