--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -44,7 +44,7 @@
 	defer p.mu.Unlock()
 	for c := range p.conns {
 		if p.isCut(c) {
-			_ = c.Conn.Close()
+			_ = c.Close()
 		}
 	}
 	p.cut = map[string]bool{}
