--- /dev/null
+++ b/internal/node/metric.go
@@ -0,0 +1,46 @@
+package node
+
+import "github.com/hibiscusroute/hibiscusroute/internal/view"
+
+// registerMetrics exports what an operator needs to see whether this process acts on fresh state, and what control
+// costs it.
+func (n *Node) registerMetrics() {
+	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
+	gauge("hibiscusroute_lease_held", func() float64 {
+		if n.follower.Leased() {
+			return 1
+		}
+		return 0
+	})
+	gauge("hibiscusroute_configuration_version", n.ofView(func(v *view.View) float64 { return float64(v.Version()) }))
+	gauge("hibiscusroute_applied_index", n.ofView(func(v *view.View) float64 { return float64(v.Index()) }))
+	gauge("hibiscusroute_processes", func() float64 { return float64(len(n.follower.Members())) })
+	gauge("hibiscusroute_peer_sent_bytes", func() float64 {
+		sent, _ := n.transport.Bytes()
+		return float64(sent)
+	})
+	gauge("hibiscusroute_peer_received_bytes", func() float64 {
+		_, received := n.transport.Bytes()
+		return float64(received)
+	})
+	if n.voter == nil {
+		return
+	}
+	gauge("hibiscusroute_leading", func() float64 {
+		if n.voter.Leading() {
+			return 1
+		}
+		return 0
+	})
+	gauge("hibiscusroute_claims_held", func() float64 { return float64(n.keeper.Stats().Claims) })
+}
+
+// ofView reads a number from the newest view, 0 before the first.
+func (n *Node) ofView(f func(v *view.View) float64) func() float64 {
+	return func() float64 {
+		if v := n.follower.Last(); v != nil {
+			return f(v)
+		}
+		return 0
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,7 @@
 		return err
 	}
 	n.buildTraffic()
+	n.registerMetrics()
 	return n.buildOperator()
 }
 
