Keep processes with the control group that they met first, and bound memory of control

Cause: reading the wiring showed that a voter which lost its disk and still had the bootstrap setting would found a second group, and that processes which know its address would take it for the leader. Views paired a lease that was renewed later with a view loaded earlier. Updates and log entries were bounded by count only, which at 15 KB a configuration is above the 32 MB of a process. Change: responses name the group; a process stays with the first one it met. The lease is checked before the view is loaded. Updates, log and commands are bounded in bytes. Views are built anew only when configuration, pools or keys changed. A failed part shuts the process down gracefully.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -1,19 +1,27 @@
 package control
 
 import (
+	"slices"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
 )
 
-// feedLength is how many updates are kept for processes that reconnect; others start from a snapshot.
-const feedLength = 1024
+// feedLength and feedBytes bound the updates that are kept for processes that reconnect; others start from a snapshot.
+const (
+	feedLength = 1024
+	feedBytes  = 1 << 20
+)
 
 // feed holds the newest updates for the view streams.
 type feed struct {
 	mu      sync.Mutex
 	base    uint64 // index before the first update
 	updates []*controlpb.Update
+	sizes   []int
+	size    int
 	grown   chan struct{}
 	closed  bool
 }
@@ -23,15 +31,28 @@
 func (f *feed) add(u *controlpb.Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.updates = append(f.updates, u)
-	if n := len(f.updates) - feedLength; n >= feedLength {
-		// Half of the updates is dropped at once, so that the copy is rare.
-		f.base = f.updates[n-1].Index
-		f.updates = append([]*controlpb.Update(nil), f.updates[n:]...)
+	size := proto.Size(u)
+	f.updates, f.sizes, f.size = append(f.updates, u), append(f.sizes, size), f.size+size
+	if len(f.updates) >= 2*feedLength || f.size >= 2*feedBytes {
+		f.trim()
 	}
 	f.wake()
 }
 
+// trim keeps the newest updates within the bounds. It runs at twice the bounds, so that the copy is rare.
+func (f *feed) trim() {
+	n := 0
+	for len(f.updates)-n > feedLength || f.size > feedBytes {
+		f.size -= f.sizes[n]
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	f.base = f.updates[n-1].Index
+	f.updates, f.sizes = slices.Clone(f.updates[n:]), slices.Clone(f.sizes[n:])
+}
+
 func (f *feed) wake() {
 	close(f.grown)
 	f.grown = make(chan struct{})
@@ -41,7 +62,7 @@
 func (f *feed) reset(base uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.base, f.updates = base, nil
+	f.base, f.updates, f.sizes, f.size = base, nil, nil, 0
 	f.wake()
 }
 
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -34,12 +34,12 @@
 			if ms.Member.Address != m.Address || ms.Member.Name != m.Name {
 				v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_UPDATE, Member: m})
 			}
-			answer(&controlpb.JoinResponse{Voter: ms.Member.Voter}, nil)
+			answer(&controlpb.JoinResponse{Voter: ms.Member.Voter, Group: v.voters.Group()}, nil)
 			return
 		}
 		m.Voter = false
 		v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER, Member: m})
-		answer(&controlpb.JoinResponse{}, nil)
+		answer(&controlpb.JoinResponse{Group: v.voters.Group()}, nil)
 	})
 }
 
@@ -56,7 +56,7 @@
 			answer(nil, kernel.ErrConflict.New("%v", err))
 			return
 		}
-		answer(&controlpb.RemoveResponse{}, nil)
+		answer(&controlpb.RemoveResponse{Group: v.voters.Group()}, nil)
 	})
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
@@ -106,7 +107,7 @@
 				answer(nil, err)
 				return
 			}
-			resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body}
+			resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body, Group: v.voters.Group()}
 			if r.Err != nil {
 				resp.ErrorKind, resp.Error = kernel.EncodeError(r.Err)
 			}
@@ -116,7 +117,9 @@
 			answer(nil, kernel.ErrInvalid.New("empty proposal"))
 			return
 		}
-		if err := v.propose(CommandOf(req.Command), reply); err != nil {
+		if err := v.propose(CommandOf(req.Command), reply); errorx.IsOfType(err, kernel.ErrInvalid) {
+			answer(nil, err)
+		} else if err != nil {
 			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
 		}
 	})
@@ -134,7 +137,7 @@
 				return
 			}
 			body, err := v.kernel.Query(req.Plugin, req.Request)
-			answer(&controlpb.QueryResponse{Body: body}, err)
+			answer(&controlpb.QueryResponse{Body: body, Group: v.voters.Group()}, err)
 		})
 	})
 }
@@ -147,7 +150,7 @@
 			return
 		}
 		if !v.members.Renewable(req.Id) {
-			answer(&controlpb.RenewResponse{Rejoin: true}, nil)
+			answer(&controlpb.RenewResponse{Rejoin: true, Group: v.voters.Group()}, nil)
 			return
 		}
 		now := v.now()
@@ -163,7 +166,9 @@
 				answer(&controlpb.RenewResponse{Redirect: v.redirect()}, nil)
 				return
 			}
-			resp := &controlpb.RenewResponse{Commit: r.Index, Term: v.leadTerm, Recalls: v.quotas.Recalls(req.Id)}
+			resp := &controlpb.RenewResponse{
+				Commit: r.Index, Term: v.leadTerm, Recalls: v.quotas.Recalls(req.Id), Group: v.voters.Group(),
+			}
 			for _, m := range v.core.Status().Members {
 				resp.Voters = append(resp.Voters, m.Member.Address)
 			}
@@ -214,7 +219,7 @@
 		updates, grown, ok := v.feed.after(at)
 		if !ok || at == 0 {
 			var err error
-			if at, err = v.sendSnapshot(ctx, s, at); err != nil {
+			if at, err = v.sendSnapshot(ctx, s, req, at); err != nil {
 				return err
 			}
 			continue
@@ -239,8 +244,9 @@
 }
 
 // sendSnapshot sends the view plug-ins in chunks and returns the index of the snapshot.
-func (v *Voter) sendSnapshot(ctx context.Context, s *peer.Stream, applied uint64) (uint64, error) {
+func (v *Voter) sendSnapshot(ctx context.Context, s *peer.Stream, req *controlpb.FollowRequest, applied uint64) (uint64, error) {
 	type snapshot struct {
+		group string
 		index uint64
 		data  []byte
 		err   error
@@ -248,7 +254,7 @@
 	ch := make(chan snapshot, 1)
 	err := v.post(ctx, func() {
 		data, err := v.kernel.Snapshot(true)
-		ch <- snapshot{v.kernel.Applied(), data, err}
+		ch <- snapshot{v.voters.Group(), v.kernel.Applied(), data, err}
 	})
 	if err != nil {
 		return 0, err
@@ -258,8 +264,8 @@
 		if sn.err != nil {
 			return 0, sn.err
 		}
-		if sn.index < applied || sn.index == 0 {
-			// This voter is behind the process, which must try another one.
+		if sn.index < applied || sn.index == 0 || req.Group != "" && req.Group != sn.group {
+			// This voter is behind the process or belongs to another group; the process must try another one.
 			return 0, s.Send(&controlpb.FollowFrame{Redirect: &controlpb.Redirect{}})
 		}
 		for chunk := range slices.Chunk(sn.data, chunkSize) {
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -32,6 +32,10 @@
 	electionTicks  = 5
 	// snapshotEntries is how many entries are applied between snapshots; replaying them takes well under a second.
 	snapshotEntries = 1000
+	// snapshotBytes bounds the log between snapshots in the same way; configuration documents are the largest entries.
+	snapshotBytes = 2 << 20
+	// maxEntry bounds a command in bytes, so that a message with it stays within a frame between processes.
+	maxEntry = 512 << 10
 	// inboxSize bounds the events that wait for the control loop.
 	inboxSize = 1024
 	// maxBatch bounds the events that share one sync.
@@ -83,6 +87,7 @@
 	lateReads  []raft.Read
 	nextRead   uint64
 	snapshotAt uint64
+	logged     int // bytes of the entries applied since the last snapshot
 	rollouts   rollouts
 	members    *member.State
 	quotas     *quota.State
@@ -165,7 +170,7 @@
 		}
 	}
 	v.kernel.Skip(s.Meta.Index)
-	v.snapshotAt = s.Meta.Index
+	v.snapshotAt, v.logged = s.Meta.Index, 0
 	return nil
 }
 
@@ -286,6 +291,9 @@
 	if err != nil {
 		return errorx.Decorate(err, "encode command")
 	}
+	if len(data) > maxEntry {
+		return kernel.ErrInvalid.New("command has %d bytes; at most %d are replicated", len(data), maxEntry)
+	}
 	index, err := v.core.Propose(data)
 	if err != nil {
 		return err
@@ -355,6 +363,7 @@
 }
 
 func (v *Voter) apply(e *raftpb.Entry) error {
+	v.logged += len(e.Data)
 	update := &controlpb.Update{Index: e.Index}
 	var result kernel.Result
 	if e.Type == raftpb.EntryType_ENTRY_TYPE_COMMAND {
@@ -406,7 +415,8 @@
 // maybeSnapshot saves a snapshot when enough entries were applied since the last one, so that a restart stays short.
 func (v *Voter) maybeSnapshot() error {
 	applied := v.kernel.Applied()
-	if applied < v.snapshotAt+snapshotEntries || applied != v.core.Status().Applied {
+	due := applied >= v.snapshotAt+snapshotEntries || v.logged >= snapshotBytes
+	if !due || applied != v.core.Status().Applied {
 		return nil
 	}
 	meta, err := v.core.SnapshotMeta(applied)
@@ -423,7 +433,7 @@
 	if err := v.core.Compact(applied, state); err != nil {
 		return err
 	}
-	v.snapshotAt = applied
+	v.snapshotAt, v.logged = applied, 0
 	v.cfg.Log.V(1).Info("saved a snapshot", "index", applied, "bytes", len(state))
 	return nil
 }
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -40,6 +40,7 @@
 	mu     sync.Mutex
 	leader string
 	voters []string
+	group  string
 }
 
 // NewClient builds a client.
@@ -76,10 +77,25 @@
 	}
 }
 
-func (c *Client) setLeader(address string) {
+// accept takes a voter that answered as leader, unless it leads another group than the one that this process met first.
+func (c *Client) accept(address, group string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.group == "" {
+		c.group = group
+	}
+	if group != "" && group != c.group {
+		return peer.ErrUnreachable.New("voter at %s leads group %s; this process belongs to group %s", address, group, c.group)
+	}
 	c.leader = address
+	return nil
+}
+
+// Group returns the identity of the control group, empty before a leader answered.
+func (c *Client) Group() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.group
 }
 
 // lost forgets a leader that did not answer, unless another one is known by now.
@@ -111,6 +127,7 @@
 type redirected interface {
 	proto.Message
 	GetRedirect() *controlpb.Redirect
+	GetGroup() string
 }
 
 // call sends a request to the leader and follows redirects until ctx ends. With once it is not sent again after a try
@@ -128,8 +145,9 @@
 				err = c.try(ctx, address, kind, req, resp)
 			}
 			if err == nil && resp.GetRedirect() == nil {
-				c.setLeader(address)
-				return nil
+				if err = c.accept(address, resp.GetGroup()); err == nil {
+					return nil
+				}
 			}
 			if err != nil {
 				c.lost(address)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -59,6 +59,7 @@
 	// leaseUntil is when the configuration lease ends, in nanoseconds after start; 0 means never leased.
 	leaseUntil atomic.Int64
 	leaving    atomic.Bool
+	applied    atomic.Uint64
 	current    atomic.Pointer[string]
 	wake       chan struct{}
 
@@ -68,10 +69,14 @@
 	floor   uint64
 	id      string
 	pending []grant
+	shown   shown
 	full    bool
 	leader  string
 }
 
+// shown identifies the state that a view was built from; a change of the configuration counts as one of the pools.
+type shown struct{ pools, keys uint64 }
+
 // grant is an answered renewal that counts once its index is applied.
 type grant struct {
 	index uint64
@@ -101,17 +106,20 @@
 
 // View returns the newest view; it fails with view.ErrNoLease when that may be outdated.
 func (f *Follower) View() (*view.View, error) {
-	// The view is loaded first: a view that is newer than the lease is fresh too.
-	v := f.view.Load()
-	if v == nil || !f.Leased() {
+	// The lease is checked first: what is loaded afterwards is at least as new as what the lease was valid for. The other
+	// way round, a goroutine that paused in between could pair an outdated view with a lease that was renewed since.
+	if !f.Leased() {
 		return nil, view.ErrNoLease.New("no fresh view of the control state")
 	}
-	return v, nil
+	return f.view.Load(), nil
 }
 
 // Last returns the newest view even when it may be outdated, nil before the first.
 func (f *Follower) Last() *view.View { return f.view.Load() }
 
+// Applied returns the log index of the newest state.
+func (f *Follower) Applied() uint64 { return f.applied.Load() }
+
 // Members returns the processes of the newest view.
 func (f *Follower) Members() []*memberpb.Member {
 	if list := f.members.Load(); list != nil {
@@ -137,7 +145,9 @@
 	}
 }
 
+// resetKernel starts over from an empty state, whose next view is built anew.
 func (f *Follower) resetKernel() error {
+	f.shown = shown{}
 	k, err := kernel.New(kernel.Config{ViewOnly: true, Log: f.cfg.Log})
 	if err != nil {
 		return err
@@ -314,6 +324,7 @@
 func (f *Follower) extendLease() {
 	applied := f.kernel.Applied()
 	f.floor = max(f.floor, applied)
+	f.applied.Store(applied)
 	rest := f.pending[:0]
 	for _, g := range f.pending {
 		switch {
@@ -354,7 +365,7 @@
 		return at, err
 	}
 	defer func() { _ = s.Close() }()
-	if err := s.Send(&controlpb.FollowRequest{Applied: at}); err != nil {
+	if err := s.Send(&controlpb.FollowRequest{Applied: at, Group: f.cfg.Client.Group()}); err != nil {
 		return at, err
 	}
 	go f.watchLeader(ctx, cancel, leader)
@@ -444,10 +455,13 @@
 	pools, _ := kernel.Lookup[*pool.State](f.kernel, pool.Name)
 	voters, _ := kernel.Lookup[*voter.State](f.kernel, voter.Name)
 	before := f.view.Load()
-	f.view.Store(view.New(view.Config{
-		Index: f.kernel.Applied(), Version: cfg.Version(), Configuration: cfg.Current(), Keys: keys.Active(),
-		Place: pools.Place,
-	}))
+	// Most updates change quotas only; building the maps of a view again would cost most of the time of an update.
+	if now := (shown{pools.Changed(), keys.Changed()}); before == nil || now != f.shown {
+		f.shown = now
+		f.view.Store(view.New(view.Config{
+			Version: cfg.Version(), Configuration: cfg.Current(), Keys: keys.Active(), Place: pools.Place,
+		}))
+	}
 	chain := voters.Chain()
 	f.voters.Store(&chain)
 	list := members.Members()
--- a/internal/key/plugin.go
+++ b/internal/key/plugin.go
@@ -34,6 +34,8 @@
 	cfg    *configuration.State
 	keys   map[string]*keypb.Key
 	active map[string]Key
+	// changed counts the changes, so that views are built anew only when needed.
+	changed uint64
 }
 
 func init() {
@@ -56,6 +58,9 @@
 // Active returns the keys in force by identifier; the map is replaced on each change and must not be changed.
 func (s *State) Active() map[string]Key { return s.active }
 
+// Changed counts the changes of the keys; equal numbers mean equal keys.
+func (s *State) Changed() uint64 { return s.changed }
+
 // GrantCommand returns the command that adds a key for a team.
 func GrantCommand(id, team string, secret Secret) (kernel.Command, error) {
 	return GrantHashCommand(id, team, secret.ID(), secret.Hash())
@@ -149,6 +154,7 @@
 		}
 	}
 	s.active = active
+	s.changed++
 }
 
 func (s *State) encode() ([]byte, error) {
--- a/internal/node/metric.go
+++ b/internal/node/metric.go
@@ -13,7 +13,7 @@
 		return 0
 	})
 	gauge("hibiscusroute_configuration_version", n.ofView(func(v *view.View) float64 { return float64(v.Version()) }))
-	gauge("hibiscusroute_applied_index", n.ofView(func(v *view.View) float64 { return float64(v.Index()) }))
+	gauge("hibiscusroute_applied_index", func() float64 { return float64(n.follower.Applied()) })
 	gauge("hibiscusroute_processes", func() float64 { return float64(len(n.follower.Members())) })
 	gauge("hibiscusroute_peer_sent_bytes", func() float64 {
 		sent, _ := n.transport.Bytes()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,8 @@
 	joinInterval = time.Second
 	// handoverTimeout bounds the wait until another voter leads or the membership has ended.
 	handoverTimeout = 2 * time.Second
+	// failureTimeout bounds the shutdown after a part failed.
+	failureTimeout = 30 * time.Second
 )
 
 // Config holds the settings of a process.
@@ -235,10 +237,11 @@
 	n.cfg.Log.Info("process started", "name", n.cfg.Process.Name, "caller", n.listeners.caller.Addr().String())
 	select {
 	case err := <-failed:
-		// The other parts can't go on without this one; callers see their connections close.
-		_ = endpoints.Close()
-		_ = n.listeners.caller.Close()
-		return err
+		// Requests that run may still finish, even without a part such as the data directory.
+		n.cfg.Log.Error(err, "a part of the process failed; shutting down")
+		sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), failureTimeout)
+		defer cancel()
+		return errors.Join(err, n.shutdown(sctx, endpoints))
 	case <-ctx.Done():
 	}
 	return n.shutdown(context.WithoutCancel(ctx), endpoints)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -55,7 +55,7 @@
 		Lease: n.follower.Leased(),
 	}
 	if v := n.follower.Last(); v != nil {
-		s.Version, s.Applied = v.Version(), v.Index()
+		s.Version, s.Applied = v.Version(), n.follower.Applied()
 	}
 	if n.voter == nil {
 		return s, nil
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -28,7 +28,6 @@
 
 // Config holds the content of a view.
 type Config struct {
-	Index         uint64
 	Version       uint64
 	Configuration *fleet.Configuration
 	Keys          map[string]key.Key
@@ -36,7 +35,7 @@
 	Place func(instance string) (pool string, admit bool)
 }
 
-// View is an immutable picture of the control state after one log index.
+// View is an immutable picture of the control state.
 type View struct {
 	cfg       Config
 	teams     map[string]fleet.Team
@@ -71,9 +70,6 @@
 	return v
 }
 
-// Index returns the log index after which the view was taken.
-func (v *View) Index() uint64 { return v.cfg.Index }
-
 // Version returns the configuration version, 0 before the first submission.
 func (v *View) Version() uint64 { return v.cfg.Version }
 
--- a/internal/voter/plugin.go
+++ b/internal/voter/plugin.go
@@ -20,7 +20,10 @@
 )
 
 // State holds the newest memberships; it is owned by the kernel's goroutine.
-type State struct{ chain []*claimpb.Membership }
+type State struct {
+	chain []*claimpb.Membership
+	group string
+}
 
 func init() {
 	kernel.Register(Name, nil, build)
@@ -43,6 +46,9 @@
 	return s.chain[len(s.chain)-1]
 }
 
+// Group identifies the control group by the voter that founded it; empty before the first membership.
+func (s *State) Group() string { return s.group }
+
 // SetCommand returns the command that makes a set of voters the next membership. With the voters of the newest
 // membership it changes nothing.
 func SetCommand(voters []*claimpb.Voter) (kernel.Command, error) {
@@ -71,6 +77,9 @@
 	if Same(newest.GetVoters(), m.Voters) {
 		return nil, nil
 	}
+	if s.group == "" {
+		s.group = m.Voters[0].Identity
+	}
 	// The list is copied, because views share it.
 	s.chain = append(slices.Clone(s.chain), &claimpb.Membership{Epoch: newest.GetEpoch() + 1, Voters: m.Voters})
 	if n := len(s.chain) - chainLength; n > 0 {
@@ -88,13 +97,15 @@
 	return nil
 }
 
-func (s *State) encode() ([]byte, error) { return proto.Marshal(&voterpb.State{Chain: s.chain}) }
+func (s *State) encode() ([]byte, error) {
+	return proto.Marshal(&voterpb.State{Chain: s.chain, Group: s.group})
+}
 
 func (s *State) restore(data []byte) error {
 	m := &voterpb.State{}
 	if err := proto.Unmarshal(data, m); err != nil {
 		return errorx.Decorate(err, "decode voters")
 	}
-	s.chain = m.Chain
+	s.chain, s.group = m.Chain, m.Group
 	return nil
 }
