--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -153,12 +153,15 @@
 	return team, true
 }
 
-// change commits a command. Submissions and cancellations are idempotent by the job's identifier, so a caller may
-// resend either after an unknown outcome.
+// change commits a command. Submissions and cancellations are idempotent by the job's identifier, so they are proposed
+// again after an unknown outcome, and so may the caller send them again.
 func (j *Jobs) change(w http.ResponseWriter, r *http.Request, c kernel.Command, status int) {
 	ctx, cancel := context.WithTimeout(r.Context(), jobTimeout)
 	defer cancel()
 	res, err := j.cfg.Propose(ctx, c)
+	for err != nil && ctx.Err() == nil {
+		res, err = j.cfg.Propose(ctx, c)
+	}
 	if err != nil {
 		writeRejection(w, http.StatusGatewayTimeout, Rejection{
 			outcomeUnknown, "outcome-unknown", "the control group did not answer; send the same job again: " + err.Error(),
