--- a/internal/raft/explore_test.go
+++ b/internal/raft/explore_test.go
@@ -201,6 +201,7 @@
 
 // Guards against a sequence of steps that breaks a safety property in a small group.
 func TestExploreSmallModels(t *testing.T) {
+	t.Parallel()
 	change := func(kind raftpb.ChangeKind, id string, force bool) *raftpb.MemberChange {
 		return &raftpb.MemberChange{Kind: kind, Member: &raftpb.Member{Id: id}, Force: force}
 	}
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -154,6 +154,7 @@
 // Guards against a random sequence of faults, proposals, membership changes and compactions that breaks a safety
 // property or leaves the group unable to go on once the faults end.
 func TestRandomRuns(t *testing.T) {
+	t.Parallel()
 	seen := coverage{}
 	rapid.Check(t, func(rt *rapid.T) {
 		s := &simulation{network: newNetwork(t, 3), t: rt, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0)), asked: map[uint64]uint64{}}
