--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -41,6 +41,15 @@
 func (s *simulation) finish(id string) {
 	n := s.nodes[id]
 	for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
+		for s.random.IntN(5) == 0 { // input arrives during the sync
+			i := slices.IndexFunc(s.inflight, func(m *raftpb.Message) bool { return m.To == id })
+			if i < 0 {
+				break
+			}
+			m := s.inflight[i]
+			s.inflight = slices.Delete(s.inflight, i, i+1)
+			_ = n.core.Step(m)
+		}
 		n.handle(rd)
 		for _, m := range rd.Messages {
 			s.inflight = append(s.inflight, proto.CloneOf(m))
