--- a/internal/caller/fair_test.go
+++ b/internal/caller/fair_test.go
@@ -53,7 +53,7 @@
 }
 
 // simulate runs the scheduler in simulated time on one pool with 8 slots.
-func simulate(t *testing.T, length time.Duration, loads []load) map[string]*usage {
+func simulate(t *testing.T, tc string, length time.Duration, loads []load) map[string]*usage {
 	t.Helper()
 	start := time.Unix(1_700_000_000, 0)
 	now := start
@@ -113,7 +113,12 @@
 			u := result[w.team]
 			u.longest = max(u.longest, now.Sub(at))
 			u.most = max(u.most, s.teams[w.team].running)
-			heap.Push(&running, ending{now.Sub(start) + takes[w.team], g, w})
+			ran := takes[w.team]
+			// Long requests come in the first part of each 4 s, so that the estimate is always wrong.
+			if w.team == "a" && tc == "run times that change" && now.Sub(start)%(4*time.Second) < time.Second {
+				ran = time.Second
+			}
+			heap.Push(&running, ending{now.Sub(start) + ran, g, w})
 		}
 	}
 	for at := time.Duration(0); at < length; {
@@ -129,7 +134,7 @@
 			e := heap.Pop(&running).(ending)
 			s.settle(e.g)
 			s.finish(e.w.team, e.w.queue.Name, e.g.permit, true)
-			result[e.w.team].slotTime += takes[e.w.team]
+			result[e.w.team].slotTime += now.Sub(e.g.at)
 			collect()
 		}
 		for k, l := range loads {
@@ -170,6 +175,10 @@
 			{"a", 1, false, 10 * time.Millisecond, 500 * time.Millisecond, 100},
 			{"b", 1, false, time.Millisecond, 50 * time.Millisecond, 100},
 		}, func(u map[string]*usage) error { return ratio(u, 1) }},
+		{"run times that change", []load{
+			{"a", 1, false, 10 * time.Millisecond, 50 * time.Millisecond, 100},
+			{"b", 1, false, 10 * time.Millisecond, 50 * time.Millisecond, 100},
+		}, func(u map[string]*usage) error { return ratio(u, 1) }},
 		{"a team within its share hardly waits", []load{
 			{"a", 1, false, 2500 * time.Microsecond, 100 * time.Millisecond, 100},
 			{"b", 1, false, 50 * time.Millisecond, 100 * time.Millisecond, 100}, // asks for 2 slots of 4
@@ -202,7 +211,7 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			u := simulate(t, length, tc.loads)
+			u := simulate(t, tc.name, length, tc.loads)
 			t.Logf("a: %+v, b: %+v", *u["a"], *u["b"])
 			assert.NilError(t, tc.check(u))
 		})
--- a/internal/endpoint/dispatch_test.go
+++ b/internal/endpoint/dispatch_test.go
@@ -258,6 +258,32 @@
 	assert.Assert(t, count > 0 && len(seen) > 0)
 }
 
+// Guards against a first write after the attempt was concluded as not sent.
+func TestSealForbidsLaterWrites(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		var arrived atomic.Bool
+		address := rawServer(t, func(_ int, c *net.TCPConn) {
+			if n, _ := c.Read(make([]byte, 1)); n > 0 {
+				arrived.Store(true)
+			}
+		})
+		a := &Attempt{}
+		d := NewDispatcher(DispatcherConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			assert.Check(t, a.Seal() == NotSent)
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}})
+		ctx := t.Context()
+		if idempotent {
+			ctx = WithIdempotent(ctx)
+		}
+		_, state, err := d.DoAttempt(ctx, a, target(address, 2), newRequest(t, http.MethodPost, "body"))
+		assert.Assert(t, err != nil)
+		assert.Equal(t, state, NotSent)
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, !arrived.Load())
+	}
+}
+
 // Guards against more connections to an instance than this process's part of them.
 func TestConnectionsAreBounded(t *testing.T) {
 	const limit = 3
--- a/internal/endpoint/pick_test.go
+++ b/internal/endpoint/pick_test.go
@@ -225,3 +225,30 @@
 	}
 	assert.DeepEqual(t, demand, want)
 }
+
+// Guards against work that is drawn to an endpoint because it fails fast, where the cap forbids an ejection.
+func TestFastFailuresDontAttractWork(t *testing.T) {
+	v, c := fleetView(2), newClock()
+	r := newRegistry(c, v, func(cfg *Config) { cfg.Rand = seeded(t) })
+	announceAll(r, 2, 1)
+	failed := 0
+	var running []*Target
+	for range 2000 {
+		c.add(time.Millisecond)
+		if len(running) == 7 {
+			running[0].Report(true)
+			running[0].Release()
+			running = running[1:]
+		}
+		target, err := r.Pick(v, "plates", nil)
+		assert.NilError(t, err)
+		if target.Instance() == "i-1" {
+			running = append(running, target)
+			continue
+		}
+		failed++
+		target.Report(false)
+		target.Release()
+	}
+	assert.Assert(t, failed < 300, "%d of 2000 attempts went to the failing endpoint", failed)
+}
--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -266,6 +266,26 @@
 	assert.Equal(t, target.Instance(), "i-1")
 }
 
+// Guards against reports that count while their process is silent, although their TTL has not passed.
+func TestSilentPeerStopsCounting(t *testing.T) {
+	v, c := fleetView(1), newClock()
+	r := newRegistry(c, v, nil)
+	r.Receive("a", &endpointpb.Update{Boot: 1, Full: true, Reports: []*endpointpb.Report{
+		{Id: 1, Instance: "i-0", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, IntervalMs: 10_000},
+	}})
+	for _, tc := range []struct {
+		silence time.Duration
+		update  bool
+		want    bool
+	}{{3 * time.Second, false, true}, {time.Millisecond, false, false}, {0, true, true}, {2 * time.Second, false, true}} {
+		c.add(tc.silence)
+		if tc.update {
+			r.Receive("a", &endpointpb.Update{Boot: 1})
+		}
+		assert.Equal(t, usable(t, r, v), tc.want)
+	}
+}
+
 // Guards against control traffic above 6 KB/s per process with 1,000 endpoints and 8 processes.
 func TestTrafficAtDesignScale(t *testing.T) {
 	const endpoints, processes, seconds = 1000, 8, 20
