--- a/internal/endpoint/announce.go
+++ b/internal/endpoint/announce.go
@@ -54,8 +54,8 @@
 		return
 	}
 	if r.cfg.Key != "" {
-		key, _ := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(key), []byte(r.cfg.Key)) != 1 {
+		key, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+		if match := subtle.ConstantTimeCompare([]byte(key), []byte(r.cfg.Key)); !ok || match != 1 {
 			r.refuse(w, http.StatusUnauthorized, "bad endpoint key")
 			return
 		}
@@ -132,8 +132,10 @@
 	switch {
 	case result == applyStale:
 		r.stat.stale.Inc()
-	case i.id == 0 || result == applyChanged || i.sentAddress != i.address || i.sentEpoch != i.incarnation:
+	case i.id == 0 || result == applyChanged || i.sentAddress != i.address || i.idEpoch != i.incarnation:
 		push = &endpointpb.Update{Boot: r.boot, Reports: []*endpointpb.Report{r.report(i, now)}}
+		i.sentAddress = i.address
+		delete(r.pending, i) // the report is newer
 		r.stat.accepted.Inc()
 	default:
 		r.pending[i] = struct{}{}
@@ -192,7 +194,7 @@
 		r.cfg.Log.Info("endpoint changed", "instance", i.name, "address", a.Address,
 			"incarnation", a.Incarnation, "state", a.State)
 	}
-	i.incarnation, i.sequence, i.address, i.leaving = a.Incarnation, max(a.Sequence, 1), a.Address, leaving
+	i.incarnation, i.sequence, i.address, i.leaving = a.Incarnation, a.Sequence, a.Address, leaving
 	i.seen, i.interval, i.reporter = seen, interval, from
 	i.others = max(a.Running-i.local, 0)
 	if changed {
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -15,14 +15,13 @@
 	maxBatch = time.Second
 )
 
-// report returns the report of what was announced to this process and assigns a number to the instance.
+// report returns the report of what was announced. Each incarnation gets a number of its own, so that a renewal that
+// overtakes or is overtaken by the report of a restart never confirms another incarnation than it meant.
 func (r *Registry) report(i *instance, now time.Time) *endpointpb.Report {
-	if i.id == 0 {
+	if i.id == 0 || i.idEpoch != i.incarnation {
 		r.lastID++
-		i.id = r.lastID
+		i.id, i.idEpoch = r.lastID, i.incarnation
 	}
-	i.sentAddress, i.sentEpoch = i.address, i.incarnation
-	delete(r.pending, i)
 	return &endpointpb.Report{
 		Id: i.id, Instance: i.name, Address: i.address, Incarnation: i.incarnation, Sequence: i.sequence,
 		Leaving: i.leaving, Running: uint32(i.others + i.local),
@@ -56,7 +55,7 @@
 		r.peers[from] = p
 	}
 	if u.Full {
-		p.boot, p.byID = u.Boot, map[uint32]*instance{}
+		p.boot, p.byID = u.Boot, map[uint32]reported{}
 	}
 	if p.byID == nil || p.boot != u.Boot {
 		return
@@ -73,12 +72,13 @@
 		every := time.Duration(n.IntervalMs) * time.Millisecond
 		seen := now.Add(-batchPeriod(every))
 		for k, id := range n.Ids {
-			i := p.byID[id]
-			if i == nil {
+			known, ok := p.byID[id]
+			if !ok {
 				continue
 			}
+			i := known.instance
 			a := Announcement{
-				Instance: i.name, Address: i.address, Incarnation: i.incarnation, Sequence: n.Sequences[k],
+				Instance: i.name, Address: i.address, Incarnation: known.incarnation, Sequence: n.Sequences[k],
 				State: stateReady, Running: int(n.Running[k]),
 			}
 			r.apply(i, p, a, seen, every)
@@ -107,12 +107,7 @@
 	}
 	age, every := time.Duration(m.AgeMs)*time.Millisecond, time.Duration(m.IntervalMs)*time.Millisecond
 	r.apply(i, p, a, now.Add(-age), min(every, maxInterval))
-	// A renewal refers to the announced incarnation, so an outdated report gets no number.
-	if m.Incarnation == i.incarnation {
-		p.byID[m.Id] = i
-	} else {
-		delete(p.byID, m.Id)
-	}
+	p.byID[m.Id] = reported{instance: i, incarnation: m.Incarnation}
 }
 
 // Flush sends the pending renewals to the other processes; the update is empty when there are none, which tells them
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -90,8 +90,8 @@
 	reporter    *peer // nil when this process received the newest announcement
 
 	id          uint32 // in updates of this process, 0 before the first
-	sentAddress string // as last reported to other processes
-	sentEpoch   uint64
+	idEpoch     uint64 // incarnation to which id belongs
+	sentAddress string // as last pushed to the other processes
 
 	local  int // attempts of this process
 	others int // estimate of the requests that other processes run there
@@ -102,7 +102,13 @@
 type peer struct {
 	boot    uint64
 	contact time.Time
-	byID    map[uint32]*instance
+	byID    map[uint32]reported
+}
+
+// reported is what a number in renewals of a peer stands for.
+type reported struct {
+	instance    *instance
+	incarnation uint64
 }
 
 type statistics struct {
--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -266,6 +266,31 @@
 	assert.Equal(t, target.Instance(), "i-1")
 }
 
+// Guards against a renewal that is lost because a process connected meanwhile, and one of an earlier incarnation that
+// arrives late and makes the announcements of the restarted endpoint look old.
+func TestRenewalsAreNotLostOrMixedUp(t *testing.T) {
+	v, c := fleetView(1), newClock()
+	var sent []*endpointpb.Update
+	a := newRegistry(c, v, func(cfg *Config) { cfg.Send = func(u *endpointpb.Update) { sent = append(sent, u) } })
+	b := newRegistry(c, v, nil)
+	a.announce(ready("i-0", 1, 1))
+	b.Receive("a", a.Full())
+	c.add(time.Second)
+	a.announce(ready("i-0", 1, 5000))
+	a.Full()
+	a.Flush()
+	assert.Equal(t, len(sent[1].GetRenewals().GetIds()), 1, "renewal was lost")
+	a.announce(ready("i-0", 2, 1))
+	b.Receive("a", sent[2])
+	b.Receive("a", sent[1])
+	assert.Equal(t, b.instances["i-0"].sequence, uint64(1))
+	c.add(time.Second)
+	a.announce(ready("i-0", 2, 2))
+	a.Flush()
+	b.Receive("a", sent[3])
+	assert.Equal(t, b.instances["i-0"].sequence, uint64(2))
+}
+
 // Guards against reports that count while their process is silent, although their TTL has not passed.
 func TestSilentPeerStopsCounting(t *testing.T) {
 	v, c := fleetView(1), newClock()
