--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -138,12 +139,13 @@
 	mu     sync.Mutex
 	active int // requests in handlers, and attempts that go on without their caller
 	idle   chan struct{}
+	unused map[net.Conn]struct{}
 }
 
 // New builds a server; Stop ends its background work.
 func New(cfg Config) *Server {
 	cfg.setDefaults()
-	s := &Server{cfg: cfg, budget: newBudget(), idle: make(chan struct{}, 1)}
+	s := &Server{cfg: cfg, budget: newBudget(), idle: make(chan struct{}, 1), unused: map[net.Conn]struct{}{}}
 	s.stat = newStatistics(cfg.Metrics)
 	s.sched = newScheduler(schedulerConfig{
 		view: cfg.View, pick: cfg.Registry.Pick, demand: cfg.Registry.Demand, endpoints: cfg.Registry.Changed,
@@ -152,6 +154,7 @@
 	})
 	s.server = &http.Server{
 		Handler: s, ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: s.noteState,
 	}
 	return s
 }
--- a/internal/caller/stop.go
+++ b/internal/caller/stop.go
@@ -12,6 +12,9 @@
 	"github.com/joomcode/errorx"
 )
 
+// rejectTime is the time to answer the requests that still waited when the time to stop was over.
+const rejectTime = 500 * time.Millisecond
+
 // Serve accepts connections of callers until Stop; connections above the bound are closed at once.
 func (s *Server) Serve(l net.Listener) error {
 	l = &boundedListener{Listener: l, places: make(chan struct{}, s.cfg.MaxConnections), refused: s.stat.refused}
@@ -31,25 +34,59 @@
 	case <-ctx.Done():
 	}
 	s.refusing.Store(true)
+	if n := s.await(ctx); n > 0 {
+		s.sched.close()
+		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), rejectTime)
+		defer cancel()
+		err := ctx.Err()
+		if s.server.Shutdown(late) != nil {
+			err = errors.Join(err, s.server.Close())
+		}
+		return errorx.Decorate(err, "stop with %d requests in progress", n)
+	}
+	s.sched.close()
+	s.closeUnused()
+	if err := s.server.Shutdown(ctx); err != nil {
+		return errorx.Decorate(err, "close listener for callers")
+	}
+	return nil
+}
+
+// noteState keeps track of connections on which no request has begun.
+func (s *Server) noteState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.unused[c] = struct{}{}
+	} else {
+		delete(s.unused, c)
+	}
+}
+
+// closeUnused closes connections that callers opened in advance, for which Shutdown would wait 5 s.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.unused {
+		_ = c.Close() // nothing was read or written
+	}
+}
+
+// await waits until no request is in progress and returns how many were when the context ended.
+func (s *Server) await(ctx context.Context) int {
 	for {
 		s.mu.Lock()
 		n := s.active
 		s.mu.Unlock()
 		if n == 0 {
-			break
+			return 0
 		}
 		select {
 		case <-s.idle:
 		case <-ctx.Done():
-			s.sched.close()
-			return errorx.Decorate(errors.Join(ctx.Err(), s.server.Close()), "stop with %d requests in progress", n)
+			return n
 		}
 	}
-	s.sched.close()
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errorx.Decorate(err, "close listener for callers")
-	}
-	return nil
 }
 
 // boundedListener bounds the open connections.
