--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -369,7 +369,7 @@
 	w.submit(submission(4200, 0, queue, false))
 }
 
-// Guards against any order of submissions, cancellations, losses, failing workers, lost answers, stuck checkpoints and
+// Guards against any order of submissions, cancellations, losses, failing workers, moves, lost answers, stuck checkpoints and
 // leader changes that loses a job, starts a non-idempotent one twice or makes replicas differ. Check runs after each
 // command.
 func TestRandomOrders(t *testing.T) {
@@ -379,7 +379,7 @@
 		w.lose = lossy(rapid.Int64().Draw(t, "seed"), rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss"))
 		n := 0
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0, 1, 2:
 				for range rapid.IntRange(1, 20).Draw(t, "jobs") {
 					q := rapid.SampledFrom([]string{"queue-0", "urgent-0", "queue-1"}).Draw(t, "queue")
@@ -405,6 +405,13 @@
 				w.stuck = rapid.Bool().Draw(t, "stuck")
 				w.FailOver()
 			case 7:
+				bad := kerneltest.Worker(rapid.IntRange(0, 11).Draw(t, "bad"))
+				w.fails = func(_, instance string) bool { return instance == bad }
+			case 8: // the other workers of each pool stay, so that every job can run
+				name := kerneltest.Worker(rapid.SampledFrom([]int{0, 1, 6, 7}).Draw(t, "moved"))
+				to := rapid.SampledFrom([]string{"pool-0", "pool-1", kerneltest.Spare}).Draw(t, "to")
+				w.Must(pool.MoveCommand("", name, to))
+			case 9:
 				w.pass(time.Duration(rapid.IntRange(1, 100).Draw(t, "ticks")) * kerneltest.Tick)
 			}
 			w.once()
@@ -413,7 +420,7 @@
 			delete(w.dead, name)
 			w.Observe(pool.InstanceReport{Instance: name, Healthy: true})
 		}
-		w.stuck, w.lose = false, nil
+		w.stuck, w.lose, w.fails = false, nil, nil
 		for range 40 {
 			w.pass(30 * time.Second)
 			left := 0
