--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -15,7 +15,7 @@
 // arrivals submits the jobs of one second: every queue bursts for 10 s of 50 s at 5 times its mean, one after the other,
 // and gets 1/20 of its mean in between. Two of the six teams hand in most of the work.
 // Rate is the mean number of jobs per worker and second; run times are such that the fleet is about 9/10 full.
-func arrivals(w *world, rnd *rand.Rand, shape kerneltest.Shape, rate float64, second int, n *int) (urgent []string) {
+func arrivals(w *harness, rnd *rand.Rand, shape kerneltest.Shape, rate float64, second int, n *int) (urgent []string) {
 	for p := range shape.Pools {
 		mean := float64(shape.PerPool) * rate
 		if (second+10*p)%50 < 10 {
@@ -75,7 +75,7 @@
 
 func measure(b *testing.B, shape kerneltest.Shape, policy job.Policy) {
 	const seconds = 600
-	w := newWorld(b, shape)
+	w := newHarness(b, shape)
 	s, _ := kernel.Lookup[*job.State](w.Kernel, job.Name)
 	s.UsePolicy(policy)
 	rnd := rand.New(rand.NewSource(1))
@@ -132,7 +132,7 @@
 		{990, 0.04, kerneltest.Shape{Pools: 110, PerPool: 9, Teams: 170, Processors: 16, MemoryMiB: 64 << 10}},
 	} {
 		b.Run(fmt.Sprintf("%d-workers-%v", bench.workers, bench.rate), func(b *testing.B) {
-			w := newWorld(b, bench.shape)
+			w := newHarness(b, bench.shape)
 			rnd := rand.New(rand.NewSource(1))
 			n, second := 0, 0
 			for ; second < 30; second++ {
@@ -170,7 +170,7 @@
 func BenchmarkMemory(b *testing.B) {
 	var before, after runtime.MemStats
 	for b.Loop() {
-		w := newWorld(b, kerneltest.Water)
+		w := newHarness(b, kerneltest.Water)
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		for n := range 16384 {
--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -16,10 +16,10 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/pool"
 )
 
-func TestMain(m *testing.M) { kerneltest.Main(m, 25) }
+func TestMain(m *testing.M) { kerneltest.Main(m, 20) }
 
-// world is a run with a fake of the platform in memory.
-type world struct {
+// harness is a run with a fake of the platform in memory.
+type harness struct {
 	*kerneltest.Run
 	tb      kerneltest.TB
 	tasks   map[string]*task
@@ -46,8 +46,8 @@
 	throttled bool
 }
 
-func newWorld(tb kerneltest.TB, shape kerneltest.Shape) *world {
-	w := &world{
+func newHarness(tb kerneltest.TB, shape kerneltest.Shape) *harness {
+	w := &harness{
 		tb: tb, tasks: map[string]*task{}, ended: map[job.TaskRef]jobpb.Outcome{}, starts: map[string]int{},
 		run: map[string]time.Duration{}, dead: map[string]bool{}, last: map[string]string{},
 		late:  map[time.Duration][]kernel.Event{},
@@ -60,7 +60,7 @@
 	return w
 }
 
-func (w *world) answer(ref job.TaskRef, o jobpb.Outcome, throttled bool) {
+func (w *harness) answer(ref job.TaskRef, o jobpb.Outcome, throttled bool) {
 	ev := job.TaskReport{Job: ref.Job, Epoch: ref.Epoch, Outcome: o, Throttled: throttled}
 	if w.lose == nil || !w.lose() {
 		w.events = append(w.events, ev)
@@ -69,7 +69,7 @@
 	}
 }
 
-func (w *world) state(ref job.TaskRef) (jobpb.Outcome, *task) {
+func (w *harness) state(ref job.TaskRef) (jobpb.Outcome, *task) {
 	if t := w.tasks[ref.Job]; t != nil && t.ref == ref {
 		return jobpb.Outcome_OUTCOME_RUNNING, t
 	}
@@ -79,14 +79,14 @@
 	return jobpb.Outcome_OUTCOME_UNKNOWN, nil
 }
 
-func (w *world) finish(ref job.TaskRef, o jobpb.Outcome) {
+func (w *harness) finish(ref job.TaskRef, o jobpb.Outcome) {
 	w.ended[ref] = o
 	if t := w.tasks[ref.Job]; t != nil && t.ref == ref {
 		delete(w.tasks, ref.Job)
 	}
 }
 
-func (w *world) act(a kernel.Action) {
+func (w *harness) act(a kernel.Action) {
 	switch a := a.(type) {
 	case job.StartTask:
 		w.start(a)
@@ -127,7 +127,7 @@
 	}
 }
 
-func (w *world) start(a job.StartTask) {
+func (w *harness) start(a job.StartTask) {
 	ref := job.TaskRef{Job: a.Job, Epoch: a.Epoch}
 	o, t := w.state(ref)
 	old := w.tasks[a.Job]
@@ -166,7 +166,7 @@
 }
 
 // pass advances the time tick by tick, ends tasks and delivers answers.
-func (w *world) pass(d time.Duration) {
+func (w *harness) pass(d time.Duration) {
 	for end := w.Now + d; w.Now < end; {
 		w.Advance(kerneltest.Tick)
 		for _, key := range slices.Sorted(maps.Keys(w.tasks)) {
@@ -185,7 +185,7 @@
 }
 
 // kill loses instances: the platform reports them and ends their tasks without an outcome.
-func (w *world) kill(names ...string) {
+func (w *harness) kill(names ...string) {
 	for _, name := range names {
 		w.dead[name] = true
 		for _, t := range w.tasks {
@@ -208,15 +208,15 @@
 	}
 }
 
-func (w *world) submit(m *jobpb.Submit) string {
+func (w *harness) submit(m *jobpb.Submit) string {
 	w.Must(job.SubmitCommand("", m))
 	w.Observe(nil)
 	return job.Key(m.Team, m.Id)
 }
 
-func (w *world) jobs() []*jobpb.Job { return w.list(false) }
+func (w *harness) jobs() []*jobpb.Job { return w.list(false) }
 
-func (w *world) list(live bool) []*jobpb.Job {
+func (w *harness) list(live bool) []*jobpb.Job {
 	q, err := job.TeamQuery("", live)
 	if err != nil {
 		w.tb.Fatalf("encode query: %v", err)
@@ -232,7 +232,7 @@
 	return list
 }
 
-func (w *world) job(key string) *jobpb.Job {
+func (w *harness) job(key string) *jobpb.Job {
 	for _, j := range w.jobs() {
 		if j.Key == key {
 			return j
@@ -243,7 +243,7 @@
 }
 
 // phases counts the jobs by phase.
-func (w *world) phases() map[jobpb.Phase]int {
+func (w *harness) phases() map[jobpb.Phase]int {
 	n := map[jobpb.Phase]int{}
 	for _, j := range w.jobs() {
 		n[j.Phase]++
@@ -252,7 +252,7 @@
 }
 
 // once asserts that no non-idempotent job was started twice.
-func (w *world) once() {
+func (w *harness) once() {
 	for _, j := range w.jobs() {
 		if !j.Submit.Idempotent && w.starts[j.Key] > 1 {
 			w.tb.Fatalf("job %s was started %d times", j.Key, w.starts[j.Key])
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -21,10 +21,11 @@
 // Guards against a job that is lost, or a non-idempotent one that starts twice, when the leader changes or a command
 // is lost at any step, with and without lost answers.
 func TestStartSurvivesLeaderChangeAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, loss := range []float64{0, 0.5} {
 		for at := uint64(1); at <= 14; at++ {
 			for _, lose := range []bool{false, true} {
-				w := newWorld(t, small)
+				w := newHarness(t, small)
 				w.lose = lossy(int64(at), loss)
 				if lose {
 					w.LoseAt = w.Proposed + at
@@ -45,7 +46,8 @@
 // Guards against outcomes that change after they were committed, reservations that leak, and cancelled tasks that run
 // on, when half of all jobs are cancelled at once while some of them end.
 func TestCancelHalfOfAllJobs(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	w.lose = lossy(1, 0.3)
 	var keys []string
 	for n := range 200 {
@@ -79,8 +81,9 @@
 
 // Guards against a cancellation that overturns a committed end, or a completion that overturns a cancellation.
 func TestCancelRacesCompletion(t *testing.T) {
+	t.Parallel()
 	for _, first := range []string{"cancel", "finish"} {
-		w := newWorld(t, small)
+		w := newHarness(t, small)
 		key := w.submit(submission(0, 0, queue, false))
 		w.pass(time.Second)
 		finish := job.TaskReport{Job: key, Epoch: 1, Outcome: jobpb.Outcome_OUTCOME_FINISHED}
@@ -100,7 +103,8 @@
 
 // Guards against jobs that wait for ever because they can't run anywhere.
 func TestJobsThatCanNeverRun(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	m := submission(0, 0, queue, true)
 	m.Declared.MilliProcessors = 17000
 	assert.Equal(t, w.job(w.submit(m)).Phase, jobpb.Phase_PHASE_FAILED)
@@ -135,7 +139,8 @@
 
 // Guards against a worker that takes jobs only to fail them, and against jobs that fail because of one bad worker.
 func TestWorkerThatFailsEverything(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	bad := kerneltest.Worker(1)
 	w.fails = func(_, instance string) bool { return instance == bad }
 	for n := range 60 {
@@ -161,7 +166,8 @@
 // Guards against jobs that fail, or workers that are quarantined, because a worker refused starts before the kernel knew
 // of its loss, and against jobs that are refused for ever.
 func TestRefusedStarts(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	poison := w.submit(submission(100, 0, queue, false))
 	w.refuses = func(key, instance string) bool { return key == poison || instance < kerneltest.Worker(4) }
 	for n := range 12 {
@@ -177,7 +183,8 @@
 
 // Guards against a non-idempotent job that runs again after its worker was lost, and an idempotent one that doesn't.
 func TestWorkersLost(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 12 {
 		key := w.submit(submission(n, 0, queue, n%2 == 0))
 		w.run[key] = time.Minute
@@ -194,9 +201,10 @@
 
 // Guards against a team above its upper limit and jobs outside the pool of their queue; Check asserts both.
 func TestUpperLimit(t *testing.T) {
+	t.Parallel()
 	cfg := small.Configuration()
 	cfg.Teams[0].UpperLimit = 3
-	w := newWorld(t, small)
+	w := newHarness(t, small)
 	w.Configure(cfg)
 	for n := range 30 {
 		w.submit(submission(n, 0, kerneltest.Queue(n%2), true))
@@ -210,11 +218,12 @@
 
 // Guards against urgent work that starts late in a full pool, whichever means of preemption the platform answers to.
 func TestUrgentStartsInTime(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name              string
 		idempotent, stuck bool
 	}{{"checkpoint", true, false}, {"stop", true, true}, {"throttle", false, true}} {
-		w := newWorld(t, small)
+		w := newHarness(t, small)
 		w.stuck = test.stuck
 		for n := range 6 {
 			m := submission(n, 0, queue, test.idempotent)
@@ -235,7 +244,8 @@
 
 // Guards against a large job that small ones overtake for ever.
 func TestLargeJobStarts(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	n := 0
 	fill := func() {
 		for range 60 {
@@ -259,7 +269,8 @@
 // Guards against a second start of a non-idempotent job whose first one got no answer before its worker was lost for a
 // moment, and against tasks that run on after their start was given up.
 func TestStartWithoutAnswer(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	w.lose = func() bool { return true }
 	key := w.submit(submission(0, 0, queue, false))
 	w.pass(kerneltest.Tick)
@@ -274,8 +285,8 @@
 	assert.Equal(t, w.job(key).Phase, jobpb.Phase_PHASE_UNKNOWN)
 	w.once()
 
-	ghost := job.TaskRef{Job: key, Epoch: 1}
-	w.tasks[key] = &task{ref: ghost, instance: instance, end: w.Now + time.Hour}
+	stale := job.TaskRef{Job: key, Epoch: 1}
+	w.tasks[key] = &task{ref: stale, instance: instance, end: w.Now + time.Hour}
 	w.Observe(job.TaskReports{{Job: key, Epoch: 1, Outcome: jobpb.Outcome_OUTCOME_RUNNING}})
 	w.pass(kerneltest.Tick)
 	assert.Equal(t, len(w.tasks), 0)
@@ -283,7 +294,8 @@
 
 // Guards against the start of a job that was cancelled while the start was on its way through the log.
 func TestCancelRacesStart(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	w.Must(job.SubmitCommand("", submission(0, 0, queue, true)))
 	d := w.Kernel.Decide(w.Now)
 	assert.Equal(t, len(d.Commands), 1)
@@ -295,7 +307,8 @@
 
 // Guards against a drain that aborts work whose checkpoint gets no answer.
 func TestDrainWaitsForCheckpoint(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 6 {
 		w.run[w.submit(submission(n, 0, queue, true))] = time.Hour
 	}
@@ -309,7 +322,8 @@
 
 // Guards against a drain that leaves idempotent jobs behind, or that interrupts others.
 func TestDrainEmptiesInstance(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 12 {
 		w.run[w.submit(submission(n, 0, queue, n < 6))] = 40 * time.Second
 	}
@@ -328,7 +342,8 @@
 
 // Guards against identifiers that are accepted twice or with other content, and against jobs that must not be accepted.
 func TestSubmit(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	m := submission(0, 0, queue, false)
 	w.submit(m)
 	w.submit(submission(0, 0, queue, false))
@@ -356,7 +371,8 @@
 
 // Guards against a non-idempotent job that runs again because its record was dropped to bound the state.
 func TestDroppedRecordsStayKnown(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 4200 {
 		w.Must(job.SubmitCommand("", submission(n, 0, queue, false)))
 		w.Must(job.CancelCommand("", kerneltest.Team(0), uuidv7(n)))
@@ -373,8 +389,9 @@
 // leader changes that loses a job, starts a non-idempotent one twice or makes replicas differ. Check runs after each
 // command.
 func TestRandomOrders(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, small)
+		w := newHarness(t, small)
 		replica := w.Replicate(false)
 		w.lose = lossy(rapid.Int64().Draw(t, "seed"), rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss"))
 		n := 0
--- a/internal/job/ledger/report.go
+++ b/internal/job/ledger/report.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// refused takes the platform's word that a start was not run and never will be. The worker isn't to blame for it.
+// refused records that the platform did not run a start and never will. It is no failure of the worker.
 func (s *State) refused(j *jobpb.Job, r *jobpb.Report, at time.Duration) {
 	switch {
 	case Over(j):
@@ -226,7 +226,7 @@
 	return nil
 }
 
-// setThrottled takes the platform's word that a task runs with half its processors.
+// setThrottled records whether the platform runs a task with half its processors.
 func (s *State) setThrottled(j *jobpb.Job, on bool) {
 	if !j.Throttle {
 		j.Throttled = on // the charge is full already
--- a/internal/maintenance/decide.go
+++ b/internal/maintenance/decide.go
@@ -55,7 +55,7 @@
 	at       time.Duration
 }
 
-// lead starts without a word about redundancy, so that a new leader grants nothing before it has one.
+// lead forgets whether the control group is redundant, so that a new leader grants nothing before it was told.
 func (s *State) lead(time.Duration) {
 	s.soft = soft{
 		reports: map[string]pool.InstanceReport{}, sent: map[string]time.Duration{}, timers: map[string]timer{},
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -25,13 +25,13 @@
 	Pools: 2, PerPool: 6, Processors: 16, MemoryMiB: 64 << 10, Budget: fleet.Budget{MaxUnavailable: 2},
 }
 
-// world is a run with a fake of the platform's instances in memory.
-type world struct {
+// harness is a run with a fake of the platform's instances in memory.
+type harness struct {
 	*kerneltest.Run
 	tb        kerneltest.TB
 	instances map[string]*instance
 	order     []string // instances in the order of their reboots
-	silent    bool     // no word about redundancy
+	silent    bool     // redundancy is not reported
 	batch     []string // permits of the last second, when one of them was no longer draining
 }
 
@@ -42,8 +42,8 @@
 	dead, stuck, busy bool // dead: unreachable; stuck: never returns; busy: never drained
 }
 
-func newWorld(tb kerneltest.TB) *world {
-	w := &world{tb: tb, instances: map[string]*instance{}}
+func newHarness(tb kerneltest.TB) *harness {
+	w := &harness{tb: tb, instances: map[string]*instance{}}
 	w.Run = kerneltest.New(tb, nil)
 	w.Act = w.act
 	cfg := configuration()
@@ -64,7 +64,7 @@
 	return cfg
 }
 
-func (w *world) act(a kernel.Action) {
+func (w *harness) act(a kernel.Action) {
 	switch a := a.(type) {
 	case pool.DrainInstance:
 		in := w.instances[a.Instance]
@@ -85,7 +85,7 @@
 }
 
 // pass advances the time and reports all instances every second.
-func (w *world) pass(d time.Duration) {
+func (w *harness) pass(d time.Duration) {
 	for end := w.Now + d; w.Now < end; {
 		w.Now += time.Second - kerneltest.Tick
 		w.Advance(kerneltest.Tick)
@@ -109,7 +109,7 @@
 }
 
 // checkBatch asserts that no instance gets a permit while previous ones of the wave are down or returning.
-func (w *world) checkBatch() {
+func (w *harness) checkBatch() {
 	body, err := w.Kernel.Query(maintenance.Name, nil)
 	if err != nil {
 		w.tb.Fatalf("query: %v", err)
@@ -138,7 +138,7 @@
 	}
 }
 
-func (w *world) control(verb maintenancepb.Verb) error {
+func (w *harness) control(verb maintenancepb.Verb) error {
 	c, err := maintenance.ControlCommand("", wave, verb)
 	if err != nil {
 		return err
@@ -146,7 +146,7 @@
 	return w.Apply(c).Err
 }
 
-func (w *world) choose(instance string, choice maintenancepb.Choice) error {
+func (w *harness) choose(instance string, choice maintenancepb.Choice) error {
 	c, err := maintenance.DecideCommand("", instance, choice)
 	if err != nil {
 		return err
@@ -154,7 +154,7 @@
 	return w.Apply(c).Err
 }
 
-func (w *world) wave() *maintenancepb.Wave {
+func (w *harness) wave() *maintenancepb.Wave {
 	body, err := w.Kernel.Query(maintenance.Name, nil)
 	if err != nil {
 		w.tb.Fatalf("query: %v", err)
@@ -166,7 +166,7 @@
 	return waves[0]
 }
 
-func (w *world) pools() *pool.State {
+func (w *harness) pools() *pool.State {
 	s, _ := kernel.Lookup[*pool.State](w.Kernel, pool.Name)
 	return s
 }
@@ -183,9 +183,10 @@
 // Guards against a wave that skips an instance, reboots one twice, mixes zones, or stalls when the leader changes at any
 // step or a command is lost, or that leaves entry processes with another view. Check asserts that each stop has a permit and each permit its charge.
 func TestWaveSurvivesLeaderChangeAtEachStep(t *testing.T) {
+	t.Parallel()
 	for at := uint64(0); at <= 40; at += 4 {
 		for _, lose := range []bool{false, true} {
-			w := newWorld(t)
+			w := newHarness(t)
 			replica, entry := w.Replicate(false), w.Replicate(true)
 			if lose {
 				w.LoseAt = w.Proposed + at
@@ -212,7 +213,8 @@
 // Guards against permits without redundancy of the control group, while a failure uses up the budget, while paused, or
 // after an abort.
 func TestNoPermit(t *testing.T) {
-	w := newWorld(t)
+	t.Parallel()
+	w := newHarness(t)
 	w.silent = true
 	w.FailOver()
 	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
@@ -248,19 +250,20 @@
 
 // Guards against a wave that goes on after a rack or zone was lost in a drain, or after instances fail once maintained.
 func TestCorrelatedFailuresHalt(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
-		fail func(w *world) []string
+		fail func(w *harness) []string
 	}{
-		{"rack and zone lost in a drain", func(*world) []string {
+		{"rack and zone lost in a drain", func(*harness) []string {
 			return []string{kerneltest.Worker(2), kerneltest.Worker(5), kerneltest.Worker(8)}
 		}},
-		{"maintained instances fail", func(w *world) []string {
+		{"maintained instances fail", func(w *harness) []string {
 			w.pass(3 * time.Minute)
 			return w.wave().Maintained[:2]
 		}},
 	} {
-		w := newWorld(t)
+		w := newHarness(t)
 		assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
 		w.pass(time.Second)
 		failed := test.fail(w)
@@ -289,7 +292,8 @@
 
 // Guards against a rebooted instance that counts as healthy, or takes all its work, at once.
 func TestSlowStart(t *testing.T) {
-	w := newWorld(t)
+	t.Parallel()
+	w := newHarness(t)
 	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
 	for len(w.wave().Permits) == 0 || w.wave().Permits[0].Stage != maintenancepb.Stage_STAGE_RETURNING {
 		w.pass(time.Second)
@@ -310,7 +314,8 @@
 // Guards against a stuck drain that is forced without an operator, and an instance that never comes back and lets the
 // wave go on or holds it for ever.
 func TestStuckInstances(t *testing.T) {
-	w := newWorld(t)
+	t.Parallel()
+	w := newHarness(t)
 	first := kerneltest.Worker(2)
 	w.instances[first].busy, w.instances[first].booted = true, true // the latter from an earlier wave
 	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
@@ -340,7 +345,8 @@
 
 // Guards against instances that are removed from the configuration while a permit is in force.
 func TestInstanceRemoved(t *testing.T) {
-	w := newWorld(t)
+	t.Parallel()
+	w := newHarness(t)
 	assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
 	w.pass(5 * time.Second)
 	cfg := configuration()
@@ -354,8 +360,9 @@
 // Guards against any order of failures, decisions, pauses, moves and leader changes that breaks an invariant or leaves a
 // wave that can't end.
 func TestRandomOrders(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newHarness(t)
 		assert.NilError(t, w.control(maintenancepb.Verb_VERB_START))
 		worker := rapid.Custom(func(t *rapid.T) string { return kerneltest.Worker(rapid.IntRange(0, 11).Draw(t, "n")) })
 		for range rapid.IntRange(5, 30).Draw(t, "steps") {
