--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -286,9 +286,14 @@
 // sweep does what depends on time only.
 func (d *decision) sweep() {
 	s := d.s
-	for queue, list := range s.ledger.Waiting() {
-		if len(list) > 0 {
-			s.ledger.Dirty()[s.ledger.Index().Queues[queue].Pool] = struct{}{}
+	for _, queue := range slices.Sorted(maps.Keys(s.ledger.Waiting())) {
+		list := s.ledger.Waiting()[queue]
+		if q, ok := s.ledger.Index().Queues[queue]; ok && len(list) > 0 {
+			s.ledger.Dirty()[q.Pool] = struct{}{}
+			continue
+		}
+		for _, j := range list { // the queue is no longer configured
+			d.propose(schedule.Misfit(j))
 		}
 	}
 	maps.DeleteFunc(s.soft.sent, func(_ string, at time.Duration) bool { return d.now >= at+sweep })
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kerneltest"
 	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
 var small = kerneltest.Shape{Pools: 2, PerPool: 6, Teams: 3, Processors: 16, MemoryMiB: 64 << 10}
@@ -109,8 +111,6 @@
 	m.Declared.MilliProcessors = 17000
 	assert.Equal(t, w.job(w.submit(m)).Phase, jobpb.Phase_PHASE_FAILED)
 	poison := w.submit(submission(1, 0, queue, true))
-	shrunk := submission(2, 0, queue, true)
-	shrunk.Declared.MilliProcessors = 9000
 	w.fails = func(key, _ string) bool { return key == poison }
 	w.pass(10 * time.Second)
 	assert.Equal(t, w.job(poison).Phase, jobpb.Phase_PHASE_FAILED)
@@ -135,6 +135,22 @@
 	w.Configure(cfg)
 	w.pass(5 * time.Second)
 	assert.Equal(t, w.job(waiting).Phase, jobpb.Phase_PHASE_FAILED, "workers became smaller")
+
+	for _, change := range []func(cfg *fleet.Configuration){
+		func(cfg *fleet.Configuration) { cfg.Queues = cfg.Queues[1:] },
+		func(cfg *fleet.Configuration) { cfg.Teams = cfg.Teams[1:] },
+	} {
+		w := newHarness(t, small)
+		waiting := submission(0, 0, queue, true)
+		w.refuses = func(string, string) bool { return true }
+		key := w.submit(waiting)
+		cfg := small.Configuration()
+		change(cfg)
+		w.Configure(cfg)
+		w.pass(5 * time.Second)
+		assert.Equal(t, w.job(key).Phase, jobpb.Phase_PHASE_FAILED)
+		assert.Assert(t, strings.HasSuffix(w.job(key).Reason, "no longer configured"), w.job(key).Reason)
+	}
 }
 
 // Guards against a worker that takes jobs only to fail them, and against jobs that fail because of one bad worker.
@@ -153,6 +169,18 @@
 	}
 	pools, _ := kernel.Lookup[*pool.State](w.Kernel, pool.Name)
 	assert.Equal(t, pools.Count("pool-0").Quarantined, 1)
+	w.fails = nil
+	w.Must(pool.QuarantineCommand("", bad, false, ""))
+	for n := range 30 {
+		w.submit(submission(60+n, n%3, queue, true))
+	}
+	w.pass(time.Second)
+	used := false
+	for _, running := range w.tasks {
+		used = used || running.instance == bad
+	}
+	assert.Assert(t, used, "the worker gets no work after its quarantine was lifted")
+	w.pass(time.Minute)
 	// Jobs that fail everywhere must not take out the whole pool.
 	w.fails = func(string, string) bool { return true }
 	for n := range 30 {
--- a/internal/job/ledger/lifecycle.go
+++ b/internal/job/ledger/lifecycle.go
@@ -151,13 +151,16 @@
 	return ms, true
 }
 
-// Misfits returns why a job can never run: its queue is gone, or no member of the pool could run it even when empty.
+// Misfits returns why a job can never run: its queue or team is gone, or no member of the pool could run it even when empty.
 // A pool without members may get some, so that its jobs wait.
 func (s *State) Misfits(j *jobpb.Job) string {
 	q, ok := s.Index().Queues[j.Submit.Queue]
 	if !ok {
 		return "queue is no longer configured"
 	}
+	if _, ok := s.Index().Teams[j.Submit.Team]; !ok {
+		return "team is no longer configured"
+	}
 	need := Amount(j.Submit.Declared)
 	list := s.Members(q.Pool)
 	reason := "fits no worker of the pool"
--- a/internal/job/schedule/schedule.go
+++ b/internal/job/schedule/schedule.go
@@ -100,8 +100,7 @@
 			s.since[j.Key] = now
 		}
 		if s.ledger.Misfits(j) != "" {
-			ref := &jobpb.Ref{Key: j.Key, Epoch: j.Epoch}
-			propose("misfit "+j.Key, &jobpb.Command{Change: &jobpb.Command_Misfit{Misfit: ref}})
+			propose(Misfit(j))
 			continue
 		}
 		t := r.team(j.Submit.Team)
--- a/internal/job/schedule/scheduler.go
+++ b/internal/job/schedule/scheduler.go
@@ -141,3 +141,9 @@
 	p := &jobpb.Preempt{Key: j.Key, Epoch: j.Epoch, How: how, Urgent: urgent, Drain: drain}
 	return fmt.Sprintf("preempt %v %s %d", how, j.Key, j.Epoch), &jobpb.Command{Change: &jobpb.Command_Preempt{Preempt: p}}
 }
+
+// Misfit returns the command that ends a job which can never run, and its key.
+func Misfit(j *jobpb.Job) (key string, m *jobpb.Command) {
+	ref := &jobpb.Ref{Key: j.Key, Epoch: j.Epoch}
+	return "misfit " + j.Key, &jobpb.Command{Change: &jobpb.Command_Misfit{Misfit: ref}}
+}
