--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kerneltest"
 	"github.com/hibiscusroute/hibiscusroute/internal/pool"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
 var small = kerneltest.Shape{Pools: 2, PerPool: 6, Teams: 3, Processors: 16, MemoryMiB: 64 << 10}
@@ -21,10 +23,11 @@
 // Guards against a job that is lost, or a non-idempotent one that starts twice, when the leader changes or a command
 // is lost at any step, with and without lost answers.
 func TestStartSurvivesLeaderChangeAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, loss := range []float64{0, 0.5} {
 		for at := uint64(1); at <= 14; at++ {
 			for _, lose := range []bool{false, true} {
-				w := newWorld(t, small)
+				w := newHarness(t, small)
 				w.lose = lossy(int64(at), loss)
 				if lose {
 					w.LoseAt = w.Proposed + at
@@ -45,7 +48,8 @@
 // Guards against outcomes that change after they were committed, reservations that leak, and cancelled tasks that run
 // on, when half of all jobs are cancelled at once while some of them end.
 func TestCancelHalfOfAllJobs(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	w.lose = lossy(1, 0.3)
 	var keys []string
 	for n := range 200 {
@@ -79,8 +83,9 @@
 
 // Guards against a cancellation that overturns a committed end, or a completion that overturns a cancellation.
 func TestCancelRacesCompletion(t *testing.T) {
+	t.Parallel()
 	for _, first := range []string{"cancel", "finish"} {
-		w := newWorld(t, small)
+		w := newHarness(t, small)
 		key := w.submit(submission(0, 0, queue, false))
 		w.pass(time.Second)
 		finish := job.TaskReport{Job: key, Epoch: 1, Outcome: jobpb.Outcome_OUTCOME_FINISHED}
@@ -100,13 +105,12 @@
 
 // Guards against jobs that wait for ever because they can't run anywhere.
 func TestJobsThatCanNeverRun(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	m := submission(0, 0, queue, true)
 	m.Declared.MilliProcessors = 17000
 	assert.Equal(t, w.job(w.submit(m)).Phase, jobpb.Phase_PHASE_FAILED)
 	poison := w.submit(submission(1, 0, queue, true))
-	shrunk := submission(2, 0, queue, true)
-	shrunk.Declared.MilliProcessors = 9000
 	w.fails = func(key, _ string) bool { return key == poison }
 	w.pass(10 * time.Second)
 	assert.Equal(t, w.job(poison).Phase, jobpb.Phase_PHASE_FAILED)
@@ -133,11 +137,28 @@
 	w.Configure(cfg)
 	w.pass(5 * time.Second)
 	assert.Equal(t, w.job(waiting).Phase, jobpb.Phase_PHASE_FAILED, "workers became smaller")
+
+	for _, change := range []func(cfg *fleet.Configuration){
+		func(cfg *fleet.Configuration) { cfg.Queues = cfg.Queues[1:] },
+		func(cfg *fleet.Configuration) { cfg.Teams = cfg.Teams[1:] },
+	} {
+		w := newHarness(t, small)
+		waiting := submission(0, 0, queue, true)
+		w.refuses = func(string, string) bool { return true }
+		key := w.submit(waiting)
+		cfg := small.Configuration()
+		change(cfg)
+		w.Configure(cfg)
+		w.pass(5 * time.Second)
+		assert.Equal(t, w.job(key).Phase, jobpb.Phase_PHASE_FAILED)
+		assert.Assert(t, strings.HasSuffix(w.job(key).Reason, "no longer configured"), w.job(key).Reason)
+	}
 }
 
 // Guards against a worker that takes jobs only to fail them, and against jobs that fail because of one bad worker.
 func TestWorkerThatFailsEverything(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	bad := kerneltest.Worker(1)
 	w.fails = func(_, instance string) bool { return instance == bad }
 	for n := range 60 {
@@ -150,6 +171,18 @@
 	}
 	pools, _ := kernel.Lookup[*pool.State](w.Kernel, pool.Name)
 	assert.Equal(t, pools.Count("pool-0").Quarantined, 1)
+	w.fails = nil
+	w.Must(pool.QuarantineCommand("", bad, false, ""))
+	for n := range 30 {
+		w.submit(submission(60+n, n%3, queue, true))
+	}
+	w.pass(time.Second)
+	used := false
+	for _, running := range w.tasks {
+		used = used || running.instance == bad
+	}
+	assert.Assert(t, used, "the worker gets no work after its quarantine was lifted")
+	w.pass(time.Minute)
 	// Jobs that fail everywhere must not take out the whole pool.
 	w.fails = func(string, string) bool { return true }
 	for n := range 30 {
@@ -163,7 +196,8 @@
 // Guards against jobs that fail, or workers that are quarantined, because a worker refused starts before the kernel knew
 // of its loss, and against jobs that are refused for ever.
 func TestRefusedStarts(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	poison := w.submit(submission(100, 0, queue, false))
 	w.refuses = func(key, instance string) bool { return key == poison || instance < kerneltest.Worker(4) }
 	for n := range 12 {
@@ -179,7 +213,8 @@
 
 // Guards against a non-idempotent job that runs again after its worker was lost, and an idempotent one that doesn't.
 func TestWorkersLost(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 12 {
 		key := w.submit(submission(n, 0, queue, n%2 == 0))
 		w.run[key] = time.Minute
@@ -196,9 +231,10 @@
 
 // Guards against a team above its upper limit and jobs outside the pool of their queue; Check asserts both.
 func TestUpperLimit(t *testing.T) {
+	t.Parallel()
 	cfg := small.Configuration()
 	cfg.Teams[0].UpperLimit = 3
-	w := newWorld(t, small)
+	w := newHarness(t, small)
 	w.Configure(cfg)
 	for n := range 30 {
 		w.submit(submission(n, 0, kerneltest.Queue(n%2), true))
@@ -212,11 +248,12 @@
 
 // Guards against urgent work that starts late in a full pool, whichever means of preemption the platform answers to.
 func TestUrgentStartsInTime(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name              string
 		idempotent, stuck bool
 	}{{"checkpoint", true, false}, {"stop", true, true}, {"throttle", false, true}} {
-		w := newWorld(t, small)
+		w := newHarness(t, small)
 		w.stuck = test.stuck
 		for n := range 6 {
 			m := submission(n, 0, queue, test.idempotent)
@@ -237,7 +274,8 @@
 
 // Guards against a large job that small ones overtake for ever.
 func TestLargeJobStarts(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	n := 0
 	fill := func() {
 		for range 60 {
@@ -261,7 +299,8 @@
 // Guards against a second start of a non-idempotent job whose first one got no answer before its worker was lost for a
 // moment, and against tasks that run on after their start was given up.
 func TestStartWithoutAnswer(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	w.lose = func() bool { return true }
 	key := w.submit(submission(0, 0, queue, false))
 	w.pass(kerneltest.Tick)
@@ -276,8 +315,8 @@
 	assert.Equal(t, w.job(key).Phase, jobpb.Phase_PHASE_UNKNOWN)
 	w.once()
 
-	ghost := job.TaskRef{Job: key, Epoch: 1}
-	w.tasks[key] = &task{ref: ghost, instance: instance, end: w.Now + time.Hour}
+	stale := job.TaskRef{Job: key, Epoch: 1}
+	w.tasks[key] = &task{ref: stale, instance: instance, end: w.Now + time.Hour}
 	w.Observe(job.TaskReports{{Job: key, Epoch: 1, Outcome: jobpb.Outcome_OUTCOME_RUNNING}})
 	w.pass(kerneltest.Tick)
 	assert.Equal(t, len(w.tasks), 0)
@@ -285,7 +324,8 @@
 
 // Guards against the start of a job that was cancelled while the start was on its way through the log.
 func TestCancelRacesStart(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	w.Must(job.SubmitCommand("", submission(0, 0, queue, true)))
 	d := w.Kernel.Decide(w.Now)
 	assert.Equal(t, len(d.Commands), 1)
@@ -297,7 +337,8 @@
 
 // Guards against a drain that aborts work whose checkpoint gets no answer.
 func TestDrainWaitsForCheckpoint(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 6 {
 		w.run[w.submit(submission(n, 0, queue, true))] = time.Hour
 	}
@@ -311,7 +352,8 @@
 
 // Guards against a drain that leaves idempotent jobs behind, or that interrupts others.
 func TestDrainEmptiesInstance(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 12 {
 		w.run[w.submit(submission(n, 0, queue, n < 6))] = 40 * time.Second
 	}
@@ -330,7 +372,8 @@
 
 // Guards against identifiers that are accepted twice or with other content, and against jobs that must not be accepted.
 func TestSubmit(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	m := submission(0, 0, queue, false)
 	w.submit(m)
 	w.submit(submission(0, 0, queue, false))
@@ -358,7 +401,8 @@
 
 // Guards against a non-idempotent job that runs again because its record was dropped to bound the state.
 func TestDroppedRecordsStayKnown(t *testing.T) {
-	w := newWorld(t, small)
+	t.Parallel()
+	w := newHarness(t, small)
 	for n := range 4200 {
 		w.Must(job.SubmitCommand("", submission(n, 0, queue, false)))
 		w.Must(job.CancelCommand("", kerneltest.Team(0), uuidv7(n)))
@@ -371,17 +415,18 @@
 	w.submit(submission(4200, 0, queue, false))
 }
 
-// Guards against any order of submissions, cancellations, losses, failing workers, lost answers, stuck checkpoints and
+// Guards against any order of submissions, cancellations, losses, failing workers, moves, lost answers, stuck checkpoints and
 // leader changes that loses a job, starts a non-idempotent one twice or makes replicas differ. Check runs after each
 // command.
 func TestRandomOrders(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, small)
+		w := newHarness(t, small)
 		replica := w.Replicate(false)
 		w.lose = lossy(rapid.Int64().Draw(t, "seed"), rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss"))
 		n := 0
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0, 1, 2:
 				for range rapid.IntRange(1, 20).Draw(t, "jobs") {
 					q := rapid.SampledFrom([]string{"queue-0", "urgent-0", "queue-1"}).Draw(t, "queue")
@@ -407,6 +452,13 @@
 				w.stuck = rapid.Bool().Draw(t, "stuck")
 				w.FailOver()
 			case 7:
+				bad := kerneltest.Worker(rapid.IntRange(0, 11).Draw(t, "bad"))
+				w.fails = func(_, instance string) bool { return instance == bad }
+			case 8: // the other workers of each pool stay, so that every job can run
+				name := kerneltest.Worker(rapid.SampledFrom([]int{0, 1, 6, 7}).Draw(t, "moved"))
+				to := rapid.SampledFrom([]string{"pool-0", "pool-1", kerneltest.Spare}).Draw(t, "to")
+				w.Must(pool.MoveCommand("", name, to))
+			case 9:
 				w.pass(time.Duration(rapid.IntRange(1, 100).Draw(t, "ticks")) * kerneltest.Tick)
 			}
 			w.once()
@@ -415,7 +467,7 @@
 			delete(w.dead, name)
 			w.Observe(pool.InstanceReport{Instance: name, Healthy: true})
 		}
-		w.stuck, w.lose = false, nil
+		w.stuck, w.lose, w.fails = false, nil, nil
 		for range 40 {
 			w.pass(30 * time.Second)
 			left := 0
