Fix and model the division of lowered and recalled quotas

A lowered capacity is now divided once between the live holders, beside reserved units and what expired processes may still use; the limits are part of the state and never rise before the capacity is met. Shares that were computed anew passed to other holders while they were in use.

A recall stays in force until it is gone, so that a busy process returns its units as work ends. Grants and the end of members are proposed again when the log refused them, and a new leader recalls resources that are no longer configured.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -66,6 +66,9 @@
 // Provide exposes the state object of a plug-in to others while the kernel is built.
 func (k *Kernel) Provide(name string, state any) { k.provided[name] = state }
 
+// ViewOnly reports whether the kernel belongs to an entry process, which merges the changes of some plug-ins.
+func (k *Kernel) ViewOnly() bool { return k.cfg.ViewOnly }
+
 // Lookup returns the state object that a plug-in provided.
 func Lookup[T any](k *Kernel, name string) (T, bool) {
 	state, ok := k.provided[name].(T)
--- a/internal/member/plugin.go
+++ b/internal/member/plugin.go
@@ -26,6 +26,9 @@
 	// runMargin is added to the longest run time before what an expired process held is given to others; it covers
 	// the clock drift over the longest run and the time to abort a request at its deadline.
 	runMargin = 2 * time.Second
+	// retryAfter is when a command of the leader that was not applied is proposed again; the log refuses commands while
+	// it is full and during a transfer of leadership.
+	retryAfter = time.Second
 )
 
 // Renewal is the event of a process that asked to renew its lease.
@@ -43,8 +46,8 @@
 	// Soft state of the leader.
 	renewed   map[string]time.Duration
 	expiredAt map[string]time.Duration
-	expiring  map[string]bool
-	removing  map[string]bool
+	expiring  map[string]time.Duration // when the command was last proposed
+	removing  map[string]time.Duration // when the command was last proposed
 }
 
 func init() {
@@ -79,7 +82,10 @@
 }
 
 // Renewable reports whether the leader may answer a renewal of the process.
-func (s *State) Renewable(id string) bool { return s.Live(id) && !s.expiring[id] }
+func (s *State) Renewable(id string) bool {
+	_, expiring := s.expiring[id]
+	return s.Live(id) && !expiring
+}
 
 // LiveIDs returns the identifiers of all live processes in alphabetical order.
 func (s *State) LiveIDs() []string {
@@ -176,6 +182,10 @@
 		return kernel.ErrNotFound.New("no member %q", id)
 	}
 	delete(s.members, id)
+	delete(s.renewed, id)
+	delete(s.expiredAt, id)
+	delete(s.expiring, id)
+	delete(s.removing, id)
 	for _, f := range s.removed {
 		f(id)
 	}
@@ -206,8 +216,8 @@
 func (s *State) lead(time.Duration) {
 	s.renewed = map[string]time.Duration{}
 	s.expiredAt = map[string]time.Duration{}
-	s.expiring = map[string]bool{}
-	s.removing = map[string]bool{}
+	s.expiring = map[string]time.Duration{}
+	s.removing = map[string]time.Duration{}
 }
 
 func (s *State) observe(now time.Duration, ev kernel.Event) {
@@ -229,12 +239,10 @@
 				s.expiredAt[id] = now
 				continue
 			}
-			if !s.removing[id] && now-since > time.Duration(m.LongestRun)+runMargin {
-				s.removing[id] = true
+			if now-since > time.Duration(m.LongestRun)+runMargin && due(s.removing, id, now) {
 				d.Commands = append(d.Commands, own(&memberpb.Command{Change: &memberpb.Command_Remove{Remove: id}}))
 			}
-		case s.ended(id, now):
-			s.expiring[id] = true
+		case s.ended(id, now) && due(s.expiring, id, now):
 			d.Commands = append(d.Commands, own(&memberpb.Command{Change: &memberpb.Command_Expire{Expire: id}}))
 		}
 	}
@@ -249,7 +257,16 @@
 		s.renewed[id] = now
 		return false
 	}
-	return !s.expiring[id] && now-renewed > Expiry
+	return now-renewed > Expiry
+}
+
+// due reports whether a command for the process must be proposed now, and notes that it is.
+func due(proposed map[string]time.Duration, id string, now time.Duration) bool {
+	if at, ok := proposed[id]; ok && now-at < retryAfter {
+		return false
+	}
+	proposed[id] = now
+	return true
 }
 
 // own encodes a command that the leader decided itself; encoding these messages can't fail.
--- a/internal/quota/changes.go
+++ b/internal/quota/changes.go
@@ -51,7 +51,7 @@
 		return errorx.Decorate(err, "decode changes of quotas")
 	}
 	for _, ch := range m.Allocations {
-		s.resource(ch.Resource).allocations[ch.Holder] = allocation{granted: ch.Granted, returned: ch.Returned}
+		s.resource(ch.Resource).set(ch)
 	}
 	for _, rv := range m.Reservations {
 		s.resource(rv.Resource).reserved = rv.Units
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -19,7 +19,8 @@
 	Leased func() bool
 	// Now returns a monotonic time.
 	Now func() time.Duration
-	// Short is called when demand exceeds the allocation, so that a report can be sent early; it must not block.
+	// Short is called when demand exceeds the allocation or idle units were returned, so that a report can be sent
+	// early; it must not block.
 	Short func()
 }
 
@@ -27,8 +28,11 @@
 	granted  uint64
 	returned uint64
 	// acked is the part of returned that is in the log; it needs no further report.
-	acked    uint64
-	ceiling  uint64
+	acked   uint64
+	ceiling uint64
+	// target bounds the units in use while recalled.
+	target   uint64
+	recalled bool
 	running  uint64
 	demand   uint64
 	peak     uint64
@@ -38,8 +42,23 @@
 
 func (h *held) units() uint64 { return h.granted - h.returned }
 
-// usable is the number of units that may run at once; a recalled ceiling counts what was returned since as well.
-func (h *held) usable() uint64 { return min(h.units(), h.ceiling) }
+// usable is the number of units that may run at once; the ceiling may count units that were returned since.
+func (h *held) usable() uint64 {
+	if h.recalled {
+		return min(h.units(), h.ceiling, h.target)
+	}
+	return min(h.units(), h.ceiling)
+}
+
+// giveBack returns what a recall asks for and is idle.
+func (h *held) giveBack() bool {
+	keep := max(h.running, h.target)
+	if !h.recalled || h.units() <= keep {
+		return false
+	}
+	h.returned += h.units() - keep
+	return true
+}
 
 // Holder uses the allocations of this process; it is safe for concurrent use.
 type Holder struct {
@@ -69,6 +88,7 @@
 		p.h.mu.Lock()
 		defer p.h.mu.Unlock()
 		p.held.running--
+		p.held.giveBack()
 	})
 }
 
@@ -155,21 +175,44 @@
 		grew = grew || local.usable() > before
 	}
 	if grew {
-		close(h.changed)
-		h.changed = make(chan struct{})
+		h.wake()
 	}
 }
 
-// Recall returns idle units above the targets.
+func (h *Holder) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Recall replaces all recalls. Idle units above a target are returned at once and others when they end; until the recall
+// is gone no work starts above the target, because a process with work waiting would never be idle.
 func (h *Holder) Recall(recalls []*quotapb.Recall) {
+	if h.recall(recalls) && h.cfg.Short != nil {
+		h.cfg.Short()
+	}
+}
+
+func (h *Holder) recall(recalls []*quotapb.Recall) (returned bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	targets := make(map[string]uint64, len(recalls))
 	for _, rc := range recalls {
-		r := h.get(rc.Resource)
-		if keep := max(r.running, rc.Target); r.units() > keep {
-			r.returned += r.units() - keep
+		targets[rc.Resource] = rc.Target
+	}
+	grew := false
+	for name, r := range h.resources {
+		before := r.usable()
+		r.target, r.recalled = targets[name], false
+		if _, ok := targets[name]; ok {
+			r.recalled = true
+			returned = r.giveBack() || returned
 		}
+		grew = grew || r.usable() > before
+	}
+	if grew {
+		h.wake()
 	}
+	return returned
 }
 
 // Report returns the demands that changed since the last report and the totals that were returned
--- /dev/null
+++ b/internal/quota/model_test.go
@@ -0,0 +1,307 @@
+package quota
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/member"
+)
+
+// The defaults keep the tests short; more of both was run for docs/decisions/quota.md.
+var (
+	searchDepth = flag.Int("quota.depth", 4, "steps of the exhaustive search")
+	randomRuns  = flag.Int("quota.runs", 20, "random runs per seed")
+)
+
+// step is one transition of the small model; it reports false and changes nothing where it is not possible.
+type step struct {
+	name string
+	run  func(g *group) bool
+}
+
+func steps() []step {
+	list := []step{
+		{"decide", func(g *group) bool { g.decide(); return true }},
+		{"commit", func(g *group) bool { ok := len(g.flight) > 0; g.commit(); return ok }},
+		{"lose", func(g *group) bool { ok := len(g.flight) > 0; g.flight = nil; return ok }},
+		{"lead", func(g *group) bool { g.replaceLeader(); return true }},
+		{"reserve", func(g *group) bool { return g.job("+"+team) == nil }},
+		{"unreserve", func(g *group) bool {
+			return g.state.resource(team).reserved > 0 && g.job("-"+team) == nil
+		}},
+		{"run out", func(g *group) bool { g.pass(maxRun + 3*time.Second); g.renewOthers(nil); return true }},
+	}
+	for _, c := range []int{1, 2, 3} {
+		list = append(list, step{fmt.Sprint("capacity ", c), func(g *group) bool {
+			if g.state.Capacity(team) == uint64(c) {
+				return false
+			}
+			g.limit(c)
+			return true
+		}})
+	}
+	for i := range 2 {
+		each := func(name string, run func(p *process) bool) {
+			list = append(list, step{fmt.Sprint(name, " ", i), func(g *group) bool { return run(g.processes[i]) }})
+		}
+		for _, n := range []int{0, 3} {
+			each(fmt.Sprint("demand ", n), func(p *process) bool { p.holder.SetDemand(team, n); return true })
+		}
+		each("renew", func(p *process) bool { p.renew(); return true })
+		each("deliver", func(p *process) bool {
+			if p.k.Applied() == uint64(len(p.g.updates)) {
+				return false
+			}
+			p.deliver()
+			return true
+		})
+		each("acquire", func(p *process) bool { return p.acquire(team, maxRun) })
+		each("release", func(p *process) bool {
+			n := len(p.units)
+			first := true
+			p.end(func(unit) bool { ok := first; first = false; return ok })
+			return n > 0
+		})
+		each("lease end", func(p *process) bool {
+			if p.until <= p.g.now && !p.g.members.Renewable(p.id) {
+				return false
+			}
+			p.g.pass(member.Expiry + time.Millisecond)
+			p.g.renewOthers(p)
+			return true
+		})
+		each("rejoin", func(p *process) bool {
+			if p.runs > 1 || p.g.members.Renewable(p.id) {
+				return false
+			}
+			p.join()
+			return true
+		})
+		each("reload", func(p *process) bool { p.reload(); return true })
+	}
+	return list
+}
+
+// renewOthers renews the leases of all processes but one.
+func (g *group) renewOthers(silent *process) {
+	for _, p := range g.processes {
+		if p != silent {
+			p.renew()
+		}
+	}
+}
+
+// search visits all states within depth steps of the start, each once, and returns their number.
+func search(t *testing.T, start func() *group, depth int) int {
+	list := steps()
+	seen := map[[sha256.Size]byte]bool{}
+	var mu sync.Mutex
+	level := [][]uint8{{}}
+	for range depth {
+		var next [][]uint8
+		var wg sync.WaitGroup
+		work := make(chan []uint8)
+		for range 8 {
+			wg.Go(func() {
+				for path := range work {
+					g := replay(start, list, path)
+					for i := range list {
+						if !list[i].run(g) {
+							continue
+						}
+						err := g.check()
+						key := sha256.Sum256([]byte(g.fingerprint()))
+						mu.Lock()
+						if err != nil {
+							t.Errorf("%v after %s", err, names(list, append(slices.Clone(path), uint8(i))))
+						}
+						if !seen[key] {
+							seen[key] = true
+							next = append(next, append(slices.Clone(path), uint8(i)))
+						}
+						mu.Unlock()
+						g = replay(start, list, path)
+					}
+				}
+			})
+		}
+		for _, path := range level {
+			if !t.Failed() {
+				work <- path
+			}
+		}
+		close(work)
+		wg.Wait()
+		if t.Failed() {
+			break
+		}
+		level = next
+	}
+	return len(seen)
+}
+
+func replay(start func() *group, list []step, path []uint8) *group {
+	g := start()
+	for _, i := range path {
+		list[i].run(g)
+	}
+	return g
+}
+
+func names(list []step, path []uint8) string {
+	var s []string
+	for _, i := range path {
+		s = append(s, list[i].name)
+	}
+	return strings.Join(s, ", ")
+}
+
+// warm returns a group of two processes that hold all units of the team.
+func warm(capacity int, demands ...int) *group {
+	g := newGroup(len(demands), limit(capacity))
+	for i, n := range demands {
+		g.processes[i].holder.SetDemand(team, n)
+	}
+	for range 2 {
+		g.renewOthers(nil)
+		g.settle()
+		for _, p := range g.processes {
+			p.deliver()
+		}
+	}
+	return g
+}
+
+// Guards against any order of few steps after which more units are in use than the capacity allows.
+func TestNoShortRunExceedsCapacity(t *testing.T) {
+	for _, start := range []struct {
+		name string
+		run  func() *group
+	}{
+		{"cold", func() *group { return newGroup(2, limit(2)) }},
+		{"warm", func() *group { return warm(3, 3, 3) }},
+		{"busy", func() *group {
+			g := warm(3, 3, 3)
+			g.processes[0].acquire(team, maxRun)
+			g.processes[1].acquire(team, maxRun)
+			return g
+		}},
+	} {
+		t.Run(start.name, func(t *testing.T) {
+			begin := time.Now()
+			n := search(t, start.run, *searchDepth)
+			t.Logf("%d states in %v at depth %d", n, time.Since(begin), *searchDepth)
+			assert.Assert(t, n > 0)
+		})
+	}
+}
+
+// Guards against more units in use than the capacity allows in long runs with several processes and resources, with
+// messages that are lost, late or out of order, and with processes that crash, pause, leave and return.
+func TestNoRandomRunExceedsCapacity(t *testing.T) {
+	documents := [][]byte{document(1, 6, 3), document(1, 1, 8), document(0, 2, 2), document(1, 12, 0)}
+	resources := []string{team, TeamResource("b"), SlotResource("rack-1")}
+	assert.NilError(t, flag.Set("rapid.nofailfile", "true"))
+	assert.NilError(t, flag.Set("rapid.checks", strconv.Itoa(*randomRuns)))
+	for _, seed := range []string{"1", "2", "3", "4"} {
+		assert.NilError(t, flag.Set("rapid.seed", seed))
+		rapid.Check(t, func(t *rapid.T) { randomRun(t, documents, resources) })
+	}
+}
+
+func randomRun(t *rapid.T, documents [][]byte, resources []string) {
+	g := newGroup(4, func(g *group) { g.configure(documents[0]) })
+	var requests []request
+	var answers []answer
+	pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+	for range rapid.IntRange(50, 300).Draw(t, "steps") {
+		p := g.processes[pick(len(g.processes))]
+		name := resources[pick(len(resources))]
+		switch pick(24) {
+		case 0:
+			g.pass(time.Duration(pick(1000)) * time.Millisecond)
+		case 1:
+			g.pass([]time.Duration{member.Lease, member.Expiry, maxRun, maxRun + 3*time.Second}[pick(4)])
+		case 2:
+			p.holder.SetDemand(name, pick(10))
+		case 3, 4:
+			requests = append(requests, p.send())
+		case 5, 6:
+			if len(requests) > 0 {
+				i := pick(len(requests))
+				answers = append(answers, g.serve(requests[i]))
+				requests = slices.Delete(requests, i, i+1)
+			}
+		case 7, 8:
+			if len(answers) > 0 {
+				i := pick(len(answers))
+				for _, q := range g.processes {
+					q.receive(answers[i])
+				}
+				answers = slices.Delete(answers, i, i+1)
+			}
+		case 9:
+			p.renew()
+			p.full = true
+		case 10, 11:
+			p.deliver()
+		case 12:
+			p.deliverUpTo(int(p.k.Applied()) + pick(len(g.updates)-int(p.k.Applied())+1))
+		case 13, 14, 15:
+			for range 1 + pick(6) {
+				p.acquire(name, time.Duration(1+pick(int(maxRun/time.Second)))*time.Second)
+			}
+		case 16:
+			n := pick(6)
+			p.end(func(unit) bool { n--; return n >= 0 })
+		case 17, 18:
+			g.settle()
+		case 19:
+			g.decide()
+		case 20:
+			g.commit()
+		case 21:
+			_ = g.job([]string{"+", "+", "-"}[pick(3)] + name) // Refused when no unit is free.
+		case 22:
+			g.disturb(pick)
+		case 23:
+			g.configure(documents[pick(len(documents))])
+		}
+		if err := g.check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// disturb lets one component fail or start anew.
+func (g *group) disturb(pick func(n int) int) {
+	p := g.processes[pick(len(g.processes))]
+	switch pick(6) {
+	case 0:
+		g.flight = nil
+	case 1:
+		g.replaceLeader()
+	case 2:
+		p.restart()
+	case 3:
+		p.reload()
+	case 4:
+		if !g.members.Renewable(p.id) {
+			p.join()
+		}
+	case 5:
+		p.end(func(unit) bool { return true })
+		p.leave()
+		p.join()
+	}
+}
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -15,6 +15,10 @@
 // maxChanges bounds the changes of one command, so that a burst can't fill the log or block heartbeats.
 const maxChanges = 256
 
+// retryAfter is when a division is proposed again that was not applied; the log refuses commands while it is full and
+// during a transfer of leadership.
+const retryAfter = time.Second
+
 // Report is the event of a process that reports its demand and what it has returned.
 type Report struct {
 	Holder   string
@@ -28,6 +32,7 @@
 // policy is the soft state with which the leader divides capacities.
 type policy struct {
 	dirty    map[string]bool
+	proposed map[string]time.Duration     // by resource: when its changes, not yet applied, were proposed
 	demand   map[string]map[string]uint64 // by resource and holder
 	returned map[string]map[string]uint64 // by resource and holder, as reported
 	wanted   map[string]uint64            // by resource, for jobs
@@ -38,6 +43,7 @@
 func (p *policy) reset() {
 	*p = policy{
 		dirty:    map[string]bool{},
+		proposed: map[string]time.Duration{},
 		demand:   map[string]map[string]uint64{},
 		returned: map[string]map[string]uint64{},
 		wanted:   map[string]uint64{},
@@ -45,6 +51,14 @@
 	}
 }
 
+// lead starts without demands; resources that are no longer configured are divided too, so that they are recalled.
+func (s *State) lead(time.Duration) {
+	s.policy.reset()
+	for name := range s.resources {
+		s.policy.dirty[name] = true
+	}
+}
+
 func set(m map[string]map[string]uint64, a, b string, v uint64) (changed bool) {
 	inner, ok := m[a]
 	if !ok {
@@ -92,8 +106,13 @@
 }
 
 // decide divides the resources whose demand or state changed since the last call.
-func (s *State) decide(time.Duration) kernel.Decision {
+func (s *State) decide(now time.Duration) kernel.Decision {
 	s.refresh()
+	for name, at := range s.policy.proposed {
+		if now-at >= retryAfter {
+			s.policy.dirty[name] = true
+		}
+	}
 	holders := s.members.LiveIDs()
 	s.noteMembers(holders)
 	m := &quotapb.Command{}
@@ -102,7 +121,11 @@
 			break
 		}
 		delete(s.policy.dirty, name)
-		m.Changes = append(m.Changes, s.divide(name, holders)...)
+		delete(s.policy.proposed, name)
+		if list := s.divide(name, holders); len(list) > 0 {
+			s.policy.proposed[name] = now
+			m.Changes = append(m.Changes, list...)
+		}
 	}
 	if len(m.Changes) == 0 {
 		return kernel.Decision{}
@@ -165,13 +188,19 @@
 	if capacity > used+keep {
 		free = capacity - used - keep
 	}
-	for _, h := range holders {
+	grow := func(h string, to uint64) {
 		a := next[h]
-		if grow := min(free, targets[h]-min(targets[h], a.units())); grow > 0 {
-			a.granted += grow
-			free -= grow
-			next[h] = a
-		}
+		n := min(free, to-min(to, a.units()))
+		a.granted += n
+		free -= n
+		next[h] = a
+	}
+	// Demand comes before the spread of what no one asks for.
+	for _, h := range holders {
+		grow(h, min(targets[h], s.policy.demand[name][h]))
+	}
+	for _, h := range holders {
+		grow(h, targets[h])
 	}
 	var list []*quotapb.Change
 	for _, h := range holders {
--- a/internal/quota/state.go
+++ b/internal/quota/state.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
@@ -31,10 +30,22 @@
 // SlotResource returns the resource of the slots of an instance.
 func SlotResource(instance string) string { return slotPrefix + instance }
 
-type allocation struct{ granted, returned uint64 }
+type allocation struct {
+	granted, returned uint64
+	// limit bounds the units in use while limited, that is until a lowered capacity is met.
+	limit   uint64
+	limited bool
+}
 
 func (a allocation) units() uint64 { return a.granted - a.returned }
 
+func (a allocation) usable() uint64 {
+	if a.limited {
+		return min(a.units(), a.limit)
+	}
+	return a.units()
+}
+
 type resource struct {
 	allocations map[string]allocation
 	reserved    uint64
@@ -55,6 +66,7 @@
 	cfg        *configuration.State
 	members    *member.State
 	pools      *pool.State
+	viewOnly   bool
 	seen       uint64 // the change of the pools that capacities take into account
 	resources  map[string]*resource
 	capacities map[string]uint64
@@ -71,7 +83,10 @@
 	cfg, _ := kernel.Lookup[*configuration.State](k, configuration.Name)
 	members, _ := kernel.Lookup[*member.State](k, member.Name)
 	pools, _ := kernel.Lookup[*pool.State](k, pool.Name)
-	s := &State{cfg: cfg, members: members, pools: pools, resources: map[string]*resource{}, touched: map[string]bool{}}
+	s := &State{
+		cfg: cfg, members: members, pools: pools, viewOnly: k.ViewOnly(),
+		resources: map[string]*resource{}, touched: map[string]bool{},
+	}
 	s.policy.reset()
 	s.changed.reset()
 	s.configure()
@@ -88,7 +103,7 @@
 		Merge:    s.merge,
 		Observe:  s.observe,
 		Decide:   s.decide,
-		Lead:     func(time.Duration) { s.policy.reset() },
+		Lead:     s.lead,
 		Snapshot: s.encode,
 		Restore:  s.restore,
 		Check:    s.check,
@@ -112,20 +127,13 @@
 	return granted
 }
 
-// Ceiling returns how many units a holder may use at once. While a lowered capacity is being recalled this is its
-// proportional part, rounded down, so that all holders together stay within the new capacity.
+// Ceiling returns how many units a holder may use at once, its allocation or less while a lowered capacity is recalled.
 func (s *State) Ceiling(name, holder string) uint64 {
-	s.refresh()
 	r, ok := s.resources[name]
 	if !ok {
 		return 0
 	}
-	a := r.allocations[holder]
-	used, capacity := r.used(), s.capacities[name]
-	if used <= capacity {
-		return a.units()
-	}
-	return a.units() * capacity / used
+	return r.allocations[holder].usable()
 }
 
 // Reserve takes one unit for a job, and reports whether one was free. It is called while a command is applied.
@@ -164,6 +172,60 @@
 func (s *State) touch(name string) {
 	s.touched[name] = true
 	s.policy.dirty[name] = true
+	delete(s.policy.proposed, name)
+	s.lift(name)
+}
+
+// restrict divides a lowered capacity between the live holders in proportion to what they may use. Reserved units and
+// expired processes may still use all that they hold. A limit is never raised before the capacity is met, because its
+// former part may be in use by another holder.
+func (s *State) restrict(name string, r *resource) {
+	capacity := s.capacities[name]
+	if s.viewOnly || r.used() <= capacity {
+		return
+	}
+	room := capacity - min(capacity, r.reserved)
+	var total uint64
+	for holder, a := range r.allocations {
+		if s.members.Live(holder) {
+			total += a.usable()
+		} else {
+			room -= min(room, a.units())
+		}
+	}
+	var sum, divided uint64
+	for _, holder := range slices.Sorted(maps.Keys(r.allocations)) {
+		if !s.members.Live(holder) {
+			continue
+		}
+		a := r.allocations[holder]
+		sum += a.usable()
+		upTo := sum
+		if total > room {
+			upTo = sum * room / total
+		}
+		if limit := upTo - divided; !a.limited || a.limit != limit {
+			a.limited, a.limit = true, limit
+			r.allocations[holder] = a
+			s.changed.allocations[pair{name, holder}] = true
+		}
+		divided = upTo
+	}
+}
+
+// lift ends the limits of a resource once its capacity is met.
+func (s *State) lift(name string) {
+	r, ok := s.resources[name]
+	if s.viewOnly || !ok || r.used() > s.capacities[name] {
+		return
+	}
+	for holder, a := range r.allocations {
+		if a.limited {
+			a.limited, a.limit = false, 0
+			r.allocations[holder] = a
+			s.changed.allocations[pair{name, holder}] = true
+		}
+	}
 }
 
 func (s *State) used(name string) uint64 {
@@ -203,6 +265,7 @@
 	}
 	for name, r := range s.resources {
 		r.ceiling = max(capacities[name], r.used())
+		s.restrict(name, r)
 		s.touch(name)
 	}
 }
@@ -286,7 +349,18 @@
 
 func (r *resource) change(name, holder string) *quotapb.Change {
 	a := r.allocations[holder]
-	return &quotapb.Change{Resource: name, Holder: holder, Granted: a.granted, Returned: a.returned}
+	ch := &quotapb.Change{Resource: name, Holder: holder, Granted: a.granted, Returned: a.returned}
+	if a.limited {
+		ch.Limit = &a.limit
+	}
+	return ch
+}
+
+// set replaces an allocation by one that change encoded.
+func (r *resource) set(ch *quotapb.Change) {
+	r.allocations[ch.Holder] = allocation{
+		granted: ch.Granted, returned: ch.Returned, limit: ch.GetLimit(), limited: ch.Limit != nil,
+	}
 }
 
 func (s *State) restore(data []byte) error {
@@ -299,7 +373,7 @@
 	s.changed.reset()
 	s.configure()
 	for _, ch := range m.Allocations {
-		s.resource(ch.Resource).allocations[ch.Holder] = allocation{granted: ch.Granted, returned: ch.Returned}
+		s.resource(ch.Resource).set(ch)
 	}
 	for _, rv := range m.Reservations {
 		s.resource(rv.Resource).reserved = rv.Units
