Test the whole path with real processes in scripted scenarios

The test binary runs the processes itself. Scripts start three voters and two entry processes, each on a loopback address of its own, and can kill, freeze, isolate and restart them. Stand-in endpoints record what ran.

--- /dev/null
+++ b/internal/scenario/program_test.go
@@ -0,0 +1,150 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/node"
+	"github.com/hibiscusroute/hibiscusroute/internal/setting"
+)
+
+func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"hibiscusroute": program}) }
+
+// cutDirectory is the environment variable with the directory that holds one file per isolated IP address.
+const cutDirectory = "HIBISCUSROUTE_SCENARIO_CUT"
+
+// program runs one process as the subcommand node does, over links that the test can cut.
+func program() {
+	// The process must not outlive the test, which holds the other end of the standard input.
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(3)
+	}()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	err := runNode(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func runNode(ctx context.Context) error {
+	var s setting.Node
+	if _, err := flags.Parse(&s); err != nil {
+		return err
+	}
+	p, err := s.Load()
+	if err != nil {
+		return err
+	}
+	l := &links{dir: os.Getenv(cutDirectory), self: p.Peer.Addr().String(), conns: map[*link]bool{}}
+	go l.watch()
+	n, err := node.New(node.Config{Process: p, Dial: l.dial, Log: s.Log.Logger(os.Stderr)})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// links loses what is sent over cut links, without an error that either side could see.
+type links struct {
+	dir, self string
+
+	mu    sync.Mutex
+	cut   map[string]bool // isolated IP addresses
+	conns map[*link]bool
+}
+
+type link struct {
+	net.Conn
+	l    *links
+	to   string
+	lost bool // data was lost, so the connection can't be used after the cut
+}
+
+func (l *links) watch() {
+	for ; ; time.Sleep(10 * time.Millisecond) {
+		files, _ := filepath.Glob(filepath.Join(l.dir, "*"))
+		cut := map[string]bool{}
+		for _, f := range files {
+			cut[filepath.Base(f)] = true
+		}
+		l.mu.Lock()
+		l.cut = cut
+		for c := range l.conns {
+			if c.lost && !l.isCut(c.to) {
+				_ = c.Conn.Close()
+				delete(l.conns, c)
+			}
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (l *links) isCut(to string) bool { return to != l.self && (l.cut[to] || l.cut[l.self]) }
+
+func (l *links) dial(ctx context.Context, address string) (net.Conn, error) {
+	to, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	cut := l.isCut(to)
+	l.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &link{Conn: conn, l: l, to: to}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = true
+	return c, nil
+}
+
+func (c *link) drop() bool {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.lost = c.lost || c.l.isCut(c.to)
+	return c.lost
+}
+
+func (c *link) Write(b []byte) (int, error) {
+	if c.drop() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *link) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.drop() {
+			return n, err
+		}
+	}
+}
+
+func (c *link) Close() error {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	delete(c.l.conns, c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/scenario/world_test.go
@@ -0,0 +1,315 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/key"
+	"github.com/hibiscusroute/hibiscusroute/internal/operator"
+	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
+)
+
+// Bounds of waits that the page doesn't bound more tightly.
+const (
+	startBound = 20 * time.Second
+	stopBound  = 30 * time.Second
+	pollPause  = 20 * time.Millisecond
+)
+
+// world is a running system: processes, stand-in endpoints, keys and the answers that callers got.
+type world struct {
+	dir       string
+	processes []*process
+	ledger    *ledger
+	endpoints map[string]*backend
+	keys      map[string]key.Secret // by team
+	load      *load
+}
+
+// process is one process of hibiscusroute with its own loopback address.
+type process struct {
+	name, ip string
+	voter    bool
+	w        *world
+	stdin    io.Closer
+	cmd      *exec.Cmd
+	done     chan struct{} // closed when the process has ended
+	err      error         // set before done is closed
+}
+
+func newWorld(dir string) (*world, error) {
+	w := &world{dir: dir, ledger: newLedger(), endpoints: map[string]*backend{}, keys: map[string]key.Secret{}}
+	return w, os.MkdirAll(filepath.Join(dir, "cut"), 0o700)
+}
+
+// freeIP returns a loopback address of which no port in use is known. Addresses of their own keep the ports of
+// restarted processes apart from those of outgoing connections.
+func freeIP() (string, error) {
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+		if ln, err := net.Listen("tcp", ip+":9403"); err == nil {
+			return ip, ln.Close()
+		}
+	}
+	return "", fmt.Errorf("no free loopback address")
+}
+
+// group starts three voters and two entry processes and waits until each serves.
+func (w *world) group() error {
+	for _, name := range []string{"v1", "v2", "v3", "e1", "e2"} {
+		ip, err := freeIP()
+		if err != nil {
+			return err
+		}
+		p := &process{name: name, ip: ip, voter: name[0] == 'v', w: w}
+		w.processes = append(w.processes, p)
+		if err := p.start(name == "v1"); err != nil {
+			return err
+		}
+		if name == "v1" {
+			// The others join this one.
+			if err := w.until("v1 is ready", startBound, p.ready); err != nil {
+				return err
+			}
+		}
+	}
+	for _, p := range w.processes {
+		if err := w.until(p.name+" is ready", startBound, p.ready); err != nil {
+			return err
+		}
+	}
+	return w.until("three voters that have caught up", startBound, func() bool { return w.voters(3) })
+}
+
+func (w *world) process(name string) (*process, error) {
+	for _, p := range w.processes {
+		if p.name == name {
+			return p, nil
+		}
+	}
+	return nil, fmt.Errorf("no process %q", name)
+}
+
+func (p *process) start(bootstrap bool) error {
+	args := []string{"--name", p.name, "--availability-zone", "zone-1", "--shutdown-wait", "1s"}
+	for i, kind := range []string{"caller", "endpoint", "operator", "peer"} {
+		args = append(args, "--"+kind+"-address", fmt.Sprintf("%s:%d", p.ip, 9400+i))
+	}
+	if p.voter {
+		args = append(args, "--voter", "--data-directory", p.data())
+	}
+	if bootstrap {
+		args = append(args, "--bootstrap")
+	} else {
+		for _, o := range p.w.processes {
+			if o.voter && o != p {
+				args = append(args, "--join", o.ip+":9403")
+			}
+		}
+	}
+	log, err := os.OpenFile(filepath.Join(p.w.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command("hibiscusroute", args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The race detector otherwise sleeps for 1 s at the end of each process.
+	p.cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0", cutDirectory+"="+filepath.Join(p.w.dir, "cut"))
+	if p.stdin, err = p.cmd.StdinPipe(); err != nil {
+		return err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	done, cmd := make(chan struct{}), p.cmd
+	p.done = done
+	go func() {
+		p.err = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *process) data() string { return filepath.Join(p.w.dir, p.name+"-data") }
+
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// signal sends a signal to the process itself, by its id.
+func (p *process) signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
+
+func (p *process) await(bound time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(bound):
+		return fmt.Errorf("%s did not end within %v", p.name, bound)
+	}
+}
+
+func (p *process) kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// isolate cuts all links of the process to others.
+func (p *process) isolate() error {
+	return os.WriteFile(filepath.Join(p.w.dir, "cut", p.ip), nil, 0o600)
+}
+
+// rejoin ends the cut; connections that lost data break, as they would by keep-alive.
+func (p *process) rejoin() error { return os.Remove(filepath.Join(p.w.dir, "cut", p.ip)) }
+
+var probe = &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// ready asks for readiness as a load balancer does.
+func (p *process) ready() bool {
+	resp, err := probe.Get("http://" + p.ip + ":9400/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+func (p *process) status() (operator.Status, error) {
+	c, err := operator.NewClient(operator.ClientConfig{
+		Addresses: []string{p.ip + ":9402"}, Deadline: time.Second, Attempt: 500 * time.Millisecond,
+	})
+	if err != nil {
+		return operator.Status{}, err
+	}
+	return c.Status(context.Background())
+}
+
+// operator returns a client for the operators' API of the named processes, or of all.
+func (w *world) operator(names ...string) (*operator.Client, error) {
+	var addresses []string
+	for _, p := range w.processes {
+		if len(names) == 0 || strings.Contains(strings.Join(names, " "), p.name) {
+			addresses = append(addresses, p.ip+":9402")
+		}
+	}
+	return operator.NewClient(operator.ClientConfig{Addresses: addresses, Deadline: 20 * time.Second})
+}
+
+// leader returns the process that leads, with the highest term if a deposed one doesn't know yet.
+func (w *world) leader() *process {
+	var best *process
+	var term uint64
+	for _, p := range w.processes {
+		if !p.voter || p.ended() {
+			continue
+		}
+		if st, err := p.status(); err == nil && st.Role == "leader" && st.Term > term {
+			best, term = p, st.Term
+		}
+	}
+	return best
+}
+
+func (w *world) members() []operator.Member {
+	c, err := w.operator()
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	list, _ := c.Members(ctx)
+	return list
+}
+
+func (w *world) voters(want int) bool {
+	list := w.members()
+	for _, m := range list {
+		if m.Role != "voter" || !m.CaughtUp {
+			return false
+		}
+	}
+	return len(list) == want
+}
+
+// until waits for a condition.
+func (w *world) until(what string, bound time.Duration, f func() bool) error {
+	for end := time.Now().Add(bound); ; time.Sleep(pollPause) {
+		if f() {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %v: %s", bound, what)
+		}
+	}
+}
+
+// close ends everything that the world started.
+func (w *world) close() {
+	if w.load != nil {
+		w.load.stop()
+	}
+	var group sync.WaitGroup
+	for _, p := range w.processes {
+		if p.cmd != nil && p.cmd.Process != nil {
+			group.Go(func() {
+				_ = p.signal(syscall.SIGKILL) // it may have ended
+				<-p.done
+			})
+		}
+	}
+	group.Wait()
+	for _, e := range w.endpoints {
+		e.close()
+	}
+}
+
+// document builds the configuration with two teams; the mark tells versions apart.
+func document(mark int) ([]byte, error) {
+	c := &fleet.Configuration{
+		Format: fleet.Format, Processes: 5,
+		AvailabilityZones: []fleet.AvailabilityZone{{Name: "zone-1", Region: "region-1"}},
+		Pools: []fleet.Pool{
+			{Name: "spare", Spare: true, Budget: fleet.Budget{MaxUnavailable: 1}},
+			{Name: "wash", Budget: fleet.Budget{MaxUnavailable: 1}},
+		},
+		Teams: []fleet.Team{
+			{Name: "billing", Share: 1, UpperLimit: limits["billing"]},
+			{Name: "crews", Share: 2, UpperLimit: limits["crews"]},
+		},
+		Queues: []fleet.Queue{{
+			Name: "plates", Pool: "wash", Teams: []string{"billing", "crews"}, MaxRun: fleet.Duration(2 * time.Second),
+			MaxWaiting: 100 + mark, MaxWait: fleet.Duration(2 * time.Second),
+		}},
+		Waves:   []fleet.Wave{},
+		Weights: fleet.Weights{Buffer: 1, RollOut: 1, Moves: 1, Share: 1},
+	}
+	for i := range 3 {
+		c.Instances = append(c.Instances, fleet.Instance{
+			Name: fmt.Sprintf("worker-%d", i+1), AvailabilityZone: "zone-1", Rack: "rack-1", Pool: "wash",
+			Processors: 16, MemoryMiB: 65536, Slots: 8, Connections: 64,
+		})
+	}
+	return c.Print()
+}
+
+// limits are the upper limits of the teams.
+var limits = map[string]int{"billing": 4, "crews": 3}
