--- /dev/null
+++ b/internal/scenario/command_test.go
@@ -0,0 +1,153 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/operator"
+)
+
+// mark NAME names this moment.
+func markCommand(c *call) error {
+	c.w.marks[c.word(0)] = time.Now()
+	return nil
+}
+
+// hold DURATION since=NAME waits until so much time has passed since a named moment; the length of a failure is part
+// of a scenario, so there is no condition to wait for.
+func holdCommand(c *call) error {
+	d, err := time.ParseDuration(c.word(0))
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(c.w.marks[c.setting["since"]].Add(d)))
+	return nil
+}
+
+// burst send PROCESS TEAM n=N sends requests at once and goes on; burst refused waits for the answers, of which none
+// may have been served.
+func burstCommand(c *call) error {
+	if c.word(0) == "send" {
+		p, err := c.w.process(c.word(1))
+		if err != nil {
+			return err
+		}
+		n := c.number("n", 10)
+		c.w.burst = make(chan answer, n)
+		var group sync.WaitGroup
+		for range n {
+			group.Go(func() { c.w.burst <- c.w.send(p, http.MethodGet, c.word(2), newID(), "") })
+		}
+		go func() {
+			group.Wait()
+			close(c.w.burst)
+		}()
+		return nil
+	}
+	for a := range c.w.burst {
+		if err := refused(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func refused(a answer) error {
+	if a.err != nil || a.outcome != "not-run" || a.ran > 0 {
+		return fmt.Errorf("request was not refused as not run: %v, ran %d times", a, a.ran)
+	}
+	return nil
+}
+
+// refuses PROCESS TEAM for=DURATION sends one request after the other, of which none may be served.
+func refusesCommand(c *call) error {
+	p, err := c.w.process(c.word(0))
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(c.duration("for", time.Second)); time.Now().Before(end); time.Sleep(pollPause) {
+		if err := refused(c.w.send(p, http.MethodGet, c.word(1), newID(), "")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// identity VARIABLE NAME sets the variable to the identity of a member.
+func identityCommand(c *call) error {
+	for _, m := range c.w.members() {
+		if m.Name == c.word(1) {
+			c.ts.Setenv(c.word(0), m.Identity)
+			return nil
+		}
+	}
+	return fmt.Errorf("no member %q", c.word(1))
+}
+
+// members NAME not=IDENTITY voters=N waits until the group has exactly so many members, all voters that have caught
+// up, of which one has the name and another identity. The member must have been seen as a learner or not at all before.
+func membersCommand(c *call) error {
+	var seen []string
+	err := c.w.until("members", startBound, func() bool {
+		list := c.w.members()
+		fresh, old := false, false
+		state := ""
+		for _, m := range list {
+			fresh = fresh || m.Name == c.word(0) && m.Identity != c.setting["not"] && m.Role == "voter"
+			old = old || m.Identity == c.setting["not"]
+			state += " " + m.Name + "/" + m.Role
+		}
+		if len(seen) == 0 || seen[len(seen)-1] != state {
+			seen = append(seen, state)
+		}
+		return fresh && !old && c.w.voters(c.number("voters", 3))
+	})
+	c.ts.Logf("members seen: %s", strings.Join(seen, ";"))
+	return err
+}
+
+// race n=N base=B submits different documents with one base version through all processes at once; exactly one may be
+// accepted, and all others must end as conflicts.
+func raceCommand(c *call) error {
+	n, base := c.number("n", 8), c.number("base", 0)
+	errs := make([]error, n)
+	versions := make([]uint64, n)
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() {
+			doc, err := document(1000 + 100*base + i)
+			if err != nil {
+				errs[i] = err
+				return
+			}
+			client, err := c.w.operator(c.w.processes[i%len(c.w.processes)].name)
+			if err != nil {
+				errs[i] = err
+				return
+			}
+			a, err := client.Submit(context.Background(), operator.Submission{Base: uint64(base), Document: doc})
+			versions[i], errs[i] = a.Version, err
+		})
+	}
+	group.Wait()
+	won := 0
+	for i, err := range errs {
+		var e *operator.Error
+		switch {
+		case err == nil && versions[i] == uint64(base)+1:
+			won++
+		case errors.As(err, &e) && e.Kind == operator.KindConflict && e.NewestVersion != nil && *e.NewestVersion == uint64(base)+1:
+		default:
+			return fmt.Errorf("submission ended as version %d, %w", versions[i], err)
+		}
+	}
+	if won != 1 {
+		return fmt.Errorf("I11: %d submissions with base %d were accepted, want one", won, base)
+	}
+	return nil
+}
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -47,6 +47,13 @@
 			"leader":   command(leaderCommand),
 			"process":  command(processCommand),
 			"load":     command(loadCommand),
+			"mark":     command(markCommand),
+			"hold":     command(holdCommand),
+			"burst":    command(burstCommand),
+			"refuses":  command(refusesCommand),
+			"members":  command(membersCommand),
+			"identity": command(identityCommand),
+			"race":     command(raceCommand),
 		},
 	})
 }
@@ -271,7 +278,8 @@
 	}
 }
 
-// load start [to=NAMES] [workers=N] [query=...], load await served=N, load stop [aborted=N] [served=N] [no-lease=N].
+// load start [to=NAMES] [workers=N] [query=...], load await served=N, load stop [served=N] [aborted=N] [no-lease=N] [at=NAMES];
+// the last two bound the answers of the processes that at names.
 func loadCommand(c *call) error {
 	w := c.w
 	switch c.word(0) {
@@ -302,7 +310,10 @@
 		"aborted":  aborted,
 		"no-lease": func(a answer) bool { return a.reason == "no-lease" },
 	} {
-		if n := w.load.count(match); c.setting[name] != "" && n > c.number(name, 0) {
+		at := func(a answer) bool {
+			return match(a) && (c.setting["at"] == "" || strings.Contains(c.setting["at"], a.process))
+		}
+		if n := w.load.count(at); c.setting[name] != "" && n > c.number(name, 0) {
 			return fmt.Errorf("%d answers are %s, want at most %s; %s", n, name, c.setting[name], w.load.summary())
 		}
 	}
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -35,6 +35,8 @@
 	endpoints map[string]*backend
 	keys      map[string]key.Secret // by team
 	load      *load
+	marks     map[string]time.Time // moments that a script named
+	burst     chan answer
 }
 
 // process is one process of hibiscusroute with its own loopback address.
@@ -49,7 +51,10 @@
 }
 
 func newWorld(dir string) (*world, error) {
-	w := &world{dir: dir, ledger: newLedger(), endpoints: map[string]*backend{}, keys: map[string]key.Secret{}}
+	w := &world{
+		dir: dir, ledger: newLedger(), endpoints: map[string]*backend{}, keys: map[string]key.Secret{},
+		marks: map[string]time.Time{},
+	}
 	return w, os.MkdirAll(filepath.Join(dir, "cut"), 0o700)
 }
 
