Report a version as in force after the leader that accepted it is gone

Cause: a new leader followed only the rollouts of versions that it accepted itself, so that an operator who waited for a version accepted just before a failover was told after 15 s that it is not known to be in force. Change: a new leader follows the rollout of the newest version too. Result: the scenario of racing operators waits for the version at the new leader and passes; it failed before.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -248,6 +248,11 @@
 	v.rollouts.reset()
 	v.setVoters = nil
 	v.kernel.Lead(v.now())
+	// An operator may still wait for a version that the previous leader accepted. Its rollout is followed up to this
+	// entry, which comes after it, and its time counts from the change of leadership.
+	if version := v.documents.Version(); version > 0 {
+		v.rollouts.accepted(version, v.kernel.Applied(), v.now(), v.members.LiveIDs())
+	}
 	v.decideSoon = true
 	v.cfg.Log.Info("started leading the control group", "term", term)
 	v.cfg.Record(timeline.Event{Kind: "leader-started", Version: term})
