--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -119,7 +119,10 @@
 	}
 	res := result{resp: resp, state: state}
 	if id := resp.Header.Get(headerRequestID); id != "" && id != q.id {
-		q.s.violation("own-answer", "instance "+t.Instance()+" answered request "+q.id+" with the answer to "+id)
+		// Connections carry one request at a time, so the endpoint sent more than one response or the wrong one.
+		q.s.stat.mismatched.Inc()
+		q.s.cfg.Log.Info("endpoint sent the response to another request", "instance", t.Instance(), "request", q.id,
+			"other", id)
 		res.err = errMismatch.New("the response belongs to another request")
 	} else {
 		res.head, res.err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -12,6 +12,7 @@
 	retries    *metrics.Counter
 	noBudget   *metrics.Counter
 	truncated  *metrics.Counter
+	mismatched *metrics.Counter
 	refused    *metrics.Counter
 	added      *metrics.Histogram
 	waited     *metrics.Histogram
@@ -24,6 +25,7 @@
 		retries:    set.GetOrCreateCounter("hibiscusroute_retries_total"),
 		noBudget:   set.GetOrCreateCounter("hibiscusroute_retries_without_budget_total"),
 		truncated:  set.GetOrCreateCounter("hibiscusroute_truncated_responses_total"),
+		mismatched: set.GetOrCreateCounter("hibiscusroute_mismatched_responses_total"),
 		refused:    set.GetOrCreateCounter("hibiscusroute_refused_connections_total"),
 		added:      set.GetOrCreateHistogram("hibiscusroute_added_latency_seconds"),
 		waited:     set.GetOrCreateHistogram("hibiscusroute_wait_seconds"),
