End calls to a silent peer when their context ends

Cause: closing a yamux stream does not wake a blocked read, so a call to a process that is frozen but whose session lives never returned. Change: the read deadline is set into the past as well. Before: TestCallTellsUnsentFromUnknown hung at the case without an answer. After: it passes; the call ends with its context.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -26,7 +26,11 @@
 
 func newStream(ctx context.Context, conn net.Conn, timeout time.Duration) *Stream {
 	s := &Stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriter(conn), timeout: timeout}
-	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s.stop = context.AfterFunc(ctx, func() {
+		// Closing a yamux stream does not wake a blocked read; a deadline in the past does.
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		_ = conn.Close()
+	})
 	return s
 }
 
