--- a/internal/caller/load_test.go
+++ b/internal/caller/load_test.go
@@ -198,31 +198,40 @@
 	}
 }
 
-// Guards against a flood of connections or requests that takes the process down.
-func TestFloodIsBounded(t *testing.T) {
-	h := newHarness(t, options{
-		behavior: standin.Behavior{Delay: 100 * time.Millisecond},
-		queue:    fleet.Queue{Name: "plates", Open: true, OpenTeam: "guest", MaxWaiting: 10},
-		config:   func(c *caller.Config) { c.MaxConnections, c.MaxRequests = 60, 25 },
-	})
-	var wg sync.WaitGroup
-	reasons := map[string]int{}
-	var mu sync.Mutex
-	for range 50 {
-		wg.Go(func() {
-			a := h.send(http.MethodGet, "/queues/plates/x", nil)
-			assert.Check(t, a.err)
-			mu.Lock()
-			defer mu.Unlock()
-			reasons[a.reason]++
-			assert.Check(t, a.reason == "" || a.outcome == "not-run")
+// Guards against a flood of requests that the process takes in without bound.
+func TestFloodOfRequestsIsBounded(t *testing.T) {
+	for _, tc := range []struct {
+		requests, waiting int
+		reason            string
+	}{{25, 1000, "overloaded"}, {1000, 10, "queue-full"}} {
+		h := newHarness(t, options{
+			behavior: standin.Behavior{Delay: 100 * time.Millisecond},
+			queue:    fleet.Queue{Name: "plates", Open: true, OpenTeam: "guest", MaxWaiting: tc.waiting},
+			config:   func(c *caller.Config) { c.MaxRequests = tc.requests },
 		})
+		var wg sync.WaitGroup
+		reasons := map[string]int{}
+		var mu sync.Mutex
+		for range 80 {
+			wg.Go(func() {
+				a := h.send(http.MethodGet, "/queues/plates/x", nil)
+				assert.Check(t, a.err)
+				mu.Lock()
+				defer mu.Unlock()
+				reasons[a.reason]++
+				assert.Check(t, a.reason == "" || a.outcome == "not-run")
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, reasons[""] >= 8 && reasons[tc.reason] > 0, "%v", reasons)
+		assert.Equal(t, reasons[""]+reasons[tc.reason], 80, "%v", reasons)
+		assert.Assert(t, h.endpoints[0].MostRunning() <= 8)
 	}
-	wg.Wait()
-	t.Logf("%v", reasons)
-	assert.Assert(t, reasons[""] >= 8 && reasons["overloaded"]+reasons["queue-full"] > 0)
-	assert.Assert(t, h.endpoints[0].MostRunning() <= 8)
-	h.client.CloseIdleConnections()
+}
+
+// Guards against a flood of connections that takes the process down.
+func TestFloodOfConnectionsIsBounded(t *testing.T) {
+	h := newHarness(t, options{config: func(c *caller.Config) { c.MaxConnections = 60 }})
 	var open []net.Conn
 	for range 200 {
 		c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
