--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
@@ -84,6 +86,10 @@
 	return v
 }
 
+func teamName(i int) string {
+	return strings.TrimLeft(string([]byte{'`' + byte(i/26), 'a' + byte(i%26)}), "`")
+}
+
 // document returns a configuration with one team of each upper limit (0: no team) and some instances of 8 slots.
 func document(instances int, limits ...int) []byte {
 	f := fleet.New(fleet.Config{Processes: 1})
@@ -98,7 +104,7 @@
 	}
 	for i, limit := range limits {
 		if limit > 0 {
-			f.AddTeam(fleet.Team{Name: string(rune('a' + i%26)), Share: 1, UpperLimit: limit})
+			f.AddTeam(fleet.Team{Name: teamName(i), Share: 1, UpperLimit: limit})
 		}
 	}
 	f.AddQueue(fleet.Queue{
@@ -158,7 +164,8 @@
 	changedAt  []uint64
 	capacities []map[string]uint64
 	expired    []map[string]bool
-	bytes      int
+	bytes      int // of the changes of quotas
+	changes    int // of allocations
 }
 
 func newGroup(processes int, start func(g *group)) *group {
@@ -235,7 +242,12 @@
 	}
 	for _, s := range sections {
 		if s.Plugin == Name {
+			m := &quotapb.State{}
+			if err := proto.Unmarshal(s.Data, m); err != nil {
+				return err
+			}
 			g.bytes += len(s.Data)
+			g.changes += len(m.Allocations)
 		}
 	}
 	g.updates = append(g.updates, u)
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -9,9 +9,10 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/quota/quotapb"
 )
 
-// demandWindow is how long a process keeps reporting its highest recent demand. It covers the pauses within a burst, so
-// that allocations do not move back and forth.
-const demandWindow = 2 * time.Second
+// demandWindow is how long a process keeps reporting its highest recent demand. It covers short pauses within a burst, so
+// that allocations do not move back and forth. A longer one keeps units from processes that need them; see
+// docs/decisions/quota.md.
+const demandWindow = 500 * time.Millisecond
 
 // HolderConfig holds the settings of a holder.
 type HolderConfig struct {
