--- a/internal/scenario/command_test.go
+++ b/internal/scenario/command_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -151,3 +152,115 @@
 	}
 	return nil
 }
+
+// changes base=B n=N submits so many versions, one after the other.
+func changesCommand(c *call) error {
+	client, err := c.operator()
+	if err != nil {
+		return err
+	}
+	base := c.number("base", 0)
+	for v := base; v < base+c.number("n", 1); v++ {
+		doc, err := document(v)
+		if err != nil {
+			return err
+		}
+		a, err := client.Submit(context.Background(), operator.Submission{Base: uint64(v), Document: doc})
+		if err != nil {
+			return err
+		}
+		if a.Version != uint64(v)+1 {
+			return fmt.Errorf("submission with base %d became version %d", v, a.Version)
+		}
+	}
+	return nil
+}
+
+// version N NAMES... compares the version that each process applied; a process that is ready has the newest one.
+func versionCommand(c *call) error {
+	for _, name := range c.words[1:] {
+		p, err := c.w.process(name)
+		if err != nil {
+			return err
+		}
+		st, err := p.status()
+		if err != nil {
+			return err
+		}
+		if strconv.FormatUint(st.Version, 10) != c.word(0) {
+			return fmt.Errorf("I11: %s has version %d, want %s", name, st.Version, c.word(0))
+		}
+	}
+	return nil
+}
+
+// background PROCESS METHOD TEAM id=ID [query=...] sends a request and goes on; background want=STATUS[/OUTCOME]
+// [reason=WORD] waits for its answer, where the status "aborted" stands for a connection that broke.
+func backgroundCommand(c *call) error {
+	if len(c.words) > 0 {
+		p, err := c.w.process(c.word(0))
+		if err != nil {
+			return err
+		}
+		pending := make(chan answer, 1)
+		c.w.pending = pending
+		go func() { pending <- c.w.send(p, c.word(1), c.word(2), c.setting["id"], c.query()) }()
+		return nil
+	}
+	a := <-c.w.pending
+	got := strconv.Itoa(a.status)
+	if a.outcome != "" {
+		got += "/" + a.outcome
+	}
+	if a.err != nil && !errors.Is(a.err, errWrongAnswer) {
+		got = "aborted"
+	}
+	if got != c.setting["want"] || c.setting["reason"] != "" && c.setting["reason"] != a.reason {
+		return fmt.Errorf("want %s %s, got %v", c.setting["want"], c.setting["reason"], a)
+	}
+	return c.w.ledger.check()
+}
+
+// endpoint start|leave INSTANCE, endpoint awaits-work INSTANCE PROCESS TEAM, endpoint await ID [bytes=N],
+// endpoint kill-running ID, endpoint ran ID times=N.
+func endpointCommand(c *call) error {
+	w, l := c.w, c.w.ledger
+	switch c.word(0) {
+	case "start":
+		return w.addEndpoint(c.word(1))
+	case "await":
+		return w.until("request runs", startBound, func() bool {
+			k := l.find(c.word(1))
+			return k != nil && k.written.Load() >= int64(c.number("bytes", 0))
+		})
+	case "kill-running":
+		k := l.find(c.word(1))
+		if k == nil {
+			return fmt.Errorf("request %s doesn't run", c.word(1))
+		}
+		k.b.close()
+		return nil
+	case "ran":
+		if n := l.count(c.word(1)); n != c.number("times", 1) {
+			return fmt.Errorf("request ran %d times", n)
+		}
+		return l.check()
+	}
+	b := w.endpoints[c.word(1)]
+	if b == nil {
+		return fmt.Errorf("no endpoint %q", c.word(1))
+	}
+	if c.word(0) == "leave" {
+		return b.leave()
+	}
+	p, err := w.process(c.word(2))
+	if err != nil {
+		return err
+	}
+	return w.until(b.name+" gets work", startBound, func() bool {
+		w.send(p, http.MethodGet, c.word(3), newID(), "")
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return b.worked
+	})
+}
--- a/internal/scenario/endpoint_test.go
+++ b/internal/scenario/endpoint_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/standin"
@@ -22,10 +23,25 @@
 
 // work is one request that runs at an endpoint.
 type work struct {
-	team string
-	b    *backend
+	id, team string
+	b        *backend
+	written  atomic.Int64 // bytes of the answer
 }
 
+// countingWriter counts the bytes of an answer.
+type countingWriter struct {
+	http.ResponseWriter
+	k *work
+}
+
+func (w countingWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	w.k.written.Add(int64(n))
+	return n, err
+}
+
+func (w countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func newLedger() *ledger {
 	return &ledger{runs: map[string][]time.Time{}, running: map[*work]bool{}}
 }
@@ -41,7 +57,8 @@
 	if !b.left.IsZero() && now.Sub(b.left) > leaveBound {
 		l.faults = append(l.faults, fmt.Sprintf("I9: %s got work %v after it announced to leave", b.name, now.Sub(b.left)))
 	}
-	k := &work{team: team, b: b}
+	k := &work{id: id, team: team, b: b}
+	b.worked = true
 	l.running[k] = true
 	n := 0
 	for o := range l.running {
@@ -67,6 +84,18 @@
 	return len(l.runs[id])
 }
 
+// find returns the work that runs for a request identifier.
+func (l *ledger) find(id string) *work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := range l.running {
+		if k.id == id {
+			return k
+		}
+	}
+	return nil
+}
+
 func (l *ledger) check() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,7 +115,10 @@
 	e      *standin.Endpoint
 	srv    *http.Server
 	cancel context.CancelFunc
-	left   time.Time // guarded by the ledger
+
+	// The ledger guards these.
+	left   time.Time
+	worked bool // it got work
 }
 
 // addEndpoint starts a stand-in endpoint on an instance; it announces itself to one process after the other.
@@ -111,6 +143,9 @@
 	var ctx context.Context
 	ctx, b.cancel = context.WithCancel(context.Background())
 	go b.e.Run(ctx)
+	if old := w.endpoints[instance]; old != nil {
+		old.close()
+	}
 	w.endpoints[instance] = b
 	return nil
 }
@@ -120,7 +155,7 @@
 	id := r.Header.Get("Hibiscusroute-Request-Id")
 	k := b.l.begin(b, r.Method, strings.TrimPrefix(r.URL.Path, "/"), id)
 	defer b.l.end(k)
-	b.e.ServeHTTP(w, r)
+	b.e.ServeHTTP(countingWriter{w, k}, r)
 }
 
 func (b *backend) leave() error {
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -39,21 +39,24 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"group":    command(func(c *call) error { return c.w.group() }),
-			"endpoint": command(endpointCommand),
-			"submit":   command(submitCommand),
-			"key":      command(keyCommand),
-			"request":  command(requestCommand),
-			"leader":   command(leaderCommand),
-			"process":  command(processCommand),
-			"load":     command(loadCommand),
-			"mark":     command(markCommand),
-			"hold":     command(holdCommand),
-			"burst":    command(burstCommand),
-			"refuses":  command(refusesCommand),
-			"members":  command(membersCommand),
-			"identity": command(identityCommand),
-			"race":     command(raceCommand),
+			"group":      command(func(c *call) error { return c.w.group() }),
+			"endpoint":   command(endpointCommand),
+			"submit":     command(submitCommand),
+			"key":        command(keyCommand),
+			"request":    command(requestCommand),
+			"leader":     command(leaderCommand),
+			"process":    command(processCommand),
+			"load":       command(loadCommand),
+			"mark":       command(markCommand),
+			"hold":       command(holdCommand),
+			"burst":      command(burstCommand),
+			"refuses":    command(refusesCommand),
+			"members":    command(membersCommand),
+			"identity":   command(identityCommand),
+			"race":       command(raceCommand),
+			"changes":    command(changesCommand),
+			"version":    command(versionCommand),
+			"background": command(backgroundCommand),
 		},
 	})
 }
@@ -116,6 +119,9 @@
 	return d
 }
 
+// query returns the query of requests, which scripts write with colons because an equals sign ends a name.
+func (c *call) query() string { return strings.ReplaceAll(c.setting["query"], ":", "=") }
+
 // list returns the named processes, or all.
 func (c *call) list(name string) ([]*process, error) {
 	if c.setting[name] == "" {
@@ -140,22 +146,6 @@
 	return c.w.operator()
 }
 
-// endpoint start|leave|kill INSTANCE.
-func endpointCommand(c *call) error {
-	if c.word(0) == "start" {
-		return c.w.addEndpoint(c.word(1))
-	}
-	b := c.w.endpoints[c.word(1)]
-	if b == nil {
-		return fmt.Errorf("no endpoint %q", c.word(1))
-	}
-	if c.word(0) == "leave" {
-		return b.leave()
-	}
-	b.close()
-	return nil
-}
-
 // submit base=N [version=N] [op=ID] [via=NAMES]; with ! it must end as a conflict.
 func submitCommand(c *call) error {
 	base := c.number("base", 0)
@@ -214,8 +204,7 @@
 		if id == "" {
 			id = newID()
 		}
-		query := strings.ReplaceAll(c.setting["query"], ":", "=")
-		last = c.w.send(p, c.word(1), c.word(2), id, query)
+		last = c.w.send(p, c.word(1), c.word(2), id, c.query())
 		return last.err == nil && strconv.Itoa(last.status) == status && last.outcome == outcome
 	}
 	if err := c.w.until("wanted answer", c.duration("within", 0), got); err != nil {
@@ -288,7 +277,7 @@
 		if err != nil {
 			return err
 		}
-		w.startLoad(targets, c.number("workers", 8), strings.ReplaceAll(c.setting["query"], ":", "="))
+		w.startLoad(targets, c.number("workers", 8), c.query())
 		return nil
 	case "await":
 		start := w.load.count(served)
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -37,6 +37,7 @@
 	load      *load
 	marks     map[string]time.Time // moments that a script named
 	burst     chan answer
+	pending   chan answer // of the request in the background
 }
 
 // process is one process of hibiscusroute with its own loopback address.
