Merge time lines and operate instances, waves, jobs and limits from the command line

Adds the operators' API for instances, waves, jobs and quotas, the fleet in the status of every process, and the events of jobs, pools, waves, limits and rejected requests on the time line. Rejections are kept in a buffer of their own, so that a burst doesn't overwrite decisions. The flags of the stand-in get the environment variables that TestFlagsAreDocumented asks for.

--- a/cmd/hibiscusroute/command.go
+++ b/cmd/hibiscusroute/command.go
@@ -29,9 +29,13 @@
 
 // groups describes the first words of two-word commands.
 var groups = map[string]string{
-	"config": "Check, compare, submit and show the configuration",
-	"key":    "Grant, revoke and list the keys of teams",
-	"member": "List and change the members of the control group",
+	"config":   "Check, compare, submit and show the configuration",
+	"instance": "List, move and quarantine instances",
+	"job":      "List, show and cancel jobs",
+	"quota":    "Show who holds the upper limits of teams",
+	"wave":     "Control planned maintenance",
+	"key":      "Grant, revoke and list the keys of teams",
+	"member":   "List and change the members of the control group",
 }
 
 func register(c command) { commands = append(commands, c) }
--- a/cmd/hibiscusroute/script_test.go
+++ b/cmd/hibiscusroute/script_test.go
@@ -47,7 +47,10 @@
 	}
 	cfg.Status = func(context.Context) (operator.Status, error) {
 		return operator.Status{Process: "entry-1", Role: "leader", Halted: map[string]string{"quota": "sum is over"},
-			Followers: []operator.Follower{{Process: "entry-2", Applied: 7, RenewedMs: 120}}}, nil
+			Followers: []operator.Follower{{
+				Process: "entry-2", AvailabilityZone: "zone-a", Version: 3, Applied: 7, Lease: true, RenewedMs: 120,
+			}},
+			Rollouts: []operator.Rollout{{Version: 4, Waiting: []string{"entry-2"}}}}, nil
 	}
 	cfg.Members = func(context.Context) ([]operator.Member, error) {
 		return []operator.Member{{Name: "entry-1", Identity: "a1", Role: "voter", Leader: true}}, nil
@@ -62,7 +65,8 @@
 		return nil
 	}
 	cfg.Timeline = func(_ context.Context, w io.Writer) error {
-		_, err := fmt.Fprintln(w, `{"kind":"key-granted"}`)
+		_, err := fmt.Fprintln(w, `{"stamp":"65536000","process":"entry-1","incarnation":"a","sequence":1,"kind":"key-granted"}
+{"stamp":"65601536","process":"entry-1","incarnation":"a","sequence":2,"kind":"request-rejected","request":"r1","text":"not-run"}`)
 		return err
 	}
 	return cfg
--- a/cmd/hibiscusroute/standin.go
+++ b/cmd/hibiscusroute/standin.go
@@ -25,10 +25,10 @@
 )
 
 type runStandin struct {
-	Instance string   `long:"instance" required:"true" description:"name of the instance in the configuration"`
-	Address  string   `long:"address" default:"127.0.0.1:0" description:"IP address and port that serve requests"`
-	Announce []string `long:"announce" required:"true" description:"endpoint address of a process, as host:port; repeatable"`
-	Size     int      `long:"size" default:"64" description:"bytes of an answer"`
+	Instance string   `long:"instance" env:"HIBISCUSROUTE_STANDIN_INSTANCE" required:"true" description:"name of the instance in the configuration"`
+	Address  string   `long:"address" env:"HIBISCUSROUTE_STANDIN_ADDRESS" default:"127.0.0.1:0" description:"IP address and port that serve requests"`
+	Announce []string `long:"announce" env:"HIBISCUSROUTE_STANDIN_ANNOUNCE" env-delim:"," required:"true" description:"endpoint address of a process, as host:port; repeatable"`
+	Size     int      `long:"size" env:"HIBISCUSROUTE_STANDIN_SIZE" default:"64" description:"bytes of an answer"`
 
 	app *app
 }
--- a/cmd/hibiscusroute/status.go
+++ b/cmd/hibiscusroute/status.go
@@ -1,15 +1,17 @@
 package main
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
 
 func init() {
 	register(command{
-		path: "status", short: "Print the state of the first process that answers",
+		path: "status", short: "Print the state of the first process that answers, and the fleet as the leader sees it",
 		build: func(a *app) flags.Commander { return &status{app: a} },
 	})
 }
@@ -25,26 +27,44 @@
 		return err
 	}
 	s, err := client.Status(c.app.ctx)
-	if err != nil {
-		return err
-	}
-	if c.app.JSON {
-		return c.app.printJSON(s)
+	if err != nil || c.app.JSON {
+		return c.app.jsonOr(s, err)
 	}
 	rows := [][]any{
-		{"process", s.Process}, {"availability zone", s.AvailabilityZone}, {"role", s.Role}, {"leader", s.Leader},
+		{"process", s.Process}, {"availability zone", s.AvailabilityZone}, {"role", s.Role}, {"leader", orDash(s.Leader)},
 		{"term", s.Term}, {"commit", s.Commit}, {"applied", s.Applied}, {"configuration version", s.Version},
 		{"lease held", s.Lease},
 	}
-	for _, plugin := range slices.Sorted(maps.Keys(s.Halted)) {
+	for _, plugin := range sortedKeys(s.Halted) {
 		rows = append(rows, []any{"halted " + plugin, s.Halted[plugin]})
 	}
-	if err := c.app.table(rows); err != nil || len(s.Followers) == 0 {
+	if s.FleetError != "" {
+		rows = append(rows, []any{"fleet", s.FleetError})
+	}
+	if err := c.app.table(rows); err != nil {
 		return err
 	}
-	rows = [][]any{{"FOLLOWER", "APPLIED", "RENEWED MS AGO"}}
-	for _, f := range s.Followers {
-		rows = append(rows, []any{f.Process, f.Applied, f.RenewedMs})
+	if len(s.Followers) > 0 {
+		rows = [][]any{{"PROCESS", "ZONE", "LEASE", "VERSION", "APPLIED", "RENEWED MS AGO"}}
+		for _, f := range s.Followers {
+			rows = append(rows, []any{f.Process, orDash(f.AvailabilityZone), f.Lease, f.Version, f.Applied, f.RenewedMs})
+		}
+		if err := c.app.table(rows); err != nil {
+			return err
+		}
+	}
+	if len(s.Rollouts) == 0 {
+		return nil
+	}
+	rows = [][]any{{"VERSION", "IN FORCE AFTER", "WAITING FOR"}}
+	for _, r := range s.Rollouts {
+		after := "-"
+		if r.InForceMs != nil {
+			after = fmt.Sprintf("%d ms", *r.InForceMs)
+		}
+		rows = append(rows, []any{r.Version, after, orDash(strings.Join(r.Waiting, ", "))})
 	}
 	return c.app.table(rows)
 }
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -32,10 +33,13 @@
 
 // reply writes the one answer of a request.
 type reply struct {
-	s    *Server
-	w    http.ResponseWriter
-	id   string // request identifier, empty before it is known
-	done bool
+	s  *Server
+	w  http.ResponseWriter
+	id string // request identifier, empty before it is known
+	// asked is the identifier as the caller sent it, unchecked and for the time line only.
+	asked string
+	team  string // empty before the key is checked
+	done  bool
 }
 
 // take claims the right to answer; a second answer is a violation and is suppressed.
@@ -53,6 +57,9 @@
 		return
 	}
 	rp.s.stat.rejection(reason, outcome)
+	rp.s.cfg.Record(Event{
+		Kind: "request-rejected", Request: cmp.Or(rp.id, rp.asked), Team: rp.team, Text: outcome + ", " + reason + ": " + message,
+	})
 	body, err := json.Marshal(Rejection{Outcome: outcome, Reason: reason, Message: message})
 	if err != nil {
 		rp.s.cfg.Log.Error(err, "encode rejection")
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -108,7 +108,7 @@
 	case q.team != "" && q.team != team:
 		return &refusal{http.StatusForbidden, "forbidden", "the team of the queue changed"}
 	}
-	q.team = team
+	q.team, q.rp.team = team, team
 	return nil
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -178,7 +178,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	rp := &reply{s: s, w: w}
+	rp := &reply{s: s, w: w, asked: r.Header.Get(headerRequestID)}
 	if !s.begin() {
 		rp.reject(http.StatusServiceUnavailable, outcomeNotRun, "overloaded", "too many requests in this process")
 		return
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -156,6 +156,7 @@
 			v.kernel.Observe(now, quota.Report{Holder: req.Id, Demands: req.Demands, Returned: req.Returned})
 			v.decideSoon = true
 		}
+		v.renewals[req.Id] = lastRenewal{version: req.Version, applied: req.Applied, at: now}
 		v.rollouts.applied(req.Id, req.Applied)
 		v.settleRollouts()
 		v.read(func(r raft.Read) {
@@ -175,7 +176,10 @@
 func (v *Voter) settleRollouts() {
 	for _, ro := range v.rollouts.settle(v.now(), v.members.Live) {
 		v.cfg.Log.Info("configuration is in force", "version", ro.version, "after", (ro.inForceAt - ro.acceptedAt).String())
-		v.cfg.Record(timeline.Event{Kind: "configuration-in-force", Version: ro.version})
+		v.cfg.Record(timeline.Event{
+			Kind: "configuration-in-force", Version: ro.version,
+			Text: "on each process, " + (ro.inForceAt - ro.acceptedAt).Round(time.Millisecond).String() + " after it was accepted",
+		})
 	}
 }
 
@@ -199,10 +203,29 @@
 		for plugin, err := range v.kernel.Halted() {
 			resp.Halted[plugin] = err.Error()
 		}
+		if v.leading {
+			resp.Processes = v.processes()
+		}
 		answer(resp, nil)
 	})
 }
 
+// processes describes the processes as this leader sees them, and forgets renewals of those that are gone.
+func (v *Voter) processes() []*controlpb.ProcessStatus {
+	var list []*controlpb.ProcessStatus
+	known := map[string]lastRenewal{}
+	for _, m := range v.members.Members() {
+		p := &controlpb.ProcessStatus{Id: m.Id, AvailabilityZone: m.AvailabilityZone, Renewed: -1, Expired: m.Expired}
+		if r, ok := v.renewals[m.Id]; ok {
+			known[m.Id] = r
+			p.Version, p.Applied, p.Renewed = r.version, r.applied, int64(v.now()-r.at)
+		}
+		list = append(list, p)
+	}
+	v.renewals = known
+	return list
+}
+
 // serveFollow streams the view: a snapshot unless the process can continue, then each update.
 func (v *Voter) serveFollow(ctx context.Context, _ string, s *peer.Stream) error {
 	req := &controlpb.FollowRequest{}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -84,12 +85,20 @@
 	nextRead   uint64
 	snapshotAt uint64
 	rollouts   rollouts
+	renewals   map[string]lastRenewal // soft state of the leader
 	members    *member.State
 	quotas     *quota.State
 	documents  *configuration.State
 	voters     *voter.State
 	setVoters  []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	failed     error
+	limits     map[string]time.Duration // when the last exhaustion of a team's limit was recorded
+}
+
+// lastRenewal is what a process reported when it last renewed its lease.
+type lastRenewal struct {
+	version, applied uint64
+	at               time.Duration
 }
 
 type pendingProposal struct {
@@ -235,7 +244,7 @@
 		v.leads.Store(false)
 		v.failPending()
 		v.cfg.Log.Info("stopped leading the control group", "term", v.leadTerm)
-		v.cfg.Record(timeline.Event{Kind: "leader-stopped", Version: v.leadTerm})
+		v.cfg.Record(timeline.Event{Kind: "leader-stopped", Text: fmt.Sprintf("term %d", v.leadTerm)})
 		if v.cfg.Lead != nil {
 			v.cfg.Lead(false)
 		}
@@ -246,11 +255,13 @@
 	v.leading, v.leadTerm = true, term
 	v.leads.Store(true)
 	v.rollouts.reset()
+	v.renewals = map[string]lastRenewal{}
+	v.limits = map[string]time.Duration{}
 	v.setVoters = nil
 	v.kernel.Lead(v.now())
 	v.decideSoon = true
 	v.cfg.Log.Info("started leading the control group", "term", term)
-	v.cfg.Record(timeline.Event{Kind: "leader-started", Version: term})
+	v.cfg.Record(timeline.Event{Kind: "leader-started", Text: fmt.Sprintf("term %d", term)})
 	if v.cfg.Lead != nil {
 		v.cfg.Lead(true)
 	}
@@ -375,6 +386,9 @@
 		if next := v.documents.Version(); next != version {
 			v.noteVersion(next, e.Index)
 		}
+		if v.leading && result.Err == nil {
+			v.recordCommand(c)
+		}
 		v.decideSoon = true
 	} else {
 		v.kernel.Skip(e.Index)
@@ -397,8 +411,8 @@
 }
 
 func (v *Voter) noteVersion(version, index uint64) {
-	v.cfg.Record(timeline.Event{Kind: "configuration-applied", Version: version})
 	if v.leading {
+		v.cfg.Record(timeline.Event{Kind: "configuration-accepted", Version: version})
 		v.rollouts.accepted(version, index, v.now(), v.members.LiveIDs())
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -274,7 +274,11 @@
 func (f *Follower) request() *controlpb.RenewRequest {
 	demands, returned := f.holder.Report(f.full)
 	f.full = false
-	return &controlpb.RenewRequest{Id: f.id, Applied: f.kernel.Applied(), Demands: demands, Returned: returned}
+	req := &controlpb.RenewRequest{Id: f.id, Applied: f.kernel.Applied(), Demands: demands, Returned: returned}
+	if v := f.view.Load(); v != nil {
+		req.Version = v.Version()
+	}
+	return req
 }
 
 func (f *Follower) renew(ctx context.Context, req *controlpb.RenewRequest, out chan<- renewal) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 	exchange  *exchange
 	platform  *platformDriver
 	timeline  *timeline.Recorder
+	// requests holds the events of requests apart, so that a burst of rejections doesn't overwrite decisions of control.
+	requests *timeline.Recorder
 }
 
 type listeners struct{ caller, endpoint, operator, peer net.Listener }
@@ -81,9 +83,12 @@
 // New opens the listeners and the data directory of a process.
 func New(cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, metrics: metrics.NewSet()}
-	n.timeline = timeline.New(timeline.Config{
+	events := timeline.Config{
 		Process: cfg.Process.Name, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), Now: time.Now,
-	})
+	}
+	n.timeline = timeline.New(events)
+	events.Incarnation += ".requests"
+	n.requests = timeline.New(events)
 	if err := n.build(); err != nil {
 		n.close()
 		return nil, err
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -14,6 +14,10 @@
 // inForcePoll is the time between looks at the rollout of a version.
 const inForcePoll = 50 * time.Millisecond
 
+// fleetTimeout bounds the wait for the leader's part of a status, which matters most while there is no leader. It is
+// longer than a fail-over.
+const fleetTimeout = 3 * time.Second
+
 func (n *Node) buildOperator() error {
 	var err error
 	n.operator, err = operator.New(operator.Config{
@@ -57,12 +61,19 @@
 	if v := n.follower.Last(); v != nil {
 		s.Version, s.Applied = v.Version(), v.Index()
 	}
-	if n.voter == nil {
-		return s, nil
+	if n.voter != nil {
+		if err := n.voterStatus(ctx, &s); err != nil {
+			return s, err
+		}
 	}
+	n.fleetStatus(ctx, &s)
+	return s, nil
+}
+
+func (n *Node) voterStatus(ctx context.Context, s *operator.Status) error {
 	st, err := n.voter.Status(ctx)
 	if err != nil {
-		return s, err
+		return err
 	}
 	s.Role, s.Term, s.Commit, s.Applied, s.Halted = st.Role, st.Term, st.Commit, st.Applied, st.Halted
 	for _, m := range st.Voters {
@@ -70,7 +81,43 @@
 			s.Leader = m.Member.Name
 		}
 	}
-	return s, nil
+	return nil
+}
+
+// fleetStatus adds what the leader knows. A process that can't reach the leader still describes itself.
+func (n *Node) fleetStatus(ctx context.Context, s *operator.Status) {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	st, err := n.client.Status(ctx)
+	if err != nil {
+		s.FleetError = "the leader didn't answer: " + err.Error()
+		return
+	}
+	s.Leader, s.Term = st.Name, st.Term
+	for plugin, text := range st.Halted {
+		if s.Halted == nil {
+			s.Halted = map[string]string{}
+		}
+		s.Halted[plugin] = text
+	}
+	for _, p := range st.Processes {
+		f := operator.Follower{
+			Process: p.Id, AvailabilityZone: p.AvailabilityZone, Version: p.Version, Applied: p.Applied, Lease: !p.Expired,
+			RenewedMs: -1,
+		}
+		if p.Renewed >= 0 {
+			f.RenewedMs = time.Duration(p.Renewed).Milliseconds()
+		}
+		s.Followers = append(s.Followers, f)
+	}
+	for _, r := range st.Rollouts {
+		item := operator.Rollout{Version: r.Version, AcceptedAt: time.Unix(0, r.AcceptedAt).UTC(), Waiting: r.Waiting}
+		if r.InForceAfter > 0 {
+			ms := time.Duration(r.InForceAfter).Milliseconds()
+			item.InForceMs = &ms
+		}
+		s.Rollouts = append(s.Rollouts, item)
+	}
 }
 
 func (n *Node) controlGroup(ctx context.Context) ([]operator.Member, error) {
@@ -103,5 +150,5 @@
 
 // dumpTimeline writes the events of this process.
 func (n *Node) dumpTimeline(_ context.Context, w io.Writer) error {
-	return timeline.Encode(w, n.timeline.Dump())
+	return timeline.Encode(w, append(n.timeline.Dump(), n.requests.Dump()...))
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -30,7 +30,7 @@
 		TryAcquire: acquire, SetDemand: holder.SetDemand, Changed: holder.Changed, Claim: n.claim,
 		SubmitJob: jobs.Submit, GetJob: jobs.Get, CancelJob: jobs.Cancel,
 		Record: func(e caller.Event) {
-			n.timeline.Record(timeline.Event{
+			n.requests.Record(timeline.Event{
 				Kind: e.Kind, Request: e.Request, Instance: e.Instance, Team: e.Team, Text: e.Text,
 			})
 		},
--- a/internal/operator/endpoint.go
+++ b/internal/operator/endpoint.go
@@ -67,10 +67,10 @@
 	return r, nil
 }
 
-func (s *Server) query(ctx context.Context, plugin string) ([]byte, error) {
+func (s *Server) query(ctx context.Context, plugin string, req []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.ProposeTimeout)
 	defer cancel()
-	body, err := s.cfg.Query(ctx, plugin, nil)
+	body, err := s.cfg.Query(ctx, plugin, req)
 	if err != nil {
 		return nil, unavailable(plugin, err)
 	}
@@ -78,7 +78,7 @@
 }
 
 func (s *Server) configuration(ctx context.Context, _ any) (any, error) {
-	body, err := s.query(ctx, configuration.Name)
+	body, err := s.query(ctx, configuration.Name, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +126,7 @@
 		e.Faults = parseFaults(e.Message)
 		e.Message = "the configuration has faults"
 	case KindConflict:
-		body, err := s.query(ctx, configuration.Name)
+		body, err := s.query(ctx, configuration.Name, nil)
 		if err != nil {
 			s.cfg.Log.Error(err, "newest version is missing from the answer to a conflict")
 			return e
@@ -158,7 +158,7 @@
 }
 
 func (s *Server) keys(ctx context.Context, _ any) (any, error) {
-	body, err := s.query(ctx, key.Name)
+	body, err := s.query(ctx, key.Name, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -44,7 +44,7 @@
 	RevokedAt *time.Time `json:"revoked-at,omitempty"`
 }
 
-// Status describes one process and, on the leader, the processes that follow it.
+// Status describes one process, and the fleet as the leader sees it.
 type Status struct {
 	Process          string `json:"process"`
 	AvailabilityZone string `json:"availability-zone"`
@@ -61,15 +61,25 @@
 	Lease bool `json:"lease"`
 	// Halted lists violated invariants by plug-in.
 	Halted map[string]string `json:"halted,omitempty"`
-	// Followers lists the processes that renew their lease at this process.
+	// FleetError says why the fields below are missing: the leader didn't answer.
+	FleetError string `json:"fleet-error,omitempty"`
+	// Followers lists the processes that renew their lease at the leader.
 	Followers []Follower `json:"followers,omitempty"`
+	// Rollouts lists the versions that were accepted since the leader began to lead, oldest first.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 }
 
 // Follower is a process as the leader sees it.
 type Follower struct {
 	Process string `json:"process"`
+	// AvailabilityZone is where the process runs.
+	AvailabilityZone string `json:"availability-zone,omitempty"`
+	// Version and Applied are what the process had applied at its last renewal.
+	Version uint64 `json:"version"`
 	Applied uint64 `json:"applied"`
-	// RenewedMs is the age in milliseconds of the last renewal.
+	// Lease is false once the leader counts the lease as ended.
+	Lease bool `json:"lease"`
+	// RenewedMs is the age in milliseconds of the last renewal, -1 when this leader has not seen one.
 	RenewedMs int64 `json:"renewed-ms"`
 }
 
--- a/internal/quota/state.go
+++ b/internal/quota/state.go
@@ -83,7 +83,7 @@
 	return kernel.Plugin{
 		View:     true,
 		Apply:    s.apply,
-		Query:    func([]byte) ([]byte, error) { return s.encode() },
+		Query:    func([]byte) ([]byte, error) { return s.query() },
 		Changes:  s.changes,
 		Merge:    s.merge,
 		Observe:  s.observe,
@@ -271,6 +271,19 @@
 }
 
 func (s *State) encode() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s.message())
+}
+
+func (s *State) query() ([]byte, error) {
+	s.refresh()
+	m := s.message()
+	for _, name := range slices.Sorted(maps.Keys(s.capacities)) {
+		m.Capacities = append(m.Capacities, &quotapb.Reservation{Resource: name, Units: s.capacities[name]})
+	}
+	return proto.Marshal(m)
+}
+
+func (s *State) message() *quotapb.State {
 	m := &quotapb.State{}
 	for _, name := range slices.Sorted(maps.Keys(s.resources)) {
 		r := s.resources[name]
@@ -281,7 +294,7 @@
 			m.Reservations = append(m.Reservations, &quotapb.Reservation{Resource: name, Units: r.reserved})
 		}
 	}
-	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	return m
 }
 
 func (r *resource) change(name, holder string) *quotapb.Change {
@@ -318,10 +331,33 @@
 	holders  map[string]uint64
 }
 
+// Usage returns one resource with its holders.
+func (s *State) Usage(name string) Usage {
+	u := Usage{resource: name, capacity: s.Capacity(name), holders: map[string]uint64{}}
+	if r, ok := s.resources[name]; ok {
+		u.reserved = r.reserved
+		for holder, a := range r.allocations {
+			if a.units() > 0 {
+				u.holders[holder] = a.units()
+			}
+		}
+	}
+	return u
+}
+
+// Used returns the units that are allocated or that running jobs use.
+func (u Usage) Used() uint64 {
+	used := u.reserved
+	for _, units := range u.holders {
+		used += units
+	}
+	return used
+}
+
 // Resource returns the name of the resource.
 func (u Usage) Resource() string { return u.resource }
 
-// Capacity returns the configured units; it is known on the leader only.
+// Capacity returns the configured units.
 func (u Usage) Capacity() uint64 { return u.capacity }
 
 // Reserved returns the units that running jobs use.
@@ -351,6 +387,9 @@
 	for _, rv := range m.Reservations {
 		get(rv.Resource).reserved = rv.Units
 	}
+	for _, c := range m.Capacities {
+		get(c.Resource).capacity = c.Units
+	}
 	var list []Usage
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		list = append(list, *byName[name])
