--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -57,19 +57,26 @@
 	View    func() (*view.View, error)
 	Propose func(ctx context.Context, c kernel.Command) (kernel.Result, error)
 	Query   func(ctx context.Context, plugin string, req []byte) ([]byte, error)
+	// Record adds to the time line; it may be nil.
+	Record func(e Event)
 }
 
 // Jobs serves the job paths.
 type Jobs struct{ cfg JobConfig }
 
 // NewJobs builds the handlers of the job paths.
-func NewJobs(cfg JobConfig) *Jobs { return &Jobs{cfg: cfg} }
+func NewJobs(cfg JobConfig) *Jobs {
+	if cfg.Record == nil {
+		cfg.Record = func(Event) {}
+	}
+	return &Jobs{cfg: cfg}
+}
 
 // Submit accepts a job durably and answers with its state; a resent job gets the state of the first one.
 func (j *Jobs) Submit(w http.ResponseWriter, r *http.Request) {
 	v, err := j.cfg.View()
 	if err != nil {
-		writeRejection(w, http.StatusServiceUnavailable, Rejection{outcomeNotRun, "no-lease", err.Error()})
+		j.reject(w, r, http.StatusServiceUnavailable, Rejection{outcomeNotRun, "no-lease", err.Error()})
 		return
 	}
 	req, err := decodeJob(w, r)
@@ -78,27 +85,28 @@
 		if errors.As(err, new(*http.MaxBytesError)) {
 			status = http.StatusRequestEntityTooLarge
 		}
-		writeRejection(w, status, Rejection{outcomeNotRun, "malformed", err.Error()})
+		j.reject(w, r, status, Rejection{outcomeNotRun, "malformed", err.Error()})
 		return
 	}
+	r.SetPathValue("id", req.ID)
 	queue, ok := v.Queue(req.Queue)
 	if !ok {
-		writeRejection(w, http.StatusNotFound, Rejection{outcomeNotRun, "unknown-queue", "no queue " + req.Queue})
+		j.reject(w, r, http.StatusNotFound, Rejection{outcomeNotRun, "unknown-queue", "no queue " + req.Queue})
 		return
 	}
 	team, err := v.Authorize(queue, presentedKey(r))
 	if err != nil {
-		writeRejection(w, authorizationStatus(err), Rejection{outcomeNotRun, "unauthorized", err.Error()})
+		j.reject(w, r, authorizationStatus(err), Rejection{outcomeNotRun, "unauthorized", err.Error()})
 		return
 	}
 	m, err := req.message(team)
 	if err != nil {
-		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		j.reject(w, r, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
 		return
 	}
 	c, err := job.SubmitCommand("", m)
 	if err != nil {
-		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		j.reject(w, r, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
 		return
 	}
 	j.change(w, r, c, http.StatusAccepted)
@@ -112,14 +120,14 @@
 	}
 	q, err := job.Query(team, r.PathValue("id"))
 	if err != nil {
-		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		j.reject(w, r, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), jobTimeout)
 	defer cancel()
 	body, err := j.cfg.Query(ctx, job.Name, q)
 	if err != nil {
-		writeRejection(w, jobStatusCode(err), Rejection{outcomeNotRun, "query-failed", err.Error()})
+		j.reject(w, r, jobStatusCode(err), Rejection{outcomeNotRun, "query-failed", err.Error()})
 		return
 	}
 	writeJob(w, http.StatusOK, body)
@@ -133,7 +141,7 @@
 	}
 	c, err := job.CancelCommand("", team, r.PathValue("id"))
 	if err != nil {
-		writeRejection(w, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
+		j.reject(w, r, http.StatusBadRequest, Rejection{outcomeNotRun, "malformed", err.Error()})
 		return
 	}
 	j.change(w, r, c, http.StatusOK)
@@ -142,12 +150,12 @@
 func (j *Jobs) team(w http.ResponseWriter, r *http.Request) (string, bool) {
 	v, err := j.cfg.View()
 	if err != nil {
-		writeRejection(w, http.StatusServiceUnavailable, Rejection{outcomeNotRun, "no-lease", err.Error()})
+		j.reject(w, r, http.StatusServiceUnavailable, Rejection{outcomeNotRun, "no-lease", err.Error()})
 		return "", false
 	}
 	team, err := v.Authenticate(presentedKey(r))
 	if err != nil {
-		writeRejection(w, authorizationStatus(err), Rejection{outcomeNotRun, "unauthorized", err.Error()})
+		j.reject(w, r, authorizationStatus(err), Rejection{outcomeNotRun, "unauthorized", err.Error()})
 		return "", false
 	}
 	return team, true
@@ -160,13 +168,13 @@
 	defer cancel()
 	res, err := j.cfg.Propose(ctx, c)
 	if err != nil {
-		writeRejection(w, http.StatusGatewayTimeout, Rejection{
+		j.reject(w, r, http.StatusGatewayTimeout, Rejection{
 			outcomeUnknown, "outcome-unknown", "the control group did not answer; send the same job again: " + err.Error(),
 		})
 		return
 	}
 	if res.Err != nil {
-		writeRejection(w, jobStatusCode(res.Err), Rejection{outcomeNotRun, "rejected", res.Err.Error()})
+		j.reject(w, r, jobStatusCode(res.Err), Rejection{outcomeNotRun, "rejected", res.Err.Error()})
 		return
 	}
 	writeJob(w, status, res.Body)
@@ -240,6 +248,14 @@
 	})
 }
 
+// reject answers and records the rejection; its request is the job's identifier.
+func (j *Jobs) reject(w http.ResponseWriter, r *http.Request, status int, rj Rejection) {
+	j.cfg.Record(Event{
+		Kind: "request-rejected", Request: r.PathValue("id"), Text: rj.Outcome + ", " + rj.Reason + ": " + rj.Message,
+	})
+	writeRejection(w, status, rj)
+}
+
 func writeRejection(w http.ResponseWriter, status int, r Rejection) {
 	w.Header().Set(headerOutcome, r.Outcome)
 	writeJSON(w, status, r)
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -24,16 +24,20 @@
 	n.exchange = newExchange(n)
 	n.transport.Handle(announcementsKind, n.exchange.serve)
 	dispatcher := endpoint.NewDispatcher(endpoint.DispatcherConfig{})
-	jobs := caller.NewJobs(caller.JobConfig{View: n.follower.View, Propose: n.client.Propose, Query: n.client.Query})
+	jobs := caller.NewJobs(caller.JobConfig{
+		View: n.follower.View, Propose: n.client.Propose, Query: n.client.Query, Record: n.recordRequest,
+	})
 	n.caller = caller.New(caller.Config{
 		View: n.follower.View, Registry: n.registry, Dispatcher: dispatcher,
 		TryAcquire: acquire, SetDemand: holder.SetDemand, Changed: holder.Changed, Claim: n.claim,
 		SubmitJob: jobs.Submit, GetJob: jobs.Get, CancelJob: jobs.Cancel,
-		Record: func(e caller.Event) {
-			n.requests.Record(timeline.Event{
-				Kind: e.Kind, Request: e.Request, Instance: e.Instance, Team: e.Team, Text: e.Text,
-			})
-		},
+		Record:    n.recordRequest,
 		StopDelay: n.cfg.Process.ShutdownWait, Metrics: n.metrics, Log: n.cfg.Log,
 	})
 }
+
+func (n *Node) recordRequest(e caller.Event) {
+	n.requests.Record(timeline.Event{
+		Kind: e.Kind, Request: e.Request, Instance: e.Instance, Team: e.Team, Text: e.Text,
+	})
+}
