Keep entry processes from taking a merged move for a violated invariant

The check of the pool plug-in compares each step with the state at the last check. An entry process merges several steps between two checks, so every process but the leader halted the plug-in after the first move. Violations on entry processes now count in the metric too.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,7 +45,9 @@
 	Open             func(ctx context.Context, address, kind string) (*peer.Stream, error)
 	// Record adds an event to the time line; it may be nil.
 	Record func(e timeline.Event)
-	Log    logr.Logger
+	// Violation is called with each violated invariant; it may be nil.
+	Violation func(plugin string, err error)
+	Log       logr.Logger
 }
 
 // Follower keeps the view of one process fresh.
@@ -138,7 +140,7 @@
 }
 
 func (f *Follower) resetKernel() error {
-	k, err := kernel.New(kernel.Config{ViewOnly: true, Log: f.cfg.Log})
+	k, err := kernel.New(kernel.Config{ViewOnly: true, Violation: f.cfg.Violation, Log: f.cfg.Log})
 	if err != nil {
 		return err
 	}
--- a/internal/kernel/kerneltest/run.go
+++ b/internal/kernel/kerneltest/run.go
@@ -73,7 +73,10 @@
 // Replicate makes another kernel apply every command from now on; with viewOnly it is that of an entry process.
 func (r *Run) Replicate(viewOnly bool) *kernel.Kernel {
 	r.tb.Helper()
-	k, err := kernel.New(kernel.Config{ViewOnly: viewOnly, Log: logr.Discard()})
+	k, err := kernel.New(kernel.Config{
+		ViewOnly: viewOnly, Log: logr.Discard(),
+		Violation: func(plugin string, err error) { r.tb.Fatalf("invariant of plug-in %s of a replica: %v", plugin, err) },
+	})
 	if err != nil {
 		r.tb.Fatalf("build replica: %v", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,9 +170,7 @@
 			Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Store: n.store,
 			Persisted: persisted, Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.timeline.Record, Log: n.cfg.Log,
 			Act: n.act, Lead: n.lead,
-			Violation: func(plugin string, _ error) {
-				n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
-			},
+			Violation: n.violation,
 		})
 		if err != nil {
 			return err
@@ -184,11 +182,15 @@
 	n.client = follower.NewClient(follower.ClientConfig{Voters: voters, Call: n.transport.Call})
 	n.follower, err = follower.New(follower.Config{
 		Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Client: n.client,
-		Open: n.transport.Open, Record: n.timeline.Record, Log: n.cfg.Log,
+		Open: n.transport.Open, Record: n.timeline.Record, Violation: n.violation, Log: n.cfg.Log,
 	})
 	return err
 }
 
+func (n *Node) violation(plugin string, _ error) {
+	n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
+}
+
 func (n *Node) act(actions []kernel.Action) {
 	if n.platform != nil {
 		n.platform.act(actions)
--- a/internal/pool/changes.go
+++ b/internal/pool/changes.go
@@ -61,5 +61,8 @@
 	}
 	s.lastEpoch = m.LastEpoch
 	s.changed++
+	// Several steps may have been merged since the last check, so the next one has no state to compare with. The leader
+	// and the voters check each step.
+	s.checked = checked{}
 	return nil
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -237,3 +237,18 @@
 		})
 	}
 }
+
+// Guards against an entry process that takes a move, whose steps it merges together, for a violated invariant.
+func TestMoveHaltsNoEntryProcess(t *testing.T) {
+	r := start(t)
+	entry := r.Replicate(true)
+	for _, to := range []string{"pool-1", "pool-0"} {
+		r.Must(pool.MoveCommand("to-"+to, "worker-0000", to))
+		r.Advance(time.Minute)
+		assert.Equal(t, place(r, "worker-0000"), to+" admitted")
+		// An entry process checks its invariants when it applies a command, as it does with a new configuration.
+		r.Configure(shape.Configuration())
+	}
+	r.Same(entry, true)
+	assert.Equal(t, len(entry.Halted()), 0)
+}
