--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,7 +45,9 @@
 	Open             func(ctx context.Context, address, kind string) (*peer.Stream, error)
 	// Record adds an event to the time line; it may be nil.
 	Record func(e timeline.Event)
-	Log    logr.Logger
+	// Violation is called with each violated invariant; it may be nil.
+	Violation func(plugin string, err error)
+	Log       logr.Logger
 }
 
 // Follower keeps the view of one process fresh.
@@ -148,7 +150,7 @@
 // resetKernel starts over from an empty state, whose next view is built anew.
 func (f *Follower) resetKernel() error {
 	f.shown = shown{}
-	k, err := kernel.New(kernel.Config{ViewOnly: true, Log: f.cfg.Log})
+	k, err := kernel.New(kernel.Config{ViewOnly: true, Violation: f.cfg.Violation, Log: f.cfg.Log})
 	if err != nil {
 		return err
 	}
@@ -284,7 +286,11 @@
 func (f *Follower) request() *controlpb.RenewRequest {
 	demands, returned := f.holder.Report(f.full)
 	f.full = false
-	return &controlpb.RenewRequest{Id: f.id, Applied: f.kernel.Applied(), Demands: demands, Returned: returned}
+	req := &controlpb.RenewRequest{Id: f.id, Applied: f.kernel.Applied(), Demands: demands, Returned: returned}
+	if v := f.view.Load(); v != nil {
+		req.Version = v.Version()
+	}
+	return req
 }
 
 func (f *Follower) renew(ctx context.Context, req *controlpb.RenewRequest, out chan<- renewal) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,8 @@
 	exchange  *exchange
 	platform  *platformDriver
 	timeline  *timeline.Recorder
+	// requests holds the events of requests apart, so that a burst of rejections doesn't overwrite decisions of control.
+	requests *timeline.Recorder
 }
 
 type listeners struct{ caller, endpoint, operator, peer net.Listener }
@@ -83,9 +85,12 @@
 // New opens the listeners and the data directory of a process.
 func New(cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, metrics: metrics.NewSet()}
-	n.timeline = timeline.New(timeline.Config{
+	events := timeline.Config{
 		Process: cfg.Process.Name, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), Now: time.Now,
-	})
+	}
+	n.timeline = timeline.New(events)
+	events.Incarnation += ".requests"
+	n.requests = timeline.New(events)
 	if err := n.build(); err != nil {
 		n.close()
 		return nil, err
@@ -168,9 +173,7 @@
 			Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Store: n.store,
 			Persisted: persisted, Transport: n.transport, Bootstrap: p.Bootstrap, Record: n.timeline.Record, Log: n.cfg.Log,
 			Act: n.act, Lead: n.lead,
-			Violation: func(plugin string, _ error) {
-				n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
-			},
+			Violation: n.violation,
 		})
 		if err != nil {
 			return err
@@ -182,11 +185,15 @@
 	n.client = follower.NewClient(follower.ClientConfig{Voters: voters, Call: n.transport.Call})
 	n.follower, err = follower.New(follower.Config{
 		Name: p.Name, PeerAddress: address, AvailabilityZone: p.AvailabilityZone, Client: n.client,
-		Open: n.transport.Open, Record: n.timeline.Record, Log: n.cfg.Log,
+		Open: n.transport.Open, Record: n.timeline.Record, Violation: n.violation, Log: n.cfg.Log,
 	})
 	return err
 }
 
+func (n *Node) violation(plugin string, _ error) {
+	n.metrics.GetOrCreateCounter(`hibiscusroute_invariant_violations_total{plugin="` + plugin + `"}`).Inc()
+}
+
 func (n *Node) act(actions []kernel.Action) {
 	if n.platform != nil {
 		n.platform.act(actions)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -81,13 +81,18 @@
 
 // eventually waits for a condition that needs elections or leases.
 func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	waitWithin(t, 20*time.Second, what, f)
+}
+
+func waitWithin(t *testing.T, limit time.Duration, what string, f func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if f() {
 			return poll.Success()
 		}
 		return poll.Continue("waiting: %s", what)
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	}, poll.WithTimeout(limit), poll.WithDelay(20*time.Millisecond))
 }
 
 func (n *testNode) leased() bool { return n.follower.Leased() }
