Evict idle connections without the transport

CloseIdleConnections of http.Transport closes a connection whose bodiless response was read but not yet handed over, which made TestConnectionsAreBounded fail now and then: an idempotent request ended with an error although the endpoint had answered it.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -163,7 +163,8 @@
 	case q.stream != nil:
 		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(q.body), q.stream))
 	case q.length > 0:
-		out.Body = io.NopCloser(bytes.NewReader(q.body))
+		out.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(q.body)), nil }
+		out.Body, _ = out.GetBody() // can't fail
 	}
 	return out, nil
 }
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,14 +40,56 @@
 // conn is a connection to an endpoint that belongs to one attempt at a time.
 type conn struct {
 	net.Conn
-	attempt atomic.Pointer[Attempt]
-	once    sync.Once
-	closed  func()
+	link *link
+	once sync.Once
+
+	mu      sync.Mutex
+	attempt *Attempt // the current or last one
+	busy    bool
+	evicted bool
+}
+
+// take assigns the connection to an attempt; it is false when the connection was evicted.
+func (c *conn) take(a *Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return false
+	}
+	c.attempt, c.busy = a, true
+	return true
+}
+
+// rest marks the connection as idle, unless the transport gave it to another attempt meanwhile.
+func (c *conn) rest(a *Attempt) {
+	c.mu.Lock()
+	idle := c.attempt == a
+	if idle {
+		c.busy = false
+	}
+	c.mu.Unlock()
+	if idle {
+		c.link.signal()
+	}
+}
+
+// evict closes the connection if it is idle.
+func (c *conn) evict() {
+	c.mu.Lock()
+	idle := !c.busy && !c.evicted
+	c.evicted = c.evicted || idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close() // no request is on it
+	}
 }
 
 // Write refuses bytes unless the connection belongs to an attempt that may write.
 func (c *conn) Write(p []byte) (int, error) {
-	if a := c.attempt.Load(); a == nil || !a.write() {
+	c.mu.Lock()
+	a, evicted := c.attempt, c.evicted
+	c.mu.Unlock()
+	if evicted || a == nil || !a.write() {
 		return 0, errorx.IllegalState.New("write after the attempt was given up")
 	}
 	return c.Conn.Write(p)
@@ -54,7 +98,7 @@
 // Close closes the connection and gives its place free.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(c.closed)
+	c.once.Do(func() { c.link.remove(c) })
 	return err
 }
 
@@ -68,11 +112,12 @@
 	mu    sync.Mutex
 	limit int
 	open  int
-	freed chan struct{}
+	conns map[*conn]struct{}
+	freed chan struct{} // closed when a connection was closed or became idle
 }
 
 func newLink(cfg DispatcherConfig, address string, limit int) *link {
-	l := &link{address: address, limit: limit, freed: make(chan struct{})}
+	l := &link{address: address, limit: limit, conns: map[*conn]struct{}{}, freed: make(chan struct{})}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return l.dial(ctx, cfg, network, address)
 	}
@@ -99,7 +144,7 @@
 		}
 		freed := l.freed
 		l.mu.Unlock()
-		l.pooled.CloseIdleConnections()
+		l.evictIdle()
 		select {
 		case <-freed:
 		case <-ctx.Done():
@@ -108,16 +153,39 @@
 	}
 	c, err := cfg.Dial(ctx, network, address)
 	if err != nil {
-		l.free()
+		l.remove(nil)
 		return nil, err
 	}
-	return &conn{Conn: c, closed: l.free}, nil
+	made := &conn{Conn: c, link: l}
+	l.mu.Lock()
+	l.conns[made] = struct{}{}
+	l.mu.Unlock()
+	return made, nil
 }
 
-func (l *link) free() {
+// evictIdle closes the idle connections. CloseIdleConnections of the transport is of no use here: it also closes a
+// connection whose response without a body was read but not yet handed over, and the response is lost.
+func (l *link) evictIdle() {
+	l.mu.Lock()
+	list := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range list {
+		c.evict()
+	}
+}
+
+// remove gives the place of a connection free; nil stands for one that was not made.
+func (l *link) remove(c *conn) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.open--
+	delete(l.conns, c)
+	l.mu.Unlock()
+	l.signal()
+}
+
+func (l *link) signal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	close(l.freed)
 	l.freed = make(chan struct{})
 }
--- a/internal/endpoint/dispatch.go
+++ b/internal/endpoint/dispatch.go
@@ -81,13 +81,13 @@
 	l := d.links[t.instance]
 	if l == nil || l.address != t.address || l.limit != t.connections {
 		if l != nil {
-			l.pooled.CloseIdleConnections()
+			l.evictIdle()
 		}
 		l = newLink(d.cfg, t.address, t.connections)
 		d.links[t.instance] = l
 		for name, old := range d.links {
 			if old != l && now.Sub(old.used) > linkRetention {
-				old.pooled.CloseIdleConnections()
+				old.evictIdle()
 				delete(d.links, name)
 			}
 		}
@@ -101,7 +101,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range d.links {
-		l.pooled.CloseIdleConnections()
+		l.evictIdle()
 	}
 }
 
@@ -124,28 +124,49 @@
 func (d *Dispatcher) DoAttempt(
 	ctx context.Context, a *Attempt, t *Target, req *http.Request,
 ) (*http.Response, SendState, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.attempt.Store(a)
-		}
-	}}
 	l := d.link(t)
 	transport := l.dedicated
 	if ctx.Value(idempotentKey{}) != nil {
 		transport = l.pooled
 	}
-	req = req.Clone(httptrace.WithClientTrace(ctx, trace))
-	req.URL.Scheme, req.URL.Host = "http", l.address
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
+	for {
+		var last *conn
+		evicted := false
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+			last, _ = info.Conn.(*conn)
+			evicted = last == nil || !last.take(a)
+		}}
+		out := req.Clone(httptrace.WithClientTrace(ctx, trace))
+		out.URL.Scheme, out.URL.Host = "http", l.address
+		resp, err := transport.RoundTrip(out)
+		if err == nil {
+			err = checkFraming(resp)
+			if err == nil {
+				resp.Body = &wholeBody{body: resp.Body, rest: func() { last.rest(a) }}
+				return resp, MaybeSent, nil
+			}
+			_ = resp.Body.Close() // the response is unusable anyway
+			return nil, MaybeSent, errorx.Decorate(err, "response of instance %s", t.instance)
+		}
+		// A connection that was evicted when the transport handed it out says nothing about the endpoint.
+		if evicted && ctx.Err() == nil && a.state.Load() == attemptOpen && rewind(req) {
+			continue
+		}
 		return nil, a.Seal(), errorx.Decorate(err, "send to instance %s", t.instance)
 	}
-	if err := checkFraming(resp); err != nil {
-		_ = resp.Body.Close() // the response is unusable anyway
-		return nil, MaybeSent, errorx.Decorate(err, "response of instance %s", t.instance)
+}
+
+// rewind makes the body of a request readable from its start again, if it can.
+func rewind(req *http.Request) bool {
+	if req.Body == nil || req.Body == http.NoBody {
+		return true
+	}
+	if req.GetBody == nil {
+		return false
 	}
-	resp.Body = &wholeBody{body: resp.Body}
-	return resp, MaybeSent, nil
+	body, err := req.GetBody()
+	req.Body = body
+	return err == nil
 }
 
 // checkFraming refuses a response whose end can't be told from a broken connection, and a change of protocol.
@@ -163,7 +184,10 @@
 }
 
 // wholeBody reports a response that ends early as truncated.
-type wholeBody struct{ body io.ReadCloser }
+type wholeBody struct {
+	body io.ReadCloser
+	rest func()
+}
 
 // Read reads from the response.
 func (b *wholeBody) Read(p []byte) (int, error) {
@@ -174,5 +198,9 @@
 	return n, err
 }
 
-// Close closes the response.
-func (b *wholeBody) Close() error { return b.body.Close() }
+// Close closes the response and lets its connection rest.
+func (b *wholeBody) Close() error {
+	err := b.body.Close()
+	b.rest()
+	return err
+}
