--- a/internal/endpoint/dispatch.go
+++ b/internal/endpoint/dispatch.go
@@ -96,12 +96,13 @@
 	return l
 }
 
-// Close closes the idle connections.
+// Close closes the connections; it is called after the last request ended.
 func (d *Dispatcher) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range d.links {
 		l.evictIdle()
+		l.pooled.CloseIdleConnections() // gives up dials that no request waits for any more
 	}
 }
 
