--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -18,7 +18,38 @@
 // longer than a fail-over.
 const fleetTimeout = 3 * time.Second
 
+// registerMetrics exports the state of the control link.
+func (n *Node) registerMetrics() {
+	number := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	for name, f := range map[string]func() float64{
+		"hibiscusroute_lease":   func() float64 { return number(n.follower.Leased()) },
+		"hibiscusroute_leading": func() float64 { return number(n.voter != nil && n.voter.Leading()) },
+		"hibiscusroute_configuration_version": func() float64 {
+			if v := n.follower.Last(); v != nil {
+				return float64(v.Version())
+			}
+			return 0
+		},
+		"hibiscusroute_peer_sent_bytes": func() float64 {
+			sent, _ := n.transport.Bytes()
+			return float64(sent)
+		},
+		"hibiscusroute_peer_received_bytes": func() float64 {
+			_, received := n.transport.Bytes()
+			return float64(received)
+		},
+	} {
+		n.metrics.GetOrCreateGauge(name, f)
+	}
+}
+
 func (n *Node) buildOperator() error {
+	n.registerMetrics()
 	var err error
 	n.operator, err = operator.New(operator.Config{
 		Propose: n.client.Propose, Query: n.client.Query, InForce: n.inForce, Status: n.status,
