--- a/internal/node/metric.go
+++ b/internal/node/metric.go
@@ -6,7 +6,7 @@
 // costs it.
 func (n *Node) registerMetrics() {
 	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
-	gauge("hibiscusroute_lease_held", func() float64 {
+	gauge("hibiscusroute_lease", func() float64 {
 		if n.follower.Leased() {
 			return 1
 		}
@@ -23,15 +23,15 @@
 		_, received := n.transport.Bytes()
 		return float64(received)
 	})
-	if n.voter == nil {
-		return
-	}
 	gauge("hibiscusroute_leading", func() float64 {
-		if n.voter.Leading() {
+		if n.voter != nil && n.voter.Leading() {
 			return 1
 		}
 		return 0
 	})
+	if n.voter == nil {
+		return
+	}
 	gauge("hibiscusroute_claims_held", func() float64 { return float64(n.keeper.Stats().Claims) })
 }
 
