--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -165,7 +165,7 @@
 	assert.NilError(f, err)
 	f.Add(buf.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		s := &Stream{r: bufio.NewReader(bytes.NewReader(data))}
 		for s.Receive(&peerpb.Hello{}) == nil {
 		}
