--- a/cmd/hibiscusroute/bench_test.go
+++ b/cmd/hibiscusroute/bench_test.go
@@ -169,11 +169,13 @@
 		sum[role] = t
 		count[role]++
 	}
-	for role, s := range sum {
-		n := count[role]
-		f.b.Logf("%s %s: %.2f %% of a core, %.2f KB/s, resident %.1f MB, heap in use %.1f MB", label, role,
+	var lines strings.Builder // one message, because the testing package cuts the output of a benchmark after 10
+	for _, role := range sortedKeys(sum) {
+		s, n := sum[role], count[role]
+		fmt.Fprintf(&lines, "\n%s %s: %.2f %% of a core, %.2f KB/s, resident %.1f MB, heap in use %.1f MB", label, role,
 			100*s.cpu/n/span.Seconds(), s.bytes/n/span.Seconds()/1000, s.memory/n/1e6, s.heap/n/1e6)
 	}
+	f.b.Log(lines.String())
 }
 
 func median(list []time.Duration) time.Duration {
@@ -182,8 +184,8 @@
 }
 
 // BenchmarkFleet prints what control costs in processes of their own, at several sizes. Idle is a fleet whose endpoints
-// don't announce themselves; loaded adds announcements of all instances, a configuration change per second and 200
-// requests per second.
+// don't announce themselves; loaded adds announcements of all instances and 200 requests per second over all processes;
+// changing adds a configuration change per second.
 func BenchmarkFleet(b *testing.B) {
 	for _, bench := range []struct {
 		processes int
@@ -227,6 +229,12 @@
 	f.load(ctx, &group, cfg)
 	time.Sleep(12 * time.Second)
 	f.measure("loaded", 10*time.Second)
+	every(ctx, &group, time.Second, func(i int) {
+		cfg.Queues[0].MaxWaiting = 200 + i%100
+		f.submit(cfg)
+	})
+	time.Sleep(2 * time.Second)
+	f.measure("changing", 10*time.Second)
 	stop()
 	group.Wait()
 	f.restart()
@@ -255,25 +263,8 @@
 		})
 		group.Go(func() { e.Run(ctx) })
 	}
-	every := func(d time.Duration, do func(i int)) {
-		group.Go(func() {
-			for i, t := 0, time.NewTicker(d); ; i++ {
-				select {
-				case <-ctx.Done():
-					t.Stop()
-					return
-				case <-t.C:
-					do(i)
-				}
-			}
-		})
-	}
-	every(time.Second, func(i int) {
-		cfg.Queues[0].MaxWaiting = 200 + i%100
-		f.submit(cfg)
-	})
 	for range 4 {
-		every(20*time.Millisecond, func(i int) {
+		every(ctx, group, 20*time.Millisecond, func(i int) {
 			resp, err := http.Get("http://" + f.processes[i%len(f.processes)].ip + ":9400/queues/" + kerneltest.Queue(0) + "/x")
 			if err == nil {
 				_, _ = io.Copy(io.Discard, resp.Body)
@@ -283,6 +274,21 @@
 	}
 }
 
+func every(ctx context.Context, group *sync.WaitGroup, d time.Duration, do func(i int)) {
+	group.Go(func() {
+		t := time.NewTicker(d)
+		defer t.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				do(i)
+			}
+		}
+	})
+}
+
 // restart measures the gap after the leader is killed, and the restart of a voter after 1,000 further changes.
 func (f *benchFleet) restart() {
 	b := f.b
--- a/internal/maintenance/bench_test.go
+++ b/internal/maintenance/bench_test.go
@@ -17,11 +17,16 @@
 func BenchmarkDecide(b *testing.B) {
 	for _, bench := range []struct{ pools, perPool int }{{5, 10}, {25, 10}, {110, 9}} {
 		b.Run(fmt.Sprintf("%d-workers", bench.pools*bench.perPool), func(b *testing.B) {
-			s := kerneltest.Shape{Pools: bench.pools, PerPool: bench.perPool, Budget: fleet.Budget{MaxUnavailable: 1}}
+			s := kerneltest.Shape{Pools: bench.pools, PerPool: bench.perPool, Processors: 16, MemoryMiB: 64 << 10, Budget: fleet.Budget{MaxUnavailable: 1}}
 			cfg := s.Configuration()
 			w := fleet.Wave{Name: wave, MaxParallel: 20, DrainDeadline: fleet.Duration(time.Hour)}
 			for _, p := range cfg.Pools {
-				w.Pools = append(w.Pools, p.Name)
+				if !p.Spare {
+					w.Pools = append(w.Pools, p.Name)
+				}
+			}
+			for _, z := range cfg.AvailabilityZones {
+				w.Order = append(w.Order, z.Name)
 			}
 			cfg.Waves = []fleet.Wave{w}
 			r := kerneltest.New(b, nil)
