--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// search visits all states within depth steps of the start, each once, and returns their number.
+// search tries all orders of depth steps and returns the number of states. States with one fingerprint, which leaves out
+// the time, are taken for one.
 func search(t *testing.T, start func() *group, depth int) int {
 	list := steps()
 	seen := map[[sha256.Size]byte]bool{}
