Turn to the next voter after 500 ms and report demand to a leader of a new term

Cause: a call to a leader that is cut off held back the search for the next one for 1 s; a leader that lost and regained its leadership between two renewals did not learn demands that had not changed (found by reading). Change: calls to one voter end after 500 ms; a full report follows a new term.

--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// attemptTimeout bounds one call to one voter. A leader answers within a quorum round, so a slower voter is most
-	// likely cut off.
-	attemptTimeout = time.Second
+	// attemptTimeout bounds one call to one voter. A leader answers within a quorum round and a sync, so a slower voter
+	// is most likely cut off, and waiting for it delays the way to the next leader.
+	attemptTimeout = 500 * time.Millisecond
 	// attemptPause is the time between rounds over all voters while there is no leader.
 	attemptPause = 50 * time.Millisecond
 )
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -73,7 +73,7 @@
 	pending []grant
 	shown   shown
 	full    bool
-	leader  string
+	term    uint64 // of the leader that got the last full report
 }
 
 // shown identifies the state that a view was built from; a change of the configuration counts as one of the pools.
@@ -315,9 +315,9 @@
 		f.leaseUntil.Store(0)
 		return errorx.IllegalState.New("the control group counts %s as expired", f.id)
 	}
-	if leader := f.cfg.Client.Leader(); leader != f.leader {
-		// A new leader knows no demands.
-		f.leader, f.full = leader, true
+	if r.resp.Term != f.term {
+		// A new leader knows no demands, and neither does one that lost its leadership and regained it.
+		f.term, f.full = r.resp.Term, true
 	}
 	f.cfg.Client.learn(r.resp.Voters)
 	f.holder.Recall(r.resp.Recalls)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -31,7 +31,7 @@
 	done chan error
 }
 
-func startNode(t *testing.T, p setting.Process, cut *partition) *testNode {
+func startNode(t testing.TB, p setting.Process, cut *partition) *testNode {
 	t.Helper()
 	p.Caller, p.Endpoint, p.Operator = loopback, loopback, loopback
 	if !p.Peer.IsValid() {
@@ -40,7 +40,7 @@
 	p.AvailabilityZone, p.ShutdownWait = "zone-1", time.Millisecond
 	log := logr.Discard()
 	if testing.Verbose() {
-		log = testr.NewWithOptions(t, testr.Options{Verbosity: 1}).WithName(p.Name)
+		log = testr.NewWithInterface(t, testr.Options{Verbosity: 1}).WithName(p.Name)
 	}
 	n, err := New(Config{Process: &p, Dial: cut.dial(p.Name), Log: log})
 	assert.NilError(t, err)
@@ -52,7 +52,7 @@
 }
 
 // halt stops the process gracefully and waits for its end.
-func (n *testNode) halt(t *testing.T) {
+func (n *testNode) halt(t testing.TB) {
 	t.Helper()
 	n.stop()
 	select {
@@ -72,7 +72,7 @@
 	return "http://" + n.listeners.caller.Addr().String() + path
 }
 
-func (n *testNode) operatorClient(t *testing.T) *operator.Client {
+func (n *testNode) operatorClient(t testing.TB) *operator.Client {
 	t.Helper()
 	c, err := operator.NewClient(operator.ClientConfig{Addresses: []string{n.listeners.operator.Addr().String()}})
 	assert.NilError(t, err)
@@ -80,12 +80,12 @@
 }
 
 // eventually waits for a condition that needs elections or leases.
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	waitWithin(t, 20*time.Second, what, f)
 }
 
-func waitWithin(t *testing.T, limit time.Duration, what string, f func() bool) {
+func waitWithin(t testing.TB, limit time.Duration, what string, f func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if f() {
@@ -98,7 +98,7 @@
 func (n *testNode) leased() bool { return n.follower.Leased() }
 
 // startGroup starts voters and entry processes and waits until each serves.
-func startGroup(t *testing.T, cut *partition, voters, entries int) []*testNode {
+func startGroup(t testing.TB, cut *partition, voters, entries int) []*testNode {
 	t.Helper()
 	var nodes []*testNode
 	for i := range voters + entries {
@@ -160,7 +160,7 @@
 	return c
 }
 
-func submit(t *testing.T, n *testNode, c *fleet.Configuration, base uint64) operator.Accepted {
+func submit(t testing.TB, n *testNode, c *fleet.Configuration, base uint64) operator.Accepted {
 	t.Helper()
 	doc, err := c.Print()
 	assert.NilError(t, err)
@@ -171,7 +171,7 @@
 	return a
 }
 
-func grantKey(t *testing.T, n *testNode, team string) (id, presented string) {
+func grantKey(t testing.TB, n *testNode, team string) (id, presented string) {
 	t.Helper()
 	s, err := n.operatorClient(t).Grant(context.Background(), operator.NewOperationID(), team)
 	assert.NilError(t, err)
@@ -179,7 +179,7 @@
 }
 
 // startEndpoint runs a stand-in endpoint that announces itself to the process.
-func startEndpoint(t *testing.T, n *testNode, instance string) *standin.Endpoint {
+func startEndpoint(t testing.TB, n *testNode, instance string) *standin.Endpoint {
 	t.Helper()
 	srv := httptest.NewUnstartedServer(nil)
 	e := standin.New(standin.Config{
@@ -202,7 +202,7 @@
 	body    string
 }
 
-func (n *testNode) request(t *testing.T, method, path, key, id string) answer {
+func (n *testNode) request(t testing.TB, method, path, key, id string) answer {
 	t.Helper()
 	req, err := http.NewRequestWithContext(context.Background(), method, n.url(path), strings.NewReader("plate"))
 	assert.NilError(t, err)
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -152,7 +152,7 @@
 	assert.Equal(t, leader.term(t), term)
 }
 
-func (n *testNode) term(t *testing.T) uint64 {
+func (n *testNode) term(t testing.TB) uint64 {
 	t.Helper()
 	st, err := n.voter.Status(context.Background())
 	assert.NilError(t, err)
