--- a/cmd/hibiscusroute/bench_test.go
+++ b/cmd/hibiscusroute/bench_test.go
@@ -126,23 +126,28 @@
 	return time.Since(started), inForce
 }
 
-// sample is what the metrics of a process say; cpu is in seconds, the rest in bytes.
-type sample struct{ cpu, bytes, memory, heap float64 }
+// sample is what the metrics of a process say: cpu in seconds, sizes in bytes, and counts that show that the load ran.
+type sample struct{ cpu, bytes, memory, heap, live, requests, rejections float64 }
 
 func (f *benchFleet) sample(p *benchProcess) sample {
 	resp, err := http.Get("http://" + p.ip + ":9402/metrics")
 	assert.NilError(f.b, err)
 	defer func() { _ = resp.Body.Close() }()
-	values := map[string]float64{}
+	values, rejections := map[string]float64{}, 0.0
 	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
 		if name, text, ok := strings.Cut(lines.Text(), " "); ok {
 			values[name], _ = strconv.ParseFloat(text, 64)
+			if strings.HasPrefix(name, "hibiscusroute_rejections_total") {
+				rejections += values[name]
+			}
 		}
 	}
 	return sample{
 		cpu:    values["process_cpu_seconds_total"],
 		bytes:  values["hibiscusroute_peer_sent_bytes"] + values["hibiscusroute_peer_received_bytes"],
 		memory: values["process_resident_memory_bytes"], heap: values["go_memstats_heap_inuse_bytes"],
+		live: values["hibiscusroute_endpoints_live"], rejections: rejections,
+		requests: values[`hibiscusroute_requests_total{queue="`+kerneltest.Queue(0)+`"}`],
 	}
 }
 
@@ -154,6 +159,7 @@
 	}
 	time.Sleep(span)
 	sum, count := map[string]sample{}, map[string]float64{}
+	var all sample
 	for i, p := range f.processes {
 		role := "entry"
 		if i == 0 {
@@ -162,6 +168,9 @@
 			role = "voter"
 		}
 		s, t := f.sample(p), sum[role]
+		all.live += s.live / float64(len(f.processes))
+		all.requests += s.requests - before[i].requests
+		all.rejections += s.rejections - before[i].rejections
 		t.cpu += s.cpu - before[i].cpu
 		t.bytes += s.bytes - before[i].bytes
 		t.memory += s.memory
@@ -169,13 +178,14 @@
 		sum[role] = t
 		count[role]++
 	}
-	var lines strings.Builder // one message, because the testing package cuts the output of a benchmark after 10
+	var lines strings.Builder // printed directly, because the testing package cuts the log of a benchmark after 10 lines
 	for _, role := range sortedKeys(sum) {
 		s, n := sum[role], count[role]
-		fmt.Fprintf(&lines, "\n%s %s: %.2f %% of a core, %.2f KB/s, resident %.1f MB, heap in use %.1f MB", label, role,
+		fmt.Fprintf(&lines, "\n  %s %s: %.2f %% of a core, %.2f KB/s, resident %.1f MB, heap in use %.1f MB", label, role,
 			100*s.cpu/n/span.Seconds(), s.bytes/n/span.Seconds()/1000, s.memory/n/1e6, s.heap/n/1e6)
 	}
-	f.b.Log(lines.String())
+	fmt.Printf("%s\n  %s: %.0f endpoints live, %.0f requests and %.0f rejections per second\n", lines.String()[1:], label, all.live,
+		all.requests/span.Seconds(), all.rejections/span.Seconds())
 }
 
 func median(list []time.Duration) time.Duration {
@@ -222,7 +232,7 @@
 		call, force := f.submit(cfg)
 		calls, inForce = append(calls, call), append(inForce, force)
 	}
-	b.Logf("20 configurations: in force after median %v, longest %v; call with wait median %v, longest %v",
+	fmt.Printf("  20 configurations: in force after median %v, longest %v; call with wait median %v, longest %v\n",
 		median(inForce), inForce[len(inForce)-1], median(calls).Round(time.Millisecond), calls[len(calls)-1].Round(time.Millisecond))
 	ctx, stop := context.WithCancel(b.Context())
 	var group sync.WaitGroup
@@ -304,7 +314,7 @@
 		})
 	}
 	group.Wait()
-	b.Logf("1,000 changes by 10 callers: %.0f per second", 1000/time.Since(started).Seconds())
+	fmt.Printf("  1,000 changes by 10 callers: %.0f per second\n", 1000/time.Since(started).Seconds())
 	other, err := operator.NewClient(operator.ClientConfig{
 		Addresses: []string{f.processes[1].ip + ":9402"}, Pause: 5 * time.Millisecond, Attempt: 10 * time.Second,
 	})
@@ -313,13 +323,13 @@
 	started = time.Now()
 	_, err = other.Grant(b.Context(), "after-failover", kerneltest.Team(0))
 	assert.NilError(b, err)
-	b.Logf("kill of the leader until the next change was accepted: %v", time.Since(started).Round(time.Millisecond))
+	fmt.Printf("  kill of the leader until the next change was accepted: %v\n", time.Since(started).Round(time.Millisecond))
 	p := f.processes[0]
 	p.args = slices.DeleteFunc(p.args, func(a string) bool { return a == "--bootstrap" })
 	started = time.Now()
 	f.start(p)
 	f.ready(p)
-	b.Logf("restart of a voter after 1,000 changes until it serves: %v", time.Since(started).Round(time.Millisecond))
+	fmt.Printf("  restart of a voter after 1,000 changes until it serves: %v\n", time.Since(started).Round(time.Millisecond))
 }
 
 func listenLoopback(b *testing.B) net.Listener {
