--- a/cmd/hibiscusroute/bench_test.go
+++ b/cmd/hibiscusroute/bench_test.go
@@ -205,6 +205,7 @@
 		{9, kerneltest.Shape{Pools: 5, PerPool: 10, Teams: 6}},
 		{9, kerneltest.Shape{Pools: 25, PerPool: 10, Teams: 40}},
 		{9, kerneltest.Shape{Pools: 100, PerPool: 10, Teams: 170}},
+		{18, kerneltest.Shape{Pools: 100, PerPool: 10, Teams: 170}},
 	} {
 		b.Run(fmt.Sprintf("processes=%d/instances=%d", bench.processes, bench.shape.Pools*bench.shape.PerPool), func(b *testing.B) {
 			for b.Loop() {
