--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -20,7 +20,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
-// limitInterval is the least time between two records that a team's limit is exhausted. Demand that alternates within
+// limitInterval is the least time between two records of the holders of a team's limit. Demand that alternates within
 // seconds would otherwise overwrite the other events.
 const limitInterval = time.Minute
 
@@ -141,7 +141,8 @@
 	}
 }
 
-// recordQuota records that a team's limit is exhausted, and by whom; the present holders are a query.
+// recordQuota records who holds a team's limit when all of it is allocated, idle units included; the present holders are
+// a query.
 func (v *Voter) recordQuota(m *quotapb.Command) {
 	now := v.now()
 	for _, ch := range m.Changes {
@@ -151,7 +152,7 @@
 		}
 		if usage := v.quotas.Usage(ch.Resource); usage.Used() >= usage.Capacity() {
 			v.limits[team] = now
-			v.cfg.Record(timeline.Event{Kind: "limit-exhausted", Team: team, Text: usage.String()})
+			v.cfg.Record(timeline.Event{Kind: "limit-allocated", Team: team, Text: usage.String()})
 		}
 	}
 }
--- a/internal/control/record_test.go
+++ b/internal/control/record_test.go
@@ -48,8 +48,8 @@
 		{"health", pool.Name, &poolpb.Command{Change: &poolpb.Command_Health{Health: &poolpb.Health{
 			Unhealthy: []string{"w-1"}, Healthy: []string{"w-2"},
 		}}}, []timeline.Event{{Kind: "instance-unhealthy", Instance: "w-1"}, {Kind: "instance-healthy", Instance: "w-2"}}},
-		{"exhausted limit, once", quota.Name, limits, []timeline.Event{
-			{Kind: "limit-exhausted", Team: "team-0", Text: "team/team-0 reserved=10000"},
+		{"allocated limit, once", quota.Name, limits, []timeline.Event{
+			{Kind: "limit-allocated", Team: "team-0", Text: "team/team-0 reserved=10000"},
 		}},
 	} {
 		var got []timeline.Event
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -92,7 +92,7 @@
 	voters     *voter.State
 	setVoters  []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	failed     error
-	limits     map[string]time.Duration // when the last exhaustion of a team's limit was recorded
+	limits     map[string]time.Duration // when the holders of a team's limit were last recorded
 }
 
 // lastRenewal is what a process reported when it last renewed its lease.
