--- a/internal/scenario/endpoint_test.go
+++ b/internal/scenario/endpoint_test.go
@@ -114,6 +114,7 @@
 	l      *ledger
 	e      *standin.Endpoint
 	srv    *http.Server
+	ctx    context.Context // until the endpoint is closed
 	cancel context.CancelFunc
 
 	// The ledger guards these.
@@ -140,9 +141,8 @@
 	})
 	b.srv = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = b.srv.Serve(ln) }() // ends with the close of the server
-	var ctx context.Context
-	ctx, b.cancel = context.WithCancel(context.Background())
-	go b.e.Run(ctx)
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	go b.e.Run(b.ctx)
 	if old := w.endpoints[instance]; old != nil {
 		old.close()
 	}
@@ -167,6 +167,13 @@
 	b.l.mu.Lock()
 	defer b.l.mu.Unlock()
 	b.left = time.Now()
+	// The endpoint goes on to announce that it is leaving, so that it isn't just forgotten when its announcement expires.
+	go func() {
+		for i := 0; b.ctx.Err() == nil; i++ {
+			_, _ = b.e.Announce(b.ctx, i) // a process may be down
+			pause(b.ctx, 500*time.Millisecond)
+		}
+	}()
 	return nil
 }
 
