--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -31,7 +31,7 @@
 	done chan error
 }
 
-func startNode(t *testing.T, p setting.Process, cut *partition) *testNode {
+func startNode(t testing.TB, p setting.Process, cut *partition) *testNode {
 	t.Helper()
 	p.Caller, p.Endpoint, p.Operator = loopback, loopback, loopback
 	if !p.Peer.IsValid() {
@@ -40,7 +40,7 @@
 	p.AvailabilityZone, p.ShutdownWait = "zone-1", time.Millisecond
 	log := logr.Discard()
 	if testing.Verbose() {
-		log = testr.NewWithOptions(t, testr.Options{Verbosity: 1}).WithName(p.Name)
+		log = testr.NewWithInterface(t, testr.Options{Verbosity: 1}).WithName(p.Name)
 	}
 	n, err := New(Config{Process: &p, Dial: cut.dial(p.Name), Log: log})
 	assert.NilError(t, err)
@@ -52,7 +52,7 @@
 }
 
 // halt stops the process gracefully and waits for its end.
-func (n *testNode) halt(t *testing.T) {
+func (n *testNode) halt(t testing.TB) {
 	t.Helper()
 	n.stop()
 	select {
@@ -80,7 +80,7 @@
 }
 
 // eventually waits for a condition that needs elections or leases.
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if f() {
@@ -93,7 +93,7 @@
 func (n *testNode) leased() bool { return n.follower.Leased() }
 
 // startGroup starts voters and entry processes and waits until each serves.
-func startGroup(t *testing.T, cut *partition, voters, entries int) []*testNode {
+func startGroup(t testing.TB, cut *partition, voters, entries int) []*testNode {
 	t.Helper()
 	var nodes []*testNode
 	for i := range voters + entries {
