Ask for as many slots as there are waiting requests

Cause: one waiting request asked for a slot of every instance of the pool, so that with more processes than slots of an instance all slots were short and moved between processes without end. Ruled out: the time for which a process reports its highest demand (2 s instead of 0.5 s changed nothing in kind).

--- a/internal/endpoint/pick.go
+++ b/internal/endpoint/pick.go
@@ -190,7 +190,9 @@
 }
 
 // Demand reports to the quota holder how many slot permits of each usable instance of a pool this process could use:
-// those in use and an equal part of the waiting requests.
+// those in use and a part of the waiting requests. The parts add up to the waiting requests: if each instance were asked
+// for one, a single waiting request of each process would make all slots of a pool move between many processes. The
+// first instances to be asked differ between processes and stay the same for one.
 func (r *Registry) Demand(v *view.View, pool string, waiting int) {
 	if r.cfg.SetDemand == nil {
 		return
@@ -217,13 +219,17 @@
 		list = append(list, demand{slotResource + vi.Name, n})
 	}
 	r.mu.Unlock()
-	part := 0
+	next := 0
 	if live > 0 {
-		part = (waiting + live - 1) / live
+		next = int(r.boot % uint64(live))
 	}
 	for _, d := range list {
 		if d.n < 0 {
-			d.n = -d.n - 1 + part
+			d.n = -d.n - 1 + waiting/live
+			if next < waiting%live {
+				d.n++
+			}
+			next = (next + 1) % live
 		}
 		r.cfg.SetDemand(d.resource, d.n)
 	}
