--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
+// memberPoll is the time between looks at a member that catches up.
+const memberPoll = 100 * time.Millisecond
+
 // inForcePoll is the time between looks at the rollout of a version.
 const inForcePoll = 50 * time.Millisecond
 
@@ -140,12 +145,68 @@
 	return list, nil
 }
 
-// changeMember removes a voter for good; voters join and are promoted by themselves.
+// changeMember changes the control group. Each change is idempotent by the identity that it names. A learner is promoted
+// by the leader once it has caught up, so that a promotion only waits for it.
 func (n *Node) changeMember(ctx context.Context, ch operator.MemberChange) error {
-	if ch.Action != operator.RemoveMember {
-		return kernel.ErrInvalid.New("voters join and are promoted by themselves: start a process with --voter and --join")
+	switch ch.Action {
+	case operator.AddMember:
+		return n.addMember(ctx, ch)
+	case operator.PromoteMember:
+		return n.awaitVoter(ctx, ch.Identity)
+	case operator.ReplaceMember:
+		if err := n.addMember(ctx, ch); err != nil {
+			return err
+		}
+		if err := n.awaitVoter(ctx, ch.Identity); err != nil {
+			return err
+		}
+		// The identity that is replaced is known to be lost, so it need not wait for others.
+		return n.removeMember(ctx, ch.Replaces, true)
+	case operator.RemoveMember:
+		return n.removeMember(ctx, ch.Identity, false)
+	}
+	return kernel.ErrInvalid.New("unknown action %q", ch.Action)
+}
+
+func (n *Node) addMember(ctx context.Context, ch operator.MemberChange) error {
+	_, err := n.client.Join(ctx, &raftpb.Member{
+		Id: ch.Identity, Name: ch.Name, Address: ch.Address, AvailabilityZone: ch.AvailabilityZone,
+	})
+	return err
+}
+
+// awaitVoter waits until a member is a voter.
+func (n *Node) awaitVoter(ctx context.Context, identity string) error {
+	for {
+		list, err := n.controlGroup(ctx)
+		if err != nil {
+			return err
+		}
+		i := slices.IndexFunc(list, func(m operator.Member) bool { return m.Identity == identity })
+		if i < 0 {
+			return kernel.ErrNotFound.New("no member %s in the control group", identity)
+		}
+		if list[i].Role == "voter" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return peer.ErrInterrupted.Wrap(ctx.Err(), "member %s has not caught up yet", identity)
+		case <-time.After(memberPoll):
+		}
+	}
+}
+
+// removeMember removes a member; one that is gone already counts as removed.
+func (n *Node) removeMember(ctx context.Context, identity string, force bool) error {
+	list, err := n.controlGroup(ctx)
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(list, func(m operator.Member) bool { return m.Identity == identity }) {
+		return nil
 	}
-	return n.client.Remove(ctx, ch.Identity, false)
+	return n.client.Remove(ctx, identity, force)
 }
 
 // dumpTimeline writes the events of this process.
