--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
 // maxAnswer is the length up to which a response is buffered and can fail cleanly.
@@ -100,7 +101,7 @@
 		}
 		if errorx.IsOfType(res.err, endpoint.ErrTruncated) {
 			q.s.stat.truncated.Inc()
-			q.s.cfg.Record(Event{
+			q.s.cfg.Record(timeline.Event{
 				Kind: "response-truncated", Request: q.id, Team: q.team, Instance: t.grant.target.Instance(),
 			})
 		}
--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/job"
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 	"github.com/hibiscusroute/hibiscusroute/internal/view"
 )
 
@@ -58,7 +59,7 @@
 	Propose func(ctx context.Context, c kernel.Command) (kernel.Result, error)
 	Query   func(ctx context.Context, plugin string, req []byte) ([]byte, error)
 	// Record adds to the time line; it may be nil.
-	Record func(e Event)
+	Record func(e timeline.Event)
 }
 
 // Jobs serves the job paths.
@@ -67,7 +68,7 @@
 // NewJobs builds the handlers of the job paths.
 func NewJobs(cfg JobConfig) *Jobs {
 	if cfg.Record == nil {
-		cfg.Record = func(Event) {}
+		cfg.Record = func(timeline.Event) {}
 	}
 	return &Jobs{cfg: cfg}
 }
@@ -253,7 +254,7 @@
 
 // reject answers and records the rejection; its request is the job's identifier.
 func (j *Jobs) reject(w http.ResponseWriter, r *http.Request, status int, rj Rejection) {
-	j.cfg.Record(Event{
+	j.cfg.Record(timeline.Event{
 		Kind: "request-rejected", Request: r.PathValue("id"), Text: rj.Outcome + ", " + rj.Reason + ": " + rj.Message,
 	})
 	writeRejection(w, status, rj)
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
 const (
@@ -57,7 +59,7 @@
 		return
 	}
 	rp.s.stat.rejection(reason, outcome)
-	rp.s.cfg.Record(Event{
+	rp.s.cfg.Record(timeline.Event{
 		Kind: "request-rejected", Request: cmp.Or(rp.id, rp.asked), Team: rp.team, Text: outcome + ", " + reason + ": " + message,
 	})
 	body, err := json.Marshal(Rejection{Outcome: outcome, Reason: reason, Message: message})
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
 // maxAttempts bounds the attempts of one request.
@@ -125,7 +126,7 @@
 	case err == nil && claim.Outcome == ClaimWon:
 		return t.recheck()
 	case claim.Outcome == ClaimDuplicate:
-		s.cfg.Record(Event{Kind: "duplicate-request", Request: q.id, Team: q.team})
+		s.cfg.Record(timeline.Event{Kind: "duplicate-request", Request: q.id, Team: q.team})
 		return &refusal{http.StatusConflict, reasonDuplicate, "this request identifier was sent before"}
 	case claim.Outcome == ClaimExpired:
 		return &refusal{http.StatusConflict, reasonExpired, "the record of requests doesn't reach back to this identifier"}
@@ -204,7 +205,7 @@
 			return
 		}
 		s.stat.retries.Inc()
-		s.cfg.Record(Event{
+		s.cfg.Record(timeline.Event{
 			Kind: "retry", Request: q.id, Team: q.team, Instance: t.grant.target.Instance(), Text: res.err.Error(),
 		})
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 	"github.com/hibiscusroute/hibiscusroute/internal/view"
 )
 
@@ -42,16 +43,6 @@
 	Release func(ctx context.Context)
 }
 
-// Event is an entry for the timeline.
-type Event struct {
-	// Kind is in kebab case.
-	Kind string
-	// Request, Instance and Team say what the event concerns; each may be empty.
-	Request, Instance, Team string
-	// Text is for people.
-	Text string
-}
-
 // Config holds the settings of a server for callers.
 type Config struct {
 	// View returns the control state; its error means that there is no lease.
@@ -71,7 +62,7 @@
 	// SubmitJob, GetJob and CancelJob serve the job paths; the job identifier is the path value "id".
 	SubmitJob, GetJob, CancelJob http.HandlerFunc
 	// Record adds to the timeline; it may be nil.
-	Record func(e Event)
+	Record func(e timeline.Event)
 
 	// MaxBody bounds the body of a request in bytes; 0 uses 64 MiB.
 	MaxBody int64
@@ -113,7 +104,7 @@
 		c.Metrics = metrics.NewSet()
 	}
 	if c.Record == nil {
-		c.Record = func(Event) {}
+		c.Record = func(timeline.Event) {}
 	}
 }
 
--- a/internal/configuration/plugin.go
+++ b/internal/configuration/plugin.go
@@ -54,11 +54,7 @@
 	if err != nil {
 		return kernel.Command{}, err
 	}
-	body, err := proto.Marshal(&configurationpb.Submit{Base: base, Document: packed})
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode submission")
-	}
-	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
+	return kernel.NewCommand(Name, id, &configurationpb.Submit{Base: base, Document: packed})
 }
 
 // DecodeAccepted returns the version that a successful submission created.
--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -181,7 +181,7 @@
 		}
 		d.s.soft.sent[key] = d.now
 	}
-	c, err := command("", m)
+	c, err := kernel.NewCommand(Name, "", m)
 	if err == nil {
 		d.out.Commands = append(d.out.Commands, c)
 	}
--- a/internal/job/plugin.go
+++ b/internal/job/plugin.go
@@ -77,12 +77,12 @@
 
 // SubmitCommand returns the command that hands in a job; the caller must be authorised for the team and the queue.
 func SubmitCommand(op string, m *jobpb.Submit) (kernel.Command, error) {
-	return command(op, &jobpb.Command{Change: &jobpb.Command_Submit{Submit: m}})
+	return kernel.NewCommand(Name, op, &jobpb.Command{Change: &jobpb.Command_Submit{Submit: m}})
 }
 
 // CancelCommand returns the command that cancels a job of the team; it may be repeated.
 func CancelCommand(op, team, id string) (kernel.Command, error) {
-	return command(op, &jobpb.Command{Change: &jobpb.Command_Cancel{Cancel: &jobpb.Ref{Key: Key(team, id)}}})
+	return kernel.NewCommand(Name, op, &jobpb.Command{Change: &jobpb.Command_Cancel{Cancel: &jobpb.Ref{Key: Key(team, id)}}})
 }
 
 // Query returns the query for one job.
@@ -113,11 +113,3 @@
 	}
 	return m.Jobs, nil
 }
-
-func command(op string, m *jobpb.Command) (kernel.Command, error) {
-	body, err := proto.Marshal(m)
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode job command")
-	}
-	return kernel.Command{Plugin: Name, ID: op, Body: body}, nil
-}
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
 )
 
 // Namespace is the errorx namespace of all errors that commands return.
@@ -33,6 +34,15 @@
 	Body []byte
 }
 
+// NewCommand encodes a command of a plug-in; id is the operation identifier and may be empty.
+func NewCommand(plugin, id string, m proto.Message) (Command, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return Command{}, errorx.Decorate(err, "encode command of plug-in %s", plugin)
+	}
+	return Command{Plugin: plugin, ID: id, Body: body}, nil
+}
+
 // Result is the outcome of an applied command.
 type Result struct {
 	// Index is the log index at which the command was first applied.
--- a/internal/key/plugin.go
+++ b/internal/key/plugin.go
@@ -69,13 +69,13 @@
 // GrantHashCommand returns the command that adds a key of which only the identifier and the SHA-256 hash are known.
 func GrantHashCommand(id, team, keyID string, hash []byte) (kernel.Command, error) {
 	grant := &keypb.Grant{Id: keyID, Team: team, Hash: hash}
-	return command(id, &keypb.Command{Change: &keypb.Command_Grant{Grant: grant}})
+	return kernel.NewCommand(Name, id, &keypb.Command{Change: &keypb.Command_Grant{Grant: grant}})
 }
 
 // RevokeCommand returns the command that revokes a key by its identifier.
 func RevokeCommand(id, keyID string) (kernel.Command, error) {
 	revoke := &keypb.Revoke{Id: keyID}
-	return command(id, &keypb.Command{Change: &keypb.Command_Revoke{Revoke: revoke}})
+	return kernel.NewCommand(Name, id, &keypb.Command{Change: &keypb.Command_Revoke{Revoke: revoke}})
 }
 
 // DecodeState returns all keys, revoked ones included, ordered by identifier.
@@ -87,14 +87,6 @@
 	return m.Keys, nil
 }
 
-func command(id string, m *keypb.Command) (kernel.Command, error) {
-	body, err := proto.Marshal(m)
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode key command")
-	}
-	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
-}
-
 func (s *State) apply(c kernel.Command) ([]byte, error) {
 	m := &keypb.Command{}
 	if err := proto.Unmarshal(c.Body, m); err != nil {
--- a/internal/maintenance/decide.go
+++ b/internal/maintenance/decide.go
@@ -132,7 +132,7 @@
 	if !d.due(key, resend) {
 		return
 	}
-	if c, err := command("", m); err == nil {
+	if c, err := kernel.NewCommand(Name, "", m); err == nil {
 		d.out.Commands = append(d.out.Commands, c)
 	}
 }
--- a/internal/maintenance/plugin.go
+++ b/internal/maintenance/plugin.go
@@ -58,13 +58,13 @@
 // ControlCommand returns the command by which an operator starts, pauses, resumes or aborts a wave.
 func ControlCommand(id, wave string, verb maintenancepb.Verb) (kernel.Command, error) {
 	c := &maintenancepb.Control{Wave: wave, Verb: verb}
-	return command(id, &maintenancepb.Command{Change: &maintenancepb.Command_Control{Control: c}})
+	return kernel.NewCommand(Name, id, &maintenancepb.Command{Change: &maintenancepb.Command_Control{Control: c}})
 }
 
 // DecideCommand returns the command that holds an operator's decision about a stuck instance.
 func DecideCommand(id, instance string, choice maintenancepb.Choice) (kernel.Command, error) {
 	d := &maintenancepb.Decide{Instance: instance, Choice: choice}
-	return command(id, &maintenancepb.Command{Change: &maintenancepb.Command_Decide{Decide: d}})
+	return kernel.NewCommand(Name, id, &maintenancepb.Command{Change: &maintenancepb.Command_Decide{Decide: d}})
 }
 
 // DecodeState returns all waves, ordered by name.
@@ -76,14 +76,6 @@
 	return m.Waves, nil
 }
 
-func command(id string, m *maintenancepb.Command) (kernel.Command, error) {
-	body, err := proto.Marshal(m)
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode maintenance command")
-	}
-	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
-}
-
 func (s *State) apply(c kernel.Command) ([]byte, error) {
 	m := &maintenancepb.Command{}
 	if err := proto.Unmarshal(c.Body, m); err != nil {
--- a/internal/member/plugin.go
+++ b/internal/member/plugin.go
@@ -112,12 +112,12 @@
 
 // JoinCommand returns the command that adds a process; its identifier is the operation identifier too.
 func JoinCommand(m *memberpb.Member) (kernel.Command, error) {
-	return command(m.Id, &memberpb.Command{Change: &memberpb.Command_Join{Join: m}})
+	return kernel.NewCommand(Name, m.Id, &memberpb.Command{Change: &memberpb.Command_Join{Join: m}})
 }
 
 // RemoveCommand returns the command with which a process leaves after it ended all its work.
 func RemoveCommand(id string) (kernel.Command, error) {
-	return command("leave/"+id, &memberpb.Command{Change: &memberpb.Command_Remove{Remove: id}})
+	return kernel.NewCommand(Name, "leave/"+id, &memberpb.Command{Change: &memberpb.Command_Remove{Remove: id}})
 }
 
 // DecodeState returns all processes that a query answered.
@@ -129,14 +129,6 @@
 	return m.Members, nil
 }
 
-func command(id string, m *memberpb.Command) (kernel.Command, error) {
-	body, err := proto.Marshal(m)
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode member command")
-	}
-	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
-}
-
 func (s *State) apply(c kernel.Command) ([]byte, error) {
 	m := &memberpb.Command{}
 	if err := proto.Unmarshal(c.Body, m); err != nil {
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -4,7 +4,6 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/caller"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
-	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 )
 
 func (n *Node) buildTraffic() {
@@ -25,19 +24,13 @@
 	n.transport.Handle(announcementsKind, n.exchange.serve)
 	dispatcher := endpoint.NewDispatcher(endpoint.DispatcherConfig{})
 	jobs := caller.NewJobs(caller.JobConfig{
-		View: n.follower.View, Propose: n.client.Propose, Query: n.client.Query, Record: n.recordRequest,
+		View: n.follower.View, Propose: n.client.Propose, Query: n.client.Query, Record: n.requests.Record,
 	})
 	n.caller = caller.New(caller.Config{
 		View: n.follower.View, Registry: n.registry, Dispatcher: dispatcher,
 		TryAcquire: acquire, SetDemand: holder.SetDemand, Changed: holder.Changed, Claim: n.claim,
 		SubmitJob: jobs.Submit, GetJob: jobs.Get, CancelJob: jobs.Cancel,
-		Record:    n.recordRequest,
+		Record:    n.requests.Record,
 		StopDelay: n.cfg.Process.ShutdownWait, Metrics: n.metrics, Log: n.cfg.Log,
 	})
 }
-
-func (n *Node) recordRequest(e caller.Event) {
-	n.requests.Record(timeline.Event{
-		Kind: e.Kind, Request: e.Request, Instance: e.Instance, Team: e.Team, Text: e.Text,
-	})
-}
--- a/internal/pool/decide.go
+++ b/internal/pool/decide.go
@@ -71,7 +71,7 @@
 		if at, ok := s.soft.sent[key]; ok && now < at+resend {
 			return
 		}
-		if c, err := command("", m); err == nil {
+		if c, err := kernel.NewCommand(Name, "", m); err == nil {
 			s.soft.sent[key] = now
 			d.Commands = append(d.Commands, c)
 		}
--- a/internal/pool/plugin.go
+++ b/internal/pool/plugin.go
@@ -69,13 +69,13 @@
 // was not released yet. The request holds until the configuration gives the instance another pool.
 func MoveCommand(id, instance, pool string) (kernel.Command, error) {
 	r := &poolpb.Request{Instance: instance, Pool: pool}
-	return command(id, &poolpb.Command{Change: &poolpb.Command_Request{Request: r}})
+	return kernel.NewCommand(Name, id, &poolpb.Command{Change: &poolpb.Command_Request{Request: r}})
 }
 
 // QuarantineCommand returns the command that stops (on) or allows new work on an instance.
 func QuarantineCommand(id, instance string, on bool, reason string) (kernel.Command, error) {
 	q := &poolpb.Quarantine{Instance: instance, On: on, Reason: reason}
-	return command(id, &poolpb.Command{Change: &poolpb.Command_Quarantine{Quarantine: q}})
+	return kernel.NewCommand(Name, id, &poolpb.Command{Change: &poolpb.Command_Quarantine{Quarantine: q}})
 }
 
 // DecodeState returns all instances, ordered by name.
@@ -87,14 +87,6 @@
 	return m.Instances, nil
 }
 
-func command(id string, m *poolpb.Command) (kernel.Command, error) {
-	body, err := proto.Marshal(m)
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode pool command")
-	}
-	return kernel.Command{Plugin: Name, ID: id, Body: body}, nil
-}
-
 func (s *State) apply(c kernel.Command) ([]byte, error) {
 	m := &poolpb.Command{}
 	if err := proto.Unmarshal(c.Body, m); err != nil {
--- a/internal/voter/plugin.go
+++ b/internal/voter/plugin.go
@@ -52,11 +52,7 @@
 // SetCommand returns the command that makes a set of voters the next membership. With the voters of the newest
 // membership it changes nothing.
 func SetCommand(voters []*claimpb.Voter) (kernel.Command, error) {
-	body, err := proto.Marshal(&voterpb.Set{Voters: voters})
-	if err != nil {
-		return kernel.Command{}, errorx.Decorate(err, "encode voters")
-	}
-	return kernel.Command{Plugin: Name, Body: body}, nil
+	return kernel.NewCommand(Name, "", &voterpb.Set{Voters: voters})
 }
 
 // Same reports whether two lists, ordered by identity, hold the same voters.
