--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -60,13 +60,6 @@
 	})
 }
 
-func (v *Voter) serveTransfer(ctx context.Context, _ string, _ *controlpb.TransferRequest) (proto.Message, error) {
-	return ask(ctx, v, func(answer func(proto.Message, error)) {
-		v.transfer()
-		answer(&controlpb.TransferRequest{}, nil)
-	})
-}
-
 // Transfer passes leadership to the voter that is most caught up, if this voter leads.
 func (v *Voter) Transfer(ctx context.Context) error {
 	return v.post(ctx, v.transfer)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -20,14 +20,13 @@
 
 // Kinds of the streams that a voter serves.
 const (
-	ProposeKind  = "propose"
-	QueryKind    = "query"
-	RenewKind    = "renew"
-	FollowKind   = "follow"
-	JoinKind     = "join"
-	RemoveKind   = "remove"
-	TransferKind = "transfer"
-	StatusKind   = "status"
+	ProposeKind = "propose"
+	QueryKind   = "query"
+	RenewKind   = "renew"
+	FollowKind  = "follow"
+	JoinKind    = "join"
+	RemoveKind  = "remove"
+	StatusKind  = "status"
 )
 
 // chunkSize bounds the snapshot bytes of one frame.
@@ -42,7 +41,6 @@
 	t.Handle(RenewKind, peer.Reply(t, v.serveRenew))
 	t.Handle(JoinKind, peer.Reply(t, v.serveJoin))
 	t.Handle(RemoveKind, peer.Reply(t, v.serveRemove))
-	t.Handle(TransferKind, peer.Reply(t, v.serveTransfer))
 	t.Handle(StatusKind, peer.Reply(t, v.serveStatus))
 }
 
--- a/internal/quota/state.go
+++ b/internal/quota/state.go
@@ -292,7 +292,7 @@
 		a.returned = ch.Returned
 	}
 	if ch.Granted > a.granted && s.members.Live(ch.Holder) {
-		if r.used()-allocationUnits(r, ch.Holder)+ch.Granted-a.returned <= s.capacities[ch.Resource] {
+		if r.used()-r.allocations[ch.Holder].units()+ch.Granted-a.returned <= s.capacities[ch.Resource] {
 			a.granted = ch.Granted
 		}
 	}
@@ -301,8 +301,6 @@
 	s.touch(ch.Resource)
 }
 
-func allocationUnits(r *resource, holder string) uint64 { return r.allocations[holder].units() }
-
 // release frees what a process held after it and all that it started have surely ended.
 func (s *State) release(id string) {
 	for name, r := range s.resources {
