--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -105,7 +105,7 @@
 				answer(nil, err)
 				return
 			}
-			resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body, Group: v.voters.Group()}
+			resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body, Group: v.voters.Group(), Voters: v.addresses()}
 			if r.Err != nil {
 				resp.ErrorKind, resp.Error = kernel.EncodeError(r.Err)
 			}
@@ -115,12 +115,41 @@
 			answer(nil, kernel.ErrInvalid.New("empty proposal"))
 			return
 		}
-		if err := v.propose(CommandOf(req.Command), reply); errorx.IsOfType(err, kernel.ErrInvalid) {
-			answer(nil, err)
+		v.respond(CommandOf(req.Command), reply, func() { answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil) })
+	})
+}
+
+// respond answers a command at once, after a quorum read or after it was replicated, as its plug-in says. It calls lost
+// when this voter turns out not to lead.
+func (v *Voter) respond(c kernel.Command, reply func(kernel.Result, error), lost func()) {
+	replicate := func() {
+		if err := v.propose(c, reply); errorx.IsOfType(err, kernel.ErrInvalid) {
+			reply(kernel.Result{}, err)
 		} else if err != nil {
-			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
+			lost()
 		}
-	})
+		v.decideSoon = true
+	}
+	switch body, how := v.kernel.Respond(v.now(), c); how {
+	case kernel.AtOnce:
+		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
+	case kernel.AfterRead:
+		v.read(func(r raft.Read) {
+			if r.Failed {
+				lost()
+				return
+			}
+			// The state may have changed since the read began.
+			body, how := v.kernel.Respond(v.now(), c)
+			if how == kernel.Replicate {
+				replicate()
+				return
+			}
+			reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
+		})
+	default:
+		replicate()
+	}
 }
 
 func (v *Voter) serveQuery(ctx context.Context, _ string, req *controlpb.QueryRequest) (proto.Message, error) {
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -54,6 +54,11 @@
 	Transport *peer.Transport
 	// Bootstrap starts a new group of one voter when the data directory is empty.
 	Bootstrap bool
+	// Founders, with Bootstrap, are the peer addresses of all first voters of a new group, this one among them. They
+	// start in any order with the identity that FounderIdentity gives them.
+	Founders []string
+	// Setup is called with the kernel before it takes its state; it may be nil.
+	Setup func(k *kernel.Kernel)
 	// Act runs the actions of the leader; it must not block. It may be nil.
 	Act func(actions []kernel.Action)
 	// Lead is called when this voter starts or stops leading; it must not block. It may be nil.
@@ -78,6 +83,8 @@
 
 	// leads mirrors leading for other goroutines.
 	leads atomic.Bool
+	// confirmed is when a quorum was last known to follow this leader, by the clock that counts suspensions too.
+	confirmed atomic.Int64
 
 	// State of the control loop.
 	leading    bool
@@ -140,6 +147,9 @@
 	v.quotas, _ = kernel.Lookup[*quota.State](v.kernel, quota.Name)
 	v.documents, _ = kernel.Lookup[*configuration.State](v.kernel, configuration.Name)
 	v.voters, _ = kernel.Lookup[*voter.State](v.kernel, voter.Name)
+	if cfg.Setup != nil {
+		cfg.Setup(v.kernel)
+	}
 	if s := persisted.Snapshot; s != nil {
 		if err := v.restore(s); err != nil {
 			return nil, err
@@ -158,8 +168,18 @@
 	return v, nil
 }
 
+// FounderIdentity returns the identity of a first voter whose group is founded by several processes at once.
+func FounderIdentity(address string) string { return "founder-" + address }
+
 func bootstrap(cfg Config) (raft.Persisted, error) {
-	p := raft.Bootstrap([]*raftpb.Member{self(cfg, true)})
+	members := []*raftpb.Member{self(cfg, true)}
+	if len(cfg.Founders) > 0 {
+		members = nil
+		for _, a := range cfg.Founders {
+			members = append(members, &raftpb.Member{Id: FounderIdentity(a), Name: a, Address: a, Voter: true})
+		}
+	}
+	p := raft.Bootstrap(members)
 	if err := cfg.Store.SaveSnapshot(p.Snapshot.Meta, p.Snapshot.Data); err != nil {
 		return p, err
 	}
@@ -187,7 +207,9 @@
 // Leading reports whether this voter leads the control group as far as it knows.
 func (v *Voter) Leading() bool { return v.leads.Load() }
 
-// now is the monotonic time that the kernel sees.
+// Now is the monotonic time that the kernel sees.
+func (v *Voter) Now() time.Duration { return v.now() }
+
 func (v *Voter) now() time.Duration { return time.Since(v.start) }
 
 // Run drives the voter until ctx is done or its data directory fails.
@@ -235,6 +257,7 @@
 func (v *Voter) onTick() {
 	v.core.Tick()
 	v.noteRole()
+	v.noteQuorum()
 	v.readForRenewals()
 	if v.leading {
 		v.manageVoters()
@@ -250,6 +273,7 @@
 		v.leading = false
 		v.leads.Store(false)
 		v.failPending()
+		v.kernel.Observe(v.now(), kernel.Deposed{})
 		v.cfg.Log.Info("stopped leading the control group", "term", v.leadTerm)
 		v.cfg.Record(timeline.Event{Kind: "leader-stopped", Text: fmt.Sprintf("term %d", v.leadTerm)})
 		if v.cfg.Lead != nil {
@@ -266,6 +290,7 @@
 	v.limits = map[string]time.Duration{}
 	v.setVoters = nil
 	v.kernel.Lead(v.now())
+	v.kernel.Observe(v.now(), kernel.Leading{Term: term})
 	// An operator may still wait for a version that the previous leader accepted. Its rollout is followed up to this
 	// entry, which comes after it, and its time counts from the change of leadership.
 	if version := v.documents.Version(); version > 0 {
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+)
+
+const (
+	// orderTimeout bounds an order to a worker. Workers answer in the time of a round trip, so a slower one is most
+	// likely cut off.
+	orderTimeout = time.Second
+	// cloudTimeout bounds a call to the infrastructure or to the adviser, which may be slow.
+	cloudTimeout = 3 * time.Second
+	// observeTimeout bounds the wait for the control loop.
+	observeTimeout = 5 * time.Second
+)
+
+// Port speaks to workers, to the adviser and to the infrastructure. Every function returns when ctx ends; answers carry
+// no times, which the dispatcher adds.
+type Port struct {
+	Hold      func(ctx context.Context, h workload.Hold) workload.HoldDone
+	Start     func(ctx context.Context, s workload.Start) workload.Answer
+	Stop      func(ctx context.Context, s workload.Stop) workload.Answer
+	Pace      func(ctx context.Context, p workload.Pace) workload.Answer
+	Advise    func(ctx context.Context, a workload.Advise) workload.AdviseDone
+	Instances func(ctx context.Context) workload.InstancesDone
+	Move      func(ctx context.Context, m workload.Move) workload.Outcome
+	Maintain  func(ctx context.Context, m workload.Maintain) workload.Outcome
+}
+
+// Config holds the settings of a dispatcher.
+type Config struct {
+	Port Port
+	// Observe hands an event to the control loop of the leader.
+	Observe func(ctx context.Context, ev kernel.Event) error
+	// Now is the steady clock of the control loop.
+	Now func() time.Duration
+	// Confirmed reports whether this process surely leads; no order goes out otherwise.
+	Confirmed func() bool
+	Log       logr.Logger
+}
+
+// Dispatcher carries out orders; its methods don't block.
+type Dispatcher struct {
+	cfg Config
+
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// New returns a dispatcher that is idle until Lead.
+func New(cfg Config) *Dispatcher { return &Dispatcher{cfg: cfg} }
+
+// Lead begins or ends a term; orders of an ended term are abandoned.
+func (d *Dispatcher) Lead(leading bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cancel != nil {
+		d.cancel()
+		d.ctx, d.cancel = nil, nil
+	}
+	if leading {
+		d.ctx, d.cancel = context.WithCancel(context.Background())
+	}
+}
+
+// Act carries out orders.
+func (d *Dispatcher) Act(actions []kernel.Action) {
+	d.mu.Lock()
+	ctx := d.ctx
+	d.mu.Unlock()
+	if ctx == nil {
+		return
+	}
+	for _, a := range actions {
+		go d.run(ctx, a)
+	}
+}
+
+func (d *Dispatcher) run(ctx context.Context, a kernel.Action) {
+	ev := d.carryOut(ctx, a)
+	if ev == nil || ctx.Err() != nil {
+		return
+	}
+	octx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	if err := d.cfg.Observe(octx, ev); err != nil {
+		d.cfg.Log.Info("result of an order was dropped", "order", a.ActionName(), "reason", err.Error())
+	}
+}
+
+func (d *Dispatcher) carryOut(ctx context.Context, a kernel.Action) kernel.Event {
+	sent := d.cfg.Now()
+	may := d.cfg.Confirmed()
+	answer := func(timeout time.Duration, f func(ctx context.Context) workload.Answer) workload.Answer {
+		r := workload.Answer{Outcome: workload.Unreached}
+		if may {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			r = f(ctx)
+		}
+		r.SentAt, r.At = sent, d.cfg.Now()
+		return r
+	}
+	cctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	port := d.cfg.Port
+	switch a := a.(type) {
+	case workload.Hold:
+		done := workload.HoldDone{Hold: a}
+		done.Answer = answer(a.Wait+orderTimeout, func(ctx context.Context) workload.Answer {
+			r := port.Hold(ctx, a)
+			done.Running, done.Ended = r.Running, r.Ended
+			return r.Answer
+		})
+		return done
+	case workload.Start:
+		return workload.StartDone{Start: a, Answer: answer(orderTimeout, func(ctx context.Context) workload.Answer { return port.Start(ctx, a) })}
+	case workload.Stop:
+		return workload.StopDone{Stop: a, Answer: answer(orderTimeout, func(ctx context.Context) workload.Answer { return port.Stop(ctx, a) })}
+	case workload.Pace:
+		return workload.PaceDone{Pace: a, Answer: answer(orderTimeout, func(ctx context.Context) workload.Answer { return port.Pace(ctx, a) })}
+	case workload.Advise:
+		r := port.Advise(cctx, a)
+		r.Advise, r.SentAt = a, sent
+		return r
+	case workload.ListInstances:
+		r := port.Instances(cctx)
+		r.SentAt = sent
+		return r
+	case workload.Move:
+		done := workload.MoveDone{Move: a, SentAt: sent, Outcome: workload.Unreached}
+		if may {
+			done.Outcome = port.Move(cctx, a)
+		}
+		return done
+	case workload.Maintain:
+		done := workload.MaintainDone{Maintain: a, SentAt: sent, Outcome: workload.Unreached}
+		if may {
+			done.Outcome = port.Maintain(cctx, a)
+		}
+		return done
+	}
+	d.cfg.Log.Info("order of unknown kind was ignored", "order", a.ActionName())
+	return nil
+}
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -31,6 +31,8 @@
 	Voters []string
 	// Call sends one request to a peer.
 	Call func(ctx context.Context, address, kind string, req, resp proto.Message) error
+	// AttemptTimeout bounds one call to one voter; 0 is 500 ms.
+	AttemptTimeout time.Duration
 }
 
 // Client reaches the leader of the control group; it is safe for concurrent use.
@@ -45,6 +47,9 @@
 
 // NewClient builds a client.
 func NewClient(cfg ClientConfig) *Client {
+	if cfg.AttemptTimeout == 0 {
+		cfg.AttemptTimeout = attemptTimeout
+	}
 	return &Client{cfg: cfg, voters: slices.Clone(cfg.Voters)}
 }
 
@@ -154,7 +159,10 @@
 				if !errorx.IsOfType(err, peer.ErrUnreachable) && (once || !errorx.IsOfType(err, peer.ErrInterrupted)) {
 					return err
 				}
-				last = errorx.Cast(err)
+				// Once a try may have been handled, no later failure makes the outcome known again.
+				if !errorx.IsOfType(last, peer.ErrInterrupted) {
+					last = errorx.Cast(err)
+				}
 			}
 			if ctx.Err() != nil {
 				return last
@@ -169,21 +177,44 @@
 }
 
 func (c *Client) try(ctx context.Context, address, kind string, req proto.Message, resp proto.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
 	defer cancel()
 	proto.Reset(resp)
 	return c.cfg.Call(ctx, address, kind, req, resp)
 }
 
+// ProposeRepeatable replicates a command whose repetition changes nothing: it is sent again after a try whose outcome is
+// unknown. The error is as for Propose.
+func (c *Client) ProposeRepeatable(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
+	return c.propose(ctx, cmd, false)
+}
+
+// SetVoters replaces the configured addresses of voters.
+func (c *Client) SetVoters(voters []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cfg.Voters = slices.Clone(voters)
+	for _, a := range voters {
+		if !slices.Contains(c.voters, a) {
+			c.voters = append(c.voters, a)
+		}
+	}
+}
+
 // Propose replicates a command and returns its result. An error means that the outcome is unknown, unless it is of type
 // peer.ErrUnreachable, which means that the command was not proposed by this call.
 func (c *Client) Propose(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
+	// A command with an identifier is applied once, however often it is sent.
+	return c.propose(ctx, cmd, cmd.ID == "")
+}
+
+func (c *Client) propose(ctx context.Context, cmd kernel.Command, once bool) (kernel.Result, error) {
 	req := &controlpb.ProposeRequest{Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}}
 	resp := &controlpb.ProposeResponse{}
-	// A command with an identifier is applied once, however often it is sent.
-	if err := c.call(ctx, control.ProposeKind, req, resp, cmd.ID == ""); err != nil {
+	if err := c.call(ctx, control.ProposeKind, req, resp, once); err != nil {
 		return kernel.Result{}, err
 	}
+	c.learn(resp.Voters)
 	return kernel.Result{Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error)}, nil
 }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -173,6 +173,15 @@
 // Halted returns the invariant violations by plug-in.
 func (k *Kernel) Halted() map[string]error { return k.halted }
 
+// Respond answers a command that need not be replicated; see Plugin.
+func (k *Kernel) Respond(now time.Duration, c Command) ([]byte, Reply) {
+	p, ok := k.byName[c.Plugin]
+	if !ok || p.Respond == nil || k.halted[c.Plugin] != nil {
+		return nil, Replicate
+	}
+	return p.Respond(now, c)
+}
+
 // Lead resets the soft state of all plug-ins when this process becomes leader.
 func (k *Kernel) Lead(now time.Duration) {
 	for i := range k.plugins {
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -53,6 +53,34 @@
 	Err error
 }
 
+// Reply tells how a command is answered.
+type Reply int
+
+// Ways to answer a command.
+const (
+	// Replicate puts the command into the log; its result is the answer.
+	Replicate Reply = iota
+	// AfterRead answers without a log entry once a quorum has confirmed the leader; the answer is formed then.
+	AfterRead
+	// AtOnce answers without a log entry and without a quorum.
+	AtOnce
+)
+
+// Leading is observed after Lead, when the leader's term has begun.
+type Leading struct {
+	// Term is the number of the term; it is higher than that of every earlier leader.
+	Term uint64
+}
+
+// EventName implements Event.
+func (Leading) EventName() string { return "leading" }
+
+// Deposed is observed when this process has stopped leading.
+type Deposed struct{}
+
+// EventName implements Event.
+func (Deposed) EventName() string { return "deposed" }
+
 // Event is unreplicated input to the leader, such as demand, usage or an answer of the platform.
 type Event interface{ EventName() string }
 
@@ -78,6 +106,8 @@
 	Merge func(data []byte) error
 	// Apply applies a committed command; it must be deterministic.
 	Apply func(c Command) ([]byte, error)
+	// Respond answers a command that need not be replicated, on the leader; nil replicates every command.
+	Respond func(now time.Duration, c Command) ([]byte, Reply)
 	// Observe takes an event on the leader; it changes soft state only.
 	Observe func(now time.Duration, ev Event)
 	// Decide returns what the leader wants done; it runs after each event and tick.
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -21,6 +21,8 @@
 	Match uint64
 	// CaughtUp reports that the member was heard within an election timeout and lags by at most a heartbeat interval.
 	CaughtUp bool
+	// Heard reports that the member was heard within an election timeout.
+	Heard bool
 }
 
 // Status returns the current state.
@@ -32,7 +34,7 @@
 	for _, m := range c.members {
 		ms := MemberStatus{Member: m}
 		if p := c.progress[m.Id]; c.role == Leader && p != nil {
-			ms.Match, ms.CaughtUp = p.match, c.caughtUp(m.Id)
+			ms.Match, ms.CaughtUp, ms.Heard = p.match, c.caughtUp(m.Id), c.heard(m.Id)
 		}
 		s.Members = append(s.Members, ms)
 	}
--- /dev/null
+++ b/internal/site/call.go
@@ -0,0 +1,54 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/follower"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// attemptTimeout bounds one call to one voter. It covers two syncs of a disk that is ten times slower than usual.
+const attemptTimeout = 700 * time.Millisecond
+
+// Caller passes calls to the leader, whichever process it is.
+type Caller struct {
+	client *follower.Client
+}
+
+func newCaller(t *peer.Transport, voters []string) Caller {
+	return Caller{client: follower.NewClient(follower.ClientConfig{Voters: voters, Call: t.Call, AttemptTimeout: attemptTimeout})}
+}
+
+// Call carries out a command and returns its answer. With unknown set the command may have been carried out or may still
+// be; otherwise an error means that it never is.
+func (c Caller) Call(ctx context.Context, m *workloadpb.Command) (r *workloadpb.Response, unknown bool, err error) {
+	cmd, err := kernel.NewCommand(workload.Name, "", m)
+	if err != nil {
+		return nil, false, err
+	}
+	result, err := c.client.ProposeRepeatable(ctx, cmd)
+	if err != nil {
+		return nil, !errorx.IsOfType(err, peer.ErrUnreachable) && !errorx.IsOfType(err, kernel.ErrInvalid), err
+	}
+	if result.Err != nil {
+		return nil, false, result.Err
+	}
+	r = &workloadpb.Response{}
+	if err := proto.Unmarshal(result.Body, r); err != nil {
+		return nil, true, errorx.Decorate(err, "decode answer of the leader")
+	}
+	return r, false, nil
+}
+
+// Leader returns the peer address of the leader that answered last, empty when none is known.
+func (c Caller) Leader() string { return c.client.Leader() }
+
+// SetSeeds takes other addresses of control processes.
+func (c Caller) SetSeeds(addresses []string) { c.client.SetVoters(addresses) }
--- /dev/null
+++ b/internal/workload/advice.go
@@ -0,0 +1,121 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
+)
+
+const (
+	// adviceBatch is how many workers a call for advice names at most.
+	adviceBatch = 100
+	// adviceCalls bounds the calls that are under way at once; the service refuses calls when too many wait.
+	adviceCalls = 8
+	// advicePause is the time before a call is repeated.
+	advicePause = 200 * time.Millisecond
+	// adviceReserve is the part of its validity that a ticket must have left when it is used.
+	adviceReserve = 0.2
+)
+
+// advice holds the tickets that the adviser gave.
+type advice struct {
+	steps map[*ledger.StepRun]*stepAdvice
+	calls int
+}
+
+type stepAdvice struct {
+	tickets  map[string]string
+	until    time.Duration
+	asking   bool
+	askAfter time.Duration
+	current  bool
+	asked    bool
+}
+
+func (a *advice) reset() { *a = advice{steps: map[*ledger.StepRun]*stepAdvice{}} }
+
+// driveAdvice asks for advice on the steps that are ready in queues that need it.
+func (e *Engine) driveAdvice() {
+	for k, a := range e.advice.steps {
+		if !k.Occurrence.Job.Active() || k.Done() {
+			delete(e.advice.steps, k)
+			continue
+		}
+		a.current = e.now < a.until
+	}
+	for _, j := range e.state.ActiveJobs() {
+		q := e.state.Queue(j.Queue)
+		if q.GetAdvice() == nil {
+			continue
+		}
+		for _, o := range j.Occurrences() {
+			for _, s := range o.Steps {
+				if s.Waiting() > 0 && s.Ready() {
+					e.ask(s, q.Pool)
+				}
+			}
+		}
+	}
+}
+
+func (e *Engine) ask(s *ledger.StepRun, pool string) {
+	a := e.advice.steps[s]
+	if a == nil {
+		a = &stepAdvice{}
+		e.advice.steps[s] = a
+	}
+	if a.asking || a.current || e.now < a.askAfter || e.advice.calls >= adviceCalls {
+		return
+	}
+	var workers []string
+	for _, w := range e.state.Workers() {
+		if len(workers) < adviceBatch && w.Pool() == pool && e.usable(e.sessions[w.Number()]) {
+			workers = append(workers, w.ID())
+		}
+	}
+	if len(workers) == 0 {
+		return
+	}
+	a.asking = true
+	e.advice.calls++
+	o := s.Occurrence
+	e.act(Advise{Step: RunName{Job: o.Job.ID, Occurrence: o.Number, Step: s.Number}, Workers: workers})
+}
+
+func (e *Engine) onAdvise(ev AdviseDone) {
+	e.advice.calls--
+	e.planned = 0
+	for s, a := range e.advice.steps {
+		o := s.Occurrence
+		if o.Job.ID != ev.Advise.Step.Job || o.Number != ev.Advise.Step.Occurrence || s.Number != ev.Advise.Step.Step {
+			continue
+		}
+		a.asking = false
+		if ev.Outcome != Accepted {
+			a.askAfter = e.now + advicePause
+			continue
+		}
+		a.tickets, a.current, a.asked = ev.Tickets, true, true
+		a.until = ev.SentAt + time.Duration(float64(ev.Validity)*(1-adviceReserve))
+		if len(a.tickets) == 0 {
+			a.askAfter = e.now + advicePause
+		}
+	}
+}
+
+// allowed reports whether a worker may run a step as far as advice is concerned.
+func (a *advice) allowed(s *ledger.StepRun, w *schedule.Worker) bool {
+	sa := a.steps[s]
+	if sa == nil {
+		return true
+	}
+	return sa.current && sa.tickets[w.ID()] != ""
+}
+
+func (a *advice) ticket(s *ledger.StepRun, worker string) string {
+	if sa := a.steps[s]; sa != nil {
+		return sa.tickets[worker]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/workload/drive.go
@@ -0,0 +1,282 @@
+package workload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// listLimit is how many ends a worker lists at once; a list of this length may lack later ends.
+const listLimit = 500
+
+// drive sends the orders that a session is due.
+func (e *Engine) drive(s *session) {
+	if s.recording && e.now-s.recordAt >= proposalTimeout {
+		s.recording = false
+	}
+	if len(s.runs) > 0 && s.failures > 0 && e.now > s.granted && !s.recording {
+		e.lapse(s)
+	}
+	if s.failures == 0 || e.now >= s.holdDue {
+		e.hold(s)
+	}
+	e.evacuate(s)
+	for _, r := range s.runs {
+		if r.inFlight || e.now < r.retryAt || r.inherited || s.failures > 0 && r.tries > 0 {
+			continue
+		}
+		switch {
+		case r.stop && r.stopped == 0:
+			r.inFlight = true
+			r.tries++
+			e.act(Stop{Order: e.order(s), Name: r.name})
+		case !r.stop && r.startedAt == 0 && s.clockKnown:
+			e.start(s, r)
+		}
+	}
+}
+
+func (e *Engine) start(s *session, r *run) {
+	st := r.subtask.Step()
+	r.inFlight = true
+	r.tries++
+	r.ticket = e.advice.ticket(st, s.worker.ID())
+	e.act(Start{
+		Order: e.order(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket,
+	})
+}
+
+// hold asks for the worker's lists when something runs there, or when it does not know that its ends are noted.
+func (e *Engine) hold(s *session) {
+	if s.holding || s.recording || e.now < s.holdDue || len(s.runs) == 0 && !s.flush && s.acked >= s.worker.Noted() {
+		return
+	}
+	h := Hold{Order: e.order(s), Noted: s.worker.Noted(), Wait: holdWait}
+	if !s.clockKnown || len(s.runs) == 0 || s.flush {
+		h.Wait = 0
+	}
+	s.holding = true
+	e.act(h)
+}
+
+func (e *Engine) onHold(ev HoldDone) {
+	s := e.sessions[ev.Hold.Number]
+	if s == nil {
+		return
+	}
+	s.holding = false
+	switch ev.Outcome {
+	case Accepted:
+		e.contact(s, ev.Answer)
+		s.flush, s.acked = false, max(s.acked, ev.Hold.Noted)
+		e.reconcile(s, ev)
+	case OtherBoot:
+		e.ended(s)
+		s.holdDue = e.now + proposalTimeout
+	default:
+		e.failed(s, "hold", ev.Outcome)
+		s.holdDue = e.now + s.pause()
+	}
+}
+
+// reconcile compares the worker's lists with what is assigned to it.
+func (e *Engine) reconcile(s *session, ev HoldDone) {
+	m := &workloadpb.Ends{Worker: s.worker.Number()}
+	ended := map[ledger.RunKey]bool{}
+	for _, row := range ev.Ended {
+		if row.Number <= s.worker.Noted() {
+			continue
+		}
+		m.Noted = max(m.Noted, row.Number)
+		if k, ok := e.key(row.Name); ok {
+			ended[k] = true
+			m.Ends = append(m.Ends, &workloadpb.End{
+				Subtask: k.Message(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint, Number: row.Number,
+			})
+			e.cfg.Log.V(1).Info("run ended", "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index, "run", row.Name.Run,
+				"how", row.How.String(), "worker", s.worker.ID())
+		}
+	}
+	listed := map[ledger.RunKey]bool{}
+	s.foreign = false
+	for _, row := range ev.Running {
+		k, ok := e.key(row.Name)
+		r := s.runs[k]
+		if !ok || r == nil {
+			if !ended[k] {
+				s.foreign = true
+				e.cfg.Log.Info("worker runs what is not assigned to it; stopping it", "worker", s.worker.ID(), "job", row.Name.Job,
+					"step", row.Name.Step, "index", row.Name.Index, "run", row.Name.Run)
+				e.act(Stop{Order: e.order(s), Name: row.Name})
+			}
+			continue
+		}
+		listed[k] = true
+		r.inherited, r.listed = false, true
+		if r.startedAt == 0 {
+			r.startedAt = ev.At
+		}
+		r.saved, r.percent, r.load = cmp.Or(row.Checkpoint, r.saved), row.Percent, row.Load
+	}
+	if len(ev.Ended) < listLimit {
+		for k, r := range s.runs {
+			if !listed[k] && !ended[k] && e.vanished(r, ev.SentAt) {
+				m.Ends = append(m.Ends, voidEnd(r))
+			}
+		}
+	}
+	e.pace(s)
+	e.record(s, m)
+}
+
+// vanished reports whether a run that a list lacks has surely ended without being listed, or never began.
+func (e *Engine) vanished(r *run, listedAt time.Duration) bool {
+	if r.inherited {
+		// Orders of the earlier leader are void from now on, so this leader orders the start again.
+		r.inherited = false
+		return false
+	}
+	if r.stopped > 0 {
+		return !r.inFlight && r.stopped+e.cfg.StopTimeout < listedAt
+	}
+	return !r.inFlight && r.startedAt > 0 && r.startedAt < listedAt
+}
+
+func voidEnd(r *run) *workloadpb.End {
+	return &workloadpb.End{Subtask: r.key.Message(), Run: r.key.Run, How: workloadpb.How_HOW_VOID, Checkpoint: r.saved}
+}
+
+func (e *Engine) record(s *session, m *workloadpb.Ends) {
+	if len(m.Ends) == 0 && m.Noted == 0 {
+		return
+	}
+	slices.SortStableFunc(m.Ends, func(a, b *workloadpb.End) int {
+		return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.Subtask.Job, b.Subtask.Job), cmp.Compare(a.Subtask.Index, b.Subtask.Index))
+	})
+	s.recording, s.recordAt = true, e.now
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
+}
+
+// lapse gives up the runs of a worker whose lease has surely lapsed.
+func (e *Engine) lapse(s *session) {
+	m := &workloadpb.Ends{Worker: s.worker.Number()}
+	for _, r := range s.runs {
+		m.Ends = append(m.Ends, voidEnd(r))
+	}
+	e.cfg.Log.Info("lease of an unreachable worker has lapsed; its runs are given up", "worker", s.worker.ID(),
+		"boot", s.worker.Number(), "runs", len(m.Ends))
+	s.flush = true
+	e.record(s, m)
+}
+
+func (e *Engine) key(n RunName) (ledger.RunKey, bool) {
+	j := e.state.JobByID(n.Job)
+	if j == nil {
+		return ledger.RunKey{}, false
+	}
+	return ledger.RunKey{Job: j.Number, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index, Run: n.Run}, true
+}
+
+func (e *Engine) run(number uint64, n RunName) (*session, *run) {
+	s := e.sessions[number]
+	if s == nil {
+		return nil, nil
+	}
+	k, _ := e.key(n)
+	return s, s.runs[k]
+}
+
+func (e *Engine) onStart(ev StartDone) {
+	s, r := e.run(ev.Start.Number, ev.Start.Name)
+	if s == nil {
+		return
+	}
+	if ev.Clock > 0 {
+		e.contact(s, ev.Answer)
+	}
+	if ev.Outcome == OtherBoot {
+		e.ended(s)
+	}
+	if r == nil {
+		return
+	}
+	r.inFlight = false
+	switch ev.Outcome {
+	case Accepted, Outdated:
+		// An outdated run is in the worker's lists, or vanished.
+		r.startedAt = ev.At
+	case NoRoom, BadTicket, Unhealthy, Malformed:
+		e.cfg.Log.Info("worker refused a start", "worker", s.worker.ID(), "job", r.name.Job, "step", r.name.Step,
+			"index", r.name.Index, "run", r.name.Run, "outcome", ev.Outcome.String())
+		s.aside = e.now + retryPauseMax
+		e.refused(s, r)
+	case Late:
+		r.retryAt = e.now
+	case Fenced:
+		r.retryAt = e.now + retryPauseMax
+	case OtherBoot:
+		r.retryAt = e.now + proposalTimeout
+	default:
+		e.failed(s, "start", ev.Outcome)
+		r.retryAt = e.now + s.pause()
+	}
+}
+
+// refused gives up a run that a worker refused. An earlier order without an answer may still be carried out, so it is
+// ruled out first by a stop.
+func (e *Engine) refused(s *session, r *run) {
+	if r.tries > 1 {
+		r.stop = true
+		return
+	}
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{
+		Ends: &workloadpb.Ends{Worker: s.worker.Number(), Ends: []*workloadpb.End{voidEnd(r)}},
+	}})
+	r.retryAt = e.now + proposalTimeout
+}
+
+func (e *Engine) onStop(ev StopDone) {
+	s, r := e.run(ev.Stop.Number, ev.Stop.Name)
+	if s == nil {
+		return
+	}
+	if ev.Clock > 0 {
+		e.contact(s, ev.Answer)
+	}
+	if ev.Outcome == OtherBoot {
+		e.ended(s)
+	}
+	if r == nil {
+		return
+	}
+	r.inFlight = false
+	switch ev.Outcome {
+	case Accepted:
+		r.stopped = ev.At
+	case OtherBoot:
+		r.retryAt = e.now + proposalTimeout
+	case Unanswered, Unreached:
+		e.failed(s, "stop", ev.Outcome)
+		r.retryAt = e.now + s.pause()
+	default:
+		r.retryAt = e.now + retryPauseMax
+	}
+}
+
+// evacuate stops runs that can't end before their worker leaves, so that they go on elsewhere in time.
+func (e *Engine) evacuate(s *session) {
+	if !s.worker.Draining() {
+		return
+	}
+	left := s.drainUntil - e.now
+	for _, r := range s.runs {
+		step := r.subtask.Step().Step
+		rest := time.Duration(step.EstimateMs)*time.Millisecond - (e.now - r.startedAt)
+		if r.startedAt > 0 && (step.Lasting || rest > left) {
+			r.stop = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/workload/engine.go
@@ -0,0 +1,283 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+const (
+	// passLimit bounds the assignments of one command, so that a command stays far below the size of a log entry.
+	passLimit = 256
+	// proposalTimeout is after how long a command that was not applied is decided again. A leader without a quorum
+	// steps down within an election timeout of at most 1 s.
+	proposalTimeout = 3 * time.Second
+	// expireInterval is the time between looks for ended jobs that need not be kept.
+	expireInterval = time.Second
+	// replanInterval bounds the time without a pass while subtasks wait, because some conditions change with time alone.
+	replanInterval = 200 * time.Millisecond
+)
+
+// Config holds the settings of the engine. Durations come from the installation.
+type Config struct {
+	// Wall is the time of day; scheduled jobs are due by it.
+	Wall func() time.Time
+	// LeaseMax is the longest lease that workers accept.
+	LeaseMax time.Duration
+	// StopTimeout is how long a run may go on after its stop.
+	StopTimeout time.Duration
+	// ReportInterval is the time between liveness reports of a worker.
+	ReportInterval time.Duration
+	// Maintenance is how long an instance is down for upkeep.
+	Maintenance time.Duration
+	// Move is how long an instance is away when it changes its pool.
+	Move time.Duration
+	// Notice is how long a run of a step that may miss few may be not at work before it counts as missing.
+	Notice time.Duration
+	// TakeOver is how long a new leader waits before its first order for an instance.
+	TakeOver time.Duration
+	// KeepStates is how long the state of an ended job is kept.
+	KeepStates time.Duration
+	// Order is the sequence in which jobs are served.
+	Order schedule.Order
+	Log   logr.Logger
+}
+
+// Engine decides for the leader what workers do. It must be used from the control loop only.
+type Engine struct {
+	cfg   Config
+	state *ledger.State
+
+	leading   bool
+	term      uint64
+	ledAt     time.Duration
+	now       time.Duration
+	sessions  map[uint64]*session
+	actions   []kernel.Action
+	commands  []kernel.Command
+	assigning bool
+	plannedAt time.Duration
+	planned   uint64
+	expiredAt time.Duration
+	occurAt   time.Duration
+	advice    advice
+	upkeep    upkeep
+	share     share
+}
+
+func newEngine(state *ledger.State) *Engine {
+	e := &Engine{state: state}
+	e.Configure(Config{})
+	return e
+}
+
+// Configure sets the settings; zero values get defaults that suit tests.
+func (e *Engine) Configure(cfg Config) {
+	for _, d := range []struct {
+		to    *time.Duration
+		value time.Duration
+	}{
+		{&cfg.LeaseMax, 6 * time.Second},
+		{&cfg.StopTimeout, 200 * time.Millisecond},
+		{&cfg.ReportInterval, 1500 * time.Millisecond},
+		{&cfg.Maintenance, 2 * time.Second},
+		{&cfg.Move, 1500 * time.Millisecond},
+		{&cfg.Notice, 4500 * time.Millisecond},
+		{&cfg.TakeOver, 3 * time.Second},
+		{&cfg.KeepStates, 2 * time.Minute},
+	} {
+		if *d.to == 0 {
+			*d.to = d.value
+		}
+	}
+	if cfg.Wall == nil {
+		cfg.Wall = time.Now
+	}
+	if cfg.Log.GetSink() == nil {
+		cfg.Log = logr.Discard()
+	}
+	e.cfg = cfg
+}
+
+// State returns the replicated state.
+func (e *Engine) State() *ledger.State { return e.state }
+
+func (e *Engine) wallMillis() int64 { return e.cfg.Wall().UnixMilli() }
+
+// lead resets the soft state. What is assigned may run, and is asked for before anything else happens to it.
+func (e *Engine) lead(now time.Duration) {
+	*e = Engine{cfg: e.cfg, state: e.state, ledAt: now, now: now, sessions: map[uint64]*session{}}
+	e.advice.reset()
+	e.upkeep.reset()
+	e.share.reset()
+	for _, w := range e.state.Workers() {
+		s := e.open(w)
+		s.lastReport = now
+		s.granted = now + slowest(e.cfg.LeaseMax)
+		s.inherit()
+	}
+}
+
+func (e *Engine) observe(now time.Duration, ev kernel.Event) {
+	e.now = now
+	switch ev := ev.(type) {
+	case kernel.Leading:
+		e.leading, e.term = true, ev.Term
+	case kernel.Deposed:
+		e.leading = false
+	case HoldDone:
+		e.onHold(ev)
+	case StartDone:
+		e.onStart(ev)
+	case StopDone:
+		e.onStop(ev)
+	case PaceDone:
+		e.onPace(ev)
+	case AdviseDone:
+		e.onAdvise(ev)
+	case InstancesDone:
+		e.onInstances(ev)
+	case MaintainDone:
+		e.onMaintain(ev)
+	}
+}
+
+func (e *Engine) act(a kernel.Action) { e.actions = append(e.actions, a) }
+
+func (e *Engine) propose(m *workloadpb.Command) {
+	c, err := kernel.NewCommand(Name, "", m)
+	if err != nil {
+		e.cfg.Log.Error(err, "command of the workload was not proposed")
+		return
+	}
+	e.commands = append(e.commands, c)
+}
+
+// decide returns what has to be done now.
+func (e *Engine) decide(now time.Duration) kernel.Decision {
+	e.now = now
+	if !e.leading {
+		return kernel.Decision{}
+	}
+	for _, w := range e.state.Workers() {
+		e.drive(e.sessions[w.Number()])
+	}
+	e.expire()
+	e.occur()
+	e.driveAdvice()
+	e.driveUpkeep()
+	e.plan()
+	d := kernel.Decision{Commands: e.commands, Actions: e.actions}
+	e.commands, e.actions = nil, nil
+	return d
+}
+
+func (e *Engine) expire() {
+	if e.now-e.expiredAt < expireInterval {
+		return
+	}
+	e.expiredAt = e.now
+	if list := e.state.EndedJobs(e.wallMillis() - e.cfg.KeepStates.Milliseconds()); len(list) > 0 {
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Expire{Expire: &workloadpb.Expire{Jobs: list}}})
+	}
+}
+
+// occur begins the occurrences of scheduled jobs that are due.
+func (e *Engine) occur() {
+	if e.occurAt != 0 && e.now-e.occurAt < proposalTimeout {
+		return
+	}
+	m := &workloadpb.Occur{}
+	wall := e.wallMillis()
+	for _, j := range e.state.ActiveJobs() {
+		if n, due, ok := j.NextDue(); ok && due <= wall {
+			m.Jobs, m.Occurrences = append(m.Jobs, j.Number), append(m.Occurrences, n)
+		}
+	}
+	if len(m.Jobs) > 0 {
+		e.occurAt = e.now
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Occur{Occur: m}})
+	}
+}
+
+// plan assigns waiting subtasks. One command is under way at a time, so that each pass sees what the last one took.
+func (e *Engine) plan() {
+	if e.assigning && e.now-e.plannedAt < proposalTimeout {
+		return
+	}
+	if e.state.Changes() == e.planned && e.now-e.plannedAt < replanInterval {
+		return
+	}
+	e.plannedAt, e.planned = e.now, e.state.Changes()
+	in := schedule.Input{
+		State: e.state, Now: e.wallMillis(), Order: e.cfg.Order, Limit: passLimit, Excess: e.share.excess,
+		Allowed: e.advice.allowed,
+	}
+	for _, w := range e.state.Workers() {
+		if s := e.sessions[w.Number()]; e.usable(s) {
+			in.Workers = append(in.Workers, s.view())
+		}
+	}
+	list := schedule.Plan(in)
+	if len(list) == 0 {
+		return
+	}
+	e.assigning = true
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Assign{Assign: &workloadpb.Assign{Assignments: list}}})
+}
+
+// applied takes up what a command changed.
+func (e *Engine) applied(m *workloadpb.Command, r *workloadpb.Response) {
+	stops := e.state.TakeStops()
+	if !e.leading {
+		return
+	}
+	for _, w := range e.state.Workers() {
+		if e.sessions[w.Number()] == nil {
+			e.open(w)
+		}
+	}
+	for n, s := range e.sessions {
+		if s.worker.Gone() {
+			delete(e.sessions, n)
+			e.cfg.Log.Info("worker has left", "worker", s.worker.ID(), "boot", n)
+		}
+	}
+	for _, st := range stops {
+		if s := e.sessions[st.Worker.Number()]; s != nil && s.runs[st.Key] != nil {
+			s.runs[st.Key].stop = true
+		}
+	}
+	switch c := m.Change.(type) {
+	case *workloadpb.Command_Assign:
+		e.assigning = false
+		for _, a := range c.Assign.Assignments {
+			if s := e.sessions[a.Worker]; s != nil {
+				s.adopt()
+			}
+		}
+	case *workloadpb.Command_Ends:
+		if s := e.sessions[c.Ends.Worker]; s != nil {
+			s.settled(c.Ends)
+		}
+	case *workloadpb.Command_Occur:
+		e.occurAt = 0
+	case *workloadpb.Command_Submit:
+		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
+			e.share.accepted(e.state, e.state.JobByID(c.Submit.Id), e.now)
+		}
+	case *workloadpb.Command_Document:
+		e.cfg.Log.Info("configuration is in force", "version", e.state.Document().Version)
+	}
+}
+
+func decodeCommand(data []byte) (*workloadpb.Command, error) {
+	m := &workloadpb.Command{}
+	return m, proto.Unmarshal(data, m)
+}
--- /dev/null
+++ b/internal/workload/ledger/document.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// ErrInvalid reports a configuration that can't be in force.
+var ErrInvalid = errorx.NewNamespace("workload").NewType("invalid")
+
+// CheckDocument returns the first fault of a configuration.
+func CheckDocument(d *workloadpb.Document) error {
+	pools := map[string]bool{}
+	for _, p := range d.Pools {
+		if p.Name == "" || pools[p.Name] {
+			return ErrInvalid.New("pool %q has no name or is named twice", p.Name)
+		}
+		pools[p.Name] = true
+	}
+	places := map[[2]string]string{}
+	names := map[string]bool{}
+	for _, q := range d.Queues {
+		if q.Name == "" || names[q.Name] {
+			return ErrInvalid.New("queue %q has no name or is named twice", q.Name)
+		}
+		names[q.Name] = true
+		if !pools[q.Pool] {
+			return ErrInvalid.New("queue %s names the unknown pool %q", q.Name, q.Pool)
+		}
+		place := [2]string{strings.ToLower(q.Host), q.Prefix}
+		if other, ok := places[place]; ok {
+			return ErrInvalid.New("queues %s and %s have the same host and prefix", q.Name, other)
+		}
+		places[place] = q.Name
+	}
+	accounts := map[string]bool{}
+	keys := map[string]string{}
+	for _, a := range d.Accounts {
+		if a.Name == "" || accounts[a.Name] {
+			return ErrInvalid.New("client account %q has no name or is named twice", a.Name)
+		}
+		accounts[a.Name] = true
+		for _, k := range a.Keys {
+			if other, ok := keys[k]; ok && other != a.Name {
+				return ErrInvalid.New("client accounts %s and %s share a key", a.Name, other)
+			}
+			keys[k] = a.Name
+		}
+	}
+	return nil
+}
+
+func (s *State) applyDocument(d *workloadpb.Document) {
+	if s.document != nil && d.Version <= s.document.Version {
+		return
+	}
+	s.setDocument(d)
+	s.changed()
+}
+
+func (s *State) setDocument(d *workloadpb.Document) {
+	s.document = d
+	clear(s.queues)
+	clear(s.byHost)
+	clear(s.pools)
+	clear(s.accounts)
+	clear(s.keys)
+	for _, q := range d.GetQueues() {
+		s.queues[q.Name] = q
+		host := strings.ToLower(q.Host)
+		s.byHost[host] = append(s.byHost[host], q)
+	}
+	for _, list := range s.byHost {
+		slices.SortStableFunc(list, func(a, b *workloadpb.Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, p := range d.GetPools() {
+		s.pools[p.Name] = p
+	}
+	for _, a := range d.GetAccounts() {
+		s.accounts[a.Name] = a
+		for _, k := range a.Keys {
+			s.keys[k] = a
+		}
+	}
+}
+
+// Route returns the queue of a call and the client account of its key; the path is the prefix of the queue and the ID
+// of the job, if there is one. The verdict is DONE when the call is allowed.
+func (s *State) Route(host, path, id, key string) (*workloadpb.Queue, string, workloadpb.Verdict) {
+	if s.document == nil {
+		return nil, "", workloadpb.Verdict_VERDICT_NOT_READY
+	}
+	if h, _, ok := strings.Cut(host, ":"); ok {
+		host = h
+	}
+	list := s.byHost[strings.ToLower(host)]
+	i := slices.IndexFunc(list, func(q *workloadpb.Queue) bool { return strings.HasPrefix(path, q.Prefix) })
+	if i < 0 || list[i].Prefix != strings.TrimSuffix(path, id) {
+		return nil, "", workloadpb.Verdict_VERDICT_NO_QUEUE
+	}
+	found := list[i]
+	account := s.keys[key]
+	if account == nil && !found.Public {
+		return nil, "", workloadpb.Verdict_VERDICT_BAD_KEY
+	}
+	return found, account.GetName(), workloadpb.Verdict_VERDICT_DONE
+}
--- /dev/null
+++ b/internal/workload/ledger/job.go
@@ -0,0 +1,186 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// JobState is the state of a job.
+type JobState string
+
+// States of a job.
+const (
+	Queued    JobState = "queued"
+	Running   JobState = "running"
+	Completed JobState = "completed"
+	Failed    JobState = "failed"
+	Cancelled JobState = "cancelled"
+)
+
+// Job is an accepted job.
+type Job struct {
+	Number  uint64
+	ID      string
+	Queue   string
+	Account string
+	Spec    string
+	Steps   []*workloadpb.Step
+	// MaxRuns is the number of occurrences of a scheduled job, 0 for a job that runs once, at once.
+	MaxRuns int32
+	// StartAt, Interval, Accepted and Ended are Unix milliseconds and milliseconds by the leader's time of day.
+	StartAt, Interval, Accepted, Ended int64
+	// Begun reports that a subtask was assigned.
+	Begun bool
+
+	state       JobState
+	next        int32 // next occurrence
+	occurrences []*Occurrence
+	attempts    int
+}
+
+// State returns the state of the job.
+func (j *Job) State() JobState { return j.state }
+
+// Active reports whether subtasks of the job may run.
+func (j *Job) Active() bool { return j.state == Queued || j.state == Running }
+
+// Occurrences returns those that have begun and are not complete.
+func (j *Job) Occurrences() []*Occurrence { return j.occurrences }
+
+// Attempts returns how many runs of the job may be under way.
+func (j *Job) Attempts() int { return j.attempts }
+
+// NextDue returns the number and the due time of the next occurrence in Unix milliseconds; ok is false when none is left.
+func (j *Job) NextDue() (number int32, ms int64, ok bool) {
+	if !j.Active() || j.MaxRuns == 0 || j.next >= j.MaxRuns {
+		return 0, 0, false
+	}
+	return j.next, j.StartAt + int64(j.next)*j.Interval, true
+}
+
+func (j *Job) occurrence(number int32) *Occurrence {
+	for _, o := range j.occurrences {
+		if o.Number == number {
+			return o
+		}
+	}
+	return nil
+}
+
+func (j *Job) beginOccurrence(number int32) *Occurrence {
+	o := &Occurrence{Job: j, Number: number}
+	for i, s := range j.Steps {
+		sr := &StepRun{Occurrence: o, Number: int32(i), Step: s, Subtasks: make([]Subtask, s.Count), waiting: int(s.Count)}
+		for n := range sr.Subtasks {
+			sr.Subtasks[n].step, sr.Subtasks[n].Index = sr, int32(n)
+		}
+		o.Steps = append(o.Steps, sr)
+	}
+	j.occurrences = append(j.occurrences, o)
+	return o
+}
+
+// Occurrence is one run of the steps of a job.
+type Occurrence struct {
+	Job    *Job
+	Number int32
+	Steps  []*StepRun
+}
+
+// Complete reports whether all steps are done.
+func (o *Occurrence) Complete() bool {
+	return !slices.ContainsFunc(o.Steps, func(s *StepRun) bool { return !s.Done() })
+}
+
+// idle reports whether nothing of the occurrence is under way.
+func (o *Occurrence) idle() bool {
+	for _, st := range o.Steps {
+		if slices.ContainsFunc(st.Subtasks, func(t Subtask) bool { return len(t.Attempts) > 0 }) {
+			return false
+		}
+	}
+	return true
+}
+
+// StepRun is a step of an occurrence.
+type StepRun struct {
+	Occurrence *Occurrence
+	Number     int32
+	Step       *workloadpb.Step
+	Subtasks   []Subtask
+
+	waiting, done int
+}
+
+// Done reports whether all subtasks of the step are done.
+func (s *StepRun) Done() bool { return s.done == len(s.Subtasks) }
+
+// Waiting returns how many subtasks are neither done nor assigned.
+func (s *StepRun) Waiting() int { return s.waiting }
+
+// Ready reports whether the steps that this one depends on are done.
+func (s *StepRun) Ready() bool {
+	for _, n := range s.Step.After {
+		if !s.Occurrence.Steps[n].Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// Failures returns how many runs of a gang have failed.
+func (s *StepRun) Failures() int32 {
+	var n int32
+	for i := range s.Subtasks {
+		n += s.Subtasks[i].Failures
+	}
+	return n
+}
+
+// Subtask is one unit of work of a step.
+type Subtask struct {
+	Index int32
+	Done  bool
+	// Runs is the number of the last run.
+	Runs, Failures int32
+	Checkpoint     string
+	// Attempts are the runs that may be under way.
+	Attempts []Attempt
+
+	step *StepRun
+}
+
+// Step returns the step of the subtask.
+func (t *Subtask) Step() *StepRun { return t.step }
+
+// Waits reports whether the subtask is neither done nor assigned.
+func (t *Subtask) Waits() bool { return !t.Done && len(t.Attempts) == 0 }
+
+// Key returns the name of a run of the subtask.
+func (t *Subtask) Key(run int32) RunKey {
+	o := t.step.Occurrence
+	return RunKey{Job: o.Job.Number, Occurrence: o.Number, Step: t.step.Number, Index: t.Index, Run: run}
+}
+
+// Attempt is a run that is assigned to a boot of a worker.
+type Attempt struct {
+	Run    int32
+	Worker *Worker
+}
+
+// RunKey names a run of a subtask.
+type RunKey struct {
+	Job                     uint64
+	Occurrence, Step, Index int32
+	Run                     int32
+}
+
+// Message returns the subtask of the key as a message.
+func (k RunKey) Message() *workloadpb.Subtask {
+	return &workloadpb.Subtask{Job: k.Job, Occurrence: k.Occurrence, Step: k.Step, Index: k.Index}
+}
+
+func keyOf(m *workloadpb.Subtask, run int32) RunKey {
+	return RunKey{Job: m.GetJob(), Occurrence: m.GetOccurrence(), Step: m.GetStep(), Index: m.GetIndex(), Run: run}
+}
--- /dev/null
+++ b/internal/workload/ledger/snapshot.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) {
+	m := &workloadpb.State{Document: s.document, Waves: s.Waves(), NextJob: s.nextJob, NextWorker: s.nextWorker}
+	for _, w := range s.workerList {
+		m.Workers = append(m.Workers, w.info)
+	}
+	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return cmp.Compare(a.Number, b.Number) })
+	for _, j := range jobs {
+		m.Jobs = append(m.Jobs, encodeJob(j))
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func encodeJob(j *Job) *workloadpb.JobState {
+	m := &workloadpb.JobState{
+		Number: j.Number, Id: j.ID, Queue: j.Queue, Account: j.Account, Spec: j.Spec, Steps: j.Steps, MaxRuns: j.MaxRuns,
+		StartAtMs: j.StartAt, IntervalMs: j.Interval, AcceptedMs: j.Accepted, EndedMs: j.Ended, State: string(j.state),
+		NextOccurrence: j.next, Begun: j.Begun,
+	}
+	for _, o := range j.occurrences {
+		om := &workloadpb.OccurrenceState{Number: o.Number}
+		for _, st := range o.Steps {
+			sm := &workloadpb.StepState{}
+			for i := range st.Subtasks {
+				t := &st.Subtasks[i]
+				tm := &workloadpb.SubtaskState{Done: t.Done, Runs: t.Runs, Failures: t.Failures, Checkpoint: t.Checkpoint}
+				for _, a := range t.Attempts {
+					tm.Attempts = append(tm.Attempts, &workloadpb.Attempt{Run: a.Run, Worker: a.Worker.info.Number})
+				}
+				sm.Subtasks = append(sm.Subtasks, tm)
+			}
+			om.Steps = append(om.Steps, sm)
+		}
+		m.Occurrences = append(m.Occurrences, om)
+	}
+	return m
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	m := &workloadpb.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return err
+	}
+	s.reset()
+	if m.Document != nil {
+		s.setDocument(m.Document)
+	}
+	s.nextJob, s.nextWorker = m.NextJob, m.NextWorker
+	for _, w := range m.Workers {
+		s.addWorker(w)
+	}
+	for _, w := range m.Waves {
+		s.waves[w.Number] = w
+	}
+	for _, jm := range m.Jobs {
+		s.restoreJob(jm)
+	}
+	return nil
+}
+
+func (s *State) restoreJob(m *workloadpb.JobState) {
+	j := &Job{
+		Number: m.Number, ID: m.Id, Queue: m.Queue, Account: m.Account, Spec: m.Spec, Steps: m.Steps, MaxRuns: m.MaxRuns,
+		StartAt: m.StartAtMs, Interval: m.IntervalMs, Accepted: m.AcceptedMs, Ended: m.EndedMs, Begun: m.Begun,
+		next: m.NextOccurrence,
+	}
+	s.addJob(j)
+	// Assignments are taken up as if they were new; the state is set afterwards.
+	for _, om := range m.Occurrences {
+		o := j.beginOccurrence(om.Number)
+		for i, sm := range om.Steps {
+			for n, tm := range sm.Subtasks {
+				t := &o.Steps[i].Subtasks[n]
+				t.Runs, t.Failures, t.Checkpoint = tm.Runs, tm.Failures, tm.Checkpoint
+				for _, a := range tm.Attempts {
+					if w := s.workers[a.Worker]; w != nil {
+						s.assign(t, a.Run, w)
+					}
+				}
+				if tm.Done {
+					markDone(t)
+					t.Checkpoint = tm.Checkpoint
+				}
+			}
+		}
+	}
+	j.state, j.Begun = JobState(m.State), m.Begun
+	if j.Active() {
+		s.active = append(s.active, j)
+	}
+}
--- /dev/null
+++ b/internal/workload/plugin.go
@@ -0,0 +1,107 @@
+package workload
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// Name is the name of the plug-in.
+const Name = "workload"
+
+func init() {
+	kernel.Register(Name, nil, func(k *kernel.Kernel) kernel.Plugin {
+		e := newEngine(ledger.New())
+		k.Provide(Name, e)
+		return kernel.Plugin{
+			Apply:    e.apply,
+			Respond:  e.respond,
+			Observe:  e.observe,
+			Decide:   e.decide,
+			Lead:     e.lead,
+			Snapshot: e.state.Snapshot,
+			Restore:  e.state.Restore,
+		}
+	})
+}
+
+func (e *Engine) apply(c kernel.Command) ([]byte, error) {
+	m, err := decodeCommand(c.Body)
+	if err != nil {
+		return nil, kernel.ErrInvalid.New("%v", err)
+	}
+	r := e.state.Apply(m, time.Duration(c.At).Milliseconds())
+	e.applied(m, r)
+	return proto.Marshal(r)
+}
+
+// respond answers calls that change nothing.
+func (e *Engine) respond(now time.Duration, c kernel.Command) ([]byte, kernel.Reply) {
+	e.now = now
+	m, err := decodeCommand(c.Body)
+	if err != nil {
+		return nil, kernel.Replicate // Apply returns the error.
+	}
+	r, reply := e.answer(m)
+	if r == nil {
+		return nil, kernel.Replicate
+	}
+	body, err := proto.Marshal(r)
+	if err != nil {
+		e.cfg.Log.Error(err, "answer was not encoded")
+		return nil, kernel.Replicate
+	}
+	return body, reply
+}
+
+func (e *Engine) answer(m *workloadpb.Command) (*workloadpb.Response, kernel.Reply) {
+	done := &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_DONE}
+	switch c := m.Change.(type) {
+	case *workloadpb.Command_Submit:
+		if r, ok := e.state.Submitted(c.Submit); ok {
+			return r, kernel.AfterRead
+		}
+	case *workloadpb.Command_Cancel:
+		j, r := e.state.Find(c.Cancel.Host, c.Cancel.Path, c.Cancel.Key, c.Cancel.Id)
+		if r != nil {
+			return r, kernel.AfterRead
+		}
+		if !j.Active() {
+			done.State = string(j.State())
+			return done, kernel.AfterRead
+		}
+	case *workloadpb.Command_Inspect:
+		return e.state.Inspect(c.Inspect), kernel.AfterRead
+	case *workloadpb.Command_ReadDocument:
+		if e.state.Document() == nil {
+			return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_NOT_READY}, kernel.AfterRead
+		}
+		done.Source = e.state.Document().Source
+		return done, kernel.AfterRead
+	case *workloadpb.Command_InspectWave:
+		w := e.state.Wave(c.InspectWave.Number)
+		if w == nil {
+			return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_NO_JOB}, kernel.AfterRead
+		}
+		done.Completed = ledger.WaveCompleted(w)
+		return done, kernel.AfterRead
+	case *workloadpb.Command_Document:
+		if d := e.state.Document(); d != nil && c.Document.Version <= d.Version {
+			return done, kernel.AfterRead
+		}
+	case *workloadpb.Command_Report:
+		e.onReport(c.Report)
+		if e.state.Knows(c.Report.Worker) {
+			return done, kernel.AtOnce
+		}
+	case *workloadpb.Command_Leave:
+		if w := e.state.WorkerByID(c.Leave.Id); w == nil || w.Born() != c.Leave.BornMs {
+			return done, kernel.AtOnce
+		}
+	}
+	return nil, kernel.Replicate
+}
--- /dev/null
+++ b/internal/workload/schedule/schedule.go
@@ -0,0 +1,224 @@
+package schedule
+
+import (
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// Worker is a boot that may take new runs.
+type Worker struct {
+	*ledger.Worker
+	// Serving and Filling count the assigned runs that serve users, and that fill beside others.
+	Serving, Filling int
+	// Unused is the number of thousandths of a core that no run has asked for, fillers included.
+	Unused int64
+	// Suspect workers are used when no other has room.
+	Suspect bool
+
+	free ledger.Resources
+}
+
+// Input is what a pass decides on.
+type Input struct {
+	State   *ledger.State
+	Workers []*Worker
+	// Now is the time of day in Unix milliseconds.
+	Now   int64
+	Order Order
+	// Limit bounds the assignments of one pass.
+	Limit int
+	// Excess reports whether a job is beyond the share of its client account; it may be nil.
+	Excess func(j *ledger.Job) bool
+	// Ready reports whether a subtask may be tried now; it may be nil.
+	Ready func(t *ledger.Subtask) bool
+	// Allowed reports whether advice lets a worker run a step; it may be nil.
+	Allowed func(s *ledger.StepRun, w *Worker) bool
+}
+
+type pass struct {
+	in    *Input
+	pools map[string][]*Worker
+	usage map[string]ledger.Resources
+	out   []*workloadpb.Assignment
+}
+
+// Plan returns the assignments to make now.
+func Plan(in Input) []*workloadpb.Assignment {
+	p := &pass{in: &in, pools: map[string][]*Worker{}, usage: map[string]ledger.Resources{}}
+	for _, w := range in.Workers {
+		w.free = w.Free()
+		p.pools[w.Pool()] = append(p.pools[w.Pool()], w)
+	}
+	for _, c := range p.candidates() {
+		for _, s := range c.occurrence.Steps {
+			if s.Waiting() > 0 && s.Ready() && len(p.out) < in.Limit {
+				p.place(s, p.pools[c.queue.Pool], ledger.ResourcesOf(in.State.Account(c.occurrence.Job.Account).GetAllowance()))
+			}
+		}
+	}
+	return p.out
+}
+
+// place starts as many waiting subtasks of a step as fit, all or none of a gang.
+func (p *pass) place(s *ledger.StepRun, workers []*Worker, allowance ledger.Resources) {
+	var waiting []*ledger.Subtask
+	for i := range s.Subtasks {
+		if t := &s.Subtasks[i]; t.Waits() && (p.in.Ready == nil || p.in.Ready(t)) {
+			waiting = append(waiting, t)
+		}
+	}
+	if s.Step.Gang && len(waiting) < len(s.Subtasks) || len(waiting) == 0 {
+		return
+	}
+	account := s.Occurrence.Job.Account
+	need := ledger.ResourcesOf(s.Step.Need)
+	n := 0
+	for used := p.usage[account].Plus(p.in.State.Usage(account)); n < len(waiting); n++ {
+		if used = used.Plus(need); !used.WithinAllowance(allowance) {
+			break
+		}
+	}
+	if s.Step.Gang && n < len(waiting) {
+		return
+	}
+	chosen := p.choose(s, workers, n)
+	if s.Step.Gang && len(chosen) < len(waiting) {
+		p.giveBack(s, chosen)
+		return
+	}
+	run := int32(0)
+	for _, t := range waiting[:len(chosen)] {
+		run = max(run, t.Runs)
+	}
+	for i, w := range chosen {
+		t := waiting[i]
+		next := t.Runs
+		if s.Step.Gang {
+			next = run
+		}
+		key := t.Key(next + 1)
+		p.out = append(p.out, &workloadpb.Assignment{Subtask: key.Message(), Worker: w.Number(), Run: key.Run})
+	}
+	p.usage[account] = p.usage[account].Plus(need.Times(len(chosen)))
+}
+
+func (p *pass) giveBack(s *ledger.StepRun, workers []*Worker) {
+	for _, w := range workers {
+		w.free = w.free.Plus(ledger.Room(s.Step))
+		w.count(s.Step, -1)
+	}
+}
+
+func (w *Worker) count(s *workloadpb.Step, n int) {
+	w.Unused -= int64(n) * s.Need.GetCpu()
+	if s.Fills {
+		w.Filling += n
+	}
+	if s.TargetMs > 0 {
+		w.Serving += n
+	}
+}
+
+// choose takes room for up to n subtasks of a step and returns their workers.
+func (p *pass) choose(s *ledger.StepRun, workers []*Worker, n int) []*Worker {
+	onStep := map[uint64]int{}
+	rack := s.Step.DataRack
+	for i := range s.Subtasks {
+		for _, a := range s.Subtasks[i].Attempts {
+			onStep[a.Worker.Number()]++
+			if s.Step.RackSensitive {
+				rack = a.Worker.Rack()
+			}
+		}
+	}
+	room := ledger.Room(s.Step)
+	fits := func(w *Worker) bool {
+		return room.Within(w.free) && (s.Step.MaxPerWorker == 0 || onStep[w.Number()] < int(s.Step.MaxPerWorker)) &&
+			(s.Step.Label == "" || w.HasLabel(s.Step.Label)) && (p.in.Allowed == nil || p.in.Allowed(s, w))
+	}
+	if s.Step.RackSensitive && rack == "" {
+		rack = widestRack(s, workers, room, fits)
+	}
+	var chosen []*Worker
+	for len(chosen) < n && len(p.out)+len(chosen) < p.in.Limit+len(s.Subtasks) {
+		var best *Worker
+		for _, w := range workers {
+			if fits(w) && (best == nil || better(s.Step, rack, w, best, onStep)) {
+				best = w
+			}
+		}
+		if best == nil {
+			break
+		}
+		best.free = best.free.Minus(room)
+		best.count(s.Step, 1)
+		onStep[best.Number()]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+// widestRack returns the rack that holds most subtasks of a step, so that they run beside each other.
+func widestRack(s *ledger.StepRun, workers []*Worker, room ledger.Resources, fits func(*Worker) bool) string {
+	count := map[string]int{}
+	for _, w := range workers {
+		if !fits(w) {
+			continue
+		}
+		n := 0
+		for free := w.free; room.Within(free) && n < len(s.Subtasks); n++ {
+			if s.Step.MaxPerWorker > 0 && n >= int(s.Step.MaxPerWorker) {
+				break
+			}
+			free = free.Minus(room)
+			if room == (ledger.Resources{}) {
+				n = len(s.Subtasks)
+				break
+			}
+		}
+		count[w.Rack()] += n
+	}
+	best := ""
+	for _, w := range workers {
+		if r := w.Rack(); best == "" || count[r] > count[best] {
+			best = r
+		}
+	}
+	return best
+}
+
+// better compares two workers that both have room for a subtask of a step.
+func better(s *workloadpb.Step, rack string, a, b *Worker, onStep map[uint64]int) bool {
+	if a.Suspect != b.Suspect {
+		return b.Suspect
+	}
+	if rack != "" {
+		if x, y := slices.Contains(a.Labels(), rack), slices.Contains(b.Labels(), rack); x != y {
+			return x
+		}
+	}
+	switch {
+	case s.Fills:
+		// What fills disturbs what serves, and works with what is left.
+		if a.Serving != b.Serving {
+			return a.Serving < b.Serving
+		}
+		if a.Filling != b.Filling {
+			return a.Filling < b.Filling
+		}
+		return a.Unused > b.Unused
+	case s.TargetMs > 0 || s.Lasting:
+		// Spread, so that an upkeep or a loss of one worker takes few subtasks of a step away.
+		if x, y := onStep[a.Number()], onStep[b.Number()]; x != y {
+			return x < y
+		}
+		if x, y := a.Serving+a.Filling, b.Serving+b.Filling; x != y {
+			return x < y
+		}
+		return a.free.CPU > b.free.CPU
+	}
+	// The fullest worker that fits leaves room for wide subtasks elsewhere.
+	return a.free.CPU < b.free.CPU
+}
--- /dev/null
+++ b/internal/workload/session.go
@@ -0,0 +1,231 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+const (
+	// leaseShare is the part of the longest lease that is granted. The rest covers that an order is on its way.
+	leaseShare = 0.8
+	// slowClock is the slowest that a worker's clock may run, as the infrastructure states it.
+	slowClock = 0.98
+	// lapseMargin covers the time in which a worker ends what it ran when the lease lapses.
+	lapseMargin = 100 * time.Millisecond
+	// holdWait is how long a worker waits for an end. Leases are renewed once in this time, which leaves more than half
+	// of a lease for a change of leader.
+	holdWait = 1500 * time.Millisecond
+	// retryPause and retryPauseMax are the times between attempts to reach a worker that failed.
+	retryPause    = 100 * time.Millisecond
+	retryPauseMax = 500 * time.Millisecond
+	// missedReports is how many liveness reports a worker may miss before it gets no new work.
+	missedReports = 3
+)
+
+// slowest is how long d on the slowest clock of a worker takes.
+func slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/slowClock) + lapseMargin
+}
+
+// session is what the leader knows about a boot of a worker.
+type session struct {
+	worker *ledger.Worker
+	runs   map[ledger.RunKey]*run
+
+	lastReport time.Duration
+	sequence   uint64
+	drainUntil time.Duration
+
+	// The worker's clock showed at least clock at clockAt.
+	clock      int64
+	clockAt    time.Duration
+	clockKnown bool
+	// granted is when every lease that was granted has surely lapsed.
+	granted time.Duration
+
+	holding   bool
+	holdDue   time.Duration
+	acked     int64 // last noted end that the worker knows to be noted
+	flush     bool  // ends may be listed although nothing is assigned
+	recording bool  // ends were proposed and are not applied yet
+	recordAt  time.Duration
+
+	failures  int
+	contactAt time.Duration
+	foreign   bool // lists runs that are not assigned to it
+	streak    int  // runs that failed since one was done
+	aside     time.Duration
+	reserved  bool // gets no new work because of its upkeep
+}
+
+// run is what the leader knows about an assigned run.
+type run struct {
+	key     ledger.RunKey
+	subtask *ledger.Subtask
+	name    RunName
+	// checkpoint is the one with which the run starts.
+	checkpoint string
+	ticket     string
+
+	inherited bool // assigned by an earlier leader, and not asked for yet
+	inFlight  bool
+	tries     int
+	retryAt   time.Duration
+	startedAt time.Duration // the start was confirmed
+	stop      bool
+	stopped   time.Duration // the stop was confirmed
+
+	listed  bool
+	saved   string
+	percent int
+	load    int64
+}
+
+func (e *Engine) open(w *ledger.Worker) *session {
+	s := &session{worker: w, runs: map[ledger.RunKey]*run{}}
+	e.sessions[w.Number()] = s
+	e.cfg.Log.Info("worker is known", "worker", w.ID(), "boot", w.Number(), "pool", w.Pool(), "address", w.Address())
+	return s
+}
+
+func newRun(k ledger.RunKey, t *ledger.Subtask) *run {
+	return &run{
+		key: k, subtask: t, checkpoint: t.Checkpoint, stop: ledger.Unwanted(t),
+		name: RunName{Job: t.Step().Occurrence.Job.ID, Occurrence: k.Occurrence, Step: k.Step, Index: k.Index, Run: k.Run},
+	}
+}
+
+// inherit takes up the runs that an earlier leader assigned.
+func (s *session) inherit() {
+	s.adopt()
+	for _, r := range s.runs {
+		r.inherited = true
+	}
+	s.flush = true
+}
+
+// adopt takes up runs that were assigned since the last call.
+func (s *session) adopt() {
+	for k, t := range s.worker.Runs() {
+		if s.runs[k] == nil {
+			s.runs[k] = newRun(k, t)
+		}
+	}
+}
+
+// settled takes up recorded ends.
+func (s *session) settled(m *workloadpb.Ends) {
+	s.recording = false
+	for k := range s.runs {
+		if s.worker.Runs()[k] == nil {
+			delete(s.runs, k)
+		}
+	}
+	if m.Noted > 0 {
+		for _, e := range m.Ends {
+			switch e.How {
+			case workloadpb.How_HOW_DONE:
+				s.streak = 0
+			case workloadpb.How_HOW_FAILED:
+				s.streak++
+			}
+		}
+	}
+}
+
+func (s *session) target() Target {
+	return Target{Number: s.worker.Number(), ID: s.worker.ID(), Address: s.worker.Address(), Born: s.worker.Born()}
+}
+
+// order returns the part that every order to the worker has, with a lease when the worker's clock is known.
+func (e *Engine) order(s *session) Order {
+	o := Order{Target: s.target(), Token: e.term}
+	if !s.clockKnown {
+		return o
+	}
+	lease := time.Duration(float64(e.cfg.LeaseMax) * leaseShare)
+	o.Deadline = s.clock + (e.now - s.clockAt + lease).Milliseconds()
+	s.granted = max(s.granted, s.clockAt+slowest(e.now-s.clockAt+lease))
+	return o
+}
+
+// sawClock takes a reading of the worker's clock that is no newer than at.
+func (s *session) sawClock(clock int64, at time.Duration) {
+	if !s.clockKnown || clock+(s.clockAt-at).Milliseconds() >= s.clock {
+		s.clock, s.clockAt, s.clockKnown = clock, at, true
+	}
+}
+
+// contact notes that the worker answered.
+func (e *Engine) contact(s *session, a Answer) {
+	if s.failures > 0 {
+		e.cfg.Log.Info("worker answers again", "worker", s.worker.ID(), "boot", s.worker.Number(), "failures", s.failures)
+	}
+	s.failures, s.contactAt = 0, a.At
+	s.sawClock(a.Clock, a.At)
+}
+
+func (e *Engine) failed(s *session, what string, o Outcome) {
+	s.failures++
+	if s.failures == 1 {
+		e.cfg.Log.Info("worker does not answer", "worker", s.worker.ID(), "boot", s.worker.Number(), "order", what,
+			"outcome", o.String(), "runs", len(s.runs), "lease-ends-in", (s.granted - e.now).String())
+	}
+}
+
+func (s *session) pause() time.Duration {
+	return min(retryPause*time.Duration(max(s.failures, 1)), retryPauseMax)
+}
+
+// ended records that the boot of a session is over.
+func (e *Engine) ended(s *session) {
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Leave{
+		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.Born()},
+	}})
+}
+
+// usable reports whether a worker may take new runs.
+func (e *Engine) usable(s *session) bool {
+	seen := max(s.lastReport, s.contactAt)
+	return s.clockKnown && s.failures == 0 && !s.worker.Draining() && !s.foreign && !s.reserved && e.now >= s.aside &&
+		e.now-seen <= missedReports*e.cfg.ReportInterval
+}
+
+func (s *session) view() *schedule.Worker {
+	v := &schedule.Worker{Worker: s.worker, Unused: s.worker.Capacity().CPU, Suspect: s.streak > 1}
+	for _, t := range s.worker.Runs() {
+		step := t.Step().Step
+		v.Unused -= step.Need.GetCpu()
+		if step.Fills {
+			v.Filling++
+		}
+		if step.TargetMs > 0 {
+			v.Serving++
+		}
+	}
+	return v
+}
+
+// onReport takes a liveness report.
+func (e *Engine) onReport(r *workloadpb.Report) {
+	w := e.state.WorkerByID(r.GetWorker().GetId())
+	if w == nil || w.Born() != r.Worker.BornMs || !e.leading {
+		return
+	}
+	s := e.sessions[w.Number()]
+	if s == nil || r.Sequence < s.sequence {
+		return
+	}
+	s.sequence, s.lastReport = r.Sequence, e.now
+	s.sawClock(r.ClockMs, e.now)
+	if r.Worker.Draining {
+		s.drainUntil = e.now + time.Duration(r.DrainRemainingMs)*time.Millisecond
+	}
+	if s.failures > 0 && len(s.runs) == 0 {
+		// Nothing else would find out that an idle worker can be reached again.
+		s.failures = 0
+	}
+}
