--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -284,6 +284,8 @@
 
 func (v *Voter) startLeading(term uint64) {
 	v.leading, v.leadTerm = true, term
+	// A quorum has committed the first entry of the term.
+	v.confirmed.Store(bootTime())
 	v.leads.Store(true)
 	v.rollouts.reset()
 	v.renewals = map[string]lastRenewal{}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -67,7 +67,7 @@
 	expiredAt time.Duration
 	occurAt   time.Duration
 	advice    advice
-	upkeep    upkeep
+	fleet     fleet
 	share     share
 }
 
@@ -114,7 +114,7 @@
 func (e *Engine) lead(now time.Duration) {
 	*e = Engine{cfg: e.cfg, state: e.state, ledAt: now, now: now, sessions: map[uint64]*session{}}
 	e.advice.reset()
-	e.upkeep.reset()
+	e.fleet.reset()
 	e.share.reset()
 	for _, w := range e.state.Workers() {
 		s := e.open(w)
@@ -143,8 +143,10 @@
 		e.onAdvise(ev)
 	case InstancesDone:
 		e.onInstances(ev)
+	case MoveDone:
+		e.onDuty(ev.Move.Instance, ev.Outcome)
 	case MaintainDone:
-		e.onMaintain(ev)
+		e.onDuty(ev.Maintain.Instance, ev.Outcome)
 	}
 }
 
@@ -171,7 +173,7 @@
 	e.expire()
 	e.occur()
 	e.driveAdvice()
-	e.driveUpkeep()
+	e.driveFleet()
 	e.plan()
 	d := kernel.Decision{Commands: e.commands, Actions: e.actions}
 	e.commands, e.actions = nil, nil
@@ -240,7 +242,10 @@
 	}
 	for _, w := range e.state.Workers() {
 		if e.sessions[w.Number()] == nil {
-			e.open(w)
+			e.open(w).flush = true // One look tells the clock, and what an order for an earlier boot may have started.
+			if e.fleet.byWorker[w.ID()] == nil {
+				e.fleet.stale = true
+			}
 		}
 	}
 	for n, s := range e.sessions {
--- /dev/null
+++ b/internal/workload/fleet.go
@@ -0,0 +1,206 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+const (
+	// listPause is the least time between two reads of the list of instances, each of which is paid for.
+	listPause = 700 * time.Millisecond
+	// listAge is after how long the list is read again although nothing is known to have changed.
+	listAge = 10 * time.Second
+	// fleetInterval is the time between decisions on instances. Moves take more than a second, so faster ones gain little.
+	fleetInterval = 100 * time.Millisecond
+	// dutyPause is the time before an order for an instance that was not carried out is repeated.
+	dutyPause = 500 * time.Millisecond
+	// downMargin covers that an instance is back later than its move or upkeep takes.
+	downMargin = 500 * time.Millisecond
+	// drainPatience is how long an instance that is due for upkeep may go on with what it runs.
+	drainPatience = 1500 * time.Millisecond
+)
+
+// fleet is what the leader knows about instances.
+type fleet struct {
+	rows     map[string]*instance
+	byWorker map[string]*instance
+	listed   bool
+	listedAt time.Duration
+	listing  bool
+	stale    bool
+	drivenAt time.Duration
+	grownAt  map[string]time.Duration // when a pool last had too few instances
+}
+
+// instance is a row of the list with what is being done to it.
+type instance struct {
+	Instance
+	duty      *duty
+	idleSince time.Duration // 0 while it is busy
+}
+
+// duty is a move or an upkeep of an instance.
+type duty struct {
+	// pool is the target of a move, empty for an upkeep.
+	pool     string
+	wave     int64
+	began    time.Duration
+	ordering bool
+	ordered  bool // an order was sent and may be carried out
+	retryAt  time.Duration
+	till     time.Duration // confirmed; the instance is away until then
+}
+
+func (f *fleet) reset() {
+	*f = fleet{
+		rows: map[string]*instance{}, byWorker: map[string]*instance{}, stale: true, grownAt: map[string]time.Duration{},
+	}
+}
+
+// driveFleet keeps the list of instances and decides on moves and upkeep.
+func (e *Engine) driveFleet() {
+	f := &e.fleet
+	if e.now-e.ledAt < e.cfg.TakeOver || e.now-f.drivenAt < fleetInterval {
+		return
+	}
+	f.drivenAt = e.now
+	age := e.now - f.listedAt
+	if !f.listing && (f.stale && age >= listPause || age >= listAge) {
+		f.listing = true
+		e.act(ListInstances{})
+	}
+	if !f.listed {
+		return
+	}
+	for _, in := range f.sorted() {
+		e.driveDuty(in)
+	}
+	for _, w := range e.state.Waves() {
+		if !ledger.WaveCompleted(w) {
+			e.driveWave(w)
+		}
+	}
+	e.drivePools()
+}
+
+func (e *Engine) sessionOf(in *instance) *session {
+	if in == nil {
+		return nil
+	}
+	w := e.state.WorkerByID(in.Worker)
+	if w == nil {
+		return nil
+	}
+	return e.sessions[w.Number()]
+}
+
+func (e *Engine) onInstances(ev InstancesDone) {
+	f := &e.fleet
+	f.listing = false
+	f.listedAt = max(e.now, 1)
+	if ev.Outcome != Accepted {
+		e.cfg.Log.Info("list of instances was not read", "outcome", ev.Outcome.String())
+		f.stale = true
+		return
+	}
+	f.stale, f.listed = false, true
+	rows := map[string]*instance{}
+	clear(f.byWorker)
+	for _, row := range ev.Instances {
+		in := f.rows[row.Name]
+		if in == nil {
+			in = &instance{}
+		}
+		in.Instance = row
+		rows[row.Name] = in
+		if row.Worker != "" {
+			f.byWorker[row.Worker] = in
+		}
+	}
+	f.rows = rows
+}
+
+// driveDuty carries on with the move or upkeep of an instance.
+func (e *Engine) driveDuty(in *instance) {
+	d := in.duty
+	if d == nil || d.ordering || e.now < d.retryAt {
+		return
+	}
+	s := e.sessionOf(in)
+	if d.till > 0 {
+		if e.now > d.till {
+			in.duty, e.fleet.stale = nil, true
+		}
+		return
+	}
+	if s != nil && !d.ordered {
+		s.reserved = true
+		switch {
+		case e.assigning:
+			// A command that is under way may give it work.
+			return
+		case d.wave == 0 && len(s.worker.Runs()) > 0:
+			if e.now-d.began > drainPatience {
+				e.drop(in, s)
+			}
+			return
+		case d.wave > 0 && !e.vacate(s, e.now-d.began):
+			return
+		}
+	}
+	d.ordering, d.ordered = true, true
+	if d.wave > 0 {
+		e.act(Maintain{Instance: in.Name, Wave: d.wave, Token: e.term})
+		return
+	}
+	e.act(Move{Instance: in.Name, Pool: d.pool, Token: e.term})
+}
+
+// drop gives up a duty that was not ordered yet.
+func (e *Engine) drop(in *instance, s *session) {
+	in.duty = nil
+	if s != nil {
+		s.reserved = false
+	}
+}
+
+// onDuty takes the answer to an order for an instance.
+func (e *Engine) onDuty(name string, o Outcome) {
+	in := e.fleet.rows[name]
+	if in == nil || in.duty == nil {
+		return
+	}
+	d := in.duty
+	d.ordering = false
+	e.cfg.Log.Info("instance was ordered away", "instance", name, "wave", d.wave, "pool", d.pool, "outcome", o.String())
+	s := e.sessionOf(in)
+	m := &workloadpb.Maintained{Wave: d.wave}
+	switch o {
+	case Accepted:
+		away := e.cfg.Move
+		if d.wave > 0 {
+			away = e.cfg.Maintenance
+			m.Begun = []string{name}
+		}
+		d.till = e.now + away + downMargin
+		if s != nil {
+			e.ended(s)
+		}
+	case Malformed, Missing:
+		m.Gone = []string{name}
+		e.fleet.stale = true
+		e.drop(in, s)
+	case Busy:
+		e.fleet.stale = true
+		e.drop(in, s)
+		return
+	default:
+		d.retryAt = e.now + dutyPause
+		return
+	}
+	if d.wave > 0 {
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Maintained{Maintained: m}})
+	}
+}
--- /dev/null
+++ b/internal/workload/pools.go
@@ -0,0 +1,193 @@
+package workload
+
+import (
+	"math"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+)
+
+const (
+	// headroom is how much more room a pool gets than its demand asks for, as what fits is never quite full.
+	headroom = 1.15
+	// idleHold is how long an instance is idle before it is turned off. Turning it off and on again costs two moves, as
+	// much as about three seconds in a pool on the installations' price lists.
+	idleHold = 1500 * time.Millisecond
+	// grownHold is how long a pool that had too few instances keeps those that it has.
+	grownHold = 1500 * time.Millisecond
+	// poolReserve is how many instances a pool with queues has at least.
+	poolReserve = 1
+)
+
+// poolView is what a decision on pools needs to know of one.
+type poolView struct {
+	name   string
+	spare  bool
+	demand ledger.Resources
+	least  int // instances that what lasts needs
+	have   int // instances that serve the pool or are on their way to it
+	room   ledger.Resources
+	want   int
+}
+
+// drivePools moves idle instances to the pools that need them, and turns off what none needs.
+func (e *Engine) drivePools() {
+	d := e.state.Document()
+	if d == nil {
+		return
+	}
+	pools := map[string]*poolView{}
+	var order []*poolView
+	spare := ""
+	for _, p := range d.Pools {
+		v := &poolView{name: p.Name, spare: p.Spare}
+		pools[p.Name] = v
+		order = append(order, v)
+		if p.Spare {
+			spare = p.Name
+		}
+	}
+	if spare == "" {
+		return
+	}
+	e.measurePools(pools)
+	var off, idle []*instance
+	for _, in := range e.fleet.sorted() {
+		e.noteIdle(in)
+		v := pools[in.effectivePool()]
+		if v == nil {
+			continue
+		}
+		if in.duty == nil && !in.Up && !e.arriving(in) {
+			continue
+		}
+		s := e.sessionOf(in)
+		if s != nil && (s.worker.Draining() || s.failures > 0) {
+			continue
+		}
+		v.have++
+		v.room = ledger.ResourcesOf(in.Capacity)
+		switch {
+		case in.duty != nil || !in.Up:
+		case v.spare:
+			off = append(off, in)
+		case s != nil && in.idleSince > 0 && s.clockKnown:
+			idle = append(idle, in)
+		}
+	}
+	for _, v := range order {
+		v.plan()
+	}
+	for _, v := range order {
+		for !v.spare && v.have < v.want {
+			in := takeFrom(&off, &idle, pools)
+			if in == nil {
+				break
+			}
+			e.fleet.grownAt[v.name] = e.now
+			pools[in.Pool].have--
+			v.have++
+			e.move(in, v.name, v)
+		}
+		if !v.spare && v.have <= v.want {
+			e.fleet.grownAt[v.name] = e.now
+		}
+	}
+	for _, in := range idle {
+		v := pools[in.Pool]
+		grown, ok := e.fleet.grownAt[in.Pool]
+		if in.duty == nil && v.have > v.want && e.now-in.idleSince >= idleHold && (!ok || e.now-grown >= grownHold) {
+			v.have--
+			e.move(in, spare, v)
+		}
+	}
+}
+
+// measurePools adds up what runs and what could run now.
+func (e *Engine) measurePools(pools map[string]*poolView) {
+	for _, j := range e.state.ActiveJobs() {
+		v := pools[e.state.Queue(j.Queue).GetPool()]
+		if v == nil {
+			continue
+		}
+		for _, o := range j.Occurrences() {
+			for _, st := range o.Steps {
+				if st.Done() || !st.Ready() {
+					continue
+				}
+				n := 0
+				for i := range st.Subtasks {
+					if !st.Subtasks[i].Done {
+						n++
+					}
+				}
+				v.demand = v.demand.Plus(ledger.Room(st.Step).Times(n))
+				if st.Step.Lasting {
+					per := max(int(st.Step.MaxPerWorker), 1)
+					v.least = max(v.least, (n+per-1)/per)
+				}
+			}
+		}
+	}
+}
+
+func (v *poolView) plan() {
+	if v.spare {
+		return
+	}
+	share := 0.0
+	for _, r := range [][2]int64{
+		{v.demand.CPU, v.room.CPU}, {v.demand.Memory, v.room.Memory}, {v.demand.Accelerators, v.room.Accelerators},
+	} {
+		if r[1] > 0 {
+			share = math.Max(share, float64(r[0])/float64(r[1]))
+		}
+	}
+	v.want = max(int(math.Ceil(share*headroom)), v.least, poolReserve)
+}
+
+// effectivePool is the pool that an instance serves or is on its way to.
+func (in *instance) effectivePool() string {
+	if in.duty != nil && in.duty.pool != "" {
+		return in.duty.pool
+	}
+	return in.Pool
+}
+
+// arriving reports whether an instance that is not up yet was moved or maintained a moment ago.
+func (e *Engine) arriving(in *instance) bool { return in.duty != nil && in.duty.till > 0 }
+
+func (e *Engine) noteIdle(in *instance) {
+	s := e.sessionOf(in)
+	switch {
+	case s == nil || len(s.runs) > 0 || len(s.worker.Runs()) > 0:
+		in.idleSince = 0
+	case in.idleSince == 0:
+		in.idleSince = e.now
+	}
+}
+
+// takeFrom returns an instance that is off, or one that is idle in a pool with more than it needs.
+func takeFrom(off, idle *[]*instance, pools map[string]*poolView) *instance {
+	for i, in := range *idle {
+		if v := pools[in.Pool]; v.have > v.want {
+			*idle = append((*idle)[:i:i], (*idle)[i+1:]...)
+			return in
+		}
+	}
+	if len(*off) == 0 {
+		return nil
+	}
+	in := (*off)[0]
+	*off = (*off)[1:]
+	return in
+}
+
+func (e *Engine) move(in *instance, pool string, v *poolView) {
+	in.duty = &duty{pool: pool, began: e.now}
+	if s := e.sessionOf(in); s != nil {
+		s.reserved = true
+	}
+	e.cfg.Log.Info("instance changes its pool", "instance", in.Name, "from", in.Pool, "to", pool, "have", v.have, "want", v.want,
+		"demand-cpu", v.demand.CPU, "demand-memory", v.demand.Memory)
+}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -10,8 +10,8 @@
 // Worker is a boot that may take new runs.
 type Worker struct {
 	*ledger.Worker
-	// Serving and Filling count the assigned runs that serve users, and that fill beside others.
-	Serving, Filling int
+	// Serving, Filling and Lasting count the assigned runs that serve users, that fill beside others, and that last.
+	Serving, Filling, Lasting int
 	// Unused is the number of thousandths of a core that no run has asked for, fillers included.
 	Unused int64
 	// Suspect workers are used when no other has room.
@@ -119,6 +119,9 @@
 	if s.TargetMs > 0 {
 		w.Serving += n
 	}
+	if s.Lasting {
+		w.Lasting += n
+	}
 }
 
 // choose takes room for up to n subtasks of a step and returns their workers.
@@ -150,6 +153,9 @@
 			}
 		}
 		if best == nil {
+			if s.Step.Lasting {
+				reserve(s, workers, room, onStep)
+			}
 			break
 		}
 		best.free = best.free.Minus(room)
@@ -160,6 +166,24 @@
 	return chosen
 }
 
+// reserve keeps the worker free that will have room for a subtask soonest. What lasts would otherwise wait for as long
+// as smaller subtasks take each piece of room.
+func reserve(s *ledger.StepRun, workers []*Worker, room ledger.Resources, onStep map[uint64]int) {
+	var best *Worker
+	for _, w := range workers {
+		if !room.Within(w.Capacity()) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
+			s.Step.MaxPerWorker > 0 && onStep[w.Number()] >= int(s.Step.MaxPerWorker) {
+			continue
+		}
+		if best == nil || w.free.CPU > best.free.CPU {
+			best = w
+		}
+	}
+	if best != nil {
+		best.free = best.free.Minus(room)
+	}
+}
+
 // widestRack returns the rack that holds most subtasks of a step, so that they run beside each other.
 func widestRack(s *ledger.StepRun, workers []*Worker, room ledger.Resources, fits func(*Worker) bool) string {
 	count := map[string]int{}
@@ -210,13 +234,20 @@
 		}
 		return a.Unused > b.Unused
 	case s.TargetMs > 0 || s.Lasting:
-		// Spread, so that an upkeep or a loss of one worker takes few subtasks of a step away.
-		if x, y := onStep[a.Number()], onStep[b.Number()]; x != y {
-			return x < y
+		// Spread over as many workers as the step may miss, so that one upkeep or loss takes few subtasks of a step
+		// away, and share workers with other steps that last, so that the others can change their pool.
+		if x, y := onStep[a.Number()] < int(max(s.MayMiss, 1)), onStep[b.Number()] < int(max(s.MayMiss, 1)); x != y {
+			return x
+		}
+		if x, y := a.Lasting > 0, b.Lasting > 0; x != y && s.TargetMs == 0 {
+			return x
 		}
 		if x, y := a.Serving+a.Filling, b.Serving+b.Filling; x != y {
 			return x < y
 		}
+		if a.Lasting != b.Lasting {
+			return a.Lasting < b.Lasting
+		}
 		return a.free.CPU > b.free.CPU
 	}
 	// The fullest worker that fits leaves room for wide subtasks elsewhere.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -205,6 +205,9 @@
 		if step.TargetMs > 0 {
 			v.Serving++
 		}
+		if step.Lasting {
+			v.Lasting++
+		}
 	}
 	return v
 }
--- /dev/null
+++ b/internal/workload/wave.go
@@ -0,0 +1,147 @@
+package workload
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// sorted returns the instances by name, so that decisions don't depend on the order of a map.
+func (f *fleet) sorted() []*instance {
+	list := make([]*instance, 0, len(f.rows))
+	for _, in := range f.rows {
+		list = append(list, in)
+	}
+	slices.SortFunc(list, func(a, b *instance) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// driveWave takes the instances of a wave down, at most as many at once as it allows.
+func (e *Engine) driveWave(w *workloadpb.Wave) {
+	f := &e.fleet
+	busy := 0
+	var gone []string
+	for _, name := range w.Instances {
+		in := f.rows[name]
+		switch {
+		case in != nil && in.duty != nil && in.duty.wave == w.Number:
+			busy++
+		case in == nil && !f.stale && !slices.Contains(w.Gone, name):
+			gone = append(gone, name)
+		}
+	}
+	if len(gone) > 0 {
+		f.stale = true // The list is read again, so that the command isn't repeated at once.
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Maintained{
+			Maintained: &workloadpb.Maintained{Wave: w.Number, Gone: gone},
+		}})
+	}
+	for busy < int(w.Cap) {
+		in := e.nextOf(w)
+		if in == nil {
+			return
+		}
+		in.duty = &duty{wave: w.Number, began: e.now}
+		if s := e.sessionOf(in); s != nil {
+			s.reserved = true
+		}
+		busy++
+	}
+}
+
+// nextOf chooses the instance whose upkeep costs least.
+func (e *Engine) nextOf(w *workloadpb.Wave) *instance {
+	var best *instance
+	least := int64(0)
+	for _, name := range w.Instances {
+		in := e.fleet.rows[name]
+		if in == nil || in.duty != nil || !in.Up || slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
+			continue
+		}
+		cost := int64(0)
+		if s := e.sessionOf(in); s != nil {
+			if s.worker.Draining() || len(s.lasting()) > 0 && e.vacating() {
+				continue
+			}
+			cost = s.worker.Used().CPU
+			for _, n := range s.lasting() {
+				// What lasts is started elsewhere first, one by one.
+				cost += int64(n) * s.worker.Capacity().CPU
+			}
+		}
+		if best == nil || cost < least {
+			best, least = in, cost
+		}
+	}
+	return best
+}
+
+// vacating reports whether an instance with subtasks that last is waiting for its upkeep. They leave one instance at a
+// time, because those that are away count against each other.
+func (e *Engine) vacating() bool {
+	for _, in := range e.fleet.rows {
+		if in.duty != nil && in.duty.wave > 0 && !in.duty.ordered {
+			if s := e.sessionOf(in); s != nil && len(s.lasting()) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lasting counts the runs that last on a worker by step.
+func (s *session) lasting() map[*ledger.StepRun]int {
+	n := map[*ledger.StepRun]int{}
+	for _, t := range s.worker.Runs() {
+		if st := t.Step(); st.Step.Lasting {
+			n[st]++
+		}
+	}
+	return n
+}
+
+// vacate reports whether an instance may go down now. Subtasks that last are stopped first, one of a step at a time and
+// only while enough others are at work; they start again elsewhere. Others may end for a while.
+func (e *Engine) vacate(s *session, waited time.Duration) bool {
+	free := true
+	for _, r := range s.runs {
+		st := r.subtask.Step()
+		if !st.Step.Lasting {
+			free = free && waited >= drainPatience
+			continue
+		}
+		free = false
+		if !r.stop && (st.Step.MayMiss == 0 || e.missing(st, r.subtask) < int(st.Step.MayMiss)) {
+			r.stop = true
+		}
+	}
+	return free && len(s.lasting()) == 0
+}
+
+// missing counts the subtasks of a step other than t that are not surely at work.
+func (e *Engine) missing(st *ledger.StepRun, t *ledger.Subtask) int {
+	n := 0
+	for i := range st.Subtasks {
+		o := &st.Subtasks[i]
+		if o != t && !e.working(o) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Engine) working(t *ledger.Subtask) bool {
+	for _, a := range t.Attempts {
+		s := e.sessions[a.Worker.Number()]
+		if s == nil || s.failures > 0 || s.worker.Draining() {
+			continue
+		}
+		if r := s.runs[t.Key(a.Run)]; r != nil && r.listed && r.percent == 100 && !r.stop {
+			return true
+		}
+	}
+	return false
+}
