--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -1,6 +1,17 @@
 package control
 
-import "golang.org/x/sys/unix"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// keptRounds bounds the heartbeat rounds whose times are kept; a leader sends one in a tick, and one for waiting reads.
+const keptRounds = 64
+
+// Lease is how long after a heartbeat round that a quorum answered no other leader can have begun: voters that heard a
+// leader wait for an election timeout. A tick is kept back for their clocks.
+const Lease = (electionTicks - 1) * tick
 
 // bootTime returns nanoseconds on a steady clock that goes on while the machine is suspended.
 func bootTime() int64 {
@@ -11,3 +22,44 @@
 	}
 	return ts.Nano()
 }
+
+// rounds remembers when heartbeat rounds were sent. A round is stamped before it is sent, so that its confirmation says
+// nothing about the time after a pause of the process in between.
+type rounds struct {
+	newest uint64
+	sentAt [keptRounds]int64
+}
+
+func (r *rounds) stamp(newest uint64) {
+	if newest < r.newest {
+		*r = rounds{} // another term
+	}
+	now := bootTime()
+	for n := max(r.newest+1, max(newest, keptRounds)-keptRounds+1); n <= newest; n++ {
+		r.sentAt[n%keptRounds] = now
+	}
+	r.newest = newest
+}
+
+// at returns when a round was sent, 0 when that is not known.
+func (r *rounds) at(n uint64) int64 {
+	if n == 0 || n > r.newest || r.newest-n >= keptRounds {
+		return 0
+	}
+	return r.sentAt[n%keptRounds]
+}
+
+// noteRounds stamps new heartbeat rounds and notes when the newest confirmed one was sent.
+func (v *Voter) noteRounds() {
+	newest, confirmed := v.core.Rounds()
+	v.rounds.stamp(newest)
+	if at := v.rounds.at(confirmed); at > v.confirmed.Load() {
+		v.confirmed.Store(at)
+	}
+}
+
+// Confirmed reports whether this voter leads and a quorum followed it at most d ago. The time counts suspensions of the
+// machine. With Lease no other leader can have begun yet.
+func (v *Voter) Confirmed(d time.Duration) bool {
+	return v.leads.Load() && bootTime()-v.confirmed.Load() < int64(d)
+}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -125,36 +125,6 @@
 	return list
 }
 
-// noteQuorum notes the time while a quorum of voters follows this leader.
-func (v *Voter) noteQuorum() {
-	st := v.core.Status()
-	if st.Role != raft.Leader {
-		return
-	}
-	voters, heard := 0, 0
-	for _, m := range st.Members {
-		if m.Member.Voter {
-			voters++
-			if m.Heard {
-				heard++
-			}
-		}
-	}
-	if 2*heard > voters {
-		v.confirmed.Store(bootTime())
-	}
-}
-
-// confirmedFor is how long orders may go out after a quorum was last known to follow: an election timeout, after which
-// another leader may act.
-const confirmedFor = electionTicks * tick
-
-// Confirmed reports whether this voter leads and a quorum followed it within an election timeout. The time counts
-// suspensions of the machine, so that a leader that was suspended does not act before it knows that it still leads.
-func (v *Voter) Confirmed() bool {
-	return v.leads.Load() && bootTime()-v.confirmed.Load() < int64(confirmedFor)
-}
-
 // redundant reports whether the group could lose a voter now: there are at least three, and all are caught up.
 func redundant(members []raft.MemberStatus) bool {
 	voters := 0
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -83,7 +83,7 @@
 
 	// leads mirrors leading for other goroutines.
 	leads atomic.Bool
-	// confirmed is when a quorum was last known to follow this leader, by the clock that counts suspensions too.
+	// confirmed is when the newest heartbeat round that a quorum answered was sent, see bootTime.
 	confirmed atomic.Int64
 
 	// State of the control loop.
@@ -105,6 +105,7 @@
 	voters     *voter.State
 	setVoters  []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	failed     error
+	rounds     rounds
 	limits     map[string]time.Duration // when the holders of a team's limit were last recorded
 }
 
@@ -257,7 +258,6 @@
 func (v *Voter) onTick() {
 	v.core.Tick()
 	v.noteRole()
-	v.noteQuorum()
 	v.readForRenewals()
 	if v.leading {
 		v.manageVoters()
@@ -284,8 +284,6 @@
 
 func (v *Voter) startLeading(term uint64) {
 	v.leading, v.leadTerm = true, term
-	// A quorum has committed the first entry of the term.
-	v.confirmed.Store(bootTime())
 	v.leads.Store(true)
 	v.rollouts.reset()
 	v.renewals = map[string]lastRenewal{}
@@ -366,6 +364,7 @@
 				return err
 			}
 		}
+		v.noteRounds()
 		v.send(rd.Messages)
 		for _, e := range rd.Committed {
 			if err := v.apply(e); err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,9 @@
 	orderTimeout = time.Second
 	// cloudTimeout bounds a call to the infrastructure or to the adviser, which may be slow.
 	cloudTimeout = 3 * time.Second
+	// workerConfirmed is how long ago a quorum must have followed for an order to a worker. Workers refuse the orders of
+	// a leader once they know a later one, and that one gives a run up only after a lease, which is longer.
+	workerConfirmed = 2 * time.Second
 	// observeTimeout bounds the wait for the control loop.
 	observeTimeout = 5 * time.Second
 )
@@ -41,9 +44,11 @@
 	Observe func(ctx context.Context, ev kernel.Event) error
 	// Now is the steady clock of the control loop.
 	Now func() time.Duration
-	// Confirmed reports whether this process surely leads; no order goes out otherwise.
-	Confirmed func() bool
-	Log       logr.Logger
+	// Confirmed reports whether a quorum followed this leader at most d ago.
+	Confirmed func(d time.Duration) bool
+	// Lease is how long after that no other leader can have begun.
+	Lease time.Duration
+	Log   logr.Logger
 }
 
 // Dispatcher carries out orders; its methods don't block.
@@ -98,10 +103,9 @@
 
 func (d *Dispatcher) carryOut(ctx context.Context, a kernel.Action) kernel.Event {
 	sent := d.cfg.Now()
-	may := d.cfg.Confirmed()
 	answer := func(timeout time.Duration, f func(ctx context.Context) workload.Answer) workload.Answer {
-		r := workload.Answer{Outcome: workload.Unreached}
-		if may {
+		r := workload.Answer{Outcome: workload.Withheld}
+		if d.cfg.Confirmed(workerConfirmed) {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			r = f(ctx)
@@ -136,14 +140,14 @@
 		r.SentAt = sent
 		return r
 	case workload.Move:
-		done := workload.MoveDone{Move: a, SentAt: sent, Outcome: workload.Unreached}
-		if may {
+		done := workload.MoveDone{Move: a, SentAt: sent, Outcome: workload.Withheld}
+		if d.cfg.Confirmed(d.cfg.Lease) {
 			done.Outcome = port.Move(cctx, a)
 		}
 		return done
 	case workload.Maintain:
-		done := workload.MaintainDone{Maintain: a, SentAt: sent, Outcome: workload.Unreached}
-		if may {
+		done := workload.MaintainDone{Maintain: a, SentAt: sent, Outcome: workload.Withheld}
+		if d.cfg.Confirmed(d.cfg.Lease) {
 			done.Outcome = port.Maintain(cctx, a)
 		}
 		return done
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -172,17 +172,11 @@
 	return nil
 }
 
-// heard reports whether a member was heard within an election timeout.
-func (c *Core) heard(id string) bool {
-	p := c.progress[id]
-	return id == c.cfg.ID || p != nil && c.clock-p.heard < uint64(c.cfg.ElectionTicks)
-}
-
 // caughtUp reports whether a member was heard within an election timeout and lags by at most a heartbeat interval.
 func (c *Core) caughtUp(id string) bool {
 	if id == c.cfg.ID {
 		return true
 	}
 	p := c.progress[id]
-	return p != nil && c.heard(id) && p.match >= c.heartbeatCommit
+	return p != nil && c.clock-p.heard < uint64(c.cfg.ElectionTicks) && p.match >= c.heartbeatCommit
 }
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -21,8 +21,6 @@
 	Match uint64
 	// CaughtUp reports that the member was heard within an election timeout and lags by at most a heartbeat interval.
 	CaughtUp bool
-	// Heard reports that the member was heard within an election timeout.
-	Heard bool
 }
 
 // Status returns the current state.
@@ -34,9 +32,18 @@
 	for _, m := range c.members {
 		ms := MemberStatus{Member: m}
 		if p := c.progress[m.Id]; c.role == Leader && p != nil {
-			ms.Match, ms.CaughtUp, ms.Heard = p.match, c.caughtUp(m.Id), c.heard(m.Id)
+			ms.Match, ms.CaughtUp = p.match, c.caughtUp(m.Id)
 		}
 		s.Members = append(s.Members, ms)
 	}
 	return s
 }
+
+// Rounds returns the newest heartbeat round of a leader and the newest one that a quorum of voters has answered. A leader
+// that was confirmed in a round led when the round was sent.
+func (c *Core) Rounds() (newest, confirmed uint64) {
+	if c.role != Leader {
+		return 0, 0
+	}
+	return c.round, c.confirmedRound()
+}
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -20,9 +20,7 @@
 	if len(s.runs) > 0 && s.failures > 0 && e.now > s.granted && !s.recording {
 		e.lapse(s)
 	}
-	if s.failures == 0 || e.now >= s.holdDue {
-		e.hold(s)
-	}
+	e.hold(s)
 	e.evacuate(s)
 	for _, r := range s.runs {
 		if r.inFlight || e.now < r.retryAt || r.inherited || s.failures > 0 && r.tries > 0 {
@@ -76,6 +74,8 @@
 	case OtherBoot:
 		e.ended(s)
 		s.holdDue = e.now + proposalTimeout
+	case Withheld:
+		s.holdDue = e.now + retryPause
 	default:
 		e.failed(s, "hold", ev.Outcome)
 		s.holdDue = e.now + s.pause()
@@ -215,6 +215,9 @@
 		e.refused(s, r)
 	case Late:
 		r.retryAt = e.now
+	case Withheld:
+		r.tries--
+		r.retryAt = e.now + retryPause
 	case Fenced:
 		r.retryAt = e.now + retryPauseMax
 	case OtherBoot:
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -18,6 +18,8 @@
 	dutyPause = 500 * time.Millisecond
 	// downMargin covers that an instance is back later than its move or upkeep takes.
 	downMargin = 500 * time.Millisecond
+	// takeOverMargin covers that an order of the last leader was on its way for a while.
+	takeOverMargin = 500 * time.Millisecond
 	// drainPatience is how long an instance that is due for upkeep may go on with what it runs.
 	drainPatience = 1500 * time.Millisecond
 )
@@ -49,6 +51,7 @@
 	began    time.Duration
 	ordering bool
 	ordered  bool // an order was sent and may be carried out
+	doubtful bool // an order had no answer
 	retryAt  time.Duration
 	till     time.Duration // confirmed; the instance is away until then
 }
@@ -62,7 +65,7 @@
 // driveFleet keeps the list of instances and decides on moves and upkeep.
 func (e *Engine) driveFleet() {
 	f := &e.fleet
-	if e.now-e.ledAt < e.cfg.TakeOver || e.now-f.drivenAt < fleetInterval {
+	if e.now-e.ledAt < e.cfg.TakeOver+takeOverMargin || e.now-f.drivenAt < fleetInterval {
 		return
 	}
 	f.drivenAt = e.now
@@ -192,12 +195,13 @@
 		m.Gone = []string{name}
 		e.fleet.stale = true
 		e.drop(in, s)
-	case Busy:
-		e.fleet.stale = true
-		e.drop(in, s)
-		return
 	default:
+		d.doubtful = d.doubtful || o == Unanswered
 		d.retryAt = e.now + dutyPause
+		e.fleet.stale = true
+		if d.ordered = d.doubtful; o == Busy && !d.doubtful {
+			e.drop(in, s)
+		}
 		return
 	}
 	if d.wave > 0 {
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -135,11 +135,14 @@
 	Busy
 	// Missing objects are unknown to the receiver.
 	Missing
+	// Withheld orders were not sent, because this process may not lead any more.
+	Withheld
 )
 
 var outcomeNames = []string{
 	"unanswered", "unreached", "accepted", "fenced", "outdated", "late", "no-room", "bad-ticket", "unhealthy", "other-boot",
 	"malformed", "busy", "missing",
+	"withheld",
 }
 
 // String returns the outcome in kebab case.
