--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -48,6 +48,8 @@
 	// pool is the target of a move, empty for an upkeep.
 	pool     string
 	wave     int64
+	// boot is the number of the boot that ends with the order, 0 when the instance had none.
+	boot     uint64
 	began    time.Duration
 	ordering bool
 	ordered  bool // an order was sent and may be carried out
@@ -153,6 +155,9 @@
 			return
 		}
 	}
+	if s != nil {
+		d.boot = s.worker.Number()
+	}
 	d.ordering, d.ordered = true, true
 	if d.wave > 0 {
 		e.act(Maintain{Instance: in.Name, Wave: d.wave, Token: e.term})
@@ -188,7 +193,8 @@
 			m.Begun = []string{name}
 		}
 		d.till = e.now + away + downMargin
-		if s != nil {
+		// The list may name the next boot by now.
+		if s := e.sessions[d.boot]; s != nil {
 			e.ended(s)
 		}
 	case Malformed, Missing:
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -140,10 +140,11 @@
 	return Target{Number: s.worker.Number(), ID: s.worker.ID(), Address: s.worker.Address(), Born: s.worker.Born()}
 }
 
-// order returns the part that every order to the worker has, with a lease when the worker's clock is known.
+// order returns the part that every order to the worker has, with a lease when the worker's clock is known and it
+// answers. An order to one that doesn't answer must not put off the time at which its runs are given up.
 func (e *Engine) order(s *session) Order {
 	o := Order{Target: s.target(), Token: e.term}
-	if !s.clockKnown {
+	if !s.clockKnown || s.failures > 0 {
 		return o
 	}
 	lease := time.Duration(float64(e.cfg.LeaseMax) * leaseShare)
