--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -56,6 +56,12 @@
 	if !s.clockKnown || len(s.runs) == 0 || s.flush {
 		h.Wait = 0
 	}
+	for _, r := range s.runs {
+		if r.subtask.Step().Step.Lasting && r.percent < 100 {
+			h.Wait = min(h.Wait, startWait)
+			break
+		}
+	}
 	s.holding = true
 	e.act(h)
 }
--- /dev/null
+++ b/internal/workload/engine_test.go
@@ -0,0 +1,245 @@
+package workload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// Guards against a subtask that starts before the steps that it depends on are done, and one that is done twice.
+func TestStepsRunInOrder(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 3)
+	second := step(4, 2000, 1000, 300)
+	second.After = []int32{0}
+	s.submit("glass", "a", step(6, 1000, 1000, 500), second)
+	s.run(400 * time.Millisecond)
+	assert.Equal(t, s.running("a"), 6)
+	s.run(1500 * time.Millisecond)
+	assert.Equal(t, s.state("glass", "a"), "completed")
+	assert.Equal(t, len(s.done), 10)
+}
+
+// Guards against a limit of a client account that more runs at once can pass.
+func TestAllowanceHolds(t *testing.T) {
+	s := newSim(t)
+	s.document(1, func(d *workloadpb.Document) {
+		d.Queues[0].Public = false
+		d.Accounts = []*workloadpb.Account{{Name: "crew", Keys: []string{"k"}, Weight: 1, Allowance: &workloadpb.Resources{Cpu: 5000}}}
+	}, "glass")
+	s.addWorkers("glass", 3)
+	r := s.call(&workloadpb.Command{Change: &workloadpb.Command_Submit{Submit: &workloadpb.Submit{
+		Host: "h", Path: "/glass/a", Id: "a", Spec: "spec a", Key: "k", Steps: []*workloadpb.Step{step(12, 1000, 100, 400)},
+	}}})
+	assert.Equal(t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
+	most := 0
+	for range 200 {
+		s.run(simStep)
+		most = max(most, s.running("a"))
+	}
+	assert.Equal(t, most, 5)
+	assert.Equal(t, len(s.done), 12)
+}
+
+// Guards against runs of a dead worker that are never given up, because each repeated order put the end of the lease off.
+func TestDeadWorkerLosesItsRuns(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	ws := s.addWorkers("glass", 2)
+	s.submit("glass", "a", step(2, 9000, 1000, 3000))
+	s.run(time.Second)
+	assert.Equal(t, len(ws[0].runs), 1)
+	ws[0].dead = true
+	s.run(12 * time.Second)
+	assert.Equal(t, s.state("glass", "a"), "completed")
+}
+
+// Guards against a copy of a subtask beside one that a worker behind a cut runs on until its lease lapses.
+func TestCutWorkerKeepsItsRunsForTheLease(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	ws := s.addWorkers("glass", 2)
+	s.submit("glass", "a", step(2, 9000, 1000, 3000))
+	s.run(time.Second)
+	ws[0].stuck = true
+	ws[0].cut = true
+	s.run(12 * time.Second)
+	assert.Equal(t, s.state("glass", "a"), "completed")
+}
+
+// Guards against a new leader that starts again what runs already, or that forgets what its predecessor assigned.
+func TestNewLeaderTakesUpRuns(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		deny bool // the old leader's starts get no answer and are not carried out
+	}{{"running", false}, {"never-started", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.document(1, nil, "glass")
+			s.addWorkers("glass", 2)
+			s.run(100 * time.Millisecond)
+			if tt.deny {
+				s.deny = func(a kernel.Action) (workload.Outcome, bool) {
+					_, ok := a.(workload.Start)
+					return workload.Unanswered, ok
+				}
+			}
+			s.submit("glass", "a", step(6, 3000, 1000, 1000))
+			s.run(300 * time.Millisecond)
+			s.deny = nil
+			s.lead()
+			s.run(3 * time.Second)
+			assert.Equal(t, s.state("glass", "a"), "completed")
+			assert.Equal(t, len(s.done), 6)
+		})
+	}
+}
+
+// Guards against an upkeep whose boot is forgotten when the list of instances is read while the order is under way.
+func TestListReadDuringUpkeepKeepsTheBoot(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.run(4 * time.Second)
+	s.submit("glass", "a", step(4, 4000, 1000, 6000))
+	s.run(200 * time.Millisecond)
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	s.deny = func(a kernel.Action) (workload.Outcome, bool) {
+		if _, ok := a.(workload.Maintain); ok {
+			// The instance is down and listed so before the answer arrives.
+			done := workload.InstancesDone{Outcome: workload.Accepted, SentAt: s.now}
+			s.deny = nil
+			s.carryOut(a)
+			for _, row := range s.rows {
+				done.Instances = append(done.Instances, *row)
+			}
+			s.k.Observe(s.now, done)
+			return workload.Withheld, true
+		}
+		return 0, false
+	}
+	s.run(12 * time.Second)
+	assert.Equal(t, s.state("glass", "a"), "completed")
+}
+
+// Guards against what lasts waiting for as long as smaller subtasks take each piece of room.
+func TestWhatLastsGetsRoom(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	for i := range 200 {
+		s.submit("glass", fmt.Sprintf("small-%03d", i), step(1, 1000, 1000, int64(150+7*i)))
+	}
+	s.run(300 * time.Millisecond)
+	last := step(1, 6000, 1000, 0)
+	last.Lasting = true
+	s.submit("glass", "last", last)
+	s.run(2500 * time.Millisecond)
+	assert.Equal(t, s.running("last"), 1)
+}
+
+// Guards against instances that serve a pool without demand while another one is full.
+func TestPoolsFollowDemand(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass", "plates", "spare")
+	s.addWorkers("glass", 6)
+	s.addWorkers("plates", 6)
+	s.addWorkers("spare", 2)
+	s.run(10 * time.Second)
+	assert.Equal(t, s.count("spare"), 12)
+	s.submit("glass", "a", step(100, 2000, 1000, 4000))
+	s.run(6 * time.Second)
+	assert.Assert(t, s.count("glass") >= 12, "%d instances", s.count("glass"))
+	s.run(10 * time.Second)
+	assert.Equal(t, s.state("glass", "a"), "completed")
+}
+
+func (s *sim) count(pool string) int {
+	n := 0
+	for _, row := range s.rows {
+		if row.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an upkeep that takes away more subtasks of a step at once than it may miss.
+func TestUpkeepLeavesEnoughAtWork(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 5)
+	last := step(6, 2000, 4000, 0)
+	last.Lasting, last.MayMiss = true, 1
+	s.submit("glass", "last", last)
+	s.run(5 * time.Second)
+	wave := &workloadpb.Wave{Number: 1, DurationMs: 20000, Cap: 3}
+	for name := range s.rows {
+		wave.Instances = append(wave.Instances, name)
+	}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	least := 6
+	for range 2500 {
+		s.run(simStep)
+		least = min(least, s.running("last"))
+	}
+	assert.Assert(t, least >= 5, "%d were at work", least)
+	r := s.call(&workloadpb.Command{Change: &workloadpb.Command_InspectWave{InspectWave: &workloadpb.InspectWave{Number: 1}}})
+	assert.Assert(t, r.Completed)
+}
+
+// Guards against a job that runs on after its cancel.
+func TestCancelStopsRuns(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.submit("glass", "a", step(10, 3000, 1000, 5000))
+	s.run(500 * time.Millisecond)
+	s.cancel("glass", "a")
+	s.run(500 * time.Millisecond)
+	assert.Equal(t, s.running("a"), 0)
+	assert.Equal(t, s.state("glass", "a"), "cancelled")
+}
+
+// Guards against more starts of a subtask than it may have, and a job that is shown as failed early.
+func TestFailuresEndTheJob(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	for _, w := range s.addWorkers("glass", 2) {
+		w.how = workloadpb.How_HOW_FAILED
+	}
+	s.submit("glass", "a", step(1, 1000, 1000, 100))
+	s.run(3 * time.Second)
+	assert.Equal(t, s.state("glass", "a"), "failed")
+	starts := 0
+	for _, a := range s.orders {
+		if _, ok := a.(workload.Start); ok {
+			starts++
+		}
+	}
+	assert.Equal(t, starts, 3)
+}
+
+// Guards against a state that a snapshot loses.
+func TestSnapshotKeepsTheState(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.submit("glass", "a", step(6, 3000, 1000, 1000))
+	s.run(300 * time.Millisecond)
+	data, err := s.k.Snapshot(false)
+	assert.NilError(t, err)
+	other := newSim(t)
+	assert.NilError(t, other.k.Restore(data))
+	again, err := other.k.Snapshot(false)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, data, again)
+}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 )
 
 const (
@@ -123,7 +124,7 @@
 				}
 				v.demand = v.demand.Plus(ledger.Room(st.Step).Times(n))
 				if st.Step.Lasting {
-					per := max(int(st.Step.MaxPerWorker), 1)
+					per := schedule.LastingPerWorker(st.Step)
 					v.least = max(v.least, (n+per-1)/per)
 				}
 			}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// maxLasting is how many subtasks of a step that lasts share a worker when they may. An upkeep moves them one by one,
+// each in about two seconds, so that three are gone well within the time of a wave.
+const maxLasting = 3
+
+// LastingPerWorker returns how many subtasks of a step that lasts should share a worker.
+func LastingPerWorker(s *workloadpb.Step) int {
+	if s.MaxPerWorker > 0 {
+		return min(int(s.MaxPerWorker), maxLasting)
+	}
+	return maxLasting
+}
+
 // widestRack returns the rack that holds most subtasks of a step, so that they run beside each other.
 func widestRack(s *ledger.StepRun, workers []*Worker, room ledger.Resources, fits func(*Worker) bool) string {
 	count := map[string]int{}
@@ -234,21 +246,19 @@
 		}
 		return a.Unused > b.Unused
 	case s.TargetMs > 0 || s.Lasting:
-		// Spread over as many workers as the step may miss, so that one upkeep or loss takes few subtasks of a step
-		// away, and share workers with other steps that last, so that the others can change their pool.
-		if x, y := onStep[a.Number()] < int(max(s.MayMiss, 1)), onStep[b.Number()] < int(max(s.MayMiss, 1)); x != y {
-			return x
-		}
-		if x, y := a.Lasting > 0, b.Lasting > 0; x != y && s.TargetMs == 0 {
+		// Few of a step on one worker, so that a loss or an upkeep takes few of them away; else on workers that have
+		// subtasks that last already, so that the others can change their pool.
+		per := LastingPerWorker(s)
+		if x, y := onStep[a.Number()] < per, onStep[b.Number()] < per; x != y {
 			return x
 		}
-		if x, y := a.Serving+a.Filling, b.Serving+b.Filling; x != y {
-			return x < y
+		if s.TargetMs > 0 && a.Serving+a.Filling != b.Serving+b.Filling {
+			return a.Serving+a.Filling < b.Serving+b.Filling
 		}
 		if a.Lasting != b.Lasting {
-			return a.Lasting < b.Lasting
+			return a.Lasting > b.Lasting
 		}
-		return a.free.CPU > b.free.CPU
+		return a.free.CPU < b.free.CPU
 	}
 	// The fullest worker that fits leaves room for wide subtasks elsewhere.
 	return a.free.CPU < b.free.CPU
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -18,6 +18,8 @@
 	// holdWait is how long a worker waits for an end. Leases are renewed once in this time, which leaves more than half
 	// of a lease for a change of leader.
 	holdWait = 1500 * time.Millisecond
+	// startWait is holdWait while a subtask that lasts is starting: others may wait for it to be at work.
+	startWait = 400 * time.Millisecond
 	// retryPause and retryPauseMax are the times between attempts to reach a worker that failed.
 	retryPause    = 100 * time.Millisecond
 	retryPauseMax = 500 * time.Millisecond
--- /dev/null
+++ b/internal/workload/sim_test.go
@@ -0,0 +1,444 @@
+package workload_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// simStep is the resolution of the virtual time.
+const simStep = 10 * time.Millisecond
+
+// sim plays a leader with fake workers and a fake cloud in virtual time, and checks what workers must never see.
+type sim struct {
+	t       *testing.T
+	k       *kernel.Kernel
+	e       *workload.Engine
+	now     time.Duration
+	index   uint64
+	term    uint64
+	workers map[string]*fakeWorker
+	rows    map[string]*workload.Instance
+	later   []event
+	// done is how often each subtask has ended done.
+	done map[string]int
+	// deny refuses orders before they reach anything; it may be nil.
+	deny func(a kernel.Action) (workload.Outcome, bool)
+	// listed is called when the list of instances is read; it may be nil.
+	listed func()
+	moves  int
+	orders []kernel.Action
+}
+
+type event struct {
+	at time.Duration
+	f  func()
+}
+
+type fakeWorker struct {
+	sim      *sim
+	m        *workloadpb.Worker
+	began    time.Duration
+	dead     bool // answers nothing and has ended
+	cut      bool // answers nothing and runs on
+	token    uint64
+	deadline int64
+	runs     map[string]*fakeRun
+	highest  map[string]int32
+	ended    []workload.EndRow
+	number   int64
+	holding  *workload.Hold
+	holdAt   time.Duration
+	holdEnd  time.Duration
+	sequence uint64
+	draining bool
+	// how is how runs end that have done their work.
+	how workloadpb.How
+	// stuck runs never end by themselves.
+	stuck bool
+}
+
+type fakeRun struct {
+	name workload.RunName
+	need ledger.Resources
+	from time.Duration
+	till time.Duration
+	last bool
+}
+
+func newSim(t *testing.T) *sim {
+	t.Helper()
+	k, err := kernel.New(kernel.Config{Log: logr.Discard()})
+	assert.NilError(t, err)
+	e, ok := kernel.Lookup[*workload.Engine](k, workload.Name)
+	assert.Assert(t, ok)
+	s := &sim{t: t, k: k, e: e, workers: map[string]*fakeWorker{}, rows: map[string]*workload.Instance{}, done: map[string]int{}}
+	e.Configure(workload.Config{Wall: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }})
+	s.lead()
+	return s
+}
+
+// lead begins a term with a leader that has only the replicated state.
+func (s *sim) lead() {
+	s.term++
+	s.later = nil
+	for _, w := range s.workers {
+		w.holding = nil
+	}
+	s.k.Lead(s.now)
+	s.k.Observe(s.now, kernel.Leading{Term: s.term})
+}
+
+func (s *sim) call(m *workloadpb.Command) *workloadpb.Response {
+	s.t.Helper()
+	c, err := kernel.NewCommand(workload.Name, "", m)
+	assert.NilError(s.t, err)
+	body, how := s.k.Respond(s.now, c)
+	if how == kernel.Replicate {
+		body = s.apply(c)
+	}
+	r := &workloadpb.Response{}
+	assert.NilError(s.t, proto.Unmarshal(body, r))
+	return r
+}
+
+func (s *sim) apply(c kernel.Command) []byte {
+	s.t.Helper()
+	s.index++
+	c.At = time.Duration(time.UnixMilli(1_000_000).Add(s.now).UnixNano())
+	r := s.k.Apply(s.index, c)
+	assert.NilError(s.t, r.Err)
+	return r.Body
+}
+
+// document puts a configuration with the given pools in force; each pool has a public queue of its name.
+func (s *sim) document(version uint64, change func(d *workloadpb.Document), pools ...string) {
+	s.t.Helper()
+	d := &workloadpb.Document{Version: version}
+	for _, p := range pools {
+		d.Pools = append(d.Pools, &workloadpb.Pool{Name: p, Spare: p == "spare"})
+		d.Queues = append(d.Queues, &workloadpb.Queue{
+			Name: p, Host: "h", Prefix: "/" + p + "/", Pool: p, MaxAttempts: 3, Stretch: 1.5, SloMs: 600, Public: true,
+		})
+	}
+	if change != nil {
+		change(d)
+	}
+	assert.NilError(s.t, ledger.CheckDocument(d))
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Document{Document: d}})
+}
+
+func (s *sim) submit(pool, id string, steps ...*workloadpb.Step) {
+	s.t.Helper()
+	r := s.call(&workloadpb.Command{Change: &workloadpb.Command_Submit{
+		Submit: &workloadpb.Submit{Host: "h", Path: "/" + pool + "/" + id, Id: id, Spec: "spec " + id, Steps: steps},
+	}})
+	assert.Equal(s.t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
+}
+
+func (s *sim) cancel(pool, id string) {
+	s.t.Helper()
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Cancel{Cancel: &workloadpb.Cancel{Host: "h", Path: "/" + pool + "/" + id, Id: id}}})
+}
+
+func (s *sim) state(pool, id string) string {
+	s.t.Helper()
+	return s.call(&workloadpb.Command{Change: &workloadpb.Command_Inspect{
+		Inspect: &workloadpb.Inspect{Host: "h", Path: "/" + pool + "/" + id, Id: id},
+	}}).State
+}
+
+func step(count int32, cpu, memory, estimate int64) *workloadpb.Step {
+	return &workloadpb.Step{Count: count, Need: &workloadpb.Resources{Cpu: cpu, MemoryMib: memory}, EstimateMs: estimate}
+}
+
+// addWorkers boots n workers of 16 cores on instances of a pool.
+func (s *sim) addWorkers(pool string, n int) []*fakeWorker {
+	var list []*fakeWorker
+	for i := range n {
+		name := fmt.Sprintf("m-%s-%d", pool, i)
+		s.rows[name] = &workload.Instance{
+			Name: name, Pool: pool, Up: true, Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
+			Capacity: &workloadpb.Resources{Cpu: 16000, MemoryMib: 65536},
+		}
+		if pool != "spare" {
+			list = append(list, s.boot(name))
+		}
+	}
+	return list
+}
+
+// boot starts the worker of an instance.
+func (s *sim) boot(instance string) *fakeWorker {
+	row := s.rows[instance]
+	id := fmt.Sprintf("w-%s-%d", instance, s.now.Milliseconds())
+	w := &fakeWorker{
+		sim: s, began: s.now, runs: map[string]*fakeRun{}, highest: map[string]int32{}, how: workloadpb.How_HOW_DONE,
+		m: &workloadpb.Worker{
+			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: "a-" + id, Pool: row.Pool, Capacity: row.Capacity, Labels: row.Labels,
+		},
+	}
+	s.workers[id] = w
+	row.Worker = id
+	s.report(w)
+	return w
+}
+
+func (s *sim) report(w *fakeWorker) {
+	w.sequence++
+	m := proto.CloneOf(w.m)
+	m.Draining = w.draining
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{
+		Worker: m, ClockMs: w.clock(), Sequence: w.sequence, DrainRemainingMs: 5000,
+	}}})
+}
+
+func (w *fakeWorker) clock() int64 { return (w.sim.now - w.began).Milliseconds() }
+
+func (s *sim) after(d time.Duration, f func()) { s.later = append(s.later, event{s.now + d, f}) }
+
+// run lets virtual time pass.
+func (s *sim) run(d time.Duration) {
+	s.t.Helper()
+	for end := s.now + d; s.now < end; s.now += simStep {
+		due := s.later
+		s.later = nil
+		for _, ev := range due {
+			if ev.at <= s.now {
+				ev.f()
+			} else {
+				s.later = append(s.later, ev)
+			}
+		}
+		for _, id := range sortedIDs(s.workers) {
+			s.tick(s.workers[id])
+		}
+		for range 3 {
+			dec := s.k.Decide(s.now)
+			for _, c := range dec.Commands {
+				s.apply(c)
+			}
+			for _, a := range dec.Actions {
+				s.carryOut(a)
+			}
+		}
+		assert.Equal(s.t, len(s.k.Halted()), 0)
+	}
+}
+
+func sortedIDs(m map[string]*fakeWorker) []string {
+	var ids []string
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *sim) tick(w *fakeWorker) {
+	if h := w.holding; h != nil && (w.dead || w.cut) && s.now >= w.holdEnd+time.Second {
+		w.holding = nil
+		s.refuse(*h, workload.Unanswered, w.holdAt)
+	}
+	if w.dead {
+		return
+	}
+	for _, r := range w.runs {
+		if s.now >= r.till && !r.last && !w.stuck {
+			w.end(r, w.how)
+		}
+	}
+	if w.clock() > w.deadline {
+		for _, r := range w.runs {
+			w.end(r, workloadpb.How_HOW_LAPSED)
+		}
+	}
+	if !w.cut && (s.now-w.began)%(1500*time.Millisecond) == 0 {
+		s.report(w)
+	}
+	if h := w.holding; h != nil && !w.cut && (len(w.ended) > 0 || s.now >= w.holdEnd) {
+		w.holding = nil
+		s.k.Observe(s.now, w.list(*h))
+	}
+}
+
+func (w *fakeWorker) end(r *fakeRun, how workloadpb.How) {
+	delete(w.runs, taskOf(r.name))
+	w.number++
+	w.ended = append(w.ended, workload.EndRow{Number: w.number, Name: r.name, How: how})
+	if how == workloadpb.How_HOW_DONE {
+		w.sim.done[taskOf(r.name)]++
+	}
+}
+
+func (w *fakeWorker) list(h workload.Hold) workload.HoldDone {
+	done := workload.HoldDone{Hold: h, Answer: w.answer(workload.Accepted, w.holdAt), Ended: slices.Clone(w.ended)}
+	for _, r := range w.runs {
+		done.Running = append(done.Running, workload.Row{Name: r.name, Percent: 100})
+	}
+	return done
+}
+
+func (w *fakeWorker) answer(o workload.Outcome, sent time.Duration) workload.Answer {
+	return workload.Answer{Outcome: o, Clock: w.clock(), SentAt: sent, At: w.sim.now}
+}
+
+func taskOf(n workload.RunName) string { return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index) }
+
+// worker returns the worker of an order, nil when none answers.
+func (s *sim) worker(t workload.Target) *fakeWorker {
+	if w := s.workers[t.ID]; w != nil && !w.dead && !w.cut {
+		return w
+	}
+	return nil
+}
+
+func (s *sim) carryOut(a kernel.Action) {
+	s.t.Helper()
+	s.orders = append(s.orders, a)
+	sent := s.now
+	if s.deny != nil {
+		if o, ok := s.deny(a); ok {
+			s.after(simStep, func() { s.refuse(a, o, sent) })
+			return
+		}
+	}
+	switch a := a.(type) {
+	case workload.Hold:
+		w := s.worker(a.Target)
+		if w == nil {
+			s.after(time.Second, func() { s.refuse(a, workload.Unanswered, sent) })
+			return
+		}
+		w.order(a.Order)
+		w.ended = slices.DeleteFunc(w.ended, func(e workload.EndRow) bool { return e.Number <= a.Noted })
+		w.holding, w.holdAt, w.holdEnd = &a, s.now, s.now+max(a.Wait, simStep)
+	case workload.Start:
+		w := s.worker(a.Target)
+		if w == nil {
+			s.after(time.Second, func() { s.refuse(a, workload.Unanswered, sent) })
+			return
+		}
+		o := w.start(a)
+		s.after(simStep, func() { s.k.Observe(s.now, workload.StartDone{Start: a, Answer: w.answer(o, sent)}) })
+	case workload.Stop:
+		w := s.worker(a.Target)
+		if w == nil {
+			s.after(time.Second, func() { s.refuse(a, workload.Unanswered, sent) })
+			return
+		}
+		if r := w.runs[taskOf(a.Name)]; r != nil && r.name.Run == a.Name.Run {
+			w.end(r, workloadpb.How_HOW_STOPPED)
+		}
+		w.highest[taskOf(a.Name)] = max(w.highest[taskOf(a.Name)], a.Name.Run)
+		s.after(simStep, func() { s.k.Observe(s.now, workload.StopDone{Stop: a, Answer: w.answer(workload.Accepted, sent)}) })
+	case workload.ListInstances:
+		done := workload.InstancesDone{Outcome: workload.Accepted, SentAt: sent}
+		for _, row := range s.rows {
+			done.Instances = append(done.Instances, *row)
+		}
+		if s.listed != nil {
+			s.listed()
+		}
+		s.after(simStep, func() { s.k.Observe(s.now, done) })
+	case workload.Move:
+		s.moves++
+		s.takeDown(a.Instance, a.Pool, 1500*time.Millisecond)
+		s.after(2*simStep, func() { s.k.Observe(s.now, workload.MoveDone{Move: a, Outcome: workload.Accepted, SentAt: sent}) })
+	case workload.Maintain:
+		s.takeDown(a.Instance, s.rows[a.Instance].Pool, 2*time.Second)
+		s.after(2*simStep, func() { s.k.Observe(s.now, workload.MaintainDone{Maintain: a, Outcome: workload.Accepted, SentAt: sent}) })
+	}
+}
+
+func (s *sim) refuse(a kernel.Action, o workload.Outcome, sent time.Duration) {
+	answer := workload.Answer{Outcome: o, SentAt: sent, At: s.now}
+	switch a := a.(type) {
+	case workload.Hold:
+		s.k.Observe(s.now, workload.HoldDone{Hold: a, Answer: answer})
+	case workload.Start:
+		s.k.Observe(s.now, workload.StartDone{Start: a, Answer: answer})
+	case workload.Stop:
+		s.k.Observe(s.now, workload.StopDone{Stop: a, Answer: answer})
+	case workload.Move:
+		s.k.Observe(s.now, workload.MoveDone{Move: a, Outcome: o, SentAt: sent})
+	case workload.Maintain:
+		s.k.Observe(s.now, workload.MaintainDone{Maintain: a, Outcome: o, SentAt: sent})
+	}
+}
+
+// takeDown ends the worker of an instance, and boots another one in a pool later.
+func (s *sim) takeDown(instance, pool string, d time.Duration) {
+	row := s.rows[instance]
+	if w := s.workers[row.Worker]; w != nil {
+		w.dead = true
+	}
+	row.Up, row.Pool, row.Worker = false, pool, ""
+	s.after(d, func() {
+		row.Up = true
+		if pool != "spare" {
+			s.boot(instance)
+		}
+	})
+}
+
+func (w *fakeWorker) order(o workload.Order) {
+	w.token = max(w.token, o.Token)
+	w.deadline = max(w.deadline, min(o.Deadline, w.clock()+6000))
+}
+
+func (w *fakeWorker) start(a workload.Start) workload.Outcome {
+	s := w.sim
+	if a.Token < w.token {
+		return workload.Fenced
+	}
+	w.order(a.Order)
+	task := taskOf(a.Name)
+	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
+		return workload.Accepted
+	}
+	if a.Name.Run <= w.highest[task] {
+		return workload.Outdated
+	}
+	j := s.e.State().JobByID(a.Name.Job)
+	st := j.Steps[a.Name.Step]
+	r := &fakeRun{name: a.Name, need: ledger.ResourcesOf(st.Need), from: s.now, last: st.Lasting, till: s.now + time.Duration(st.EstimateMs)*time.Millisecond}
+	w.runs[task], w.highest[task] = r, a.Name.Run
+	used := ledger.Resources{}
+	for _, o := range w.runs {
+		used = used.Plus(o.need)
+	}
+	assert.Assert(s.t, used.Within(ledger.ResourcesOf(w.m.Capacity)), "worker %s is over its capacity: %v", w.m.Id, used)
+	assert.Equal(s.t, a.Spec, "spec "+a.Name.Job)
+	if !st.Speculative {
+		assert.Equal(s.t, s.done[task], 0, "%s starts again after it was done", task)
+		for _, o := range s.workers {
+			assert.Assert(s.t, o == w || o.dead || o.runs[task] == nil, "%s runs twice", task)
+		}
+	}
+	return workload.Accepted
+}
+
+// running counts the runs of a job on live workers.
+func (s *sim) running(job string) int {
+	n := 0
+	for _, w := range s.workers {
+		for task := range w.runs {
+			if !w.dead && strings.HasPrefix(task, job+".") {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -63,7 +63,7 @@
 		}
 		cost := int64(0)
 		if s := e.sessionOf(in); s != nil {
-			if s.worker.Draining() || len(s.lasting()) > 0 && e.vacating() {
+			if s.worker.Draining() || len(s.lasting()) > 0 && e.vacating(in.Pool) {
 				continue
 			}
 			cost = s.worker.Used().CPU
@@ -79,11 +79,11 @@
 	return best
 }
 
-// vacating reports whether an instance with subtasks that last is waiting for its upkeep. They leave one instance at a
-// time, because those that are away count against each other.
-func (e *Engine) vacating() bool {
+// vacating reports whether an instance of a pool with subtasks that last is waiting for its upkeep. They leave one
+// instance at a time, because those that are away count against each other.
+func (e *Engine) vacating(pool string) bool {
 	for _, in := range e.fleet.rows {
-		if in.duty != nil && in.duty.wave > 0 && !in.duty.ordered {
+		if in.Pool == pool && in.duty != nil && in.duty.wave > 0 && !in.duty.ordered {
 			if s := e.sessionOf(in); s != nil && len(s.lasting()) > 0 {
 				return true
 			}
