--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -69,6 +69,7 @@
 	advice    advice
 	fleet     fleet
 	share     share
+	rates     rates
 }
 
 func newEngine(state *ledger.State) *Engine {
@@ -116,6 +117,7 @@
 	e.advice.reset()
 	e.fleet.reset()
 	e.share.reset()
+	e.rates = rates{}
 	for _, w := range e.state.Workers() {
 		s := e.open(w)
 		s.lastReport = now
@@ -275,7 +277,9 @@
 		e.occurAt = 0
 	case *workloadpb.Command_Submit:
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
-			e.share.accepted(e.state, e.state.JobByID(c.Submit.Id), e.now)
+			j := e.state.JobByID(c.Submit.Id)
+			e.share.accepted(e.state, j, e.now)
+			e.rates.add(e.state.Queue(j.Queue).GetPool(), j, e.now)
 		}
 	case *workloadpb.Command_Document:
 		e.cfg.Log.Info("configuration is in force", "version", e.state.Document().Version)
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -16,6 +16,13 @@
 	idleHold = 1500 * time.Millisecond
 	// grownHold is how long a pool that had too few instances keeps those that it has.
 	grownHold = 1500 * time.Millisecond
+	// rateJobs is over how many jobs the rate of a pool's work is taken. With fewer, two that come by chance one after
+	// the other look like the begin of a turn; with more, a turn is noticed late.
+	rateJobs = 4
+	// rateSilence is how many mean gaps without a job end a turn.
+	rateSilence = 3
+	// rateGap is the least gap that counts as silence.
+	rateGap = 300 * time.Millisecond
 	// poolReserve is how many instances a pool with queues has at least.
 	poolReserve = 1
 )
@@ -52,6 +59,12 @@
 		return
 	}
 	e.measurePools(pools)
+	for _, v := range pools {
+		if rate := e.rates.of(v.name, e.now); rate > v.demand.CPU {
+			v.demand.Memory = int64(float64(v.demand.Memory) * float64(rate) / float64(max(v.demand.CPU, 1)))
+			v.demand.CPU = rate
+		}
+	}
 	var off, idle []*instance
 	for _, in := range e.fleet.sorted() {
 		e.noteIdle(in)
@@ -192,3 +205,45 @@
 	e.cfg.Log.Info("instance changes its pool", "instance", in.Name, "from", in.Pool, "to", pool, "have", v.have, "want", v.want,
 		"demand-cpu", v.demand.CPU, "demand-memory", v.demand.Memory)
 }
+
+// rates holds the newest jobs of each pool.
+type rates map[string][]arrival
+
+type arrival struct {
+	at   time.Duration
+	work int64 // thousandths of core-seconds
+}
+
+// add notes a job that was accepted.
+func (r rates) add(pool string, j *ledger.Job, now time.Duration) {
+	a := arrival{at: now}
+	for _, s := range j.Steps {
+		if s.Lasting || j.MaxRuns > 0 {
+			return
+		}
+		a.work += int64(s.Count) * s.Need.GetCpu() * s.EstimateMs / 1000
+	}
+	list := append(r[pool], a)
+	if len(list) > rateJobs {
+		list = list[1:]
+	}
+	r[pool] = list
+}
+
+// of returns the work that comes in per second, in thousandths of a core; 0 when a turn has ended or has not begun.
+func (r rates) of(pool string, now time.Duration) int64 {
+	list := r[pool]
+	if len(list) < rateJobs {
+		return 0
+	}
+	first, last := list[0].at, list[rateJobs-1].at
+	gap := max((last-first)/(rateJobs-1), rateGap)
+	if now-last > rateSilence*gap {
+		return 0
+	}
+	work := int64(0)
+	for _, a := range list[1:] {
+		work += a.work
+	}
+	return int64(float64(work) / max(last-first, rateGap).Seconds())
+}
