Announce orders for instances in the log; wake streams before their connection closes

Orders are now announced in the log with the leader's steady clock, and only instances that were ordered lately wait. A yamux read spins from the begin of a session's end until its connection is closed, and on one core without preemption the connection was never closed. Samples showed Stream.Read; ruled out by counters: the control loop and the replicated log.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -14,6 +14,7 @@
 type link struct {
 	mu      sync.Mutex
 	session *yamux.Session
+	carrier *countedConn
 	retryAt time.Time
 }
 
@@ -25,12 +26,12 @@
 	}
 }
 
-// session returns the open session to an address, or dials one.
-func (t *Transport) session(ctx context.Context, address string) (*yamux.Session, error) {
+// session returns the open session to an address with its connection, or dials one.
+func (t *Transport) session(ctx context.Context, address string) (*yamux.Session, *countedConn, error) {
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
-		return nil, ErrUnreachable.New("transport is closed")
+		return nil, nil, ErrUnreachable.New("transport is closed")
 	}
 	l, ok := t.links[address]
 	if !ok {
@@ -42,23 +43,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.session != nil && !l.session.IsClosed() {
-		return l.session, nil
+		return l.session, l.carrier, nil
 	}
 	if time.Now().Before(l.retryAt) {
-		return nil, ErrUnreachable.New("last dial of %s failed; waiting before the next", address)
+		return nil, nil, ErrUnreachable.New("last dial of %s failed; waiting before the next", address)
 	}
 	conn, err := t.dial(ctx, address)
 	if err != nil {
 		l.retryAt = time.Now().Add(dialPause)
-		return nil, ErrUnreachable.Wrap(err, "dial %s", address)
+		return nil, nil, ErrUnreachable.Wrap(err, "dial %s", address)
 	}
-	session, err := yamux.Client(t.count(conn), sessionConfig())
+	carrier := t.count(conn)
+	session, err := yamux.Client(carrier, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
-		return nil, ErrUnreachable.Wrap(err, "start session to %s", address)
+		return nil, nil, ErrUnreachable.Wrap(err, "start session to %s", address)
 	}
-	l.session = session
-	return session, nil
+	l.session, l.carrier = session, carrier
+	return session, carrier, nil
 }
 
 func (t *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -21,14 +21,15 @@
 	w    *bufio.Writer
 	// timeout bounds each Send, because a peer that stopped reading would block it forever.
 	timeout time.Duration
+	carrier *countedConn
 	stop    func() bool
 }
 
-func newStream(ctx context.Context, conn net.Conn, timeout time.Duration) *Stream {
-	s := &Stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriter(conn), timeout: timeout}
+func newStream(ctx context.Context, conn net.Conn, carrier *countedConn, timeout time.Duration) *Stream {
+	s := &Stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriter(conn), timeout: timeout, carrier: carrier}
+	carrier.add(conn)
 	s.stop = context.AfterFunc(ctx, func() {
-		// Closing a yamux stream does not wake a blocked read; a deadline in the past does.
-		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		interrupt(conn)
 		_ = conn.Close()
 	})
 	return s
@@ -60,5 +61,6 @@
 // Close ends the stream in both directions.
 func (s *Stream) Close() error {
 	s.stop()
+	s.carrier.remove(s.conn)
 	return s.conn.Close()
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -123,7 +123,7 @@
 
 // Open opens a long stream to the peer at an address; it ends with ctx.
 func (t *Transport) Open(ctx context.Context, address, kind string) (*Stream, error) {
-	session, err := t.session(ctx, address)
+	session, carrier, err := t.session(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err, "open stream to %s", address)
 	}
-	s := newStream(ctx, conn, writeTimeout)
+	s := newStream(ctx, conn, carrier, writeTimeout)
 	if err := s.Send(&peerpb.Hello{Name: t.cfg.Name, Kind: kind, Stamp: t.cfg.Stamp()}); err != nil {
 		_ = s.Close()
 		return nil, ErrUnreachable.Wrap(err, "open stream to %s", address)
@@ -245,7 +245,8 @@
 		verify = func(name string) error { return verifyName(tc.ConnectionState(), name) }
 		conn = tc
 	}
-	session, err := yamux.Server(t.count(conn), sessionConfig())
+	carrier := t.count(conn)
+	session, err := yamux.Server(carrier, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -275,13 +276,13 @@
 		limit <- struct{}{}
 		go func() {
 			defer func() { <-limit }()
-			t.serveStream(sctx, stream, verify)
+			t.serveStream(sctx, stream, carrier, verify)
 		}()
 	}
 }
 
-func (t *Transport) serveStream(ctx context.Context, conn net.Conn, verify func(name string) error) {
-	s := newStream(ctx, conn, writeTimeout)
+func (t *Transport) serveStream(ctx context.Context, conn net.Conn, carrier *countedConn, verify func(name string) error) {
+	s := newStream(ctx, conn, carrier, writeTimeout)
 	defer func() { _ = s.Close() }()
 	hello := &peerpb.Hello{}
 	if err := s.Receive(hello); err != nil {
@@ -317,12 +318,52 @@
 	return cfg
 }
 
-// count wraps a connection so that its bytes are counted.
-func (t *Transport) count(conn net.Conn) net.Conn { return &countedConn{Conn: conn, t: t} }
+// count wraps a connection so that its bytes are counted and its streams are woken when it closes.
+func (t *Transport) count(conn net.Conn) *countedConn {
+	return &countedConn{Conn: conn, t: t, streams: map[net.Conn]struct{}{}}
+}
 
 type countedConn struct {
 	net.Conn
 	t *Transport
+
+	mu      sync.Mutex
+	streams map[net.Conn]struct{}
+	closed  bool
+}
+
+// add registers a stream of the connection.
+func (c *countedConn) add(stream net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[stream] = struct{}{}
+	if c.closed {
+		interrupt(stream)
+	}
+}
+
+func (c *countedConn) remove(stream net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.streams, stream)
+}
+
+// Close ends the blocked calls of all streams before it closes the connection: yamux lets them spin from the begin of a
+// session's end until the connection is closed, and on one core that keeps the connection from being closed.
+func (c *countedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	for stream := range c.streams {
+		interrupt(stream)
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// interrupt makes blocked and later reads and writes of a stream fail.
+func interrupt(stream net.Conn) {
+	// Closing a yamux stream does not wake a blocked read; a deadline in the past does.
+	_ = stream.SetDeadline(time.Unix(1, 0)) // It fails on a closed stream only.
 }
 
 func (c *countedConn) Read(p []byte) (int, error) {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -118,6 +118,7 @@
 	e.fleet.reset()
 	e.share.reset()
 	e.rates = rates{}
+	e.fleet.clock = e.state.Clock()
 	for _, w := range e.state.Workers() {
 		s := e.open(w)
 		s.lastReport = now
@@ -155,6 +156,7 @@
 func (e *Engine) act(a kernel.Action) { e.actions = append(e.actions, a) }
 
 func (e *Engine) propose(m *workloadpb.Command) {
+	m.Term, m.SteadyMs = e.term, e.now.Milliseconds()
 	c, err := kernel.NewCommand(Name, "", m)
 	if err != nil {
 		e.cfg.Log.Error(err, "command of the workload was not proposed")
@@ -275,6 +277,10 @@
 		}
 	case *workloadpb.Command_Occur:
 		e.occurAt = 0
+	case *workloadpb.Command_Order:
+		if m.Term == e.term {
+			e.announced(c.Order)
+		}
 	case *workloadpb.Command_Submit:
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
 			j := e.state.JobByID(c.Submit.Id)
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -34,6 +35,7 @@
 	stale    bool
 	drivenAt time.Duration
 	grownAt  map[string]time.Duration // when a pool last had too few instances
+	clock    int64                    // the ledger's clock when this leader began
 }
 
 // instance is a row of the list with what is being done to it.
@@ -46,8 +48,8 @@
 // duty is a move or an upkeep of an instance.
 type duty struct {
 	// pool is the target of a move, empty for an upkeep.
-	pool     string
-	wave     int64
+	pool string
+	wave int64
 	// boot is the number of the boot that ends with the order, 0 when the instance had none.
 	boot     uint64
 	began    time.Duration
@@ -67,7 +69,7 @@
 // driveFleet keeps the list of instances and decides on moves and upkeep.
 func (e *Engine) driveFleet() {
 	f := &e.fleet
-	if e.now-e.ledAt < e.cfg.TakeOver+takeOverMargin || e.now-f.drivenAt < fleetInterval {
+	if e.now-f.drivenAt < fleetInterval {
 		return
 	}
 	f.drivenAt = e.now
@@ -155,17 +157,45 @@
 			return
 		}
 	}
+	if e.orderAge(in.Name) < e.cfg.TakeOver+takeOverMargin {
+		return
+	}
 	if s != nil {
 		d.boot = s.worker.Number()
 	}
 	d.ordering, d.ordered = true, true
-	if d.wave > 0 {
-		e.act(Maintain{Instance: in.Name, Wave: d.wave, Token: e.term})
-		return
+	// Orders are announced in the log, so that the next leader knows which instances it must leave alone for a while.
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Order{
+		Order: &workloadpb.Order{Instances: []string{in.Name}, Wave: d.wave},
+	}})
+}
+
+// announced sends the orders that the log now holds.
+func (e *Engine) announced(m *workloadpb.Order) {
+	for _, name := range m.Instances {
+		in := e.fleet.rows[name]
+		if in == nil || in.duty == nil || !in.duty.ordering {
+			continue
+		}
+		if d := in.duty; d.wave > 0 {
+			e.act(Maintain{Instance: name, Wave: d.wave, Token: e.term})
+		} else {
+			e.act(Move{Instance: name, Pool: d.pool, Token: e.term})
+		}
+	}
+}
+
+// orderAge returns how long ago an earlier leader surely gave its last order for an instance.
+func (e *Engine) orderAge(instance string) time.Duration {
+	o := e.state.Ordered(instance)
+	if o == nil || o.Term == e.term {
+		return math.MaxInt64
 	}
-	e.act(Move{Instance: in.Name, Pool: d.pool, Token: e.term})
+	return millis(e.fleet.clock-o.AtMs) + e.now - e.ledAt
 }
 
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // drop gives up a duty that was not ordered yet.
 func (e *Engine) drop(in *instance, s *session) {
 	in.duty = nil
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -12,7 +12,13 @@
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	m := &workloadpb.State{Document: s.document, Waves: s.Waves(), NextJob: s.nextJob, NextWorker: s.nextWorker}
+	m := &workloadpb.State{
+		Document: s.document, Waves: s.Waves(), NextJob: s.nextJob, NextWorker: s.nextWorker,
+		ClockMs: s.clock, ClockTerm: s.clockTerm, ClockSteadyMs: s.clockSteady,
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.ordered)) {
+		m.Ordered = append(m.Ordered, s.ordered[name])
+	}
 	for _, w := range s.workerList {
 		m.Workers = append(m.Workers, w.info)
 	}
@@ -59,6 +65,10 @@
 		s.setDocument(m.Document)
 	}
 	s.nextJob, s.nextWorker = m.NextJob, m.NextWorker
+	s.clock, s.clockTerm, s.clockSteady = m.ClockMs, m.ClockTerm, m.ClockSteadyMs
+	for _, o := range m.Ordered {
+		s.ordered[o.Instance] = o
+	}
 	for _, w := range m.Workers {
 		s.addWorker(w)
 	}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -27,6 +27,11 @@
 	usage      map[string]Resources // running by account
 	waves      map[int64]*workloadpb.Wave
 
+	ordered     map[string]*workloadpb.Ordered // by instance
+	clock       int64
+	clockTerm   uint64
+	clockSteady int64
+
 	nextJob, nextWorker uint64
 	version             uint64
 	stops               []Stop
@@ -60,7 +65,7 @@
 		queues: map[string]*workloadpb.Queue{}, byHost: map[string][]*workloadpb.Queue{}, pools: map[string]*workloadpb.Pool{},
 		accounts: map[string]*workloadpb.Account{}, keys: map[string]*workloadpb.Account{},
 		jobs: map[uint64]*Job{}, byID: map[string]*Job{}, workers: map[uint64]*Worker{},
-		usage: map[string]Resources{}, waves: map[int64]*workloadpb.Wave{}, version: s.version + 1,
+		ordered: map[string]*workloadpb.Ordered{}, usage: map[string]Resources{}, waves: map[int64]*workloadpb.Wave{}, version: s.version + 1,
 	}
 }
 
@@ -124,7 +129,12 @@
 
 // Apply applies a command; at is the leader's time of day in Unix milliseconds.
 func (s *State) Apply(c *workloadpb.Command, at int64) *workloadpb.Response {
+	s.advance(c)
 	switch m := c.Change.(type) {
+	case *workloadpb.Command_Order:
+		for _, name := range m.Order.Instances {
+			s.ordered[name] = &workloadpb.Ordered{Instance: name, Term: c.Term, AtMs: s.clock, Wave: m.Order.Wave}
+		}
 	case *workloadpb.Command_Document:
 		s.applyDocument(m.Document)
 	case *workloadpb.Command_Submit:
@@ -151,6 +161,25 @@
 	return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_DONE}
 }
 
+// advance moves the ledger's clock on by what the steady clock of the leader shows. Nothing is added for the time
+// between two leaders, so the clock is never ahead of the time that has passed.
+func (s *State) advance(c *workloadpb.Command) {
+	if c.Term == 0 {
+		return
+	}
+	if c.Term == s.clockTerm && c.SteadyMs > s.clockSteady {
+		s.clock += c.SteadyMs - s.clockSteady
+	}
+	s.clockTerm, s.clockSteady = c.Term, c.SteadyMs
+}
+
+// Clock returns milliseconds that have passed for sure since the group was founded, as of the last command that a leader
+// decided.
+func (s *State) Clock() int64 { return s.clock }
+
+// Ordered returns the last order for an instance, nil when there was none.
+func (s *State) Ordered(instance string) *workloadpb.Ordered { return s.ordered[instance] }
+
 func (s *State) applyWave(w *workloadpb.Wave, at int64) {
 	if s.waves[w.Number] == nil {
 		w.AcceptedMs, w.Begun, w.Gone = at, nil, nil
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -294,7 +294,9 @@
 	return workload.Answer{Outcome: o, Clock: w.clock(), SentAt: sent, At: w.sim.now}
 }
 
-func taskOf(n workload.RunName) string { return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index) }
+func taskOf(n workload.RunName) string {
+	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
+}
 
 // worker returns the worker of an order, nil when none answers.
 func (s *sim) worker(t workload.Target) *fakeWorker {
@@ -358,7 +360,9 @@
 		s.after(2*simStep, func() { s.k.Observe(s.now, workload.MoveDone{Move: a, Outcome: workload.Accepted, SentAt: sent}) })
 	case workload.Maintain:
 		s.takeDown(a.Instance, s.rows[a.Instance].Pool, 2*time.Second)
-		s.after(2*simStep, func() { s.k.Observe(s.now, workload.MaintainDone{Maintain: a, Outcome: workload.Accepted, SentAt: sent}) })
+		s.after(2*simStep, func() {
+			s.k.Observe(s.now, workload.MaintainDone{Maintain: a, Outcome: workload.Accepted, SentAt: sent})
+		})
 	}
 }
 
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -29,6 +29,8 @@
 		switch {
 		case in != nil && in.duty != nil && in.duty.wave == w.Number:
 			busy++
+		case in != nil && e.orderedBefore(name, w.Number):
+			busy++
 		case in == nil && !f.stale && !slices.Contains(w.Gone, name):
 			gone = append(gone, name)
 		}
@@ -52,13 +54,19 @@
 	}
 }
 
+// orderedBefore reports whether an earlier leader may have taken an instance down that is not surely back.
+func (e *Engine) orderedBefore(name string, wave int64) bool {
+	o := e.state.Ordered(name)
+	return o != nil && o.Wave == wave && e.orderAge(name) < e.cfg.TakeOver+takeOverMargin+e.cfg.Maintenance
+}
+
 // nextOf chooses the instance whose upkeep costs least.
 func (e *Engine) nextOf(w *workloadpb.Wave) *instance {
 	var best *instance
 	least := int64(0)
 	for _, name := range w.Instances {
 		in := e.fleet.rows[name]
-		if in == nil || in.duty != nil || !in.Up || slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
+		if in == nil || in.duty != nil || !in.Up || e.orderAge(name) < e.cfg.TakeOver+takeOverMargin || slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
 			continue
 		}
 		cost := int64(0)
