--- /dev/null
+++ b/internal/control/clock_test.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a leader that counts as confirmed after a pause, because it measures the time by its ticks: a round
+// confirms the time at which it was sent.
+func TestRoundsConfirmTheTimeOfSending(t *testing.T) {
+	r := rounds{}
+	r.stamp(1)
+	first := r.at(1)
+	assert.Assert(t, first > 0)
+	time.Sleep(5 * time.Millisecond)
+	r.stamp(1)
+	assert.Equal(t, r.at(1), first)
+	r.stamp(3)
+	assert.Assert(t, r.at(3) > first)
+	assert.Equal(t, r.at(4), int64(0))
+	r.stamp(3 + keptRounds)
+	assert.Equal(t, r.at(3), int64(0), "forgotten rounds confirm nothing")
+	r.stamp(1)
+	assert.Assert(t, r.at(1) > first, "another term")
+	v := &Voter{}
+	v.leads.Store(true)
+	v.confirmed.Store(bootTime() - int64(Lease) - 1)
+	assert.Assert(t, !v.Confirmed(Lease))
+	v.confirmed.Store(bootTime())
+	assert.Assert(t, v.Confirmed(Lease))
+}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -25,6 +25,8 @@
 	// joinInterval is the time between requests to be a voter; the leader answers without a change if there is nothing
 	// to do.
 	joinInterval = time.Second
+	// rejoinInterval is the time between looks of a voter whether it still is one.
+	rejoinInterval = 5 * time.Second
 	// handOverTimeout bounds the wait until another voter leads before a process ends.
 	handOverTimeout = 1500 * time.Millisecond
 	// segmentBytes is the size of a log segment; a few of them fit on the small disks of control machines.
@@ -150,15 +152,13 @@
 	m := &raftpb.Member{
 		Id: c.store.Identity(), Name: c.cfg.PeerAddress, Address: c.cfg.PeerAddress, AvailabilityZone: c.cfg.Zone,
 	}
-	pause := joinInterval
 	for {
+		pause := joinInterval
 		tctx, cancel := context.WithTimeout(ctx, joinInterval)
 		voter, err := c.client.Join(tctx, m)
 		cancel()
 		if err == nil && voter {
-			pause = 5 * joinInterval
-		} else {
-			pause = joinInterval
+			pause = rejoinInterval
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -129,11 +129,10 @@
 	s.changed()
 }
 
-func (s *State) addWorker(m *workloadpb.Worker) *Worker {
+func (s *State) addWorker(m *workloadpb.Worker) {
 	w := &Worker{info: m, capacity: ResourcesOf(m.Capacity), runs: map[RunKey]*Subtask{}}
 	s.workers[m.Number] = w
 	s.workerList = append(s.workerList, w)
-	return w
 }
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, kernel.ErrInvalid.New("%v", err)
 	}
-	r := e.state.Apply(m, time.Duration(c.At).Milliseconds())
+	r := e.state.Apply(m, c.At.Milliseconds())
 	e.applied(m, r)
 	return proto.Marshal(r)
 }
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -223,11 +223,10 @@
 		}
 		a.work += int64(s.Count) * s.Need.GetCpu() * s.EstimateMs / 1000
 	}
-	list := append(r[pool], a)
-	if len(list) > rateJobs {
-		list = list[1:]
+	r[pool] = append(r[pool], a)
+	if extra := len(r[pool]) - rateJobs; extra > 0 {
+		r[pool] = r[pool][extra:]
 	}
-	r[pool] = list
 }
 
 // of returns the work that comes in per second, in thousandths of a core; 0 when a turn has ended or has not begun.
