Keep room for what lasts only where it can become free

Room is now kept by the scarcest resource among workers that can hold the subtask, and the pool grows by an instance. Ruled out: the step's limit per worker.

--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -59,8 +59,10 @@
 			}
 			return answer()
 		},
-		Stop:      func(context.Context, workload.Stop) workload.Answer { return answer() },
-		Instances: func(context.Context) workload.InstancesDone { return workload.InstancesDone{Outcome: workload.Accepted} },
+		Stop: func(context.Context, workload.Stop) workload.Answer { return answer() },
+		Instances: func(context.Context) workload.InstancesDone {
+			return workload.InstancesDone{Outcome: workload.Accepted}
+		},
 	}
 }
 
--- a/internal/workload/engine_test.go
+++ b/internal/workload/engine_test.go
@@ -146,6 +146,26 @@
 	assert.Equal(t, s.running("last"), 1)
 }
 
+// Guards against room that is kept on a worker whose memory other subtasks that last have taken for good.
+func TestWhatLastsGetsRoomWhereItCanBeFree(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	big := step(1, 1000, 60000, 0)
+	big.Lasting = true
+	s.submit("glass", "big", big)
+	s.run(100 * time.Millisecond)
+	for i := range 60 {
+		s.submit("glass", fmt.Sprintf("small-%03d", i), step(1, 300, 8000, int64(300+31*i)))
+	}
+	s.run(200 * time.Millisecond)
+	other := step(1, 1000, 40000, 0)
+	other.Lasting = true
+	s.submit("glass", "other", other)
+	s.run(2500 * time.Millisecond)
+	assert.Equal(t, s.running("other"), 1)
+}
+
 // Guards against instances that serve a pool without demand while another one is full.
 func TestPoolsFollowDemand(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -32,8 +32,9 @@
 	name   string
 	spare  bool
 	demand ledger.Resources
-	least  int // instances that what lasts needs
-	have   int // instances that serve the pool or are on their way to it
+	least  int  // instances that what lasts needs
+	short  bool // a subtask that lasts has no worker
+	have   int  // instances that serve the pool or are on their way to it
 	room   ledger.Resources
 	want   int
 }
@@ -139,6 +140,7 @@
 				if st.Step.Lasting {
 					per := schedule.LastingPerWorker(st.Step)
 					v.least = max(v.least, (n+per-1)/per)
+					v.short = v.short || st.Waiting() > 0
 				}
 			}
 		}
@@ -158,6 +160,10 @@
 		}
 	}
 	v.want = max(int(math.Ceil(share*headroom)), v.least, poolReserve)
+	if v.short {
+		// The room that the pool has may be in pieces.
+		v.want = max(v.want, v.have+1)
+	}
 }
 
 // effectivePool is the pool that an instance serves or is on its way to.
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -14,6 +14,8 @@
 	Serving, Filling, Lasting int
 	// Unused is the number of thousandths of a core that no run has asked for, fillers included.
 	Unused int64
+	// Kept is the room that runs which last take; it does not become free by itself.
+	Kept ledger.Resources
 	// Suspect workers are used when no other has room.
 	Suspect bool
 
@@ -171,11 +173,11 @@
 func reserve(s *ledger.StepRun, workers []*Worker, room ledger.Resources, onStep map[uint64]int) {
 	var best *Worker
 	for _, w := range workers {
-		if !room.Within(w.Capacity()) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
+		if !room.Within(w.Capacity().Minus(w.Kept)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
 			s.Step.MaxPerWorker > 0 && onStep[w.Number()] >= int(s.Step.MaxPerWorker) {
 			continue
 		}
-		if best == nil || w.free.CPU > best.free.CPU {
+		if best == nil || w.slack(room) > best.slack(room) {
 			best = w
 		}
 	}
@@ -184,6 +186,19 @@
 	}
 }
 
+// slack is the share of its capacity that a worker would have left after a subtask took its room, of what it has least;
+// negative while there is no room.
+func (w *Worker) slack(room ledger.Resources) float64 {
+	left, whole := w.free.Minus(room), w.Capacity()
+	least := 1.0
+	for _, r := range [][2]int64{{left.CPU, whole.CPU}, {left.Memory, whole.Memory}, {left.Accelerators, whole.Accelerators}} {
+		if r[1] > 0 {
+			least = min(least, float64(r[0])/float64(r[1]))
+		}
+	}
+	return least
+}
+
 // maxLasting is how many subtasks of a step that lasts share a worker when they may. An upkeep moves them one by one,
 // each in about two seconds, so that three are gone well within the time of a wave.
 const maxLasting = 3
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -210,6 +210,7 @@
 		}
 		if step.Lasting {
 			v.Lasting++
+			v.Kept = v.Kept.Plus(ledger.Room(step))
 		}
 	}
 	return v
