--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -35,7 +35,9 @@
 	stale    bool
 	drivenAt time.Duration
 	grownAt  map[string]time.Duration // when a pool last had too few instances
-	clock    int64                    // the ledger's clock when this leader began
+	// shortSince is since when a subtask that lasts has no worker in a pool.
+	shortSince map[string]time.Duration
+	clock      int64 // the ledger's clock when this leader began
 }
 
 // instance is a row of the list with what is being done to it.
@@ -63,6 +65,7 @@
 func (f *fleet) reset() {
 	*f = fleet{
 		rows: map[string]*instance{}, byWorker: map[string]*instance{}, stale: true, grownAt: map[string]time.Duration{},
+		shortSince: map[string]time.Duration{},
 	}
 }
 
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -13,9 +13,9 @@
 	headroom = 1.15
 	// idleHold is how long an instance is idle before it is turned off. Turning it off and on again costs two moves, as
 	// much as about three seconds in a pool on the installations' price lists.
-	idleHold = 1500 * time.Millisecond
+	idleHold = 500 * time.Millisecond
 	// grownHold is how long a pool that had too few instances keeps those that it has.
-	grownHold = 1500 * time.Millisecond
+	grownHold = 500 * time.Millisecond
 	// rateJobs is over how many jobs the rate of a pool's work is taken. With fewer, two that come by chance one after
 	// the other look like the begin of a turn; with more, a turn is noticed late.
 	rateJobs = 4
@@ -23,6 +23,8 @@
 	rateSilence = 3
 	// rateGap is the least gap that counts as silence.
 	rateGap = 300 * time.Millisecond
+	// shortHold is how long a subtask that lasts waits for room that becomes free before its pool gets an instance more.
+	shortHold = 600 * time.Millisecond
 	// poolReserve is how many instances a pool with queues has at least.
 	poolReserve = 1
 )
@@ -91,6 +93,13 @@
 		}
 	}
 	for _, v := range order {
+		if !v.short {
+			delete(e.fleet.shortSince, v.name)
+		} else if since, ok := e.fleet.shortSince[v.name]; !ok {
+			e.fleet.shortSince[v.name], v.short = e.now, false
+		} else {
+			v.short = e.now-since >= shortHold
+		}
 		v.plan()
 	}
 	for _, v := range order {
--- a/internal/workload/schedule/order.go
+++ b/internal/workload/schedule/order.go
@@ -101,11 +101,11 @@
 // Order is a policy for the sequence in which jobs are served.
 type Order int
 
-// Policies. FirstCome is the baseline.
+// Policies: the least time to the objective first, the least remaining work first, and the baseline.
 const (
-	ByWork Order = iota
+	ByDeadline Order = iota
+	ByWork
 	FirstCome
-	ByDeadline
 )
 
 func (in *Input) compare() func(a, b candidate) int {
