Slow down what fills beside a subtask that is near its target

The contract of sharing was not served: nothing changed the speed of what fills. Cut to nothing when a tail is at its target, released by ten percent points a second. The test in virtual time failed before.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -62,6 +62,9 @@
 			break
 		}
 	}
+	if s.shared() {
+		h.Wait = min(h.Wait, paceWait)
+	}
 	s.holding = true
 	e.act(h)
 }
--- a/internal/workload/engine_test.go
+++ b/internal/workload/engine_test.go
@@ -216,6 +216,36 @@
 	assert.Assert(t, r.Completed)
 }
 
+// Guards against what fills and works on beside a subtask that is over its target.
+func TestFillersAreSlowedAndReleased(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	serve, fill := step(1, 4000, 1000, 0), step(2, 6000, 1000, 0)
+	serve.Lasting, serve.TargetMs = true, 100
+	fill.Lasting, fill.Fills = true, true
+	s.submit("glass", "serve", serve)
+	s.submit("glass", "fill", fill)
+	percent := func() int {
+		last := 100
+		for _, a := range s.orders {
+			if p, ok := a.(workload.Pace); ok {
+				assert.Equal(t, p.Name.Job, "fill")
+				last = p.Percent
+			}
+		}
+		return last
+	}
+	s.run(2 * time.Second)
+	assert.Equal(t, percent(), 100)
+	w.load = 150
+	s.run(1500 * time.Millisecond)
+	assert.Equal(t, percent(), 0)
+	w.load = 50
+	s.run(30 * time.Second)
+	assert.Equal(t, percent(), 100)
+}
+
 // Guards against a job that runs on after its cancel.
 func TestCancelStopsRuns(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -84,6 +84,10 @@
 	saved   string
 	percent int
 	load    int64
+	// pace is the share of its speed at which the run may work, in percent.
+	pace    int
+	pacing  bool // a change is under way
+	pacedAt time.Duration
 }
 
 func (e *Engine) open(w *ledger.Worker) *session {
@@ -95,7 +99,7 @@
 
 func newRun(k ledger.RunKey, t *ledger.Subtask) *run {
 	return &run{
-		key: k, subtask: t, checkpoint: t.Checkpoint, stop: ledger.Unwanted(t),
+		key: k, subtask: t, checkpoint: t.Checkpoint, stop: ledger.Unwanted(t), pace: 100,
 		name: RunName{Job: t.Step().Occurrence.Job.ID, Occurrence: k.Occurrence, Step: k.Step, Index: k.Index, Run: k.Run},
 	}
 }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -65,6 +65,8 @@
 	draining bool
 	// how is how runs end that have done their work.
 	how workloadpb.How
+	// load is listed for every run.
+	load int64
 	// stuck runs never end by themselves.
 	stuck bool
 }
@@ -285,7 +287,7 @@
 func (w *fakeWorker) list(h workload.Hold) workload.HoldDone {
 	done := workload.HoldDone{Hold: h, Answer: w.answer(workload.Accepted, w.holdAt), Ended: slices.Clone(w.ended)}
 	for _, r := range w.runs {
-		done.Running = append(done.Running, workload.Row{Name: r.name, Percent: 100})
+		done.Running = append(done.Running, workload.Row{Name: r.name, Percent: 100, Load: w.load})
 	}
 	return done
 }
@@ -345,6 +347,10 @@
 		}
 		w.highest[taskOf(a.Name)] = max(w.highest[taskOf(a.Name)], a.Name.Run)
 		s.after(simStep, func() { s.k.Observe(s.now, workload.StopDone{Stop: a, Answer: w.answer(workload.Accepted, sent)}) })
+	case workload.Pace:
+		s.after(simStep, func() {
+			s.k.Observe(s.now, workload.PaceDone{Pace: a, Answer: workload.Answer{Outcome: workload.Accepted, SentAt: sent, At: s.now}})
+		})
 	case workload.ListInstances:
 		done := workload.InstancesDone{Outcome: workload.Accepted, SentAt: sent}
 		for _, row := range s.rows {
