--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -105,8 +106,13 @@
 			m.Ends = append(m.Ends, &workloadpb.End{
 				Subtask: k.Message(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint, Number: row.Number,
 			})
-			e.cfg.Log.V(1).Info("run ended", "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index, "run", row.Name.Run,
-				"how", row.How.String(), "worker", s.worker.ID())
+			e.cfg.Count("hibiscusroute_runs_ended_total", "how", howName(row.How))
+			log := e.cfg.Log
+			if row.How == workloadpb.How_HOW_DONE {
+				log = log.V(1) // The job's lines tell of those that went well.
+			}
+			log.Info("run ended", "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index, "run", row.Name.Run,
+				"how", howName(row.How), "worker", s.worker.ID(), "boot", s.worker.Number())
 		}
 	}
 	listed := map[ledger.RunKey]bool{}
@@ -141,6 +147,9 @@
 	e.record(s, m)
 }
 
+// howName returns how a run ended in kebab case.
+func howName(h workloadpb.How) string { return strings.ToLower(strings.TrimPrefix(h.String(), "HOW_")) }
+
 // vanished reports whether a run that a list lacks has surely ended without being listed, or never began.
 func (e *Engine) vanished(r *run, listedAt time.Duration) bool {
 	if r.inherited {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -46,7 +46,10 @@
 	KeepStates time.Duration
 	// Order is the sequence in which jobs are served.
 	Order schedule.Order
-	Log   logr.Logger
+	// Count adds one to a counter with a label, Observe a value to a histogram; both may be nil.
+	Count   func(name, label, value string)
+	Observe func(name string, v float64)
+	Log     logr.Logger
 }
 
 // Engine decides for the leader what workers do. It must be used from the control loop only.
@@ -97,6 +100,12 @@
 			*d.to = d.value
 		}
 	}
+	if cfg.Count == nil {
+		cfg.Count = func(string, string, string) {}
+	}
+	if cfg.Observe == nil {
+		cfg.Observe = func(string, float64) {}
+	}
 	if cfg.Wall == nil {
 		cfg.Wall = time.Now
 	}
@@ -235,15 +244,40 @@
 		return
 	}
 	e.assigning = true
+	e.logPlan(list, len(in.Workers))
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Assign{Assign: &workloadpb.Assign{Assignments: list}}})
 }
 
+// logPlan writes a line for each step of which subtasks are assigned.
+func (e *Engine) logPlan(list []*workloadpb.Assignment, workers int) {
+	for i := 0; i < len(list); {
+		first := list[i].Subtask
+		n := 1
+		for i+n < len(list) && list[i+n].Subtask.Job == first.Job && list[i+n].Subtask.Step == first.Step &&
+			list[i+n].Subtask.Occurrence == first.Occurrence {
+			n++
+		}
+		if j := e.state.Job(first.Job); j != nil {
+			e.cfg.Log.Info("subtasks are assigned", "job", j.ID, "occurrence", first.Occurrence, "step", first.Step, "first", first.Index,
+				"count", n, "run", list[i].Run, "boot", list[i].Worker, "usable-workers", workers, "job-age-ms", e.wallMillis()-j.Accepted)
+		}
+		i += n
+	}
+}
+
 // applied takes up what a command changed.
 func (e *Engine) applied(m *workloadpb.Command, r *workloadpb.Response) {
-	stops := e.state.TakeStops()
+	stops, ended := e.state.TakeStops(), e.state.TakeEnded()
 	if !e.leading {
 		return
 	}
+	for _, j := range ended {
+		e.cfg.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", string(j.State()), "after-ms", j.Ended-j.Accepted)
+		e.cfg.Count("hibiscusroute_jobs_ended_total", "state", string(j.State()))
+		if j.State() == ledger.Completed {
+			e.cfg.Observe("hibiscusroute_job_seconds", float64(j.Ended-j.Accepted)/1000)
+		}
+	}
 	for _, w := range e.state.Workers() {
 		if e.sessions[w.Number()] == nil {
 			e.open(w).flush = true // One look tells the clock, and what an order for an earlier boot may have started.
@@ -286,6 +320,9 @@
 			j := e.state.JobByID(c.Submit.Id)
 			e.share.accepted(e.state, j, e.now)
 			e.rates.add(e.state.Queue(j.Queue).GetPool(), j, e.now)
+			e.cfg.Count("hibiscusroute_jobs_accepted_total", "queue", j.Queue)
+			e.cfg.Log.Info("job was accepted", "job", j.ID, "queue", j.Queue, "account", j.Account, "steps", len(j.Steps),
+				"beyond-share", e.share.excess(j), "configuration", e.state.Document().Version)
 		}
 	case *workloadpb.Command_Document:
 		e.cfg.Log.Info("configuration is in force", "version", e.state.Document().Version)
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -112,6 +112,7 @@
 
 func (s *State) endJob(j *Job, state JobState, at int64) {
 	j.state, j.Ended = state, at
+	s.endedJobs = append(s.endedJobs, j)
 	s.active = slices.DeleteFunc(s.active, func(o *Job) bool { return o == j })
 	for _, o := range j.occurrences {
 		for _, st := range o.Steps {
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -35,6 +35,7 @@
 	nextJob, nextWorker uint64
 	version             uint64
 	stops               []Stop
+	endedJobs           []*Job
 }
 
 // Stop is a run that must end because its job has ended or its subtask is done.
@@ -50,6 +51,13 @@
 	return list
 }
 
+// TakeEnded returns the jobs that ended since the last call; they are not replicated.
+func (s *State) TakeEnded() []*Job {
+	list := s.endedJobs
+	s.endedJobs = nil
+	return list
+}
+
 // Unwanted reports whether a run must end.
 func Unwanted(t *Subtask) bool { return t.Done || !t.step.Occurrence.Job.Active() }
 
