--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,6 +152,7 @@
 		}
 		return done
 	}
-	d.cfg.Log.Info("order of unknown kind was ignored", "order", a.ActionName())
+	// Other plug-ins order what the infrastructure does not offer.
+	d.cfg.Log.V(1).Info("order of unknown kind was ignored", "order", a.ActionName())
 	return nil
 }
