--- /dev/null
+++ b/internal/workload/placement_test.go
@@ -0,0 +1,150 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// starts returns the start orders of a job.
+func (s *sim) starts(job string) []workload.Start {
+	var list []workload.Start
+	for _, a := range s.orders {
+		if st, ok := a.(workload.Start); ok && st.Name.Job == job {
+			list = append(list, st)
+		}
+	}
+	return list
+}
+
+// Guards against subtasks on workers where they may not run, or away from their data while there is room beside it.
+func TestPlacesOfSubtasks(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(s *workloadpb.Step)
+		check  func(t *testing.T, s *sim, on map[string]int)
+	}{
+		{"label", func(s *workloadpb.Step) { s.Label = "r1" }, func(t *testing.T, s *sim, on map[string]int) {
+			for id, n := range on {
+				assert.Equal(t, s.workers[id].m.Labels[1], "r1", "%d on %s", n, id)
+			}
+		}},
+		{"no-such-label", func(s *workloadpb.Step) { s.Label = "r9" }, func(t *testing.T, _ *sim, on map[string]int) {
+			assert.Equal(t, len(on), 0)
+		}},
+		{"data", func(s *workloadpb.Step) { s.DataRack = "r1" }, func(t *testing.T, s *sim, on map[string]int) {
+			for id := range on {
+				assert.Equal(t, s.workers[id].m.Labels[1], "r1")
+			}
+		}},
+		{"apart", func(s *workloadpb.Step) { s.MaxPerWorker = 1 }, func(t *testing.T, _ *sim, on map[string]int) {
+			assert.Equal(t, len(on), 6)
+		}},
+		{"one-rack", func(s *workloadpb.Step) { s.RackSensitive = true }, func(t *testing.T, s *sim, on map[string]int) {
+			racks := map[string]bool{}
+			for id := range on {
+				racks[s.workers[id].m.Labels[1]] = true
+			}
+			assert.Equal(t, len(racks), 1)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.document(1, nil, "glass")
+			s.addWorkers("glass", 8) // four on a rack
+			s.run(100 * time.Millisecond)
+			st := step(6, 4000, 1000, 500)
+			tt.change(st)
+			s.submit("glass", "a", st)
+			s.run(300 * time.Millisecond)
+			on := map[string]int{}
+			for _, o := range s.starts("a") {
+				on[o.ID]++
+			}
+			tt.check(t, s, on)
+		})
+	}
+}
+
+// Guards against a part of a gang that starts without the others.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.submit("glass", "small", step(8, 1000, 1000, 2000))
+	s.run(300 * time.Millisecond)
+	gang := step(4, 7000, 1000, 500)
+	gang.Gang = true
+	s.submit("glass", "gang", gang)
+	s.run(time.Second)
+	assert.Equal(t, len(s.starts("gang")), 0)
+	s.run(4 * time.Second)
+	assert.Equal(t, len(s.starts("gang")), 4)
+	assert.Equal(t, s.state("glass", "gang"), "completed")
+}
+
+// Guards against an occurrence that begins before its time, or not at all.
+func TestScheduledJobRunsWhenDue(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	r := s.call(&workloadpb.Command{Change: &workloadpb.Command_Submit{Submit: &workloadpb.Submit{
+		Host: "h", Path: "/glass/a", Id: "a", Spec: "spec a", Steps: []*workloadpb.Step{step(2, 1000, 100, 100)},
+		MaxRuns: 3, StartAtMs: 1_001_000, IntervalMs: 2000,
+	}}})
+	assert.Equal(t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
+	for _, tt := range []struct {
+		at     time.Duration
+		starts int
+	}{{900, 0}, {1500, 2}, {2900, 2}, {3500, 4}, {5500, 6}, {9000, 6}} {
+		s.run(tt.at*time.Millisecond - s.now)
+		assert.Equal(t, len(s.starts("a")), tt.starts, "at %v ms", int(tt.at))
+	}
+	assert.Equal(t, s.state("glass", "a"), "completed")
+}
+
+// Guards against a start without the ticket of the adviser.
+func TestAdviceIsFollowed(t *testing.T) {
+	s := newSim(t)
+	s.document(1, func(d *workloadpb.Document) { d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000} }, "glass")
+	ws := s.addWorkers("glass", 4)
+	s.allowed = ws[2].m.Id
+	s.submit("glass", "a", step(9, 2000, 1000, 300))
+	s.run(3 * time.Second)
+	assert.Equal(t, s.state("glass", "a"), "completed")
+	for _, o := range s.starts("a") {
+		assert.Equal(t, o.ID, s.allowed)
+		assert.Equal(t, o.Ticket, "ticket-"+s.allowed)
+	}
+}
+
+// Guards against work for a worker that has said that it leaves, and against runs that it takes with it.
+func TestDrainingWorkerIsEmptied(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	ws := s.addWorkers("glass", 2)
+	last := step(2, 1000, 1000, 0)
+	last.Lasting = true
+	s.submit("glass", "last", last)
+	s.run(time.Second)
+	leaving := ws[0]
+	if len(leaving.runs) == 0 {
+		leaving = ws[1]
+	}
+	leaving.draining = true
+	s.report(leaving)
+	before := len(s.orders)
+	s.submit("glass", "a", step(20, 1000, 1000, 300))
+	s.run(3 * time.Second)
+	assert.Equal(t, len(leaving.runs), 0)
+	assert.Equal(t, s.running("last"), 2)
+	for _, a := range s.orders[before:] {
+		if st, ok := a.(workload.Start); ok {
+			assert.Assert(t, st.ID != leaving.m.Id)
+		}
+	}
+}
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -38,6 +38,8 @@
 	// listed is called when the list of instances is read; it may be nil.
 	listed func()
 	moves  int
+	// allowed is the worker that the adviser allows.
+	allowed string
 	orders []kernel.Action
 }
 
@@ -347,6 +349,14 @@
 		}
 		w.highest[taskOf(a.Name)] = max(w.highest[taskOf(a.Name)], a.Name.Run)
 		s.after(simStep, func() { s.k.Observe(s.now, workload.StopDone{Stop: a, Answer: w.answer(workload.Accepted, sent)}) })
+	case workload.Advise:
+		done := workload.AdviseDone{Advise: a, Outcome: workload.Accepted, Tickets: map[string]string{}, Validity: 3 * time.Second, SentAt: sent}
+		for _, id := range a.Workers {
+			if id == s.allowed {
+				done.Tickets[id] = "ticket-" + id
+			}
+		}
+		s.after(20*simStep, func() { s.k.Observe(s.now, done) })
 	case workload.Pace:
 		s.after(simStep, func() {
 			s.k.Observe(s.now, workload.PaceDone{Pace: a, Answer: workload.Answer{Outcome: workload.Accepted, SentAt: sent, At: s.now}})
