Remove a voter that is gone for good from a group of more than three

Cause: a control machine that is replaced at another address stayed a voter, so that after the next loss a group of three had no quorum. Unused settings go.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -114,6 +114,7 @@
 			}
 		}
 	}
+	v.removeLost(members)
 }
 
 // addresses returns the peer addresses of the members.
@@ -125,6 +126,34 @@
 	return list
 }
 
+// minVoters is how many voters a group keeps whatever happens to them: with three it bears the loss of one.
+const minVoters = 3
+
+// removeLost removes a voter that has not been heard for long, such as one whose machine was replaced at another
+// address: it would count against the quorum for good.
+func (v *Voter) removeLost(members []raft.MemberStatus) {
+	voters := 0
+	var gone *raftpb.Member
+	for _, m := range members {
+		if !m.Member.Voter {
+			continue
+		}
+		voters++
+		since, ok := v.lost[m.Member.Id]
+		switch {
+		case m.CaughtUp:
+			delete(v.lost, m.Member.Id)
+		case !ok:
+			v.lost[m.Member.Id] = v.now()
+		case v.now()-since >= v.cfg.RemoveLost:
+			gone = m.Member
+		}
+	}
+	if v.cfg.RemoveLost > 0 && gone != nil && voters > minVoters {
+		v.changeMember(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: gone})
+	}
+}
+
 // redundant reports whether the group could lose a voter now: there are at least three, and all are caught up.
 func redundant(members []raft.MemberStatus) bool {
 	voters := 0
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -57,6 +57,9 @@
 	// Founders, with Bootstrap, are the peer addresses of all first voters of a new group, this one among them. They
 	// start in any order with the identity that FounderIdentity gives them.
 	Founders []string
+	// RemoveLost is after how long a voter that is not heard is removed from a group of more than three; 0 keeps it. A
+	// voter that comes back joins again.
+	RemoveLost time.Duration
 	// Setup is called with the kernel before it takes its state; it may be nil.
 	Setup func(k *kernel.Kernel)
 	// Act runs the actions of the leader; it must not block. It may be nil.
@@ -106,6 +109,7 @@
 	setVoters  []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	failed     error
 	rounds     rounds
+	lost       map[string]time.Duration // since when a voter has not caught up
 	limits     map[string]time.Duration // when the holders of a team's limit were last recorded
 }
 
@@ -289,6 +293,7 @@
 	v.renewals = map[string]lastRenewal{}
 	v.limits = map[string]time.Duration{}
 	v.setVoters = nil
+	v.lost = map[string]time.Duration{}
 	v.kernel.Lead(v.now())
 	v.kernel.Observe(v.now(), kernel.Leading{Term: term})
 	// An operator may still wait for a version that the previous leader accepted. Its rollout is followed up to this
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"path/filepath"
@@ -27,6 +28,9 @@
 	joinInterval = time.Second
 	// rejoinInterval is the time between looks of a voter whether it still is one.
 	rejoinInterval = 5 * time.Second
+	// removeLost is the default of RemoveLost. A machine that restarts is back sooner, and one that is replaced must be
+	// gone before the next may be lost.
+	removeLost = 8 * time.Second
 	// handOverTimeout bounds the wait until another voter leads before a process ends.
 	handOverTimeout = 1500 * time.Millisecond
 	// segmentBytes is the size of a log segment; a few of them fit on the small disks of control machines.
@@ -42,6 +46,8 @@
 	Zone string
 	// Seeds are the peer addresses of control processes from the settings.
 	Seeds []string
+	// RemoveLost is after how long a control process that is not heard is no longer a voter; 0 is 8 s.
+	RemoveLost time.Duration
 	// Found is set at the first start of the whole installation.
 	Found         bool
 	DataDirectory string
@@ -100,7 +106,8 @@
 	var orders *dispatch.Dispatcher
 	voter := control.Config{
 		Name: cfg.PeerAddress, PeerAddress: cfg.PeerAddress, AvailabilityZone: cfg.Zone, Store: c.store, Persisted: persisted,
-		Transport: c.transport, Bootstrap: founder, Record: events.Record, Log: cfg.Log,
+		Transport: c.transport, Bootstrap: founder, RemoveLost: cmp.Or(cfg.RemoveLost, removeLost), Record: events.Record,
+		Log:   cfg.Log,
 		Act:   func(actions []kernel.Action) { orders.Act(actions) },
 		Lead:  func(leading bool) { orders.Lead(leading) },
 		Setup: c.setup,
@@ -125,6 +132,21 @@
 	}
 }
 
+// Voters returns the number of voters as this process knows it.
+func (c *Control) Voters(ctx context.Context) (int, error) {
+	st, err := c.voter.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, v := range st.Voters {
+		if v.Member.Voter {
+			n++
+		}
+	}
+	return n, nil
+}
+
 // Leading reports whether this process leads as far as it knows.
 func (c *Control) Leading() bool { return c.voter.Leading() }
 
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -161,3 +161,37 @@
 		assert.Equal(t, n, 1, task)
 	}
 }
+
+// Guards against a control process that was replaced at another address and counts against the quorum for good.
+func TestReplacedProcessIsRemoved(t *testing.T) {
+	fleet := &fakeFleet{began: time.Now(), runs: map[string]time.Time{}, starts: map[string]int{}}
+	addresses := []string{freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)}
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var processes []*site.Control
+	var stops []context.CancelFunc
+	for i, a := range addresses {
+		c, err := site.NewControl(site.ControlConfig{
+			Name: fmt.Sprintf("core-%d", i), PeerAddress: a, Zone: "a", Seeds: addresses[:3], Found: i < 3,
+			DataDirectory: t.TempDir(), RemoveLost: time.Second, Port: fleet.port(), Log: logr.Discard(),
+		})
+		assert.NilError(t, err)
+		pctx, stop := context.WithCancel(ctx)
+		processes, stops = append(processes, c), append(stops, stop)
+		group.Go(func() { assert.Check(t, c.Run(pctx)) })
+	}
+	await := func(voters int) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			if n, err := processes[3].Voters(ctx); err == nil && n == voters {
+				return
+			}
+			assert.Assert(t, time.Now().Before(end), "the group has not %d voters", voters)
+		}
+	}
+	await(4)
+	stops[0]()
+	await(3)
+}
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -30,7 +30,6 @@
 	asking   bool
 	askAfter time.Duration
 	current  bool
-	asked    bool
 }
 
 func (a *advice) reset() { *a = advice{steps: map[*ledger.StepRun]*stepAdvice{}} }
@@ -96,7 +95,7 @@
 			a.askAfter = e.now + advicePause
 			continue
 		}
-		a.tickets, a.current, a.asked = ev.Tickets, true, true
+		a.tickets, a.current = ev.Tickets, true
 		a.until = ev.SentAt + time.Duration(float64(ev.Validity)*(1-adviceReserve))
 		if len(a.tickets) == 0 {
 			a.askAfter = e.now + advicePause
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -38,8 +38,6 @@
 	Maintenance time.Duration
 	// Move is how long an instance is away when it changes its pool.
 	Move time.Duration
-	// Notice is how long a run of a step that may miss few may be not at work before it counts as missing.
-	Notice time.Duration
 	// TakeOver is how long a new leader waits before its first order for an instance.
 	TakeOver time.Duration
 	// KeepStates is how long the state of an ended job is kept.
@@ -92,7 +90,6 @@
 		{&cfg.ReportInterval, 1500 * time.Millisecond},
 		{&cfg.Maintenance, 2 * time.Second},
 		{&cfg.Move, 1500 * time.Millisecond},
-		{&cfg.Notice, 4500 * time.Millisecond},
 		{&cfg.TakeOver, 3 * time.Second},
 		{&cfg.KeepStates, 2 * time.Minute},
 	} {
--- a/internal/workload/placement_test.go
+++ b/internal/workload/placement_test.go
@@ -110,7 +110,9 @@
 // Guards against a start without the ticket of the adviser.
 func TestAdviceIsFollowed(t *testing.T) {
 	s := newSim(t)
-	s.document(1, func(d *workloadpb.Document) { d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000} }, "glass")
+	s.document(1, func(d *workloadpb.Document) {
+		d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000}
+	}, "glass")
 	ws := s.addWorkers("glass", 4)
 	s.allowed = ws[2].m.Id
 	s.submit("glass", "a", step(9, 2000, 1000, 300))
--- a/internal/workload/schedule/order.go
+++ b/internal/workload/schedule/order.go
@@ -8,7 +8,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// lateFactor is how many times its objective a job may take until its result is of no use; the pages of the
+// lateFactor is how many times its objective a job may take until its result is of no use to
 // installation name it.
 const lateFactor = 3
 
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -33,8 +33,6 @@
 	Limit int
 	// Excess reports whether a job is beyond the share of its client account; it may be nil.
 	Excess func(j *ledger.Job) bool
-	// Ready reports whether a subtask may be tried now; it may be nil.
-	Ready func(t *ledger.Subtask) bool
 	// Allowed reports whether advice lets a worker run a step; it may be nil.
 	Allowed func(s *ledger.StepRun, w *Worker) bool
 }
@@ -67,7 +65,7 @@
 func (p *pass) place(s *ledger.StepRun, workers []*Worker, allowance ledger.Resources) {
 	var waiting []*ledger.Subtask
 	for i := range s.Subtasks {
-		if t := &s.Subtasks[i]; t.Waits() && (p.in.Ready == nil || p.in.Ready(t)) {
+		if t := &s.Subtasks[i]; t.Waits() {
 			waiting = append(waiting, t)
 		}
 	}
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -40,7 +40,7 @@
 	moves  int
 	// allowed is the worker that the adviser allows.
 	allowed string
-	orders []kernel.Action
+	orders  []kernel.Action
 }
 
 type event struct {
@@ -76,7 +76,6 @@
 type fakeRun struct {
 	name workload.RunName
 	need ledger.Resources
-	from time.Duration
 	till time.Duration
 	last bool
 }
@@ -433,7 +432,7 @@
 	}
 	j := s.e.State().JobByID(a.Name.Job)
 	st := j.Steps[a.Name.Step]
-	r := &fakeRun{name: a.Name, need: ledger.ResourcesOf(st.Need), from: s.now, last: st.Lasting, till: s.now + time.Duration(st.EstimateMs)*time.Millisecond}
+	r := &fakeRun{name: a.Name, need: ledger.ResourcesOf(st.Need), last: st.Lasting, till: s.now + time.Duration(st.EstimateMs)*time.Millisecond}
 	w.runs[task], w.highest[task] = r, a.Name.Run
 	used := ledger.Resources{}
 	for _, o := range w.runs {
