Take an instance down only where it is known what runs

Found in the code: the list of instances may still name the last boot while a later one has lasting subtasks, and the upkeep of an instance without a known worker looked free. The test in virtual time fails before.

--- a/internal/workload/engine_test.go
+++ b/internal/workload/engine_test.go
@@ -216,6 +216,31 @@
 	assert.Assert(t, r.Completed)
 }
 
+// Guards against an upkeep that ends what a boot runs that the list of instances does not name yet.
+func TestUpkeepWaitsForTheListAfterAReboot(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	ws := s.addWorkers("glass", 2)
+	last := step(2, 9000, 4000, 0)
+	last.Lasting, last.MayMiss = true, 1
+	s.submit("glass", "last", last)
+	s.run(time.Second)
+	s.deny = func(a kernel.Action) (workload.Outcome, bool) {
+		if _, ok := a.(workload.Maintain); ok {
+			t.Error("the upkeep was ordered")
+		}
+		_, ok := a.(workload.ListInstances)
+		return workload.Unanswered, ok
+	}
+	ws[0].dead = true
+	s.boot("m-glass-0")
+	s.run(9 * time.Second)
+	assert.Equal(t, s.running("last"), 2)
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	s.run(2 * time.Second)
+}
+
 // Guards against what fills and works on beside a subtask that is over its target.
 func TestFillersAreSlowedAndReleased(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -139,6 +139,9 @@
 		return
 	}
 	s := e.sessionOf(in)
+	if d.till == 0 && !d.ordered && !e.certain(in, s) {
+		return
+	}
 	if d.till > 0 {
 		if e.now > d.till {
 			in.duty, e.fleet.stale = nil, true
@@ -199,6 +202,15 @@
 
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// certain reports whether it is known what runs on an instance: it is off, its worker answers, or the list is as new as
+// the last change. Otherwise a later boot than the listed one may have work.
+func (e *Engine) certain(in *instance, s *session) bool {
+	if s != nil && s.failures == 0 || !e.fleet.stale {
+		return true
+	}
+	return e.state.Pool(in.Pool).GetSpare()
+}
+
 // drop gives up a duty that was not ordered yet.
 func (e *Engine) drop(in *instance, s *session) {
 	in.duty = nil
--- a/internal/workload/schedule/order.go
+++ b/internal/workload/schedule/order.go
@@ -8,8 +8,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// lateFactor is how many times its objective a job may take until its result is of no use to
-// installation name it.
+// lateFactor is how many times its objective a job may take until its result is of no use to the users.
 const lateFactor = 3
 
 // class sorts jobs before anything else does.
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -390,6 +390,8 @@
 		s.k.Observe(s.now, workload.StartDone{Start: a, Answer: answer})
 	case workload.Stop:
 		s.k.Observe(s.now, workload.StopDone{Stop: a, Answer: answer})
+	case workload.ListInstances:
+		s.k.Observe(s.now, workload.InstancesDone{Outcome: o, SentAt: sent})
 	case workload.Move:
 		s.k.Observe(s.now, workload.MoveDone{Move: a, Outcome: o, SentAt: sent})
 	case workload.Maintain:
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -70,7 +70,11 @@
 			continue
 		}
 		cost := int64(0)
-		if s := e.sessionOf(in); s != nil {
+		s := e.sessionOf(in)
+		if !e.certain(in, s) {
+			continue
+		}
+		if s != nil {
 			if s.worker.Draining() || len(s.lasting()) > 0 && e.vacating(in.Pool) {
 				continue
 			}
