--- a/internal/workload/placement_test.go
+++ b/internal/workload/placement_test.go
@@ -100,9 +100,12 @@
 	for _, tt := range []struct {
 		at     time.Duration
 		starts int
-	}{{900, 0}, {1500, 2}, {2900, 2}, {3500, 4}, {5500, 6}, {9000, 6}} {
-		s.run(tt.at*time.Millisecond - s.now)
-		assert.Equal(t, len(s.starts("a")), tt.starts, "at %v ms", int(tt.at))
+	}{
+		{900 * time.Millisecond, 0}, {1500 * time.Millisecond, 2}, {2900 * time.Millisecond, 2},
+		{3500 * time.Millisecond, 4}, {5500 * time.Millisecond, 6}, {9 * time.Second, 6},
+	} {
+		s.run(tt.at - s.now)
+		assert.Equal(t, len(s.starts("a")), tt.starts, "at %v", tt.at)
 	}
 	assert.Equal(t, s.state("glass", "a"), "completed")
 }
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -233,7 +233,7 @@
 	s.sequence, s.lastReport = r.Sequence, e.now
 	s.sawClock(r.ClockMs, e.now)
 	if r.Worker.Draining {
-		s.drainUntil = e.now + time.Duration(r.DrainRemainingMs)*time.Millisecond
+		s.drainUntil = e.now + time.Duration(r.LeavesInMs)*time.Millisecond
 	}
 	if s.failures > 0 && len(s.runs) == 0 {
 		// Nothing else would find out that an idle worker can be reached again.
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -203,7 +203,7 @@
 	m := proto.CloneOf(w.m)
 	m.Draining = w.draining
 	s.call(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{
-		Worker: m, ClockMs: w.clock(), Sequence: w.sequence, DrainRemainingMs: 5000,
+		Worker: m, ClockMs: w.clock(), Sequence: w.sequence, LeavesInMs: 5000,
 	}}})
 }
 
