Start nothing without a lease

A subtask assigned while its worker stopped answering was ordered without a lease, and such an order can be carried out after its run was given up. The test fails before.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -24,7 +24,8 @@
 	e.hold(s)
 	e.evacuate(s)
 	for _, r := range s.runs {
-		if r.inFlight || e.now < r.retryAt || r.inherited || s.failures > 0 && r.tries > 0 {
+		if r.inFlight || e.now < r.retryAt || r.inherited || s.failures > 0 && (r.tries > 0 || !r.stop) {
+			// A start has a lease, which a worker that doesn't answer must not get.
 			continue
 		}
 		switch {
--- a/internal/workload/engine_test.go
+++ b/internal/workload/engine_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
@@ -241,6 +242,31 @@
 	s.run(2 * time.Second)
 }
 
+// Guards against a start without a lease on a worker that stopped answering after the subtask was assigned.
+func TestStartWaitsUntilTheWorkerAnswers(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.submit("glass", "a", step(1, 1000, 1000, 5000))
+	s.run(500 * time.Millisecond)
+	late := &workloadpb.Assign{}
+	s.submit("glass", "b", step(1, 1000, 1000, 500))
+	for _, c := range s.k.Decide(s.now).Commands {
+		m := &workloadpb.Command{}
+		assert.NilError(t, proto.Unmarshal(c.Body, m))
+		late = m.GetAssign()
+	}
+	assert.Equal(t, len(late.GetAssignments()), 1)
+	// An order fails while the assignment is on its way through the log.
+	s.k.Observe(s.now, workload.StopDone{
+		Stop:   workload.Stop{Order: workload.Order{Target: workload.Target{Number: 1}}, Name: workload.RunName{Job: "a", Run: 1}},
+		Answer: workload.Answer{Outcome: workload.Unanswered, SentAt: s.now, At: s.now},
+	})
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Assign{Assign: late}})
+	s.run(4 * time.Second)
+	assert.Equal(t, s.state("glass", "b"), "completed")
+}
+
 // Guards against what fills and works on beside a subtask that is over its target.
 func TestFillersAreSlowedAndReleased(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -424,6 +424,7 @@
 	if a.Token < w.token {
 		return workload.Fenced
 	}
+	assert.Assert(s.t, a.Deadline > 0, "%v starts without a lease", a.Name)
 	w.order(a.Order)
 	task := taskOf(a.Name)
 	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
