Find workers by an index, treat an unreadable clock as unconfirmed, share the end of orders

Found while reading the change again. Each look-up of a worker by its ID walked all workers, several times per instance and decision.

--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -13,12 +13,11 @@
 // leader wait for an election timeout. A tick is kept back for their clocks.
 const Lease = (electionTicks - 1) * tick
 
-// bootTime returns nanoseconds on a steady clock that goes on while the machine is suspended.
+// bootTime returns nanoseconds on a steady clock that goes on while the machine is suspended, 0 when it can't be read.
 func bootTime() int64 {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// Every Linux kernel that Go supports has this clock; without it no order may count as confirmed.
-		return 1<<63 - 1
+		return 0 // Nothing counts as confirmed then; every Linux kernel that Go supports has this clock.
 	}
 	return ts.Nano()
 }
@@ -61,5 +60,6 @@
 // Confirmed reports whether this voter leads and a quorum followed it at most d ago. The time counts suspensions of the
 // machine. With Lease no other leader can have begun yet.
 func (v *Voter) Confirmed(d time.Duration) bool {
-	return v.leads.Load() && bootTime()-v.confirmed.Load() < int64(d)
+	at, now := v.confirmed.Load(), bootTime()
+	return v.leads.Load() && at > 0 && now >= at && now-at < int64(d)
 }
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -208,21 +208,29 @@
 	return s, s.runs[k]
 }
 
-func (e *Engine) onStart(ev StartDone) {
-	s, r := e.run(ev.Start.Number, ev.Start.Name)
+// answered takes up what the end of an order for a run says of its worker; the run is nil when it is over.
+func (e *Engine) answered(number uint64, n RunName, a Answer) (*session, *run) {
+	s, r := e.run(number, n)
 	if s == nil {
-		return
+		return nil, nil
 	}
-	if ev.Clock > 0 {
-		e.contact(s, ev.Answer)
+	if a.Clock > 0 {
+		e.contact(s, a)
 	}
-	if ev.Outcome == OtherBoot {
+	if a.Outcome == OtherBoot {
 		e.ended(s)
 	}
+	if r != nil {
+		r.inFlight = false
+	}
+	return s, r
+}
+
+func (e *Engine) onStart(ev StartDone) {
+	s, r := e.answered(ev.Start.Number, ev.Start.Name, ev.Answer)
 	if r == nil {
 		return
 	}
-	r.inFlight = false
 	switch ev.Outcome {
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or vanished.
@@ -261,20 +269,10 @@
 }
 
 func (e *Engine) onStop(ev StopDone) {
-	s, r := e.run(ev.Stop.Number, ev.Stop.Name)
-	if s == nil {
-		return
-	}
-	if ev.Clock > 0 {
-		e.contact(s, ev.Answer)
-	}
-	if ev.Outcome == OtherBoot {
-		e.ended(s)
-	}
+	s, r := e.answered(ev.Stop.Number, ev.Stop.Name, ev.Answer)
 	if r == nil {
 		return
 	}
-	r.inFlight = false
 	switch ev.Outcome {
 	case Accepted:
 		r.stopped = ev.At
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -22,10 +22,12 @@
 	byID   map[string]*Job
 	active []*Job // in the order of acceptance
 
-	workers    map[uint64]*Worker
-	workerList []*Worker
-	usage      map[string]Resources // running by account
-	waves      map[int64]*workloadpb.Wave
+	workers map[uint64]*Worker
+	// workersByID holds the boots that have not ended; a later boot with an ID ends the one before.
+	workersByID map[string]*Worker
+	workerList  []*Worker
+	usage       map[string]Resources // running by account
+	waves       map[int64]*workloadpb.Wave
 
 	ordered     map[string]*workloadpb.Ordered // by instance
 	clock       int64
@@ -73,7 +75,8 @@
 		queues: map[string]*workloadpb.Queue{}, byHost: map[string][]*workloadpb.Queue{}, pools: map[string]*workloadpb.Pool{},
 		accounts: map[string]*workloadpb.Account{}, keys: map[string]*workloadpb.Account{},
 		jobs: map[uint64]*Job{}, byID: map[string]*Job{}, workers: map[uint64]*Worker{},
-		ordered: map[string]*workloadpb.Ordered{}, usage: map[string]Resources{}, waves: map[int64]*workloadpb.Wave{}, version: s.version + 1,
+		workersByID: map[string]*Worker{},
+		ordered:     map[string]*workloadpb.Ordered{}, usage: map[string]Resources{}, waves: map[int64]*workloadpb.Wave{}, version: s.version + 1,
 	}
 }
 
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -78,12 +78,7 @@
 
 // WorkerByID returns the newest boot with an ID, nil when there is none.
 func (s *State) WorkerByID(id string) *Worker {
-	for _, w := range s.workerList {
-		if w.info.Id == id {
-			return w
-		}
-	}
-	return nil
+	return s.workersByID[id]
 }
 
 // Knows reports whether a report says nothing that is not recorded.
@@ -131,7 +126,7 @@
 
 func (s *State) addWorker(m *workloadpb.Worker) {
 	w := &Worker{info: m, capacity: ResourcesOf(m.Capacity), runs: map[RunKey]*Subtask{}}
-	s.workers[m.Number] = w
+	s.workers[m.Number], s.workersByID[m.Id] = w, w
 	s.workerList = append(s.workerList, w)
 }
 
@@ -148,6 +143,7 @@
 	}
 	w.gone = true
 	delete(s.workers, w.info.Number)
+	delete(s.workersByID, w.info.Id)
 	s.workerList = slices.DeleteFunc(s.workerList, func(o *Worker) bool { return o == w })
 	s.changed()
 }
