Release an action before its outcome is observed

Cause: the driver freed the name of an action only after it had handed the outcome on. What observed the outcome and issued the same action again met the old entry, and the action was dropped without a word. TestStartRunsOnce issues its start again right after the outcome, which is where it failed (line 115). Ruled out: a lost connection and the client's timeout; with 20 ms between the outcome and the release the test fails on that line every time. TestReissueOnOutcome fails before and passes after.

--- a/internal/platform/driver.go
+++ b/internal/platform/driver.go
@@ -72,8 +72,12 @@
 				case <-ctx.Done():
 					return
 				case a := <-d.queue:
-					d.run(ctx, a)
+					ev := d.run(ctx, a)
+					// Released first: what observes the outcome may issue the same action again.
 					d.release(a)
+					if ev != nil {
+						d.cfg.Observe(ev)
+					}
 				}
 			}
 		})
@@ -146,7 +150,8 @@
 	return a.ActionName() + " " + of, true
 }
 
-func (d *Driver) run(ctx context.Context, a kernel.Action) {
+// run makes the call of an action and returns its outcome, nil if there is none to observe.
+func (d *Driver) run(ctx context.Context, a kernel.Action) kernel.Event {
 	c := d.cfg.Client
 	switch a := a.(type) {
 	case job.StartTask:
@@ -158,21 +163,21 @@
 		if errorx.IsOfType(err, ErrRefused) {
 			t, err = Task{State: Refused, Reason: errorx.Cast(err).Message()}, nil
 		}
-		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+		return d.report(a.ActionName(), a.Job, a.Epoch, t, err)
 	case job.CheckpointTask:
 		t, err := c.Checkpoint(ctx, TaskRequest{Job: a.Job, Epoch: a.Epoch})
-		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+		return d.report(a.ActionName(), a.Job, a.Epoch, t, err)
 	case job.ThrottleTask:
 		t, err := c.Throttle(ctx, TaskRequest{Job: a.Job, Epoch: a.Epoch, On: a.On})
-		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+		return d.report(a.ActionName(), a.Job, a.Epoch, t, err)
 	case job.StopTask:
 		t, err := c.Stop(ctx, TaskRequest{Job: a.Job, Epoch: a.Epoch})
 		if errorx.IsOfType(err, ErrRefused) {
 			t, err = Task{State: Stopped, Reason: "superseded by a newer start"}, nil
 		}
-		d.report(a.ActionName(), a.Job, a.Epoch, t, err)
+		return d.report(a.ActionName(), a.Job, a.Epoch, t, err)
 	case job.WatchTasks:
-		d.watch(ctx, a)
+		return d.watch(ctx, a)
 	case pool.DrainInstance:
 		_, err := c.Drain(ctx, InstanceRequest(a))
 		d.failure(a.ActionName(), err)
@@ -183,6 +188,7 @@
 		_, err := c.Resume(ctx, InstanceRequest(a))
 		d.failure(a.ActionName(), err)
 	}
+	return nil
 }
 
 func (d *Driver) failure(action string, err error) {
@@ -193,15 +199,15 @@
 
 // report turns the answer about a task into an event. Without an answer nothing is known, and the kernel issues the
 // action again.
-func (d *Driver) report(action, name string, epoch uint64, t Task, err error) {
+func (d *Driver) report(action, name string, epoch uint64, t Task, err error) kernel.Event {
 	if errorx.IsOfType(err, ErrNotFound) {
 		t, err = Task{}, nil
 	}
 	if err != nil {
 		d.failure(action, err)
-		return
+		return nil
 	}
-	d.cfg.Observe(taskReport(name, epoch, t))
+	return taskReport(name, epoch, t)
 }
 
 func taskReport(name string, epoch uint64, t Task) job.TaskReport {
@@ -209,11 +215,11 @@
 }
 
 // watch reports every task that the kernel asked for and every running one, so that those given up are stopped.
-func (d *Driver) watch(ctx context.Context, a job.WatchTasks) {
+func (d *Driver) watch(ctx context.Context, a job.WatchTasks) kernel.Event {
 	list, err := d.cfg.Client.Tasks(ctx, "")
 	if err != nil {
 		d.failure(a.ActionName(), err)
-		return
+		return nil
 	}
 	found := make(map[job.TaskRef]Task, len(list.Tasks))
 	for _, t := range list.Tasks {
@@ -230,7 +236,7 @@
 			reports = append(reports, taskReport(ref.Job, ref.Epoch, t))
 		}
 	}
-	d.cfg.Observe(reports)
+	return reports
 }
 
 // Poll reads usage and what changed in tasks and instances. A new driver reads all tasks and instances first, so that
