--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,7 @@
 
 	Settings string      `long:"settings" env:"HIBISCUSROUTE_CONFIG" description:"path of the infrastructure's settings file" required:"true"`
 	Trusted  bool        `long:"trusted-network" env:"HIBISCUSROUTE_TRUSTED_NETWORK" description:"processes of hibiscusroute talk to each other without TLS; needed, as the infrastructure hands out no keys"`
+	Profile  string      `long:"cpu-profile" description:"file that gets a processor profile when the process stops"`
 	Log      setting.Log `group:"Logging"`
 }
 
@@ -63,6 +65,11 @@
 	log := c.Log.Logger(out).WithValues("process", s.Name)
 	log.Info("starting; traffic between processes is neither encrypted nor authenticated", "control", s.ServesControl,
 		"entry", s.ServesClients, "peer", s.PeerAddress, "seeds", s.Seeds, "founds", s.Found)
+	stopProfile, err := startProfile(c.Profile)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	err = platform.Serve(c.app.ctx, platform.Config{Path: c.Settings, Settings: s, Reload: reload, Log: log})
@@ -70,6 +77,25 @@
 	return err
 }
 
+// startProfile begins a processor profile, which the returned function ends; an empty path does nothing.
+func startProfile(path string) (stop func(), err error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		_ = f.Close() // nothing was written
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = f.Close() // a profile that is cut short can't be read, which its reader tells
+	}, nil
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
