--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -77,6 +77,7 @@
 		return
 	}
 	s.holding = false
+	e.touch(s)
 	switch ev.Outcome {
 	case Accepted:
 		e.contact(s, ev.Answer)
@@ -204,6 +205,7 @@
 	if s == nil {
 		return nil, nil
 	}
+	e.touch(s)
 	k, _ := e.key(n)
 	return s, s.runs[k]
 }
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -20,6 +20,9 @@
 	proposalTimeout = 3 * time.Second
 	// expireInterval is the time between looks for ended jobs that need not be kept.
 	expireInterval = time.Second
+	// sweepInterval is the time between looks at all sessions, for what is due by time alone. It is half of the shortest
+	// pause before a retry.
+	sweepInterval = retryPause / 2
 	// replanInterval bounds the time without a pass while subtasks wait, because some conditions change with time alone.
 	replanInterval = 200 * time.Millisecond
 )
@@ -60,6 +63,8 @@
 	ledAt     time.Duration
 	now       time.Duration
 	sessions  map[uint64]*session
+	touched   []*session // something has happened to them since the last decision
+	sweptAt   time.Duration
 	actions   []kernel.Action
 	commands  []kernel.Command
 	assigning bool
@@ -119,7 +124,7 @@
 
 // lead resets the soft state. What is assigned may run, and is asked for before anything else happens to it.
 func (e *Engine) lead(now time.Duration) {
-	*e = Engine{cfg: e.cfg, state: e.state, ledAt: now, now: now, sessions: map[uint64]*session{}}
+	*e = Engine{cfg: e.cfg, state: e.state, ledAt: now, now: now, sweptAt: now - sweepInterval, sessions: map[uint64]*session{}}
 	e.advice.reset()
 	e.fleet.reset()
 	e.share.reset()
@@ -177,9 +182,7 @@
 	if !e.leading {
 		return kernel.Decision{}
 	}
-	for _, w := range e.state.Workers() {
-		e.drive(e.sessions[w.Number()])
-	}
+	e.driveSessions()
 	e.expire()
 	e.occur()
 	e.driveAdvice()
@@ -190,6 +193,34 @@
 	return d
 }
 
+// driveSessions drives the sessions that something has happened to, and all of them from time to time.
+func (e *Engine) driveSessions() {
+	if e.now-e.sweptAt >= sweepInterval {
+		e.sweptAt = e.now
+		for _, w := range e.state.Workers() {
+			e.drive(e.sessions[w.Number()])
+		}
+	} else {
+		for _, s := range e.touched {
+			if e.sessions[s.worker.Number()] == s {
+				e.drive(s)
+			}
+		}
+	}
+	for _, s := range e.touched {
+		s.touched = false
+	}
+	e.touched = e.touched[:0]
+}
+
+// touch makes the next decision look at a session.
+func (e *Engine) touch(s *session) {
+	if !s.touched {
+		s.touched = true
+		e.touched = append(e.touched, s)
+	}
+}
+
 func (e *Engine) expire() {
 	if e.now-e.expiredAt < expireInterval {
 		return
@@ -292,6 +323,7 @@
 	for _, st := range stops {
 		if s := e.sessions[st.Worker.Number()]; s != nil && s.runs[st.Key] != nil {
 			s.runs[st.Key].stop = true
+			e.touch(s)
 		}
 	}
 	switch c := m.Change.(type) {
@@ -300,11 +332,13 @@
 		for _, a := range c.Assign.Assignments {
 			if s := e.sessions[a.Worker]; s != nil {
 				s.adopt()
+				e.touch(s)
 			}
 		}
 	case *workloadpb.Command_Ends:
 		if s := e.sessions[c.Ends.Worker]; s != nil {
 			s.settled(c.Ends)
+			e.touch(s)
 		}
 	case *workloadpb.Command_Occur:
 		e.occurAt = 0
