--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,8 +113,6 @@
 		r.SentAt, r.At = sent, d.cfg.Now()
 		return r
 	}
-	cctx, cancel := context.WithTimeout(ctx, cloudTimeout)
-	defer cancel()
 	port := d.cfg.Port
 	switch a := a.(type) {
 	case workload.Hold:
@@ -131,6 +129,10 @@
 		return workload.StopDone{Stop: a, Answer: answer(orderTimeout, func(ctx context.Context) workload.Answer { return port.Stop(ctx, a) })}
 	case workload.Pace:
 		return workload.PaceDone{Pace: a, Answer: answer(orderTimeout, func(ctx context.Context) workload.Answer { return port.Pace(ctx, a) })}
+	}
+	cctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	switch a := a.(type) {
 	case workload.Advise:
 		r := port.Advise(cctx, a)
 		r.Advise, r.SentAt = a, sent
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -262,8 +262,16 @@
 		State: e.state, Now: e.wallMillis(), Order: e.cfg.Order, Limit: passLimit, Excess: e.share.excess,
 		Allowed: e.advice.allowed,
 	}
+	in.Candidates = schedule.Waiting(in)
+	pools := map[string]bool{}
+	for _, c := range in.Candidates {
+		pools[c.Pool()] = true
+	}
+	if len(pools) == 0 {
+		return
+	}
 	for _, w := range e.state.Workers() {
-		if s := e.sessions[w.Number()]; e.usable(s) {
+		if s := e.sessions[w.Number()]; pools[w.Pool()] && e.usable(s) {
 			in.Workers = append(in.Workers, s.view())
 		}
 	}
--- a/internal/workload/schedule/order.go
+++ b/internal/workload/schedule/order.go
@@ -21,8 +21,8 @@
 	useless              // is run because it was accepted
 )
 
-// candidate is an occurrence with subtasks that may start.
-type candidate struct {
+// Candidate is an occurrence with subtasks that may start.
+type Candidate struct {
 	occurrence *ledger.Occurrence
 	queue      *workloadpb.Queue
 	class      class
@@ -31,21 +31,24 @@
 	work       int64 // remaining work in thousandths of core-milliseconds
 }
 
-// candidates returns the occurrences of a pool with waiting subtasks, the first to serve first.
-func (p *pass) candidates() []candidate {
-	var list []candidate
-	for _, j := range p.in.State.ActiveJobs() {
-		q := p.in.State.Queue(j.Queue)
+// Pool is the pool that serves the occurrence.
+func (c *Candidate) Pool() string { return c.queue.Pool }
+
+// Waiting returns the occurrences with subtasks that may start, the first to serve first. It needs no workers.
+func Waiting(in Input) []Candidate {
+	var list []Candidate
+	for _, j := range in.State.ActiveJobs() {
+		q := in.State.Queue(j.Queue)
 		if q == nil {
 			continue
 		}
 		for _, o := range j.Occurrences() {
 			if hasWaiting(o) {
-				list = append(list, p.rank(o, q))
+				list = append(list, in.rank(o, q))
 			}
 		}
 	}
-	slices.SortStableFunc(list, p.in.compare())
+	slices.SortStableFunc(list, in.compare())
 	return list
 }
 
@@ -53,8 +56,8 @@
 	return slices.ContainsFunc(o.Steps, func(s *ledger.StepRun) bool { return s.Waiting() > 0 && s.Ready() })
 }
 
-func (p *pass) rank(o *ledger.Occurrence, q *workloadpb.Queue) candidate {
-	c := candidate{occurrence: o, queue: q, class: timely}
+func (in *Input) rank(o *ledger.Occurrence, q *workloadpb.Queue) Candidate {
+	c := Candidate{occurrence: o, queue: q, class: timely}
 	begin := o.Job.Accepted
 	if o.Job.MaxRuns > 0 {
 		begin = o.Job.StartAt + int64(o.Number)*o.Job.Interval
@@ -70,8 +73,8 @@
 		left := int64(s.Waiting())
 		c.work += left * max(s.Step.EstimateMs, 1) * max(s.Step.Need.GetCpu(), 1)
 	}
-	c.excess = p.in.Excess != nil && p.in.Excess(o.Job)
-	switch end := p.in.Now + rest; {
+	c.excess = in.Excess != nil && in.Excess(o.Job)
+	switch end := in.Now + rest; {
 	case end <= c.deadline:
 	case end <= begin+lateFactor*objective:
 		c.class = late
@@ -107,11 +110,11 @@
 	FirstCome
 )
 
-func (in *Input) compare() func(a, b candidate) int {
+func (in *Input) compare() func(a, b Candidate) int {
 	if in.Order == FirstCome {
-		return func(a, b candidate) int { return cmp.Compare(a.occurrence.Job.Number, b.occurrence.Job.Number) }
+		return func(a, b Candidate) int { return cmp.Compare(a.occurrence.Job.Number, b.occurrence.Job.Number) }
 	}
-	return func(a, b candidate) int {
+	return func(a, b Candidate) int {
 		first := cmp.Or(cmp.Compare(a.class, b.class), compareBool(a.excess, b.excess), cmp.Compare(a.queue.Priority, b.queue.Priority))
 		if first != 0 {
 			return first
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -24,8 +24,10 @@
 
 // Input is what a pass decides on.
 type Input struct {
-	State   *ledger.State
-	Workers []*Worker
+	State *ledger.State
+	// Candidates is what Waiting returned; Workers need to hold those of their pools only.
+	Candidates []Candidate
+	Workers    []*Worker
 	// Now is the time of day in Unix milliseconds.
 	Now   int64
 	Order Order
@@ -51,7 +53,7 @@
 		w.free = w.Free()
 		p.pools[w.Pool()] = append(p.pools[w.Pool()], w)
 	}
-	for _, c := range p.candidates() {
+	for _, c := range in.Candidates {
 		for _, s := range c.occurrence.Steps {
 			if s.Waiting() > 0 && s.Ready() && len(p.out) < in.Limit {
 				p.place(s, p.pools[c.queue.Pool], ledger.ResourcesOf(in.State.Account(c.occurrence.Job.Account).GetAllowance()))
