--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -325,7 +325,8 @@
 
 type countedConn struct {
 	net.Conn
-	t *Transport
+	t      *Transport
+	frames frames
 
 	mu      sync.Mutex
 	streams map[net.Conn]struct{}
@@ -372,8 +373,16 @@
 	return n, err
 }
 
+// Write is called by one goroutine of yamux. It reports the length that it was given unless the write fails.
 func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	whole := c.frames.next(p)
+	if len(whole) == 0 {
+		return len(p), nil
+	}
+	n, err := c.Conn.Write(whole)
 	c.t.sent.Add(uint64(n))
-	return n, err
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
 }
