--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -26,7 +26,7 @@
 	// memoryShare is the part of the memory limit at which the runtime collects garbage without regard to its cost.
 	memoryShare = 0.7
 	// garbagePercent is how much garbage may gather, in percent of what is in use.
-	garbagePercent = 60
+	garbagePercent = 150
 )
 
 // serveCommand runs a process on the users' infrastructure.
