Give nothing up when an upkeep is confirmed that may be done already

Cause: the cloud confirms an upkeep that was done under an earlier leader and does nothing; the runs on the instance were given up and started elsewhere while they went on (docs/incidents/upkeep-that-was-done-before.md). TestUpkeepThatWasDoneBefore fails before.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -84,7 +84,7 @@
 		s.flush, s.acked = false, max(s.acked, ev.Hold.Noted)
 		e.reconcile(s, ev)
 	case OtherBoot:
-		e.ended(s)
+		e.ended(s, "another boot answered a hold")
 		s.holdDue = e.now + proposalTimeout
 	case Withheld:
 		s.holdDue = e.now + retryPause
@@ -220,7 +220,7 @@
 		e.contact(s, a)
 	}
 	if a.Outcome == OtherBoot {
-		e.ended(s)
+		e.ended(s, "another boot answered an order")
 	}
 	if r != nil {
 		r.inFlight = false
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -130,6 +130,11 @@
 	e.share.reset()
 	e.rates = rates{}
 	e.fleet.clock = e.state.Clock()
+	for _, w := range e.state.Waves() {
+		for _, name := range w.Ordered {
+			e.fleet.maintained[upkeep{w.Number, name}] = true
+		}
+	}
 	for _, w := range e.state.Workers() {
 		s := e.open(w)
 		s.lastReport = now
--- a/internal/workload/engine_test.go
+++ b/internal/workload/engine_test.go
@@ -242,6 +242,53 @@
 	s.run(2 * time.Second)
 }
 
+// Guards against runs that are given up, and start elsewhere, because an upkeep is confirmed that was done under an earlier
+// leader: the instance has booted since, and what runs there goes on.
+func TestUpkeepThatWasDoneBefore(t *testing.T) {
+	s := newSim(t)
+	s.document(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.run(time.Second)
+	s.rows["m-glass-0"].Labels = []string{"new", "r0"}
+	orders := 0
+	s.deny = func(a kernel.Action) (workload.Outcome, bool) {
+		m, ok := a.(workload.Maintain)
+		if ok {
+			orders++
+		}
+		if !ok || orders > 1 {
+			return 0, false
+		}
+		s.maintain(m)
+		return workload.Unanswered, true
+	}
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	for orders == 0 {
+		s.run(simStep)
+	}
+	// The instance is down from here on, and the next leader does not learn of it.
+	later := s.later
+	s.lead()
+	s.later = later[:1]
+	s.run(3 * time.Second)
+	long := step(1, 4000, 1000, 9000)
+	long.Label = "new"
+	s.submit("glass", "long", long)
+	s.run(15 * time.Second)
+	assert.Assert(t, orders > 1)
+	for _, a := range s.orders {
+		if start, ok := a.(workload.Start); ok {
+			assert.Equal(t, start.Name.Run, int32(1), "the subtask started again")
+		}
+	}
+	assert.Equal(t, s.state("glass", "long"), "completed")
+	assert.Equal(t, s.done["long.0.0.0"], 1)
+	s.submit("glass", "after", long)
+	s.run(12 * time.Second)
+	assert.Equal(t, s.state("glass", "after"), "completed", "the instance gets no work any more")
+}
+
 // Guards against a start without a lease on a worker that stopped answering after the subtask was assigned.
 func TestStartWaitsUntilTheWorkerAnswers(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -38,6 +38,14 @@
 	// shortSince is since when a subtask that lasts has no worker in a pool.
 	shortSince map[string]time.Duration
 	clock      int64 // the ledger's clock when this leader began
+	// maintained holds the upkeeps that may have been carried out without this leader knowing.
+	maintained map[upkeep]bool
+}
+
+// upkeep is that of an instance in a wave.
+type upkeep struct {
+	wave     int64
+	instance string
 }
 
 // instance is a row of the list with what is being done to it.
@@ -58,6 +66,9 @@
 	ordering bool
 	ordered  bool // an order was sent and may be carried out
 	doubtful bool // an order had no answer
+	// repeated orders may have been carried out earlier. The cloud confirms them then without doing anything, so that
+	// what runs on the instance may go on.
+	repeated bool
 	retryAt  time.Duration
 	till     time.Duration // confirmed; the instance is away until then
 }
@@ -65,7 +76,7 @@
 func (f *fleet) reset() {
 	*f = fleet{
 		rows: map[string]*instance{}, byWorker: map[string]*instance{}, stale: true, grownAt: map[string]time.Duration{},
-		shortSince: map[string]time.Duration{},
+		shortSince: map[string]time.Duration{}, maintained: map[upkeep]bool{},
 	}
 }
 
@@ -145,6 +156,9 @@
 	if d.till > 0 {
 		if e.now > d.till {
 			in.duty, e.fleet.stale = nil, true
+			if s := e.sessions[d.boot]; s != nil && d.repeated && max(s.lastReport, s.contactAt) > d.till-downMargin {
+				s.reserved = false
+			}
 		}
 		return
 	}
@@ -166,9 +180,10 @@
 	if e.orderAge(in.Name) < e.cfg.TakeOver+takeOverMargin {
 		return
 	}
-	if s != nil {
+	if s != nil && !d.doubtful {
 		d.boot = s.worker.Number()
 	}
+	d.repeated = e.fleet.maintained[upkeep{d.wave, in.Name}] || d.wave == 0 && s != nil && s.worker.Pool() == d.pool
 	d.ordering, d.ordered = true, true
 	// Orders are announced in the log, so that the next leader knows which instances it must leave alone for a while.
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Order{
@@ -227,7 +242,8 @@
 	}
 	d := in.duty
 	d.ordering = false
-	e.cfg.Log.Info("instance was ordered away", "instance", name, "wave", d.wave, "pool", d.pool, "outcome", o.String())
+	e.cfg.Log.Info("instance was ordered away", "instance", name, "wave", d.wave, "pool", d.pool, "outcome", o.String(),
+		"repeated", d.repeated)
 	s := e.sessionOf(in)
 	m := &workloadpb.Maintained{Wave: d.wave}
 	switch o {
@@ -239,8 +255,8 @@
 		}
 		d.till = e.now + away + downMargin
 		// The list may name the next boot by now.
-		if s := e.sessions[d.boot]; s != nil {
-			e.ended(s)
+		if s := e.sessions[d.boot]; s != nil && !d.repeated {
+			e.ended(s, "its instance was ordered away")
 		}
 	case Malformed, Missing:
 		m.Gone = []string{name}
@@ -248,6 +264,9 @@
 		e.drop(in, s)
 	default:
 		d.doubtful = d.doubtful || o == Unanswered
+		if d.wave > 0 && d.doubtful {
+			e.fleet.maintained[upkeep{d.wave, name}] = true
+		}
 		d.retryAt = e.now + dutyPause
 		e.fleet.stale = true
 		if d.ordered = d.doubtful; o == Busy && !d.doubtful {
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -145,6 +145,9 @@
 	case *workloadpb.Command_Order:
 		for _, name := range m.Order.Instances {
 			s.ordered[name] = &workloadpb.Ordered{Instance: name, Term: c.Term, AtMs: s.clock, Wave: m.Order.Wave}
+			if w := s.waves[m.Order.Wave]; w != nil && !slices.Contains(w.Ordered, name) {
+				w.Ordered = append(w.Ordered, name)
+			}
 		}
 	case *workloadpb.Command_Document:
 		s.applyDocument(m.Document)
@@ -193,7 +196,7 @@
 
 func (s *State) applyWave(w *workloadpb.Wave, at int64) {
 	if s.waves[w.Number] == nil {
-		w.AcceptedMs, w.Begun, w.Gone = at, nil, nil
+		w.AcceptedMs, w.Begun, w.Gone, w.Ordered = at, nil, nil, nil
 		s.waves[w.Number] = w
 		s.changed()
 	}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -189,8 +189,9 @@
 	return min(retryPause*time.Duration(max(s.failures, 1)), retryPauseMax)
 }
 
-// ended records that the boot of a session is over.
-func (e *Engine) ended(s *session) {
+// ended records that the boot of a session is over, for the given reason.
+func (e *Engine) ended(s *session, reason string) {
+	e.cfg.Log.Info("boot of a worker is over", "worker", s.worker.ID(), "boot", s.worker.Number(), "reason", reason, "runs", len(s.runs))
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Leave{
 		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.Born()},
 	}})
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -38,6 +38,8 @@
 	// listed is called when the list of instances is read; it may be nil.
 	listed func()
 	moves  int
+	// upkept holds the wave of the last upkeep of each instance.
+	upkept map[string]int64
 	// allowed is the worker that the adviser allows.
 	allowed string
 	orders  []kernel.Action
@@ -86,7 +88,7 @@
 	assert.NilError(t, err)
 	e, ok := kernel.Lookup[*workload.Engine](k, workload.Name)
 	assert.Assert(t, ok)
-	s := &sim{t: t, k: k, e: e, workers: map[string]*fakeWorker{}, rows: map[string]*workload.Instance{}, done: map[string]int{}}
+	s := &sim{t: t, k: k, e: e, workers: map[string]*fakeWorker{}, rows: map[string]*workload.Instance{}, done: map[string]int{}, upkept: map[string]int64{}}
 	e.Configure(workload.Config{Wall: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }})
 	s.lead()
 	return s
@@ -374,7 +376,7 @@
 		s.takeDown(a.Instance, a.Pool, 1500*time.Millisecond)
 		s.after(2*simStep, func() { s.k.Observe(s.now, workload.MoveDone{Move: a, Outcome: workload.Accepted, SentAt: sent}) })
 	case workload.Maintain:
-		s.takeDown(a.Instance, s.rows[a.Instance].Pool, 2*time.Second)
+		s.maintain(a)
 		s.after(2*simStep, func() {
 			s.k.Observe(s.now, workload.MaintainDone{Maintain: a, Outcome: workload.Accepted, SentAt: sent})
 		})
@@ -399,6 +401,14 @@
 	}
 }
 
+// maintain takes an instance down unless its upkeep was done before.
+func (s *sim) maintain(a workload.Maintain) {
+	if s.upkept[a.Instance] != a.Wave {
+		s.upkept[a.Instance] = a.Wave
+		s.takeDown(a.Instance, s.rows[a.Instance].Pool, 2*time.Second)
+	}
+}
+
 // takeDown ends the worker of an instance, and boots another one in a pool later.
 func (s *sim) takeDown(instance, pool string, d time.Duration) {
 	row := s.rows[instance]
