--- a/cmd/hibiscusroute/demo.go
+++ b/cmd/hibiscusroute/demo.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return errorx.Decorate(err, "create data directory")
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	defer func() { _ = os.RemoveAll(dir) }() // what is left of it is harmless
 	ctx, cancel := context.WithTimeout(c.app.ctx, demoTimeout)
 	defer cancel()
 	any := netip.MustParseAddrPort("127.0.0.1:0")
@@ -209,7 +209,7 @@
 	if err != nil {
 		return demoAnswer{}, errorx.Decorate(err, "send request")
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = resp.Body.Close() }() // its content was read or is not wanted
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return demoAnswer{}, errorx.Decorate(err, "read answer")
--- a/cmd/hibiscusroute/exit.go
+++ b/cmd/hibiscusroute/exit.go
@@ -67,13 +67,13 @@
 	f := describe(err)
 	// A standard error stream that can't be written leaves only the exit code.
 	if a.JSON {
-		_ = json.NewEncoder(a.err).Encode(f)
+		_ = json.NewEncoder(a.err).Encode(f) // nobody is left to tell when its receiver is gone
 		return f.ExitCode
 	}
 	lines := []string{"hibiscusroute: " + f.Message}
 	for _, fault := range f.Faults {
 		lines = append(lines, fault.String())
 	}
-	_ = a.note("%s", strings.Join(lines, "\n"))
+	_ = a.note("%s", strings.Join(lines, "\n")) // nobody is left to tell when its receiver is gone
 	return f.ExitCode
 }
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -197,14 +197,14 @@
 	}
 	s.stat.added.Update((s.cfg.Now().Sub(q.arrived) - q.waited - q.served).Seconds())
 	control := http.NewResponseController(rp.w)
-	_ = control.SetWriteDeadline(time.Now().Add(s.cfg.WriteTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(s.cfg.WriteTimeout)) // it fails on a closed connection only, as the next write does
 	rp.w.WriteHeader(code)
 	_, err := rp.w.Write(res.head)
 	if res.whole {
 		if err != nil {
 			s.cfg.Log.V(1).Info("caller took no answer", "request", q.id, "error", err.Error())
 		}
-		_ = control.SetWriteDeadline(time.Time{})
+		_ = control.SetWriteDeadline(time.Time{}) // it fails on a closed connection only, as the next write does
 		return
 	}
 	t.stream(res, control, err)
@@ -220,7 +220,7 @@
 		var n int
 		n, readErr = res.resp.Body.Read(buf)
 		if n > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(q.s.cfg.WriteTimeout))
+			_ = control.SetWriteDeadline(time.Now().Add(q.s.cfg.WriteTimeout)) // it fails on a closed connection only, as the next write does
 			_, writeErr = q.rp.w.Write(buf[:n])
 		}
 	}
@@ -240,5 +240,5 @@
 	if res.err != nil || writeErr != nil {
 		panic(http.ErrAbortHandler)
 	}
-	_ = control.SetWriteDeadline(time.Time{})
+	_ = control.SetWriteDeadline(time.Time{}) // it fails on a closed connection only, as the next write does
 }
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -183,7 +183,7 @@
 	q.buffered = reserve
 	control := http.NewResponseController(w)
 	// Writers without deadlines, as in tests, are bounded by the request's context only.
-	_ = control.SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout)) // it fails on a closed connection only, as the next read does
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBuffer+1))
 	if err != nil {
 		return &refusal{http.StatusRequestTimeout, "body-incomplete", "read body: " + err.Error()}
@@ -191,10 +191,10 @@
 	q.body = body
 	if len(body) <= maxBuffer {
 		q.length = int64(len(body))
-		_ = control.SetReadDeadline(time.Time{})
+		_ = control.SetReadDeadline(time.Time{}) // it fails on a closed connection only, as the next read does
 		return nil
 	}
-	_ = control.SetReadDeadline(time.Now().Add(q.maxWait() + q.queue.MaxRun.Std()))
+	_ = control.SetReadDeadline(time.Now().Add(q.maxWait() + q.queue.MaxRun.Std())) // it fails on a closed connection only, as the next read does
 	q.stream = &streamedBody{r: r.Body, left: s.cfg.MaxBody - int64(len(body))}
 	return nil
 }
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -72,7 +72,7 @@
 		select {
 		case <-s.ctx.Done():
 			if stream != nil {
-				_ = stream.Close()
+				_ = stream.Close() // it is given up
 			}
 			return
 		case m := <-queue:
@@ -85,7 +85,7 @@
 			}
 			if err := stream.Send(m); err != nil {
 				s.log.V(1).Info("stream to member ended", "address", address, "reason", err.Error())
-				_ = stream.Close()
+				_ = stream.Close() // it is given up
 				stream = nil
 			}
 		}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -148,10 +148,10 @@
 	if v.kernel, err = kernel.New(kernel.Config{Violation: cfg.Violation, Log: cfg.Log}); err != nil {
 		return nil, err
 	}
-	v.members, _ = kernel.Lookup[*member.State](v.kernel, member.Name)
-	v.quotas, _ = kernel.Lookup[*quota.State](v.kernel, quota.Name)
-	v.documents, _ = kernel.Lookup[*configuration.State](v.kernel, configuration.Name)
-	v.voters, _ = kernel.Lookup[*voter.State](v.kernel, voter.Name)
+	v.members, _ = kernel.Lookup[*member.State](v.kernel, member.Name)                 // this package imports the plug-in, so that it is there
+	v.quotas, _ = kernel.Lookup[*quota.State](v.kernel, quota.Name)                    // this package imports the plug-in, so that it is there
+	v.documents, _ = kernel.Lookup[*configuration.State](v.kernel, configuration.Name) // this package imports the plug-in, so that it is there
+	v.voters, _ = kernel.Lookup[*voter.State](v.kernel, voter.Name)                    // this package imports the plug-in, so that it is there
 	if cfg.Setup != nil {
 		cfg.Setup(v.kernel)
 	}
--- a/internal/endpoint/dispatch.go
+++ b/internal/endpoint/dispatch.go
@@ -134,7 +134,7 @@
 		var last *conn
 		evicted := false
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-			last, _ = info.Conn.(*conn)
+			last, _ = info.Conn.(*conn) // the transport was built with such connections only
 			evicted = last == nil || !last.take(a)
 		}}
 		out := req.Clone(httptrace.WithClientTrace(ctx, trace))
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -370,7 +370,7 @@
 	if err != nil {
 		return at, err
 	}
-	defer func() { _ = s.Close() }()
+	defer func() { _ = s.Close() }() // it is given up
 	if err := s.Send(&controlpb.FollowRequest{Applied: at, Group: f.cfg.Client.Group()}); err != nil {
 		return at, err
 	}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return
 	}
-	defer func() { _ = s.Close() }()
+	defer func() { _ = s.Close() }() // it is given up
 	queue := make(chan *endpointpb.Update, exchangeQueue)
 	x.mu.Lock()
 	l.queue, l.end = queue, cancel
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,7 @@
 func (l *listeners) close() {
 	for _, ln := range []net.Listener{l.caller, l.endpoint, l.operator, l.peer} {
 		if ln != nil {
-			_ = ln.Close()
+			_ = ln.Close() // it is given up
 		}
 	}
 }
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -72,5 +72,5 @@
 	}
 	w.WriteHeader(e.Status)
 	// The connection is broken when this fails; the caller sees a truncated answer.
-	_ = json.NewEncoder(w).Encode(e)
+	_ = json.NewEncoder(w).Encode(e) // nobody is left to tell when its receiver is gone
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -22,7 +22,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.session != nil {
-		_ = l.session.Close()
+		_ = l.session.Close() // it is given up
 	}
 }
 
@@ -56,7 +56,7 @@
 	carrier := t.count(conn)
 	session, err := yamux.Client(carrier, sessionConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // it is given up
 		return nil, nil, ErrUnreachable.Wrap(err, "start session to %s", address)
 	}
 	l.session, l.carrier = session, carrier
@@ -72,12 +72,12 @@
 	}
 	cfg := t.cfg.TLS.Clone()
 	if cfg.ServerName, _, err = net.SplitHostPort(address); err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // it is given up
 		return nil, err
 	}
 	tc := tls.Client(conn, cfg)
 	if err := tc.HandshakeContext(ctx); err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // it is given up
 		return nil, err
 	}
 	return tc, nil
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -30,7 +30,7 @@
 	carrier.add(conn)
 	s.stop = context.AfterFunc(ctx, func() {
 		interrupt(conn)
-		_ = conn.Close()
+		_ = conn.Close() // it is given up
 	})
 	return s
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -107,7 +107,7 @@
 
 // Serve accepts peers until ctx is done.
 func (t *Transport) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = t.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = t.Close() }) // it is given up
 	defer stop()
 	for {
 		conn, err := t.cfg.Listener.Accept()
@@ -133,7 +133,7 @@
 	}
 	s := newStream(ctx, conn, carrier, writeTimeout)
 	if err := s.Send(&peerpb.Hello{Name: t.cfg.Name, Kind: kind, Stamp: t.cfg.Stamp()}); err != nil {
-		_ = s.Close()
+		_ = s.Close() // it is given up
 		return nil, ErrUnreachable.Wrap(err, "open stream to %s", address)
 	}
 	return s, nil
@@ -146,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = s.Close() }()
+	defer func() { _ = s.Close() }() // it is given up
 	if err := s.Send(req); err != nil {
 		return ErrInterrupted.Wrap(err, "call %s at %s", kind, address)
 	}
@@ -219,7 +219,7 @@
 		l.close()
 	}
 	for session := range accepted {
-		_ = session.Close()
+		_ = session.Close() // it is given up
 	}
 	return t.cfg.Listener.Close()
 }
@@ -239,7 +239,7 @@
 		cancel()
 		if err != nil {
 			t.cfg.Log.Info("peer failed the TLS handshake", "address", conn.RemoteAddr().String(), "reason", err.Error())
-			_ = conn.Close()
+			_ = conn.Close() // it is given up
 			return
 		}
 		verify = func(name string) error { return verifyName(tc.ConnectionState(), name) }
@@ -248,13 +248,13 @@
 	carrier := t.count(conn)
 	session, err := yamux.Server(carrier, sessionConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // it is given up
 		return
 	}
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
-		_ = session.Close()
+		_ = session.Close() // it is given up
 		return
 	}
 	t.accepted[session] = struct{}{}
@@ -263,7 +263,7 @@
 		t.mu.Lock()
 		delete(t.accepted, session)
 		t.mu.Unlock()
-		_ = session.Close()
+		_ = session.Close() // it is given up
 	}()
 	sctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -283,7 +283,7 @@
 
 func (t *Transport) serveStream(ctx context.Context, conn net.Conn, carrier *countedConn, verify func(name string) error) {
 	s := newStream(ctx, conn, carrier, writeTimeout)
-	defer func() { _ = s.Close() }()
+	defer func() { _ = s.Close() }() // it is given up
 	hello := &peerpb.Hello{}
 	if err := s.Receive(hello); err != nil {
 		return
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return true, ErrUnreachable.Wrap(err, "call platform")
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = resp.Body.Close() }() // its content was read or is not wanted
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err != nil {
 		return true, ErrUnreachable.Wrap(err, "read answer of platform")
--- a/internal/standin/behavior.go
+++ b/internal/standin/behavior.go
@@ -132,7 +132,7 @@
 		return
 	}
 	_ = b.write(out, part) // a client that is gone takes no answer
-	_ = out.Flush()
+	_ = out.Flush()        // nobody is left to tell when its receiver is gone
 }
 
 func hijack(w http.ResponseWriter) (net.Conn, *bufio.ReadWriter, bool) {
