--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -23,7 +23,8 @@
 	if len(f.pending) == 0 {
 		return p
 	}
-	whole := append(f.pending, p...)
-	f.pending = whole[:0]
+	f.pending = append(f.pending, p...)
+	whole := f.pending
+	f.pending = f.pending[:0]
 	return whole
 }
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -135,7 +135,7 @@
 	Busy
 	// Missing objects are unknown to the receiver.
 	Missing
-	// Withheld orders were not sent, because this process may not lead any more.
+	// Withheld orders were not sent: this process may not lead any more, or has no channel left.
 	Withheld
 )
 
