--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -156,6 +156,7 @@
 	if d.till > 0 {
 		if e.now > d.till {
 			in.duty, e.fleet.stale = nil, true
+			// A boot that was heard of since goes on, as nothing was done.
 			if s := e.sessions[d.boot]; s != nil && d.repeated && max(s.lastReport, s.contactAt) > d.till-downMargin {
 				s.reserved = false
 			}
