--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -138,6 +138,14 @@
 // call sends a request to the leader and follows redirects until ctx ends. With once it is not sent again after a try
 // whose outcome is unknown.
 func (c *Client) call(ctx context.Context, kind string, req proto.Message, resp redirected, once bool) error {
+	_, err := c.callRepeated(ctx, kind, req, resp, once)
+	return err
+}
+
+// callRepeated is call, and reports whether a try before the one that was answered may have been handled as well.
+func (c *Client) callRepeated(
+	ctx context.Context, kind string, req proto.Message, resp redirected, once bool,
+) (repeated bool, err error) {
 	last := peer.ErrUnreachable.New("no leader of the control group was found")
 	for {
 		for _, address := range c.candidates() {
@@ -151,13 +159,13 @@
 			}
 			if err == nil && resp.GetRedirect() == nil {
 				if err = c.accept(address, resp.GetGroup()); err == nil {
-					return nil
+					return errorx.IsOfType(last, peer.ErrInterrupted), nil
 				}
 			}
 			if err != nil {
 				c.lost(address)
 				if !errorx.IsOfType(err, peer.ErrUnreachable) && (once || !errorx.IsOfType(err, peer.ErrInterrupted)) {
-					return err
+					return errorx.IsOfType(last, peer.ErrInterrupted), err
 				}
 				// Once a try may have been handled, no later failure makes the outcome known again.
 				if !errorx.IsOfType(last, peer.ErrInterrupted) {
@@ -165,12 +173,12 @@
 				}
 			}
 			if ctx.Err() != nil {
-				return last
+				return false, last
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return last
+			return false, last
 		case <-time.After(attemptPause):
 		}
 	}
@@ -184,8 +192,9 @@
 }
 
 // ProposeRepeatable replicates a command whose repetition changes nothing: it is sent again after a try whose outcome is
-// unknown. The error is as for Propose.
-func (c *Client) ProposeRepeatable(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
+// unknown. With repeated set the result is that of a later try, and says nothing about an earlier one that may have been
+// applied before something else changed. The error is as for Propose.
+func (c *Client) ProposeRepeatable(ctx context.Context, cmd kernel.Command) (r kernel.Result, repeated bool, err error) {
 	return c.propose(ctx, cmd, false)
 }
 
@@ -205,17 +214,18 @@
 // peer.ErrUnreachable, which means that the command was not proposed by this call.
 func (c *Client) Propose(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
 	// A command with an identifier is applied once, however often it is sent.
-	return c.propose(ctx, cmd, cmd.ID == "")
+	r, _, err := c.propose(ctx, cmd, cmd.ID == "")
+	return r, err
 }
 
-func (c *Client) propose(ctx context.Context, cmd kernel.Command, once bool) (kernel.Result, error) {
+func (c *Client) propose(ctx context.Context, cmd kernel.Command, once bool) (r kernel.Result, repeated bool, err error) {
 	req := &controlpb.ProposeRequest{Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}}
 	resp := &controlpb.ProposeResponse{}
-	if err := c.call(ctx, control.ProposeKind, req, resp, once); err != nil {
-		return kernel.Result{}, err
+	if repeated, err = c.callRepeated(ctx, control.ProposeKind, req, resp, once); err != nil {
+		return kernel.Result{}, repeated, err
 	}
 	c.learn(resp.Voters)
-	return kernel.Result{Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error)}, nil
+	return kernel.Result{Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error)}, repeated, nil
 }
 
 // Query reads from the leader after a quorum confirmed it.
--- a/internal/follower/client_test.go
+++ b/internal/follower/client_test.go
@@ -85,6 +85,29 @@
 	}
 }
 
+// Guards against an answer that is taken for the whole truth although an earlier try may have been applied too.
+func TestRepeatedProposalsAreTold(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		first, second error
+		repeated      bool
+	}{
+		{"first-try", nil, nil, false},
+		{"after-one-that-was-not-sent", peer.ErrUnreachable.New("refused"), nil, false},
+		{"after-an-unknown-one", peer.ErrInterrupted.New("cut"), nil, true},
+		{"rejected-after-an-unknown-one", peer.ErrInterrupted.New("cut"), kernel.ErrInvalid.New("bad"), true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newTestClient(map[string]*fakeVoter{"a": {group: "g", err: tt.first}, "b": {group: "g", err: tt.second}}, "a", "b")
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, repeated, err := c.ProposeRepeatable(ctx, proposal(""))
+			assert.Equal(t, err != nil, tt.second != nil, "%v", err)
+			assert.Equal(t, repeated, tt.repeated)
+		})
+	}
+}
+
 // Guards against redirects between voters that each take the other for the leader.
 func TestRedirectsAreFollowedWithinBounds(t *testing.T) {
 	voters := map[string]*fakeVoter{"a": {redirect: "b"}, "b": {redirect: "a"}, "c": {group: "g"}}
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -27,24 +27,24 @@
 }
 
 // Call carries out a command and returns its answer. With unknown set the command may have been carried out or may still
-// be; otherwise an error means that it never is.
+// be, and an answer is that of a later try than the one that may have done so; otherwise an error means that it never is.
 func (c Caller) Call(ctx context.Context, m *workloadpb.Command) (r *workloadpb.Response, unknown bool, err error) {
 	cmd, err := kernel.NewCommand(workload.Name, "", m)
 	if err != nil {
 		return nil, false, err
 	}
-	result, err := c.client.ProposeRepeatable(ctx, cmd)
+	result, repeated, err := c.client.ProposeRepeatable(ctx, cmd)
 	if err != nil {
-		return nil, !errorx.IsOfType(err, peer.ErrUnreachable) && !errorx.IsOfType(err, kernel.ErrInvalid), err
+		return nil, repeated || !errorx.IsOfType(err, peer.ErrUnreachable) && !errorx.IsOfType(err, kernel.ErrInvalid), err
 	}
 	if result.Err != nil {
-		return nil, false, result.Err
+		return nil, repeated, result.Err
 	}
 	r = &workloadpb.Response{}
 	if err := proto.Unmarshal(result.Body, r); err != nil {
 		return nil, true, errorx.Decorate(err, "decode answer of the leader")
 	}
-	return r, false, nil
+	return r, repeated, nil
 }
 
 // Leader returns the peer address of the leader that answered last, empty when none is known.
