--- a/cmd/hibiscusroute/emulate.go
+++ b/cmd/hibiscusroute/emulate.go
@@ -13,9 +13,9 @@
 type emulateCommand struct {
 	app *app
 
-	Seed      uint64 `long:"seed" description:"seed of the load and of the choice of victims; 0 takes that of the file"`
-	Directory string `long:"directory" description:"directory for settings, data and logs of the processes; a new one that is removed without broken promises if not set"`
-	Profile   string `long:"profile" description:"how the names of the processes begin, such as control, whose processor profiles are written into the directory"`
+	Seed      uint64 `long:"seed" env:"HIBISCUSROUTE_EMULATE_SEED" description:"seed of the load and of the choice of victims; 0 takes that of the file"`
+	Directory string `long:"directory" env:"HIBISCUSROUTE_EMULATE_DIRECTORY" description:"directory for settings, data and logs of the processes; a new one that is removed without broken promises if not set"`
+	Profile   string `long:"profile" env:"HIBISCUSROUTE_EMULATE_PROFILE" description:"how the names of the processes begin, such as control, whose processor profiles are written into the directory"`
 	Args      struct {
 		File string `positional-arg-name:"FILE" description:"experiment: processes, instances, load and troubles"`
 	} `positional-args:"yes" required:"yes"`
--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -35,7 +35,7 @@
 
 	Settings string      `long:"settings" env:"HIBISCUSROUTE_CONFIG" description:"path of the infrastructure's settings file" required:"true"`
 	Trusted  bool        `long:"trusted-network" env:"HIBISCUSROUTE_TRUSTED_NETWORK" description:"processes of hibiscusroute talk to each other without TLS; needed, as the infrastructure hands out no keys"`
-	Profile  string      `long:"cpu-profile" description:"file that gets a processor profile when the process stops"`
+	Profile  string      `long:"cpu-profile" env:"HIBISCUSROUTE_CPU_PROFILE" description:"file that gets a processor profile when the process stops"`
 	Log      setting.Log `group:"Logging"`
 }
 
