--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -65,6 +65,7 @@
 	sessions  map[uint64]*session
 	touched   []*session // something has happened to them since the last decision
 	sweptAt   time.Duration
+	boots     uint64 // those of the ledger that the sessions follow
 	actions   []kernel.Action
 	commands  []kernel.Command
 	assigning bool
@@ -313,25 +314,16 @@
 		return
 	}
 	for _, j := range ended {
+		e.share.ended(j)
 		e.cfg.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", string(j.State()), "after-ms", j.Ended-j.Accepted)
 		e.cfg.Count("hibiscusroute_jobs_ended_total", "state", string(j.State()))
 		if j.State() == ledger.Completed {
 			e.cfg.Observe("hibiscusroute_job_seconds", float64(j.Ended-j.Accepted)/1000)
 		}
 	}
-	for _, w := range e.state.Workers() {
-		if e.sessions[w.Number()] == nil {
-			e.open(w).flush = true // One look tells the clock, and what an order for an earlier boot may have started.
-			if e.fleet.byWorker[w.ID()] == nil {
-				e.fleet.stale = true
-			}
-		}
-	}
-	for n, s := range e.sessions {
-		if s.worker.Gone() {
-			delete(e.sessions, n)
-			e.cfg.Log.Info("worker has left", "worker", s.worker.ID(), "boot", n)
-		}
+	if n := e.state.Boots(); n != e.boots {
+		e.boots = n
+		e.followBoots()
 	}
 	for _, st := range stops {
 		if s := e.sessions[st.Worker.Number()]; s != nil && s.runs[st.Key] != nil {
@@ -373,6 +365,24 @@
 	}
 }
 
+// followBoots opens sessions for boots that began, and drops those of boots that ended.
+func (e *Engine) followBoots() {
+	for _, w := range e.state.Workers() {
+		if e.sessions[w.Number()] == nil {
+			e.open(w).flush = true // One look tells the clock, and what an order for an earlier boot may have started.
+			if e.fleet.byWorker[w.ID()] == nil {
+				e.fleet.stale = true
+			}
+		}
+	}
+	for n, s := range e.sessions {
+		if s.worker.Gone() {
+			delete(e.sessions, n)
+			e.cfg.Log.Info("worker has left", "worker", s.worker.ID(), "boot", n)
+		}
+	}
+}
+
 func decodeCommand(data []byte) (*workloadpb.Command, error) {
 	m := &workloadpb.Command{}
 	return m, proto.Unmarshal(data, m)
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -178,7 +178,7 @@
 			return
 		}
 	}
-	if e.orderAge(in.Name) < e.cfg.TakeOver+takeOverMargin {
+	if e.heldBack(in.Name) {
 		return
 	}
 	if s != nil && !d.doubtful {
@@ -216,6 +216,11 @@
 	return millis(e.fleet.clock-o.AtMs) + e.now - e.ledAt
 }
 
+// heldBack reports whether an instance gets no order yet, because an order of an earlier leader may be under way.
+func (e *Engine) heldBack(instance string) bool {
+	return e.orderAge(instance) < e.cfg.TakeOver+takeOverMargin
+}
+
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // certain reports whether it is known what runs on an instance: it is off, its worker answers, or the list is as new as
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -36,6 +36,7 @@
 
 	nextJob, nextWorker uint64
 	version             uint64
+	boots               uint64
 	stops               []Stop
 	endedJobs           []*Job
 }
@@ -77,6 +78,7 @@
 		jobs: map[uint64]*Job{}, byID: map[string]*Job{}, workers: map[uint64]*Worker{},
 		workersByID: map[string]*Worker{},
 		ordered:     map[string]*workloadpb.Ordered{}, usage: map[string]Resources{}, waves: map[int64]*workloadpb.Wave{}, version: s.version + 1,
+		boots: s.boots + 1,
 	}
 }
 
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -73,6 +73,9 @@
 // Workers returns the boots that have not ended, ordered by number.
 func (s *State) Workers() []*Worker { return s.workerList }
 
+// Boots counts the boots that began or ended; it is not replicated.
+func (s *State) Boots() uint64 { return s.boots }
+
 // Worker returns a boot by its number, nil when it is unknown or has ended.
 func (s *State) Worker(number uint64) *Worker { return s.workers[number] }
 
@@ -128,6 +131,7 @@
 	w := &Worker{info: m, capacity: ResourcesOf(m.Capacity), runs: map[RunKey]*Subtask{}}
 	s.workers[m.Number], s.workersByID[m.Id] = w, w
 	s.workerList = append(s.workerList, w)
+	s.boots++
 }
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
@@ -142,6 +146,7 @@
 		s.endRun(w, k, workloadpb.How_HOW_VOID, "")
 	}
 	w.gone = true
+	s.boots++
 	delete(s.workers, w.info.Number)
 	delete(s.workersByID, w.info.Id)
 	s.workerList = slices.DeleteFunc(s.workerList, func(o *Worker) bool { return o == w })
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -85,7 +85,7 @@
 		v.have++
 		v.room = ledger.ResourcesOf(in.Capacity)
 		switch {
-		case in.duty != nil || !in.Up || e.orderAge(in.Name) < e.cfg.TakeOver+takeOverMargin:
+		case in.duty != nil || !in.Up || e.heldBack(in.Name):
 		case v.spare:
 			off = append(off, in)
 		case s != nil && in.idleSince > 0 && s.clockKnown:
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -42,4 +42,7 @@
 	b.tokens--
 }
 
+// ended forgets a job.
+func (s *share) ended(j *ledger.Job) { delete(s.beyond, j.Number) }
+
 func (s *share) excess(j *ledger.Job) bool { return s.beyond[j.Number] }
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -66,7 +66,7 @@
 	least := int64(0)
 	for _, name := range w.Instances {
 		in := e.fleet.rows[name]
-		if in == nil || in.duty != nil || !in.Up || e.orderAge(name) < e.cfg.TakeOver+takeOverMargin || slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
+		if in == nil || in.duty != nil || !in.Up || e.heldBack(name) || slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
 			continue
 		}
 		cost := int64(0)
