Log why long-running tasks don't run

Once a second, the leader now logs each long-running step with tasks that don't run: how many wait, how many are assigned to workers that don't answer, and the workers of the pool by the reason why they take none, the same reasons as a counter. isUsable and chooseWorkers give their answers by these reasons; what they decide is unchanged.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -80,6 +80,7 @@
 	fleet                 fleet
 	shares                accountShares
 	rates                 arrivalRates
+	waits                 waitLog
 }
 
 func newEngine(state *ledger.State) *Engine {
@@ -201,6 +202,7 @@
 	e.updateAdvice()
 	e.advanceFleet()
 	e.assignTasks()
+	e.logWaits()
 	d := kernel.Decision{Commands: e.commands, Actions: e.actions}
 	e.commands, e.actions = nil, nil
 	return d
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -134,22 +134,17 @@
 
 // chooseWorkers reserves capacity for up to n tasks of a step and returns their workers, one entry for each task.
 func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) []*Worker {
-	tasksOnWorker := map[uint64]int{}
+	tasksOnWorker := TasksOnWorkers(s)
 	rack := s.Step.DataRack
 	for i := range s.Tasks {
 		for _, a := range s.Tasks[i].ActiveRuns {
-			tasksOnWorker[a.Worker.Number()]++
 			if s.Step.RackSensitive {
 				rack = a.Worker.Rack()
 			}
 		}
 	}
 	required := ledger.RequiredCapacity(s.Step)
-	fits := func(w *Worker) bool {
-		return required.Within(w.free) &&
-			(s.Step.MaxPerWorker == 0 || tasksOnWorker[w.Number()] < int(s.Step.MaxPerWorker)) &&
-			(s.Step.Label == "" || w.HasLabel(s.Step.Label)) && (p.in.Allowed == nil || p.in.Allowed(s, w))
-	}
+	fits := func(w *Worker) bool { return p.in.Misfit(s, w, w.free, tasksOnWorker[w.Number()]) == "" }
 	if s.Step.RackSensitive && rack == "" {
 		rack = rackWithMostRoom(s, workers, required, fits)
 	}
@@ -175,6 +170,33 @@
 	return chosen
 }
 
+// TasksOnWorkers returns the number of assigned tasks of a step by the number of the worker's incarnation.
+func TasksOnWorkers(s *ledger.StepRun) map[uint64]int {
+	n := map[uint64]int{}
+	for i := range s.Tasks {
+		for _, a := range s.Tasks[i].ActiveRuns {
+			n[a.Worker.Number()]++
+		}
+	}
+	return n
+}
+
+// Misfit returns why a worker with the given free capacity and number of tasks of a step can't take another one, empty
+// if it can.
+func (in *Input) Misfit(s *ledger.StepRun, w *Worker, free ledger.Resources, tasks int) string {
+	switch {
+	case !ledger.RequiredCapacity(s.Step).Within(free):
+		return "no-capacity"
+	case s.Step.MaxPerWorker > 0 && tasks >= int(s.Step.MaxPerWorker):
+		return "maximum-per-worker"
+	case s.Step.Label != "" && !w.HasLabel(s.Step.Label):
+		return "lacks-label"
+	case in.Allowed != nil && !in.Allowed(s, w):
+		return "not-allowed-by-adviser"
+	}
+	return ""
+}
+
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough.
 // Without the reservation the task would wait for as long as smaller tasks take all capacity that becomes free.
 func reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int) {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -204,10 +204,28 @@
 }
 
 // isUsable reports whether a worker may take new runs.
-func (e *Engine) isUsable(s *session) bool {
+func (e *Engine) isUsable(s *session) bool { return e.exclusion(s) == "" }
+
+// exclusion returns why a worker may not take new runs, empty if it may.
+func (e *Engine) exclusion(s *session) string {
 	seen := max(s.lastHeartbeat, s.lastAnswerAt)
-	return s.clockKnown && s.failures == 0 && !s.worker.IsDraining() && !s.hasUnassignedRuns &&
-		!s.reservedForOperation && e.now >= s.excludedUntil && e.now-seen <= maxMissedHeartbeats*e.cfg.HeartbeatInterval
+	switch {
+	case s.failures > 0:
+		return "unreachable"
+	case !s.clockKnown:
+		return "clock-unknown"
+	case s.worker.IsDraining():
+		return "draining"
+	case s.hasUnassignedRuns:
+		return "lists-unassigned-runs"
+	case s.reservedForOperation:
+		return "reserved-for-operation"
+	case e.now < s.excludedUntil:
+		return "rejected-a-start"
+	case e.now-seen > maxMissedHeartbeats*e.cfg.HeartbeatInterval:
+		return "no-heartbeat"
+	}
+	return ""
 }
 
 func (s *session) schedulerView() *schedule.Worker {
