--- /dev/null
+++ b/internal/workload/lost_worker_test.go
@@ -0,0 +1,69 @@
+package workload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// maxRestartTime is the stated limit from the loss of a worker until its long-running tasks run again.
+	maxRestartTime = 9 * time.Second
+	// maxRestartTimeAfterElection is the stated limit from a change of leader, which leaves the control group unstable
+	// for 3 s.
+	maxRestartTimeAfterElection = 10 * time.Second
+)
+
+// Guards against long-running tasks that wait for the longest lease that workers accept after their workers are lost.
+func TestLongRunningTasksOfLostWorkersRestartInTime(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		maxLease time.Duration
+		// elections are the times between the loss of the workers and changes of leader.
+		elections []time.Duration
+	}{
+		{"short lease", 6 * time.Second, nil},
+		{"long lease", 10 * time.Second, nil},
+		{"longer lease", 30 * time.Second, nil},
+		{"short lease election", 6 * time.Second, []time.Duration{2 * time.Second}},
+		{"long lease election", 10 * time.Second, []time.Duration{2 * time.Second}},
+		{"long lease late election", 10 * time.Second, []time.Duration{7 * time.Second}},
+		{"long lease elections", 10 * time.Second, []time.Duration{2 * time.Second, 5 * time.Second}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.setMaxLease(tt.maxLease)
+			s.configure(1, nil, "glass")
+			workers := s.addWorkers("glass", 8)
+			longRunning := step(3, 4000, 1000, 0)
+			longRunning.Lasting, longRunning.MaxPerWorker = true, 1
+			s.submit("glass", "last", longRunning)
+			jobs := 0
+			runBusy := func(d time.Duration) {
+				for end := s.now + d; s.now < end; s.run(100 * time.Millisecond) {
+					jobs++
+					s.submit("glass", fmt.Sprintf("small-%04d", jobs), step(2, 1000, 1000, 300))
+				}
+			}
+			runBusy(4 * time.Second)
+			for _, w := range workers {
+				w.dead = w.runs["last.0.0.0"] != nil || w.runs["last.0.0.1"] != nil || w.runs["last.0.0.2"] != nil
+			}
+			lostAt := s.now
+			assert.Equal(t, s.running("last"), 0)
+			deadline := lostAt + maxRestartTime
+			for _, d := range tt.elections {
+				runBusy(lostAt + d - s.now)
+				s.startTerm()
+				deadline = max(deadline, s.now+maxRestartTimeAfterElection)
+			}
+			for s.now < deadline && s.running("last") < 3 {
+				runBusy(100 * time.Millisecond)
+			}
+			assert.Equal(t, s.running("last"), 3, "%v after the loss", s.now-lostAt)
+			t.Logf("all run %v after the loss", s.now-lostAt)
+		})
+	}
+}
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -44,6 +44,8 @@
 	// advisedWorker is the worker that the adviser allows.
 	advisedWorker string
 	requests      []kernel.Action
+	// maxLease is the longest lease that workers accept.
+	maxLease time.Duration
 }
 
 type timer struct {
@@ -93,11 +95,19 @@
 		t: t, k: k, e: e, workers: map[string]*fakeWorker{}, instances: map[string]*workload.Instance{},
 		done: map[string]int{}, lastWave: map[string]int64{},
 	}
-	e.Configure(workload.Config{WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }})
+	s.setMaxLease(6 * time.Second)
 	s.startTerm()
 	return s
 }
 
+// setMaxLease sets the longest lease that workers accept.
+func (s *sim) setMaxLease(d time.Duration) {
+	s.maxLease = d
+	s.e.Configure(workload.Config{
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxLease: d,
+	})
+}
+
 // startTerm starts a term with a leader that has only the replicated state.
 func (s *sim) startTerm() {
 	s.term++
@@ -443,7 +453,7 @@
 
 func (w *fakeWorker) acceptHeader(o workload.RequestHeader) {
 	w.fencingToken = max(w.fencingToken, o.FencingToken)
-	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+6000))
+	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+w.sim.maxLease.Milliseconds()))
 }
 
 func (w *fakeWorker) start(a workload.StartRun) workload.Outcome {
