Bound leases, so that tasks of lost workers restart in time

Its worker had been lost shortly before a change of leader.

Cause: the tasks of a lost worker start elsewhere only after the longest lease that it may hold. With the second until the loss is noticed, a loss without a change of leader missed the limit of 9 s as well.

Change: a lease lasts 4.8 s at most. A new leader waits for the longest lease that a leader grants and for the time for which the previous leader may go on granting, which dispatch bounded by a constant of its own that this now shares. With short leases that wait is longer than before, 7.0 s instead of 6.2 s, because it did not cover a grant of the previous leader just before its confirmation lapsed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,10 +17,6 @@
 	orderTimeout = time.Second
 	// platformTimeout is the timeout of a call to the platform or to the adviser, which may be slow.
 	platformTimeout = 3 * time.Second
-	// maxConfirmationAge is the maximum time since a quorum confirmed the leader for an order to a worker. A worker
-	// that knows a later leader rejects the order, and a later leader gives a run up only after its lease, which is
-	// longer.
-	maxConfirmationAge = 2 * time.Second
 	// observeTimeout is the maximum wait for the control loop to accept an event.
 	observeTimeout = 5 * time.Second
 )
@@ -110,7 +106,7 @@
 	sentAt := d.cfg.Now()
 	callWorker := func(timeout time.Duration, f func(ctx context.Context) workload.Answer) workload.Answer {
 		r := workload.Answer{Outcome: workload.Withheld}
-		if d.cfg.QuorumConfirmed(maxConfirmationAge) {
+		if d.cfg.QuorumConfirmed(workload.MaxConfirmationAge) {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			r = f(ctx)
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -147,7 +147,8 @@
 	for _, w := range e.state.Workers() {
 		s := e.openSession(w)
 		s.lastHeartbeat = now
-		s.leasesExpireBy = now + worstCaseDuration(e.cfg.MaxLease)
+		// The previous leader may grant leases for MaxConfirmationAge after this one has started.
+		s.leasesExpireBy = now + worstCaseDuration(MaxConfirmationAge+e.grantedLease())
 		s.adoptInheritedRuns()
 	}
 }
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -12,6 +12,14 @@
 	// grantedLeaseFraction is the fraction of the longest lease that is granted. The rest covers the time that a
 	// request is in transit.
 	grantedLeaseFraction = 0.8
+	// maxGrantedLease bounds a lease, however long a worker accepts it: the tasks of a lost worker start elsewhere only
+	// after the longest lease that it may hold, and each change of leader begins that wait anew. It outlasts a change of
+	// leader of 2 s after a renewal that waited for renewalWait.
+	maxGrantedLease = 4800 * time.Millisecond
+	// MaxConfirmationAge is the maximum time since a quorum confirmed the leader at which it still sends requests to
+	// workers. A worker that knows a later leader rejects them, and a later leader gives runs up only after this time and
+	// the longest lease that a leader grants.
+	MaxConfirmationAge = 2 * time.Second
 	// minClockRate is the slowest rate of a worker's clock that the platform allows.
 	minClockRate = 0.98
 	// expiryMargin covers the time that a worker needs to end its runs when the lease expires.
@@ -34,6 +42,11 @@
 	return time.Duration(float64(d)/minClockRate) + expiryMargin
 }
 
+// grantedLease returns the duration of the leases that leaders grant.
+func (e *Engine) grantedLease() time.Duration {
+	return min(time.Duration(float64(e.cfg.MaxLease)*grantedLeaseFraction), maxGrantedLease)
+}
+
 // session is what the leader knows about an incarnation of a worker.
 type session struct {
 	worker *ledger.Worker
@@ -159,7 +172,7 @@
 	if !s.clockKnown || s.failures > 0 {
 		return h
 	}
-	lease := time.Duration(float64(e.cfg.MaxLease) * grantedLeaseFraction)
+	lease := e.grantedLease()
 	h.LeaseExpiryMs = s.workerClockMs + (e.now - s.clockReadAt + lease).Milliseconds()
 	s.leasesExpireBy = max(s.leasesExpireBy, s.clockReadAt+worstCaseDuration(e.now-s.clockReadAt+lease))
 	return h
