workload: ask a worker for its runs until it lists none that isn't assigned to it

Callers saw a long-running task wait beside an idle worker. The worker had listed a run that was not assigned to it; the run was stopped, but no later list was asked for, because no run was assigned and no end lacked its acknowledgement. So hasUnassignedRuns was never cleared and the worker got no runs until its incarnation ended. A lost stop wasn't sent again either. One way to such a list: a late heartbeat of an earlier worker at the same address ends the incarnation, and the next heartbeat begins another one, whose process still has the runs.

Each list sets the flag anew, so asking until a list shows no such run clears it. The worker waits for the end of the run before it answers, so an idle worker isn't asked more often than a busy one.

Ruled out as a way to such a list, by reading only: a start without an answer that is carried out after its run was given up. A run is given up after its lease has expired, after a stop, or after a later request, and the worker rejects the start by then.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -50,15 +50,15 @@
 	})
 }
 
-// renewLease renews the lease and asks for the worker's runs and ends if runs are assigned to it, or if it lacks the
-// acknowledgement of a recorded end.
+// renewLease renews the lease and asks for the worker's runs and ends if runs are assigned to it, if it listed a run
+// that isn't, or if it lacks the acknowledgement of a recorded end.
 func (e *Engine) renewLease(s *session) {
 	if s.renewalInFlight || s.endsPending || e.now < s.nextRenewalAt ||
-		len(s.runs) == 0 && !s.mustList && s.ackedEnd >= s.worker.LastRecordedEnd() {
+		len(s.runs) == 0 && !s.mustList && !s.hasUnassignedRuns && s.ackedEnd >= s.worker.LastRecordedEnd() {
 		return
 	}
 	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
-	if !s.clockKnown || len(s.runs) == 0 || s.mustList {
+	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList {
 		h.Wait = 0
 	}
 	for _, r := range s.runs {
--- /dev/null
+++ b/internal/workload/exclusion_test.go
@@ -0,0 +1,53 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+func longRunningStep(cpu int64) *workloadpb.Step {
+	st := step(1, cpu, 1000, 0)
+	st.Lasting = true
+	return st
+}
+
+// Guards against a worker that stays without runs after it listed a run that is not assigned to it.
+func TestWorkerIsUsedAfterUnassignedRunHasEnded(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		lostStops int // the first stops are lost
+	}{{"stopped", 0}, {"stop-is-lost", 2}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			w := s.addWorkers("glass", 1)[0]
+			s.submit("glass", "last", longRunningStep(1000))
+			s.run(time.Second)
+			assert.Equal(t, s.running("last"), 1)
+			stops := 0
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				if _, ok := a.(workload.StopRun); ok {
+					stops++
+					return workload.NoAnswer, stops <= tt.lostStops
+				}
+				return 0, false
+			}
+			// A late heartbeat of an earlier worker at the address ends the incarnation, and its next heartbeat begins
+			// another one.
+			earlier := proto.CloneOf(w.m)
+			earlier.Id = "w-earlier"
+			s.call(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{Worker: earlier}}})
+			s.report(w)
+			s.run(4 * time.Second)
+			assert.Equal(t, len(s.starts("last")), 2, "stops: %d", stops)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
