workload: use a worker again whose maintenance was carried out before

Callers saw a long-running task wait beside an idle worker after a wave, with a leader that had not carried the wave out itself. A maintenance request that was carried out earlier is accepted without effect. The worker got runs again only if its last heartbeat or answer, at the time at which the maintenance would have been over, was from the last 500 ms before that. Heartbeats arrive every 1.5 s and an idle worker gets no requests, so most of the time it stayed out for good.

The new test on the code before, which plays the change of leader in steps of 100 ms between two heartbeats: 9 of 15 cases failed, such as

--- FAIL: TestWorkerIsUsedAfterRepeatedMaintenance/0s (0.00s) exclusion_test.go:76: assertion failed: 0 (int) != 1 (int)

The time after which the worker has to be heard of is now kept, and checked whenever runs are assigned. A worker that the maintenance did end is heard of no more and gets no runs, as before.

--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -51,3 +52,28 @@
 		})
 	}
 }
+
+// Guards against a worker that stays without runs after maintenance that was carried out under an earlier leader, if no
+// heartbeat arrives near the time at which the maintenance would have ended.
+func TestWorkerIsUsedAfterRepeatedMaintenance(t *testing.T) {
+	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 1)
+			s.run(3*time.Second + phase)
+			s.lastWave["m-glass-0"] = 1
+			wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+			s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+			s.call(&workloadpb.Command{Term: s.term, SteadyMs: s.now.Milliseconds(), Change: &workloadpb.Command_Order{
+				Order: &workloadpb.Order{Instances: wave.Instances, Wave: 1},
+			}})
+			s.startTerm()
+			s.run(7 * time.Second)
+			assert.Assert(t, ledger.WaveCompleted(s.e.State().Wave(1)))
+			s.submit("glass", "last", longRunningStep(1000))
+			s.run(3 * time.Second)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -158,11 +158,10 @@
 	if op.awayUntil > 0 {
 		if e.now > op.awayUntil {
 			in.operation, e.fleet.stale = nil, true
-			// An incarnation that sent a heartbeat or an answer after the expected end of the operation was not ended by
+			// An incarnation that sends a heartbeat or an answer after the expected end of the operation was not ended by
 			// it, so it gets new runs again.
-			if s := e.sessions[op.incarnation]; s != nil && op.maybeRepeated &&
-				max(s.lastHeartbeat, s.lastAnswerAt) > op.awayUntil-returnMargin {
-				s.reservedForOperation = false
+			if s := e.sessions[op.incarnation]; s != nil && op.maybeRepeated {
+				s.reservedForOperation, s.unprovenUntil = false, op.awayUntil-returnMargin
 			}
 		}
 		return
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -64,6 +64,9 @@
 	consecutiveFailedRuns int  // runs that failed since one succeeded
 	excludedUntil         time.Duration
 	reservedForOperation  bool // gets no new runs because its instance is moved or maintained
+	// unprovenUntil is when an operation that may have ended the incarnation is over. Only a later heartbeat or answer
+	// shows that it did not.
+	unprovenUntil time.Duration
 }
 
 // run is what the leader knows about an assigned run.
@@ -207,7 +210,8 @@
 func (e *Engine) isUsable(s *session) bool {
 	seen := max(s.lastHeartbeat, s.lastAnswerAt)
 	return s.clockKnown && s.failures == 0 && !s.worker.IsDraining() && !s.hasUnassignedRuns &&
-		!s.reservedForOperation && e.now >= s.excludedUntil && e.now-seen <= maxMissedHeartbeats*e.cfg.HeartbeatInterval
+		!s.reservedForOperation && e.now >= s.excludedUntil && seen >= s.unprovenUntil &&
+		e.now-seen <= maxMissedHeartbeats*e.cfg.HeartbeatInterval
 }
 
 func (s *session) schedulerView() *schedule.Worker {
