--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -77,6 +77,9 @@
 	consecutiveFailedRuns int  // runs that failed since one succeeded
 	excludedUntil         time.Duration
 	reservedForOperation  bool // gets no new runs because its instance is moved or maintained
+	// unprovenUntil is when an operation that may have ended the incarnation is over. Only a later heartbeat or answer
+	// shows that it did not.
+	unprovenUntil time.Duration
 }
 
 // run is what the leader knows about an assigned run.
@@ -233,6 +236,8 @@
 		return "lists-unassigned-runs"
 	case s.reservedForOperation:
 		return "reserved-for-operation"
+	case seen < s.unprovenUntil:
+		return "maybe-ended"
 	case e.now < s.excludedUntil:
 		return "rejected-a-start"
 	case e.now-seen > maxMissedHeartbeats*e.cfg.HeartbeatInterval:
