Maintenance stops long-running tasks only once other workers have room

Callers saw a long-running task that never ran again during a wave, although its worker had room for it, and a wave that didn't end.

Cause: an instance due for maintenance gets no new runs, and its long-running tasks are stopped one by one. A stopped task without another worker (maxPerWorker reached, label, other workers full or reserved) waited for good: the instance kept its other tasks, because the step may miss no more, and stayed reserved, because only moves have a timeout.

Ruled out: a timeout alone. The task would return to the instance and be stopped again at the next attempt.

Now a task is stopped once another worker has room for it, or if all tasks of the instance may be missed at once and the instance can go right away. While room is missing, the pool asks for one more instance; if none comes within 4 s, the instance gets runs again and another one of the wave may be tried.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -24,6 +24,11 @@
 	takeoverMargin = 500 * time.Millisecond
 	// drainTimeout is how long an instance that is due for a move or maintenance may continue its runs.
 	drainTimeout = 1500 * time.Millisecond
+	// maxRoomWait is how long maintenance waits for room for the long-running tasks of the instance. An instance can move
+	// to the pool in this time.
+	maxRoomWait = 4 * time.Second
+	// heldUpRetryDelay is the time before maintenance that was held up is tried again.
+	heldUpRetryDelay = 5 * time.Second
 )
 
 // fleet is what the leader knows about instances.
@@ -54,6 +59,8 @@
 	Instance
 	operation *operation
 	idleSince time.Duration // 0 while it is busy
+	// maintainAfter is the time before which no maintenance starts, because it was held up.
+	maintainAfter time.Duration
 }
 
 // operation is a move or the maintenance of an instance.
@@ -71,7 +78,10 @@
 	// without doing anything, so the runs on the instance may continue.
 	maybeRepeated bool
 	retryAt       time.Duration
-	awayUntil     time.Duration // the request was accepted; the instance is out of service until then
+	lacksRoom     bool // no other worker has room for a long-running task on the instance
+	// lacksRoomSince is the time since which lacksRoom is set.
+	lacksRoomSince time.Duration
+	awayUntil      time.Duration // the request was accepted; the instance is out of service until then
 }
 
 func (f *fleet) reset() {
@@ -178,7 +188,13 @@
 				e.cancelOperation(in, s)
 			}
 			return
-		case op.wave > 0 && !e.evacuate(s, e.now-op.createdAt):
+		case op.wave > 0 && e.isHeldUp(in):
+			e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
+				"lacks-room", op.lacksRoom)
+			in.maintainAfter = e.now + heldUpRetryDelay
+			e.cancelOperation(in, s)
+			return
+		case op.wave > 0 && !e.evacuate(in, s):
 			return
 		}
 	}
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -157,6 +157,11 @@
 // IsWaiting reports whether the task is neither done nor assigned.
 func (t *Task) IsWaiting() bool { return !t.Done && len(t.ActiveRuns) == 0 }
 
+// RunsOn reports whether a run of the task is assigned to a worker.
+func (t *Task) RunsOn(w *Worker) bool {
+	return slices.ContainsFunc(t.ActiveRuns, func(a ActiveRun) bool { return a.Worker == w })
+}
+
 // Key returns the key of a run of the task.
 func (t *Task) Key(run int32) RunKey {
 	o := t.step.Occurrence
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -38,6 +38,8 @@
 	demand           ledger.Resources
 	minInstances     int  // instances that the long-running tasks need
 	hasUnplaced      bool // a long-running task has no worker
+	lacksRoom        bool // maintenance waits for room for a long-running task
+	growing          bool // an instance is moving to the pool
 	have             int  // instances that serve the pool or are moving to it
 	instanceCapacity ledger.Resources
 	want             int
@@ -80,6 +82,10 @@
 		if in.operation == nil && !in.Up && !e.isReturning(in) {
 			continue
 		}
+		if op := in.operation; op != nil {
+			v.lacksRoom = v.lacksRoom || op.lacksRoom && !op.requested
+			v.growing = v.growing || op.pool != ""
+		}
 		s := e.sessionOf(in)
 		if s != nil && (s.worker.IsDraining() || s.failures > 0) {
 			continue
@@ -95,6 +101,7 @@
 		}
 	}
 	for _, v := range order {
+		v.hasUnplaced = v.hasUnplaced || v.lacksRoom && !v.growing
 		if !v.hasUnplaced {
 			delete(e.fleet.unplacedSince, v.name)
 		} else if since, ok := e.fleet.unplacedSince[v.name]; !ok {
--- /dev/null
+++ b/internal/workload/waiting_test.go
@@ -0,0 +1,114 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// maxWait is how long a long-running task may wait after its last run while there is capacity for it.
+const maxWait = 9 * time.Second
+
+// longRunningStep returns a step of n long-running tasks.
+func longRunningStep(n, maxPerWorker, mayMiss int32) *workloadpb.Step {
+	st := step(n, 2000, 4000, 0)
+	st.Lasting, st.MaxPerWorker, st.MayMiss = true, maxPerWorker, mayMiss
+	return st
+}
+
+// startWave starts the maintenance of instances.
+func (s *sim) startWave(number int64, limit int32, instances ...string) {
+	s.t.Helper()
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{
+		Wave: &workloadpb.Wave{Number: number, Instances: instances, DurationMs: 20000, Cap: limit},
+	}})
+}
+
+func (s *sim) waveCompleted(number int64) bool {
+	s.t.Helper()
+	return s.call(&workloadpb.Command{Change: &workloadpb.Command_InspectWave{
+		InspectWave: &workloadpb.InspectWave{Number: number},
+	}}).Completed
+}
+
+// longestWait runs the simulation for d, and returns the longest time in which fewer than n tasks of a job ran, and the
+// least number that ran.
+func (s *sim) longestWait(job string, n int, d time.Duration) (longest time.Duration, least int) {
+	s.t.Helper()
+	least = n
+	wait := time.Duration(0)
+	for end := s.now + d; s.now < end; {
+		s.run(simStep)
+		running := s.running(job)
+		least = min(least, running)
+		if wait += simStep; running >= n {
+			wait = 0
+		}
+		longest = max(longest, wait)
+	}
+	return longest, least
+}
+
+// Guards against maintenance that stops a task which has no other worker to run on, and then waits for it.
+func TestMaintenanceKeepsTaskWithoutRoomElsewhere(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.submit("glass", "last", longRunningStep(4, 2, 1))
+	s.run(5 * time.Second)
+	assert.Equal(t, s.running("last"), 4)
+	s.startWave(1, 1, "m-glass-0", "m-glass-1")
+	longest, least := s.longestWait("last", 4, 20*time.Second)
+	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+	assert.Equal(t, least, 4)
+}
+
+// Guards against a wave that doesn't end, and tasks that wait while their pool grows, where other workers are full.
+func TestMaintenanceMakesRoomBeforeItStopsTasks(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		workers      int
+		maxPerWorker int32
+		spare        int
+		limit        time.Duration
+	}{
+		{"pool-grows", 2, 2, 4, 1500 * time.Millisecond}, // a move takes as long
+		{"instance-goes-at-once", 4, 1, 0, maxWait},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass", "spare")
+			s.addWorkers("glass", tt.workers)
+			s.addWorkers("spare", tt.spare)
+			s.submit("glass", "last", longRunningStep(4, tt.maxPerWorker, 1))
+			s.run(5 * time.Second)
+			assert.Equal(t, s.running("last"), 4)
+			s.startWave(1, 1, "m-glass-0", "m-glass-1")
+			longest, least := s.longestWait("last", 4, 20*time.Second)
+			assert.Assert(t, longest < tt.limit, "a task waited for %v", longest)
+			assert.Assert(t, least >= 3, "%d ran", least)
+			assert.Assert(t, s.waveCompleted(1))
+		})
+	}
+}
+
+// Guards against tasks of a lost worker that wait for as long as maintenance waits for them.
+func TestMaintenanceLeavesRoomForLostTasks(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 3)
+	s.submit("glass", "last", longRunningStep(4, 2, 1))
+	s.run(5 * time.Second)
+	s.startWave(1, 1, "m-glass-0", "m-glass-1", "m-glass-2")
+	for _, id := range sortedIDs(s.workers) {
+		if w := s.workers[id]; len(w.runs) > 0 {
+			w.dead = true
+			break
+		}
+	}
+	longest, least := s.longestWait("last", 4, 30*time.Second)
+	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -47,7 +46,7 @@
 		if in == nil {
 			return
 		}
-		in.operation = &operation{wave: w.Number, createdAt: e.now}
+		in.operation = &operation{wave: w.Number, createdAt: e.now, lacksRoomSince: e.now}
 		if s := e.sessionOf(in); s != nil {
 			s.reservedForOperation = true
 		}
@@ -69,7 +68,7 @@
 	least := int64(0)
 	for _, name := range w.Instances {
 		in := e.fleet.instances[name]
-		if in == nil || in.operation != nil || !in.Up || e.mustWaitForTakeover(name) ||
+		if in == nil || in.operation != nil || !in.Up || e.now < in.maintainAfter || e.mustWaitForTakeover(name) ||
 			slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
 			continue
 		}
@@ -121,25 +120,89 @@
 }
 
 // evacuate reports whether an instance may go out of service now. Long-running tasks are stopped while fewer than
-// MayMiss other tasks of their step are unavailable (0 means no limit), and start again elsewhere. Other tasks may run
-// until drainTimeout.
-func (e *Engine) evacuate(s *session, waited time.Duration) bool {
+// MayMiss other tasks of their step are unavailable (0 means no limit), and start again elsewhere. That requires room
+// on another worker, or that the instance can go at once. Other tasks may run until drainTimeout.
+func (e *Engine) evacuate(in *instance, s *session) bool {
+	op := in.operation
 	free := true
+	for _, r := range s.runs {
+		free = free && (r.task.Step().Step.Lasting || e.now-op.createdAt >= drainTimeout)
+	}
+	canGo := free && !e.mustWaitForTakeover(in.Name) && e.mayMissAll(s)
+	op.lacksRoom = false
 	for _, r := range s.runs {
 		st := r.task.Step()
 		if !st.Step.Lasting {
-			free = free && waited >= drainTimeout
 			continue
 		}
 		free = false
-		if !r.shouldStop && (st.Step.MayMiss == 0 || e.countUnavailable(st, r.task) < int(st.Step.MayMiss)) {
+		switch {
+		case r.shouldStop || st.Step.MayMiss > 0 && e.countUnavailable(st, r.task) >= int(st.Step.MayMiss):
+		case canGo || e.hasRoomElsewhere(st, s):
 			r.shouldStop = true
 			e.markDirty(s)
+		default:
+			op.lacksRoom = true
 		}
 	}
 	return free && len(s.longRunningCounts()) == 0
 }
 
+// mayMissAll reports whether all long-running tasks of a worker may be unavailable at the same time.
+func (e *Engine) mayMissAll(s *session) bool {
+	for st, n := range s.longRunningCounts() {
+		for i := range st.Tasks {
+			if t := &st.Tasks[i]; !e.isReady(t) && !t.RunsOn(s.worker) {
+				n++
+			}
+		}
+		if st.Step.MayMiss > 0 && n > int(st.Step.MayMiss) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasRoomElsewhere reports whether a worker other than that of s may take a long-running task, once other tasks have
+// released its capacity.
+func (e *Engine) hasRoomElsewhere(st *ledger.StepRun, s *session) bool {
+	q := e.state.Queue(st.Occurrence.Job.Queue)
+	if q == nil {
+		// No worker may run the task, so there is nothing to wait for.
+		return true
+	}
+	for _, w := range e.state.Workers() {
+		o := e.sessions[w.Number()]
+		if w.Pool() == q.Pool && o != s && e.isUsable(o) &&
+			o.suits(st, w.Capacity().Minus(o.schedulerView().LongRunningUsage)) {
+			return true
+		}
+	}
+	return false
+}
+
+// suits reports whether a worker with the given room may run one more task of a step.
+func (s *session) suits(st *ledger.StepRun, room ledger.Resources) bool {
+	n := 0
+	for _, t := range s.worker.Runs() {
+		if t.Step() == st {
+			n++
+		}
+	}
+	return ledger.RequiredCapacity(st.Step).Within(room) && (st.Step.Label == "" || s.worker.HasLabel(st.Step.Label)) &&
+		(st.Step.MaxPerWorker == 0 || n < int(st.Step.MaxPerWorker))
+}
+
+// isHeldUp reports whether the maintenance of an instance should wait until later, because no other worker has room for
+// its long-running tasks.
+func (e *Engine) isHeldUp(in *instance) bool {
+	op := in.operation
+	if !op.lacksRoom {
+		op.lacksRoomSince = e.now
+	}
+	return e.now-op.lacksRoomSince >= maxRoomWait
+}
+
 // countUnavailable returns the number of tasks of a step other than t that are not known to be ready.
 func (e *Engine) countUnavailable(st *ledger.StepRun, t *ledger.Task) int {
 	n := 0
