Workers reserved for maintenance that doesn't begin run waiting tasks

Callers saw long-running tasks that didn't run while idle workers stood by.

Cause: a wave reserves up to `cap` instances of a pool at once, and in a small pool that is all of them. If the platform can't be reached, or a new leader still waits for requests of the last one, they stay reserved and get no runs. Only moves had a timeout.

Ruled out: reserving fewer instances of a pool at once. It slows down every wave, and one reserved worker may be the only one with room as well.

Now maintenance whose request wasn't sent yet is put off for 5 s if, for 2 s, a long-running task waits that has room on the reserved worker. Tasks that wait for the quota of their account don't count.

TestTaskRunsOnWorkerReservedInVain on the old code:

longest is >= maxWait: a task waited for 20s, 0 ran

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -27,6 +27,8 @@
 	// maxRoomWait is how long maintenance waits for room for the long-running tasks of the instance. An instance can move
 	// to the pool in this time.
 	maxRoomWait = 4 * time.Second
+	// maxReservedWait is how long a long-running task waits for maintenance of an instance whose worker could run it.
+	maxReservedWait = 2 * time.Second
 	// heldUpRetryDelay is the time before maintenance that was held up is tried again.
 	heldUpRetryDelay = 5 * time.Second
 )
@@ -78,10 +80,12 @@
 	// without doing anything, so the runs on the instance may continue.
 	maybeRepeated bool
 	retryAt       time.Duration
-	lacksRoom     bool // no other worker has room for a long-running task on the instance
-	// lacksRoomSince is the time since which lacksRoom is set.
-	lacksRoomSince time.Duration
-	awayUntil      time.Duration // the request was accepted; the instance is out of service until then
+	awayUntil     time.Duration // the request was accepted; the instance is out of service until then
+	// lacksRoom is set while no other worker has room for a long-running task on the instance.
+	lacksRoom bool
+	// lacksRoomSince and keepsWaitingSince are the times since which that is so, and since which a long-running task
+	// waits that could run on the instance.
+	lacksRoomSince, keepsWaitingSince time.Duration
 }
 
 func (f *fleet) reset() {
@@ -188,7 +192,7 @@
 				e.cancelOperation(in, s)
 			}
 			return
-		case op.wave > 0 && e.isHeldUp(in):
+		case op.wave > 0 && e.isHeldUp(in, s):
 			e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
 				"lacks-room", op.lacksRoom)
 			in.maintainAfter = e.now + heldUpRetryDelay
--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -112,3 +114,23 @@
 	longest, least := s.longestWait("last", 4, 30*time.Second)
 	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
 }
+
+// Guards against workers that are reserved for maintenance which the platform doesn't carry out, while tasks wait.
+func TestTaskRunsOnWorkerReservedInVain(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.run(time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		_, ok := a.(workload.MaintainInstance)
+		return workload.Unreachable, ok
+	}
+	s.startWave(1, 2, "m-glass-0", "m-glass-1")
+	s.run(time.Second)
+	s.submit("glass", "last", longRunningStep(4, 2, 1))
+	longest, least := s.longestWait("last", 4, 20*time.Second)
+	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+	s.rejectRequest = nil
+	s.run(20 * time.Second)
+	assert.Equal(t, s.running("last"), 4)
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -46,7 +46,7 @@
 		if in == nil {
 			return
 		}
-		in.operation = &operation{wave: w.Number, createdAt: e.now, lacksRoomSince: e.now}
+		in.operation = &operation{wave: w.Number, createdAt: e.now, lacksRoomSince: e.now, keepsWaitingSince: e.now}
 		if s := e.sessionOf(in); s != nil {
 			s.reservedForOperation = true
 		}
@@ -194,13 +194,35 @@
 }
 
 // isHeldUp reports whether the maintenance of an instance should wait until later, because no other worker has room for
-// its long-running tasks.
-func (e *Engine) isHeldUp(in *instance) bool {
+// its long-running tasks, or because one that waits could run on its worker.
+func (e *Engine) isHeldUp(in *instance, s *session) bool {
 	op := in.operation
 	if !op.lacksRoom {
 		op.lacksRoomSince = e.now
 	}
-	return e.now-op.lacksRoomSince >= maxRoomWait
+	if !e.couldRunWaitingTask(s) {
+		op.keepsWaitingSince = e.now
+	}
+	return e.now-op.lacksRoomSince >= maxRoomWait || e.now-op.keepsWaitingSince >= maxReservedWait
+}
+
+// couldRunWaitingTask reports whether a worker has free capacity for a long-running task that waits.
+func (e *Engine) couldRunWaitingTask(s *session) bool {
+	for _, j := range e.state.ActiveJobs() {
+		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
+			continue
+		}
+		quota := ledger.ResourcesOf(e.state.Account(j.Account).GetAllowance())
+		for _, o := range j.Occurrences() {
+			for _, st := range o.Steps {
+				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && s.suits(st, s.worker.Free()) &&
+					e.state.Usage(j.Account).Plus(ledger.ResourcesOf(st.Step.Need)).WithinQuota(quota) {
+					return true
+				}
+			}
+		}
+	}
+	return false
 }
 
 // countUnavailable returns the number of tasks of a step other than t that are not known to be ready.
