--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -13,7 +13,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-func longRunningStep(cpu int64) *workloadpb.Step {
+// longRunningTask returns a step with one long-running task.
+func longRunningTask(cpu int64) *workloadpb.Step {
 	st := step(1, cpu, 1000, 0)
 	st.Lasting = true
 	return st
@@ -29,7 +30,7 @@
 			s := newSim(t)
 			s.configure(1, nil, "glass")
 			w := s.addWorkers("glass", 1)[0]
-			s.submit("glass", "last", longRunningStep(1000))
+			s.submit("glass", "last", longRunningTask(1000))
 			s.run(time.Second)
 			assert.Equal(t, s.running("last"), 1)
 			stops := 0
@@ -71,7 +72,7 @@
 			s.startTerm()
 			s.run(7 * time.Second)
 			assert.Assert(t, ledger.WaveCompleted(s.e.State().Wave(1)))
-			s.submit("glass", "last", longRunningStep(1000))
+			s.submit("glass", "last", longRunningTask(1000))
 			s.run(3 * time.Second)
 			assert.Equal(t, s.running("last"), 1)
 		})
