Count leases only for requests that carry one

A stop sent while the loss was not yet noticed put the restart off by up to a second.

Starts and renewals take their header from leaseHeader now, all others carry no lease. TestStopsAndThrottlesGrantNoLease failed before with a lease of 5810 ms in a throttle.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -45,7 +45,7 @@
 	r.attempts++
 	r.ticket = e.advice.ticket(st, s.worker.ID())
 	e.addAction(StartRun{
-		RequestHeader: e.requestHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
+		RequestHeader: e.leaseHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
 		Ticket: r.ticket,
 	})
 }
@@ -57,7 +57,7 @@
 		len(s.runs) == 0 && !s.mustList && !s.hasUnassignedRuns && s.ackedEnd >= s.worker.LastRecordedEnd() {
 		return
 	}
-	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
+	h := RenewLease{RequestHeader: e.leaseHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
 	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList {
 		h.Wait = 0
 	}
--- a/internal/workload/lost_worker_test.go
+++ b/internal/workload/lost_worker_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 )
 
 const (
@@ -67,3 +69,32 @@
 		})
 	}
 }
+
+// Guards against a lease that is counted for a request which carries none, so that a lost worker's runs are given up late.
+func TestStopsAndThrottlesGrantNoLease(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	latencySensitive, bestEffort := step(1, 4000, 1000, 0), step(1, 6000, 1000, 0)
+	latencySensitive.Lasting, latencySensitive.TargetMs = true, 100
+	bestEffort.Lasting, bestEffort.Fills = true, true
+	s.submit("glass", "serve", latencySensitive)
+	s.submit("glass", "fill", bestEffort)
+	s.run(time.Second)
+	w.load = 150
+	s.run(time.Second)
+	s.cancel("glass", "fill")
+	s.run(time.Second)
+	stops, throttles := 0, 0
+	for _, a := range s.requests {
+		switch a := a.(type) {
+		case workload.StopRun:
+			stops++
+			assert.Equal(t, a.LeaseExpiryMs, int64(0))
+		case workload.ThrottleRun:
+			throttles++
+			assert.Equal(t, a.LeaseExpiryMs, int64(0))
+		}
+	}
+	assert.Assert(t, stops > 0 && throttles > 0, "%d stops, %d throttles", stops, throttles)
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -168,10 +168,15 @@
 	}
 }
 
-// requestHeader returns the header of a request to the worker, with a lease if the worker's clock is known and it
-// answers. A request to a worker that doesn't answer must not postpone the time at which its runs are given up.
+// requestHeader returns the header of a request to the worker that grants no lease.
 func (e *Engine) requestHeader(s *session) RequestHeader {
-	h := RequestHeader{Target: s.target(), FencingToken: e.term}
+	return RequestHeader{Target: s.target(), FencingToken: e.term}
+}
+
+// leaseHeader returns the header of a request to the worker, with a lease if the worker's clock is known and it answers.
+// A request to a worker that doesn't answer must not postpone the time at which its runs are given up.
+func (e *Engine) leaseHeader(s *session) RequestHeader {
+	h := e.requestHeader(s)
 	if !s.clockKnown || s.failures > 0 {
 		return h
 	}
