workload: keep a requested operation when a list lacks its instance

A list that lacked an instance dropped its move or maintenance, also one whose request was in flight. The answer was then ignored: the maintenance wasn't recorded as begun, so the instance was recorded as gone, and the incarnation wasn't ended.

The new test on the code before:

--- FAIL: TestListWithoutInstanceKeepsRequestedMaintenance (0.00s) exclusion_test.go:101: assertion failed: --- s.e.State().Wave(1).Begun +++ wave.Instances []string( - nil, + {"m-glass-0"}, )

A requested operation ends with an answer, so it can't stay for good on an instance that doesn't exist.

--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -77,3 +77,31 @@
 		})
 	}
 }
+
+// Guards against maintenance whose answer is ignored, so that its end and that of the incarnation are not recorded,
+// because a list lacked the instance while the request was in flight.
+func TestListWithoutInstanceKeepsRequestedMaintenance(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	s.run(4 * time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		if _, ok := a.(workload.MaintainInstance); ok {
+			s.k.Observe(s.now, workload.ListInstancesResult{Outcome: workload.Accepted, SentAt: s.now})
+		}
+		return 0, false
+	}
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	for !w.dead {
+		s.run(simStep)
+	}
+	s.submit("glass", "a", step(1, 1000, 1000, 300))
+	s.run(5 * time.Second)
+	assert.DeepEqual(t, s.e.State().Wave(1).Begun, wave.Instances)
+	assert.Assert(t, s.e.State().WorkerByID(w.m.Id) == nil)
+	assert.Equal(t, s.jobState("glass", "a"), "completed")
+	for _, o := range s.starts("a") {
+		assert.Assert(t, o.ID != w.m.Id)
+	}
+}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -142,6 +142,12 @@
 			f.byWorker[row.Worker] = in
 		}
 	}
+	for name, in := range f.instances {
+		// The answer to a request needs its operation, also if a list lacks the instance.
+		if rows[name] == nil && in.operation != nil && in.operation.requested {
+			rows[name] = in
+		}
+	}
 	f.instances = rows
 }
 
