workload: derive which workers are reserved from the operations

Callers saw a long-running task wait beside an idle worker. The worker was reserved for maintenance while its last run ended; a list lacked its instance in that time, so the operation was dropped, and nothing was left to clear the flag when the instance was listed again.

The new test on the code before:

--- FAIL: TestWorkerIsUsedAfterListLackedInstance (0.00s) exclusion_test.go:130: assertion failed: 0 (int) != 1 (int)

The flag is now computed from the operations in each pass over the fleet, so it can't outlive its operation, however that ends. An incarnation whose operation was accepted must be heard of after the end of the operation, as before for repeated ones; otherwise one whose end isn't recorded yet would get runs. moveInstance and advanceWave still set the flag, which the pass that calls them would do as well.

--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -105,3 +105,27 @@
 		assert.Assert(t, o.ID != w.m.Id)
 	}
 }
+
+// Guards against a worker that stays without runs because a list lacked its instance while maintenance was due.
+func TestWorkerIsUsedAfterListLackedInstance(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass", "plates")
+	w := s.addWorkers("glass", 1)[0]
+	s.run(3 * time.Second)
+	s.submit("glass", "a", step(1, 1000, 1000, 3000))
+	s.run(200 * time.Millisecond)
+	row := s.instances["m-glass-0"]
+	// A list is read when a worker joins on an instance that is not listed yet.
+	s.addWorkers("plates", 2)
+	delete(s.instances, "m-glass-0")
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	s.run(time.Second)
+	s.instances["m-glass-0"] = row
+	s.startWorker("m-plates-1")
+	s.run(4 * time.Second)
+	assert.Assert(t, !w.dead)
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(3 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -106,6 +106,25 @@
 		}
 	}
 	e.balancePools()
+	e.updateReservations()
+}
+
+// updateReservations reserves the workers whose instances are moved or maintained, and releases all others.
+func (e *Engine) updateReservations() {
+	reserved := map[uint64]bool{}
+	for _, in := range e.fleet.instances {
+		if in.operation == nil {
+			continue
+		}
+		// The list may name the next incarnation once the operation was requested.
+		reserved[in.operation.incarnation] = true
+		if s := e.sessionOf(in); s != nil && !in.operation.requested {
+			reserved[s.worker.Number()] = true
+		}
+	}
+	for n, s := range e.sessions {
+		s.reservedForOperation = reserved[n]
+	}
 }
 
 func (e *Engine) sessionOf(in *instance) *session {
@@ -166,21 +185,20 @@
 			in.operation, e.fleet.stale = nil, true
 			// An incarnation that sends a heartbeat or an answer after the expected end of the operation was not ended by
 			// it, so it gets new runs again.
-			if s := e.sessions[op.incarnation]; s != nil && op.maybeRepeated {
-				s.reservedForOperation, s.unprovenUntil = false, op.awayUntil-returnMargin
+			if s := e.sessions[op.incarnation]; s != nil {
+				s.unprovenUntil = op.awayUntil - returnMargin
 			}
 		}
 		return
 	}
 	if s != nil && !op.requested {
-		s.reservedForOperation = true
 		switch {
 		case e.assignPending:
 			// The pending Assign command may give the worker runs.
 			return
 		case op.wave == 0 && len(s.worker.Runs()) > 0:
 			if e.now-op.createdAt > drainTimeout {
-				e.cancelOperation(in, s)
+				in.operation = nil
 			}
 			return
 		case op.wave > 0 && !e.evacuate(s, e.now-op.createdAt):
@@ -245,14 +263,6 @@
 	return e.state.Pool(in.Pool).GetSpare()
 }
 
-// cancelOperation drops an operation that was not carried out.
-func (e *Engine) cancelOperation(in *instance, s *session) {
-	in.operation = nil
-	if s != nil {
-		s.reservedForOperation = false
-	}
-}
-
 // handleOperationResult handles the answer to the request of an operation.
 func (e *Engine) handleOperationResult(name string, o Outcome) {
 	in := e.fleet.instances[name]
@@ -263,7 +273,6 @@
 	op.requestInFlight = false
 	e.cfg.Log.Info("requested instance operation", "instance", name, "wave", op.wave, "pool", op.pool,
 		"outcome", o.String(), "repeated", op.maybeRepeated)
-	s := e.sessionOf(in)
 	m := &workloadpb.Maintained{Wave: op.wave}
 	switch o {
 	case Accepted:
@@ -280,7 +289,7 @@
 	case Malformed, NotFound:
 		m.Gone = []string{name}
 		e.fleet.stale = true
-		e.cancelOperation(in, s)
+		in.operation = nil
 	default:
 		op.outcomeUnknown = op.outcomeUnknown || o == NoAnswer
 		if op.wave > 0 && op.outcomeUnknown {
@@ -289,7 +298,7 @@
 		op.retryAt = e.now + operationRetryDelay
 		e.fleet.stale = true
 		if op.requested = op.outcomeUnknown; o == Busy && !op.outcomeUnknown {
-			e.cancelOperation(in, s)
+			in.operation = nil
 		}
 		return
 	}
