workload: ask the adviser about workers that join after a request

A long-running task waited beside a free worker that the adviser would have allowed. Advice was asked for once, on the workers that were usable then, and not again before the validity ended, also if the answer allowed none of them. A worker that joined or became usable later was left out until then.

The new test on the code before, with a validity of 20 s and a worker that joins 1 s after the request:

--- FAIL: TestAdviceCoversLaterWorkers (0.00s) exclusion_test.go:176: assertion failed: 0 (int) != 1 (int)

Answers are now kept for each worker, denials too, with the end of their own validity, and a request names the usable workers without a valid answer. A step still has one request in flight at most, and is asked about only while tasks of it wait. Whether there are such workers is checked ten times a second, as a check of every waiting step against every worker in each pass of the control loop would take too long with many of them.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -14,34 +14,40 @@
 	maxAdviceCalls = 8
 	// adviceRetryDelay is the time before a request is repeated.
 	adviceRetryDelay = 200 * time.Millisecond
+	// adviceCheckInterval is the time between checks for workers without a valid answer.
+	adviceCheckInterval = 100 * time.Millisecond
 	// adviceValidityReserve is the fraction of its validity that a ticket must have left when it is used.
 	adviceValidityReserve = 0.2
 )
 
-// advice holds the tickets that the adviser issued.
+// advice holds the answers of the adviser.
 type advice struct {
 	steps map[*ledger.StepRun]*stepAdvice
 	calls int
+	now   time.Duration
 }
 
 type stepAdvice struct {
-	tickets    map[string]string
+	answers  map[string]adviceAnswer // by the ID of the worker
+	inFlight bool
+	retryAt  time.Duration
+}
+
+// adviceAnswer is what the adviser answered about a worker. A denial is valid for as long as a ticket.
+type adviceAnswer struct {
+	ticket     string // empty if the worker may not run the step
 	validUntil time.Duration
-	inFlight   bool
-	retryAt    time.Duration
-	valid      bool
 }
 
 func (a *advice) reset() { *a = advice{steps: map[*ledger.StepRun]*stepAdvice{}} }
 
 // updateAdvice requests advice on the ready steps of queues that need it.
 func (e *Engine) updateAdvice() {
-	for k, a := range e.advice.steps {
+	e.advice.now = e.now
+	for k := range e.advice.steps {
 		if !k.Occurrence.Job.IsActive() || k.Done() {
 			delete(e.advice.steps, k)
-			continue
 		}
-		a.valid = e.now < a.validUntil
 	}
 	for _, j := range e.state.ActiveJobs() {
 		q := e.state.Queue(j.Queue)
@@ -58,22 +64,25 @@
 	}
 }
 
+// requestAdvice asks about the usable workers that have no valid answer for a step.
 func (e *Engine) requestAdvice(s *ledger.StepRun, pool string) {
 	a := e.advice.steps[s]
 	if a == nil {
-		a = &stepAdvice{}
+		a = &stepAdvice{answers: map[string]adviceAnswer{}}
 		e.advice.steps[s] = a
 	}
-	if a.inFlight || a.valid || e.now < a.retryAt || e.advice.calls >= maxAdviceCalls {
+	if a.inFlight || e.now < a.retryAt || e.advice.calls >= maxAdviceCalls {
 		return
 	}
 	var workers []string
 	for _, w := range e.state.Workers() {
-		if len(workers) < maxAdviceWorkers && w.Pool() == pool && e.isUsable(e.sessions[w.Number()]) {
+		if len(workers) < maxAdviceWorkers && w.Pool() == pool && e.now >= a.answers[w.ID()].validUntil &&
+			e.isUsable(e.sessions[w.Number()]) {
 			workers = append(workers, w.ID())
 		}
 	}
 	if len(workers) == 0 {
+		a.retryAt = e.now + adviceCheckInterval
 		return
 	}
 	a.inFlight = true
@@ -95,10 +104,9 @@
 			a.retryAt = e.now + adviceRetryDelay
 			continue
 		}
-		a.tickets, a.valid = ev.Tickets, true
-		a.validUntil = ev.SentAt + time.Duration(float64(ev.Validity)*(1-adviceValidityReserve))
-		if len(a.tickets) == 0 {
-			a.retryAt = e.now + adviceRetryDelay
+		validUntil := ev.SentAt + time.Duration(float64(ev.Validity)*(1-adviceValidityReserve))
+		for _, id := range ev.Request.Workers {
+			a.answers[id] = adviceAnswer{ticket: ev.Tickets[id], validUntil: validUntil}
 		}
 	}
 }
@@ -109,12 +117,13 @@
 	if sa == nil {
 		return true
 	}
-	return sa.valid && sa.tickets[w.ID()] != ""
+	answer := sa.answers[w.ID()]
+	return answer.ticket != "" && a.now < answer.validUntil
 }
 
 func (a *advice) ticket(s *ledger.StepRun, worker string) string {
 	if sa := a.steps[s]; sa != nil {
-		return sa.tickets[worker]
+		return sa.answers[worker].ticket
 	}
 	return ""
 }
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -1,6 +1,8 @@
 package workload_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -129,3 +131,47 @@
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
+
+// advise answers requests for advice in place of the adviser of the simulation. Tickets differ in each answer.
+func (s *sim) advise(validity time.Duration, allows func(job, worker string) bool) {
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		r, ok := a.(workload.RequestAdvice)
+		if !ok {
+			return 0, false
+		}
+		assert.Assert(s.t, len(r.Workers) <= 100)
+		done := workload.AdviceResult{
+			Request: r, Outcome: workload.Accepted, Tickets: map[string]string{}, Validity: validity, SentAt: s.now,
+		}
+		for _, id := range r.Workers {
+			if allows(r.Step.Job, id) {
+				done.Tickets[id] = fmt.Sprintf("%s-%d", id, s.now.Milliseconds())
+			}
+		}
+		s.schedule(20*simStep, func() { s.k.Observe(s.now, done) })
+		return workload.NoAnswer, true
+	}
+}
+
+func withAdvice(d *workloadpb.Document) {
+	d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 20000}
+}
+
+// Guards against a worker that is left out until the validity ends, because it joined after the request for advice.
+func TestAdviceCoversLaterWorkers(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, withAdvice, "glass")
+	first := s.addWorkers("glass", 2)[0]
+	first.draining = true
+	s.report(first)
+	s.run(time.Second)
+	denied := sortedIDs(s.workers)
+	s.advise(20*time.Second, func(_, id string) bool { return !slices.Contains(denied, id) })
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(time.Second)
+	assert.Equal(t, s.running("last"), 0)
+	first.dead = true
+	s.startWorker("m-glass-0")
+	s.run(3 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
