workload: ask the adviser about all workers of a large pool in turn

A long-running task waited beside a free worker that the adviser would have allowed. A request names at most 100 workers. These were the first usable ones of the pool without a valid answer, so the ones after them were never named if the answers on the first ones ended their validity before all were asked about.

The new test, with 600 workers of which the last is allowed and a validity of 1 s, on the code before:

--- FAIL: TestAdviceCoversAllWorkersInTurn (0.14s) exclusion_test.go:187: assertion failed: 0 (int) != 1 (int)

A request now names the workers first that were never asked about, and then those whose answer is the oldest.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -1,6 +1,8 @@
 package workload
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -76,8 +78,7 @@
 	}
 	var workers []string
 	for _, w := range e.state.Workers() {
-		if len(workers) < maxAdviceWorkers && w.Pool() == pool && e.now >= a.answers[w.ID()].validUntil &&
-			e.isUsable(e.sessions[w.Number()]) {
+		if w.Pool() == pool && e.now >= a.answers[w.ID()].validUntil && e.isUsable(e.sessions[w.Number()]) {
 			workers = append(workers, w.ID())
 		}
 	}
@@ -85,6 +86,11 @@
 		a.retryAt = e.now + adviceCheckInterval
 		return
 	}
+	// The workers that were never asked about come first, then those whose answer is the oldest.
+	slices.SortStableFunc(workers, func(x, y string) int {
+		return cmp.Compare(a.answers[x].validUntil, a.answers[y].validUntil)
+	})
+	workers = workers[:min(len(workers), maxAdviceWorkers)]
 	a.inFlight = true
 	e.advice.calls++
 	o := s.Occurrence
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -175,3 +175,14 @@
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
+
+// Guards against workers that are left out because a request for advice always names the same ones.
+func TestAdviceCoversAllWorkersInTurn(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, withAdvice, "glass")
+	ws := s.addWorkers("glass", 600)
+	s.advise(time.Second, func(_, id string) bool { return id == ws[599].m.Id })
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(3 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
