workload: keep the adviser's answers by incarnation

A run was started with the ticket of an earlier life of its worker, which the worker rejects. Tickets were kept by the ID of the worker, and a worker may start again under its ID; a ticket is good for one life.

The new test on the code before:

--- FAIL: TestTicketsEndWithIncarnation (0.01s) exclusion_test.go:207: assertion failed: starts[0].Ticket is starts[1].Ticket

Answers are now kept by the number of the incarnation at the time of the request, so a new incarnation has none and is asked about.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -30,9 +30,10 @@
 }
 
 type stepAdvice struct {
-	answers  map[string]adviceAnswer // by the ID of the worker
-	inFlight bool
-	retryAt  time.Duration
+	answers map[uint64]adviceAnswer // by the number of the incarnation
+	// asked holds the incarnations that the request in flight names, by the ID of the worker. It is nil if there is none.
+	asked   map[string]uint64
+	retryAt time.Duration
 }
 
 // adviceAnswer is what the adviser answered about a worker. A denial is valid for as long as a ticket.
@@ -70,16 +71,16 @@
 func (e *Engine) requestAdvice(s *ledger.StepRun, pool string) {
 	a := e.advice.steps[s]
 	if a == nil {
-		a = &stepAdvice{answers: map[string]adviceAnswer{}}
+		a = &stepAdvice{answers: map[uint64]adviceAnswer{}}
 		e.advice.steps[s] = a
 	}
-	if a.inFlight || e.now < a.retryAt || e.advice.calls >= maxAdviceCalls {
+	if a.asked != nil || e.now < a.retryAt || e.advice.calls >= maxAdviceCalls {
 		return
 	}
-	var workers []string
+	var workers []*ledger.Worker
 	for _, w := range e.state.Workers() {
-		if w.Pool() == pool && e.now >= a.answers[w.ID()].validUntil && e.isUsable(e.sessions[w.Number()]) {
-			workers = append(workers, w.ID())
+		if w.Pool() == pool && e.now >= a.answers[w.Number()].validUntil && e.isUsable(e.sessions[w.Number()]) {
+			workers = append(workers, w)
 		}
 	}
 	if len(workers) == 0 {
@@ -87,14 +88,18 @@
 		return
 	}
 	// The workers that were never asked about come first, then those whose answer is the oldest.
-	slices.SortStableFunc(workers, func(x, y string) int {
-		return cmp.Compare(a.answers[x].validUntil, a.answers[y].validUntil)
+	slices.SortStableFunc(workers, func(x, y *ledger.Worker) int {
+		return cmp.Compare(a.answers[x.Number()].validUntil, a.answers[y.Number()].validUntil)
 	})
-	workers = workers[:min(len(workers), maxAdviceWorkers)]
-	a.inFlight = true
+	a.asked = map[string]uint64{}
+	var ids []string
+	for _, w := range workers[:min(len(workers), maxAdviceWorkers)] {
+		a.asked[w.ID()] = w.Number()
+		ids = append(ids, w.ID())
+	}
 	e.advice.calls++
 	o := s.Occurrence
-	e.addAction(RequestAdvice{Step: RunName{Job: o.Job.ID, Occurrence: o.Number, Step: s.Number}, Workers: workers})
+	e.addAction(RequestAdvice{Step: RunName{Job: o.Job.ID, Occurrence: o.Number, Step: s.Number}, Workers: ids})
 }
 
 func (e *Engine) handleAdviceResult(ev AdviceResult) {
@@ -105,14 +110,17 @@
 		if o.Job.ID != ev.Request.Step.Job || o.Number != ev.Request.Step.Occurrence || s.Number != ev.Request.Step.Step {
 			continue
 		}
-		a.inFlight = false
+		asked := a.asked
+		a.asked = nil
 		if ev.Outcome != Accepted {
 			a.retryAt = e.now + adviceRetryDelay
 			continue
 		}
 		validUntil := ev.SentAt + time.Duration(float64(ev.Validity)*(1-adviceValidityReserve))
 		for _, id := range ev.Request.Workers {
-			a.answers[id] = adviceAnswer{ticket: ev.Tickets[id], validUntil: validUntil}
+			if n, ok := asked[id]; ok {
+				a.answers[n] = adviceAnswer{ticket: ev.Tickets[id], validUntil: validUntil}
+			}
 		}
 	}
 }
@@ -123,13 +131,13 @@
 	if sa == nil {
 		return true
 	}
-	answer := sa.answers[w.ID()]
+	answer := sa.answers[w.Number()]
 	return answer.ticket != "" && a.now < answer.validUntil
 }
 
-func (a *advice) ticket(s *ledger.StepRun, worker string) string {
+func (a *advice) ticket(s *ledger.StepRun, incarnation uint64) string {
 	if sa := a.steps[s]; sa != nil {
-		return sa.answers[worker].ticket
+		return sa.answers[incarnation].ticket
 	}
 	return ""
 }
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -43,7 +43,7 @@
 	st := r.task.Step()
 	r.requestInFlight = true
 	r.attempts++
-	r.ticket = e.advice.ticket(st, s.worker.ID())
+	r.ticket = e.advice.ticket(st, s.worker.Number())
 	e.addAction(StartRun{
 		RequestHeader: e.requestHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
 		Ticket: r.ticket,
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -186,3 +186,23 @@
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
+
+// Guards against the start of a run with a ticket for an earlier incarnation of a worker.
+func TestTicketsEndWithIncarnation(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, withAdvice, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	s.run(time.Second)
+	s.advise(20*time.Second, func(string, string) bool { return true })
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(time.Second)
+	assert.Equal(t, s.running("last"), 1)
+	w.startedAt, w.runs, w.highestRun = s.now, map[string]*fakeRun{}, map[string]int32{}
+	w.leaseExpiryMs, w.sequence, w.renewal = 0, 0, nil
+	w.m.BornMs += s.now.Milliseconds()
+	s.report(w)
+	s.run(2 * time.Second)
+	starts := s.starts("last")
+	assert.Equal(t, len(starts), 2)
+	assert.Assert(t, starts[0].Ticket != starts[1].Ticket)
+}
