workload: ask for another ticket when a worker rejects one

A task whose ticket was rejected was started with the same ticket on the same worker again, until the validity ended.

The new test on the code before, with a validity of 20 s:

--- FAIL: TestRejectedTicketIsReplaced (0.00s) exclusion_test.go:228: assertion failed: 0 (int) != 1 (int)

A rejected ticket is now dropped unless a newer one has replaced it. The worker then has no answer and is asked about with the next request.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -141,3 +141,10 @@
 	}
 	return ""
 }
+
+// rejectTicket drops a ticket that a worker rejected, so that the adviser is asked for another one.
+func (a *advice) rejectTicket(s *ledger.StepRun, incarnation uint64, ticket string) {
+	if sa := a.steps[s]; sa != nil && sa.answers[incarnation].ticket == ticket {
+		delete(sa.answers, incarnation)
+	}
+}
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -206,3 +207,23 @@
 	assert.Equal(t, len(starts), 2)
 	assert.Assert(t, starts[0].Ticket != starts[1].Ticket)
 }
+
+// Guards against a task that waits until the validity ends, because a ticket that the worker rejected is used again.
+func TestRejectedTicketIsReplaced(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, withAdvice, "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	s.advise(20*time.Second, func(string, string) bool { return true })
+	adviser, bad := s.rejectRequest, ""
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		if start, ok := a.(workload.StartRun); ok {
+			bad = cmp.Or(bad, start.Ticket)
+			return workload.BadTicket, start.Ticket == bad
+		}
+		return adviser(a)
+	}
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(3 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
