workload: ask for advice in the order in which tasks are assigned

A long-running task waited for advice for as long as older jobs of queues with advice waited too: steps were asked about in the order of acceptance, and eight calls at a time were taken by steps whose answers had ended their validity in the meantime.

The new test, with 300 older jobs that the adviser allows nowhere and a validity of 2 s, on the code before:

--- FAIL: TestAdviceForLongRunningTaskComesFirst (0.03s) exclusion_test.go:244: assertion failed: 0 (int) != 1 (int)

Calls are now made in the order of the scheduler's candidates, so a step can only wait for steps that would be placed before it anyway. The candidates are ranked only if a step is due and a call is free.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -52,31 +52,48 @@
 			delete(e.advice.steps, k)
 		}
 	}
+	due := false
 	for _, j := range e.state.ActiveJobs() {
-		q := e.state.Queue(j.Queue)
-		if q.GetAdvice() == nil {
+		if e.state.Queue(j.Queue).GetAdvice() == nil {
 			continue
 		}
 		for _, o := range j.Occurrences() {
 			for _, s := range o.Steps {
 				if s.Waiting() > 0 && s.Ready() {
-					e.requestAdvice(s, q.Pool)
+					due = e.advice.addStep(s).isDue(e.now) || due
 				}
 			}
 		}
 	}
+	if !due || e.advice.calls >= maxAdviceCalls {
+		return
+	}
+	// The tasks that are assigned first are asked about first.
+	candidates := schedule.RankCandidates(schedule.Input{
+		State: e.state, NowMs: e.wallClockMs(), Order: e.cfg.JobOrder, BeyondShare: e.shares.isBeyondShare,
+	})
+	for i := range candidates {
+		for _, s := range candidates[i].ReadySteps() {
+			if a := e.advice.steps[s]; a != nil && a.isDue(e.now) && e.advice.calls < maxAdviceCalls {
+				e.requestAdvice(s, a, candidates[i].Pool())
+			}
+		}
+	}
 }
 
-// requestAdvice asks about the usable workers that have no valid answer for a step.
-func (e *Engine) requestAdvice(s *ledger.StepRun, pool string) {
-	a := e.advice.steps[s]
-	if a == nil {
-		a = &stepAdvice{answers: map[uint64]adviceAnswer{}}
-		e.advice.steps[s] = a
-	}
-	if a.asked != nil || e.now < a.retryAt || e.advice.calls >= maxAdviceCalls {
-		return
+// addStep returns the entry of a step, which it adds if there is none.
+func (a *advice) addStep(s *ledger.StepRun) *stepAdvice {
+	if a.steps[s] == nil {
+		a.steps[s] = &stepAdvice{answers: map[uint64]adviceAnswer{}}
 	}
+	return a.steps[s]
+}
+
+// isDue reports whether the adviser may be asked about a step.
+func (a *stepAdvice) isDue(now time.Duration) bool { return a.asked == nil && now >= a.retryAt }
+
+// requestAdvice asks about the usable workers that have no valid answer for a step.
+func (e *Engine) requestAdvice(s *ledger.StepRun, a *stepAdvice, pool string) {
 	var workers []*ledger.Worker
 	for _, w := range e.state.Workers() {
 		if w.Pool() == pool && e.now >= a.answers[w.Number()].validUntil && e.isUsable(e.sessions[w.Number()]) {
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -227,3 +227,19 @@
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
+
+// Guards against a long-running task that gets no advice, because requests for older jobs take all calls.
+func TestAdviceForLongRunningTaskComesFirst(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, withAdvice, "glass")
+	s.addWorkers("glass", 2)
+	s.run(time.Second)
+	s.advise(2*time.Second, func(job, _ string) bool { return job == "last" })
+	for i := range 300 {
+		s.submit("glass", fmt.Sprintf("old-%03d", i), step(1, 1000, 1000, 300))
+	}
+	s.run(time.Second)
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(3 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -55,8 +55,8 @@
 		p.pools[w.Pool()] = append(p.pools[w.Pool()], w)
 	}
 	for _, c := range in.Candidates {
-		for _, s := range c.occurrence.Steps {
-			if s.Waiting() > 0 && s.Ready() && len(p.assignments) < in.MaxAssignments {
+		for _, s := range c.ReadySteps() {
+			if len(p.assignments) < in.MaxAssignments {
 				p.placeTasks(s, p.pools[c.queue.Pool],
 					ledger.ResourcesOf(in.State.Account(c.occurrence.Job.Account).GetAllowance()))
 			}
@@ -65,6 +65,17 @@
 	return p.assignments
 }
 
+// ReadySteps returns the steps of the occurrence with tasks that may start now.
+func (c *Candidate) ReadySteps() []*ledger.StepRun {
+	var list []*ledger.StepRun
+	for _, s := range c.occurrence.Steps {
+		if s.Waiting() > 0 && s.Ready() {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // placeTasks assigns as many waiting tasks of a step as fit. The tasks of a gang are assigned together or not at all.
 func (p *pass) placeTasks(s *ledger.StepRun, workers []*Worker, quota ledger.Resources) {
 	var waiting []*ledger.Task
