workload: start tasks without a ticket once their queue needs no advice

A waiting task of a queue that needed advice stayed without a worker after a configuration dropped the advice: its denials and expired tickets were kept, and it was asked about no more.

The new test on the code before:

--- FAIL: TestTaskStartsAfterAdviceIsDropped (0.00s) exclusion_test.go:259: assertion failed: 0 (int) != 1 (int)

The answers on a step are now dropped with the advice of its queue.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -48,7 +48,7 @@
 func (e *Engine) updateAdvice() {
 	e.advice.now = e.now
 	for k := range e.advice.steps {
-		if !k.Occurrence.Job.IsActive() || k.Done() {
+		if j := k.Occurrence.Job; !j.IsActive() || k.Done() || e.state.Queue(j.Queue).GetAdvice() == nil {
 			delete(e.advice.steps, k)
 		}
 	}
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -243,3 +243,18 @@
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
+
+// Guards against a task that waits for good, because its queue needed advice when it was submitted and doesn't any more.
+func TestTaskStartsAfterAdviceIsDropped(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, withAdvice, "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	s.advise(time.Second, func(string, string) bool { return false })
+	s.submit("glass", "last", longRunningStep(1000))
+	s.run(time.Second)
+	assert.Equal(t, s.running("last"), 0)
+	s.configure(2, nil, "glass")
+	s.run(3 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
