schedule: reserve capacity for a task only on workers that the adviser allows

A long-running task waited for as long as smaller tasks took all capacity that became free, although capacity was reserved for it: the reservation was on the worker that came closest to having enough, also if the adviser didn't allow it there. It held back other tasks on that worker, and the allowed ones were filled with smaller tasks.

The new test, with two workers of which one is allowed, on the code before:

--- FAIL: TestLongRunningTaskReservesOnAllowedWorker (0.07s) exclusion_test.go:280: assertion failed: 0 (int) != 1 (int)

The choice of the worker to reserve on now asks Input.Allowed, as the choice of a worker to run on does.

--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -159,7 +159,7 @@
 	fits := func(w *Worker) bool {
 		return required.Within(w.free) &&
 			(s.Step.MaxPerWorker == 0 || tasksOnWorker[w.Number()] < int(s.Step.MaxPerWorker)) &&
-			(s.Step.Label == "" || w.HasLabel(s.Step.Label)) && (p.in.Allowed == nil || p.in.Allowed(s, w))
+			(s.Step.Label == "" || w.HasLabel(s.Step.Label)) && p.allows(s, w)
 	}
 	if s.Step.RackSensitive && rack == "" {
 		rack = rackWithMostRoom(s, workers, required, fits)
@@ -174,7 +174,7 @@
 		}
 		if best == nil {
 			if s.Step.Lasting {
-				reserveWorker(s, workers, required, tasksOnWorker)
+				p.reserveWorker(s, workers, required, tasksOnWorker)
 			}
 			break
 		}
@@ -186,13 +186,20 @@
 	return chosen
 }
 
+// allows reports whether the adviser lets a worker run a step.
+func (p *pass) allows(s *ledger.StepRun, w *Worker) bool {
+	return p.in.Allowed == nil || p.in.Allowed(s, w)
+}
+
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough.
 // Without the reservation the task would wait for as long as smaller tasks take all capacity that becomes free.
-func reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int) {
+func (p *pass) reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources,
+	tasksOnWorker map[uint64]int,
+) {
 	var best *Worker
 	for _, w := range workers {
 		if !required.Within(w.Capacity().Minus(w.LongRunningUsage)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
-			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) {
+			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) || !p.allows(s, w) {
 			continue
 		}
 		if best == nil || w.slack(required) > best.slack(required) {
