schedule: keep a reservation while a ticket is renewed

A long-running task waited as smaller tasks took all capacity that became free: the reservation for it ended with the validity of its ticket, and what had become free was taken until the adviser had answered again.

A new case of the test, a task of 15 of 16 cores with a validity of 1 s, on the code before:

--- FAIL: TestLongRunningTaskReservesOnAllowedWorker/several-tickets (0.04s) exclusion_test.go:291: assertion failed: 0 (int) != 1 (int)

A worker is now reserved on if the last answer allowed it, valid or not. A start still needs a valid ticket.

--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -259,23 +259,36 @@
 	assert.Equal(t, s.running("last"), 1)
 }
 
-// Guards against capacity that is reserved for a long-running task on a worker that the adviser doesn't allow.
+// Guards against capacity that is reserved for a long-running task on a worker that the adviser doesn't allow, or only
+// while a ticket is valid.
 func TestLongRunningTaskReservesOnAllowedWorker(t *testing.T) {
-	s := newSim(t)
-	s.configure(1, func(d *workloadpb.Document) {
-		withAdvice(d)
-		d.Queues = append(d.Queues, &workloadpb.Queue{
-			Name: "free", Host: "h", Prefix: "/free/", Pool: "glass", MaxAttempts: 3, Stretch: 1.5, SloMs: 600, Public: true,
+	for _, tt := range []struct {
+		name                 string
+		validity             time.Duration
+		cpu                  int64
+		shortestMs, spreadMs int // of the smaller tasks
+	}{
+		{"one-ticket", 20 * time.Second, 6000, 150, 7},
+		{"several-tickets", time.Second, 15000, 500, 97},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, func(d *workloadpb.Document) {
+				withAdvice(d)
+				d.Queues = append(d.Queues, &workloadpb.Queue{
+					Name: "free", Host: "h", Prefix: "/free/", Pool: "glass", MaxAttempts: 3, Stretch: 1.5, SloMs: 600, Public: true,
+				})
+			}, "glass")
+			ws := s.addWorkers("glass", 2)
+			s.run(time.Second)
+			s.advise(tt.validity, func(_, id string) bool { return id == ws[0].m.Id })
+			for i := range 400 {
+				s.submit("free", fmt.Sprintf("small-%03d", i), step(1, 1000, 1000, int64(tt.shortestMs+tt.spreadMs*i)))
+			}
+			s.run(300 * time.Millisecond)
+			s.submit("glass", "last", longRunningStep(tt.cpu))
+			s.run(2500 * time.Millisecond)
+			assert.Equal(t, s.running("last"), 1)
 		})
-	}, "glass")
-	ws := s.addWorkers("glass", 2)
-	s.run(time.Second)
-	s.advise(20*time.Second, func(_, id string) bool { return id == ws[0].m.Id })
-	for i := range 400 {
-		s.submit("free", fmt.Sprintf("small-%03d", i), step(1, 1000, 1000, int64(150+7*i)))
 	}
-	s.run(300 * time.Millisecond)
-	s.submit("glass", "last", longRunningStep(6000))
-	s.run(2500 * time.Millisecond)
-	assert.Equal(t, s.running("last"), 1)
 }
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -35,8 +35,9 @@
 	MaxAssignments int
 	// BeyondShare reports whether a job exceeds the share of its client account. It may be nil.
 	BeyondShare func(j *ledger.Job) bool
-	// Allowed reports whether the adviser lets a worker run a step. It may be nil.
-	Allowed func(s *ledger.StepRun, w *Worker) bool
+	// Allowed reports whether the adviser lets a worker run a step now, and MayReserve whether its last answer did, even
+	// if that isn't valid any more. Both may be nil.
+	Allowed, MayReserve func(s *ledger.StepRun, w *Worker) bool
 }
 
 // pass is the state of a scheduling pass.
@@ -159,7 +160,7 @@
 	fits := func(w *Worker) bool {
 		return required.Within(w.free) &&
 			(s.Step.MaxPerWorker == 0 || tasksOnWorker[w.Number()] < int(s.Step.MaxPerWorker)) &&
-			(s.Step.Label == "" || w.HasLabel(s.Step.Label)) && p.allows(s, w)
+			(s.Step.Label == "" || w.HasLabel(s.Step.Label)) && (p.in.Allowed == nil || p.in.Allowed(s, w))
 	}
 	if s.Step.RackSensitive && rack == "" {
 		rack = rackWithMostRoom(s, workers, required, fits)
@@ -186,11 +187,6 @@
 	return chosen
 }
 
-// allows reports whether the adviser lets a worker run a step.
-func (p *pass) allows(s *ledger.StepRun, w *Worker) bool {
-	return p.in.Allowed == nil || p.in.Allowed(s, w)
-}
-
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough.
 // Without the reservation the task would wait for as long as smaller tasks take all capacity that becomes free.
 func (p *pass) reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources,
@@ -199,7 +195,8 @@
 	var best *Worker
 	for _, w := range workers {
 		if !required.Within(w.Capacity().Minus(w.LongRunningUsage)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
-			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) || !p.allows(s, w) {
+			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) ||
+			p.in.MayReserve != nil && !p.in.MayReserve(s, w) {
 			continue
 		}
 		if best == nil || w.slack(required) > best.slack(required) {
