--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -43,7 +43,7 @@
 	st := r.task.Step()
 	r.requestInFlight = true
 	r.attempts++
-	r.ticket = e.advice.ticket(st, s.worker.ID())
+	r.ticket = e.advice.ticket(st, s.worker.Number())
 	e.addAction(StartRun{
 		RequestHeader: e.leaseHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
 		Ticket: r.ticket,
@@ -247,6 +247,9 @@
 		e.cfg.Log.Info("worker rejected the start of a run", "worker", s.worker.ID(), "job", r.name.Job, "step", r.name.Step,
 			"index", r.name.Index, "run", r.name.Run, "outcome", ev.Outcome.String())
 		s.excludedUntil = e.now + maxRetryDelay
+		if ev.Outcome == BadTicket {
+			e.advice.rejectTicket(r.task.Step(), s.worker.Number(), ev.Request.Ticket)
+		}
 		e.handleRejectedStart(s, r)
 	case DeadlineExceeded:
 		r.retryAt = e.now
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -35,8 +35,9 @@
 	MaxAssignments int
 	// BeyondShare reports whether a job exceeds the share of its client account. It may be nil.
 	BeyondShare func(j *ledger.Job) bool
-	// Allowed reports whether the adviser lets a worker run a step. It may be nil.
-	Allowed func(s *ledger.StepRun, w *Worker) bool
+	// Allowed reports whether the adviser lets a worker run a step now, and MayReserve whether its last answer did, even
+	// if that isn't valid any more. Both may be nil.
+	Allowed, MayReserve func(s *ledger.StepRun, w *Worker) bool
 }
 
 // pass is the state of a scheduling pass.
@@ -55,8 +56,8 @@
 		p.pools[w.Pool()] = append(p.pools[w.Pool()], w)
 	}
 	for _, c := range in.Candidates {
-		for _, s := range c.occurrence.Steps {
-			if s.Waiting() > 0 && s.Ready() && len(p.assignments) < in.MaxAssignments {
+		for _, s := range c.ReadySteps() {
+			if len(p.assignments) < in.MaxAssignments {
 				p.placeTasks(s, p.pools[c.queue.Pool],
 					ledger.ResourcesOf(in.State.Account(c.occurrence.Job.Account).GetAllowance()))
 			}
@@ -65,6 +66,17 @@
 	return p.assignments
 }
 
+// ReadySteps returns the steps of the occurrence with tasks that may start now.
+func (c *Candidate) ReadySteps() []*ledger.StepRun {
+	var list []*ledger.StepRun
+	for _, s := range c.occurrence.Steps {
+		if s.Waiting() > 0 && s.Ready() {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // placeTasks assigns as many waiting tasks of a step as fit. The tasks of a gang are assigned together or not at all.
 func (p *pass) placeTasks(s *ledger.StepRun, workers []*Worker, quota ledger.Resources) {
 	var waiting []*ledger.Task
@@ -158,7 +170,7 @@
 		}
 		if best == nil {
 			if s.Step.Lasting {
-				reserveWorker(s, workers, required, tasksOnWorker)
+				p.reserveWorker(s, workers, required, tasksOnWorker)
 			}
 			break
 		}
@@ -199,11 +211,14 @@
 
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough.
 // Without the reservation the task would wait for as long as smaller tasks take all capacity that becomes free.
-func reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int) {
+func (p *pass) reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources,
+	tasksOnWorker map[uint64]int,
+) {
 	var best *Worker
 	for _, w := range workers {
 		if !required.Within(w.Capacity().Minus(w.LongRunningUsage)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
-			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) {
+			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) ||
+			p.in.MayReserve != nil && !p.in.MayReserve(s, w) {
 			continue
 		}
 		if best == nil || w.slack(required) > best.slack(required) {
