Ledger: a long-running task starts again after a run that is done

Callers saw a long-running task that never ran again, and its job shown as completed, after its run ended as done.

Cause: the ledger marked the task done, as it does with other tasks. The protocol says that long-running subtasks run until the job is cancelled and must be restarted however they end.

Ruled out: counters that drift from what they count.

The tests on the old code:

TestLongRunningTaskWaitsHoweverItEnds/HOW_DONE/gang=false and gang=true: 0 (int) != 1 (i + 1 int): run 1 TestCountersMatchTasks: a long-running task of job j1 is done

--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -246,6 +246,7 @@
 }
 
 // endRun records the end of a run. A run that was released from its worker before still counts if it is done or failed.
+// The task is done after a run that is, unless it is long-running.
 func (s *State) endRun(w *Worker, k RunKey, how workloadpb.How, checkpoint string) {
 	t := w.runs[k]
 	if t == nil {
@@ -257,6 +258,9 @@
 	}
 	switch how {
 	case workloadpb.How_HOW_DONE:
+		if t.step.Step.Lasting {
+			break // The task starts again until its job is cancelled.
+		}
 		members := t.step.Tasks
 		if !t.step.Step.Gang {
 			members = members[t.Index : t.Index+1]
