Reserve capacity for all waiting tasks of a long-running step at once

Callers saw long-running tasks that were lost together come back one after the other in a pool full of smaller tasks.

Cause: a scheduling pass reserved released capacity for only one waiting task of a step, so five of them waited five times as long as one.

Ruled out: tasks of later candidates that take what was reserved; the reservation lowers the free capacity that they see.

Now each waiting task that the quota allows gets a reservation, and a reservation counts against the capacity and the limit per worker of the next one.

TestLostTasksGetCapacityAtOnce on the old code (tasks of 7 s in the pool):

longest is >= maxWait: a task waited for 11.34s, 0 ran

--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -162,8 +162,10 @@
 			}
 		}
 		if best == nil {
-			if s.Step.Lasting {
-				reserveWorker(s, workers, required, tasksOnWorker)
+			for i := len(chosen); i < n && s.Step.Lasting; i++ {
+				if !reserveWorker(s, workers, required, tasksOnWorker) {
+					break
+				}
 			}
 			break
 		}
@@ -175,9 +177,10 @@
 	return chosen
 }
 
-// reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough.
-// Without the reservation the task would wait for as long as smaller tasks take all capacity that becomes free.
-func reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int) {
+// reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough,
+// and reports whether there is one. Without the reservation the task would wait for as long as smaller tasks take all
+// capacity that becomes free.
+func reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int) bool {
 	var best *Worker
 	for _, w := range workers {
 		if !required.Within(w.Capacity().Minus(w.LongRunningUsage)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
@@ -188,9 +191,13 @@
 			best = w
 		}
 	}
-	if best != nil {
-		best.free = best.free.Minus(required)
+	if best == nil {
+		return false
 	}
+	best.free = best.free.Minus(required)
+	best.LongRunningUsage = best.LongRunningUsage.Plus(required)
+	tasksOnWorker[best.Number()]++
+	return true
 }
 
 // slack returns the share of its capacity that a worker would have left after a task reserved the required capacity. It
--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -1,6 +1,9 @@
 package workload_test
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -134,3 +137,43 @@
 	s.run(20 * time.Second)
 	assert.Equal(t, s.running("last"), 4)
 }
+
+// Guards against long-running tasks that get released capacity one after the other when several are lost at once.
+func TestLostTasksGetCapacityAtOnce(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 11)
+	s.run(time.Second)
+	lasting := longRunningStep(5, 1, 0)
+	lasting.Need.Cpu = 6000
+	s.submit("glass", "last", lasting)
+	s.run(time.Second)
+	s.submit("glass", "small", step(1000, 900, 100, 7000))
+	s.run(3 * time.Second)
+	s.spreadEnds(7 * time.Second)
+	isLast := func(task string) bool { return strings.HasPrefix(task, "last.") }
+	for _, id := range sortedIDs(s.workers) {
+		w := s.workers[id]
+		if slices.ContainsFunc(slices.Collect(maps.Keys(w.runs)), isLast) {
+			w.dead = true
+			s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
+				Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs},
+			}})
+		}
+	}
+	assert.Equal(t, s.running("last"), 0)
+	longest, least := s.longestWait("last", 5, 20*time.Second)
+	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+}
+
+// spreadEnds spreads the ends of the runs that end by themselves over d.
+func (s *sim) spreadEnds(d time.Duration) {
+	n := 0
+	for _, id := range sortedIDs(s.workers) {
+		runs := s.workers[id].runs
+		for _, task := range slices.Sorted(maps.Keys(runs)) {
+			n += 37 // coprime to 100, so that neighbours end far apart
+			runs[task].endsAt = s.now + d*time.Duration(n%100)/100
+		}
+	}
+}
