Reserve capacity for a whole long-running gang or for none of it

Callers saw a long-running gang that never started in a pool full of smaller tasks, and smaller tasks that never started beside a gang that the pool can't hold.

Cause: a scheduling pass released the capacity that it had found for the first members of a gang when the last one had none, so smaller tasks took it at once. The reservation for the last members stayed, also if the gang can never fit.

Ruled out: an effect of the reservations for all tasks of a step.

Now a long-running gang keeps what it has found and what it waits for if the pool can hold all of it, otherwise neither. Tasks that were placed in the same pass count as long-running usage, so that a reservation doesn't rely on their capacity.

--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -87,9 +87,13 @@
 	if s.Step.Gang && n < len(waiting) {
 		return
 	}
-	chosen := p.chooseWorkers(s, workers, n)
+	chosen, reserved := p.chooseWorkers(s, workers, n)
 	if s.Step.Gang && len(chosen) < len(waiting) {
-		p.releaseTasks(s, chosen)
+		// A gang keeps its capacity only if there will be enough for all of it.
+		if len(chosen)+len(reserved) < len(waiting) {
+			p.releaseTasks(s, chosen)
+			p.releaseTasks(s, reserved)
+		}
 		return
 	}
 	lastRun := int32(0)
@@ -129,11 +133,13 @@
 	}
 	if s.Lasting {
 		w.LongRunning += n
+		w.LongRunningUsage = w.LongRunningUsage.Plus(ledger.RequiredCapacity(s).Times(n))
 	}
 }
 
-// chooseWorkers reserves capacity for up to n tasks of a step and returns their workers, one entry for each task.
-func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) []*Worker {
+// chooseWorkers reserves capacity for up to n tasks of a step and returns their workers, one entry for each task: the
+// chosen workers have enough free capacity now, the reserved ones once other tasks have ended.
+func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) (chosen, reserved []*Worker) {
 	tasksOnWorker := map[uint64]int{}
 	rack := s.Step.DataRack
 	for i := range s.Tasks {
@@ -153,7 +159,6 @@
 	if s.Step.RackSensitive && rack == "" {
 		rack = rackWithMostRoom(s, workers, required, fits)
 	}
-	var chosen []*Worker
 	for len(chosen) < n && len(p.assignments)+len(chosen) < p.in.MaxAssignments+len(s.Tasks) {
 		var best *Worker
 		for _, w := range workers {
@@ -162,10 +167,12 @@
 			}
 		}
 		if best == nil {
-			for i := len(chosen); i < n && s.Step.Lasting; i++ {
-				if !reserveWorker(s, workers, required, tasksOnWorker) {
+			for s.Step.Lasting && len(chosen)+len(reserved) < n {
+				w := reserveWorker(s, workers, required, tasksOnWorker)
+				if w == nil {
 					break
 				}
+				reserved = append(reserved, w)
 			}
 			break
 		}
@@ -174,13 +181,15 @@
 		tasksOnWorker[best.Number()]++
 		chosen = append(chosen, best)
 	}
-	return chosen
+	return chosen, reserved
 }
 
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough,
-// and reports whether there is one. Without the reservation the task would wait for as long as smaller tasks take all
-// capacity that becomes free.
-func reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int) bool {
+// and returns that worker, nil if there is none. Without the reservation the task would wait for as long as smaller
+// tasks take all capacity that becomes free.
+func reserveWorker(
+	s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int,
+) *Worker {
 	var best *Worker
 	for _, w := range workers {
 		if !required.Within(w.Capacity().Minus(w.LongRunningUsage)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
@@ -191,13 +200,12 @@
 			best = w
 		}
 	}
-	if best == nil {
-		return false
+	if best != nil {
+		best.free = best.free.Minus(required)
+		best.addTasks(s.Step, 1)
+		tasksOnWorker[best.Number()]++
 	}
-	best.free = best.free.Minus(required)
-	best.LongRunningUsage = best.LongRunningUsage.Plus(required)
-	tasksOnWorker[best.Number()]++
-	return true
+	return best
 }
 
 // slack returns the share of its capacity that a worker would have left after a task reserved the required capacity. It
--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -166,6 +166,37 @@
 	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
 }
 
+// Guards against a long-running gang that never starts, because smaller tasks take the capacity for its first members
+// while the last one waits for its own.
+func TestLongRunningGangGetsCapacity(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 4)
+	s.run(time.Second)
+	s.submit("glass", "small", step(2000, 1900, 100, 2100))
+	s.run(time.Second)
+	s.spreadEnds(2100 * time.Millisecond)
+	gang := longRunningStep(4, 0, 0)
+	gang.Gang, gang.Need.Cpu = true, 6000
+	s.submit("glass", "last", gang)
+	longest, least := s.longestWait("last", 4, 20*time.Second)
+	assert.Assert(t, longest < maxWait, "the gang waited for %v, %d ran", longest, least)
+}
+
+// Guards against tasks that wait for good beside a long-running gang that its pool can't hold.
+func TestGangWithoutRoomHoldsNoCapacity(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	gang := longRunningStep(2, 0, 0)
+	gang.Gang, gang.Need.Cpu = true, 10000
+	s.submit("glass", "last", gang)
+	s.submit("glass", "small", step(1, 8000, 100, 500))
+	s.run(10 * time.Second)
+	assert.Equal(t, s.jobState("glass", "small"), "completed")
+	assert.Equal(t, s.running("last"), 0)
+}
+
 // spreadEnds spreads the ends of the runs that end by themselves over d.
 func (s *sim) spreadEnds(d time.Duration) {
 	n := 0
