--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -99,9 +99,13 @@
 	if s.Step.Gang && n < len(waiting) {
 		return
 	}
-	chosen := p.chooseWorkers(s, workers, n)
+	chosen, reserved := p.chooseWorkers(s, workers, n)
 	if s.Step.Gang && len(chosen) < len(waiting) {
-		p.releaseTasks(s, chosen)
+		// A gang keeps its capacity only if there will be enough for all of it.
+		if len(chosen)+len(reserved) < len(waiting) {
+			p.releaseTasks(s, chosen)
+			p.releaseTasks(s, reserved)
+		}
 		return
 	}
 	lastRun := int32(0)
@@ -141,11 +145,13 @@
 	}
 	if s.Lasting {
 		w.LongRunning += n
+		w.LongRunningUsage = w.LongRunningUsage.Plus(ledger.RequiredCapacity(s).Times(n))
 	}
 }
 
-// chooseWorkers reserves capacity for up to n tasks of a step and returns their workers, one entry for each task.
-func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) []*Worker {
+// chooseWorkers reserves capacity for up to n tasks of a step and returns their workers, one entry for each task: the
+// chosen workers have enough free capacity now, the reserved ones once other tasks have ended.
+func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) (chosen, reserved []*Worker) {
 	tasksOnWorker := TasksOnWorkers(s)
 	rack := s.Step.DataRack
 	for i := range s.Tasks {
@@ -160,7 +166,6 @@
 	if s.Step.RackSensitive && rack == "" {
 		rack = rackWithMostRoom(s, workers, required, fits)
 	}
-	var chosen []*Worker
 	for len(chosen) < n && len(p.assignments)+len(chosen) < p.in.MaxAssignments+len(s.Tasks) {
 		var best *Worker
 		for _, w := range workers {
@@ -169,8 +174,12 @@
 			}
 		}
 		if best == nil {
-			if s.Step.Lasting {
-				p.reserveWorker(s, workers, required, tasksOnWorker)
+			for s.Step.Lasting && len(chosen)+len(reserved) < n {
+				w := p.reserveWorker(s, workers, required, tasksOnWorker)
+				if w == nil {
+					break
+				}
+				reserved = append(reserved, w)
 			}
 			break
 		}
@@ -179,7 +188,7 @@
 		tasksOnWorker[best.Number()]++
 		chosen = append(chosen, best)
 	}
-	return chosen
+	return chosen, reserved
 }
 
 // TasksOnWorkers returns the number of assigned tasks of a step by the number of the worker's incarnation.
@@ -209,25 +218,26 @@
 	return ""
 }
 
-// reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough.
-// Without the reservation the task would wait for as long as smaller tasks take all capacity that becomes free.
-func (p *pass) reserveWorker(s *ledger.StepRun, workers []*Worker, required ledger.Resources,
-	tasksOnWorker map[uint64]int,
-) {
+// reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough,
+// and returns that worker, nil if there is none. Without the reservation the task would wait for as long as smaller
+// tasks take all capacity that becomes free.
+func (p *pass) reserveWorker(
+	s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int,
+) *Worker {
+	in := Input{Allowed: p.in.MayReserve}
 	var best *Worker
 	for _, w := range workers {
-		if !required.Within(w.Capacity().Minus(w.LongRunningUsage)) || s.Step.Label != "" && !w.HasLabel(s.Step.Label) ||
-			s.Step.MaxPerWorker > 0 && tasksOnWorker[w.Number()] >= int(s.Step.MaxPerWorker) ||
-			p.in.MayReserve != nil && !p.in.MayReserve(s, w) {
-			continue
-		}
-		if best == nil || w.slack(required) > best.slack(required) {
+		if in.Misfit(s, w, w.Capacity().Minus(w.LongRunningUsage), tasksOnWorker[w.Number()]) == "" &&
+			(best == nil || w.slack(required) > best.slack(required)) {
 			best = w
 		}
 	}
 	if best != nil {
 		best.free = best.free.Minus(required)
+		best.addTasks(s.Step, 1)
+		tasksOnWorker[best.Number()]++
 	}
+	return best
 }
 
 // slack returns the share of its capacity that a worker would have left after a task reserved the required capacity. It
