Take newer readings of slow clocks of workers

What callers saw: long-running tasks of a lost worker that ran again the later, the longer the worker had been running.

Cause: a reading of a worker's clock was taken only if it was ahead of the last one by at least the time that had passed. A clock may be 2 % slow, and then no reading after the first was. So a lease ran from an estimate of the clock that was ahead by 2 % of the worker's age, and was longer by as much, up to the longest lease that workers accept; the time after which runs are given up grew without a bound.

Change: a reading is taken if it tells more about the clock than the last one at the slowest rate.

TestSlowClockKeepsLeaseLength failed before, with a loss after five minutes and clocks 1 and 2 % slow: the task did not run 9 s after the loss.

--- a/internal/workload/lost_worker_test.go
+++ b/internal/workload/lost_worker_test.go
@@ -70,6 +70,33 @@
 	}
 }
 
+// Guards against leases that grow with the age of a worker whose clock is slow, and tasks that restart late after its loss.
+func TestSlowClockKeepsLeaseLength(t *testing.T) {
+	for _, rate := range []float64{1, 0.99, 0.98} {
+		for _, lostAt := range []time.Duration{10 * time.Second, time.Minute, 5 * time.Minute} {
+			t.Run(fmt.Sprintf("%v-%v", rate, lostAt), func(t *testing.T) {
+				s := newSim(t)
+				s.setMaxLease(10 * time.Second)
+				s.configure(1, nil, "glass")
+				workers := s.addWorkers("glass", 2)
+				for _, w := range workers {
+					w.clockRate = rate
+				}
+				longRunning := step(1, 4000, 1000, 0)
+				longRunning.Lasting = true
+				s.submit("glass", "last", longRunning)
+				s.run(lostAt)
+				for _, w := range workers {
+					w.dead = len(w.runs) > 0
+				}
+				assert.Equal(t, s.running("last"), 0)
+				s.run(maxRestartTime)
+				assert.Equal(t, s.running("last"), 1)
+			})
+		}
+	}
+}
+
 // Guards against a lease that is counted for a request which carries none, so that a lost worker's runs are given up late.
 func TestStopsAndThrottlesGrantNoLease(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -186,9 +186,11 @@
 	return h
 }
 
-// recordClock records a reading of the worker's clock that was taken no later than at.
+// recordClock records a reading of the worker's clock that was taken no later than at. A reading that was held up on its
+// way, so that an earlier one tells more, is dropped.
 func (s *session) recordClock(clock int64, at time.Duration) {
-	if !s.clockKnown || clock+(s.clockReadAt-at).Milliseconds() >= s.workerClockMs {
+	elapsed := float64((at - s.clockReadAt).Milliseconds())
+	if !s.clockKnown || float64(clock-s.workerClockMs) >= minClockRate*elapsed {
 		s.workerClockMs, s.clockReadAt, s.clockKnown = clock, at, true
 	}
 }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -76,6 +76,8 @@
 	load int64
 	// stuck runs never end by themselves.
 	stuck bool
+	// clockRate is the rate of the worker's clock.
+	clockRate float64
 }
 
 type fakeRun struct {
@@ -206,6 +208,7 @@
 	id := fmt.Sprintf("w-%s-%d", instance, s.now.Milliseconds())
 	w := &fakeWorker{
 		sim: s, startedAt: s.now, runs: map[string]*fakeRun{}, highestRun: map[string]int32{}, how: workloadpb.How_HOW_DONE,
+		clockRate: 1,
 		m: &workloadpb.Worker{
 			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: "a-" + id, Pool: row.Pool,
 			Capacity: row.Capacity, Labels: row.Labels,
@@ -226,7 +229,9 @@
 	}}})
 }
 
-func (w *fakeWorker) clockMs() int64 { return (w.sim.now - w.startedAt).Milliseconds() }
+func (w *fakeWorker) clockMs() int64 {
+	return int64(w.clockRate * float64((w.sim.now - w.startedAt).Milliseconds()))
+}
 
 func (s *sim) schedule(d time.Duration, f func()) { s.timers = append(s.timers, timer{s.now + d, f}) }
 
