--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -152,8 +152,8 @@
 	return answer.ticket != "" && a.now < answer.validUntil
 }
 
-// mayReserve reports whether a worker may keep capacity for a step. An answer that isn't valid any more will most likely
-// be repeated, and without the reservation other tasks would take the capacity in the meantime.
+// mayReserve reports whether a worker may keep capacity for a step. An answer that isn't valid any more will most
+// likely be repeated, and without the reservation other tasks would take the capacity in the meantime.
 func (a *advice) mayReserve(s *ledger.StepRun, w *schedule.Worker) bool {
 	return a.steps[s] == nil || a.ticket(s, w.Number()) != ""
 }
--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -244,7 +244,7 @@
 	assert.Equal(t, s.running("last"), 1)
 }
 
-// Guards against a task that waits for good, because its queue needed advice when it was submitted and doesn't any more.
+// Guards against a task that waits for good because its queue needed advice when it was submitted, but not any more.
 func TestTaskStartsAfterAdviceIsDropped(t *testing.T) {
 	s := newSim(t)
 	s.configure(1, withAdvice, "glass")
