Pools grow only by instances that their waiting tasks can use

Callers saw a long-running task that waited for an instance, while another pool held all spare instances without running anything on them.

Cause: while any long-running task waited, its pool grew by one more instance every 100 ms, whether or not an instance could run the task (label, capacity, quota of the account), also while one was on its way. Such a pool never had a surplus.

Ruled out: unusable workers that count as instances of the pool. They don't keep a pool with a waiting task from growing, since it grows beyond what it has.

Now the pool grows by at most one instance at a time for each waiting task that the quota allows, and only by instances that can run one of them. An idle instance that none of the waiting tasks can use may leave. An instance that was off longest moves first, so that rejected moves of one don't keep the pool from growing.

TestPoolGrowsBySuitableInstance passes on the old code, which took all instances; it guards what this change could break.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -61,6 +61,7 @@
 	Instance
 	operation *operation
 	idleSince time.Duration // 0 while it is busy
+	movedAt   time.Duration // when a move was last begun
 	// maintainAfter is the time before which no maintenance starts, because it was held up.
 	maintainAfter time.Duration
 }
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -1,7 +1,9 @@
 package workload
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -36,15 +38,34 @@
 	name             string
 	spare            bool
 	demand           ledger.Resources
-	minInstances     int  // instances that the long-running tasks need
-	hasUnplaced      bool // a long-running task has no worker
-	lacksRoom        bool // maintenance waits for room for a long-running task
-	growing          bool // an instance is moving to the pool
-	have             int  // instances that serve the pool or are moving to it
+	minInstances     int // instances that the long-running tasks need
+	have             int // instances that serve the pool or are moving to it
+	growing          int // instances that are moving to the pool
 	instanceCapacity ledger.Resources
 	want             int
+	// unplaced holds the long-running steps with tasks that wait for a worker, or for another one before maintenance.
+	unplaced      []*ledger.StepRun
+	unplacedTasks int
+	// growsForUnplaced is set once tasks were unplaced for unplacedGrowDelay.
+	growsForUnplaced bool
 }
 
+func (v *poolView) addUnplaced(st *ledger.StepRun, tasks int) {
+	v.unplaced = append(v.unplaced, st)
+	v.unplacedTasks += tasks
+}
+
+// suitsUnplaced reports whether an unplaced task could run on an instance with nothing else on it.
+func (v *poolView) suitsUnplaced(in *instance) bool {
+	return slices.ContainsFunc(v.unplaced, func(st *ledger.StepRun) bool {
+		return ledger.RequiredCapacity(st.Step).Within(ledger.ResourcesOf(in.Capacity)) &&
+			(st.Step.Label == "" || slices.Contains(in.Labels, st.Step.Label))
+	})
+}
+
+// hasSurplus reports whether the pool has more instances than it needs, and none of its tasks waits for this one.
+func (v *poolView) hasSurplus(in *instance) bool { return v.have > v.want && !v.suitsUnplaced(in) }
+
 // balancePools moves idle instances to the pools that need them, and turns off those that no pool needs.
 func (e *Engine) balancePools() {
 	d := e.state.Document()
@@ -82,11 +103,14 @@
 		if in.operation == nil && !in.Up && !e.isReturning(in) {
 			continue
 		}
-		if op := in.operation; op != nil {
-			v.lacksRoom = v.lacksRoom || op.lacksRoom && !op.requested
-			v.growing = v.growing || op.pool != ""
-		}
 		s := e.sessionOf(in)
+		if op := in.operation; op != nil && op.pool != "" {
+			v.growing++
+		} else if op != nil && op.lacksRoom && !op.requested && s != nil {
+			for st := range s.longRunningCounts() {
+				v.addUnplaced(st, 1)
+			}
+		}
 		if s != nil && (s.worker.IsDraining() || s.failures > 0) {
 			continue
 		}
@@ -100,26 +124,28 @@
 			idle = append(idle, in)
 		}
 	}
+	// An instance whose move was rejected must not be tried again before the others.
+	slices.SortStableFunc(off, func(a, b *instance) int { return cmp.Compare(a.movedAt, b.movedAt) })
 	for _, v := range order {
-		v.hasUnplaced = v.hasUnplaced || v.lacksRoom && !v.growing
-		if !v.hasUnplaced {
+		if len(v.unplaced) == 0 {
 			delete(e.fleet.unplacedSince, v.name)
-		} else if since, ok := e.fleet.unplacedSince[v.name]; !ok {
-			e.fleet.unplacedSince[v.name], v.hasUnplaced = e.now, false
+		} else if since, ok := e.fleet.unplacedSince[v.name]; ok {
+			v.growsForUnplaced = e.now-since >= unplacedGrowDelay
 		} else {
-			v.hasUnplaced = e.now-since >= unplacedGrowDelay
+			e.fleet.unplacedSince[v.name] = e.now
 		}
 		v.computeWant()
 	}
 	for _, v := range order {
-		for !v.spare && v.have < v.want {
-			in := takeInstance(&off, &idle, pools)
+		for !v.spare {
+			in := takeInstance(v, &off, &idle, pools)
 			if in == nil {
 				break
 			}
 			e.fleet.noSurplusAt[v.name] = e.now
 			pools[in.Pool].have--
 			v.have++
+			v.growing++
 			e.moveInstance(in, v.name, v)
 		}
 		if !v.spare && v.have <= v.want {
@@ -129,7 +155,7 @@
 	for _, in := range idle {
 		v := pools[in.Pool]
 		noSurplusAt, ok := e.fleet.noSurplusAt[in.Pool]
-		if in.operation == nil && v.have > v.want && e.now-in.idleSince >= idleTimeout &&
+		if in.operation == nil && v.hasSurplus(in) && e.now-in.idleSince >= idleTimeout &&
 			(!ok || e.now-noSurplusAt >= shrinkDelay) {
 			v.have--
 			e.moveInstance(in, spare, v)
@@ -159,7 +185,9 @@
 				if st.Step.Lasting {
 					per := schedule.PreferredPerWorker(st.Step)
 					v.minInstances = max(v.minInstances, (n+per-1)/per)
-					v.hasUnplaced = v.hasUnplaced || st.Waiting() > 0
+					if st.Waiting() > 0 && e.isWithinQuota(st) {
+						v.addUnplaced(st, st.Waiting())
+					}
 				}
 			}
 		}
@@ -180,10 +208,13 @@
 		}
 	}
 	v.want = max(int(math.Ceil(needed*headroom)), v.minInstances, minPoolInstances)
-	if v.hasUnplaced {
-		// The free capacity of the pool may be fragmented.
-		v.want = max(v.want, v.have+1)
-	}
+}
+
+// isWithinQuota reports whether the quota of its client account allows one more task of a step.
+func (e *Engine) isWithinQuota(st *ledger.StepRun) bool {
+	account := st.Occurrence.Job.Account
+	quota := ledger.ResourcesOf(e.state.Account(account).GetAllowance())
+	return e.state.Usage(account).Plus(ledger.ResourcesOf(st.Step.Need)).WithinQuota(quota)
 }
 
 // effectivePool returns the pool that an instance serves or is moving to.
@@ -209,24 +240,32 @@
 	}
 }
 
-// takeInstance removes and returns an idle instance of a pool with a surplus, or else one that is off.
-func takeInstance(off, idle *[]*instance, pools map[string]*poolView) *instance {
-	for i, in := range *idle {
-		if v := pools[in.Pool]; v.have > v.want {
-			*idle = append((*idle)[:i:i], (*idle)[i+1:]...)
-			return in
+// takeInstance removes and returns an instance for a pool, an idle one of a pool with a surplus, or else one that is
+// off. It returns nil if the pool needs no further instance or if there is none. The free capacity of a pool may be
+// fragmented, so the pool also grows by one instance for each unplaced task, if the instance can run it.
+func takeInstance(v *poolView, off, idle *[]*instance, pools map[string]*poolView) *instance {
+	if v.have >= v.want && (!v.growsForUnplaced || v.growing >= v.unplacedTasks) {
+		return nil
+	}
+	take := func(list *[]*instance, mayTake func(in *instance) bool) *instance {
+		i := slices.IndexFunc(*list, func(in *instance) bool {
+			return (v.have < v.want || v.suitsUnplaced(in)) && mayTake(in)
+		})
+		if i < 0 {
+			return nil
 		}
+		in := (*list)[i]
+		*list = slices.Delete(slices.Clone(*list), i, i+1)
+		return in
 	}
-	if len(*off) == 0 {
-		return nil
+	if in := take(idle, func(in *instance) bool { return in.Pool != v.name && pools[in.Pool].hasSurplus(in) }); in != nil {
+		return in
 	}
-	in := (*off)[0]
-	*off = (*off)[1:]
-	return in
+	return take(off, func(*instance) bool { return true })
 }
 
 func (e *Engine) moveInstance(in *instance, pool string, v *poolView) {
-	in.operation = &operation{pool: pool, createdAt: e.now}
+	in.operation, in.movedAt = &operation{pool: pool, createdAt: e.now}, e.now
 	if s := e.sessionOf(in); s != nil {
 		s.reservedForOperation = true
 	}
--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -208,3 +208,85 @@
 		}
 	}
 }
+
+// Guards against a pool that takes all spare instances for a task that none of them can run, so that tasks of other
+// pools wait.
+func TestPoolGrowsOnlyForTasksThatInstancesCanRun(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(d *workloadpb.Document, st *workloadpb.Step)
+	}{
+		{"label", func(_ *workloadpb.Document, st *workloadpb.Step) { st.Label = "r9" }},
+		{"capacity", func(_ *workloadpb.Document, st *workloadpb.Step) { st.Need.Cpu = 17000 }},
+		{"quota", func(d *workloadpb.Document, _ *workloadpb.Step) {
+			d.Accounts = []*workloadpb.Account{{Name: "crew", Keys: []string{"k"}, Allowance: &workloadpb.Resources{Cpu: 3000}}}
+			d.Queues[0].Public = false
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			hopeless := longRunningStep(2, 0, 0)
+			s.configure(1, func(d *workloadpb.Document) { tt.change(d, hopeless) }, "glass", "plates", "spare")
+			s.addWorkers("glass", 1)
+			s.addWorkers("plates", 1)
+			s.addWorkers("spare", 4)
+			s.run(time.Second)
+			r := s.call(&workloadpb.Command{Change: &workloadpb.Command_Submit{Submit: &workloadpb.Submit{
+				Host: "h", Path: "/glass/a", Id: "a", Spec: "spec a", Key: "k", Steps: []*workloadpb.Step{hopeless},
+			}}})
+			assert.Equal(t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
+			s.run(5 * time.Second)
+			big := longRunningStep(2, 0, 0)
+			big.Need.Cpu = 9000
+			s.submit("plates", "last", big)
+			longest, _ := s.longestWait("last", 2, 20*time.Second)
+			assert.Assert(t, longest < maxWait, "a task waited for %v, %d instances in glass", longest,
+				s.countInstances("glass"))
+		})
+	}
+}
+
+// Guards against a pool that takes all spare instances while the one for its waiting task is on its way.
+func TestPoolGrowsByOneInstanceForOneTask(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass", "spare")
+	s.addWorkers("glass", 1)
+	s.addWorkers("spare", 8)
+	s.submit("glass", "first", longRunningStep(3, 0, 0))
+	s.submit("glass", "second", longRunningStep(3, 0, 0))
+	s.run(2 * time.Second)
+	last := longRunningStep(1, 0, 0)
+	last.Need.Cpu = 5000
+	s.submit("glass", "last", last)
+	longest, _ := s.longestWait("last", 1, 10*time.Second)
+	assert.Assert(t, longest < maxWait, "the task waited for %v", longest)
+	assert.Equal(t, s.moves, 1)
+}
+
+// Guards against a pool that doesn't grow by the only instance that a waiting task can use.
+func TestPoolGrowsBySuitableInstance(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		label  string
+		reject bool // of moves of the first instance
+	}{{"label", "r2", false}, {"others-rejected", "a", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass", "spare")
+			s.addWorkers("glass", 1)
+			s.addWorkers("spare", 9) // the last one on rack r2
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				m, ok := a.(workload.MoveInstance)
+				return workload.Malformed, ok && tt.reject && m.Instance == "m-spare-0"
+			}
+			s.submit("glass", "first", longRunningStep(3, 0, 0))
+			s.submit("glass", "second", longRunningStep(3, 0, 0))
+			s.run(2 * time.Second)
+			last := longRunningStep(1, 0, 0)
+			last.Need.Cpu, last.Label = 5000, tt.label
+			s.submit("glass", "last", last)
+			longest, _ := s.longestWait("last", 1, 20*time.Second)
+			assert.Assert(t, longest < maxWait, "the task waited for %v", longest)
+		})
+	}
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -212,11 +212,10 @@
 		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
 			continue
 		}
-		quota := ledger.ResourcesOf(e.state.Account(j.Account).GetAllowance())
 		for _, o := range j.Occurrences() {
 			for _, st := range o.Steps {
 				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && s.suits(st, s.worker.Free()) &&
-					e.state.Usage(j.Account).Plus(ledger.ResourcesOf(st.Step.Need)).WithinQuota(quota) {
+					e.isWithinQuota(st) {
 					return true
 				}
 			}
