Maintenance stops no more tasks at once than other workers have room for

Callers saw two tasks of a step stopped for one place elsewhere. The second one waited although its instance couldn't go yet, and could put off the maintenance again and again.

Cause: room on other workers was looked up for each task by itself.

Ruled out: a step that may miss only one task at a time; its tasks are stopped one after the other anyway.

Now the tasks of the step that wait or are being stopped count against that room.

TestMaintenanceStopsNoMoreTasksThanHaveRoom on the old code:

7 (int) != 8 (int)

--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -100,6 +101,28 @@
 	}
 }
 
+// Guards against maintenance that stops more tasks than other workers have room for, while the instance can't go yet.
+func TestMaintenanceStopsNoMoreTasksThanHaveRoom(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 3)
+	s.submit("glass", "last", longRunningStep(8, 3, 2))
+	small := step(3, 500, 100, 20000)
+	small.MaxPerWorker = 1
+	s.submit("glass", "small", small)
+	s.run(5 * time.Second)
+	assert.Equal(t, s.running("last"), 8)
+	full := slices.IndexFunc([]string{"m-glass-0", "m-glass-1", "m-glass-2"}, func(name string) bool {
+		return len(s.workers[s.instances[name].Worker].runs) == 4
+	})
+	s.startWave(1, 1, fmt.Sprintf("m-glass-%d", full))
+	s.run(1200 * time.Millisecond)
+	assert.Equal(t, s.running("last"), 8)
+	longest, _ := s.longestWait("last", 8, 20*time.Second)
+	assert.Assert(t, longest < maxWait, "a task waited for %v", longest)
+	assert.Assert(t, s.waveCompleted(1))
+}
+
 // Guards against tasks of a lost worker that wait for as long as maintenance waits for them.
 func TestMaintenanceLeavesRoomForLostTasks(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -163,34 +163,41 @@
 	return true
 }
 
-// hasRoomElsewhere reports whether a worker other than that of s may take a long-running task, once other tasks have
-// released its capacity.
+// hasRoomElsewhere reports whether workers other than that of s have room for one more long-running task than those of
+// the step that wait or are being stopped on s, once other tasks have released their capacity.
 func (e *Engine) hasRoomElsewhere(st *ledger.StepRun, s *session) bool {
 	q := e.state.Queue(st.Occurrence.Job.Queue)
 	if q == nil {
 		// No worker may run the task, so there is nothing to wait for.
 		return true
 	}
+	needed := st.Waiting() + 1
+	for _, r := range s.runs {
+		if r.shouldStop && r.task.Step() == st {
+			needed++
+		}
+	}
 	for _, w := range e.state.Workers() {
-		o := e.sessions[w.Number()]
-		if w.Pool() == q.Pool && o != s && e.isUsable(o) &&
-			o.suits(st, w.Capacity().Minus(o.schedulerView().LongRunningUsage)) {
-			return true
+		if o := e.sessions[w.Number()]; w.Pool() == q.Pool && o != s && e.isUsable(o) {
+			needed -= o.countRoom(st, w.Capacity().Minus(o.schedulerView().LongRunningUsage), needed)
 		}
 	}
-	return false
+	return needed <= 0
 }
 
-// suits reports whether a worker with the given room may run one more task of a step.
-func (s *session) suits(st *ledger.StepRun, room ledger.Resources) bool {
+// countRoom returns how many more tasks of a step a worker with the given room may run, at most limit.
+func (s *session) countRoom(st *ledger.StepRun, room ledger.Resources, limit int) int {
+	if st.Step.Label != "" && !s.worker.HasLabel(st.Step.Label) {
+		return 0
+	}
+	if st.Step.MaxPerWorker > 0 {
+		limit = min(limit, int(st.Step.MaxPerWorker)-s.longRunningCounts()[st])
+	}
 	n := 0
-	for _, t := range s.worker.Runs() {
-		if t.Step() == st {
-			n++
-		}
+	for ; n < limit && ledger.RequiredCapacity(st.Step).Times(n+1).Within(room); n++ {
+		continue
 	}
-	return ledger.RequiredCapacity(st.Step).Within(room) && (st.Step.Label == "" || s.worker.HasLabel(st.Step.Label)) &&
-		(st.Step.MaxPerWorker == 0 || n < int(st.Step.MaxPerWorker))
+	return n
 }
 
 // isHeldUp reports whether the maintenance of an instance should wait until later, because no other worker has room for
@@ -214,7 +221,7 @@
 		}
 		for _, o := range j.Occurrences() {
 			for _, st := range o.Steps {
-				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && s.suits(st, s.worker.Free()) &&
+				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && s.countRoom(st, s.worker.Free(), 1) > 0 &&
 					e.isWithinQuota(st) {
 					return true
 				}
