--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -18,8 +18,8 @@
 // maxWait is how long a long-running task may wait after its last run while there is capacity for it.
 const maxWait = 9 * time.Second
 
-// longRunningStep returns a step of n long-running tasks.
-func longRunningStep(n, maxPerWorker, mayMiss int32) *workloadpb.Step {
+// lastingStep returns a step of n long-running tasks.
+func lastingStep(n, maxPerWorker, mayMiss int32) *workloadpb.Step {
 	st := step(n, 2000, 4000, 0)
 	st.Lasting, st.MaxPerWorker, st.MayMiss = true, maxPerWorker, mayMiss
 	return st
@@ -63,7 +63,7 @@
 	s := newSim(t)
 	s.configure(1, nil, "glass")
 	s.addWorkers("glass", 2)
-	s.submit("glass", "last", longRunningStep(4, 2, 1))
+	s.submit("glass", "last", lastingStep(4, 2, 1))
 	s.run(5 * time.Second)
 	assert.Equal(t, s.running("last"), 4)
 	s.startWave(1, 1, "m-glass-0", "m-glass-1")
@@ -89,7 +89,7 @@
 			s.configure(1, nil, "glass", "spare")
 			s.addWorkers("glass", tt.workers)
 			s.addWorkers("spare", tt.spare)
-			s.submit("glass", "last", longRunningStep(4, tt.maxPerWorker, 1))
+			s.submit("glass", "last", lastingStep(4, tt.maxPerWorker, 1))
 			s.run(5 * time.Second)
 			assert.Equal(t, s.running("last"), 4)
 			s.startWave(1, 1, "m-glass-0", "m-glass-1")
@@ -106,7 +106,7 @@
 	s := newSim(t)
 	s.configure(1, nil, "glass")
 	s.addWorkers("glass", 3)
-	s.submit("glass", "last", longRunningStep(8, 3, 2))
+	s.submit("glass", "last", lastingStep(8, 3, 2))
 	small := step(3, 500, 100, 20000)
 	small.MaxPerWorker = 1
 	s.submit("glass", "small", small)
@@ -128,7 +128,7 @@
 	s := newSim(t)
 	s.configure(1, nil, "glass")
 	s.addWorkers("glass", 3)
-	s.submit("glass", "last", longRunningStep(4, 2, 1))
+	s.submit("glass", "last", lastingStep(4, 2, 1))
 	s.run(5 * time.Second)
 	s.startWave(1, 1, "m-glass-0", "m-glass-1", "m-glass-2")
 	for _, id := range sortedIDs(s.workers) {
@@ -153,7 +153,7 @@
 	}
 	s.startWave(1, 2, "m-glass-0", "m-glass-1")
 	s.run(time.Second)
-	s.submit("glass", "last", longRunningStep(4, 2, 1))
+	s.submit("glass", "last", lastingStep(4, 2, 1))
 	longest, least := s.longestWait("last", 4, 20*time.Second)
 	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
 	s.rejectRequest = nil
@@ -167,7 +167,7 @@
 	s.configure(1, nil, "glass")
 	s.addWorkers("glass", 11)
 	s.run(time.Second)
-	lasting := longRunningStep(5, 1, 0)
+	lasting := lastingStep(5, 1, 0)
 	lasting.Need.Cpu = 6000
 	s.submit("glass", "last", lasting)
 	s.run(time.Second)
@@ -199,7 +199,7 @@
 	s.submit("glass", "small", step(2000, 1900, 100, 2100))
 	s.run(time.Second)
 	s.spreadEnds(2100 * time.Millisecond)
-	gang := longRunningStep(4, 0, 0)
+	gang := lastingStep(4, 0, 0)
 	gang.Gang, gang.Need.Cpu = true, 6000
 	s.submit("glass", "last", gang)
 	longest, least := s.longestWait("last", 4, 20*time.Second)
@@ -211,7 +211,7 @@
 	s := newSim(t)
 	s.configure(1, nil, "glass")
 	s.addWorkers("glass", 1)
-	gang := longRunningStep(2, 0, 0)
+	gang := lastingStep(2, 0, 0)
 	gang.Gang, gang.Need.Cpu = true, 10000
 	s.submit("glass", "last", gang)
 	s.submit("glass", "small", step(1, 8000, 100, 500))
@@ -248,7 +248,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSim(t)
-			hopeless := longRunningStep(2, 0, 0)
+			hopeless := lastingStep(2, 0, 0)
 			s.configure(1, func(d *workloadpb.Document) { tt.change(d, hopeless) }, "glass", "plates", "spare")
 			s.addWorkers("glass", 1)
 			s.addWorkers("plates", 1)
@@ -259,7 +259,7 @@
 			}}})
 			assert.Equal(t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
 			s.run(5 * time.Second)
-			big := longRunningStep(2, 0, 0)
+			big := lastingStep(2, 0, 0)
 			big.Need.Cpu = 9000
 			s.submit("plates", "last", big)
 			longest, _ := s.longestWait("last", 2, 20*time.Second)
@@ -275,10 +275,10 @@
 	s.configure(1, nil, "glass", "spare")
 	s.addWorkers("glass", 1)
 	s.addWorkers("spare", 8)
-	s.submit("glass", "first", longRunningStep(3, 0, 0))
-	s.submit("glass", "second", longRunningStep(3, 0, 0))
+	s.submit("glass", "first", lastingStep(3, 0, 0))
+	s.submit("glass", "second", lastingStep(3, 0, 0))
 	s.run(2 * time.Second)
-	last := longRunningStep(1, 0, 0)
+	last := lastingStep(1, 0, 0)
 	last.Need.Cpu = 5000
 	s.submit("glass", "last", last)
 	longest, _ := s.longestWait("last", 1, 10*time.Second)
@@ -302,10 +302,10 @@
 				m, ok := a.(workload.MoveInstance)
 				return workload.Malformed, ok && tt.reject && m.Instance == "m-spare-0"
 			}
-			s.submit("glass", "first", longRunningStep(3, 0, 0))
-			s.submit("glass", "second", longRunningStep(3, 0, 0))
+			s.submit("glass", "first", lastingStep(3, 0, 0))
+			s.submit("glass", "second", lastingStep(3, 0, 0))
 			s.run(2 * time.Second)
-			last := longRunningStep(1, 0, 0)
+			last := lastingStep(1, 0, 0)
 			last.Need.Cpu, last.Label = 5000, tt.label
 			s.submit("glass", "last", last)
 			longest, _ := s.longestWait("last", 1, 20*time.Second)
