--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -16,8 +16,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// longRunningTask returns a step with one long-running task.
-func longRunningTask(cpu int64) *workloadpb.Step {
+// longRunningStep returns a step with one long-running task.
+func longRunningStep(cpu int64) *workloadpb.Step {
 	st := step(1, cpu, 1000, 0)
 	st.Lasting = true
 	return st
@@ -33,7 +33,7 @@
 			s := newSim(t)
 			s.configure(1, nil, "glass")
 			w := s.addWorkers("glass", 1)[0]
-			s.submit("glass", "last", longRunningTask(1000))
+			s.submit("glass", "last", longRunningStep(1000))
 			s.run(time.Second)
 			assert.Equal(t, s.running("last"), 1)
 			stops := 0
@@ -75,7 +75,7 @@
 			s.startTerm()
 			s.run(7 * time.Second)
 			assert.Assert(t, ledger.WaveCompleted(s.e.State().Wave(1)))
-			s.submit("glass", "last", longRunningTask(1000))
+			s.submit("glass", "last", longRunningStep(1000))
 			s.run(3 * time.Second)
 			assert.Equal(t, s.running("last"), 1)
 		})
@@ -129,7 +129,7 @@
 	s.startWorker("m-plates-1")
 	s.run(4 * time.Second)
 	assert.Assert(t, !w.dead)
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
@@ -169,7 +169,7 @@
 	s.run(time.Second)
 	denied := sortedIDs(s.workers)
 	s.advise(20*time.Second, func(_, id string) bool { return !slices.Contains(denied, id) })
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(time.Second)
 	assert.Equal(t, s.running("last"), 0)
 	first.dead = true
@@ -184,7 +184,7 @@
 	s.configure(1, withAdvice, "glass")
 	ws := s.addWorkers("glass", 600)
 	s.advise(time.Second, func(_, id string) bool { return id == ws[599].m.Id })
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
@@ -196,7 +196,7 @@
 	w := s.addWorkers("glass", 1)[0]
 	s.run(time.Second)
 	s.advise(20*time.Second, func(string, string) bool { return true })
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(time.Second)
 	assert.Equal(t, s.running("last"), 1)
 	w.startedAt, w.runs, w.highestRun = s.now, map[string]*fakeRun{}, map[string]int32{}
@@ -224,7 +224,7 @@
 		}
 		return adviser(a)
 	}
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
@@ -240,7 +240,7 @@
 		s.submit("glass", fmt.Sprintf("old-%03d", i), step(1, 1000, 1000, 300))
 	}
 	s.run(time.Second)
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(3 * time.Second)
 	assert.Equal(t, s.running("last"), 1)
 }
@@ -252,7 +252,7 @@
 	s.addWorkers("glass", 1)
 	s.run(time.Second)
 	s.advise(time.Second, func(string, string) bool { return false })
-	s.submit("glass", "last", longRunningTask(1000))
+	s.submit("glass", "last", longRunningStep(1000))
 	s.run(time.Second)
 	assert.Equal(t, s.running("last"), 0)
 	s.configure(2, nil, "glass")
@@ -287,7 +287,7 @@
 				s.submit("free", fmt.Sprintf("small-%03d", i), step(1, 1000, 1000, int64(tt.shortestMs+tt.spreadMs*i)))
 			}
 			s.run(300 * time.Millisecond)
-			s.submit("glass", "last", longRunningTask(tt.cpu))
+			s.submit("glass", "last", longRunningStep(tt.cpu))
 			s.run(2500 * time.Millisecond)
 			assert.Equal(t, s.running("last"), 1)
 		})
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -81,10 +81,8 @@
 		reasons[reason]++
 		e.cfg.IncrementCounter("hibiscusroute_long_running_waits_total", "reason", reason)
 	}
-	quota := ledger.ResourcesOf(e.state.Account(j.Account).GetAllowance())
-	fits := e.state.Usage(j.Account).Plus(ledger.ResourcesOf(s.Step.Need)).WithinQuota(quota)
 	e.cfg.Log.Info("long-running tasks don't run", "job", j.ID, "step", s.Number, "waiting", s.Waiting(),
-		"on-unreachable-workers", unreachable, "for", waited.String(), "within-quota", fits, "pool", q.GetPool(),
+		"on-unreachable-workers", unreachable, "for", waited.String(), "within-quota", e.isWithinQuota(s), "pool", q.GetPool(),
 		"workers", formatReasons(reasons))
 }
 
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -47,9 +47,6 @@
 			return
 		}
 		in.operation = &operation{wave: w.Number, createdAt: e.now, lacksRoomSince: e.now, keepsWaitingSince: e.now}
-		if s := e.sessionOf(in); s != nil {
-			s.reservedForOperation = true
-		}
 		busy++
 	}
 }
