--- /dev/null
+++ b/internal/workload/random_test.go
@@ -0,0 +1,380 @@
+package workload_test
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// The defaults keep the test short; other seeds are run by hand.
+var (
+	firstSeed  = flag.Uint64("workload.seed", 1, "first seed of the random test")
+	randomRuns = flag.Uint64("workload.runs", 20, "seeds of the random test")
+	shrinkRuns = flag.Bool("workload.shrink", false, "shorten the script of a failing seed")
+	leaseFlag  = flag.Duration("workload.lease", 0, "longest lease in the random test, 0 draws it")
+	skipKinds  = flag.String("workload.skip", "", "kinds of events that the random test leaves out, separated by commas")
+)
+
+// action is an event of a script. n selects what it applies to.
+type action struct {
+	at, d time.Duration
+	kind  string
+	n     uint64
+}
+
+func (a action) String() string { return fmt.Sprintf("%v %s for %v, n %d", a.at, a.kind, a.d, a.n) }
+
+// script is what happens in a run. It holds no reference to workers, so that it stays valid when events are left out.
+type script struct {
+	seed    uint64
+	lease   time.Duration
+	pools   []int // number of workers
+	spare   int   // instances in the spare pool, -1 for none
+	advice  []bool
+	cap     []int64 // of the account of each pool's queue, in thousandths of a core, 0 for a public queue
+	actions []action
+	end     time.Duration
+}
+
+// disturbances are the kinds of events that the calm phases don't have.
+var disturbances = []string{
+	"crash", "gone", "silent", "deaf", "mute", "unhealthy", "drain", "late", "unanswered", "fail", "done", "leader",
+	"platform", "adviser", "configure", "queue-moves",
+}
+
+// usual are the kinds of events that are no disturbance.
+var usual = []string{"wave", "cancel", "lasting", "stream", "burst", "fail"}
+
+func newScript(seed uint64) script {
+	r := rand.New(rand.NewPCG(seed, 17))
+	sc := script{seed: seed, lease: []time.Duration{6 * time.Second, 10 * time.Second}[r.IntN(2)], spare: -1}
+	if *leaseFlag > 0 {
+		sc.lease = *leaseFlag
+	}
+	for range 1 + r.IntN(4) {
+		sc.pools = append(sc.pools, 2+r.IntN(7))
+		sc.advice = append(sc.advice, r.IntN(3) == 0)
+		sc.cap = append(sc.cap, []int64{0, 0, 24000, 60000, 120000}[r.IntN(5)])
+	}
+	if r.IntN(2) == 0 {
+		sc.spare = r.IntN(4)
+	}
+	add := func(kind string, at, d time.Duration) {
+		sc.actions = append(sc.actions, action{at: at, d: d, kind: kind, n: r.Uint64()})
+	}
+	between := func(a, b time.Duration) time.Duration { return (a + time.Duration(r.Int64N(int64(b-a)))).Round(simStep) }
+	for range 1 + r.IntN(3*len(sc.pools)) {
+		add("lasting", between(0, 2*time.Second), 0)
+	}
+	now := 3 * time.Second
+	for range 2 + r.IntN(3) {
+		span := between(time.Second, 8*time.Second)
+		for range 1 + r.IntN(8) {
+			add(disturbances[r.IntN(len(disturbances))], now+between(0, span), between(200*time.Millisecond, 9*time.Second))
+		}
+		calm := between(12*time.Second, 18*time.Second)
+		for range r.IntN(6) {
+			add(usual[r.IntN(len(usual))], now+between(0, span+calm), between(time.Second, 15*time.Second))
+		}
+		now += span + calm
+	}
+	slices.SortStableFunc(sc.actions, func(a, b action) int { return int(a.at - b.at) })
+	for _, k := range strings.Split(*skipKinds, ",") {
+		sc.actions = slices.DeleteFunc(sc.actions, func(a action) bool { return a.kind == k })
+	}
+	sc.end = now + 12*time.Second
+	return sc
+}
+
+// player plays a script.
+type player struct {
+	*sim
+	script  script
+	check   *lostCheck
+	doc     *workloadpb.Document
+	jobs    []string          // active jobs with long-running tasks
+	queue   map[string]string // by job
+	streams []stream
+	// Faults that are on until a time.
+	lateUntil, unansweredUntil, platformUntil, adviserUntil time.Duration
+
+	adviserFreeAt time.Duration
+	attempts      map[string]int
+	aloneSince    map[string]time.Duration
+	nextJob       int
+	nextWave      int64
+	out           *strings.Builder
+}
+
+type stream struct {
+	until, next, period time.Duration
+	pool                int
+	n                   uint64
+}
+
+// draw returns a number below n that depends only on the seed, what it is for, and how often it was drawn for it.
+func (p *player) draw(n int, what ...any) int {
+	key := fmt.Sprint(what...)
+	p.attempts[key]++
+	return p.fixed(n, key, p.attempts[key])
+}
+
+// fixed returns a number below n that depends only on the seed and on what it is for.
+func (p *player) fixed(n int, what ...any) int {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, append([]any{p.script.seed}, what...)...)
+	return int(rand.New(rand.NewPCG(h.Sum64(), 1)).Uint64N(uint64(n)))
+}
+
+func (p *player) logf(format string, args ...any) {
+	fmt.Fprintf(p.out, "%8v  ", p.now)
+	fmt.Fprintf(p.out, format+"\n", args...)
+}
+
+func poolName(i int) string { return fmt.Sprintf("p%d", i) }
+
+// play plays a script, and returns what it violates and a log.
+func play(t testing.TB, sc script) (violation, log string) {
+	r := &recorder{TB: t}
+	p := &player{
+		script: sc, queue: map[string]string{}, attempts: map[string]int{}, aloneSince: map[string]time.Duration{},
+		out: &strings.Builder{},
+	}
+	defer func() {
+		if e := recover(); e != nil {
+			if e != errStopped {
+				panic(e)
+			}
+			violation, log = fmt.Sprintf("at %v: %s", p.now, r.text.String()), p.out.String()
+		}
+	}()
+	p.sim = newSim(r)
+	p.setMaxLease(sc.lease)
+	p.check = &lostCheck{
+		sim: p.sim, allowed: p.allows, accounts: map[string]string{},
+		pool:    func(job string) string { return p.queueOf(job).GetPool() },
+		account: func(job string) *workloadpb.Account { return p.e.State().Account(p.check.accounts[job]) },
+	}
+	p.intercept, p.checkTicket = p.handle, p.ticketIsValid
+	p.configureAll()
+	for i, n := range sc.pools {
+		p.addWorkers(poolName(i), n)
+	}
+	if sc.spare >= 0 {
+		p.addWorkers("spare", sc.spare)
+	}
+	actions := sc.actions
+	for p.now < sc.end {
+		for len(actions) > 0 && actions[0].at <= p.now {
+			p.apply(actions[0])
+			actions = actions[1:]
+		}
+		p.submitStreams()
+		p.breakGangs()
+		p.run(simStep)
+		if task, workers := p.check.check(); task != nil {
+			return p.describe(task, workers), p.out.String()
+		}
+	}
+	return "", p.out.String()
+}
+
+func (p *player) describe(t *lastingTask, workers []*fakeWorker) string {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "at %v: task %s of a step %v doesn't run, last ran at %v, last disturbance until %v, lease %v\n  ledger: %s\n",
+		p.now, taskKey(t.name), t.step, t.ranAt, p.check.disturbedUntil, p.maxLease,
+		p.e.ExplainTask(t.name.Job, t.name.Step, t.name.Index))
+	for _, w := range workers {
+		fmt.Fprintf(b, "  room on %s (free %v, %d runs): %s\n", w.m.Id, w.free(), len(w.runs),
+			p.e.Explain(w.m.Id, t.name.Job, t.name.Step))
+	}
+	return b.String()
+}
+
+func (p *player) queueOf(job string) *workloadpb.Queue { return p.e.State().Queue(p.queue[job]) }
+
+func (p *player) configureAll() {
+	if p.doc == nil {
+		p.doc = &workloadpb.Document{}
+		for i := range p.script.pools {
+			q := &workloadpb.Queue{
+				Name: poolName(i), Host: "h", Prefix: "/" + poolName(i) + "/", Pool: poolName(i), MaxAttempts: 3, Stretch: 1.5,
+				SloMs: 600, Public: p.script.cap[i] == 0,
+			}
+			if p.script.advice[i] {
+				q.Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000}
+			}
+			p.doc.Pools = append(p.doc.Pools, &workloadpb.Pool{Name: poolName(i)})
+			p.doc.Queues = append(p.doc.Queues, q)
+			if c := p.script.cap[i]; c > 0 {
+				p.doc.Accounts = append(p.doc.Accounts, &workloadpb.Account{
+					Name: "t" + poolName(i), Keys: []string{"k" + poolName(i)}, Weight: 5, Allowance: &workloadpb.Resources{Cpu: c},
+				})
+			}
+		}
+		if p.script.spare >= 0 {
+			p.doc.Pools = append(p.doc.Pools, &workloadpb.Pool{Name: "spare", Spare: true})
+		}
+	}
+	p.doc = proto.CloneOf(p.doc)
+	p.doc.Version++
+	p.call(&workloadpb.Command{Change: &workloadpb.Command_Document{Document: p.doc}})
+}
+
+func (p *player) submitJob(i int, steps ...*workloadpb.Step) string {
+	p.nextJob++
+	id, q := fmt.Sprintf("j%d", p.nextJob), poolName(i)
+	m := &workloadpb.Submit{Host: "h", Path: "/" + q + "/" + id, Id: id, Spec: "spec " + id, Steps: steps}
+	if p.script.cap[i] > 0 {
+		m.Key = "k" + q
+		p.check.accounts[id] = "t" + q
+	}
+	p.queue[id] = q
+	r := p.call(&workloadpb.Command{Change: &workloadpb.Command_Submit{Submit: m}})
+	assert.Equal(p.t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
+	return id
+}
+
+// drawLasting draws a job with long-running tasks. A task needs at most half of the cap of any account.
+func drawLasting(r *rand.Rand) []*workloadpb.Step {
+	st := step(1+r.Int32N(5), 250*(1+r.Int64N(12)), 500*(1+r.Int64N(10)), 0)
+	st.Lasting = true
+	if r.IntN(3) == 0 {
+		st.MaxPerWorker = 1 + r.Int32N(2)
+	}
+	if r.IntN(3) == 0 {
+		st.MayMiss = 1 + r.Int32N(2)
+	}
+	if r.IntN(4) == 0 {
+		st.Label = []string{"a", "r0", "r1"}[r.IntN(3)]
+	}
+	switch r.IntN(6) {
+	case 0:
+		st.Gang = true
+		st.Need.Cpu = min(st.Need.Cpu, 2000)
+	case 1, 2:
+		st.TargetMs = 100
+		fill := step(1+r.Int32N(4), 500*(1+r.Int64N(6)), 1000, 0)
+		fill.Lasting, fill.Fills = true, true
+		return []*workloadpb.Step{st, fill}
+	}
+	return []*workloadpb.Step{st}
+}
+
+func (p *player) submitSmall(i int, r *rand.Rand) {
+	st := step(1+r.Int32N(8), 500*(1+r.Int64N(8)), 500*(1+r.Int64N(8)), 200+100*r.Int64N(30))
+	if r.IntN(6) == 0 {
+		st.Gang = true
+		st.Count = min(st.Count, 4)
+	}
+	if r.IntN(3) == 0 {
+		second := step(1+r.Int32N(4), 1000, 1000, 300)
+		second.After = []int32{0}
+		p.submitJob(i, st, second)
+		return
+	}
+	p.submitJob(i, st)
+}
+
+func (p *player) submitStreams() {
+	for i := range p.streams {
+		st := &p.streams[i]
+		for ; st.next <= p.now && st.next < st.until; st.next += st.period {
+			st.n++
+			p.submitSmall(st.pool, rand.New(rand.NewPCG(st.n, 3)))
+		}
+	}
+}
+
+// breakGangs ends the runs of gangs that lack members: those of a gang that was complete break, the others wait for the
+// members for a time.
+func (p *player) breakGangs() {
+	members := map[string]int32{}
+	key := func(n workload.RunName) string { return fmt.Sprintf("%s.%d.%d#%d", n.Job, n.Occurrence, n.Step, n.Run) }
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if !w.dead {
+				members[key(r.name)]++
+			}
+		}
+	}
+	for _, id := range sortedIDs(p.workers) {
+		for _, r := range p.workers[id].sortedRuns() {
+			st, k := p.steps[r.name.Job][r.name.Step], key(r.name)
+			switch {
+			case !st.Gang || p.workers[id].dead:
+			case members[k] == st.Count:
+				delete(p.aloneSince, k)
+			case p.aloneSince[k] == 0:
+				p.aloneSince[k] = p.now
+			case p.now-p.aloneSince[k] >= 3*time.Second:
+				p.workers[id].end(r, workloadpb.How_HOW_ALONE)
+			}
+		}
+	}
+}
+
+// recorder records the failure of a test, and ends a run by a panic.
+type recorder struct {
+	testing.TB
+	text strings.Builder
+}
+
+var errStopped = fmt.Errorf("stopped")
+
+func (r *recorder) Helper()         {}
+func (r *recorder) Log(args ...any) { fmt.Fprintln(&r.text, args...) }
+func (r *recorder) FailNow()        { panic(errStopped) }
+func (r *recorder) Fail()           { panic(errStopped) }
+
+// shrink leaves out events as long as the script still fails in the same way.
+func shrink(t testing.TB, sc script, violation string) (script, string, string) {
+	log := ""
+	kind := func(v string) bool { return strings.Contains(v, "doesn't run") }
+	for again := true; again; {
+		again = false
+		for i := len(sc.actions) - 1; i >= 0; i-- {
+			c := sc
+			c.actions = slices.Delete(slices.Clone(sc.actions), i, i+1)
+			if v, l := play(t, c); v != "" && kind(v) == kind(violation) {
+				sc, violation, log, again = c, v, l, true
+			}
+		}
+	}
+	return sc, violation, log
+}
+
+// Guards against long-running tasks that wait beside free capacity after disturbances that overlap, and against runs
+// that are started twice, without a lease or beyond the capacity of a worker.
+func TestRandomDisturbances(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*randomRuns; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sc := newScript(seed)
+			violation, log := play(t, sc)
+			if violation == "" {
+				return
+			}
+			if *shrinkRuns {
+				if s, v, l := shrink(t, sc, violation); l != "" {
+					sc, violation, log = s, v, l
+				}
+			}
+			t.Errorf("%s\nscript: lease %v, pools %v, spare %d, advice %v, caps %v\n%s", violation, sc.lease, sc.pools, sc.spare,
+				sc.advice, sc.cap, log)
+			t.Errorf("run again: go test -run 'TestRandomDisturbances$' -workload.seed %d -workload.runs 1 ./internal/workload", seed)
+		})
+	}
+}
+
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -32,8 +33,9 @@
 	workers   map[string]*fakeWorker
 	instances map[string]*workload.Instance
 	timers    []timer
-	// done is how often each task has succeeded.
-	done map[string]int
+	// done is how often each task has succeeded, and noted holds the tasks whose success the leader has acknowledged.
+	done  map[string]int
+	noted map[string]bool
 	// rejectRequest rejects requests before they reach a worker or the platform; it may be nil.
 	rejectRequest func(a kernel.Action) (workload.Outcome, bool)
 	// onListInstances is called when the list of instances is read; it may be nil.
@@ -44,11 +46,21 @@
 	// advisedWorker is the worker that the adviser allows.
 	advisedWorker string
 	requests      []kernel.Action
+	// maxLease is the longest lease that workers accept.
+	maxLease time.Duration
+	// steps holds the steps of each submitted job.
+	steps map[string][]*workloadpb.Step
+	// intercept handles a request instead of the fakes if it returns true; it may be nil.
+	intercept func(a kernel.Action) bool
+	// checkTicket reports whether the ticket of a start is valid; it may be nil.
+	checkTicket func(w *fakeWorker, a workload.StartRun) bool
 }
 
 type timer struct {
 	at time.Duration
 	f  func()
+	// outlivesTerm timers stay when the leader changes, because they don't concern the leader.
+	outlivesTerm bool
 }
 
 type fakeWorker struct {
@@ -57,17 +69,23 @@
 	startedAt       time.Duration
 	dead            bool // has exited, so it answers nothing
 	unreachable     bool // answers nothing and keeps running
+	deaf            bool // gets no requests, but sends heartbeats
+	mute            bool // sends no heartbeats, but answers
+	unhealthy       bool // rejects all requests
 	fencingToken    uint64
 	leaseExpiryMs   int64
 	runs            map[string]*fakeRun
 	highestRun      map[string]int32
 	ended           []workload.EndedRun
 	lastEnd         int64
+	// successes are the successful ends that are not acknowledged, as long as the lease has not expired since.
+	successes []success
 	renewal         *workload.RenewLease
 	renewalSentAt   time.Duration
 	renewalDeadline time.Duration
 	sequence        uint64
 	draining        bool
+	leavesAt        time.Duration // 0 if it is not known
 	// how is how runs end that have worked for their estimated time.
 	how workloadpb.How
 	// load is listed for every run.
@@ -76,6 +94,14 @@
 	stuck bool
 }
 
+// success is a successful end in the list of a worker.
+type success struct {
+	number int64
+	task   string
+	// startedAgain is set if the task has started again since. The end must not be acknowledged then.
+	startedAgain bool
+}
+
 type fakeRun struct {
 	name        workload.RunName
 	need        ledger.Resources
@@ -91,17 +117,24 @@
 	assert.Assert(t, ok)
 	s := &sim{
 		t: t, k: k, e: e, workers: map[string]*fakeWorker{}, instances: map[string]*workload.Instance{},
-		done: map[string]int{}, lastWave: map[string]int64{},
+		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{}, steps: map[string][]*workloadpb.Step{},
 	}
-	e.Configure(workload.Config{WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }})
+	s.setMaxLease(6 * time.Second)
 	s.startTerm()
 	return s
 }
 
+func (s *sim) setMaxLease(d time.Duration) {
+	s.maxLease = d
+	s.e.Configure(workload.Config{
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxLease: d,
+	})
+}
+
 // startTerm starts a term with a leader that has only the replicated state.
 func (s *sim) startTerm() {
 	s.term++
-	s.timers = nil
+	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool { return !t.outlivesTerm })
 	for _, w := range s.workers {
 		w.renewal = nil
 	}
@@ -119,6 +152,9 @@
 	}
 	r := &workloadpb.Response{}
 	assert.NilError(s.t, proto.Unmarshal(body, r))
+	if m := m.GetSubmit(); m != nil && r.Verdict == workloadpb.Verdict_VERDICT_DONE {
+		s.steps[m.Id] = m.Steps
+	}
 	return r
 }
 
@@ -192,12 +228,21 @@
 
 // startWorker starts the worker of an instance.
 func (s *sim) startWorker(instance string) *fakeWorker {
-	row := s.instances[instance]
 	id := fmt.Sprintf("w-%s-%d", instance, s.now.Milliseconds())
+	return s.startWorkerAs(instance, id, "a-"+id)
+}
+
+// startWorkerAs starts the worker of an instance with an ID and an address, which an earlier worker may have had.
+func (s *sim) startWorkerAs(instance, id, address string) *fakeWorker {
+	row := s.instances[instance]
+	if old := s.workers[id]; old != nil && old.renewal != nil {
+		h, sent := *old.renewal, old.renewalSentAt
+		s.schedule(simStep, func() { s.fail(h, workload.NoAnswer, sent) })
+	}
 	w := &fakeWorker{
 		sim: s, startedAt: s.now, runs: map[string]*fakeRun{}, highestRun: map[string]int32{}, how: workloadpb.How_HOW_DONE,
 		m: &workloadpb.Worker{
-			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: "a-" + id, Pool: row.Pool,
+			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: address, Pool: row.Pool,
 			Capacity: row.Capacity, Labels: row.Labels,
 		},
 	}
@@ -211,14 +256,25 @@
 	w.sequence++
 	m := proto.CloneOf(w.m)
 	m.Draining = w.draining
+	leavesInMs := int64(5000)
+	if w.leavesAt > 0 {
+		leavesInMs = (w.leavesAt - s.now).Milliseconds()
+	}
 	s.call(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{
-		Worker: m, ClockMs: w.clockMs(), Sequence: w.sequence, LeavesInMs: 5000,
+		Worker: m, ClockMs: w.clockMs(), Sequence: w.sequence, LeavesInMs: leavesInMs,
 	}}})
 }
 
 func (w *fakeWorker) clockMs() int64 { return (w.sim.now - w.startedAt).Milliseconds() }
 
-func (s *sim) schedule(d time.Duration, f func()) { s.timers = append(s.timers, timer{s.now + d, f}) }
+func (s *sim) schedule(d time.Duration, f func()) {
+	s.timers = append(s.timers, timer{at: s.now + d, f: f})
+}
+
+// scheduleLasting schedules what happens whether the leader changes or not.
+func (s *sim) scheduleLasting(d time.Duration, f func()) {
+	s.timers = append(s.timers, timer{at: s.now + d, f: f, outlivesTerm: true})
+}
 
 // run advances the virtual time.
 func (s *sim) run(d time.Duration) {
@@ -259,46 +315,70 @@
 }
 
 func (s *sim) tick(w *fakeWorker) {
-	if h := w.renewal; h != nil && (w.dead || w.unreachable) && s.now >= w.renewalDeadline+time.Second {
+	if h := w.renewal; h != nil && (w.dead || w.unreachable || w.deaf) && s.now >= w.renewalDeadline+time.Second {
 		w.renewal = nil
 		s.fail(*h, workload.NoAnswer, w.renewalSentAt)
 	}
 	if w.dead {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if s.now >= r.endsAt && !r.longRunning && !w.stuck {
 			w.end(r, w.how)
 		}
 	}
 	if w.clockMs() > w.leaseExpiryMs {
-		for _, r := range w.runs {
+		w.successes = nil
+		for _, r := range w.sortedRuns() {
 			w.end(r, workloadpb.How_HOW_LAPSED)
 		}
 	}
-	if !w.unreachable && (s.now-w.startedAt)%(1500*time.Millisecond) == 0 {
+	if !w.unreachable && !w.mute && (s.now-w.startedAt)%(1500*time.Millisecond) == 0 {
 		s.report(w)
 	}
-	if h := w.renewal; h != nil && !w.unreachable && (len(w.ended) > 0 || s.now >= w.renewalDeadline) {
+	if h := w.renewal; h != nil && !w.unreachable && !w.deaf && (len(w.ended) > 0 || s.now >= w.renewalDeadline) {
 		w.renewal = nil
 		s.k.Observe(s.now, w.list(*h))
 	}
 }
 
+// sortedRuns returns the runs by task, so that a seed gives the same ends again.
+func (w *fakeWorker) sortedRuns() []*fakeRun {
+	list := slices.Collect(maps.Values(w.runs))
+	slices.SortFunc(list, func(a, b *fakeRun) int { return strings.Compare(taskKey(a.name), taskKey(b.name)) })
+	return list
+}
+
 func (w *fakeWorker) end(r *fakeRun, how workloadpb.How) {
 	delete(w.runs, taskKey(r.name))
 	w.lastEnd++
 	w.ended = append(w.ended, workload.EndedRun{Number: w.lastEnd, Name: r.name, How: how})
 	if how == workloadpb.How_HOW_DONE {
 		w.sim.done[taskKey(r.name)]++
+		if !r.longRunning { // Long-running tasks start again however they end.
+			w.successes = append(w.successes, success{number: w.lastEnd, task: taskKey(r.name)})
+		}
 	}
 }
 
+// acknowledge removes the ends that the leader has recorded.
+func (w *fakeWorker) acknowledge(number int64) {
+	w.ended = slices.DeleteFunc(w.ended, func(e workload.EndedRun) bool { return e.Number <= number })
+	w.successes = slices.DeleteFunc(w.successes, func(e success) bool {
+		if e.number > number {
+			return false
+		}
+		assert.Assert(w.sim.t, !e.startedAgain, "%s started again and then its success was recorded", e.task)
+		w.sim.noted[e.task] = true
+		return true
+	})
+}
+
 func (w *fakeWorker) list(h workload.RenewLease) workload.RenewLeaseResult {
 	done := workload.RenewLeaseResult{
 		Request: h, Answer: w.answer(workload.Accepted, w.renewalSentAt), Ended: slices.Clone(w.ended),
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		done.Running = append(done.Running, workload.RunStatus{Name: r.name, Percent: 100, Load: w.load})
 	}
 	return done
@@ -314,7 +394,7 @@
 
 // worker returns the worker that a request is meant for, nil if it does not answer.
 func (s *sim) worker(t workload.Target) *fakeWorker {
-	if w := s.workers[t.ID]; w != nil && !w.dead && !w.unreachable {
+	if w := s.workers[t.ID]; w != nil && !w.dead && !w.unreachable && !w.deaf {
 		return w
 	}
 	return nil
@@ -324,6 +404,9 @@
 	s.t.Helper()
 	s.requests = append(s.requests, a)
 	sent := s.now
+	if s.intercept != nil && s.intercept(a) {
+		return
+	}
 	if s.rejectRequest != nil {
 		if o, ok := s.rejectRequest(a); ok {
 			s.schedule(simStep, func() { s.fail(a, o, sent) })
@@ -338,7 +421,7 @@
 			return
 		}
 		w.acceptHeader(a.RequestHeader)
-		w.ended = slices.DeleteFunc(w.ended, func(e workload.EndedRun) bool { return e.Number <= a.AckedEnd })
+		w.acknowledge(a.AckedEnd)
 		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, s.now, s.now+max(a.Wait, simStep)
 	case workload.StartRun:
 		w := s.worker(a.Target)
@@ -409,6 +492,10 @@
 		s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: answer})
 	case workload.StopRun:
 		s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: answer})
+	case workload.ThrottleRun:
+		s.k.Observe(s.now, workload.ThrottleRunResult{Request: a, Answer: answer})
+	case workload.RequestAdvice:
+		s.k.Observe(s.now, workload.AdviceResult{Request: a, Outcome: o, SentAt: sent})
 	case workload.ListInstances:
 		s.k.Observe(s.now, workload.ListInstancesResult{Outcome: o, SentAt: sent})
 	case workload.MoveInstance:
@@ -433,7 +520,7 @@
 		w.dead = true
 	}
 	row.Up, row.Pool, row.Worker = false, pool, ""
-	s.schedule(d, func() {
+	s.scheduleLasting(d, func() {
 		row.Up = true
 		if pool != "spare" {
 			s.startWorker(instance)
@@ -443,7 +530,7 @@
 
 func (w *fakeWorker) acceptHeader(o workload.RequestHeader) {
 	w.fencingToken = max(w.fencingToken, o.FencingToken)
-	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+6000))
+	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+w.sim.maxLease.Milliseconds()))
 }
 
 func (w *fakeWorker) start(a workload.StartRun) workload.Outcome {
@@ -452,6 +539,12 @@
 		return workload.Fenced
 	}
 	assert.Assert(s.t, a.LeaseExpiryMs > 0, "%v starts without a lease", a.Name)
+	if a.LeaseExpiryMs <= w.clockMs() {
+		return workload.DeadlineExceeded
+	}
+	if s.checkTicket != nil && !s.checkTicket(w, a) {
+		return workload.BadTicket
+	}
 	w.acceptHeader(a.RequestHeader)
 	task := taskKey(a.Name)
 	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
@@ -460,10 +553,9 @@
 	if a.Name.Run <= w.highestRun[task] {
 		return workload.Outdated
 	}
-	j := s.e.State().JobByID(a.Name.Job)
-	st := j.Steps[a.Name.Step]
+	st := s.steps[a.Name.Job][a.Name.Step]
 	r := &fakeRun{
-		name: a.Name, need: ledger.ResourcesOf(st.Need), longRunning: st.Lasting,
+		name: a.Name, need: ledger.RequiredCapacity(st), longRunning: st.Lasting,
 		endsAt: s.now + time.Duration(st.EstimateMs)*time.Millisecond,
 	}
 	w.runs[task], w.highestRun[task] = r, a.Name.Run
@@ -474,8 +566,13 @@
 	assert.Assert(s.t, used.Within(ledger.ResourcesOf(w.m.Capacity)), "worker %s is over its capacity: %v", w.m.Id, used)
 	assert.Equal(s.t, a.Spec, "spec "+a.Name.Job)
 	if !st.Speculative {
-		assert.Equal(s.t, s.done[task], 0, "%s starts again after it was done", task)
+		assert.Assert(s.t, !s.noted[task], "%s starts again after it was done", task)
 		for _, o := range s.workers {
+			for i := range o.successes {
+				if e := &o.successes[i]; e.task == task && !o.dead {
+					e.startedAgain = true
+				}
+			}
 			assert.Assert(s.t, o == w || o.dead || o.runs[task] == nil, "%s runs twice", task)
 		}
 	}
