--- /dev/null
+++ b/internal/workload/stuck_test.go
@@ -0,0 +1,168 @@
+package workload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// addQueue adds a queue whose jobs the workers of another queue's pool run.
+func addQueue(name, pool string) func(d *workloadpb.Document) {
+	return func(d *workloadpb.Document) {
+		d.Queues = append(d.Queues, &workloadpb.Queue{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Pool: pool, MaxAttempts: 3, Stretch: 1.5, SloMs: 600, Public: true,
+		})
+	}
+}
+
+func lasting(count int32, cpu, memory int64) *workloadpb.Step {
+	st := step(count, cpu, memory, 0)
+	st.Lasting = true
+	return st
+}
+
+// endRun ends the run of a task on the worker that has it.
+func (s *sim) endRun(task string, how workloadpb.How) {
+	for _, w := range s.workers {
+		if r := w.runs[task]; r != nil && !w.dead {
+			w.end(r, how)
+		}
+	}
+}
+
+// Guards against maintenance that holds back the only worker that may run a task, and waits for that task itself because
+// the step may not miss another one.
+func TestWaitingMaintenanceLeavesWorkerUsable(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.instances["m-glass-0"] = &workload.Instance{
+		Name: "m-glass-0", Pool: "glass", Up: true, Labels: []string{"b", "r0"},
+		Capacity: &workloadpb.Resources{Cpu: 16000, MemoryMib: 65536},
+	}
+	s.startWorker("m-glass-0")
+	s.run(time.Second)
+	st := lasting(2, 1000, 1000)
+	st.Label, st.MayMiss = "b", 1
+	s.submit("glass", "last", st)
+	s.run(time.Second)
+	assert.Equal(t, s.running("last"), 2)
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	s.run(9 * time.Second)
+	assert.Equal(t, s.running("last"), 2)
+}
+
+// Guards against maintenance that waits for a step which misses too many tasks already, and keeps the worker from running
+// the tasks of another step, which it has stopped.
+func TestWaitingMaintenanceReturnsStoppedTasks(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	apart := lasting(2, 1000, 1000)
+	apart.MaxPerWorker, apart.MayMiss = 1, 1
+	s.submit("glass", "apart", apart)
+	s.submit("glass", "last", lasting(2, 1000, 1000))
+	s.run(time.Second)
+	assert.Equal(t, s.running("last"), 2)
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	s.run(9 * time.Second)
+	assert.Equal(t, s.running("last"), 2)
+}
+
+// Guards against capacity that is reserved on a worker on which the adviser doesn't allow the task.
+func TestReservationFollowsAdvice(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, func(d *workloadpb.Document) {
+		d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000}
+		addQueue("plates", "glass")(d)
+	}, "glass")
+	ws := s.addWorkers("glass", 2)
+	s.advisedWorker = ws[0].m.Id
+	s.submit("glass", "big", lasting(2, 10000, 1000))
+	s.run(time.Second)
+	assert.Equal(t, s.running("big"), 1)
+	s.submit("plates", "other", lasting(1, 7000, 1000))
+	s.run(9 * time.Second)
+	assert.Equal(t, s.running("other"), 1)
+}
+
+// Guards against capacity that is reserved for a gang that the pool can't hold.
+func TestImpossibleGangReservesNothing(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	gang := lasting(2, 9000, 1000)
+	gang.Gang = true
+	s.submit("glass", "gang", gang)
+	s.run(time.Second)
+	s.submit("glass", "other", lasting(1, 8000, 1000))
+	s.run(9 * time.Second)
+	assert.Equal(t, s.running("other"), 1)
+}
+
+// Guards against a long-running task that gets no advice because the steps of many older jobs ask for it again and again.
+func TestLongRunningTaskGetsAdvice(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, func(d *workloadpb.Document) {
+		d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000}
+	}, "glass")
+	s.addWorkers("glass", 2)
+	freeAt := time.Duration(0)
+	s.intercept = func(a kernel.Action) bool {
+		r, ok := a.(workload.RequestAdvice)
+		if !ok {
+			return false
+		}
+		// The service answers one call after the other.
+		sent := s.now
+		freeAt = max(freeAt, s.now) + time.Duration(50+5*len(r.Workers))*time.Millisecond
+		s.schedule(freeAt-s.now, func() {
+			done := workload.AdviceResult{
+				Request: r, Outcome: workload.Accepted, Tickets: map[string]string{}, Validity: 3 * time.Second, SentAt: sent,
+			}
+			for _, id := range r.Workers {
+				done.Tickets[id] = "ticket"
+			}
+			s.k.Observe(s.now, done)
+		})
+		return true
+	}
+	for i := range 60 {
+		s.submit("glass", fmt.Sprintf("wide-%d", i), step(1, 12000, 1000, 60000))
+	}
+	s.run(5 * time.Second)
+	s.submit("glass", "last", lasting(1, 2000, 1000))
+	s.run(9 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
+
+// Guards against a long-running task that isn't started again because its run ended as done.
+func TestLongRunningTaskStartsAgainHoweverItEnds(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		how  workloadpb.How
+	}{
+		{"done", workloadpb.How_HOW_DONE}, {"failed", workloadpb.How_HOW_FAILED}, {"broken", workloadpb.How_HOW_BROKEN},
+		{"stopped", workloadpb.How_HOW_STOPPED}, {"lapsed", workloadpb.How_HOW_LAPSED},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 2)
+			s.submit("glass", "last", lasting(2, 1000, 1000))
+			s.run(time.Second)
+			s.endRun("last.0.0.0", tt.how)
+			s.run(9 * time.Second)
+			assert.Equal(t, s.running("last"), 2)
+			assert.Equal(t, s.jobState("glass", "last"), "running")
+		})
+	}
+}
