--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -73,6 +73,10 @@
 		p.check.disturb(until)
 		p.logf("calls to the adviser fail until %v", until)
 	case "leader":
+		// Some of the commands that the last leader proposed are lost.
+		if n := len(p.uncommitted); n > 0 {
+			p.applyCommitted(p.uncommitted[r.IntN(n)].at - time.Duration(r.IntN(2)))
+		}
 		p.startTerm()
 		p.check.disturb(p.now + leaderSettles)
 		p.logf("change of leader")
@@ -252,7 +256,7 @@
 
 // handle handles requests that meet a fault, and all requests to the adviser and to the platform.
 func (p *player) handle(a kernel.Action) bool {
-	sent := p.now
+	sent := p.sentAt
 	if h, ok := p.targetOf(a); ok {
 		return p.handleWorkerRequest(a, h)
 	}
@@ -335,7 +339,7 @@
 
 // handleWorkerRequest handles a request that reaches a worker with a fault, or another worker than it is meant for.
 func (p *player) handleWorkerRequest(a kernel.Action, h workload.RequestHeader) bool {
-	sent := p.now
+	sent := p.sentAt
 	var w *fakeWorker
 	for _, id := range sortedIDs(p.workers) {
 		if o := p.workers[id]; !o.dead && o.m.Address == h.Address {
@@ -373,10 +377,7 @@
 		case workload.StartRun:
 			w.start(a)
 		case workload.StopRun:
-			if r := w.runs[taskKey(a.Name)]; r != nil && r.name.Run == a.Name.Run {
-				w.end(r, workloadpb.How_HOW_STOPPED)
-			}
-			w.highestRun[taskKey(a.Name)] = max(w.highestRun[taskKey(a.Name)], a.Name.Run)
+			w.stop(a)
 		case workload.RenewLease:
 			w.acceptHeader(a.RequestHeader)
 			w.acknowledge(a.AckedEnd)
@@ -394,7 +395,7 @@
 
 // advise answers one call after the other. A ticket names the step, the incarnation and the end of its validity.
 func (p *player) advise(a workload.RequestAdvice) {
-	sent := p.now
+	sent := p.sentAt
 	p.adviserFreeAt = max(p.adviserFreeAt, p.now) + time.Duration(50+5*len(a.Workers))*time.Millisecond
 	p.schedule(p.adviserFreeAt-p.now, func() {
 		r := workload.AdviceResult{
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
@@ -42,7 +43,8 @@
 	pools   []int // number of workers
 	spare   int   // instances in the spare pool, -1 for none
 	advice  []bool
-	cap     []int64 // of the account of each pool's queue, in thousandths of a core, 0 for a public queue
+	cap     []int64       // of the account of each pool's queue, in thousandths of a core, 0 for a public queue
+	delay   time.Duration // longest time that a request or a commit takes, 0 if they take none
 	actions []action
 	end     time.Duration
 }
@@ -70,6 +72,7 @@
 	if r.IntN(2) == 0 {
 		sc.spare = r.IntN(4)
 	}
+	sc.delay = []time.Duration{0, 3 * simStep, 10 * simStep}[r.IntN(3)]
 	add := func(kind string, at, d time.Duration) {
 		sc.actions = append(sc.actions, action{at: at, d: d, kind: kind, n: r.Uint64()})
 	}
@@ -139,6 +142,11 @@
 	return int(rand.New(rand.NewPCG(h.Sum64(), 1)).Uint64N(uint64(n)))
 }
 
+// drawDelay draws the time that a request or a commit takes.
+func (p *player) drawDelay(what string) time.Duration {
+	return time.Duration(p.draw(int(p.script.delay/simStep)+1, what)) * simStep
+}
+
 func (p *player) logf(format string, args ...any) {
 	fmt.Fprintf(p.out, "%8v  ", p.now)
 	fmt.Fprintf(p.out, format+"\n", args...)
@@ -169,6 +177,10 @@
 		account: func(job string) *workloadpb.Account { return p.e.State().Account(p.check.accounts[job]) },
 	}
 	p.intercept, p.checkTicket = p.handle, p.ticketIsValid
+	if sc.delay > 0 {
+		p.requestDelay = func(a kernel.Action) time.Duration { return p.drawDelay(fmt.Sprintf("%T", a)) }
+		p.commitDelay = func() time.Duration { return p.drawDelay("commit") }
+	}
 	p.configureAll()
 	for i, n := range sc.pools {
 		p.addWorkers(poolName(i), n)
@@ -385,7 +397,7 @@
 					sc, violation, log = s, v, l
 				}
 			}
-			t.Errorf("%s\nscript: lease %v, pools %v, spare %d, advice %v, caps %v\n%s", violation, sc.lease, sc.pools, sc.spare,
+			t.Errorf("%s\nscript: lease %v, delay %v, pools %v, spare %d, advice %v, caps %v\n%s", violation, sc.lease, sc.delay, sc.pools, sc.spare,
 				sc.advice, sc.cap, log)
 			t.Errorf("run again: go test -run 'TestRandomDisturbances$' -workload.seed %d -workload.runs 1 ./internal/workload", seed)
 		})
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -51,10 +52,22 @@
 	steps map[string][]*workloadpb.Step
 	// intercept handles a request instead of the fakes if it returns true; it may be nil.
 	intercept func(a kernel.Action) bool
+	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
+	requestDelay func(a kernel.Action) time.Duration
+	commitDelay  func() time.Duration
+	uncommitted  []uncommitted
+	// sentAt is when the request that is being delivered was sent.
+	sentAt time.Duration
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
 	checkTicket func(w *fakeWorker, a workload.StartRun) bool
 }
 
+// uncommitted is a command that was proposed.
+type uncommitted struct {
+	at time.Duration
+	c  kernel.Command
+}
+
 type timer struct {
 	at time.Duration
 	f  func()
@@ -131,8 +144,9 @@
 	})
 }
 
-// startTerm starts a term with a leader that has only the replicated state.
+// startTerm starts a term with a leader that has only the replicated state. Commands that are not committed are lost.
 func (s *sim) startTerm() {
+	s.uncommitted = nil
 	s.term++
 	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool { return !t.outlivesTerm })
 	for _, w := range s.workers {
@@ -148,6 +162,7 @@
 	assert.NilError(s.t, err)
 	body, how := s.k.Respond(s.now, c)
 	if how == kernel.Replicate {
+		s.applyCommitted(math.MaxInt64) // What was proposed earlier is committed earlier.
 		body = s.apply(c)
 	}
 	r := &workloadpb.Response{}
@@ -292,10 +307,11 @@
 		for _, id := range sortedIDs(s.workers) {
 			s.tick(s.workers[id])
 		}
+		s.applyCommitted(s.now)
 		for range 3 {
 			dec := s.k.Decide(s.now)
 			for _, c := range dec.Commands {
-				s.apply(c)
+				s.commit(c)
 			}
 			for _, a := range dec.Actions {
 				s.execute(a)
@@ -305,6 +321,29 @@
 	}
 }
 
+// commit applies a command of the leader, possibly later.
+func (s *sim) commit(c kernel.Command) {
+	if s.commitDelay == nil {
+		s.apply(c)
+		return
+	}
+	at := s.now + s.commitDelay()
+	if n := len(s.uncommitted); n > 0 {
+		at = max(at, s.uncommitted[n-1].at)
+	}
+	s.uncommitted = append(s.uncommitted, uncommitted{at, c})
+}
+
+// applyCommitted applies the commands that are committed by a time.
+func (s *sim) applyCommitted(by time.Duration) {
+	s.t.Helper()
+	for len(s.uncommitted) > 0 && s.uncommitted[0].at <= by {
+		c := s.uncommitted[0].c
+		s.uncommitted = s.uncommitted[1:]
+		s.apply(c)
+	}
+}
+
 func sortedIDs(m map[string]*fakeWorker) []string {
 	var ids []string
 	for id := range m {
@@ -406,7 +445,24 @@
 func (s *sim) execute(a kernel.Action) {
 	s.t.Helper()
 	s.requests = append(s.requests, a)
-	sent := s.now
+	if s.requestDelay != nil {
+		// A request of an earlier leader still arrives, but its answer is lost.
+		sent, term := s.now, s.term
+		s.scheduleLasting(s.requestDelay(a), func() { s.deliver(a, sent, term) })
+		return
+	}
+	s.deliver(a, s.now, s.term)
+}
+
+// deliver carries out a request that was sent at a time in a term.
+func (s *sim) deliver(a kernel.Action, sent time.Duration, term uint64) {
+	s.t.Helper()
+	if term < s.term {
+		// Only the answers to the new leader are observed.
+		s.deliverOutdated(a)
+		return
+	}
+	s.sentAt = sent
 	if s.intercept != nil && s.intercept(a) {
 		return
 	}
@@ -425,7 +481,7 @@
 		}
 		w.acceptHeader(a.RequestHeader)
 		w.acknowledge(a.AckedEnd)
-		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, s.now, s.now+max(a.Wait, simStep)
+		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, sent, s.now+max(a.Wait, simStep)
 	case workload.StartRun:
 		w := s.worker(a.Target)
 		if w == nil {
@@ -440,10 +496,7 @@
 			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
 			return
 		}
-		if r := w.runs[taskKey(a.Name)]; r != nil && r.name.Run == a.Name.Run {
-			w.end(r, workloadpb.How_HOW_STOPPED)
-		}
-		w.highestRun[taskKey(a.Name)] = max(w.highestRun[taskKey(a.Name)], a.Name.Run)
+		w.stop(a)
 		s.schedule(simStep, func() {
 			s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: w.answer(workload.Accepted, sent)})
 		})
@@ -486,6 +539,25 @@
 	}
 }
 
+// deliverOutdated carries out a request of an earlier leader.
+func (s *sim) deliverOutdated(a kernel.Action) {
+	switch a := a.(type) {
+	case workload.RenewLease:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
+			w.acceptHeader(a.RequestHeader)
+			w.acknowledge(a.AckedEnd)
+		}
+	case workload.StartRun:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs {
+			w.start(a)
+		}
+	case workload.StopRun:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
+			w.stop(a)
+		}
+	}
+}
+
 func (s *sim) fail(a kernel.Action, o workload.Outcome, sent time.Duration) {
 	answer := workload.Answer{Outcome: o, SentAt: sent, EndedAt: s.now}
 	switch a := a.(type) {
@@ -536,6 +608,14 @@
 	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+w.sim.maxLease.Milliseconds()))
 }
 
+func (w *fakeWorker) stop(a workload.StopRun) {
+	task := taskKey(a.Name)
+	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
+		w.end(r, workloadpb.How_HOW_STOPPED)
+	}
+	w.highestRun[task] = max(w.highestRun[task], a.Name.Run)
+}
+
 func (w *fakeWorker) start(a workload.StartRun) workload.Outcome {
 	s := w.sim
 	if a.FencingToken < w.fencingToken {
