--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -80,6 +80,18 @@
 		p.startTerm()
 		p.check.disturb(p.now + leaderSettles)
 		p.logf("change of leader")
+	case "stale-report":
+		var gone []*fakeWorker
+		for _, id := range sortedIDs(p.workers) {
+			if p.workers[id].dead {
+				gone = append(gone, p.workers[id])
+			}
+		}
+		if len(gone) > 0 {
+			w := gone[r.IntN(len(gone))]
+			p.logf("delayed heartbeat of %s", w.m.Id)
+			p.report(w)
+		}
 	case "configure":
 		if len(p.doc.Accounts) > 0 {
 			p.doc.Accounts[r.IntN(len(p.doc.Accounts))].Allowance.Cpu = []int64{0, 24000, 60000, 120000}[r.IntN(4)]
@@ -282,20 +294,22 @@
 		}
 	case workload.MoveInstance:
 		o, ok := failing(p.platformUntil)
-		if !ok || o == workload.NoAnswer && p.draw(2, "carried out", a.Instance) == 0 {
-			if done := p.move(a); o != workload.NoAnswer {
-				o = done
-			}
+		switch {
+		case !ok:
+			o = p.move(a)
+		case o == workload.NoAnswer:
+			p.maybeLater(a.Instance, func() workload.Outcome { return p.move(a) })
 		}
 		p.logf("move of %s to %s: %v", a.Instance, a.Pool, o)
 		p.schedule(answerDelay(o), func() { p.fail(a, o, sent) })
 		return true
 	case workload.MaintainInstance:
 		o, ok := failing(p.platformUntil)
-		if !ok || o == workload.NoAnswer && p.draw(2, "carried out", a.Instance) == 0 {
-			if done := p.maintainInstance(a); o != workload.NoAnswer {
-				o = done
-			}
+		switch {
+		case !ok:
+			o = p.maintainInstance(a)
+		case o == workload.NoAnswer:
+			p.maybeLater(a.Instance, func() workload.Outcome { return p.maintainInstance(a) })
 		}
 		p.logf("maintenance of %s in wave %d: %v", a.Instance, a.Wave, o)
 		p.schedule(answerDelay(o), func() { p.fail(a, o, sent) })
@@ -304,6 +318,15 @@
 	return false
 }
 
+// maybeLater carries out an operation on an instance that gets no answer at once, later or not at all.
+func (p *player) maybeLater(instance string, operate func() workload.Outcome) {
+	after := []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, -1}[p.draw(4, "carried out", instance)]
+	if after >= 0 {
+		p.check.disturb(p.now + after)
+		p.scheduleLasting(after, func() { p.logf("operation on %s without an answer: %v", instance, operate()) })
+	}
+}
+
 func answerDelay(o workload.Outcome) time.Duration {
 	if o == workload.NoAnswer {
 		return time.Second
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -52,7 +52,7 @@
 // disturbances are the kinds of events that the calm phases don't have.
 var disturbances = []string{
 	"crash", "gone", "silent", "deaf", "mute", "unhealthy", "drain", "late", "unanswered", "fail", "done", "leader",
-	"platform", "adviser", "configure", "queue-moves",
+	"platform", "adviser", "configure", "queue-moves", "stale-report",
 }
 
 // usual are the kinds of events that are no disturbance.
@@ -85,7 +85,7 @@
 	now := 3 * time.Second
 	for range 2 + r.IntN(3) {
 		span := between(time.Second, 8*time.Second)
-		for range 1 + r.IntN(8) {
+		for range 1 + r.IntN([]int{4, 8, 24}[r.IntN(3)]) {
 			add(disturbances[r.IntN(len(disturbances))], now+between(0, span), between(200*time.Millisecond, 9*time.Second))
 		}
 		calm := between(12*time.Second, 18*time.Second)
@@ -177,6 +177,7 @@
 		account: func(job string) *workloadpb.Account { return p.e.State().Account(p.check.accounts[job]) },
 	}
 	p.intercept, p.checkTicket = p.handle, p.ticketIsValid
+	p.clockGain = func(w *fakeWorker) int64 { return int64(p.fixed(41, "clock", w.m.Id, w.m.BornMs)) - 20 }
 	if sc.delay > 0 {
 		p.requestDelay = func(a kernel.Action) time.Duration { return p.drawDelay(fmt.Sprintf("%T", a)) }
 		p.commitDelay = func() time.Duration { return p.drawDelay("commit") }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -53,6 +53,8 @@
 	// intercept handles a request instead of the fakes if it returns true; it may be nil.
 	intercept func(a kernel.Action) bool
 	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
+	// clockGain returns the thousandths by which the clock of a worker is fast; it may be nil.
+	clockGain    func(w *fakeWorker) int64
 	requestDelay func(a kernel.Action) time.Duration
 	commitDelay  func() time.Duration
 	uncommitted  []uncommitted
@@ -98,6 +100,7 @@
 	sequence        uint64
 	draining        bool
 	leavesAt        time.Duration // 0 if it is not known
+	clockGain       int64         // thousandths by which the clock is fast
 	// how is how runs end that have worked for their estimated time.
 	how workloadpb.How
 	// load is listed for every run.
@@ -263,6 +266,9 @@
 	}
 	s.workers[id] = w
 	row.Worker = id
+	if s.clockGain != nil {
+		w.clockGain = s.clockGain(w)
+	}
 	s.report(w)
 	return w
 }
@@ -280,7 +286,10 @@
 	}}})
 }
 
-func (w *fakeWorker) clockMs() int64 { return (w.sim.now - w.startedAt).Milliseconds() }
+func (w *fakeWorker) clockMs() int64 {
+	ms := (w.sim.now - w.startedAt).Milliseconds()
+	return ms + ms*w.clockGain/1000
+}
 
 func (s *sim) schedule(d time.Duration, f func()) {
 	s.timers = append(s.timers, timer{at: s.now + d, f: f})
