--- a/internal/workload/exclusion_test.go
+++ b/internal/workload/exclusion_test.go
@@ -136,10 +136,10 @@
 
 // advise answers requests for advice in place of the adviser of the simulation. Tickets differ in each answer.
 func (s *sim) advise(validity time.Duration, allows func(job, worker string) bool) {
-	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+	s.intercept = func(a kernel.Action) bool {
 		r, ok := a.(workload.RequestAdvice)
 		if !ok {
-			return 0, false
+			return false
 		}
 		assert.Assert(s.t, len(r.Workers) <= 100)
 		done := workload.AdviceResult{
@@ -151,7 +151,7 @@
 			}
 		}
 		s.schedule(20*simStep, func() { s.k.Observe(s.now, done) })
-		return workload.NoAnswer, true
+		return true
 	}
 }
 
@@ -216,13 +216,13 @@
 	s.addWorkers("glass", 1)
 	s.run(time.Second)
 	s.advise(20*time.Second, func(string, string) bool { return true })
-	adviser, bad := s.rejectRequest, ""
+	bad := ""
 	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
 		if start, ok := a.(workload.StartRun); ok {
 			bad = cmp.Or(bad, start.Ticket)
 			return workload.BadTicket, start.Ticket == bad
 		}
-		return adviser(a)
+		return 0, false
 	}
 	s.submit("glass", "last", longRunningStep(1000))
 	s.run(3 * time.Second)
--- a/internal/workload/lost_worker_test.go
+++ b/internal/workload/lost_worker_test.go
@@ -72,15 +72,15 @@
 
 // Guards against leases that grow with the age of a worker whose clock is slow, and tasks that restart late after its loss.
 func TestSlowClockKeepsLeaseLength(t *testing.T) {
-	for _, rate := range []float64{1, 0.99, 0.98} {
+	for _, gain := range []int64{0, -10, -20} { // thousandths
 		for _, lostAt := range []time.Duration{10 * time.Second, time.Minute, 5 * time.Minute} {
-			t.Run(fmt.Sprintf("%v-%v", rate, lostAt), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%v-%v", gain, lostAt), func(t *testing.T) {
 				s := newSim(t)
 				s.setMaxLease(10 * time.Second)
 				s.configure(1, nil, "glass")
 				workers := s.addWorkers("glass", 2)
 				for _, w := range workers {
-					w.clockRate = rate
+					w.clockGain = gain
 				}
 				longRunning := step(1, 4000, 1000, 0)
 				longRunning.Lasting = true
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -32,8 +33,9 @@
 	workers   map[string]*fakeWorker
 	instances map[string]*workload.Instance
 	timers    []timer
-	// done is how often each task has succeeded.
-	done map[string]int
+	// done is how often each task has succeeded, and noted holds the tasks whose success the leader has acknowledged.
+	done  map[string]int
+	noted map[string]bool
 	// rejectRequest rejects requests before they reach a worker or the platform; it may be nil.
 	rejectRequest func(a kernel.Action) (workload.Outcome, bool)
 	// onListInstances is called when the list of instances is read; it may be nil.
@@ -46,42 +48,78 @@
 	requests      []kernel.Action
 	// maxLease is the longest lease that workers accept.
 	maxLease time.Duration
+	// steps holds the steps of each submitted job.
+	steps map[string][]*workloadpb.Step
+	// intercept handles a request instead of the fakes if it returns true; it may be nil.
+	intercept func(a kernel.Action) bool
+	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
+	// clockGain returns the thousandths by which the clock of a worker is fast; it may be nil.
+	clockGain    func(w *fakeWorker) int64
+	requestDelay func(a kernel.Action) time.Duration
+	commitDelay  func() time.Duration
+	uncommitted  []uncommitted
+	// sentAt is when the request that is being delivered was sent.
+	sentAt time.Duration
+	// checkTicket reports whether the ticket of a start is valid; it may be nil.
+	checkTicket func(w *fakeWorker, a workload.StartRun) bool
+}
+
+// uncommitted is a command that was proposed.
+type uncommitted struct {
+	at time.Duration
+	c  kernel.Command
 }
 
 type timer struct {
 	at time.Duration
 	f  func()
+	// outlivesTerm timers stay when the leader changes, because they don't concern the leader.
+	outlivesTerm bool
 }
 
 type fakeWorker struct {
-	sim             *sim
-	m               *workloadpb.Worker
-	startedAt       time.Duration
-	dead            bool // has exited, so it answers nothing
-	unreachable     bool // answers nothing and keeps running
-	fencingToken    uint64
-	leaseExpiryMs   int64
-	runs            map[string]*fakeRun
-	highestRun      map[string]int32
-	ended           []workload.EndedRun
-	lastEnd         int64
+	sim           *sim
+	m             *workloadpb.Worker
+	startedAt     time.Duration
+	dead          bool // has exited, so it answers nothing
+	unreachable   bool // answers nothing and keeps running
+	deaf          bool // gets no requests, but sends heartbeats
+	mute          bool // sends no heartbeats, but answers
+	unhealthy     bool // rejects all requests
+	fencingToken  uint64
+	leaseExpiryMs int64
+	runs          map[string]*fakeRun
+	highestRun    map[string]int32
+	ended         []workload.EndedRun
+	lastEnd       int64
+	// successes are the successful ends that are not acknowledged, as long as the lease has not expired since.
+	successes       []success
 	renewal         *workload.RenewLease
 	renewalSentAt   time.Duration
 	renewalDeadline time.Duration
 	sequence        uint64
 	draining        bool
+	leavesAt        time.Duration // 0 if it is not known
+	clockGain       int64         // thousandths by which the clock is fast
 	// how is how runs end that have worked for their estimated time.
 	how workloadpb.How
 	// load is listed for every run.
 	load int64
 	// stuck runs never end by themselves.
 	stuck bool
-	// clockRate is the rate of the worker's clock.
-	clockRate float64
+}
+
+// success is a successful end in the list of a worker.
+type success struct {
+	number int64
+	task   string
+	// startedAgain is set if the task has started again since. The end must not be acknowledged then.
+	startedAgain bool
 }
 
 type fakeRun struct {
 	name        workload.RunName
+	task        string // taskKey of the name
 	need        ledger.Resources
 	endsAt      time.Duration
 	longRunning bool
@@ -95,7 +133,7 @@
 	assert.Assert(t, ok)
 	s := &sim{
 		t: t, k: k, e: e, workers: map[string]*fakeWorker{}, instances: map[string]*workload.Instance{},
-		done: map[string]int{}, lastWave: map[string]int64{},
+		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{}, steps: map[string][]*workloadpb.Step{},
 	}
 	s.setMaxLease(6 * time.Second)
 	s.startTerm()
@@ -110,10 +148,11 @@
 	})
 }
 
-// startTerm starts a term with a leader that has only the replicated state.
+// startTerm starts a term with a leader that has only the replicated state. Commands that are not committed are lost.
 func (s *sim) startTerm() {
+	s.uncommitted = nil
 	s.term++
-	s.timers = nil
+	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool { return !t.outlivesTerm })
 	for _, w := range s.workers {
 		w.renewal = nil
 	}
@@ -127,10 +166,14 @@
 	assert.NilError(s.t, err)
 	body, how := s.k.Respond(s.now, c)
 	if how == kernel.Replicate {
+		s.applyCommitted(math.MaxInt64) // What was proposed earlier is committed earlier.
 		body = s.apply(c)
 	}
 	r := &workloadpb.Response{}
 	assert.NilError(s.t, proto.Unmarshal(body, r))
+	if m := m.GetSubmit(); m != nil && r.Verdict == workloadpb.Verdict_VERDICT_DONE {
+		s.steps[m.Id] = m.Steps
+	}
 	return r
 }
 
@@ -204,18 +247,29 @@
 
 // startWorker starts the worker of an instance.
 func (s *sim) startWorker(instance string) *fakeWorker {
-	row := s.instances[instance]
 	id := fmt.Sprintf("w-%s-%d", instance, s.now.Milliseconds())
+	return s.startWorkerAs(instance, id, "a-"+id)
+}
+
+// startWorkerAs starts the worker of an instance with an ID and an address, which an earlier worker may have had.
+func (s *sim) startWorkerAs(instance, id, address string) *fakeWorker {
+	row := s.instances[instance]
+	if old := s.workers[id]; old != nil && old.renewal != nil {
+		h, sent := *old.renewal, old.renewalSentAt
+		s.schedule(simStep, func() { s.fail(h, workload.NoAnswer, sent) })
+	}
 	w := &fakeWorker{
 		sim: s, startedAt: s.now, runs: map[string]*fakeRun{}, highestRun: map[string]int32{}, how: workloadpb.How_HOW_DONE,
-		clockRate: 1,
 		m: &workloadpb.Worker{
-			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: "a-" + id, Pool: row.Pool,
+			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: address, Pool: row.Pool,
 			Capacity: row.Capacity, Labels: row.Labels,
 		},
 	}
 	s.workers[id] = w
 	row.Worker = id
+	if s.clockGain != nil {
+		w.clockGain = s.clockGain(w)
+	}
 	s.report(w)
 	return w
 }
@@ -224,16 +278,28 @@
 	w.sequence++
 	m := proto.CloneOf(w.m)
 	m.Draining = w.draining
+	leavesInMs := int64(5000)
+	if w.leavesAt > 0 {
+		leavesInMs = (w.leavesAt - s.now).Milliseconds()
+	}
 	s.call(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{
-		Worker: m, ClockMs: w.clockMs(), Sequence: w.sequence, LeavesInMs: 5000,
+		Worker: m, ClockMs: w.clockMs(), Sequence: w.sequence, LeavesInMs: leavesInMs,
 	}}})
 }
 
 func (w *fakeWorker) clockMs() int64 {
-	return int64(w.clockRate * float64((w.sim.now - w.startedAt).Milliseconds()))
+	ms := (w.sim.now - w.startedAt).Milliseconds()
+	return ms + ms*w.clockGain/1000
+}
+
+func (s *sim) schedule(d time.Duration, f func()) {
+	s.timers = append(s.timers, timer{at: s.now + d, f: f})
 }
 
-func (s *sim) schedule(d time.Duration, f func()) { s.timers = append(s.timers, timer{s.now + d, f}) }
+// scheduleLasting schedules what happens whether the leader changes or not.
+func (s *sim) scheduleLasting(d time.Duration, f func()) {
+	s.timers = append(s.timers, timer{at: s.now + d, f: f, outlivesTerm: true})
+}
 
 // run advances the virtual time.
 func (s *sim) run(d time.Duration) {
@@ -251,10 +317,11 @@
 		for _, id := range sortedIDs(s.workers) {
 			s.tick(s.workers[id])
 		}
+		s.applyCommitted(s.now)
 		for range 3 {
 			dec := s.k.Decide(s.now)
 			for _, c := range dec.Commands {
-				s.apply(c)
+				s.commit(c)
 			}
 			for _, a := range dec.Actions {
 				s.execute(a)
@@ -264,6 +331,29 @@
 	}
 }
 
+// commit applies a command of the leader, possibly later.
+func (s *sim) commit(c kernel.Command) {
+	if s.commitDelay == nil {
+		s.apply(c)
+		return
+	}
+	at := s.now + s.commitDelay()
+	if n := len(s.uncommitted); n > 0 {
+		at = max(at, s.uncommitted[n-1].at)
+	}
+	s.uncommitted = append(s.uncommitted, uncommitted{at, c})
+}
+
+// applyCommitted applies the commands that are committed by a time.
+func (s *sim) applyCommitted(by time.Duration) {
+	s.t.Helper()
+	for len(s.uncommitted) > 0 && s.uncommitted[0].at <= by {
+		c := s.uncommitted[0].c
+		s.uncommitted = s.uncommitted[1:]
+		s.apply(c)
+	}
+}
+
 func sortedIDs(m map[string]*fakeWorker) []string {
 	var ids []string
 	for id := range m {
@@ -274,46 +364,73 @@
 }
 
 func (s *sim) tick(w *fakeWorker) {
-	if h := w.renewal; h != nil && (w.dead || w.unreachable) && s.now >= w.renewalDeadline+time.Second {
+	if h := w.renewal; h != nil && (w.dead || w.unreachable || w.deaf) && s.now >= w.renewalDeadline+time.Second {
 		w.renewal = nil
 		s.fail(*h, workload.NoAnswer, w.renewalSentAt)
 	}
 	if w.dead {
 		return
 	}
-	for _, r := range w.runs {
-		if s.now >= r.endsAt && !r.longRunning && !w.stuck {
-			w.end(r, w.how)
-		}
+	for _, r := range w.sortedRuns(func(r *fakeRun) bool { return s.now >= r.endsAt && !r.longRunning && !w.stuck }) {
+		w.end(r, w.how)
 	}
 	if w.clockMs() > w.leaseExpiryMs {
-		for _, r := range w.runs {
+		w.successes = nil
+		for _, r := range w.sortedRuns(nil) {
 			w.end(r, workloadpb.How_HOW_LAPSED)
 		}
 	}
-	if !w.unreachable && (s.now-w.startedAt)%(1500*time.Millisecond) == 0 {
+	if !w.unreachable && !w.mute && (s.now-w.startedAt)%(1500*time.Millisecond) == 0 {
 		s.report(w)
 	}
-	if h := w.renewal; h != nil && !w.unreachable && (len(w.ended) > 0 || s.now >= w.renewalDeadline) {
+	if h := w.renewal; h != nil && !w.unreachable && !w.deaf && (len(w.ended) > 0 || s.now >= w.renewalDeadline) {
 		w.renewal = nil
 		s.k.Observe(s.now, w.list(*h))
 	}
 }
 
+// sortedRuns returns the runs that match by task, so that a seed gives the same ends again.
+func (w *fakeWorker) sortedRuns(matches func(r *fakeRun) bool) []*fakeRun {
+	var list []*fakeRun
+	for _, r := range w.runs {
+		if matches == nil || matches(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *fakeRun) int { return strings.Compare(a.task, b.task) })
+	return list
+}
+
 func (w *fakeWorker) end(r *fakeRun, how workloadpb.How) {
-	delete(w.runs, taskKey(r.name))
+	delete(w.runs, r.task)
 	w.lastEnd++
 	w.ended = append(w.ended, workload.EndedRun{Number: w.lastEnd, Name: r.name, How: how})
 	if how == workloadpb.How_HOW_DONE {
-		w.sim.done[taskKey(r.name)]++
+		w.sim.done[r.task]++
+		if !r.longRunning { // Long-running tasks start again however they end.
+			w.successes = append(w.successes, success{number: w.lastEnd, task: r.task})
+		}
 	}
 }
 
+// acknowledge removes the ends that the leader has recorded.
+func (w *fakeWorker) acknowledge(number int64) {
+	w.ended = slices.DeleteFunc(w.ended, func(e workload.EndedRun) bool { return e.Number <= number })
+	w.successes = slices.DeleteFunc(w.successes, func(e success) bool {
+		if e.number > number {
+			return false
+		}
+		assert.Assert(w.sim.t, !e.startedAgain, "%s started again and then its success was recorded", e.task)
+		w.sim.noted[e.task] = true
+		return true
+	})
+}
+
 func (w *fakeWorker) list(h workload.RenewLease) workload.RenewLeaseResult {
 	done := workload.RenewLeaseResult{
 		Request: h, Answer: w.answer(workload.Accepted, w.renewalSentAt), Ended: slices.Clone(w.ended),
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns(nil) {
 		done.Running = append(done.Running, workload.RunStatus{Name: r.name, Percent: 100, Load: w.load})
 	}
 	return done
@@ -329,7 +446,7 @@
 
 // worker returns the worker that a request is meant for, nil if it does not answer.
 func (s *sim) worker(t workload.Target) *fakeWorker {
-	if w := s.workers[t.ID]; w != nil && !w.dead && !w.unreachable {
+	if w := s.workers[t.ID]; w != nil && !w.dead && !w.unreachable && !w.deaf {
 		return w
 	}
 	return nil
@@ -338,7 +455,27 @@
 func (s *sim) execute(a kernel.Action) {
 	s.t.Helper()
 	s.requests = append(s.requests, a)
-	sent := s.now
+	if s.requestDelay != nil {
+		// A request of an earlier leader still arrives, but its answer is lost.
+		sent, term := s.now, s.term
+		s.scheduleLasting(s.requestDelay(a), func() { s.deliver(a, sent, term) })
+		return
+	}
+	s.deliver(a, s.now, s.term)
+}
+
+// deliver carries out a request that was sent at a time in a term.
+func (s *sim) deliver(a kernel.Action, sent time.Duration, term uint64) {
+	s.t.Helper()
+	if term < s.term {
+		// Only the answers to the new leader are observed.
+		s.deliverOutdated(a)
+		return
+	}
+	s.sentAt = sent
+	if s.intercept != nil && s.intercept(a) {
+		return
+	}
 	if s.rejectRequest != nil {
 		if o, ok := s.rejectRequest(a); ok {
 			s.schedule(simStep, func() { s.fail(a, o, sent) })
@@ -353,8 +490,8 @@
 			return
 		}
 		w.acceptHeader(a.RequestHeader)
-		w.ended = slices.DeleteFunc(w.ended, func(e workload.EndedRun) bool { return e.Number <= a.AckedEnd })
-		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, s.now, s.now+max(a.Wait, simStep)
+		w.acknowledge(a.AckedEnd)
+		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, sent, s.now+max(a.Wait, simStep)
 	case workload.StartRun:
 		w := s.worker(a.Target)
 		if w == nil {
@@ -369,10 +506,7 @@
 			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
 			return
 		}
-		if r := w.runs[taskKey(a.Name)]; r != nil && r.name.Run == a.Name.Run {
-			w.end(r, workloadpb.How_HOW_STOPPED)
-		}
-		w.highestRun[taskKey(a.Name)] = max(w.highestRun[taskKey(a.Name)], a.Name.Run)
+		w.stop(a)
 		s.schedule(simStep, func() {
 			s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: w.answer(workload.Accepted, sent)})
 		})
@@ -415,6 +549,25 @@
 	}
 }
 
+// deliverOutdated carries out a request of an earlier leader.
+func (s *sim) deliverOutdated(a kernel.Action) {
+	switch a := a.(type) {
+	case workload.RenewLease:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
+			w.acceptHeader(a.RequestHeader)
+			w.acknowledge(a.AckedEnd)
+		}
+	case workload.StartRun:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs {
+			w.start(a)
+		}
+	case workload.StopRun:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
+			w.stop(a)
+		}
+	}
+}
+
 func (s *sim) fail(a kernel.Action, o workload.Outcome, sent time.Duration) {
 	answer := workload.Answer{Outcome: o, SentAt: sent, EndedAt: s.now}
 	switch a := a.(type) {
@@ -424,6 +577,10 @@
 		s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: answer})
 	case workload.StopRun:
 		s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: answer})
+	case workload.ThrottleRun:
+		s.k.Observe(s.now, workload.ThrottleRunResult{Request: a, Answer: answer})
+	case workload.RequestAdvice:
+		s.k.Observe(s.now, workload.AdviceResult{Request: a, Outcome: o, SentAt: sent})
 	case workload.ListInstances:
 		s.k.Observe(s.now, workload.ListInstancesResult{Outcome: o, SentAt: sent})
 	case workload.MoveInstance:
@@ -448,7 +605,7 @@
 		w.dead = true
 	}
 	row.Up, row.Pool, row.Worker = false, pool, ""
-	s.schedule(d, func() {
+	s.scheduleLasting(d, func() {
 		row.Up = true
 		if pool != "spare" {
 			s.startWorker(instance)
@@ -461,12 +618,26 @@
 	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+w.sim.maxLease.Milliseconds()))
 }
 
+func (w *fakeWorker) stop(a workload.StopRun) {
+	task := taskKey(a.Name)
+	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
+		w.end(r, workloadpb.How_HOW_STOPPED)
+	}
+	w.highestRun[task] = max(w.highestRun[task], a.Name.Run)
+}
+
 func (w *fakeWorker) start(a workload.StartRun) workload.Outcome {
 	s := w.sim
 	if a.FencingToken < w.fencingToken {
 		return workload.Fenced
 	}
 	assert.Assert(s.t, a.LeaseExpiryMs > 0, "%v starts without a lease", a.Name)
+	if a.LeaseExpiryMs <= w.clockMs() {
+		return workload.DeadlineExceeded
+	}
+	if s.checkTicket != nil && !s.checkTicket(w, a) {
+		return workload.BadTicket
+	}
 	w.acceptHeader(a.RequestHeader)
 	task := taskKey(a.Name)
 	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
@@ -475,10 +646,9 @@
 	if a.Name.Run <= w.highestRun[task] {
 		return workload.Outdated
 	}
-	j := s.e.State().JobByID(a.Name.Job)
-	st := j.Steps[a.Name.Step]
+	st := s.steps[a.Name.Job][a.Name.Step]
 	r := &fakeRun{
-		name: a.Name, need: ledger.ResourcesOf(st.Need), longRunning: st.Lasting,
+		name: a.Name, task: task, need: ledger.RequiredCapacity(st), longRunning: st.Lasting,
 		endsAt: s.now + time.Duration(st.EstimateMs)*time.Millisecond,
 	}
 	w.runs[task], w.highestRun[task] = r, a.Name.Run
@@ -489,8 +659,13 @@
 	assert.Assert(s.t, used.Within(ledger.ResourcesOf(w.m.Capacity)), "worker %s is over its capacity: %v", w.m.Id, used)
 	assert.Equal(s.t, a.Spec, "spec "+a.Name.Job)
 	if !st.Speculative {
-		assert.Equal(s.t, s.done[task], 0, "%s starts again after it was done", task)
+		assert.Assert(s.t, !s.noted[task], "%s starts again after it was done", task)
 		for _, o := range s.workers {
+			for i := range o.successes {
+				if e := &o.successes[i]; e.task == task && !o.dead {
+					e.startedAgain = true
+				}
+			}
 			assert.Assert(s.t, o == w || o.dead || o.runs[task] == nil, "%s runs twice", task)
 		}
 	}
