Grant leases from the slowest reading of a worker's clock

Found by the review: a lease was counted from the last reading of the worker's clock as if the clock had run exactly since. With a clock at the allowed limit, 2 % slow, a reading that is held up by a little more than the best one is never taken again, so leases grew by 2 % of the age of that reading. A new leader, which waits for the length that is granted, could then give up runs that still went on (two runs of a task at once), and tasks of lost workers restarted late.

Now the lease counts from where the clock is at least by now, so that it never lasts longer than granted, whatever the age of the reading.

The tests on the code before, after four and five minutes: TestLeaderChangeKeepsRunsOfWorkerWithSlowClock/-20 "last.0.0.0 runs twice", TestSlowClockAndLatencyKeepLeaseLength/-20 no restart within 9 s. Both pass now.

--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -181,8 +181,9 @@
 		return h
 	}
 	lease := e.grantedLease()
-	h.LeaseExpiryMs = s.workerClockMs + (e.now - s.clockReadAt + lease).Milliseconds()
-	s.leasesExpireBy = max(s.leasesExpireBy, s.clockReadAt+worstCaseDuration(e.now-s.clockReadAt+lease))
+	elapsed := float64((e.now - s.clockReadAt).Milliseconds())
+	h.LeaseExpiryMs = s.workerClockMs + int64(minClockRate*elapsed) + lease.Milliseconds()
+	s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(lease))
 	return h
 }
 
