Answer a repeated lease renewal at once

Found by the review: a renewal that got no answer times out after 2.5 s, and its repetition grants no lease but let the worker wait for an end for another 1.5 s. A lease of 4.8 s whose last renewal is 1.5 s old lapses by then, and a sound worker ended all its runs for one lost request.

The worker now answers a repeated renewal without waiting, and the next one grants a lease.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -58,7 +58,8 @@
 		return
 	}
 	h := RenewLease{RequestHeader: e.leaseHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
-	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList {
+	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList || s.failures > 0 {
+		// Requests to a worker that doesn't answer grant no lease, so its answer must not be put off.
 		h.Wait = 0
 	}
 	for _, r := range s.runs {
--- a/internal/workload/lost_worker_test.go
+++ b/internal/workload/lost_worker_test.go
@@ -125,3 +125,33 @@
 	}
 	assert.Assert(t, stops > 0 && throttles > 0, "%d stops, %d throttles", stops, throttles)
 }
+
+// Guards against leases that lapse on a sound worker because a single renewal is lost.
+func TestLostRenewalDoesntLapseLease(t *testing.T) {
+	for _, maxLease := range []time.Duration{6 * time.Second, 10 * time.Second} {
+		t.Run(maxLease.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.setMaxLease(maxLease)
+			s.configure(1, nil, "glass")
+			w := s.addWorkers("glass", 1)[0]
+			longRunning := step(1, 4000, 1000, 0)
+			longRunning.Lasting = true
+			s.submit("glass", "last", longRunning)
+			s.run(4 * time.Second)
+			sent, lease := w.renewalSentAt, w.leaseExpiryMs
+			for w.renewalSentAt == sent {
+				lease = w.leaseExpiryMs
+				s.run(simStep)
+			}
+			// The renewal is lost on its way. Its timeout is the time that the worker may wait and 1 s.
+			w.leaseExpiryMs, w.unreachable = lease, true
+			for w.renewal != nil {
+				s.run(simStep)
+			}
+			w.unreachable = false
+			t.Logf("renewal timed out; lease ends in %d ms", w.leaseExpiryMs-w.clockMs())
+			s.run(5 * time.Second)
+			assert.Equal(t, w.lastEnd, int64(0), "the run has ended")
+		})
+	}
+}
