Ask idle workers whose heartbeat is overdue before they get runs

Found by the review: an idle worker counted as usable for three missed heartbeats, 4.5 s, so that the tasks of a lost worker could be assigned to another one that was lost with it, and waited for a second lease.

A worker whose heartbeat is more than 0.5 s late is now asked for its runs and gets none until it has answered. A request to a worker without runs grants no lease, as there is nothing that needs one.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -51,13 +51,17 @@
 }
 
 // renewLease renews the lease and asks for the worker's runs and ends if runs are assigned to it, if it listed a run
-// that isn't, or if it lacks the acknowledgement of a recorded end.
+// that isn't, if it lacks the acknowledgement of a recorded end, or if its heartbeat is overdue.
 func (e *Engine) renewLease(s *session) {
 	if s.renewalInFlight || s.endsPending || e.now < s.nextRenewalAt ||
-		len(s.runs) == 0 && !s.mustList && !s.hasUnassignedRuns && s.ackedEnd >= s.worker.LastRecordedEnd() {
+		len(s.runs) == 0 && !s.mustList && !s.hasUnassignedRuns && s.ackedEnd >= s.worker.LastRecordedEnd() &&
+			(s.failures > 0 || !e.isOverdue(s)) {
 		return
 	}
-	h := RenewLease{RequestHeader: e.leaseHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
+	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
+	if len(s.runs) > 0 {
+		h.RequestHeader = e.leaseHeader(s)
+	}
 	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList || s.failures > 0 {
 		// Requests to a worker that doesn't answer grant no lease, so its answer must not be put off.
 		h.Wait = 0
--- a/internal/workload/lost_worker_test.go
+++ b/internal/workload/lost_worker_test.go
@@ -155,3 +155,44 @@
 		})
 	}
 }
+
+// Guards against tasks of a lost worker that are assigned to an idle worker that was lost with it.
+func TestTasksOfLostWorkerAvoidIdleLostWorkers(t *testing.T) {
+	for _, interval := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			longest := time.Duration(0)
+			for submitAt := time.Duration(0); submitAt < 1500*time.Millisecond; submitAt += 100 * time.Millisecond {
+				for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 100 * time.Millisecond {
+					longest = max(longest, timeToRestart(t, interval, submitAt, 4*time.Second+phase))
+				}
+			}
+			assert.Assert(t, longest <= maxRestartTime, "a task ran again %v after the loss", longest)
+		})
+	}
+}
+
+// timeToRestart returns the time from the loss of seven of eight workers until a long-running task of them runs again.
+func timeToRestart(t *testing.T, heartbeatInterval, submitAt, lostAfter time.Duration) time.Duration {
+	s := newSim(t)
+	s.maxLease = 10 * time.Second
+	s.e.Configure(workload.Config{
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxLease: s.maxLease,
+		HeartbeatInterval: heartbeatInterval,
+	})
+	s.configure(1, nil, "glass")
+	workers := s.addWorkers("glass", 8)
+	s.run(submitAt)
+	longRunning := step(1, 4000, 1000, 0)
+	longRunning.Lasting = true
+	s.submit("glass", "last", longRunning)
+	s.run(lostAfter)
+	for _, w := range workers[:7] {
+		w.dead = true
+	}
+	assert.Equal(t, s.running("last"), 0)
+	lostAt := s.now
+	for s.now < lostAt+20*time.Second && s.running("last") == 0 {
+		s.run(simStep)
+	}
+	return s.now - lostAt
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -33,8 +33,9 @@
 	// minRetryDelay and maxRetryDelay bound the time between attempts to reach a worker that failed.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
-	// maxMissedHeartbeats is how many heartbeats a worker may miss before it gets no new runs.
-	maxMissedHeartbeats = 3
+	// heartbeatDelay is how late a heartbeat may be before an idle worker is asked for its runs, and gets none until it
+	// answers. A worker that is lost while it is idle is noticed before the runs of others that were lost with it restart.
+	heartbeatDelay = 500 * time.Millisecond
 )
 
 // worstCaseDuration returns how long d on the slowest clock of a worker takes, including expiryMargin.
@@ -227,12 +228,19 @@
 	}})
 }
 
+// seenAt returns when the worker last sent a heartbeat or an answer.
+func (s *session) seenAt() time.Duration { return max(s.lastHeartbeat, s.lastAnswerAt) }
+
+// isOverdue reports whether a worker should have sent a heartbeat or an answer by now.
+func (e *Engine) isOverdue(s *session) bool {
+	return e.now-s.seenAt() > e.cfg.HeartbeatInterval+heartbeatDelay
+}
+
 // isUsable reports whether a worker may take new runs.
 func (e *Engine) isUsable(s *session) bool { return e.exclusion(s) == "" }
 
 // exclusion returns why a worker may not take new runs, empty if it may.
 func (e *Engine) exclusion(s *session) string {
-	seen := max(s.lastHeartbeat, s.lastAnswerAt)
 	switch {
 	case s.failures > 0:
 		return "unreachable"
@@ -244,11 +252,11 @@
 		return "lists-unassigned-runs"
 	case s.reservedForOperation:
 		return "reserved-for-operation"
-	case seen < s.unprovenUntil:
+	case s.seenAt() < s.unprovenUntil:
 		return "maybe-ended"
 	case e.now < s.excludedUntil:
 		return "rejected-a-start"
-	case e.now-seen > maxMissedHeartbeats*e.cfg.HeartbeatInterval:
+	case e.isOverdue(s):
 		return "no-heartbeat"
 	}
 	return ""
