Repeat the announcement of an operation that isn't in the log

Callers saw a worker without new runs, and a maintenance wave that didn't end, for the rest of a leader's term.

Cause: an operation counted as requested, with its request in flight, once the command that announces it was proposed. The control loop only logs it when the log rejects a command, which it does while too much is uncommitted and during a transfer of leadership. Then no request was sent, so no answer ended the wait.

Ruled out: a lost answer. Each request that is sent ends with an outcome.

Now the operation holds when it was announced, and counts as requested once its request is sent. An announcement that isn't applied within proposalTimeout is proposed again, after the checks on the instance's runs were made again. Sending the request ends the wait for an announcement, so a second one that is applied sends nothing, and neither does one of maintenance that was held up since.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -74,8 +74,9 @@
 	// incarnation is the number of the incarnation that ends with the operation, 0 if the instance had no worker.
 	incarnation     uint64
 	createdAt       time.Duration
+	announcedAt     time.Duration // the announcement was proposed and its request was not sent yet; 0 otherwise
 	requestInFlight bool
-	requested       bool // a request was announced and may be carried out
+	requested       bool // a request was sent and may be carried out
 	outcomeUnknown  bool // a request got no answer
 	// maybeRepeated is set if the operation may have been carried out earlier. The platform then accepts the request
 	// without doing anything, so the runs on the instance may continue.
@@ -188,7 +189,8 @@
 // advanceOperation continues the move or maintenance of an instance.
 func (e *Engine) advanceOperation(in *instance) {
 	op := in.operation
-	if op == nil || op.requestInFlight || e.now < op.retryAt {
+	if op == nil || op.requestInFlight || e.now < op.retryAt ||
+		op.announcedAt > 0 && e.now-op.announcedAt < proposalTimeout {
 		return
 	}
 	s := e.sessionOf(in)
@@ -234,7 +236,11 @@
 	}
 	op.maybeRepeated = e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}] ||
 		op.wave == 0 && s != nil && s.worker.Pool() == op.pool
-	op.requestInFlight, op.requested = true, true
+	if op.announcedAt > 0 {
+		e.cfg.Log.Info("announcement of an instance operation was not applied; repeating it", "instance", in.Name,
+			"wave", op.wave, "pool", op.pool)
+	}
+	op.announcedAt = e.now
 	// Operations are announced in the log, so that the next leader knows for which instances it must not request
 	// operations for a while.
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Order{
@@ -242,14 +248,17 @@
 	}})
 }
 
-// sendAnnounced sends the requests of the operations whose announcement is now in the log.
+// sendAnnounced sends the requests of the operations whose announcement is now in the log. An announcement that was
+// repeated may be applied twice, and one of an operation that was given up may be applied later; neither sends a request.
 func (e *Engine) sendAnnounced(m *workloadpb.Order) {
 	for _, name := range m.Instances {
 		in := e.fleet.instances[name]
-		if in == nil || in.operation == nil || !in.operation.requestInFlight {
+		if in == nil || in.operation == nil || in.operation.announcedAt == 0 || in.operation.wave != m.Wave {
 			continue
 		}
-		if op := in.operation; op.wave > 0 {
+		op := in.operation
+		op.announcedAt, op.requestInFlight, op.requested = 0, true, true
+		if op.wave > 0 {
 			e.addAction(MaintainInstance{Instance: name, Wave: op.wave, FencingToken: e.term})
 		} else {
 			e.addAction(MoveInstance{Instance: name, Pool: op.pool, FencingToken: e.term})
