Keep the result of a request until its term ends

After the control loop was busy for more than 5 s, the tasks of a worker that is lost may never be given up, and the list of instances never read again, in that term. This follows from the code; the tests show that the result is dropped, not what callers see.

Cause: a result that the control loop didn't accept within 5 s was dropped although the term went on. The engine waits for the result of a renewal, a start, an operation, a list or advice before it sends the next one, so that request stayed in flight for the rest of the term.

Ruled out: results of an ended term. The next term begins without requests in flight.

Now only the end of the term, or of the control loop, ends the wait. At most one goroutine waits for each request in flight, as before.

TestResultReachesControlLoopThatWasBusy on the old code, for each kind of request that it sends, with the loop busy for 6 s and for 1 min:

dispatch_test.go:85: the result was dropped

TestResultOfEndedTermIsDropped passes on the old code. With a wait that ignores the end of the term:

dispatch_test.go:111: 0 (int) != 1 (int): the goroutine still waits

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,8 +17,6 @@
 	orderTimeout = time.Second
 	// platformTimeout is the timeout of a call to the platform or to the adviser, which may be slow.
 	platformTimeout = 3 * time.Second
-	// observeTimeout is the maximum wait for the control loop to accept an event.
-	observeTimeout = 5 * time.Second
 )
 
 // Port calls workers, the adviser and the platform. Each function returns when ctx ends. The functions set no times in
@@ -86,15 +84,14 @@
 	}
 }
 
-// executeAction executes an order and passes its result to the control loop.
+// executeAction executes an order and passes its result to the control loop, however long that is busy.
 func (d *Dispatcher) executeAction(ctx context.Context, a kernel.Action) {
 	ev := d.callPort(ctx, a)
 	if ev == nil || ctx.Err() != nil {
 		return
 	}
-	octx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	if err := d.cfg.Observe(octx, ev); err != nil {
+	// The leader sends no further request of the kind until it has the result, so only the end of the term ends the wait.
+	if err := d.cfg.Observe(ctx, ev); err != nil {
 		d.cfg.Log.Info("control loop did not accept the result of an order",
 			"order", a.ActionName(), "reason", err.Error())
 	}
