--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -24,7 +24,7 @@
 	randomRuns = flag.Uint64("workload.runs", 20, "seeds of the random test")
 	shrinkRuns = flag.Bool("workload.shrink", false, "shorten the script of a failing seed")
 	leaseFlag  = flag.Duration("workload.lease", 0, "longest lease in the random test, 0 draws it")
-	skipKinds  = flag.String("workload.skip", "", "kinds of events that the random test leaves out, separated by commas")
+	skipKinds  = flag.String("workload.skip", "", "kinds of events, or advice, that the random test leaves out, separated by commas")
 )
 
 // action is an event of a script. n selects what it applies to.
@@ -97,6 +97,9 @@
 	slices.SortStableFunc(sc.actions, func(a, b action) int { return int(a.at - b.at) })
 	for _, k := range strings.Split(*skipKinds, ",") {
 		sc.actions = slices.DeleteFunc(sc.actions, func(a action) bool { return a.kind == k })
+		if k == "advice" {
+			clear(sc.advice)
+		}
 	}
 	sc.end = now + 12*time.Second
 	return sc
--- a/internal/workload/stuck_test.go
+++ b/internal/workload/stuck_test.go
@@ -166,3 +166,67 @@
 		})
 	}
 }
+
+// Guards against runs of a lost worker that wait for longer than the users' rule allows because requests that are sent
+// before the loss is known extend the lease.
+func TestLossWithLongLeaseIsRepairedInTime(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		submitAt time.Duration // after the loss
+	}{
+		{"no request", -1}, {"start at once", 100 * time.Millisecond}, {"start before the loss is known", 2 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.setMaxLease(10 * time.Second)
+			s.configure(1, nil, "glass")
+			ws := s.addWorkers("glass", 2)
+			s.submit("glass", "last", lasting(1, 4000, 1000))
+			s.run(5 * time.Second)
+			lost := ws[0]
+			if len(lost.runs) == 0 {
+				lost = ws[1]
+			}
+			for lost.renewal == nil || lost.renewalSentAt < s.now-simStep {
+				s.run(simStep)
+			}
+			lost.dead = true
+			at := s.now
+			if tt.submitAt >= 0 {
+				s.run(tt.submitAt)
+				s.submit("glass", "small", step(1, 1000, 1000, 200))
+			}
+			s.run(at + lostGrace + lostWindow - s.now)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
+
+// Guards against a new leader that waits for a whole lease from the start of its term before it gives up the runs of a
+// worker that was lost before.
+func TestNewLeaderRepairsLossInTime(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		after time.Duration // from the loss to the change of leader
+	}{
+		{"at once", 10 * time.Millisecond}, {"two seconds later", 2 * time.Second}, {"seven seconds later", 7 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.setMaxLease(10 * time.Second)
+			s.configure(1, nil, "glass")
+			ws := s.addWorkers("glass", 2)
+			s.submit("glass", "last", lasting(1, 4000, 1000))
+			s.run(5 * time.Second)
+			lost := ws[0]
+			if len(lost.runs) == 0 {
+				lost = ws[1]
+			}
+			lost.dead = true
+			s.run(tt.after)
+			s.startTerm()
+			s.run(leaderSettles + calmBefore + lostWindow)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
