--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -77,9 +77,10 @@
 		if n := len(p.uncommitted); n > 0 {
 			p.applyCommitted(p.uncommitted[r.IntN(n)].at - time.Duration(r.IntN(2)))
 		}
-		p.startTerm()
+		p.loseLeader()
+		p.scheduleLasting(time.Duration(r.IntN(150))*simStep, p.startTerm)
 		p.check.disturb(p.now + leaderSettles)
-		p.logf("change of leader")
+		p.logf("the leader is lost")
 	case "stale-report":
 		var gone []*fakeWorker
 		for _, id := range sortedIDs(p.workers) {
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -180,6 +180,7 @@
 		account: func(job string) *workloadpb.Account { return p.e.State().Account(p.check.accounts[job]) },
 	}
 	p.intercept, p.checkTicket = p.handle, p.ticketIsValid
+	p.keepsID = func(instance string) bool { return p.draw(2, "keeps", instance) == 0 }
 	p.clockGain = func(w *fakeWorker) int64 { return int64(p.fixed(41, "clock", w.m.Id, w.m.BornMs)) - 20 }
 	if sc.delay > 0 {
 		p.requestDelay = func(a kernel.Action) time.Duration { return p.drawDelay(fmt.Sprintf("%T", a)) }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -53,11 +53,14 @@
 	// intercept handles a request instead of the fakes if it returns true; it may be nil.
 	intercept func(a kernel.Action) bool
 	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
+	// keepsID reports whether an instance starts its worker under the last ID after an operation; it may be nil.
+	keepsID func(instance string) bool
 	// clockGain returns the thousandths by which the clock of a worker is fast; it may be nil.
 	clockGain    func(w *fakeWorker) int64
 	requestDelay func(a kernel.Action) time.Duration
 	commitDelay  func() time.Duration
 	uncommitted  []uncommitted
+	leaderless   bool
 	// sentAt is when the request that is being delivered was sent.
 	sentAt time.Duration
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
@@ -140,6 +143,17 @@
 	return s
 }
 
+// loseLeader ends the leader, which gets no answer any more. Nothing is decided until the next term starts.
+func (s *sim) loseLeader() {
+	s.uncommitted = nil
+	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool { return !t.outlivesTerm })
+	for _, w := range s.workers {
+		w.renewal = nil
+	}
+	s.k.Observe(s.now, kernel.LeadershipLost{})
+	s.leaderless = true
+}
+
 func (s *sim) setMaxLease(d time.Duration) {
 	s.maxLease = d
 	s.e.Configure(workload.Config{
@@ -149,12 +163,9 @@
 
 // startTerm starts a term with a leader that has only the replicated state. Commands that are not committed are lost.
 func (s *sim) startTerm() {
-	s.uncommitted = nil
+	s.loseLeader()
 	s.term++
-	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool { return !t.outlivesTerm })
-	for _, w := range s.workers {
-		w.renewal = nil
-	}
+	s.leaderless = false
 	s.k.BecomeLeader(s.now)
 	s.k.Observe(s.now, kernel.LeadershipGained{Term: s.term})
 }
@@ -275,6 +286,9 @@
 
 func (s *sim) report(w *fakeWorker) {
 	w.sequence++
+	if s.leaderless {
+		return // Nobody takes the heartbeat.
+	}
 	m := proto.CloneOf(w.m)
 	m.Draining = w.draining
 	leavesInMs := int64(5000)
@@ -466,7 +480,7 @@
 // deliver carries out a request that was sent at a time in a term.
 func (s *sim) deliver(a kernel.Action, sent time.Duration, term uint64) {
 	s.t.Helper()
-	if term < s.term {
+	if term < s.term || s.leaderless {
 		// Only the answers to the new leader are observed.
 		s.deliverOutdated(a)
 		return
@@ -600,13 +614,18 @@
 // restart ends the worker of an instance, and starts another one in a pool after d.
 func (s *sim) restart(instance, pool string, d time.Duration) {
 	row := s.instances[instance]
-	if w := s.workers[row.Worker]; w != nil {
-		w.dead = true
+	old := s.workers[row.Worker]
+	if old != nil {
+		old.dead = true
 	}
 	row.Up, row.Pool, row.Worker = false, pool, ""
 	s.scheduleLasting(d, func() {
 		row.Up = true
-		if pool != "spare" {
+		switch {
+		case pool == "spare":
+		case old != nil && s.keepsID != nil && s.keepsID(instance):
+			s.startWorkerAs(instance, old.m.Id, old.m.Address)
+		default:
 			s.startWorker(instance)
 		}
 	})
