--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -24,7 +24,7 @@
 	randomRuns = flag.Uint64("workload.runs", 20, "seeds of the random test")
 	shrinkRuns = flag.Bool("workload.shrink", false, "shorten the script of a failing seed")
 	leaseFlag  = flag.Duration("workload.lease", 0, "longest lease in the random test, 0 draws it")
-	skipKinds  = flag.String("workload.skip", "", "kinds of events that the random test leaves out, separated by commas")
+	skipKinds  = flag.String("workload.skip", "", "kinds of events, or advice, that the random test leaves out, separated by commas")
 )
 
 // action is an event of a script. n selects what it applies to.
@@ -97,6 +97,9 @@
 	slices.SortStableFunc(sc.actions, func(a, b action) int { return int(a.at - b.at) })
 	for _, k := range strings.Split(*skipKinds, ",") {
 		sc.actions = slices.DeleteFunc(sc.actions, func(a action) bool { return a.kind == k })
+		if k == "advice" {
+			clear(sc.advice)
+		}
 	}
 	sc.end = now + 12*time.Second
 	return sc
@@ -177,6 +180,7 @@
 		account: func(job string) *workloadpb.Account { return p.e.State().Account(p.check.accounts[job]) },
 	}
 	p.intercept, p.checkTicket = p.handle, p.ticketIsValid
+	p.keepsID = func(instance string) bool { return p.draw(2, "keeps", instance) == 0 }
 	p.clockGain = func(w *fakeWorker) int64 { return int64(p.fixed(41, "clock", w.m.Id, w.m.BornMs)) - 20 }
 	if sc.delay > 0 {
 		p.requestDelay = func(a kernel.Action) time.Duration { return p.drawDelay(fmt.Sprintf("%T", a)) }
