Record the bound of leases in the log, so that an upgrade keeps runs

What callers saw: after an upgrade, a task could run on two workers at the same time (TWICE). A new leader gave the runs of a worker up that it couldn't reach, while the lease that a leader of an earlier version had granted still lasted.

Earlier versions grant 0.8 of the longest lease that workers accept, 8 s of 10 s.

Change: each leader first proposes a LeaseBound, which the ledger keeps with the term. A new leader waits for the recorded lease if the record is of the term of the last command that a leader proposed, otherwise for the longest lease that workers accept. It takes the bound in BecomeLeader, when all commands of earlier terms and none of its own are applied. Until the leases that it inherited have expired, it records their bound, so that a leader that follows soon waits for them as well; then it records its own. A record that was rejected is proposed again; until one is committed, the next leader waits for the longest lease. Without workers in the ledger there are no leases to wait for.

A leader that is deposed before its first command is committed may have granted leases without a record. The next leader waits for the lease that it grants itself at least, which covers that one, so grants don't wait for the record.

Not closed: - If the settings give leaders different longest leases, of less than 6 s, a leader that granted a longer lease than the next one and was deposed before its first command was committed isn't covered. - If earlier versions granted by a longest lease above the one in the settings now, it isn't known. - After a return to an earlier version whose leader committed no command of its own, the record of the leader before it counts, because the log tells nothing of that term.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -76,6 +76,7 @@
 	plannedChanges        uint64
 	jobsExpiredAt         time.Duration
 	occurrencesProposedAt time.Duration
+	inherited             inheritedLeases
 	advice                advice
 	fleet                 fleet
 	shares                accountShares
@@ -144,11 +145,11 @@
 			e.fleet.maybeMaintained[waveInstance{w.Number, name}] = true
 		}
 	}
+	e.inheritLeases()
 	for _, w := range e.state.Workers() {
 		s := e.openSession(w)
 		s.lastHeartbeat = now
-		// The previous leader may grant leases for MaxConfirmationAge after this one has started.
-		s.leasesExpireBy = now + worstCaseDuration(MaxConfirmationAge+e.grantedLease())
+		s.leasesExpireBy = e.inherited.expireBy
 		s.adoptInheritedRuns()
 	}
 }
@@ -197,6 +198,7 @@
 	if !e.leading {
 		return kernel.Decision{}
 	}
+	e.recordLeaseBound()
 	e.advanceSessions()
 	e.expireEndedJobs()
 	e.startDueOccurrences()
--- a/internal/workload/ledger/ledger_test.go
+++ b/internal/workload/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -270,3 +271,27 @@
 	}
 	assert.Equal(f.t, f.Usage(""), usage[""])
 }
+
+// Guards against a bound of leases that is lost with a snapshot, or that a later leader who recorded none inherits.
+func TestLeaseBoundBelongsToTerm(t *testing.T) {
+	f := newFixture(t)
+	bound := &workloadpb.Command_LeaseBound{LeaseBound: &workloadpb.LeaseBound{LeaseMs: 4800}}
+	f.apply(&workloadpb.Command{Change: bound, Term: 3, SteadyMs: 100})
+	data, err := f.Snapshot()
+	assert.NilError(t, err)
+	restored := ledger.New()
+	assert.NilError(t, restored.Restore(data))
+	for _, s := range []*ledger.State{f.State, restored} {
+		assert.Equal(t, s.ClockTerm(), uint64(3))
+		assert.Equal(t, s.LeaseBound(3), int64(4800))
+		s.Apply(&workloadpb.Command{
+			Change: &workloadpb.Command_Expire{Expire: &workloadpb.Expire{}}, Term: 4, SteadyMs: 200,
+		}, f.nowMs)
+		assert.Equal(t, s.ClockTerm(), uint64(4))
+		assert.Equal(t, s.LeaseBound(4), int64(0))
+	}
+	older, err := proto.Marshal(&workloadpb.State{ClockMs: 5, ClockTerm: 3, ClockSteadyMs: 100})
+	assert.NilError(t, err)
+	assert.NilError(t, restored.Restore(older))
+	assert.Equal(t, restored.LeaseBound(3), int64(0))
+}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -35,6 +35,8 @@
 	clockMs       int64                            // see Clock
 	clockTerm     uint64
 	clockSteadyMs int64 // monotonic clock of the leader of clockTerm in its last command
+	leaseTerm     uint64
+	leaseMs       int64 // see LeaseBound
 
 	nextJob, nextWorker uint64
 	changes             uint64
@@ -178,6 +180,8 @@
 		s.applyWave(m.Wave, at)
 	case *workloadpb.Command_Maintained:
 		s.applyMaintained(m.Maintained)
+	case *workloadpb.Command_LeaseBound:
+		s.leaseTerm, s.leaseMs = c.Term, m.LeaseBound.LeaseMs
 	}
 	return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_DONE}
 }
@@ -199,6 +203,17 @@
 // leader proposed.
 func (s *State) Clock() int64 { return s.clockMs }
 
+// ClockTerm returns the term of the last command that a leader proposed, 0 if there was none.
+func (s *State) ClockTerm() uint64 { return s.clockTerm }
+
+// LeaseBound returns the longest lease in milliseconds that the leader of a term has recorded, 0 if it recorded none.
+func (s *State) LeaseBound(term uint64) int64 {
+	if s.leaseTerm != term {
+		return 0
+	}
+	return s.leaseMs
+}
+
 // LastOrder returns the last announced order for an instance, nil if there was none.
 func (s *State) LastOrder(instance string) *workloadpb.LastOrder { return s.lastOrders[instance] }
 
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -58,6 +58,8 @@
 	requestDelay func(a kernel.Action) time.Duration
 	commitDelay  func() time.Duration
 	uncommitted  []uncommitted
+	// rejectCommand rejects commands of the leader, as the replicated log may do; it may be nil.
+	rejectCommand func(m *workloadpb.Command) bool
 	// sentAt is when the request that is being delivered was sent.
 	sentAt time.Duration
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
@@ -333,6 +335,13 @@
 
 // commit applies a command of the leader, possibly later.
 func (s *sim) commit(c kernel.Command) {
+	if s.rejectCommand != nil {
+		m := &workloadpb.Command{}
+		assert.NilError(s.t, proto.Unmarshal(c.Body, m))
+		if s.rejectCommand(m) {
+			return
+		}
+	}
 	if s.commitDelay == nil {
 		s.apply(c)
 		return
