--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -16,8 +16,8 @@
 		return "no session"
 	}
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "usable %v (clock known %v, failures %d, draining %v, unassigned runs %v, reserved %v, excluded for %v,"+
-		" seen %v ago, must list %v, ends pending %v, leases expire in %v), ledger used %v of %v, runs",
+	fmt.Fprintf(b, "usable %v (clock known %v, failures %d, draining %v, unassigned runs %v, reserved %v, excluded for"+
+		" %v, seen %v ago, must list %v, ends pending %v, leases expire in %v), ledger used %v of %v, runs",
 		e.isUsable(s), s.clockKnown, s.failures, w.IsDraining(), s.hasUnassignedRuns, s.reservedForOperation,
 		s.excludedUntil-e.now, e.now-max(s.lastHeartbeat, s.lastAnswerAt), s.mustList, s.endsPending,
 		s.leasesExpireBy-e.now, w.Used(), w.Capacity())
--- a/internal/workload/lost_test.go
+++ b/internal/workload/lost_test.go
@@ -45,6 +45,15 @@
 	room    map[*fakeWorker]time.Duration // since when there is room for it
 }
 
+// newLostCheck returns a check for a simulation in which one pool runs all jobs, without advice and accounts.
+func newLostCheck(s *sim, pool string) *lostCheck {
+	return &lostCheck{
+		sim: s, allowed: func(*fakeWorker, string, int32) bool { return true },
+		pool:    func(string) string { return pool },
+		account: func(string) *workloadpb.Account { return nil }, accounts: map[string]string{},
+	}
+}
+
 func (c *lostCheck) addJob(job string) {
 	for i, st := range c.sim.steps[job] {
 		for n := range st.Count {
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -18,13 +18,14 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// The defaults keep the test short; other seeds are run by hand.
+// The defaults keep the test short; other seeds are run by hand. Events depend on the seed only, but the engine sends
+// some requests in the order of a map, so rare failures may need -count.
 var (
 	firstSeed  = flag.Uint64("workload.seed", 1, "first seed of the random test")
-	randomRuns = flag.Uint64("workload.runs", 20, "seeds of the random test")
+	randomRuns = flag.Uint64("workload.runs", 30, "seeds of the random test")
 	shrinkRuns = flag.Bool("workload.shrink", false, "shorten the script of a failing seed")
 	leaseFlag  = flag.Duration("workload.lease", 0, "longest lease in the random test, 0 draws it")
-	skipKinds  = flag.String("workload.skip", "", "kinds of events, or advice, that the random test leaves out, separated by commas")
+	skipKinds  = flag.String("workload.skip", "", "kinds of events, or advice, to leave out, separated by commas")
 )
 
 // action is an event of a script. n selects what it applies to.
@@ -213,9 +214,9 @@
 
 func (p *player) describe(t *lastingTask, workers []*fakeWorker) string {
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "at %v: task %s of a step %v doesn't run, last ran at %v, last disturbance until %v, lease %v\n  ledger: %s\n",
-		p.now, taskKey(t.name), t.step, t.ranAt, p.check.disturbedUntil, p.maxLease,
-		p.e.ExplainTask(t.name.Job, t.name.Step, t.name.Index))
+	fmt.Fprintf(b, "at %v: task %s of a step %v doesn't run, last ran at %v, last disturbance until %v, lease %v\n",
+		p.now, taskKey(t.name), t.step, t.ranAt, p.check.disturbedUntil, p.maxLease)
+	fmt.Fprintf(b, "  ledger: %s\n", p.e.ExplainTask(t.name.Job, t.name.Step, t.name.Index))
 	for _, w := range workers {
 		fmt.Fprintf(b, "  room on %s (free %v, %d runs): %s\n", w.m.Id, w.free(), len(w.runs),
 			p.e.Explain(w.m.Id, t.name.Job, t.name.Step))
@@ -402,9 +403,10 @@
 					sc, violation, log = s, v, l
 				}
 			}
-			t.Errorf("%s\nscript: lease %v, delay %v, pools %v, spare %d, advice %v, caps %v\n%s", violation, sc.lease, sc.delay, sc.pools, sc.spare,
-				sc.advice, sc.cap, log)
-			t.Errorf("run again: go test -run 'TestRandomDisturbances$' -workload.seed %d -workload.runs 1 ./internal/workload", seed)
+			t.Errorf("%s\nscript: lease %v, delay %v, pools %v, spare %d, advice %v, caps %v\n%s", violation, sc.lease,
+				sc.delay, sc.pools, sc.spare, sc.advice, sc.cap, log)
+			t.Errorf("run again: go test -run 'TestRandomDisturbances$' ./internal/workload -workload.seed %d -workload.runs 1",
+				seed)
 		})
 	}
 }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -80,54 +80,6 @@
 	outlivesTerm bool
 }
 
-type fakeWorker struct {
-	sim           *sim
-	m             *workloadpb.Worker
-	startedAt     time.Duration
-	dead          bool // has exited, so it answers nothing
-	unreachable   bool // answers nothing and keeps running
-	deaf          bool // gets no requests, but sends heartbeats
-	mute          bool // sends no heartbeats, but answers
-	unhealthy     bool // rejects all requests
-	fencingToken  uint64
-	leaseExpiryMs int64
-	runs          map[string]*fakeRun
-	highestRun    map[string]int32
-	ended         []workload.EndedRun
-	lastEnd       int64
-	// successes are the successful ends that are not acknowledged, as long as the lease has not expired since.
-	successes       []success
-	renewal         *workload.RenewLease
-	renewalSentAt   time.Duration
-	renewalDeadline time.Duration
-	sequence        uint64
-	draining        bool
-	leavesAt        time.Duration // 0 if it is not known
-	clockGain       int64         // thousandths by which the clock is fast
-	// how is how runs end that have worked for their estimated time.
-	how workloadpb.How
-	// load is listed for every run.
-	load int64
-	// stuck runs never end by themselves.
-	stuck bool
-}
-
-// success is a successful end in the list of a worker.
-type success struct {
-	number int64
-	task   string
-	// startedAgain is set if the task has started again since. The end must not be acknowledged then.
-	startedAgain bool
-}
-
-type fakeRun struct {
-	name        workload.RunName
-	task        string // taskKey of the name
-	need        ledger.Resources
-	endsAt      time.Duration
-	longRunning bool
-}
-
 func newSim(t testing.TB) *sim {
 	t.Helper()
 	k, err := kernel.New(kernel.Config{Log: logr.Discard()})
@@ -136,7 +88,8 @@
 	assert.Assert(t, ok)
 	s := &sim{
 		t: t, k: k, e: e, workers: map[string]*fakeWorker{}, instances: map[string]*workload.Instance{},
-		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{}, steps: map[string][]*workloadpb.Step{},
+		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{},
+		steps: map[string][]*workloadpb.Step{},
 	}
 	s.setMaxLease(6 * time.Second)
 	s.startTerm()
@@ -300,11 +253,6 @@
 	}}})
 }
 
-func (w *fakeWorker) clockMs() int64 {
-	ms := (w.sim.now - w.startedAt).Milliseconds()
-	return ms + ms*w.clockGain/1000
-}
-
 func (s *sim) schedule(d time.Duration, f func()) {
 	s.timers = append(s.timers, timer{at: s.now + d, f: f})
 }
@@ -402,57 +350,6 @@
 	}
 }
 
-// sortedRuns returns the runs that match by task, so that a seed gives the same ends again.
-func (w *fakeWorker) sortedRuns(matches func(r *fakeRun) bool) []*fakeRun {
-	var list []*fakeRun
-	for _, r := range w.runs {
-		if matches == nil || matches(r) {
-			list = append(list, r)
-		}
-	}
-	slices.SortFunc(list, func(a, b *fakeRun) int { return strings.Compare(a.task, b.task) })
-	return list
-}
-
-func (w *fakeWorker) end(r *fakeRun, how workloadpb.How) {
-	delete(w.runs, r.task)
-	w.lastEnd++
-	w.ended = append(w.ended, workload.EndedRun{Number: w.lastEnd, Name: r.name, How: how})
-	if how == workloadpb.How_HOW_DONE {
-		w.sim.done[r.task]++
-		if !r.longRunning { // Long-running tasks start again however they end.
-			w.successes = append(w.successes, success{number: w.lastEnd, task: r.task})
-		}
-	}
-}
-
-// acknowledge removes the ends that the leader has recorded.
-func (w *fakeWorker) acknowledge(number int64) {
-	w.ended = slices.DeleteFunc(w.ended, func(e workload.EndedRun) bool { return e.Number <= number })
-	w.successes = slices.DeleteFunc(w.successes, func(e success) bool {
-		if e.number > number {
-			return false
-		}
-		assert.Assert(w.sim.t, !e.startedAgain, "%s started again and then its success was recorded", e.task)
-		w.sim.noted[e.task] = true
-		return true
-	})
-}
-
-func (w *fakeWorker) list(h workload.RenewLease) workload.RenewLeaseResult {
-	done := workload.RenewLeaseResult{
-		Request: h, Answer: w.answer(workload.Accepted, w.renewalSentAt), Ended: slices.Clone(w.ended),
-	}
-	for _, r := range w.sortedRuns(nil) {
-		done.Running = append(done.Running, workload.RunStatus{Name: r.name, Percent: 100, Load: w.load})
-	}
-	return done
-}
-
-func (w *fakeWorker) answer(o workload.Outcome, sent time.Duration) workload.Answer {
-	return workload.Answer{Outcome: o, ClockMs: w.clockMs(), SentAt: sent, EndedAt: w.sim.now}
-}
-
 func taskKey(n workload.RunName) string {
 	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
 }
@@ -631,65 +528,6 @@
 	})
 }
 
-func (w *fakeWorker) acceptHeader(o workload.RequestHeader) {
-	w.fencingToken = max(w.fencingToken, o.FencingToken)
-	w.leaseExpiryMs = max(w.leaseExpiryMs, min(o.LeaseExpiryMs, w.clockMs()+w.sim.maxLease.Milliseconds()))
-}
-
-func (w *fakeWorker) stop(a workload.StopRun) {
-	task := taskKey(a.Name)
-	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
-		w.end(r, workloadpb.How_HOW_STOPPED)
-	}
-	w.highestRun[task] = max(w.highestRun[task], a.Name.Run)
-}
-
-func (w *fakeWorker) start(a workload.StartRun) workload.Outcome {
-	s := w.sim
-	if a.FencingToken < w.fencingToken {
-		return workload.Fenced
-	}
-	assert.Assert(s.t, a.LeaseExpiryMs > 0, "%v starts without a lease", a.Name)
-	if a.LeaseExpiryMs <= w.clockMs() {
-		return workload.DeadlineExceeded
-	}
-	if s.checkTicket != nil && !s.checkTicket(w, a) {
-		return workload.BadTicket
-	}
-	w.acceptHeader(a.RequestHeader)
-	task := taskKey(a.Name)
-	if r := w.runs[task]; r != nil && r.name.Run == a.Name.Run {
-		return workload.Accepted
-	}
-	if a.Name.Run <= w.highestRun[task] {
-		return workload.Outdated
-	}
-	st := s.steps[a.Name.Job][a.Name.Step]
-	r := &fakeRun{
-		name: a.Name, task: task, need: ledger.RequiredCapacity(st), longRunning: st.Lasting,
-		endsAt: s.now + time.Duration(st.EstimateMs)*time.Millisecond,
-	}
-	w.runs[task], w.highestRun[task] = r, a.Name.Run
-	used := ledger.Resources{}
-	for _, o := range w.runs {
-		used = used.Plus(o.need)
-	}
-	assert.Assert(s.t, used.Within(ledger.ResourcesOf(w.m.Capacity)), "worker %s is over its capacity: %v", w.m.Id, used)
-	assert.Equal(s.t, a.Spec, "spec "+a.Name.Job)
-	if !st.Speculative {
-		assert.Assert(s.t, !s.noted[task], "%s starts again after it was done", task)
-		for _, o := range s.workers {
-			for i := range o.successes {
-				if e := &o.successes[i]; e.task == task && !o.dead {
-					e.startedAgain = true
-				}
-			}
-			assert.Assert(s.t, o == w || o.dead || o.runs[task] == nil, "%s runs twice", task)
-		}
-	}
-	return workload.Accepted
-}
-
 // running counts the runs of a job on live workers.
 func (s *sim) running(job string) int {
 	n := 0
--- a/internal/workload/stuck_test.go
+++ b/internal/workload/stuck_test.go
@@ -36,8 +36,29 @@
 	}
 }
 
-// Guards against maintenance that holds back the only worker that may run a task, and waits for that task itself because
-// the step may not miss another one.
+// maintainWithoutLoss starts a wave with an instance of the pool glass, and checks that no task of a long-running job
+// waits beside free capacity for longer than the users' rule allows.
+func (s *sim) maintainWithoutLoss(job string) {
+	s.t.Helper()
+	c := newLostCheck(s, "glass")
+	c.addJob(job)
+	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
+	for range 4000 {
+		s.run(simStep)
+		task, _ := c.check()
+		assert.Assert(s.t, task == nil, "at %v: a task of %s has not run since %v", s.now, job, since(task))
+	}
+}
+
+func since(t *lastingTask) time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.ranAt
+}
+
+// Guards against maintenance that holds back the only worker of a task, and waits because its step misses that task.
 func TestWaitingMaintenanceLeavesWorkerUsable(t *testing.T) {
 	s := newSim(t)
 	s.configure(1, nil, "glass")
@@ -52,14 +73,10 @@
 	s.submit("glass", "last", st)
 	s.run(time.Second)
 	assert.Equal(t, s.running("last"), 2)
-	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
-	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
-	s.run(9 * time.Second)
-	assert.Equal(t, s.running("last"), 2)
+	s.maintainWithoutLoss("last")
 }
 
-// Guards against maintenance that waits for a step which misses too many tasks already, and keeps the worker from running
-// the tasks of another step, which it has stopped.
+// Guards against maintenance that waits for a step for good, and has stopped the tasks of another step before.
 func TestWaitingMaintenanceReturnsStoppedTasks(t *testing.T) {
 	s := newSim(t)
 	s.configure(1, nil, "glass")
@@ -71,10 +88,7 @@
 	s.submit("glass", "last", lasting(2, 1000, 1000))
 	s.run(time.Second)
 	assert.Equal(t, s.running("last"), 2)
-	wave := &workloadpb.Wave{Number: 1, Instances: []string{"m-glass-0"}, DurationMs: 20000, Cap: 1}
-	s.call(&workloadpb.Command{Change: &workloadpb.Command_Wave{Wave: wave}})
-	s.run(9 * time.Second)
-	assert.Equal(t, s.running("last"), 2)
+	s.maintainWithoutLoss("last")
 }
 
 // Guards against capacity that is reserved on a worker on which the adviser doesn't allow the task.
@@ -108,7 +122,7 @@
 	assert.Equal(t, s.running("other"), 1)
 }
 
-// Guards against a long-running task that gets no advice because the steps of many older jobs ask for it again and again.
+// Guards against a long-running task that gets no advice because many older steps ask for it again and again.
 func TestLongRunningTaskGetsAdvice(t *testing.T) {
 	s := newSim(t)
 	s.configure(1, func(d *workloadpb.Document) {
@@ -167,8 +181,7 @@
 	}
 }
 
-// Guards against runs of a lost worker that wait for longer than the users' rule allows because requests that are sent
-// before the loss is known extend the lease.
+// Guards against a start that is sent before a loss is known and extends the lease beyond what the users' rule allows.
 func TestLossWithLongLeaseIsRepairedInTime(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
@@ -202,8 +215,7 @@
 	}
 }
 
-// Guards against a new leader that waits for a whole lease from the start of its term before it gives up the runs of a
-// worker that was lost before.
+// Guards against a new leader that waits for a whole lease, and longer than the users' rule allows, for a lost worker.
 func TestNewLeaderRepairsLossInTime(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
