--- a/internal/workload/announcement_test.go
+++ b/internal/workload/announcement_test.go
@@ -61,7 +61,7 @@
 	return n
 }
 
-// Guards against a worker that stays reserved, and a wave that doesn't end, because the announcement of an operation was
+// Guards against a worker that stays reserved, and a wave that doesn't end, because the announcement of maintenance was
 // rejected, as the replicated log does while it is full or during a transfer of leadership.
 func TestRejectedAnnouncementOfOperationIsRepeated(t *testing.T) {
 	s := newSim(t)
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -249,7 +249,7 @@
 }
 
 // sendAnnounced sends the requests of the operations whose announcement is now in the log. An announcement that was
-// repeated may be applied twice, and one of an operation that was given up may be applied later; neither sends a request.
+// repeated may be applied twice, and that of an operation that was given up may come late; neither sends a request.
 func (e *Engine) sendAnnounced(m *workloadpb.Order) {
 	for _, name := range m.Instances {
 		in := e.fleet.instances[name]
--- a/internal/workload/lost_worker_test.go
+++ b/internal/workload/lost_worker_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// Guards against leases that grow with the age of a worker whose clock is slow, and tasks that restart late after its loss.
+// Guards against leases that grow with the age of a worker whose clock is slow.
 func TestSlowClockKeepsLeaseLength(t *testing.T) {
 	for _, gain := range []int64{0, -10, -20} { // thousandths
 		for _, lostAt := range []time.Duration{10 * time.Second, time.Minute, 5 * time.Minute} {
@@ -97,7 +97,7 @@
 	}
 }
 
-// Guards against a lease that is counted for a request which carries none, so that a lost worker's runs are given up late.
+// Guards against a lease that is counted for a request which carries none.
 func TestStopsAndThrottlesGrantNoLease(t *testing.T) {
 	s := newSim(t)
 	s.configure(1, nil, "glass")
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -174,7 +174,7 @@
 	return RequestHeader{Target: s.target(), FencingToken: e.term}
 }
 
-// leaseHeader returns the header of a request to the worker, with a lease if the worker's clock is known and it answers.
+// leaseHeader returns the header of a request to the worker, with a lease if the worker answers and its clock is known.
 // A request to a worker that doesn't answer must not postpone the time at which its runs are given up.
 func (e *Engine) leaseHeader(s *session) RequestHeader {
 	h := e.requestHeader(s)
@@ -188,8 +188,8 @@
 	return h
 }
 
-// recordClock records a reading of the worker's clock that was taken no later than at. A reading that was held up on its
-// way, so that an earlier one tells more, is dropped.
+// recordClock records a reading of the worker's clock that was taken no later than at, unless the last reading tells
+// more, because this one was held up on its way.
 func (s *session) recordClock(clock int64, at time.Duration) {
 	elapsed := float64((at - s.clockReadAt).Milliseconds())
 	if !s.clockKnown || float64(clock-s.workerClockMs) >= minClockRate*elapsed {
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -82,8 +82,8 @@
 		e.cfg.IncrementCounter("hibiscusroute_long_running_waits_total", "reason", reason)
 	}
 	e.cfg.Log.Info("long-running tasks don't run", "job", j.ID, "step", s.Number, "waiting", s.Waiting(),
-		"on-unreachable-workers", unreachable, "for", waited.String(), "within-quota", e.isWithinQuota(s), "pool", q.GetPool(),
-		"workers", formatReasons(reasons))
+		"on-unreachable-workers", unreachable, "for", waited.String(), "within-quota", e.isWithinQuota(s),
+		"pool", q.GetPool(), "workers", formatReasons(reasons))
 }
 
 // formatReasons returns the number of workers for each reason, ordered by reason.
