--- a/internal/workload/stuck_test.go
+++ b/internal/workload/stuck_test.go
@@ -275,3 +275,24 @@
 		})
 	}
 }
+
+// Guards against leases that are taken for longer the longer a worker with a slow clock has been up.
+func TestLossOfWorkerWithSlowClockIsRepairedInTime(t *testing.T) {
+	for _, gain := range []int64{0, -10, 10} {
+		t.Run(fmt.Sprint(gain), func(t *testing.T) {
+			s := newSim(t)
+			s.clockGain = func(*fakeWorker) int64 { return gain }
+			s.configure(1, nil, "glass")
+			ws := s.addWorkers("glass", 2)
+			s.submit("glass", "last", lasting(1, 4000, 1000))
+			s.run(5 * time.Minute)
+			lost := ws[0]
+			if len(lost.runs) == 0 {
+				lost = ws[1]
+			}
+			lost.dead = true
+			s.run(lostGrace + lostWindow)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
