Say when a task may start again in the simulation

The simulation used to fail on any start of a task that had succeeded once, also if the success was never listed because the worker had crashed or its lease had lapsed. The users' rule TWICE counts only ends that are taken note of then or later, with no lapse between.

--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -44,7 +44,8 @@
 	stuck bool
 }
 
-// success is a successful end in the list of a worker.
+// success is a successful end in the list of a worker. A task may start again only if its success is never recorded, as
+// after a crash or a lapsed lease.
 type success struct {
 	number int64
 	task   string
