Ledger: entries of earlier versions keep their meaning

A run of a long-running task that ends as done counts differently since the task starts again. The new meaning applies from the first bound of leases in the log, which only new leaders record.

TestEarlierEntriesKeepTheirMeaning fails without the condition: running, want completed.

--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -258,8 +258,10 @@
 	}
 	switch how {
 	case workloadpb.How_HOW_DONE:
-		if t.step.Step.Lasting {
-			break // The task starts again until its job is cancelled.
+		if t.step.Step.Lasting && s.leaseTerm > 0 {
+			// The task starts again until its job is cancelled. Entries from before the first bound of leases are those of
+			// earlier versions, which marked the task done.
+			break
 		}
 		members := t.step.Tasks
 		if !t.step.Step.Gang {
--- a/internal/workload/ledger/ledger_test.go
+++ b/internal/workload/ledger/ledger_test.go
@@ -23,6 +23,9 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, State: ledger.New()}
+	f.apply(&workloadpb.Command{Term: 1, Change: &workloadpb.Command_LeaseBound{
+		LeaseBound: &workloadpb.LeaseBound{LeaseMs: 4800},
+	}})
 	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Document{Document: &workloadpb.Document{
 		Version: 1, Pools: []*workloadpb.Pool{{Name: "glass"}},
 		Queues: []*workloadpb.Queue{{Name: "glass", Host: "h", Prefix: "/", Pool: "glass", MaxAttempts: 3, Public: true}},
@@ -295,3 +298,22 @@
 	assert.NilError(t, restored.Restore(older))
 	assert.Equal(t, restored.LeaseBound(3), int64(0))
 }
+
+// Guards against replicas that derive different states from entries of an earlier version, which ended long-running
+// tasks.
+func TestEarlierEntriesKeepTheirMeaning(t *testing.T) {
+	s := ledger.New()
+	f := &fixture{t: t, State: s}
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Document{Document: &workloadpb.Document{
+		Version: 1, Pools: []*workloadpb.Pool{{Name: "glass"}},
+		Queues: []*workloadpb.Queue{{Name: "glass", Host: "h", Prefix: "/", Pool: "glass", Public: true}},
+	}}})
+	w := f.report("w", 1)
+	st := newStep(1)
+	st.Lasting = true
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{st}})
+	k := j.Occurrences()[0].Steps[0].Tasks[0].Key(1)
+	f.assign(k, w)
+	f.end(k, w, workloadpb.How_HOW_DONE)
+	assert.Equal(t, j.State(), ledger.Completed)
+}
