Suspend leases by time, resume them by an answer

Found by the review of the suspended leases: requests that were lost at the same moment suspended a worker at once; a heartbeat alone ended an inherited suspension, so that the wait began anew for a worker that gets no requests; and a suspension counted after a leader of an earlier version, which doesn't know it.

Leases are suspended after a second without an answer, resume by an answer, and a suspension counts only if the last leader recorded a bound of its leases.

--- a/internal/workload/clock_test.go
+++ b/internal/workload/clock_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a new leader that gives runs up while a lease lasts that was counted from an old reading of a slow clock.
+// Guards against a new leader that gives runs up while a lease lasts that was counted from an old reading of the clock.
 func TestLeaderChangeKeepsRunsOfWorkerWithSlowClock(t *testing.T) {
 	for _, gain := range []int64{0, -15, -19, -20} { // thousandths
 		t.Run(fmt.Sprint(gain), func(t *testing.T) {
--- a/internal/workload/lease.go
+++ b/internal/workload/lease.go
@@ -61,24 +61,30 @@
 	resumeAt time.Duration
 }
 
-// minSuspensionFailures keeps one lost request from making the leases of a worker wait for the log.
-const minSuspensionFailures = 2
+// suspensionDelay keeps requests that are lost once from making the leases of a worker wait for the log.
+const suspensionDelay = time.Second
+
+// resumeRetryDelay is the time before the end of a suspension is proposed again.
+const resumeRetryDelay = time.Second
 
 // updateSuspension suspends the leases of a worker with runs that doesn't answer, and resumes them once it does.
 func (e *Engine) updateSuspension(s *session) {
 	switch {
-	case s.failures >= minSuspensionFailures && !s.suspension.active && len(s.runs) > 0:
+	case s.failures > 0 && e.now-s.failingSince >= suspensionDelay && !s.suspension.active && len(s.runs) > 0:
 		s.suspension.active, s.suspension.resumeAt = true, 0
 		s.suspension.sequence++
 		e.proposeSuspension(s, &workloadpb.LeaseSuspension{RemainingMs: max(s.leasesExpireBy-e.now, 0).Milliseconds()})
 	case s.isResuming() && e.now >= s.suspension.resumeAt:
-		s.suspension.resumeAt = e.now + proposalTimeout
+		s.suspension.resumeAt = e.now + resumeRetryDelay
 		e.proposeSuspension(s, &workloadpb.LeaseSuspension{Resumed: true})
 	}
 }
 
-// isResuming reports whether the end of the suspension of a worker's leases has yet to be recorded.
-func (s *session) isResuming() bool { return s.suspension.active && s.failures == 0 && s.clockKnown }
+// isResuming reports whether the end of the suspension of a worker's leases has yet to be recorded. Heartbeats don't
+// count as answers: the worker may get no requests.
+func (s *session) isResuming() bool {
+	return s.suspension.active && s.failures == 0 && s.lastAnswerAt > 0
+}
 
 func (e *Engine) proposeSuspension(s *session, m *workloadpb.LeaseSuspension) {
 	m.Worker, m.Sequence = s.worker.Number(), s.suspension.sequence
@@ -94,9 +100,10 @@
 }
 
 // inheritSuspension takes over a suspension of an earlier leader. The ledger's clock runs behind the time that has
-// passed, so the leases have expired by the time that is left on it.
+// passed, so the leases have expired by the time that is left on it. A leader that recorded no bound of its leases is
+// of an earlier version, which grants leases in spite of a suspension.
 func (e *Engine) inheritSuspension(s *session) {
-	if end := s.worker.LeasesEndMs(); end > 0 {
+	if end := s.worker.LeasesEndMs(); end > 0 && e.state.LeaseBound(e.state.ClockTerm()) > 0 {
 		s.suspension.active = true
 		s.leasesExpireBy = min(s.leasesExpireBy, e.now+max(millis(end-e.state.Clock()), 0))
 	}
--- a/internal/workload/suspension_test.go
+++ b/internal/workload/suspension_test.go
@@ -10,8 +10,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// Guards against runs that a new leader gives up by a recorded end of leases, although the worker answered since and got
-// another lease.
+// Guards against runs that a new leader gives up by a recorded end of leases, although the worker got another lease
+// since.
 func TestAnswerAfterSuspensionKeepsRuns(t *testing.T) {
 	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond} {
 		for answers := time.Duration(0); answers < 2*time.Second; answers += 50 * time.Millisecond {
