--- a/internal/workload/lease.go
+++ b/internal/workload/lease.go
@@ -6,6 +6,13 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+const (
+	// suspensionDelay keeps requests that are lost once from making the leases of a worker wait for the log.
+	suspensionDelay = time.Second
+	// resumeRetryDelay is the time before the end of a suspension is proposed again.
+	resumeRetryDelay = time.Second
+)
+
 // inheritedLeases bounds the leases that workers may hold from earlier leaders.
 type inheritedLeases struct {
 	longest time.Duration
@@ -61,12 +68,6 @@
 	resumeAt time.Duration
 }
 
-// suspensionDelay keeps requests that are lost once from making the leases of a worker wait for the log.
-const suspensionDelay = time.Second
-
-// resumeRetryDelay is the time before the end of a suspension is proposed again.
-const resumeRetryDelay = time.Second
-
 // updateSuspension suspends the leases of a worker with runs that doesn't answer, and resumes them once it does.
 func (e *Engine) updateSuspension(s *session) {
 	switch {
