schedule: let long-running tasks use capacity that is reserved for others

Callers saw a long-running task that didn't run although workers had room for it several times over, with no fault of a worker or a leader before.

Cause: capacity that is reserved for a long-running task, which waits until ordinary tasks release enough, was taken off the free capacity for everybody. As long as the ordinary tasks don't end, neither the task that waits nor any long-running task behind it starts. The same held for a gang that has found capacity for a part of its members. A reservation is needed against ordinary tasks only, which take all capacity that becomes free.

Ruled out: the order of long-running steps (the task that waits is offered all capacity first), quotas and advice (the test uses neither).

TestReservationLeavesRoomToLongRunningTasksThatFit on the code before, in all of its three cases, with no time limit that would have helped:

reservation_test.go:41: assertion failed: 0 (int) != 1 (int)

Now a reservation counts for ordinary tasks only. A long-running task that fits takes unreserved capacity if any worker has enough, else reserved capacity, and the reservation moves with the next pass. TestReservedCapacityIsTakenLast passes before and after.

--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -20,6 +20,21 @@
 	Suspect bool
 
 	free ledger.Resources
+	// reserved is kept for long-running tasks that wait. It may exceed free, as it includes capacity that ordinary tasks
+	// have yet to release.
+	reserved ledger.Resources
+}
+
+// unreserved returns the free capacity that isn't kept for long-running tasks; it may be negative.
+func (w *Worker) unreserved() ledger.Resources { return w.free.Minus(w.reserved) }
+
+// available returns the free capacity that tasks of a step may use. Reservations keep ordinary tasks from taking all
+// capacity that becomes free. A long-running task that fits now needn't wait for one that doesn't.
+func (w *Worker) available(s *workloadpb.Step) ledger.Resources {
+	if s.Lasting {
+		return w.free
+	}
+	return w.unreserved()
 }
 
 // Input is the input of a scheduling pass.
@@ -102,10 +117,7 @@
 	chosen, reserved := p.chooseWorkers(s, workers, n)
 	if s.Step.Gang && len(chosen) < len(waiting) {
 		// A gang keeps its capacity only if there will be enough for all of it.
-		if len(chosen)+len(reserved) < len(waiting) {
-			p.releaseTasks(s, chosen)
-			p.releaseTasks(s, reserved)
-		}
+		p.reserveForGang(s, chosen, reserved, len(chosen)+len(reserved) == len(waiting))
 		return
 	}
 	lastRun := int32(0)
@@ -126,10 +138,18 @@
 	p.plannedUsage[account] = p.plannedUsage[account].Plus(need.Times(len(chosen)))
 }
 
-// releaseTasks releases the capacity that chooseWorkers reserved on workers.
-func (p *pass) releaseTasks(s *ledger.StepRun, workers []*Worker) {
-	for _, w := range workers {
-		w.free = w.free.Plus(ledger.RequiredCapacity(s.Step))
+// reserveForGang turns the capacity that chooseWorkers took on the chosen workers into reservations. If keep is false, it
+// drops all reservations instead.
+func (p *pass) reserveForGang(s *ledger.StepRun, chosen, reserved []*Worker, keep bool) {
+	required := ledger.RequiredCapacity(s.Step)
+	for _, w := range chosen {
+		w.free, w.reserved = w.free.Plus(required), w.reserved.Plus(required)
+	}
+	if keep {
+		return
+	}
+	for _, w := range slices.Concat(chosen, reserved) {
+		w.reserved = w.reserved.Minus(required)
 		w.addTasks(s.Step, -1)
 	}
 }
@@ -149,8 +169,8 @@
 	}
 }
 
-// chooseWorkers reserves capacity for up to n tasks of a step and returns their workers, one entry for each task: the
-// chosen workers have enough free capacity now, the reserved ones once other tasks have ended.
+// chooseWorkers finds capacity for up to n tasks of a step and returns their workers, one entry for each task: the chosen
+// workers have enough free capacity, which it takes; on the others it reserves capacity until ordinary tasks have ended.
 func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) (chosen, reserved []*Worker) {
 	tasksOnWorker := TasksOnWorkers(s)
 	rack := s.Step.DataRack
@@ -162,7 +182,7 @@
 		}
 	}
 	required := ledger.RequiredCapacity(s.Step)
-	fits := func(w *Worker) bool { return p.in.Misfit(s, w, w.free, tasksOnWorker[w.Number()]) == "" }
+	fits := func(w *Worker) bool { return p.in.Misfit(s, w, w.available(s.Step), tasksOnWorker[w.Number()]) == "" }
 	if s.Step.RackSensitive && rack == "" {
 		rack = rackWithMostRoom(s, workers, required, fits)
 	}
@@ -233,7 +253,7 @@
 		}
 	}
 	if best != nil {
-		best.free = best.free.Minus(required)
+		best.reserved = best.reserved.Plus(required)
 		best.addTasks(s.Step, 1)
 		tasksOnWorker[best.Number()]++
 	}
@@ -243,7 +263,7 @@
 // slack returns the share of its capacity that a worker would have left after a task reserved the required capacity. It
 // is the smallest share of all resources, and negative if the task doesn't fit.
 func (w *Worker) slack(required ledger.Resources) float64 {
-	left, total := w.free.Minus(required), w.Capacity()
+	left, total := w.unreserved().Minus(required), w.Capacity()
 	least := 1.0
 	for _, r := range [][2]int64{
 		{left.CPU, total.CPU}, {left.Memory, total.Memory}, {left.Accelerators, total.Accelerators},
@@ -276,7 +296,7 @@
 			continue
 		}
 		n := 0
-		for free := w.free; required.Within(free) && n < len(s.Tasks); n++ {
+		for free := w.available(s.Step); required.Within(free) && n < len(s.Tasks); n++ {
 			if s.Step.MaxPerWorker > 0 && n >= int(s.Step.MaxPerWorker) {
 				break
 			}
@@ -302,6 +322,10 @@
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	required := ledger.RequiredCapacity(s)
+	if x, y := required.Within(a.unreserved()), required.Within(b.unreserved()); x != y {
+		return x
+	}
 	if rack != "" {
 		if x, y := slices.Contains(a.Labels(), rack), slices.Contains(b.Labels(), rack); x != y {
 			return x
@@ -330,8 +354,8 @@
 		if a.LongRunning != b.LongRunning {
 			return a.LongRunning > b.LongRunning
 		}
-		return a.free.CPU < b.free.CPU
+		return a.unreserved().CPU < b.unreserved().CPU
 	}
 	// The worker with the least free processors is preferred, which leaves space for large tasks on the others.
-	return a.free.CPU < b.free.CPU
+	return a.unreserved().CPU < b.unreserved().CPU
 }
