schedule: keep reservations from holding up ordinary tasks in a pool that is half empty

Callers would see an accepted job of which nothing runs while most of its pool is free: capacity that is reserved for a long-running task is withheld for as long as the ordinary tasks that it waits for don't end, be it minutes.

Cause: a reservation has no end. It is meant for a pool in which ordinary tasks take all capacity that becomes free, but held in a pool with more free capacity than ordinary tasks ask for as well.

Ruled out: bounding the time of a reservation. The tasks that it waits for take as long as they take, so a bound either ends reservations that would be fulfilled (TestLostTasksGetCapacityAtOnce has tasks of 7 s) or holds ordinary tasks up.

Now reservations count only in a pool of which at least half is in use.

--- a/internal/workload/reservation_test.go
+++ b/internal/workload/reservation_test.go
@@ -61,3 +61,23 @@
 	s.run(lostWindow)
 	assert.Equal(t, s.running("waiting"), 1)
 }
+
+// Guards against capacity that is reserved for a long-running task that can't start, and kept from ordinary tasks although
+// most of the pool is free.
+func TestReservationLeavesRoomToOrdinaryTasks(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	for _, w := range s.addWorkers("glass", 2) {
+		w.stuck = true
+	}
+	stuck := step(2, 7000, 4000, 1000)
+	stuck.MaxPerWorker = 1
+	s.submit("glass", "stuck", stuck)
+	s.run(lostWindow)
+	s.submit("glass", "waiting", lasting(2, 12000, 1000))
+	s.run(lostWindow)
+	assert.Equal(t, s.running("waiting"), 0)
+	s.submit("glass", "other", step(1, 2000, 1000, 1000))
+	s.run(lostWindow)
+	assert.Equal(t, s.running("other"), 1)
+}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -29,14 +29,25 @@
 func (w *Worker) unreserved() ledger.Resources { return w.free.Minus(w.reserved) }
 
 // available returns the free capacity that tasks of a step may use. Reservations keep ordinary tasks from taking all
-// capacity that becomes free. A long-running task that fits now needn't wait for one that doesn't.
-func (w *Worker) available(s *workloadpb.Step) ledger.Resources {
-	if s.Lasting {
+// capacity that becomes free in a busy pool. A long-running task that fits now needn't wait for one that doesn't.
+func (p *pass) available(s *workloadpb.Step, w *Worker) ledger.Resources {
+	if s.Lasting || !p.busy[w.Pool()] {
 		return w.free
 	}
 	return w.unreserved()
 }
 
+// isBusy reports whether at least half of the capacity of the workers is in use.
+func isBusy(workers []*Worker) bool {
+	var used, total ledger.Resources
+	for _, w := range workers {
+		used, total = used.Plus(w.Used()), total.Plus(w.Capacity())
+	}
+	used = used.Times(2)
+	return total.CPU > 0 && used.CPU >= total.CPU || total.Memory > 0 && used.Memory >= total.Memory ||
+		total.Accelerators > 0 && used.Accelerators >= total.Accelerators
+}
+
 // Input is the input of a scheduling pass.
 type Input struct {
 	State *ledger.State
@@ -57,19 +68,26 @@
 
 // pass is the state of a scheduling pass.
 type pass struct {
-	in           *Input
-	pools        map[string][]*Worker
+	in    *Input
+	pools map[string][]*Worker
+	// busy holds the pools of which at least half is in use. In the others, reservations withhold nothing.
+	busy         map[string]bool
 	plannedUsage map[string]ledger.Resources
 	assignments  []*workloadpb.Assignment
 }
 
 // Plan runs a scheduling pass and returns its assignments.
 func Plan(in Input) []*workloadpb.Assignment {
-	p := &pass{in: &in, pools: map[string][]*Worker{}, plannedUsage: map[string]ledger.Resources{}}
+	p := &pass{
+		in: &in, pools: map[string][]*Worker{}, busy: map[string]bool{}, plannedUsage: map[string]ledger.Resources{},
+	}
 	for _, w := range in.Workers {
 		w.free = w.Free()
 		p.pools[w.Pool()] = append(p.pools[w.Pool()], w)
 	}
+	for name, workers := range p.pools {
+		p.busy[name] = isBusy(workers)
+	}
 	for _, c := range in.Candidates {
 		for _, s := range c.ReadySteps() {
 			if len(p.assignments) < in.MaxAssignments {
@@ -182,9 +200,11 @@
 		}
 	}
 	required := ledger.RequiredCapacity(s.Step)
-	fits := func(w *Worker) bool { return p.in.Misfit(s, w, w.available(s.Step), tasksOnWorker[w.Number()]) == "" }
+	fits := func(w *Worker) bool {
+		return p.in.Misfit(s, w, p.available(s.Step, w), tasksOnWorker[w.Number()]) == ""
+	}
 	if s.Step.RackSensitive && rack == "" {
-		rack = rackWithMostRoom(s, workers, required, fits)
+		rack = p.rackWithMostRoom(s, workers, required, fits)
 	}
 	for len(chosen) < n && len(p.assignments)+len(chosen) < p.in.MaxAssignments+len(s.Tasks) {
 		var best *Worker
@@ -289,14 +309,16 @@
 }
 
 // rackWithMostRoom returns the rack whose workers fit the most tasks of a step, so that they run close to each other.
-func rackWithMostRoom(s *ledger.StepRun, workers []*Worker, required ledger.Resources, fits func(*Worker) bool) string {
+func (p *pass) rackWithMostRoom(
+	s *ledger.StepRun, workers []*Worker, required ledger.Resources, fits func(*Worker) bool,
+) string {
 	tasksByRack := map[string]int{}
 	for _, w := range workers {
 		if !fits(w) {
 			continue
 		}
 		n := 0
-		for free := w.available(s.Step); required.Within(free) && n < len(s.Tasks); n++ {
+		for free := p.available(s.Step, w); required.Within(free) && n < len(s.Tasks); n++ {
 			if s.Step.MaxPerWorker > 0 && n >= int(s.Step.MaxPerWorker) {
 				break
 			}
