Stop the runs of an instance before its maintenance

Cause: maintenance of an instance was requested while ordinary tasks still ran there, 1.5 s after it was due. One of them was done 70 ms before the renewals of four workers failed at the same moment, which is where the maintenance of four instances began; the answer of the worker that listed the end was lost with it. The end of the incarnation made the task wait, and it ran again 0.2 s later.

Ruled out: the lease (it had 4.8 s left) and the leader, which did not change.

Now such runs are told to stop, and maintenance is requested once their ends are recorded. They keep their last checkpoint this way too. Workers that don't answer and requests that may be repeated are treated as before, because there the runs can't be stopped, or go on.

--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -118,12 +118,23 @@
 
 // evacuate reports whether an instance may go out of service now. Long-running tasks are stopped while fewer than
 // MayMiss other tasks of their step are unavailable (0 means no limit), and start again elsewhere. That requires room
-// on another worker, or that the instance can go at once. Other tasks may run until drainTimeout.
+// on another worker, or that the instance can go at once. Other tasks may run until drainTimeout, and are then stopped:
+// an end that the worker lists while it goes out of service may get lost. They aren't stopped if the worker doesn't answer,
+// or if the request may be a repeated one, which the platform accepts without ending them.
 func (e *Engine) evacuate(in *instance, s *session) bool {
 	op := in.operation
+	timedOut := e.now-op.createdAt >= drainTimeout
+	stop := timedOut && s.failures == 0 && !e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}]
 	free := true
 	for _, r := range s.runs {
-		free = free && (r.task.Step().Step.Lasting || e.now-op.createdAt >= drainTimeout)
+		if r.task.Step().Step.Lasting {
+			continue
+		}
+		free = free && timedOut
+		if stop && !r.shouldStop {
+			r.shouldStop = true
+			e.markDirty(s)
+		}
 	}
 	canGo := free && !e.mustWaitForTakeover(in.Name) && e.mayMissAll(s)
 	op.lacksRoom = false
@@ -142,7 +153,7 @@
 			op.lacksRoom = true
 		}
 	}
-	return free && len(s.longRunningCounts()) == 0
+	return free && len(s.longRunningCounts()) == 0 && (!stop || len(s.worker.Runs()) == 0)
 }
 
 // mayMissAll reports whether all long-running tasks of a worker may be unavailable at the same time.
