ledger: let a task fit where only resources that it doesn't need are short

A worker's capacity may shrink while it runs, and runs that no longer fit stay. Its free processors, memory or accelerators are then negative.

A resource that a demand doesn't include no longer counts. Free capacity is the only limit that can be negative; the other limits are the capacity of an instance and of a worker without its long-running tasks, where the same holds. Quotas are checked by WithinQuota, which is unchanged: its limits aren't negative, and 0 is no limit there.

--- a/internal/workload/ledger/resources.go
+++ b/internal/workload/ledger/resources.go
@@ -32,9 +32,11 @@
 	return Resources{r.CPU * int64(n), r.Memory * int64(n), r.Accelerators * int64(n)}
 }
 
-// Within reports whether r is at most limit for each resource.
+// Within reports whether a demand of r is at most limit for each resource that it includes. A limit may be negative, as
+// the free capacity of a worker is after its capacity has shrunk.
 func (r Resources) Within(limit Resources) bool {
-	return r.CPU <= limit.CPU && r.Memory <= limit.Memory && r.Accelerators <= limit.Accelerators
+	return (r.CPU == 0 || r.CPU <= limit.CPU) && (r.Memory == 0 || r.Memory <= limit.Memory) &&
+		(r.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
 }
 
 // WithinQuota reports whether r is at most limit for each resource; zero fields of limit are unlimited.
