workload: let an idle worker show that requests reach it before it gets runs

Callers would see a long-running task that doesn't run while workers that answer have room for it: workers to which no request gets through, but whose heartbeats still arrive, take the tasks of a lost worker for one lease after the other.

Cause, in two parts. A heartbeat reset the failures of an idle worker, so that a worker from which tasks had just been taken was usable again 1.5 s later. And idle workers that were lost with it had never failed a request, as they get none; each took the tasks for the length of a lease.

Ruled out: the leases (runs are given up within 5 s of the loss) and reservations (none in the test).

Now only an answer ends the failures of a worker. An idle worker that doesn't answer is asked three times and from then on once after each heartbeat, so a worker that is lost is asked no more, and one that is sound again is found by its next heartbeat. When the lease of a lost worker has expired, the idle workers of the pools that may run its tasks are asked once, unless they have answered since the loss, and get no runs until they answer. Sound ones answer within a round trip, about when the end of the runs is in the log.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -54,12 +54,23 @@
 	})
 }
 
-// renewLease renews the lease and asks for the worker's runs and ends if runs are assigned to it, if it listed a run
-// that isn't, if it lacks the acknowledgement of a recorded end, or if its heartbeat is overdue.
+// mustAskForRuns reports whether the worker is asked for its runs and ends: if runs are assigned to it, if it listed a
+// run that isn't, if it lacks the acknowledgement of a recorded end, if its heartbeat is overdue, or if it has to show
+// that requests reach it.
+func (e *Engine) mustAskForRuns(s *session) bool {
+	switch {
+	case len(s.runs) > 0:
+		return true
+	case s.failures >= idleAttempts:
+		// A worker that is lost sends no heartbeats.
+		return s.lastHeartbeat > s.renewalSentAt
+	}
+	return s.failures > 0 || s.mustList || s.hasUnassignedRuns || s.ackedEnd < s.worker.LastRecordedEnd() || e.isOverdue(s)
+}
+
+// renewLease renews the lease and asks for the worker's runs and ends.
 func (e *Engine) renewLease(s *session) {
-	if s.renewalInFlight || s.endsPending || e.now < s.nextRenewalAt || s.isResuming() ||
-		len(s.runs) == 0 && !s.mustList && !s.hasUnassignedRuns && s.ackedEnd >= s.worker.LastRecordedEnd() &&
-			(s.failures > 0 || !e.isOverdue(s)) {
+	if s.renewalInFlight || s.endsPending || e.now < s.nextRenewalAt || s.isResuming() || !e.mustAskForRuns(s) {
 		return
 	}
 	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
@@ -79,7 +90,7 @@
 	if s.mixesLatencySensitiveAndBestEffort() {
 		h.Wait = min(h.Wait, throttleRenewalWait)
 	}
-	s.renewalInFlight = true
+	s.renewalInFlight, s.renewalSentAt = true, e.now
 	e.addAction(h)
 }
 
@@ -203,6 +214,22 @@
 	e.cfg.Log.Info("lease of an unreachable worker expired; giving up its runs", "worker", s.worker.ID(),
 		"boot", s.worker.Number(), "runs", len(s.runs))
 	s.mustList = true
+	e.askIdleWorkers(s)
+}
+
+// askIdleWorkers asks the idle workers that may take the runs of a lost worker, unless they have answered since it was
+// lost. Their heartbeats don't show that requests reach them.
+func (e *Engine) askIdleWorkers(lost *session) {
+	pools := map[string]bool{}
+	for _, r := range lost.runs {
+		pools[e.state.Queue(r.task.Step().Occurrence.Job.Queue).GetPool()] = true
+	}
+	for _, w := range e.state.Workers() {
+		if s := e.sessions[w.Number()]; pools[w.Pool()] && len(s.runs) == 0 && s.lastAnswerAt < lost.failingSince {
+			s.mustAnswer, s.mustList = true, true
+			e.renewLease(s)
+		}
+	}
 }
 
 // endGivenUpRuns records the ends of the runs that were given up. They must not start even if the worker answers before
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -33,6 +33,8 @@
 	// minRetryDelay and maxRetryDelay bound the time between attempts to reach a worker that failed.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// idleAttempts is how often in a row a worker without runs is asked before the next attempt waits for a heartbeat.
+	idleAttempts = 3
 	// heartbeatDelay is how late a heartbeat may be before an idle worker is asked for its runs, and gets none until it
 	// answers. A worker that is lost while it is idle is noticed before the runs of others that were lost with it restart.
 	heartbeatDelay = 500 * time.Millisecond
@@ -67,6 +69,7 @@
 	suspension     suspension
 
 	renewalInFlight bool
+	renewalSentAt   time.Duration
 	nextRenewalAt   time.Duration
 	ackedEnd        int64 // last recorded end whose acknowledgement reached the worker
 	mustList        bool  // the worker is asked for its runs and ends although no run is assigned
@@ -76,6 +79,7 @@
 	failures              int
 	failingSince          time.Duration
 	lastAnswerAt          time.Duration
+	mustAnswer            bool // gets no new runs until it answers a request
 	hasUnassignedRuns     bool // lists runs that are not assigned to it
 	consecutiveFailedRuns int  // runs that failed since one succeeded
 	excludedUntil         time.Duration
@@ -207,7 +211,7 @@
 		e.cfg.Log.Info("worker is reachable again", "worker", s.worker.ID(), "boot", s.worker.Number(),
 			"failures", s.failures)
 	}
-	s.failures, s.lastAnswerAt = 0, a.EndedAt
+	s.failures, s.lastAnswerAt, s.mustAnswer = 0, a.EndedAt, false
 	s.recordClock(a.ClockMs, a.EndedAt)
 }
 
@@ -249,6 +253,8 @@
 	switch {
 	case s.failures > 0:
 		return "unreachable"
+	case s.mustAnswer:
+		return "unanswered"
 	case !s.clockKnown:
 		return "clock-unknown"
 	case s.worker.IsDraining():
@@ -302,8 +308,4 @@
 	if r.Worker.Draining {
 		s.drainDeadline = e.now + time.Duration(r.LeavesInMs)*time.Millisecond
 	}
-	if s.failures > 0 && len(s.runs) == 0 {
-		// An idle worker gets no requests, so nothing else would show that it is reachable again.
-		s.failures = 0
-	}
 }
