workload: end suspensions that an earlier version ignored before a bound makes them valid

Callers would see a long-running task run twice: after a suspension of a worker's leases, a return to an earlier version of the program, the upgrade to this one and one more change of leader with the worker out of reach, its runs are given up while it still holds a lease.

Cause: a leader of the earlier version grants leases in spite of a suspension and leaves its record in the log. The next leader ignores the record, as its predecessor recorded no bound of leases, but leaves it there as well. It records its own bound, by which the leader after it takes the old record for valid.

Ruled out: treating such a worker as suspended until the record is replaced. The bound may be in the log before that (the second leader may end in between, or the log may reject the record), and a sound worker would wait for the log before its first lease.

Now a leader ends such suspensions before it records its bound, and records the bound only once the log shows that none is left. A bound in the log therefore means that each suspension before it has ended or is of a leader that honours it. Until then, the next leader waits as after an earlier version. No lease waits for this. If a worker doesn't answer, its suspension is recorded as for any other.

TestSuspensionBeforeReturnToEarlierVersionKeepsNoMeaning changes the leader 0.1 to 4.9 s after the upgrade, with the worker in or out of reach in between, and with the log rejecting one record.

--- a/internal/workload/lease.go
+++ b/internal/workload/lease.go
@@ -51,17 +51,37 @@
 	if e.now < e.inherited.boundPendingUntil || e.state.LeaseBound(e.term) == bound.Milliseconds() {
 		return
 	}
+	if e.endOutdatedSuspensions() {
+		e.inherited.boundPendingUntil = e.now + resumeRetryDelay
+		return
+	}
 	e.inherited.boundPendingUntil = e.now + proposalTimeout
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_LeaseBound{
 		LeaseBound: &workloadpb.LeaseBound{LeaseMs: bound.Milliseconds()},
 	}})
 }
 
+// endOutdatedSuspensions proposes to end the suspensions that leaders of an earlier version have ignored, and reports
+// whether there are any. A recorded bound tells the next leader that suspensions in the log are valid, so it must come
+// after their end.
+func (e *Engine) endOutdatedSuspensions() bool {
+	found := false
+	for _, w := range e.state.Workers() {
+		if s := e.sessions[w.Number()]; s.suspension.outdated {
+			found = true
+			e.proposeSuspension(s, &workloadpb.LeaseSuspension{Resumed: true})
+		}
+	}
+	return found
+}
+
 // suspension is the state of the suspension of a worker's leases. It is recorded in the log, so that the next leader
 // needn't wait for leases that have expired since.
 type suspension struct {
 	// active is set from when the suspension is proposed until its end is in the log; no lease is granted meanwhile.
 	active bool
+	// outdated is set while the log holds a suspension that a leader of an earlier version has ignored.
+	outdated bool
 	// sequence is the number of the last suspension that this leader proposed.
 	sequence uint64
 	// resumeAt is when the end of the suspension is proposed again if it is not in the log by then.
@@ -94,7 +114,12 @@
 
 // handleSuspension ends the suspension of a worker's leases, unless a later one was proposed since.
 func (e *Engine) handleSuspension(m *workloadpb.LeaseSuspension) {
-	if s := e.sessions[m.Worker]; s != nil && m.Resumed && m.Sequence == s.suspension.sequence {
+	s := e.sessions[m.Worker]
+	if s == nil {
+		return
+	}
+	s.suspension.outdated = false
+	if m.Resumed && m.Sequence == s.suspension.sequence {
 		s.suspension.active = false
 		e.markDirty(s)
 	}
@@ -104,7 +129,12 @@
 // passed, so the leases have expired by the time that is left on it. A leader that recorded no bound of its leases is
 // of an earlier version, which grants leases in spite of a suspension.
 func (e *Engine) inheritSuspension(s *session) {
-	if end := s.worker.LeasesEndMs(); end > 0 && e.state.LeaseBound(e.state.ClockTerm()) > 0 {
+	end := s.worker.LeasesEndMs()
+	switch {
+	case end == 0:
+	case e.state.LeaseBound(e.state.ClockTerm()) == 0:
+		s.suspension.outdated = true
+	default:
 		s.suspension.active = true
 		s.leasesExpireBy = min(s.leasesExpireBy, e.now+max(millis(end-e.state.Clock()), 0))
 	}
--- a/internal/workload/upgrade_test.go
+++ b/internal/workload/upgrade_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,3 +124,44 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, before, after)
 }
+
+// Guards against a suspension that an earlier version ended without a record, and that the leader after the next one
+// takes for valid.
+func TestSuspensionBeforeReturnToEarlierVersionKeepsNoMeaning(t *testing.T) {
+	for _, reachable := range []bool{false, true} {
+		for _, rejections := range []int{0, 1} {
+			for gap := 100 * time.Millisecond; gap < 5*time.Second; gap += 100 * time.Millisecond {
+				t.Run(fmt.Sprintf("reachable %v, %d rejections, %v", reachable, rejections, gap), func(t *testing.T) {
+					s, w := newSuspendedSim(t)
+					suspend(t, s, w)
+					// The leader of the earlier version ignores suspensions, and its leases were 0.8 of the longest one.
+					s.rejectCommand = func(m *workloadpb.Command) bool {
+						return m.GetLeaseSuspension() != nil || m.GetLeaseBound() != nil
+					}
+					s.startTerm()
+					w.unreachable = false
+					for range 100 {
+						w.leaseExpiryMs = w.clockMs() + 8000
+						s.run(100 * time.Millisecond)
+					}
+					assert.Assert(t, s.e.State().WorkerByID(w.m.Id).LeasesEndMs() > 0)
+					w.unreachable = !reachable
+					rejected := 0
+					s.rejectCommand = func(m *workloadpb.Command) bool {
+						if m.GetLeaseSuspension() == nil || rejected == rejections {
+							return false
+						}
+						rejected++
+						return true
+					}
+					s.startTerm()
+					s.run(gap)
+					w.unreachable = true
+					s.startTerm()
+					s.run(20 * time.Second)
+					assert.Equal(t, s.running("last"), 1)
+				})
+			}
+		}
+	}
+}
