Release workers whose instance operations get no answer

Callers saw long-running tasks that did not run for as long as calls to the platform failed, beside workers that were free but `reserved-for-operation`.

Cause: a worker whose instance is to be moved or maintained is reserved for as long as the operation is pending. Maintenance gave way to a task that waits only before its first request, and moves never did. So one request without an answer reserved the worker until the platform was back, a move did so whatever the outcome, and maintenance that was answered as busy, as the platform does while there are too many calls, was given up and begun again every 0.1 s, so that its wait started anew each time.

Ruled out: releasing the worker as soon as a request gets no answer. The operation may still be carried out. It would end the tasks that have started there; none would run twice, because their leases decide about that, but more tasks of a step could be missing than it may miss.

Now an operation that was not carried out gives way to long-running tasks that wait: a move at once, because the pool needs the instance; maintenance after 2 s, as before the first request. After a request without an answer, no further one is sent, and the worker is released once that one can't be carried out any more, by the time that a new leader waits for too, and once the worker answers again. Such an instance counts as under maintenance until that would have ended. After an answer of busy, the worker is free for 0.5 s. Workers that don't answer hold up no operation.

New cases of TestTaskRunsOnWorkerReservedInVain, and TestTaskRunsOnWorkerThatMovesInVain, on the code before:

--- FAIL: TestTaskRunsOnWorkerThatMovesInVain/unreached (0.01s) maintenance_test.go:120: assertion failed: longest is >= maxWait: a task waited for 20s, 1 ran (the same for withheld, fenced and unanswered) --- FAIL: TestTaskRunsOnWorkerReservedInVain/busy (0.03s) waiting_test.go:160: assertion failed: longest is >= maxWait: a task waited for 20s, 0 ran --- FAIL: TestTaskRunsOnWorkerReservedInVain/unanswered (0.01s) waiting_test.go:160: assertion failed: longest is >= maxWait: a task waited for 20s, 0 ran

20 s is the whole time observed. Now tasks wait for 0 s to 2.2 s, and for 5.2 s after a request without an answer. TestLateMaintenanceEndsNoTask, 24 cases of maintenance that is carried out 0.5 s to 3 s after its request, passes before and after; it fails if the worker is released before the request is settled.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -64,6 +64,8 @@
 	movedAt   time.Duration // when a move was last begun
 	// maintainAfter is the time before which no maintenance starts, because it was held up.
 	maintainAfter time.Duration
+	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
+	maybeAwayUntil time.Duration
 }
 
 // operation is a move or the maintenance of an instance.
@@ -77,6 +79,7 @@
 	announcedAt     time.Duration // the announcement was proposed and its request was not sent yet; 0 otherwise
 	requestInFlight bool
 	requested       bool // a request was sent and may be carried out
+	requestedAt     time.Duration
 	outcomeUnknown  bool // a request got no answer
 	// maybeRepeated is set if the operation may have been carried out earlier. The platform then accepts the request
 	// without doing anything, so the runs on the instance may continue.
@@ -90,6 +93,10 @@
 	lacksRoomSince, keepsWaitingSince time.Duration
 }
 
+func (e *Engine) newOperation(pool string, wave int64) *operation {
+	return &operation{pool: pool, wave: wave, createdAt: e.now, lacksRoomSince: e.now, keepsWaitingSince: e.now}
+}
+
 func (f *fleet) reset() {
 	*f = fleet{
 		instances: map[string]*instance{}, byWorker: map[string]*instance{}, stale: true,
@@ -193,12 +200,15 @@
 		op.announcedAt > 0 && e.now-op.announcedAt < proposalTimeout {
 		return
 	}
+	if op.awayUntil > 0 {
+		e.endOperation(in)
+		return
+	}
 	s := e.sessionOf(in)
-	if op.awayUntil == 0 && !op.requested && !e.knowsRuns(in, s) {
+	if !op.requested && !e.knowsRuns(in, s) {
 		return
 	}
-	if op.awayUntil > 0 {
-		e.endOperation(in)
+	if op.requested && e.isUnansweredHeldUp(in) {
 		return
 	}
 	if s != nil && !op.requested {
@@ -206,12 +216,16 @@
 		case e.assignPending:
 			// The pending Assign command may give the worker runs.
 			return
+		case op.wave == 0 && e.couldRunWaitingTask(s):
+			e.cfg.Log.Info("instance is not moved; a long-running task waits for it", "instance", in.Name, "pool", op.pool)
+			in.operation = nil
+			return
 		case op.wave == 0 && len(s.worker.Runs()) > 0:
 			if e.now-op.createdAt > drainTimeout {
 				in.operation = nil
 			}
 			return
-		case op.wave > 0 && e.isHeldUp(in, s):
+		case op.wave > 0 && e.isHeldUp(op, s):
 			e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
 				"lacks-room", op.lacksRoom)
 			in.maintainAfter = e.now + heldUpRetryDelay
@@ -241,6 +255,29 @@
 	}})
 }
 
+// isUnansweredHeldUp reports whether an operation whose requests got no answer isn't requested again, because a
+// long-running task that waits could run on the worker. The worker is released once no request can be carried out any
+// more, so that the operation ends no task that starts there.
+func (e *Engine) isUnansweredHeldUp(in *instance) bool {
+	op := in.operation
+	s := e.sessions[op.incarnation]
+	if s == nil || !e.isHeldUp(op, s) {
+		return false
+	}
+	settledAt := op.requestedAt + e.cfg.TakeoverDelay + takeoverMargin
+	if e.now < settledAt {
+		return true
+	}
+	e.cfg.Log.Info("requests for an instance operation get no answer and a task waits; trying again later",
+		"instance", in.Name, "wave", op.wave, "pool", op.pool)
+	in.operation, in.maintainAfter = nil, e.now+heldUpRetryDelay
+	if op.wave > 0 {
+		in.maybeAwayUntil = settledAt + e.cfg.MaintenanceDuration
+	}
+	e.doubt(s)
+	return true
+}
+
 // endOperation ends an operation that was accepted, once the instance is in service again.
 func (e *Engine) endOperation(in *instance) {
 	op := in.operation
@@ -266,7 +303,7 @@
 			continue
 		}
 		op := in.operation
-		op.announcedAt, op.requestInFlight, op.requested = 0, true, true
+		op.announcedAt, op.requestInFlight, op.requested, op.requestedAt = 0, true, true, e.now
 		if op.wave > 0 {
 			e.addAction(MaintainInstance{Instance: name, Wave: op.wave, FencingToken: e.term})
 		} else {
@@ -339,7 +376,8 @@
 		op.retryAt = e.now + operationRetryDelay
 		e.fleet.stale = true
 		if op.requested = op.outcomeUnknown; o == Busy && !op.outcomeUnknown {
-			in.operation = nil
+			// The worker is free meanwhile.
+			in.operation, in.maintainAfter = nil, op.retryAt
 		}
 		return
 	}
--- a/internal/workload/maintenance_test.go
+++ b/internal/workload/maintenance_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -92,3 +93,81 @@
 		Order: &workloadpb.Order{Instances: []string{instance}, Wave: wave},
 	}})
 }
+
+// failedOperations are the outcomes of an operation on an instance that the platform doesn't carry out.
+var failedOperations = []workload.Outcome{
+	workload.Unreachable, workload.Withheld, workload.Fenced, workload.Busy, workload.NoAnswer,
+}
+
+// Guards against idle workers that are reserved for a move which the platform doesn't carry out, while tasks wait.
+func TestTaskRunsOnWorkerThatMovesInVain(t *testing.T) {
+	for _, o := range failedOperations {
+		t.Run(o.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass", "spare")
+			s.addWorkers("glass", 2)
+			failed := 0
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				_, ok := a.(workload.MoveInstance)
+				if ok {
+					failed++
+				}
+				return o, ok
+			}
+			s.run(4 * time.Second)
+			assert.Assert(t, failed > 0)
+			s.submit("glass", "last", lastingStep(2, 1, 0))
+			longest, least := s.longestWait("last", 2, 20*time.Second)
+			assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+		})
+	}
+}
+
+// Guards against long-running tasks that maintenance ends which is carried out late, and against more instances under
+// maintenance than the wave allows.
+func TestLateMaintenanceEndsNoTask(t *testing.T) {
+	for after := 500 * time.Millisecond; after <= 3*time.Second; after += 500 * time.Millisecond {
+		for request := 1; request <= 4; request++ {
+			t.Run(fmt.Sprintf("%v/request-%d", after, request), func(t *testing.T) {
+				s := newSim(t)
+				s.configure(1, nil, "glass")
+				s.addWorkers("glass", 3)
+				s.run(time.Second)
+				maintain := func(m workload.MaintainInstance) {
+					if s.lastWave[m.Instance] == m.Wave {
+						return
+					}
+					for name, row := range s.instances {
+						assert.Assert(t, row.Up, "%s is out of service", name)
+					}
+					assert.Equal(t, len(s.workers[s.instances[m.Instance].Worker].runs), 0)
+					s.maintain(m)
+				}
+				requests := 0
+				s.intercept = func(a kernel.Action) bool {
+					m, ok := a.(workload.MaintainInstance)
+					if !ok {
+						return false
+					}
+					requests++
+					if s.now >= 12*time.Second {
+						maintain(m)
+						s.schedule(simStep, func() { s.fail(m, workload.Accepted, s.now) })
+						return true
+					}
+					if requests == request {
+						s.scheduleLasting(after, func() { maintain(m) })
+					}
+					s.schedule(simStep, func() { s.fail(m, workload.NoAnswer, s.now) })
+					return true
+				}
+				s.startWave(1, 1, "m-glass-0", "m-glass-1")
+				s.run(200 * time.Millisecond)
+				s.submit("glass", "last", lastingStep(3, 1, 0))
+				longest, least := s.longestWait("last", 3, 30*time.Second)
+				assert.Assert(t, requests > request)
+				assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+			})
+		}
+	}
+}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -265,7 +265,7 @@
 }
 
 func (e *Engine) moveInstance(in *instance, pool string, v *poolView) {
-	in.operation, in.movedAt = &operation{pool: pool, createdAt: e.now}, e.now
+	in.operation, in.movedAt = e.newOperation(pool, 0), e.now
 	e.cfg.Log.Info("moving instance to another pool", "instance", in.Name, "from", in.Pool, "to", pool,
 		"have", v.have, "want", v.want, "demand-cpu", v.demand.CPU, "demand-memory", v.demand.Memory)
 }
--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -143,22 +143,26 @@
 
 // Guards against workers that are reserved for maintenance which the platform doesn't carry out, while tasks wait.
 func TestTaskRunsOnWorkerReservedInVain(t *testing.T) {
-	s := newSim(t)
-	s.configure(1, nil, "glass")
-	s.addWorkers("glass", 2)
-	s.run(time.Second)
-	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
-		_, ok := a.(workload.MaintainInstance)
-		return workload.Unreachable, ok
+	for _, o := range failedOperations {
+		t.Run(o.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 2)
+			s.run(time.Second)
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				_, ok := a.(workload.MaintainInstance)
+				return o, ok
+			}
+			s.startWave(1, 2, "m-glass-0", "m-glass-1")
+			s.run(time.Second)
+			s.submit("glass", "last", lastingStep(4, 2, 1))
+			longest, least := s.longestWait("last", 4, 20*time.Second)
+			assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
+			s.rejectRequest = nil
+			s.run(20 * time.Second)
+			assert.Equal(t, s.running("last"), 4)
+		})
 	}
-	s.startWave(1, 2, "m-glass-0", "m-glass-1")
-	s.run(time.Second)
-	s.submit("glass", "last", lastingStep(4, 2, 1))
-	longest, least := s.longestWait("last", 4, 20*time.Second)
-	assert.Assert(t, longest < maxWait, "a task waited for %v, %d ran", longest, least)
-	s.rejectRequest = nil
-	s.run(20 * time.Second)
-	assert.Equal(t, s.running("last"), 4)
 }
 
 // Guards against long-running tasks that get released capacity one after the other when several are lost at once.
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -28,7 +28,7 @@
 		switch {
 		case in != nil && in.operation != nil && in.operation.wave == w.Number:
 			busy++
-		case in != nil && e.maybeUnderMaintenance(name, w.Number):
+		case in != nil && (e.now < in.maybeAwayUntil || e.maybeUnderMaintenance(name, w.Number)):
 			busy++
 		case in == nil && !f.stale && !slices.Contains(w.Gone, name):
 			gone = append(gone, name)
@@ -46,7 +46,7 @@
 		if in == nil {
 			return
 		}
-		in.operation = &operation{wave: w.Number, createdAt: e.now, lacksRoomSince: e.now, keepsWaitingSince: e.now}
+		in.operation = e.newOperation("", w.Number)
 		busy++
 	}
 }
@@ -208,10 +208,9 @@
 	return n
 }
 
-// isHeldUp reports whether the maintenance of an instance should wait until later, because no other worker has room for
-// its long-running tasks, or because one that waits could run on its worker.
-func (e *Engine) isHeldUp(in *instance, s *session) bool {
-	op := in.operation
+// isHeldUp reports whether an operation should wait until later, because no other worker has room for the long-running
+// tasks of the instance, or because one that waits could run on its worker.
+func (e *Engine) isHeldUp(op *operation, s *session) bool {
 	if !op.lacksRoom {
 		op.lacksRoomSince = e.now
 	}
@@ -221,8 +220,11 @@
 	return e.now-op.lacksRoomSince >= maxRoomWait || e.now-op.keepsWaitingSince >= maxReservedWait
 }
 
-// couldRunWaitingTask reports whether a worker has free capacity for a long-running task that waits.
+// couldRunWaitingTask reports whether a worker that answers has free capacity for a long-running task that waits.
 func (e *Engine) couldRunWaitingTask(s *session) bool {
+	if s.failures > 0 || s.worker.IsDraining() {
+		return false
+	}
 	for _, j := range e.state.ActiveJobs() {
 		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
 			continue
