Propose the record of maintenance again until it is in the log

Callers saw an instance maintained twice in a wave: its long-running tasks were stopped again, and its worker was reserved for a request that the platform accepts without doing anything.

Cause: that maintenance has begun was proposed once. When the log rejected the command, or was slower than the maintenance, the wave didn't count the instance and chose it again. The request was not known as a repeated one, so the leader also ended the incarnation of the worker that had started after the maintenance, with all its runs. An instance that the platform doesn't know was requested again after each rejected record, too.

Now the leader keeps the answer and proposes its record every second until it is in the log. The wave chooses no instance whose answer is not recorded. A new leader knows from the announcement in the log that the maintenance may have been carried out, as before.

TestRejectedRecordOfMaintenanceIsRepeated, with the first three records rejected, on the code before:

--- FAIL: TestRejectedRecordOfMaintenanceIsRepeated/begun (0.00s) maintenance_test.go:207: assertion failed: expression is false: s.waveCompleted(1) --- FAIL: TestRejectedRecordOfMaintenanceIsRepeated/gone (0.00s) maintenance_test.go:208: assertion failed: 4 (requests int) != 1 (int)

Now one request is sent and the wave is completed within 5 s.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -31,6 +32,8 @@
 	maxReservedWait = 2 * time.Second
 	// heldUpRetryDelay is the time before maintenance that was held up is tried again.
 	heldUpRetryDelay = 5 * time.Second
+	// recordRetryDelay is the time before a record of maintenance that is not in the log is proposed again.
+	recordRetryDelay = time.Second
 )
 
 // fleet is what the leader knows about instances.
@@ -48,6 +51,7 @@
 	startClockMs  int64 // the ledger's clock when this leader started
 	// maybeMaintained holds the instances whose maintenance may have been carried out without this leader knowing.
 	maybeMaintained map[waveInstance]bool
+	unrecorded      []*maintenanceRecord
 }
 
 // waveInstance identifies an instance in a maintenance wave.
@@ -56,6 +60,14 @@
 	instance string
 }
 
+// maintenanceRecord is an answer of the platform that is to be recorded: the maintenance of an instance has begun, or
+// the instance is gone.
+type maintenanceRecord struct {
+	waveInstance
+	gone       bool
+	proposedAt time.Duration // 0 if it was not proposed yet
+}
+
 // instance is an entry of the list of instances, with the operation on it.
 type instance struct {
 	Instance
@@ -112,6 +124,7 @@
 		return
 	}
 	f.advancedAt = e.now
+	e.proposeMaintenanceRecords()
 	age := e.now - f.listedAt
 	if !f.listInFlight && (f.stale && age >= minListInterval || age >= maxListAge) {
 		f.listInFlight = true
@@ -349,13 +362,12 @@
 	op.requestInFlight = false
 	e.cfg.Log.Info("requested instance operation", "instance", name, "wave", op.wave, "pool", op.pool,
 		"outcome", o.String(), "repeated", op.maybeRepeated)
-	m := &workloadpb.Maintained{Wave: op.wave}
+	gone := false
 	switch o {
 	case Accepted:
 		away := e.cfg.MoveDuration
 		if op.wave > 0 {
 			away = e.cfg.MaintenanceDuration
-			m.Begun = []string{name}
 		}
 		op.awayUntil = e.now + away + returnMargin
 		// The list may name the next incarnation by now.
@@ -365,7 +377,7 @@
 			e.endIncarnation(s, "its instance is moved or maintained")
 		}
 	case Malformed, NotFound:
-		m.Gone = []string{name}
+		gone = true
 		e.fleet.stale = true
 		in.operation = nil
 	default:
@@ -382,6 +394,36 @@
 		return
 	}
 	if op.wave > 0 {
+		e.fleet.unrecorded = append(e.fleet.unrecorded, &maintenanceRecord{
+			waveInstance: waveInstance{op.wave, name}, gone: gone,
+		})
+		e.proposeMaintenanceRecords()
+	}
+}
+
+// proposeMaintenanceRecords proposes answers of the platform about maintenance until they are in the log.
+func (e *Engine) proposeMaintenanceRecords() {
+	f := &e.fleet
+	f.unrecorded = slices.DeleteFunc(f.unrecorded, func(r *maintenanceRecord) bool {
+		w := e.state.Wave(r.wave)
+		return w == nil || slices.Contains(w.Begun, r.instance) || slices.Contains(w.Gone, r.instance)
+	})
+	for _, r := range f.unrecorded {
+		if r.proposedAt > 0 && e.now-r.proposedAt < recordRetryDelay {
+			continue
+		}
+		r.proposedAt = e.now
+		m := &workloadpb.Maintained{Wave: r.wave}
+		if r.gone {
+			m.Gone = []string{r.instance}
+		} else {
+			m.Begun = []string{r.instance}
+		}
 		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Maintained{Maintained: m}})
 	}
 }
+
+// isUnrecorded reports whether the platform answered about the maintenance of an instance, and the log lacks that.
+func (f *fleet) isUnrecorded(k waveInstance) bool {
+	return slices.ContainsFunc(f.unrecorded, func(r *maintenanceRecord) bool { return r.waveInstance == k })
+}
--- a/internal/workload/maintenance_test.go
+++ b/internal/workload/maintenance_test.go
@@ -171,3 +171,41 @@
 		}
 	}
 }
+
+// Guards against an instance that is maintained again, and a wave that isn't completed, because the log rejected the
+// record of the platform's answer.
+func TestRejectedRecordOfMaintenanceIsRepeated(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		answer workload.Outcome
+	}{{"begun", workload.Accepted}, {"gone", workload.NotFound}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 1)
+			s.run(time.Second)
+			requests, rejected := 0, 0
+			s.intercept = func(a kernel.Action) bool {
+				m, ok := a.(workload.MaintainInstance)
+				if ok {
+					requests++
+					if tt.answer == workload.Accepted {
+						s.maintain(m)
+					}
+					s.schedule(simStep, func() { s.fail(m, tt.answer, s.now) })
+				}
+				return ok
+			}
+			s.rejectCommand = func(m *workloadpb.Command) bool {
+				if m.GetMaintained() != nil {
+					rejected++
+				}
+				return m.GetMaintained() != nil && rejected <= 3
+			}
+			s.startWave(1, 1, "m-glass-0")
+			s.run(5 * time.Second)
+			assert.Assert(t, s.waveCompleted(1))
+			assert.Equal(t, requests, 1)
+		})
+	}
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -66,7 +66,8 @@
 	for _, name := range w.Instances {
 		in := e.fleet.instances[name]
 		if in == nil || in.operation != nil || !in.Up || e.now < in.maintainAfter || e.mustWaitForTakeover(name) ||
-			slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
+			slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) ||
+			e.fleet.isUnrecorded(waveInstance{w.Number, name}) {
 			continue
 		}
 		cost := int64(0)
