workload: judge with one function whether a worker has room for a task

A rule added to one of them would have been missed by the other.

Input.CountRoom uses Misfit, and couldRunWaitingTask calls Misfit itself. No change in behaviour: advice is not asked for, as before.

--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -258,6 +258,16 @@
 	return ""
 }
 
+// CountRoom returns how many more tasks of a step a worker with the given free capacity and number of tasks of the step
+// can take, at most limit.
+func (in *Input) CountRoom(s *ledger.StepRun, w *Worker, free ledger.Resources, tasks, limit int) int {
+	n := 0
+	for ; n < limit && in.Misfit(s, w, free, tasks+n) == ""; n++ {
+		free = free.Minus(ledger.RequiredCapacity(s.Step))
+	}
+	return n
+}
+
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough,
 // and returns that worker, nil if there is none. Without the reservation the task would wait for as long as smaller
 // tasks take all capacity that becomes free.
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -186,29 +187,17 @@
 			needed++
 		}
 	}
+	in := schedule.Input{}
+	assigned := schedule.TasksOnWorkers(st)
 	for _, w := range e.state.Workers() {
 		if o := e.sessions[w.Number()]; w.Pool() == q.Pool && o != s && e.isUsable(o) {
-			needed -= o.countRoom(st, w.Capacity().Minus(o.schedulerView().LongRunningUsage), needed)
+			v := o.schedulerView()
+			needed -= in.CountRoom(st, v, w.Capacity().Minus(v.LongRunningUsage), assigned[w.Number()], needed)
 		}
 	}
 	return needed <= 0
 }
 
-// countRoom returns how many more tasks of a step a worker with the given room may run, at most limit.
-func (s *session) countRoom(st *ledger.StepRun, room ledger.Resources, limit int) int {
-	if st.Step.Label != "" && !s.worker.HasLabel(st.Step.Label) {
-		return 0
-	}
-	if st.Step.MaxPerWorker > 0 {
-		limit = min(limit, int(st.Step.MaxPerWorker)-s.longRunningCounts()[st])
-	}
-	n := 0
-	for ; n < limit && ledger.RequiredCapacity(st.Step).Times(n+1).Within(room); n++ {
-		continue
-	}
-	return n
-}
-
 // isHeldUp reports whether an operation should wait until later, because no other worker has room for the long-running
 // tasks of the instance, or because one that waits could run on its worker.
 func (e *Engine) isHeldUp(op *operation, s *session) bool {
@@ -226,14 +215,15 @@
 	if s.failures > 0 || s.worker.IsDraining() {
 		return false
 	}
+	in, v := schedule.Input{}, s.schedulerView()
 	for _, j := range e.state.ActiveJobs() {
 		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
 			continue
 		}
 		for _, o := range j.Occurrences() {
 			for _, st := range o.Steps {
-				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && s.countRoom(st, s.worker.Free(), 1) > 0 &&
-					e.isWithinQuota(st) {
+				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && e.isWithinQuota(st) &&
+					in.Misfit(st, v, s.worker.Free(), schedule.TasksOnWorkers(st)[s.worker.Number()]) == "" {
 					return true
 				}
 			}
