workload: keep one clock in the engine

The answers of the adviser had a copy of the engine's time, which was right only after updateAdvice in each decision. Whether a worker is allowed now is judged by the engine.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -26,7 +26,6 @@
 type advice struct {
 	steps map[*ledger.StepRun]*stepAdvice
 	calls int
-	now   time.Duration
 }
 
 type stepAdvice struct {
@@ -46,7 +45,6 @@
 
 // updateAdvice requests advice on the ready steps of queues that need it.
 func (e *Engine) updateAdvice() {
-	e.advice.now = e.now
 	for k := range e.advice.steps {
 		if j := k.Occurrence.Job; !j.IsActive() || k.Done() || e.state.Queue(j.Queue).GetAdvice() == nil {
 			delete(e.advice.steps, k)
@@ -142,14 +140,14 @@
 	}
 }
 
-// allows reports whether the adviser lets a worker run a step; a step without advice may run on any worker.
-func (a *advice) allows(s *ledger.StepRun, w *schedule.Worker) bool {
-	sa := a.steps[s]
+// adviserAllows reports whether the adviser lets a worker run a step now; a step without advice may run on any worker.
+func (e *Engine) adviserAllows(s *ledger.StepRun, w *schedule.Worker) bool {
+	sa := e.advice.steps[s]
 	if sa == nil {
 		return true
 	}
 	answer := sa.answers[w.Number()]
-	return answer.ticket != "" && a.now < answer.validUntil
+	return answer.ticket != "" && e.now < answer.validUntil
 }
 
 // mayReserve reports whether a worker may keep capacity for a step. An answer that isn't valid any more will most
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -280,7 +280,7 @@
 	e.plannedAt, e.plannedChanges = e.now, e.state.Changes()
 	in := schedule.Input{
 		State: e.state, NowMs: e.wallClockMs(), Order: e.cfg.JobOrder, MaxAssignments: maxAssignmentsPerCommand,
-		BeyondShare: e.shares.isBeyondShare, Allowed: e.advice.allows, MayReserve: e.advice.mayReserve,
+		BeyondShare: e.shares.isBeyondShare, Allowed: e.adviserAllows, MayReserve: e.advice.mayReserve,
 	}
 	in.Candidates = schedule.RankCandidates(in)
 	pools := map[string]bool{}
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -63,7 +63,7 @@
 func (e *Engine) logWait(s *ledger.StepRun, unreachable int, waited time.Duration) {
 	j := s.Occurrence.Job
 	q := e.state.Queue(j.Queue)
-	in := schedule.Input{Allowed: e.advice.allows}
+	in := schedule.Input{Allowed: e.adviserAllows}
 	assigned := schedule.TasksOnWorkers(s)
 	reasons := map[string]int{}
 	for _, w := range e.state.Workers() {
