Release all workers of a pool for ordinary tasks when maintenance fails

Callers would see an accepted job of which nothing runs for as long as the platform carries out no maintenance, beside idle workers that answer, if a wave may maintain all workers of a pool at once.

Cause: an operation that is not carried out gives way to long-running tasks only. Ordinary tasks waited until the platform was back.

Ruled out: counting ordinary tasks in any pool and before the first request. In a busy pool some wait always, so each maintenance would be held up while it drains its worker.

TestOrdinaryTaskRunsOnWorkerReservedInVain on the code before (the case "busy" passes, because such operations are given up at once):

--- FAIL: TestOrdinaryTaskRunsOnWorkerReservedInVain/unreached maintenance_test.go:192: assertion failed: queued (string) != completed (string) (the same for withheld, fenced and unanswered)

A worker that is reserved in vain beside a usable one that is full is still not released for them.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -229,8 +229,8 @@
 		case e.assignPending:
 			// The pending Assign command may give the worker runs.
 			return
-		case op.wave == 0 && e.couldRunWaitingTask(s):
-			e.cfg.Log.Info("instance is not moved; a long-running task waits for it", "instance", in.Name, "pool", op.pool)
+		case op.wave == 0 && e.couldRunWaitingTask(op, s):
+			e.cfg.Log.Info("instance is not moved; a task waits for it", "instance", in.Name, "pool", op.pool)
 			in.operation = nil
 			return
 		case op.wave == 0 && len(s.worker.Runs()) > 0:
@@ -268,9 +268,9 @@
 	}})
 }
 
-// isUnansweredHeldUp reports whether an operation whose requests got no answer isn't requested again, because a
-// long-running task that waits could run on the worker. The worker is released once no request can be carried out any
-// more, so that the operation ends no task that starts there.
+// isUnansweredHeldUp reports whether an operation whose requests got no answer isn't requested again, because a task that
+// waits could run on the worker. The worker is released once no request can be carried out any more, so that the operation
+// ends no task that starts there.
 func (e *Engine) isUnansweredHeldUp(in *instance) bool {
 	op := in.operation
 	s := e.sessions[op.incarnation]
--- a/internal/workload/maintenance_test.go
+++ b/internal/workload/maintenance_test.go
@@ -209,3 +209,25 @@
 		})
 	}
 }
+
+// Guards against an ordinary job that waits beside idle workers, because all of them are reserved for maintenance that the
+// platform doesn't carry out.
+func TestOrdinaryTaskRunsOnWorkerReservedInVain(t *testing.T) {
+	for _, o := range failedOperations {
+		t.Run(o.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 2)
+			s.run(time.Second)
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				_, ok := a.(workload.MaintainInstance)
+				return o, ok
+			}
+			s.startWave(1, 2, "m-glass-0", "m-glass-1")
+			s.run(time.Second)
+			s.submit("glass", "ordinary", step(1, 2000, 1000, 500))
+			s.run(maxWait)
+			assert.Equal(t, s.jobState("glass", "ordinary"), "completed")
+		})
+	}
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -201,25 +201,27 @@
 	if !op.lacksRoom {
 		op.lacksRoomSince = e.now
 	}
-	if !e.couldRunWaitingTask(s) {
+	if !e.couldRunWaitingTask(op, s) {
 		op.keepsWaitingSince = e.now
 	}
 	return e.now-op.lacksRoomSince >= maxRoomWait || e.now-op.keepsWaitingSince >= maxReservedWait
 }
 
-// couldRunWaitingTask reports whether a worker that answers has free capacity for a long-running task that waits.
-func (e *Engine) couldRunWaitingTask(s *session) bool {
+// couldRunWaitingTask reports whether a worker that answers has free capacity for a long-running task that waits. Once a
+// request for the operation has failed, ordinary tasks count too in a pool without a usable worker.
+func (e *Engine) couldRunWaitingTask(op *operation, s *session) bool {
 	if s.failures > 0 || s.worker.IsDraining() {
 		return false
 	}
 	in, v := schedule.Input{}, s.schedulerView()
+	ordinary := op.retryAt > 0 && !e.hasUsableWorker(s.worker.Pool())
 	for _, j := range e.state.ActiveJobs() {
 		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
 			continue
 		}
 		for _, o := range j.Occurrences() {
 			for _, st := range o.Steps {
-				if st.Step.Lasting && st.Waiting() > 0 && st.Ready() && e.isWithinQuota(st) &&
+				if (st.Step.Lasting || ordinary) && st.Waiting() > 0 && st.Ready() && e.isWithinQuota(st) &&
 					in.Misfit(st, v, s.worker.Free(), schedule.TasksOnWorkers(st)[s.worker.Number()]) == "" {
 					return true
 				}
@@ -229,6 +231,13 @@
 	return false
 }
 
+// hasUsableWorker reports whether a worker of a pool may take new runs.
+func (e *Engine) hasUsableWorker(pool string) bool {
+	return slices.ContainsFunc(e.state.Workers(), func(w *ledger.Worker) bool {
+		return w.Pool() == pool && e.isUsable(e.sessions[w.Number()])
+	})
+}
+
 // countUnavailable returns the number of tasks of a step other than t that are not known to be ready.
 func (e *Engine) countUnavailable(st *ledger.StepRun, t *ledger.Task) int {
 	n := 0
