Keep maintenance that the platform is too busy for on one instance

Callers would see tasks stopped every two seconds, on one instance of a wave after the other, for as long as the platform answers requests for maintenance as busy, as it does while there are too many calls.

Cause: gives the operation up after such an answer and leaves the instance alone for 0.5 s, in which its worker gets new runs, or the wave picks another instance. Both begin with stopping runs. Giving the operation up at once, as before, made the time anew that it keeps a long-running task waiting, and sent a request every 0.2 s.

TestMaintenanceThatIsRejectedStopsRunsOnce on the code before, stops in 10 s, for waves of one and of three instances:

maintenance_test.go:204: assertion failed: stops is greater than runs: 40 stops for 4 requests; a worker has 10 runs maintenance_test.go:204: assertion failed: stops is greater than runs: 50 stops for 5 requests; a worker has 10 runs

Now the operation is kept and requested again after 0.5 s, like after the other outcomes, and gives way to a task that waits for 2 s (TestTaskRunsOnWorkerReservedInVain/busy, TestOrdinaryTaskRunsOnWorkerReservedInVain/busy). An instance that the list shows as down is given up as before, and so are moves.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -387,8 +387,8 @@
 		}
 		op.retryAt = e.now + operationRetryDelay
 		e.fleet.stale = true
-		if op.requested = op.outcomeUnknown; o == Busy && !op.outcomeUnknown {
-			// The worker is free meanwhile.
+		if op.requested = op.outcomeUnknown; o == Busy && !op.outcomeUnknown && (op.wave == 0 || !in.Up) {
+			// Another instance may do as well.
 			in.operation, in.maintainAfter = nil, op.retryAt
 		}
 		return
--- a/internal/workload/maintenance_test.go
+++ b/internal/workload/maintenance_test.go
@@ -231,3 +231,37 @@
 		})
 	}
 }
+
+// Guards against runs that are stopped again and again for maintenance that the platform is too busy for.
+func TestMaintenanceThatIsRejectedStopsRunsOnce(t *testing.T) {
+	for _, instances := range [][]string{{"m-glass-0"}, {"m-glass-0", "m-glass-1", "m-glass-2"}} {
+		t.Run(fmt.Sprint(len(instances)), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 3)
+			s.run(2 * time.Second)
+			requests := 0
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				_, ok := a.(workload.MaintainInstance)
+				if ok {
+					requests++
+				}
+				return workload.Busy, ok
+			}
+			s.submit("glass", "ordinary", step(48, 1500, 1000, 20000))
+			s.run(time.Second)
+			runs := len(s.workers[s.instances["m-glass-0"].Worker].runs)
+			s.requests = nil
+			s.startWave(1, 1, instances...)
+			s.run(10 * time.Second)
+			stops := 0
+			for _, a := range s.requests {
+				if _, ok := a.(workload.StopRun); ok {
+					stops++
+				}
+			}
+			assert.Assert(t, requests > 1)
+			assert.Assert(t, stops <= runs, "%d stops for %d requests; a worker has %d runs", stops, requests, runs)
+		})
+	}
+}
