Stop runs before maintenance that was requested without an answer

Callers would see runs that maintenance ends while they work, and a task that runs again after it was done, because its end is listed as the worker goes out of service: the fault of once more.

Cause: a request for maintenance without an answer makes later ones pass for repeated ones, before which runs aren't stopped, as the platform may accept them without doing anything.

Ruled out: stopping runs before any request that may be a repeated one. TestRepeatedMaintenanceKeepsRuns guards the runs of a worker that was maintained for an earlier leader. Treating the request as a first one: if the platform carries one out later than any leader waits, the end of the incarnation would be recorded while its runs go on.

Now an incarnation that has outlived the first requests for the maintenance is known to have it still ahead, and its runs are stopped first. Everything else treats the request as a repeated one, as before.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -78,6 +78,9 @@
 	maintainAfter time.Duration
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
+	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
+	// carried out; 0 if there is none.
+	outlivedBy uint64
 }
 
 // operation is a move or the maintenance of an instance.
@@ -85,6 +88,8 @@
 	// pool is the target of a move, empty for maintenance.
 	pool string
 	wave int64
+	// first is set if no request for the maintenance may have been carried out before this operation.
+	first bool
 	// incarnation is the number of the incarnation that ends with the operation, 0 if the instance had no worker.
 	incarnation     uint64
 	createdAt       time.Duration
@@ -251,10 +256,11 @@
 	if e.mustWaitForTakeover(in.Name) {
 		return
 	}
+	maybeMaintained := e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}]
 	if s != nil && !op.outcomeUnknown {
-		op.incarnation = s.worker.Number()
+		op.incarnation, op.first = s.worker.Number(), !maybeMaintained
 	}
-	op.maybeRepeated = e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}] ||
+	op.maybeRepeated = maybeMaintained ||
 		op.wave == 0 && s != nil && s.worker.Pool() == op.pool
 	if op.announcedAt > 0 {
 		e.cfg.Log.Info("announcement of an instance operation was not applied; repeating it", "instance", in.Name,
@@ -286,6 +292,9 @@
 	in.operation, in.maintainAfter = nil, e.now+heldUpRetryDelay
 	if op.wave > 0 {
 		in.maybeAwayUntil = settledAt + e.cfg.MaintenanceDuration
+		if op.first {
+			in.outlivedBy = op.incarnation
+		}
 	}
 	e.doubt(s)
 	return true
--- a/internal/workload/maintenance_test.go
+++ b/internal/workload/maintenance_test.go
@@ -265,3 +265,34 @@
 		})
 	}
 }
+
+// Guards against runs that maintenance ends, because a request that got no answer before makes it pass for a repeated one.
+func TestMaintenanceAfterUnansweredRequestsEndsNoRuns(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.run(2 * time.Second)
+	answers, begun := false, false
+	s.intercept = func(a kernel.Action) bool {
+		m, ok := a.(workload.MaintainInstance)
+		if !ok {
+			return false
+		}
+		if !answers {
+			s.schedule(simStep, func() { s.fail(m, workload.NoAnswer, s.now) })
+			return true
+		}
+		begun = true
+		assert.Equal(t, len(s.workers[s.instances[m.Instance].Worker].runs), 0)
+		return false
+	}
+	s.startWave(1, 1, "m-glass-0")
+	s.run(300 * time.Millisecond)
+	s.submit("glass", "last", lastingStep(2, 1, 0))
+	s.run(time.Second)
+	s.submit("glass", "ordinary", step(16, 1500, 1000, 60000))
+	s.run(maxWait)
+	answers = true
+	s.run(20 * time.Second)
+	assert.Assert(t, begun, "maintenance has not begun")
+}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -126,7 +126,8 @@
 func (e *Engine) evacuate(in *instance, s *session) bool {
 	op := in.operation
 	timedOut := e.now-op.createdAt >= drainTimeout
-	stop := timedOut && s.failures == 0 && !e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}]
+	stop := timedOut && s.failures == 0 &&
+		(!e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}] || in.outlivedBy == s.worker.Number())
 	free := true
 	for _, r := range s.runs {
 		if r.task.Step().Step.Lasting {
