schedule: withhold reserved capacity on one worker of a half empty pool

Callers would see a long-running task that never starts while a stream of ordinary tasks uses only 3 to 6 of 16 cores: in a pool of which less than half is in use, reservations withheld nothing, so ordinary tasks took whatever became free on each worker.

Ruled out: withholding everywhere, as before; then ordinary tasks wait beside a pool that is mostly free, for as long as the tasks before the reservation run.

Now the capacity of one worker is withheld in such a pool, the first that gets a reservation, if the pool has another one.

TestOrdinaryTasksLeaveReservedCapacityInHalfEmptyPool/2 on the code before: 'reservation_test.go:103: assertion failed: 0 (int) != 1 (int)', the task waits for the 56 s observed. It passes now, and so does TestReservationLeavesRoomToOrdinaryTasks. Case /1, a pool of one worker, stays red: it needs to know when the running tasks end.

--- a/internal/workload/reservation_test.go
+++ b/internal/workload/reservation_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,3 +82,25 @@
 	s.run(lostWindow)
 	assert.Equal(t, s.running("other"), 1)
 }
+
+// Guards against a long-running task that never starts, because ordinary tasks of a pool that is half empty take the
+// capacity that it waits for one after the other.
+func TestOrdinaryTasksLeaveReservedCapacityInHalfEmptyPool(t *testing.T) {
+	for _, workers := range []int32{1, 2} {
+		t.Run(fmt.Sprint(workers), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", int(workers))
+			for i := range 30 {
+				ordinary := step(workers, 3000, 1000, 1500)
+				ordinary.MaxPerWorker = 1
+				s.submit("glass", fmt.Sprintf("ordinary%d", i), ordinary)
+				if i == 4 {
+					s.submit("glass", "last", lasting(1, 14000, 1000))
+				}
+				s.run(time.Second)
+			}
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -31,7 +31,7 @@
 // available returns the free capacity that tasks of a step may use. Reservations keep ordinary tasks from taking all
 // capacity that becomes free in a busy pool. A long-running task that fits now needn't wait for one that doesn't.
 func (p *pass) available(s *workloadpb.Step, w *Worker) ledger.Resources {
-	if s.Lasting || !p.busy[w.Pool()] {
+	if s.Lasting || !p.busy[w.Pool()] && w != p.withheld[w.Pool()] {
 		return w.free
 	}
 	return w.unreserved()
@@ -70,8 +70,10 @@
 type pass struct {
 	in    *Input
 	pools map[string][]*Worker
-	// busy holds the pools of which at least half is in use. In the others, reservations withhold nothing.
+	// busy holds the pools of which at least half is in use. In each of the others, reservations withhold the capacity of one
+	// worker only, and none if there is no other worker.
 	busy         map[string]bool
+	withheld     map[string]*Worker
 	plannedUsage map[string]ledger.Resources
 	assignments  []*workloadpb.Assignment
 }
@@ -80,6 +82,7 @@
 func Plan(in Input) []*workloadpb.Assignment {
 	p := &pass{
 		in: &in, pools: map[string][]*Worker{}, busy: map[string]bool{}, plannedUsage: map[string]ledger.Resources{},
+		withheld: map[string]*Worker{},
 	}
 	for _, w := range in.Workers {
 		w.free = w.Free()
@@ -283,6 +286,9 @@
 		}
 	}
 	if best != nil {
+		if p.withheld[best.Pool()] == nil && len(workers) > 1 {
+			p.withheld[best.Pool()] = best
+		}
 		best.reserved = best.reserved.Plus(required)
 		best.addTasks(s.Step, 1)
 		tasksOnWorker[best.Number()]++
