workload: record the workers that are lost under a task

The ledger counted runs that ended failed. The runs of a lost incarnation waited again with no trace, so neither the program nor an operator could tell which task was there when several workers crashed.

Now a run that is lost without notice is recorded with its task: when a later incarnation ends its worker, when another one answers in its place, and when its lease has expired. It turns into a crash when a later incarnation of the same pool registers at the address or under the ID, however long after, because a worker that boots slowly has its runs given up before. Announced shutdowns and operations on the instance are no losses, and the losses of a worker that answers again are dropped. A run that is listed 1.5 s after its start clears those of its task.

Log line 'workers were lost under a task' and the counter hibiscusroute_worker_losses_total. Nothing decides by them yet.

Only assignments that carry a mark record losses, so entries of earlier versions mean the same on each replica.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -25,6 +25,7 @@
 		e.endGivenUpRuns(s)
 	}
 	e.updateSuspension(s)
+	e.recordHarmlessTasks(s)
 	e.renewLease(s)
 	e.stopRunsOutlastingDrain(s)
 	due := s.sortedRuns(func(r *run) bool {
@@ -89,6 +90,9 @@
 			break
 		}
 	}
+	if s.hasSuspects() {
+		h.Wait = min(h.Wait, suspectRenewalWait)
+	}
 	if s.mixesLatencySensitiveAndBestEffort() {
 		h.Wait = min(h.Wait, throttleRenewalWait)
 	}
@@ -109,7 +113,7 @@
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
 	case OtherIncarnation:
-		e.endIncarnation(s, "another incarnation answered a lease renewal")
+		e.endIncarnation(s, "another incarnation answered a lease renewal", true)
 		s.nextRenewalAt = e.now + proposalTimeout
 	case Withheld:
 		s.nextRenewalAt = e.now + minRetryDelay
@@ -212,7 +216,7 @@
 // giveUpRuns gives up the runs of a worker whose lease has certainly expired.
 func (e *Engine) giveUpRuns(s *session) {
 	for _, r := range s.runs {
-		r.givenUp = true
+		r.givenUp, r.lost = true, r.attempts > 0 || r.inherited || r.startedAt > 0
 	}
 	e.cfg.Log.Info("lease of an unreachable worker expired; giving up its runs", "worker", s.worker.ID(),
 		"boot", s.worker.Number(), "runs", len(s.runs))
@@ -241,7 +245,11 @@
 	m := &workloadpb.Ends{Worker: s.worker.Number()}
 	for _, r := range s.runs {
 		if r.givenUp {
-			m.Ends = append(m.Ends, voidEnd(r))
+			end := voidEnd(r)
+			if r.lost {
+				end.How = workloadpb.How_HOW_LOST
+			}
+			m.Ends = append(m.Ends, end)
 		}
 	}
 	e.proposeEnds(s, m)
@@ -275,7 +283,7 @@
 		e.recordAnswer(s, a)
 	}
 	if a.Outcome == OtherIncarnation {
-		e.endIncarnation(s, "another incarnation answered a request")
+		e.endIncarnation(s, "another incarnation answered a request", true)
 	}
 	if r != nil {
 		r.requestInFlight = false
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -301,7 +301,9 @@
 	}
 	e.assignPending = true
 	e.logAssignments(list, len(in.Workers))
-	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Assign{Assign: &workloadpb.Assign{Assignments: list}}})
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Assign{
+		Assign: &workloadpb.Assign{Assignments: list, RecordsLosses: true},
+	}})
 }
 
 // logAssignments writes a line for each step that gets tasks assigned.
@@ -324,10 +326,11 @@
 
 // handleApplied updates the leader's state after a command was applied.
 func (e *Engine) handleApplied(m *workloadpb.Command, r *workloadpb.Response) {
-	stops, ended := e.state.TakeStops(), e.state.TakeEndedJobs()
+	stops, ended, losses := e.state.TakeStops(), e.state.TakeEndedJobs(), e.state.TakeLossEvents()
 	if !e.leading {
 		return
 	}
+	e.logLosses(losses)
 	for _, j := range ended {
 		e.shares.forgetJob(j)
 		e.cfg.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", string(j.State()), "after-ms", j.EndedMs-j.AcceptedMs)
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -180,7 +180,11 @@
 	for _, a := range m.Assignments {
 		k := runKeyOf(a.Subtask, a.Run)
 		if t := s.findTask(k); t != nil && s.mayAssign(t, a) {
-			s.assignRun(t, k.Run, s.workers[a.Worker])
+			r := ActiveRun{Run: k.Run, Worker: s.workers[a.Worker], Isolated: a.Isolated}
+			if m.RecordsLosses {
+				r.assignedMs = max(s.clockMs, 1)
+			}
+			s.assignRun(t, r)
 		}
 	}
 	s.markChanged()
@@ -204,14 +208,15 @@
 	return s.usage[j.Account].Plus(ResourcesOf(step.Need)).WithinQuota(quota)
 }
 
-func (s *State) assignRun(t *Task, run int32, w *Worker) {
+func (s *State) assignRun(t *Task, r ActiveRun) {
+	w := r.Worker
 	j := t.step.Occurrence.Job
 	if t.IsWaiting() {
 		t.step.waitingTasks--
 	}
-	t.LastRun = max(t.LastRun, run)
-	t.ActiveRuns = append(t.ActiveRuns, ActiveRun{Run: run, Worker: w})
-	w.runs[t.Key(run)] = t
+	t.LastRun = max(t.LastRun, r.Run)
+	t.ActiveRuns = append(t.ActiveRuns, r)
+	w.runs[t.Key(r.Run)] = t
 	w.used = w.used.Plus(RequiredCapacity(t.step.Step))
 	s.usage[j.Account] = s.usage[j.Account].Plus(ResourcesOf(t.step.Step.Need))
 	j.activeRuns++
@@ -238,6 +243,9 @@
 		if t == nil {
 			continue
 		}
+		if e.How == workloadpb.How_HOW_LOST {
+			s.recordLoss(w, k)
+		}
 		s.endRun(w, k, e.How, e.Checkpoint)
 		s.endJobIfFinished(t, at)
 	}
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -112,6 +112,7 @@
 	Tasks      []Task
 
 	waitingTasks, doneTasks int
+	tasksWithLosses         int
 }
 
 // Done reports whether all tasks of the step are done.
@@ -120,6 +121,9 @@
 // Waiting returns the number of tasks that are neither done nor assigned.
 func (s *StepRun) Waiting() int { return s.waitingTasks }
 
+// HasLosses reports whether workers were lost under tasks of the step, see Task.Losses.
+func (s *StepRun) HasLosses() bool { return s.tasksWithLosses > 0 }
+
 // Ready reports whether all steps that this one depends on are done.
 func (s *StepRun) Ready() bool {
 	for _, n := range s.Step.After {
@@ -149,7 +153,8 @@
 	// ActiveRuns are the assigned runs whose end is not recorded yet.
 	ActiveRuns []ActiveRun
 
-	step *StepRun
+	step   *StepRun
+	losses []*workloadpb.Loss
 }
 
 // Step returns the step that the task belongs to.
@@ -173,6 +178,10 @@
 type ActiveRun struct {
 	Run    int32
 	Worker *Worker
+	// Isolated runs started beside no other run that may crash the worker.
+	Isolated bool
+
+	assignedMs int64 // by the clock of the ledger, 0 if losses are not recorded
 }
 
 // RunKey identifies a run of a task.
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -42,9 +42,13 @@
 			sm := &workloadpb.StepState{}
 			for i := range st.Tasks {
 				t := &st.Tasks[i]
-				tm := &workloadpb.TaskState{Done: t.Done, Runs: t.LastRun, Failures: t.Failures, Checkpoint: t.Checkpoint}
+				tm := &workloadpb.TaskState{
+					Done: t.Done, Runs: t.LastRun, Failures: t.Failures, Checkpoint: t.Checkpoint, Losses: t.losses,
+				}
 				for _, a := range t.ActiveRuns {
-					tm.Attempts = append(tm.Attempts, &workloadpb.ActiveRun{Run: a.Run, Worker: a.Worker.info.Number})
+					tm.Attempts = append(tm.Attempts, &workloadpb.ActiveRun{
+						Run: a.Run, Worker: a.Worker.info.Number, AssignedMs: a.assignedMs, Isolated: a.Isolated,
+					})
 				}
 				sm.Subtasks = append(sm.Subtasks, tm)
 			}
@@ -98,9 +102,10 @@
 			for n, tm := range sm.Subtasks {
 				t := &o.Steps[i].Tasks[n]
 				t.LastRun, t.Failures, t.Checkpoint = tm.Runs, tm.Failures, tm.Checkpoint
+				t.setLosses(tm.Losses)
 				for _, a := range tm.Attempts {
 					if w := s.workers[a.Worker]; w != nil {
-						s.assignRun(t, a.Run, w)
+						s.assignRun(t, ActiveRun{Run: a.Run, Worker: w, Isolated: a.Isolated, assignedMs: a.AssignedMs})
 					}
 				}
 				if tm.Done {
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -42,6 +42,7 @@
 	changes             uint64
 	workerChanges       uint64
 	pendingStops        []Stop
+	lossEvents          []LossEvent
 	endedJobs           []*Job
 }
 
@@ -180,6 +181,13 @@
 		s.applyWave(m.Wave, at)
 	case *workloadpb.Command_Maintained:
 		s.applyMaintained(m.Maintained)
+	case *workloadpb.Command_HarmlessTasks:
+		for _, m := range m.HarmlessTasks.Tasks {
+			if t := s.findTask(runKeyOf(m, 0)); t != nil {
+				t.setLosses(nil)
+			}
+		}
+		s.markChanged()
 	case *workloadpb.Command_LeaseSuspension:
 		s.applyLeaseSuspension(m.LeaseSuspension)
 	case *workloadpb.Command_LeaseBound:
@@ -195,9 +203,7 @@
 	if c.Term == 0 {
 		return
 	}
-	if c.Term == s.clockTerm && c.SteadyMs > s.clockSteadyMs {
-		s.clockMs += c.SteadyMs - s.clockSteadyMs
-	}
+	s.clockMs = s.ClockAt(c.Term, c.SteadyMs)
 	s.clockTerm, s.clockSteadyMs = c.Term, c.SteadyMs
 }
 
@@ -205,6 +211,14 @@
 // leader proposed.
 func (s *State) Clock() int64 { return s.clockMs }
 
+// ClockAt returns what the clock would show after a command of a leader at a time on its monotonic clock in milliseconds.
+func (s *State) ClockAt(term uint64, steadyMs int64) int64 {
+	if term != s.clockTerm {
+		return s.clockMs
+	}
+	return s.clockMs + max(steadyMs-s.clockSteadyMs, 0)
+}
+
 // ClockTerm returns the term of the last command that a leader proposed, 0 if there was none.
 func (s *State) ClockTerm() uint64 { return s.clockTerm }
 
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -118,14 +118,15 @@
 			s.markChanged()
 			return
 		}
-		s.removeWorker(w)
+		s.removeWorker(w, true)
 	}
 	for _, w := range slices.Clone(s.workerList) {
 		// Only one process listens on an address, so an earlier incarnation with the same address has ended.
 		if w.info.Address == m.Address && w.info.BornMs <= m.BornMs {
-			s.removeWorker(w)
+			s.removeWorker(w, true)
 		}
 	}
+	s.recordCrashes(m)
 	s.nextWorker++
 	m = proto.CloneOf(m)
 	m.Number, m.Noted, m.LeasesEndMs = s.nextWorker, 0, 0
@@ -142,7 +143,7 @@
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
 	if w := s.WorkerByID(m.Id); w != nil && w.info.BornMs == m.BornMs {
-		s.removeWorker(w)
+		s.removeWorker(w, m.Lost)
 	}
 }
 
@@ -152,14 +153,19 @@
 	case w == nil:
 	case m.Resumed:
 		w.info.LeasesEndMs = 0
+		s.forgetLosses(m.Worker)
 	default:
 		w.info.LeasesEndMs = max(s.clockMs+m.RemainingMs, 1)
 	}
 }
 
-// removeWorker ends an incarnation and all its runs, which can't run without it.
-func (s *State) removeWorker(w *Worker) {
+// removeWorker ends an incarnation and all its runs, which can't run without it. They are recorded as lost if it ended
+// without notice.
+func (s *State) removeWorker(w *Worker, lost bool) {
 	for _, k := range sortedRunKeys(w.runs) {
+		if lost {
+			s.recordLoss(w, k)
+		}
 		s.endRun(w, k, workloadpb.How_HOW_VOID, "")
 	}
 	w.ended = true
--- /dev/null
+++ b/internal/workload/loss.go
@@ -0,0 +1,63 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+const (
+	// harmlessAfter is how long a run has to work until other tasks that may crash the worker start beside it. Tasks that
+	// crash workers do so soon after their start.
+	harmlessAfter = 1500 * time.Millisecond
+	// suspectRenewalWait replaces renewalWait until the runs of tasks that have lost workers are known to be harmless.
+	suspectRenewalWait = 500 * time.Millisecond
+)
+
+// isHarmless reports whether a run has worked for so long that it doesn't crash the worker.
+func (s *session) isHarmless(r *run) bool {
+	return r.listed && s.lastAnswerAt-r.startedAt >= harmlessAfter
+}
+
+// recordHarmlessTasks records the tasks of a worker that have lost other workers, but let this one work.
+func (e *Engine) recordHarmlessTasks(s *session) {
+	m := &workloadpb.HarmlessTasks{}
+	for _, r := range s.sortedRuns(func(r *run) bool {
+		return len(r.task.Losses()) > 0 && s.isHarmless(r) && (r.harmlessAt == 0 || e.now-r.harmlessAt >= proposalTimeout)
+	}) {
+		r.harmlessAt = e.now
+		m.Tasks = append(m.Tasks, r.key.TaskMessage())
+	}
+	if len(m.Tasks) > 0 {
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_HarmlessTasks{HarmlessTasks: m}})
+	}
+}
+
+// hasSuspects reports whether a run of a task that has lost workers may still crash this one.
+func (s *session) hasSuspects() bool {
+	for _, r := range s.runs {
+		if len(r.task.Losses()) > 0 && !s.isHarmless(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// logLosses writes a line for each task that has lost several workers, and for each crash under it.
+func (e *Engine) logLosses(events []ledger.LossEvent) {
+	for _, ev := range events {
+		l := ev.Loss
+		event := "lost"
+		if ev.Crashed {
+			event = "crashed"
+		}
+		e.cfg.IncrementCounter("hibiscusroute_worker_losses_total", "event", event)
+		if ev.Losses > 1 {
+			st := ev.Task.Step()
+			e.cfg.Log.Info("workers were lost under a task", "job", st.Occurrence.Job.ID, "occurrence", st.Occurrence.Number,
+				"step", st.Number, "index", ev.Task.Index, "losses", ev.Losses, "worker", l.Worker, "boot", l.Incarnation,
+				"address", l.Address, "isolated", l.Isolated, "event", event)
+		}
+	}
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -108,6 +108,8 @@
 	startedAt       time.Duration // the worker acknowledged the start
 	shouldStop      bool
 	givenUp         bool          // its end is or will be proposed, so it must not start
+	harmlessAt      time.Duration // its task was last proposed to be recorded as harmless
+	lost            bool          // was given up because its worker doesn't answer, and may have started
 	stoppedAt       time.Duration // the worker acknowledged the stop
 
 	listed         bool
@@ -247,12 +249,13 @@
 	return min(minRetryDelay*time.Duration(max(s.failures, 1)), maxRetryDelay)
 }
 
-// endIncarnation proposes to record that the incarnation of a session has ended, for the given reason.
-func (e *Engine) endIncarnation(s *session, reason string) {
+// endIncarnation proposes to record that the incarnation of a session has ended, for the given reason. lost tells that
+// its runs may have ended before that without notice.
+func (e *Engine) endIncarnation(s *session, reason string, lost bool) {
 	e.cfg.Log.Info("ending incarnation of a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
 		"reason", reason, "runs", len(s.runs))
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.StartedMs()},
+		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.StartedMs(), Lost: lost},
 	}})
 }
 
