Give up tasks that crash their workers

Cause: nothing counted crashes (maxAttempts counts runs that ended failed), and the scheduler sent all tasks of a crashed worker to the same next worker, so that no count could have told which of them it was.

A job that is given up without cause is graver than one more crash.

Now tasks that have lost a worker are spread, away from long-running ones, and from two losses on (long-running tasks: three) a task runs on a worker without other runs that may crash it. A job fails when three workers have crashed under one of its tasks, two of them under isolated runs. At most half of a pool, one worker at least, is kept for that. At the fourth loss a task waits until it is known how its worker ended.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -113,7 +113,7 @@
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
 	case OtherIncarnation:
-		e.endIncarnation(s, "another incarnation answered a lease renewal", true)
+		e.endIncarnation(s, "another incarnation answered a lease renewal")
 		s.nextRenewalAt = e.now + proposalTimeout
 	case Withheld:
 		s.nextRenewalAt = e.now + minRetryDelay
@@ -283,7 +283,7 @@
 		e.recordAnswer(s, a)
 	}
 	if a.Outcome == OtherIncarnation {
-		e.endIncarnation(s, "another incarnation answered a request", true)
+		e.endIncarnation(s, "another incarnation answered a request")
 	}
 	if r != nil {
 		r.requestInFlight = false
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -279,7 +279,8 @@
 	}
 	e.plannedAt, e.plannedChanges = e.now, e.state.Changes()
 	in := schedule.Input{
-		State: e.state, NowMs: e.wallClockMs(), Order: e.cfg.JobOrder, MaxAssignments: maxAssignmentsPerCommand,
+		State: e.state, NowMs: e.wallClockMs(), ClockMs: e.state.ClockAt(e.term, e.now.Milliseconds()),
+		Order: e.cfg.JobOrder, MaxAssignments: maxAssignmentsPerCommand,
 		BeyondShare: e.shares.isBeyondShare, Allowed: e.adviserAllows, MayReserve: e.advice.mayReserve,
 	}
 	in.Candidates = schedule.RankCandidates(in)
--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -81,6 +81,13 @@
 		p.scheduleLasting(time.Duration(r.IntN(150))*simStep, p.startTerm)
 		p.check.disturb(p.now + leaderSettles)
 		p.logf("the leader is lost")
+	case "deadly", "deadly-lasting":
+		steps := []*workloadpb.Step{step(1+r.Int32N(6), 500*(1+r.Int64N(8)), 1000, 300+100*r.Int64N(20))}
+		if a.kind == "deadly-lasting" {
+			steps = drawLasting(r)
+		}
+		p.deadly[fmt.Sprintf("j%d", p.nextJob+1)] = true
+		p.logf("submit %s, which crashes workers, to %s: %v", p.submitJob(pool, steps...), poolName(pool), steps)
 	case "stale-report":
 		var gone []*fakeWorker
 		for _, id := range sortedIDs(p.workers) {
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -383,7 +383,7 @@
 		if s := e.sessions[op.incarnation]; s != nil && op.maybeRepeated {
 			e.doubt(s)
 		} else if s != nil {
-			e.endIncarnation(s, "its instance is moved or maintained", s.failures > 0)
+			e.endIncarnation(s, "its instance is moved or maintained")
 		}
 	case Malformed, NotFound:
 		gone = true
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -300,6 +300,7 @@
 		t.step.waitingTasks--
 	}
 	t.Done, t.Checkpoint = true, ""
+	t.setLosses(nil)
 	t.step.doneTasks++
 }
 
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -168,6 +168,11 @@
 	return slices.ContainsFunc(t.ActiveRuns, func(a ActiveRun) bool { return a.Worker == w })
 }
 
+// IsIsolatedOn reports whether an isolated run of the task is assigned to a worker.
+func (t *Task) IsIsolatedOn(w *Worker) bool {
+	return slices.ContainsFunc(t.ActiveRuns, func(a ActiveRun) bool { return a.Worker == w && a.Isolated })
+}
+
 // Key returns the key of a run of the task.
 func (t *Task) Key(run int32) RunKey {
 	o := t.step.Occurrence
--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -6,9 +6,19 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// harmlessAfterMs is the age from which the run of a lost worker did not crash it: tasks that crash workers do so soon
-// after their start. It includes the time until a loss is noticed.
-const harmlessAfterMs = 15_000
+const (
+	// harmlessAfterMs is the age from which the run of a lost worker did not crash it: tasks that crash workers do so soon
+	// after their start. It includes the time until a loss is noticed.
+	harmlessAfterMs = 15_000
+	// A task crashes its workers if minCrashes workers have crashed under it, minIsolatedCrashes of them under an isolated
+	// run. Crashes of one worker may be its own fault, so fewer than minCrashes different ones have to crash once more.
+	minCrashes         = 3
+	minIsolatedCrashes = 2
+	// openLosses is the number of losses from which a task waits until the last one is known to be a crash, at most
+	// maxOpenMs.
+	openLosses = 4
+	maxOpenMs  = 15_000
+)
 
 // LossEvent is a change of what is known about the losses of a task.
 type LossEvent struct {
@@ -17,6 +27,8 @@
 	Loss    *workloadpb.Loss
 	Losses  int
 	Crashed bool
+	// GivenUp is set if the job of the task has failed, because the task crashes its workers.
+	GivenUp bool
 }
 
 // TakeLossEvents returns what has changed since the last call. The list is not replicated.
@@ -40,6 +52,34 @@
 	t.losses = list
 }
 
+// LostAt reports whether a worker at an address was lost under the task.
+func (t *Task) LostAt(address string) bool {
+	return slices.ContainsFunc(t.losses, func(l *workloadpb.Loss) bool { return l.Address == address })
+}
+
+// AwaitsCause reports whether the task shouldn't start again until it is known why its last worker was lost. The time is
+// that of the ledger's clock in milliseconds.
+func (t *Task) AwaitsCause(clockMs int64) bool {
+	n := len(t.losses)
+	return n >= openLosses && !t.losses[n-1].Crashed && clockMs-t.losses[n-1].AtMs < maxOpenMs
+}
+
+// CrashesWorkers reports whether the task is known to crash the workers that start it.
+func (t *Task) CrashesWorkers() bool {
+	crashes, isolated := 0, 0
+	addresses := map[string]bool{}
+	for _, l := range t.losses {
+		if l.Crashed {
+			crashes++
+			addresses[l.Address] = true
+			if l.Isolated {
+				isolated++
+			}
+		}
+	}
+	return isolated >= minIsolatedCrashes && (len(addresses) >= minCrashes || crashes > minCrashes)
+}
+
 // recordLoss records that a worker was lost under one of its runs, before the run is released.
 func (s *State) recordLoss(w *Worker, k RunKey) {
 	t := w.runs[k]
@@ -62,16 +102,22 @@
 	s.lossEvents = append(s.lossEvents, LossEvent{Task: t, Loss: l, Losses: len(t.losses)})
 }
 
-// recordCrashes records that the earlier incarnations of a worker have crashed. A worker of another pool has another owner,
-// so it doesn't tell how its predecessor ended.
-func (s *State) recordCrashes(m *workloadpb.Worker) {
+// recordCrashes records that the earlier incarnations of a worker have crashed, and ends the jobs of tasks that are now
+// known to crash their workers. A worker of another pool has another owner, so it doesn't tell how its predecessor ended.
+func (s *State) recordCrashes(m *workloadpb.Worker, at int64) {
 	for _, t := range s.tasksWithLosses() {
 		for _, l := range t.losses {
 			if l.Crashed || l.Pool != m.Pool || l.Address != m.Address && l.Worker != m.Id {
 				continue
 			}
 			l.Crashed = true
-			s.lossEvents = append(s.lossEvents, LossEvent{Task: t, Loss: l, Losses: len(t.losses), Crashed: true})
+			givenUp := t.CrashesWorkers() && t.step.Occurrence.Job.IsActive()
+			s.lossEvents = append(s.lossEvents, LossEvent{
+				Task: t, Loss: l, Losses: len(t.losses), Crashed: true, GivenUp: givenUp,
+			})
+			if givenUp {
+				s.endJob(t.step.Occurrence.Job, Failed, at)
+			}
 		}
 	}
 }
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -166,7 +166,7 @@
 	case *workloadpb.Command_Cancel:
 		return s.applyCancel(m.Cancel, at)
 	case *workloadpb.Command_Report:
-		s.applyReport(m.Report)
+		s.applyReport(m.Report, at)
 	case *workloadpb.Command_Leave:
 		s.applyLeave(m.Leave)
 	case *workloadpb.Command_Assign:
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -104,7 +104,7 @@
 		slices.Equal(a.Labels, b.Labels) && (a.Draining || !b.Draining)
 }
 
-func (s *State) applyReport(r *workloadpb.Report) {
+func (s *State) applyReport(r *workloadpb.Report, at int64) {
 	m := r.GetWorker()
 	if m.GetId() == "" || s.IsRecorded(m) {
 		return
@@ -126,7 +126,7 @@
 			s.removeWorker(w, true)
 		}
 	}
-	s.recordCrashes(m)
+	s.recordCrashes(m, at)
 	s.nextWorker++
 	m = proto.CloneOf(m)
 	m.Number, m.Noted, m.LeasesEndMs = s.nextWorker, 0, 0
--- a/internal/workload/loss.go
+++ b/internal/workload/loss.go
@@ -49,11 +49,14 @@
 	for _, ev := range events {
 		l := ev.Loss
 		event := "lost"
-		if ev.Crashed {
+		switch {
+		case ev.GivenUp:
+			event = "given-up"
+		case ev.Crashed:
 			event = "crashed"
 		}
 		e.cfg.IncrementCounter("hibiscusroute_worker_losses_total", "event", event)
-		if ev.Losses > 1 {
+		if ev.Losses > 1 || ev.GivenUp {
 			st := ev.Task.Step()
 			e.cfg.Log.Info("workers were lost under a task", "job", st.Occurrence.Job.ID, "occurrence", st.Occurrence.Number,
 				"step", st.Number, "index", ev.Task.Index, "losses", ev.Losses, "worker", l.Worker, "boot", l.Incarnation,
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -52,7 +53,7 @@
 // disturbances are the kinds of events that the calm phases don't have.
 var disturbances = []string{
 	"crash", "gone", "silent", "deaf", "mute", "unhealthy", "drain", "late", "unanswered", "fail", "done", "leader",
-	"platform", "adviser", "configure", "queue-moves", "stale-report",
+	"platform", "adviser", "configure", "queue-moves", "stale-report", "deadly", "deadly-lasting",
 }
 
 // usual are the kinds of events that are no disturbance.
@@ -112,6 +113,7 @@
 	check   *lostCheck
 	doc     *workloadpb.Document
 	jobs    []string          // active jobs with long-running tasks
+	deadly  map[string]bool   // jobs whose first task crashes each worker that starts it
 	queue   map[string]string // by job
 	streams []stream
 	// Faults that are on until a time.
@@ -173,8 +175,8 @@
 func play(t testing.TB, sc script) (violation, log string, requests []kernel.Action) {
 	r := &recorder{TB: t}
 	p := &player{
-		script: sc, queue: map[string]string{}, attempts: map[string]int{}, aloneSince: map[string]time.Duration{},
-		out: &strings.Builder{},
+		script: sc, deadly: map[string]bool{}, queue: map[string]string{}, attempts: map[string]int{},
+		aloneSince: map[string]time.Duration{}, out: &strings.Builder{},
 	}
 	defer func() {
 		requests = p.requests
@@ -193,6 +195,14 @@
 		account: func(job string) *workloadpb.Account { return p.e.State().Account(p.check.accounts[job]) },
 	}
 	p.intercept, p.checkTicket = p.handle, p.ticketIsValid
+	p.isDeadly = func(task string) bool {
+		job, ok := strings.CutSuffix(task, ".0.0.0")
+		return ok && p.deadly[job]
+	}
+	p.onCrash = func(task string) {
+		p.check.disturb(p.now + p.rebootTime)
+		p.logf("%s crashes its worker", task)
+	}
 	p.keepsID = func(instance string) bool { return p.draw(2, "keeps", instance) == 0 }
 	p.clockGain = func(w *fakeWorker) int64 { return int64(p.fixed(41, "clock", w.m.Id, w.m.BornMs)) - 20 }
 	if sc.delay > 0 {
@@ -221,6 +231,11 @@
 			return p.describe(task, workers), p.out.String(), nil
 		}
 	}
+	for job := range p.queue {
+		if j := p.e.State().JobByID(job); j != nil && j.State() == ledger.Failed && !p.deadly[job] {
+			return fmt.Sprintf("job %s has failed without cause", job), p.out.String(), nil
+		}
+	}
 	return "", p.out.String(), nil
 }
 
--- /dev/null
+++ b/internal/workload/schedule/isolate.go
@@ -0,0 +1,184 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+)
+
+const (
+	// isolatedFrom is the number of lost workers from which a task runs beside no other run that may crash its worker.
+	isolatedFrom = 2
+	// longRunningIsolatedFrom is that number for long-running tasks, whose restart can't be put off for long. Before that,
+	// they are isolated only where a worker is free already.
+	longRunningIsolatedFrom = 3
+	// keptFraction divides the number of workers of a pool: so many of them, but one at least, are kept for tasks that must
+	// be isolated, while these run and until the worker is free for them.
+	keptFraction = 2
+)
+
+// taskGroup is a set of waiting tasks of a step that are placed in the same way.
+type taskGroup struct {
+	step  *ledger.StepRun
+	tasks []*ledger.Task
+	// suspect groups have lost workers. They are spread, so that a crash tells which of them causes it.
+	suspect bool
+	// isolated groups run only on workers without unproven runs of other jobs.
+	isolated bool
+	// rack is the preferred rack, and tasksOnWorker the number of tasks of the step by the number of the incarnation.
+	rack          string
+	tasksOnWorker map[uint64]int
+}
+
+func (g *taskGroup) job() uint64 { return g.step.Occurrence.Job.Number }
+
+// mustBeIsolated reports whether a task may only run isolated.
+func mustBeIsolated(t *ledger.Task) bool {
+	if t.Step().Step.Lasting {
+		return len(t.Losses()) >= longRunningIsolatedFrom
+	}
+	return len(t.Losses()) >= isolatedFrom
+}
+
+// isIsolatedOn reports whether a task that is assigned to a worker is isolated there.
+func (g *taskGroup) isIsolatedOn(t *ledger.Task, w *Worker) bool {
+	return len(t.Losses()) >= isolatedFrom && countOthers(w.unproven, g.job()) == 0
+}
+
+// groupTasks divides the waiting tasks of a step into groups. The tasks of a gang form one group.
+func (in *Input) groupTasks(s *ledger.StepRun) (isolated, suspect, other taskGroup) {
+	isolated = taskGroup{step: s, suspect: true, isolated: true}
+	suspect = taskGroup{step: s, suspect: true}
+	other = taskGroup{step: s}
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		switch {
+		case !t.IsWaiting() || t.AwaitsCause(in.ClockMs):
+		case mustBeIsolated(t):
+			isolated.tasks = append(isolated.tasks, t)
+		case len(t.Losses()) > 0:
+			suspect.tasks = append(suspect.tasks, t)
+		default:
+			other.tasks = append(other.tasks, t)
+		}
+	}
+	if s.Step.Gang {
+		switch all := slices.Concat(isolated.tasks, suspect.tasks, other.tasks); {
+		case len(isolated.tasks) > 0:
+			isolated.tasks, suspect.tasks, other.tasks = all, nil, nil
+		case len(suspect.tasks) > 0:
+			suspect.tasks, other.tasks = all, nil
+		}
+	}
+	return isolated, suspect, other
+}
+
+// AddUnproven counts a run of a task that may still crash the worker. Nothing else is placed beside an isolated one.
+func (w *Worker) AddUnproven(t *ledger.Task, isolated bool) {
+	if w.unproven == nil {
+		w.unproven, w.suspects = map[uint64]int{}, map[uint64]int{}
+	}
+	job := t.Step().Occurrence.Job.Number
+	w.unproven[job]++
+	if len(t.Losses()) > 0 {
+		w.suspects[job]++
+	}
+	if isolated {
+		w.keptFor = job
+	}
+}
+
+// countOthers returns the number of runs of jobs other than the given one.
+func countOthers(runs map[uint64]int, job uint64) int {
+	n := 0
+	for j, c := range runs {
+		if j != job {
+			n += c
+		}
+	}
+	return n
+}
+
+// IsKeptFromJob reports whether the worker takes no tasks of a job, because it is kept for another one.
+func (w *Worker) IsKeptFromJob(job uint64) bool { return w.keptFor != 0 && w.keptFor != job }
+
+// mayUse reports whether tasks of the group may run beside the runs of a worker.
+func (g *taskGroup) mayUse(w *Worker) bool {
+	return !w.IsKeptFromJob(g.job()) && (!g.isolated || countOthers(w.unproven, g.job()) == 0)
+}
+
+// compareRisk compares workers by what a crash would cost or leave unclear: negative if a is better than b. Tasks that
+// have lost workers are spread, away from long-running tasks; other tasks avoid them.
+func (g *taskGroup) compareRisk(a, b *Worker) int {
+	if !g.suspect {
+		return cmp.Compare(min(len(a.suspects), 1), min(len(b.suspects), 1))
+	}
+	return cmp.Or(
+		compareBool(g.hasLost(a), g.hasLost(b)),
+		cmp.Compare(countOthers(a.suspects, g.job()), countOthers(b.suspects, g.job())),
+		cmp.Compare(a.LongRunning, b.LongRunning),
+		cmp.Compare(countOthers(a.unproven, g.job()), countOthers(b.unproven, g.job())),
+	)
+}
+
+// hasLost reports whether a task of the group has lost a worker at the address of w.
+func (g *taskGroup) hasLost(w *Worker) bool {
+	return slices.ContainsFunc(g.tasks, func(t *ledger.Task) bool { return t.LostAt(w.Address()) })
+}
+
+// placeIsolated assigns the tasks that must be isolated. While there is no worker for one, or not enough for a gang, it
+// keeps workers from taking further tasks until they are free.
+func (p *pass) placeIsolated(s *ledger.StepRun, workers []*Worker) {
+	if !s.HasLosses() || len(workers) == 0 {
+		return
+	}
+	g, _, _ := p.in.groupTasks(s)
+	limit := max(len(workers)/keptFraction, 1)
+	mayKeep := func() bool { return s.Step.Gang || countKept(workers, g.job()) < limit }
+	if !mayKeep() {
+		return
+	}
+	left := len(g.tasks) - p.placeGroup(&g, workers)
+	if !s.Step.Gang {
+		left = min(left, 1)
+	}
+	for left > 0 && mayKeep() {
+		w := p.chooseKept(&g, workers)
+		if w == nil {
+			return
+		}
+		w.keptFor = g.job()
+		left -= p.countRoom(&g, w)
+	}
+}
+
+// countKept returns the number of workers that are kept for jobs other than the given one.
+func countKept(workers []*Worker, job uint64) int {
+	n := 0
+	for _, w := range workers {
+		if w.IsKeptFromJob(job) {
+			n++
+		}
+	}
+	return n
+}
+
+// chooseKept returns the worker that will be free for tasks of the group soonest, nil if none can be.
+func (p *pass) chooseKept(g *taskGroup, workers []*Worker) *Worker {
+	lacksRoom := func(w *Worker) bool { return !ledger.RequiredCapacity(g.step.Step).Within(w.free) }
+	var best *Worker
+	for _, w := range workers {
+		if w.keptFor == 0 && p.countRoom(g, w) > 0 &&
+			(best == nil || cmp.Or(compareBool(lacksRoom(w), lacksRoom(best)), g.compareRisk(w, best)) < 0) {
+			best = w
+		}
+	}
+	return best
+}
+
+// countRoom returns how many tasks of the group a worker has room for once ordinary tasks have ended.
+func (p *pass) countRoom(g *taskGroup, w *Worker) int {
+	room := w.Capacity().Minus(w.LongRunningUsage)
+	return p.in.CountRoom(g.step, w, room, g.tasksOnWorker[w.Number()], len(g.tasks))
+}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -19,6 +19,11 @@
 	// Suspect marks a worker that is chosen only if no other worker has enough free capacity.
 	Suspect bool
 
+	// unproven and suspects count the runs by job that may still crash the worker: all of them, and those whose tasks have
+	// lost workers. keptFor is the only job that the worker takes tasks of, 0 if it takes any.
+	unproven, suspects map[uint64]int
+	keptFor            uint64
+
 	free ledger.Resources
 	// reserved is kept for long-running tasks that wait. It may exceed free, as it includes capacity that ordinary tasks
 	// have yet to release.
@@ -54,9 +59,9 @@
 	// Candidates is the result of RankCandidates. Workers needs to contain only the workers of their pools.
 	Candidates []Candidate
 	Workers    []*Worker
-	// NowMs is the wall clock in Unix milliseconds.
-	NowMs int64
-	Order JobOrder
+	// NowMs is the wall clock in Unix milliseconds, ClockMs the clock of the ledger.
+	NowMs, ClockMs int64
+	Order          JobOrder
 	// MaxAssignments limits the assignments of a pass. The last step may exceed it.
 	MaxAssignments int
 	// BeyondShare reports whether a job exceeds the share of its client account. It may be nil.
@@ -75,14 +80,17 @@
 	busy         map[string]bool
 	withheld     map[string]*Worker
 	plannedUsage map[string]ledger.Resources
-	assignments  []*workloadpb.Assignment
+	// tasksOnWorkers is the number of tasks of a step by the number of the incarnation, for steps whose tasks are placed in
+	// several groups.
+	tasksOnWorkers map[*ledger.StepRun]map[uint64]int
+	assignments    []*workloadpb.Assignment
 }
 
 // Plan runs a scheduling pass and returns its assignments.
 func Plan(in Input) []*workloadpb.Assignment {
 	p := &pass{
 		in: &in, pools: map[string][]*Worker{}, busy: map[string]bool{}, plannedUsage: map[string]ledger.Resources{},
-		withheld: map[string]*Worker{},
+		withheld: map[string]*Worker{}, tasksOnWorkers: map[*ledger.StepRun]map[uint64]int{},
 	}
 	for _, w := range in.Workers {
 		w.free = w.Free()
@@ -91,15 +99,21 @@
 	for name, workers := range p.pools {
 		p.busy[name] = isBusy(workers)
 	}
-	for _, c := range in.Candidates {
+	// Isolated tasks come first, because ordinary ones would take each worker before it is free for them.
+	p.forEachStep(p.placeIsolated)
+	p.forEachStep(p.placeTasks)
+	return p.assignments
+}
+
+// forEachStep calls place for each step with tasks that may start, until there are enough assignments.
+func (p *pass) forEachStep(place func(s *ledger.StepRun, workers []*Worker)) {
+	for _, c := range p.in.Candidates {
 		for _, s := range c.ReadySteps() {
-			if len(p.assignments) < in.MaxAssignments {
-				p.placeTasks(s, p.pools[c.queue.Pool],
-					ledger.ResourcesOf(in.State.Account(c.occurrence.Job.Account).GetAllowance()))
+			if len(p.assignments) < p.in.MaxAssignments {
+				place(s, p.pools[c.queue.Pool])
 			}
 		}
 	}
-	return p.assignments
 }
 
 // ReadySteps returns the steps of the occurrence with tasks that may start now.
@@ -113,18 +127,22 @@
 	return list
 }
 
-// placeTasks assigns as many waiting tasks of a step as fit. The tasks of a gang are assigned together or not at all.
-func (p *pass) placeTasks(s *ledger.StepRun, workers []*Worker, quota ledger.Resources) {
-	var waiting []*ledger.Task
-	for i := range s.Tasks {
-		if t := &s.Tasks[i]; t.IsWaiting() {
-			waiting = append(waiting, t)
-		}
-	}
+// placeTasks assigns as many waiting tasks of a step as fit, except those that must be isolated.
+func (p *pass) placeTasks(s *ledger.StepRun, workers []*Worker) {
+	_, suspect, other := p.in.groupTasks(s)
+	p.placeGroup(&suspect, workers)
+	p.placeGroup(&other, workers)
+}
+
+// placeGroup assigns as many tasks of a group as fit, and returns how many. The tasks of a gang are assigned together or
+// not at all.
+func (p *pass) placeGroup(g *taskGroup, workers []*Worker) int {
+	s, waiting := g.step, g.tasks
 	if s.Step.Gang && len(waiting) < len(s.Tasks) || len(waiting) == 0 {
-		return
+		return 0
 	}
 	account := s.Occurrence.Job.Account
+	quota := ledger.ResourcesOf(p.in.State.Account(account).GetAllowance())
 	need := ledger.ResourcesOf(s.Step.Need)
 	n := 0
 	for used := p.plannedUsage[account].Plus(p.in.State.Usage(account)); n < len(waiting); n++ {
@@ -133,13 +151,13 @@
 		}
 	}
 	if s.Step.Gang && n < len(waiting) {
-		return
+		return 0
 	}
-	chosen, reserved := p.chooseWorkers(s, workers, n)
+	chosen, reserved := p.chooseWorkers(g, workers, n)
 	if s.Step.Gang && len(chosen) < len(waiting) {
 		// A gang keeps its capacity only if there will be enough for all of it.
 		p.reserveForGang(s, chosen, reserved, len(chosen)+len(reserved) == len(waiting))
-		return
+		return 0
 	}
 	lastRun := int32(0)
 	for _, t := range waiting[:len(chosen)] {
@@ -153,10 +171,12 @@
 		}
 		key := t.Key(previous + 1)
 		p.assignments = append(p.assignments, &workloadpb.Assignment{
-			Subtask: key.TaskMessage(), Worker: w.Number(), Run: key.Run,
+			Subtask: key.TaskMessage(), Worker: w.Number(), Run: key.Run, Isolated: g.isIsolatedOn(t, w),
 		})
+		w.AddUnproven(t, g.isIsolatedOn(t, w))
 	}
 	p.plannedUsage[account] = p.plannedUsage[account].Plus(need.Times(len(chosen)))
+	return len(chosen)
 }
 
 // reserveForGang turns the capacity that chooseWorkers took on the chosen workers into reservations. If keep is false, it
@@ -190,35 +210,42 @@
 	}
 }
 
-// chooseWorkers finds capacity for up to n tasks of a step and returns their workers, one entry for each task: the chosen
+// chooseWorkers finds capacity for up to n tasks of a group and returns their workers, one entry for each task: the chosen
 // workers have enough free capacity, which it takes; on the others it reserves capacity until ordinary tasks have ended.
-func (p *pass) chooseWorkers(s *ledger.StepRun, workers []*Worker, n int) (chosen, reserved []*Worker) {
-	tasksOnWorker := TasksOnWorkers(s)
-	rack := s.Step.DataRack
+func (p *pass) chooseWorkers(g *taskGroup, workers []*Worker, n int) (chosen, reserved []*Worker) {
+	s := g.step
+	g.tasksOnWorker = p.tasksOnWorkers[s]
+	if g.tasksOnWorker == nil {
+		g.tasksOnWorker = TasksOnWorkers(s)
+		if s.HasLosses() {
+			p.tasksOnWorkers[s] = g.tasksOnWorker
+		}
+	}
+	g.rack = s.Step.DataRack
 	for i := range s.Tasks {
 		for _, a := range s.Tasks[i].ActiveRuns {
 			if s.Step.RackSensitive {
-				rack = a.Worker.Rack()
+				g.rack = a.Worker.Rack()
 			}
 		}
 	}
 	required := ledger.RequiredCapacity(s.Step)
 	fits := func(w *Worker) bool {
-		return p.in.Misfit(s, w, p.available(s.Step, w), tasksOnWorker[w.Number()]) == ""
+		return g.mayUse(w) && p.in.Misfit(s, w, p.available(s.Step, w), g.tasksOnWorker[w.Number()]) == ""
 	}
-	if s.Step.RackSensitive && rack == "" {
-		rack = p.rackWithMostRoom(s, workers, required, fits)
+	if s.Step.RackSensitive && g.rack == "" {
+		g.rack = p.rackWithMostRoom(s, workers, required, fits)
 	}
 	for len(chosen) < n && len(p.assignments)+len(chosen) < p.in.MaxAssignments+len(s.Tasks) {
 		var best *Worker
 		for _, w := range workers {
-			if fits(w) && (best == nil || isBetter(s.Step, rack, w, best, tasksOnWorker)) {
+			if fits(w) && (best == nil || g.isBetter(w, best)) {
 				best = w
 			}
 		}
 		if best == nil {
-			for s.Step.Lasting && len(chosen)+len(reserved) < n {
-				w := p.reserveWorker(s, workers, required, tasksOnWorker)
+			for s.Step.Lasting && !g.isolated && len(chosen)+len(reserved) < n {
+				w := p.reserveWorker(g, workers, required)
 				if w == nil {
 					break
 				}
@@ -228,7 +255,7 @@
 		}
 		best.free = best.free.Minus(required)
 		best.addTasks(s.Step, 1)
-		tasksOnWorker[best.Number()]++
+		g.tasksOnWorker[best.Number()]++
 		chosen = append(chosen, best)
 	}
 	return chosen, reserved
@@ -274,13 +301,12 @@
 // reserveWorker reserves capacity for a task of a long-running step on the worker that comes closest to having enough,
 // and returns that worker, nil if there is none. Without the reservation the task would wait for as long as smaller
 // tasks take all capacity that becomes free.
-func (p *pass) reserveWorker(
-	s *ledger.StepRun, workers []*Worker, required ledger.Resources, tasksOnWorker map[uint64]int,
-) *Worker {
+func (p *pass) reserveWorker(g *taskGroup, workers []*Worker, required ledger.Resources) *Worker {
+	s := g.step
 	in := Input{Allowed: p.in.MayReserve}
 	var best *Worker
 	for _, w := range workers {
-		if in.Misfit(s, w, w.Capacity().Minus(w.LongRunningUsage), tasksOnWorker[w.Number()]) == "" &&
+		if g.mayUse(w) && in.Misfit(s, w, w.Capacity().Minus(w.LongRunningUsage), g.tasksOnWorker[w.Number()]) == "" &&
 			(best == nil || w.slack(required) > best.slack(required)) {
 			best = w
 		}
@@ -291,7 +317,7 @@
 		}
 		best.reserved = best.reserved.Plus(required)
 		best.addTasks(s.Step, 1)
-		tasksOnWorker[best.Number()]++
+		g.tasksOnWorker[best.Number()]++
 	}
 	return best
 }
@@ -355,17 +381,21 @@
 	return best
 }
 
-// isBetter reports whether a is a better choice than b for a task of a step; the task fits on both workers.
-func isBetter(s *workloadpb.Step, rack string, a, b *Worker, tasksOnWorker map[uint64]int) bool {
+// isBetter reports whether a is a better choice than b for a task of the group; the task fits on both workers.
+func (g *taskGroup) isBetter(a, b *Worker) bool {
+	s := g.step.Step
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	if n := g.compareRisk(a, b); n != 0 {
+		return n < 0
+	}
 	required := ledger.RequiredCapacity(s)
 	if x, y := required.Within(a.unreserved()), required.Within(b.unreserved()); x != y {
 		return x
 	}
-	if rack != "" {
-		if x, y := slices.Contains(a.Labels(), rack), slices.Contains(b.Labels(), rack); x != y {
+	if g.rack != "" {
+		if x, y := slices.Contains(a.Labels(), g.rack), slices.Contains(b.Labels(), g.rack); x != y {
 			return x
 		}
 	}
@@ -383,7 +413,7 @@
 		// Few tasks of a step share a worker, so that its loss or maintenance affects few of them. Otherwise workers
 		// that already run long-running tasks are preferred, so that the others can move to another pool.
 		preferred := PreferredPerWorker(s)
-		if x, y := tasksOnWorker[a.Number()] < preferred, tasksOnWorker[b.Number()] < preferred; x != y {
+		if x, y := g.tasksOnWorker[a.Number()] < preferred, g.tasksOnWorker[b.Number()] < preferred; x != y {
 			return x
 		}
 		if s.TargetMs > 0 && a.LatencySensitive+a.BestEffort != b.LatencySensitive+b.BestEffort {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -249,13 +249,13 @@
 	return min(minRetryDelay*time.Duration(max(s.failures, 1)), maxRetryDelay)
 }
 
-// endIncarnation proposes to record that the incarnation of a session has ended, for the given reason. lost tells that
-// its runs may have ended before that without notice.
-func (e *Engine) endIncarnation(s *session, reason string, lost bool) {
+// endIncarnation proposes to record that the incarnation of a session has ended, for the given reason. Its runs may have
+// crashed it before that.
+func (e *Engine) endIncarnation(s *session, reason string) {
 	e.cfg.Log.Info("ending incarnation of a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
 		"reason", reason, "runs", len(s.runs))
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.StartedMs(), Lost: lost},
+		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.StartedMs(), Lost: true},
 	}})
 }
 
@@ -306,7 +306,7 @@
 
 func (s *session) schedulerView() *schedule.Worker {
 	v := &schedule.Worker{Worker: s.worker, UnusedCPU: s.worker.Capacity().CPU, Suspect: s.consecutiveFailedRuns > 1}
-	for _, t := range s.worker.Runs() {
+	for k, t := range s.worker.Runs() {
 		step := t.Step().Step
 		v.UnusedCPU -= step.Need.GetCpu()
 		if step.Fills {
@@ -319,6 +319,9 @@
 			v.LongRunning++
 			v.LongRunningUsage = v.LongRunningUsage.Plus(ledger.RequiredCapacity(step))
 		}
+		if r := s.runs[k]; r == nil || !s.isHarmless(r) {
+			v.AddUnproven(t, t.IsIsolatedOn(s.worker))
+		}
 	}
 	return v
 }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -65,6 +65,13 @@
 	rejectCommand func(m *workloadpb.Command) bool
 	// sentAt is when the request that is being delivered was sent.
 	sentAt time.Duration
+	// isDeadly reports whether a task crashes its workers, which boot again after rebootTime; it may be nil. crashes counts
+	// these crashes by task, and lateStarts the starts after too many of them.
+	isDeadly            func(task string) bool
+	rebootTime          time.Duration
+	crashes, lateStarts map[string]int
+	// onCrash is called when a task crashes its worker; it may be nil.
+	onCrash func(task string)
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
 	checkTicket func(w *fakeWorker, a workload.StartRun) bool
 }
@@ -91,7 +98,8 @@
 	s := &sim{
 		t: t, k: k, e: e, workers: map[string]*fakeWorker{}, instances: map[string]*workload.Instance{},
 		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{},
-		steps: map[string][]*workloadpb.Step{},
+		steps: map[string][]*workloadpb.Step{}, crashes: map[string]int{}, lateStarts: map[string]int{},
+		rebootTime: 3300 * time.Millisecond,
 	}
 	s.setMaxLease(6 * time.Second)
 	s.startTerm()
@@ -538,6 +546,23 @@
 	})
 }
 
+// crash ends a worker without notice. Its instance boots another one with the same address after d.
+func (s *sim) crash(w *fakeWorker, d time.Duration) {
+	if w.dead {
+		return
+	}
+	w.dead = true
+	for name, row := range s.instances {
+		if row.Worker == w.m.Id {
+			s.scheduleLasting(d, func() {
+				if row.Worker == w.m.Id {
+					s.startWorkerAs(name, fmt.Sprintf("w-%s-%d", name, s.now.Milliseconds()), w.m.Address)
+				}
+			})
+		}
+	}
+}
+
 // running counts the runs of a job on live workers.
 func (s *sim) running(job string) int {
 	n := 0
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -73,7 +73,10 @@
 		ws := e.sessions[w.Number()]
 		reason := e.exclusion(ws)
 		if reason == "" {
-			reason = in.Misfit(s, ws.schedulerView(), w.Free(), assigned[w.Number()])
+			v := ws.schedulerView()
+			if reason = in.Misfit(s, v, w.Free(), assigned[w.Number()]); reason == "" && v.IsKeptFromJob(j.Number) {
+				reason = "kept-for-isolated-run"
+			}
 		}
 		if reason == "" {
 			reason = "has-room"
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -185,6 +185,15 @@
 		w.m.Id, w.m.Capacity, r.need, w.free())
 	w.runs[task], w.highestRun[task] = r, a.Name.Run
 	assert.Equal(s.t, a.Spec, "spec "+a.Name.Job)
+	if st.MaxPerWorker > 0 {
+		n := len(w.sortedRuns(func(o *fakeRun) bool {
+			return o.name.Job == a.Name.Job && o.name.Occurrence == a.Name.Occurrence && o.name.Step == a.Name.Step
+		}))
+		assert.Assert(s.t, n <= int(st.MaxPerWorker), "%d tasks of the step of %s run on worker %s", n, task, w.m.Id)
+	}
+	if s.isDeadly != nil && s.isDeadly(task) {
+		w.startDeadly(task)
+	}
 	if !st.Speculative {
 		assert.Assert(s.t, !s.noted[task], "%s starts again after it was done", task)
 		for _, o := range s.workers {
