workload: keep no worker for an isolated task beyond its quota

Callers would see jobs of other accounts wait beside idle workers for as long as an account has no quota left for a task that has lost two workers: in a pool of one worker, all jobs of all accounts.

Cause: placeIsolated counted all tasks of the group that were not placed, whether room or quota was short, and kept a worker for them. By reading, the same holds for a gang of which a member waits until the cause of its last loss is known; that was not run.

Ruled out: the quota of the waiting job itself; it belongs to a public queue and has none.

Only the tasks that may start now, whatever the workers hold, count from now on; placeGroup uses the same count.

TestTaskBeyondQuotaKeepsNoWorker on the code before: isolation_test.go:47: assertion failed: 0 (s.done["other.0.0.0"] int) != 1 (int) and it passes with the fix. TestRandomDisturbances/17 is flaky: it failed in the one run without the fix, and in the package, in a run alone and in one of three more runs with it.

--- /dev/null
+++ b/internal/workload/isolation_test.go
@@ -0,0 +1,47 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// loseWorkers submits a job whose first task loses n workers soon after its starts, and none after that.
+func (s *sim) loseWorkers(t *testing.T, n int, id, key string, st *workloadpb.Step) {
+	t.Helper()
+	task := id + ".0.0.0"
+	s.isDeadly = func(name string) bool { return name == task && s.crashes[task] < n }
+	r := s.call(&workloadpb.Command{Change: &workloadpb.Command_Submit{Submit: &workloadpb.Submit{
+		Host: "h", Path: "/glass/" + id, Id: id, Spec: "spec " + id, Key: key, Steps: []*workloadpb.Step{st},
+	}}})
+	assert.Equal(t, r.Verdict, workloadpb.Verdict_VERDICT_DONE)
+	for end := s.now + time.Minute; s.now < end && s.crashes[task] < n; {
+		s.run(simStep)
+	}
+	assert.Equal(t, s.crashes[task], n)
+}
+
+// Guards against a worker that is kept for an isolated task whose account has no quota left.
+func TestTaskBeyondQuotaKeepsNoWorker(t *testing.T) {
+	s := newSim(t)
+	accounts := func(cpu int64) func(d *workloadpb.Document) {
+		return func(d *workloadpb.Document) {
+			d.Queues = append(d.Queues, &workloadpb.Queue{Name: "open", Host: "h", Prefix: "/open/", Pool: "glass", Public: true})
+			d.Queues[0].Public = false
+			d.Accounts = []*workloadpb.Account{{Name: "crew", Keys: []string{"k"}, Allowance: &workloadpb.Resources{Cpu: cpu}}}
+		}
+	}
+	s.configure(1, accounts(4000), "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	s.loseWorkers(t, 2, "lost", "k", step(1, 2000, 1000, 1000))
+	s.configure(2, accounts(1000), "glass")
+	s.run(s.rebootTime + time.Second)
+	s.submit("open", "other", step(1, 1000, 1000, 1000))
+	s.run(lostWindow)
+	assert.Equal(t, s.running("lost"), 0)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -136,10 +136,11 @@
 	g, _, _ := p.in.groupTasks(s)
 	limit := max(len(workers)/keptFraction, 1)
 	mayKeep := func() bool { return s.Step.Gang || countKept(workers, g.job()) < limit }
-	if !mayKeep() {
+	left := p.countStartable(&g)
+	if left == 0 || !mayKeep() {
 		return
 	}
-	left := len(g.tasks) - p.placeGroup(&g, workers)
+	left -= p.placeGroup(&g, workers)
 	if !s.Step.Gang {
 		left = min(left, 1)
 	}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -134,23 +134,30 @@
 	p.placeGroup(&other, workers)
 }
 
-// placeGroup assigns as many tasks of a group as fit, and returns how many. The tasks of a gang are assigned together or
-// not at all.
-func (p *pass) placeGroup(g *taskGroup, workers []*Worker) int {
-	s, waiting := g.step, g.tasks
-	if s.Step.Gang && len(waiting) < len(s.Tasks) || len(waiting) == 0 {
-		return 0
-	}
-	account := s.Occurrence.Job.Account
+// countStartable returns how many tasks of a group may start now if there is room for them. The tasks of a gang start
+// together or not at all.
+func (p *pass) countStartable(g *taskGroup) int {
+	account := g.step.Occurrence.Job.Account
 	quota := ledger.ResourcesOf(p.in.State.Account(account).GetAllowance())
-	need := ledger.ResourcesOf(s.Step.Need)
+	need := ledger.ResourcesOf(g.step.Step.Need)
 	n := 0
-	for used := p.plannedUsage[account].Plus(p.in.State.Usage(account)); n < len(waiting); n++ {
+	for used := p.plannedUsage[account].Plus(p.in.State.Usage(account)); n < len(g.tasks); n++ {
 		if used = used.Plus(need); !used.WithinQuota(quota) {
 			break
 		}
 	}
-	if s.Step.Gang && n < len(waiting) {
+	if g.step.Step.Gang && n < len(g.step.Tasks) {
+		return 0
+	}
+	return n
+}
+
+// placeGroup assigns as many tasks of a group as fit, and returns how many. The tasks of a gang are assigned together or
+// not at all.
+func (p *pass) placeGroup(g *taskGroup, workers []*Worker) int {
+	s, waiting := g.step, g.tasks
+	n := p.countStartable(g)
+	if n == 0 {
 		return 0
 	}
 	chosen, reserved := p.chooseWorkers(g, workers, n)
@@ -175,6 +182,7 @@
 		})
 		w.AddUnproven(t, g.isIsolatedOn(t, w))
 	}
+	account, need := s.Occurrence.Job.Account, ledger.ResourcesOf(s.Step.Need)
 	p.plannedUsage[account] = p.plannedUsage[account].Plus(need.Times(len(chosen)))
 	return len(chosen)
 }
