workload: keep no workers for an isolated gang that doesn't fit

Callers would see all jobs of a pool wait without end, beside idle workers, when a gang that has lost three workers no longer fits: its pool has shrunk, or a worker came back with less capacity.

Cause: placeIsolated kept workers for a gang one by one, without a limit, until no worker was left, and did so again in each pass. Besides, it counted the tasks of the attempt that had just failed, so that workers of a step with a maximum per worker seemed full.

Ruled out: TestImpossibleGangReservesNothing covers reservations; an isolated gang makes none.

Workers are kept only if those of the pool can hold the whole gang once ordinary tasks have ended, as it is for reservations.

TestImpossibleGangKeepsNoWorkers on the code before: isolation_test.go:64: assertion failed: 0 (s.done["other.0.0.0"] int) != 1 (int) and it passes with the fix, as do the tests of gangs and of loss_test.go.

--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -45,3 +45,20 @@
 	assert.Equal(t, s.running("lost"), 0)
 	assert.Equal(t, s.done["other.0.0.0"], 1)
 }
+
+// Guards against workers that are kept for an isolated gang that the pool can't hold.
+func TestImpossibleGangKeepsNoWorkers(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	gang := step(2, 6000, 1000, 1000)
+	gang.Gang = true
+	s.run(time.Second)
+	s.loseWorkers(t, 3, "gang", "", gang)
+	s.instances["m-glass-0"].Capacity = &workloadpb.Resources{Cpu: 8000, MemoryMib: 65536}
+	s.run(s.rebootTime + time.Second)
+	s.submit("glass", "other", step(1, 1000, 1000, 1000))
+	s.run(lostWindow)
+	assert.Equal(t, s.running("gang"), 0)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -141,7 +141,12 @@
 		return
 	}
 	left -= p.placeGroup(&g, workers)
-	if !s.Step.Gang {
+	if s.Step.Gang {
+		g.tasksOnWorker = nil // What a gang took in vain is free again.
+		if !p.canHold(&g, workers, left) {
+			return
+		}
+	} else {
 		left = min(left, 1)
 	}
 	for left > 0 && mayKeep() {
@@ -178,6 +183,16 @@
 	return best
 }
 
+// canHold reports whether the workers have room for n tasks of the group once ordinary tasks have ended.
+func (p *pass) canHold(g *taskGroup, workers []*Worker, n int) bool {
+	for _, w := range workers {
+		if !w.IsKeptFromJob(g.job()) {
+			n -= p.countRoom(g, w)
+		}
+	}
+	return n <= 0
+}
+
 // countRoom returns how many tasks of the group a worker has room for once ordinary tasks have ended.
 func (p *pass) countRoom(g *taskGroup, w *Worker) int {
 	room := w.Capacity().Minus(w.LongRunningUsage)
