ledger: keep the losses of a task when a later one was noticed late

Callers could see a task that has crashed three workers go on as if it had crashed none (by reading; the test shows the ledger only): one loss that is recorded 15 s after its assignment erased all earlier ones. That takes no run of 15 s. A start may be repeated or carried out late, and with changes of leader each new leader waits for leases again before it gives a run up.

Cause: recordLoss took the time since the assignment for the age of the run, and that age for proof that the task is harmless.

Ruled out: losses of runs that did work for 15 s. Their tasks have no losses left, because HarmlessTasks has cleared them.

A late loss counts for a task that has losses, which has never been seen at work since the first of them, and is ignored for one that has none, as before.

TestLateLossKeepsEarlierOnes on the code before: loss_test.go:48: assertion failed: 0 (int) != 4 (int) and it passes with the fix, as do the tests of loss_test.go in internal/workload.

--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -8,7 +8,8 @@
 
 const (
 	// harmlessAfterMs is the age from which the run of a lost worker did not crash it: tasks that crash workers do so soon
-	// after their start. It includes the time until a loss is noticed.
+	// after their start. It includes the time until a loss is noticed. A task that has lost workers before has to prove
+	// harmless, because the start may have been late.
 	harmlessAfterMs = 15_000
 	// A task crashes its workers if minCrashes workers have crashed under it, minIsolatedCrashes of them under an isolated
 	// run. Crashes of one worker may be its own fault, so fewer than minCrashes different ones have to crash once more.
@@ -91,8 +92,7 @@
 		return
 	}
 	a := t.ActiveRuns[i]
-	if s.clockMs-a.assignedMs >= harmlessAfterMs {
-		t.setLosses(nil)
+	if s.clockMs-a.assignedMs >= harmlessAfterMs && len(t.losses) == 0 {
 		return
 	}
 	l := &workloadpb.Loss{
