ledger: a delayed heartbeat of a predecessor shows no crash

Callers could see a job fail without cause: losses of workers that are only out of reach count as crashes when a heartbeat of an earlier incarnation at the address arrives late, which the protocol allows.

Cause: recordCrashes took each registration at the address of a loss for a later incarnation, also one that began before the lost one.

Ruled out: heartbeats of the same incarnation and of an earlier one with the same ID, which are recorded already and change nothing.

applyReport has removed the incarnations that began before the new one, so one that still has the address began later, and the heartbeat says nothing about how it ended.

TestDelayedHeartbeatShowsNoCrash on the code before: loss_test.go:62: assertion failed: task.Losses()[0].Crashed is true and it passes with the fix; it also checks that the next incarnation does show the crash.

--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -105,6 +105,9 @@
 // recordCrashes records that the earlier incarnations of a worker have crashed, and ends the jobs of tasks that are now
 // known to crash their workers. A worker of another pool has another owner, so it doesn't tell how its predecessor ended.
 func (s *State) recordCrashes(m *workloadpb.Worker, at int64) {
+	if slices.ContainsFunc(s.workerList, func(w *Worker) bool { return w.info.Address == m.Address }) {
+		return // The heartbeat is older than the incarnation that has the address now.
+	}
 	for _, t := range s.tasksWithLosses() {
 		for _, l := range t.losses {
 			if l.Crashed || l.Pool != m.Pool || l.Address != m.Address && l.Worker != m.Id {
--- a/internal/workload/ledger/loss_test.go
+++ b/internal/workload/ledger/loss_test.go
@@ -10,6 +10,15 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+// reportAt registers a worker at an address.
+func (f *fixture) reportAt(address, id string, bornMs int64) *ledger.Worker {
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{Worker: &workloadpb.Worker{
+		Id: id, Address: address, BornMs: bornMs, Pool: "glass",
+		Capacity: &workloadpb.Resources{Cpu: 16000, MemoryMib: 65536},
+	}}}})
+	return f.WorkerByID(id)
+}
+
 // assignRecorded assigns the next run of a task, whose loss is recorded.
 func (f *fixture) assignRecorded(t *ledger.Task, w *ledger.Worker) ledger.RunKey {
 	k := t.Key(t.LastRun + 1)
@@ -38,3 +47,19 @@
 	}
 	assert.Equal(t, len(task.Losses()), 4)
 }
+
+// Guards against a worker that is out of reach and passes for one that crashed, because a delayed heartbeat of its
+// predecessor arrives.
+func TestDelayedHeartbeatShowsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+	task := &j.Occurrences()[0].Steps[0].Tasks[0]
+	f.reportAt("a", "w1", 1)
+	w := f.reportAt("a", "w2", 2)
+	f.end(f.assignRecorded(task, w), w, workloadpb.How_HOW_LOST)
+	assert.Equal(t, len(task.Losses()), 1)
+	f.reportAt("a", "w1", 1)
+	assert.Assert(t, !task.Losses()[0].Crashed)
+	f.reportAt("a", "w3", 3)
+	assert.Assert(t, task.Losses()[0].Crashed)
+}
