schedule: bound the time of a pass after a loss of many tasks

Callers would see nothing happen for half a minute after the crash of a worker with 1500 small tasks: no answer, no lease, no start, as the control loop stands in one scheduling pass.

Cause: compareRisk asked for each pair of workers, for each task, which of all tasks of the group had lost a worker there: time in proportion to workers x tasks x tasks.

Ruled out: counting the runs of other jobs for each pair.

The addresses are collected once for each group.

TestLossOfManyTasksDelaysNoDecision on the code before, after 40 s: isolation_test.go:83: assertion failed: time.Since(started) is >= maxStepTime and it passes with the fix in 0.7 s, as do the tests of loss_test.go and of gangs.

--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -62,3 +62,25 @@
 	assert.Equal(t, s.running("gang"), 0)
 	assert.Equal(t, s.done["other.0.0.0"], 1)
 }
+
+// Guards against a scheduling pass that stops the leader, because many tasks have lost the same worker.
+func TestLossOfManyTasksDelaysNoDecision(t *testing.T) {
+	const maxStepTime = 5 * time.Second
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 100)
+	s.run(time.Second)
+	s.submit("glass", "many", step(1500, 5, 10, 20000))
+	s.run(time.Second)
+	for _, w := range s.workers {
+		if len(w.runs) > 0 {
+			s.crash(w, s.rebootTime)
+		}
+	}
+	for end := s.now + 10*time.Second; s.now < end; {
+		started := time.Now()
+		s.run(simStep)
+		assert.Assert(t, time.Since(started) < maxStepTime)
+	}
+	assert.Equal(t, s.running("many"), 1500)
+}
--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -53,11 +53,6 @@
 	t.losses = list
 }
 
-// LostAt reports whether a worker at an address was lost under the task.
-func (t *Task) LostAt(address string) bool {
-	return slices.ContainsFunc(t.losses, func(l *workloadpb.Loss) bool { return l.Address == address })
-}
-
 // AwaitsCause reports whether the task shouldn't start again until it is known why its last worker was lost. The time is
 // that of the ledger's clock in milliseconds.
 func (t *Task) AwaitsCause(clockMs int64) bool {
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -26,6 +26,8 @@
 	suspect bool
 	// isolated groups run only on workers without unproven runs of other jobs.
 	isolated bool
+	// lostAt holds the addresses of the workers that were lost under tasks of the group.
+	lostAt map[string]bool
 	// rack is the preferred rack, and tasksOnWorker the number of tasks of the step by the number of the incarnation.
 	rack          string
 	tasksOnWorker map[uint64]int
@@ -71,6 +73,7 @@
 			suspect.tasks, other.tasks = all, nil
 		}
 	}
+	isolated.lostAt, suspect.lostAt = lostAddresses(isolated.tasks), lostAddresses(suspect.tasks)
 	return isolated, suspect, other
 }
 
@@ -115,16 +118,22 @@
 		return cmp.Compare(min(len(a.suspects), 1), min(len(b.suspects), 1))
 	}
 	return cmp.Or(
-		compareBool(g.hasLost(a), g.hasLost(b)),
+		compareBool(g.lostAt[a.Address()], g.lostAt[b.Address()]),
 		cmp.Compare(countOthers(a.suspects, g.job()), countOthers(b.suspects, g.job())),
 		cmp.Compare(a.LongRunning, b.LongRunning),
 		cmp.Compare(countOthers(a.unproven, g.job()), countOthers(b.unproven, g.job())),
 	)
 }
 
-// hasLost reports whether a task of the group has lost a worker at the address of w.
-func (g *taskGroup) hasLost(w *Worker) bool {
-	return slices.ContainsFunc(g.tasks, func(t *ledger.Task) bool { return t.LostAt(w.Address()) })
+// lostAddresses returns the addresses of the workers that were lost under tasks.
+func lostAddresses(tasks []*ledger.Task) map[string]bool {
+	m := map[string]bool{}
+	for _, t := range tasks {
+		for _, l := range t.Losses() {
+			m[l.Address] = true
+		}
+	}
+	return m
 }
 
 // placeIsolated assigns the tasks that must be isolated. While there is no worker for one, or not enough for a gang, it
