workload: only an answer to a later request shows that a run is harmless

The arrival of any answer 1.5 s after the start of a run cleared the losses of its task. An answer that was held up on its way may be older than the crash, so a task that crashes workers would have passed for harmless. Now the request has to have been sent that late.

TestManyIsolatedTasksLeaveRoomToLongRunningTasks, by the review, guards the limit of workers that are kept for isolated tasks. In the simulation, an instance whose crashed worker was replaced under the same ID no longer boots a second one.

--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -84,3 +85,24 @@
 	}
 	assert.Equal(t, s.running("many"), 1500)
 }
+
+// Guards against long-running tasks that wait until all tasks that have lost workers have run isolated.
+func TestManyIsolatedTasksLeaveRoomToLongRunningTasks(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 4)
+	s.run(time.Second)
+	for i := range 40 {
+		s.submit("glass", fmt.Sprintf("small-%d", i), step(1, 1000, 1000, 3000))
+	}
+	for range 2 {
+		s.run(time.Second)
+		for i := range 4 {
+			s.crash(s.workers[s.instances[fmt.Sprintf("m-glass-%d", i)].Worker], 2*time.Second)
+		}
+		s.run(2*time.Second + simStep)
+	}
+	s.submit("glass", "last", lasting(1, 1000, 1000))
+	s.run(lostWindow + calmBefore)
+	assert.Equal(t, s.running("last"), 1)
+}
--- a/internal/workload/loss.go
+++ b/internal/workload/loss.go
@@ -17,7 +17,7 @@
 
 // isHarmless reports whether a run has worked for so long that it doesn't crash the worker.
 func (s *session) isHarmless(r *run) bool {
-	return r.listed && s.lastAnswerAt-r.startedAt >= harmlessAfter
+	return r.listed && s.confirmedAt-r.startedAt >= harmlessAfter
 }
 
 // recordHarmlessTasks records the tasks of a worker that have lost other workers, but let this one work.
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -555,7 +555,7 @@
 	for name, row := range s.instances {
 		if row.Worker == w.m.Id {
 			s.scheduleLasting(d, func() {
-				if row.Worker == w.m.Id {
+				if s.workers[row.Worker] == w { // An operation may have started another one meanwhile, even with its ID.
 					s.startWorkerAs(name, fmt.Sprintf("w-%s-%d", name, s.now.Milliseconds()), w.m.Address)
 				}
 			})
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -202,7 +202,7 @@
 					e.startedAgain = true
 				}
 			}
-			assert.Assert(s.t, o == w || o.dead || o.runs[task] == nil, "%s runs twice", task)
+			assert.Assert(s.t, o == w || o.dead || o.runs[task] == nil, "%s runs twice, on %s and on %s", task, o.m.Id, w.m.Id)
 		}
 	}
 	return workload.Accepted
