--- /dev/null
+++ b/internal/workload/withheld_test.go
@@ -0,0 +1,118 @@
+package workload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// Guards against maintenance that waits for a step which may miss no further task, and keeps the worker from ordinary
+// tasks that fit.
+func TestMaintenanceThatMayStopNothingLeavesRoomToOrdinaryTasks(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	apart := lasting(2, 1000, 1000)
+	apart.MaxPerWorker, apart.MayMiss = 1, 1
+	s.submit("glass", "apart", apart)
+	s.run(time.Second)
+	s.startWave(1, 1, "m-glass-0")
+	s.run(10 * time.Second)
+	s.submit("glass", "other", step(1, 1000, 1000, 1000))
+	s.run(20 * time.Second)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
+
+// Guards against a worker that stays reserved while the platform doesn't answer, because another worker of the pool is
+// usable, though not by the task that waits.
+func TestUnansweredMaintenanceLeavesRoomToTaskWithLabel(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 5) // The last one is in the rack r1.
+	s.run(time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		_, ok := a.(workload.MaintainInstance)
+		return workload.NoAnswer, ok
+	}
+	s.startWave(1, 1, "m-glass-4")
+	s.run(3 * time.Second)
+	st := step(1, 1000, 1000, 1000)
+	st.Label = "r1"
+	s.submit("glass", "other", st)
+	s.run(20 * time.Second)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
+
+// Guards against a pool that takes all spare instances for a long-running task that the adviser allows nowhere.
+func TestTaskThatTheAdviserDeniesTakesNoInstances(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, func(d *workloadpb.Document) {
+		d.Queues[0].Advice = &workloadpb.Advice{DecideMs: 50, EachMs: 5, ValidityMs: 3000}
+	}, "glass", "plates", "spare")
+	s.addWorkers("glass", 2)
+	s.addWorkers("plates", 1)
+	s.addWorkers("spare", 3)
+	s.submit("glass", "last", lasting(1, 2000, 1000))
+	s.run(20 * time.Second)
+	for i := range 30 {
+		s.submit("plates", fmt.Sprintf("plate-%d", i), step(4, 4000, 1000, 2000))
+		s.run(500 * time.Millisecond)
+	}
+	assert.Assert(t, s.countInstances("plates") > 1, "glass %d, plates %d, spare %d", s.countInstances("glass"),
+		s.countInstances("plates"), s.countInstances("spare"))
+}
+
+// Guards against a worker that answers requests and gets no runs, because it failed a few while its heartbeats are lost.
+func TestWorkerWithoutHeartbeatsIsUsedOnceItAnswersAgain(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	s.run(time.Second)
+	w.unreachable, w.mute = true, true
+	s.run(10 * time.Second)
+	w.unreachable = false
+	s.submit("glass", "last", lasting(1, 1000, 1000))
+	s.run(30 * time.Second)
+	assert.Equal(t, s.running("last"), 1)
+}
+
+// Guards against accepted jobs that are forgotten early because the clock of the leader's machine was set forward.
+func TestClockStepKeepsEndedJobs(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.submit("glass", "a", step(1, 1000, 1000, 1000))
+	s.run(5 * time.Second)
+	assert.Equal(t, s.jobState("glass", "a"), string(ledger.Completed))
+	s.e.Configure(workload.Config{
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now + time.Hour) }, MaxLease: s.maxLease,
+	})
+	s.run(2 * time.Second)
+	assert.Equal(t, s.jobState("glass", "a"), string(ledger.Completed))
+}
+
+// Guards against ordinary tasks that get no capacity, because workers reject the starts of a long-running job again and
+// again.
+func TestRejectedStartsLeaveRoomToOtherJobs(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.run(time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		st, ok := a.(workload.StartRun)
+		return workload.Malformed, ok && st.Name.Job == "rejected"
+	}
+	s.submit("glass", "rejected", lasting(40, 1000, 1000))
+	s.run(time.Second)
+	s.submit("glass", "other", step(1, 1000, 1000, 1000))
+	s.run(30 * time.Second)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
