operator: let TestResend end calls by what has arrived instead of a time

The client was right to report an unknown outcome; the test was wrong to take it that a change arrives within 1 s.

The caller now gives up once the change was proposed three times, with the same checks on the outcome and on the version. That is stricter: both processes and a resend have to be reached, where a single request was enough before. That a timeout ends a call is checked by the other tests with shortTimeoutClient.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -152,7 +152,11 @@
 // Guards against a resent change that is applied twice, and against an unknown outcome that is reported as known.
 func TestResend(t *testing.T) {
 	t.Parallel()
-	const refusingAddress = "127.0.0.1:1"
+	const (
+		refusingAddress = "127.0.0.1:1"
+		// unansweredProposals is how often a change is sent to the two processes until its caller gives up.
+		unansweredProposals = 3
+	)
 	for _, tt := range []struct {
 		name     string
 		failures func(n int) operatortest.Failure
@@ -174,16 +178,20 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			ctl := newControl(t)
-			ctl.SetFailures(tt.failures)
 			addresses := []string{ctl.serve(t, nil), ctl.serve(t, nil)}
 			if tt.refused {
 				addresses[0] = refusingAddress
 			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			ctl.SetFailures(func(n int) operatortest.Failure {
+				if tt.kind == operator.KindOutcomeUnknown && n == unansweredProposals {
+					cancel()
+				}
+				return tt.failures(n)
+			})
 			c := newClient(t, addresses...)
-			if tt.kind == operator.KindOutcomeUnknown {
-				c = shortTimeoutClient(t, addresses...)
-			}
-			_, err := c.Submit(t.Context(), operator.Submission{Document: exampleDocument(t)})
+			_, err := c.Submit(ctx, operator.Submission{Document: exampleDocument(t)})
 			assert.Equal(t, errorKind(err), tt.kind)
 			assert.Equal(t, ctl.Version(), tt.version)
 		})
