node: start the wave in the test under one operation ID

TestWaveUnderLoadCostsNoRequest (KNOWN-RED.txt) once waited 20 s for "wave starts". The test proposes the start without an operation ID until it is accepted. If the response to an applied start is lost, each further one is rejected, as the wave is under way, so the test waits in vain.

In a trial that drops the first successful response, the code before gave the message of the entry:

wave_test.go:141: <nil> command.conflict: wave reboot is under way wave_test.go:137: timeout hit after 20s: waiting: wave starts

Now a start keeps its ID until it is rejected, as the clients of the API do. The checks are the same.

The failed run left no logs, so that a lost response caused it isn't shown: the entry stays.

--- a/internal/node/wave_test.go
+++ b/internal/node/wave_test.go
@@ -133,10 +133,15 @@
 
 	l := startLoad(t, nodes, key)
 	ctx := context.Background()
+	// After a lost response, the same ID gets the result of the first command; a rejected command needs another one.
+	operationID := uuid.NewString()
 	eventually(t, "wave starts", func() bool {
-		c, err := maintenance.ControlCommand("", "reboot", maintenancepb.Verb_VERB_START)
+		c, err := maintenance.ControlCommand(operationID, "reboot", maintenancepb.Verb_VERB_START)
 		assert.NilError(t, err)
 		r, err := nodes[0].client.Propose(ctx, c)
+		if err == nil && r.Err != nil {
+			operationID = uuid.NewString()
+		}
 		return err == nil && r.Err == nil
 	})
 	var wave *maintenancepb.Wave
