workload: wait 0.5 s instead of 2 s for a deposed leader

Callers saw long-running tasks of a lost worker run again 8 s after the event that made the leader change, 10.6 s after the first of two, where 7 s after the last event and 9 s after the loss are allowed.

Cause: a leader sends requests until 2 s after a quorum confirmed it, so a new one waits for 2 s and the longest lease, 7.04 s, if no suspension of the worker's leases is in the log yet. The class: a wait for what another process may still do that is longer than what it can do. A leader that no quorum has confirmed for an election timeout, 0.5 s, is about to be deposed. A lease ends at a time on the worker's clock that is computed at the decision, so pauses between decision, check and arrival don't lengthen it.

Ruled out: no wait for the deposed leader at all, by LeaderLease. A transfer of the leadership, and a voter that forgets the leader in a restart, elect another one within that time. The bound here needs neither: the voters that confirmed the old leader did so before they voted for the new one.

A leader of an earlier version sends for 2 s, so LeaseBound has a new field for the time, absent = 2 s. The driver passes the term of the last leader in the log; one that recorded no bound, because it was deposed before its first commit, counts as of an earlier version. A leader that waits 2 s records 2 s until they are over. Earlier versions ignore the field and wait 2 s as before.

TestUpgradeKeepsRunsWhileEarlierVersionStillGrantsLeases fails with "last.0.0.0 runs twice" if the term of the last leader, the 2 s of earlier versions or the inherited time in the new record is left out.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -93,6 +93,7 @@
 	// The fields below belong to the control loop.
 	leading          bool
 	leadTerm         uint64
+	lastAppliedTerm  uint64 // term of the last entry that was applied
 	decisionDue      bool
 	pendingProposals map[uint64]pendingProposal
 	readCallbacks    map[uint64]func(raft.ReadResult)
@@ -207,7 +208,7 @@
 		}
 	}
 	v.kernel.Skip(s.Meta.Index)
-	v.snapshotIndex, v.loggedBytes = s.Meta.Index, 0
+	v.snapshotIndex, v.loggedBytes, v.lastAppliedTerm = s.Meta.Index, 0, s.Meta.Term
 	return nil
 }
 
@@ -297,7 +298,8 @@
 	v.proposedVoters = nil
 	v.notCaughtUpSince = map[string]time.Duration{}
 	v.kernel.BecomeLeader(v.now())
-	v.kernel.Observe(v.now(), kernel.LeadershipGained{Term: term})
+	// A leader starts with the first entry of its term, which every later leader has in its log.
+	v.kernel.Observe(v.now(), kernel.LeadershipGained{Term: term, PreviousTerm: v.lastAppliedTerm})
 	// An operator may still wait for a version that the previous leader accepted. Its rollout is tracked by the index of
 	// this entry, which follows the version in the log, and its time counts from the change of leadership.
 	if version := v.configuration.Version(); version > 0 {
@@ -447,6 +449,7 @@
 			}
 		}
 	}
+	v.lastAppliedTerm = e.Term
 	v.feed.add(update)
 	if p, ok := v.pendingProposals[e.Index]; ok {
 		delete(v.pendingProposals, e.Index)
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -70,6 +70,8 @@
 type LeadershipGained struct {
 	// Term is the number of the term; it is higher than that of every earlier leader.
 	Term uint64
+	// PreviousTerm is the highest term of an earlier leader that may have led, 0 if it is not known.
+	PreviousTerm uint64
 }
 
 // EventName implements Event.
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -145,12 +145,9 @@
 			e.fleet.maybeMaintained[waveInstance{w.Number, name}] = true
 		}
 	}
-	e.inheritLeases()
 	for _, w := range e.state.Workers() {
 		s := e.openSession(w)
 		s.lastHeartbeat = now
-		s.leasesExpireBy = e.inherited.expireBy
-		e.inheritSuspension(s)
 		s.adoptInheritedRuns()
 	}
 }
@@ -160,6 +157,7 @@
 	switch ev := ev.(type) {
 	case kernel.LeadershipGained:
 		e.leading, e.term = true, ev.Term
+		e.inheritLeases(ev.PreviousTerm)
 	case kernel.LeadershipLost:
 		e.leading = false
 	case RenewLeaseResult:
--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -68,3 +68,6 @@
 	}
 	return b.String()
 }
+
+// MaxGrantedLease is the longest lease that leaders grant.
+const MaxGrantedLease = maxGrantedLease
--- a/internal/workload/lease.go
+++ b/internal/workload/lease.go
@@ -16,14 +16,18 @@
 // inheritedLeases bounds the leases that workers may hold from earlier leaders.
 type inheritedLeases struct {
 	longest time.Duration
+	// confirmationAge bounds the age of the confirmations by which earlier leaders send requests, and sentBy is when the
+	// last of these requests has been decided.
+	confirmationAge, sentBy time.Duration
 	// expireBy is when they have certainly expired.
 	expireBy time.Duration
 	// boundPendingUntil is when a bound that was proposed and not applied is proposed again.
 	boundPendingUntil time.Duration
 }
 
-// inheritLeases bounds the leases of earlier leaders. It must be called before this leader proposes a command.
-func (e *Engine) inheritLeases() {
+// inheritLeases bounds the leases of earlier leaders, of which the last one led in previousTerm, 0 if that is not known.
+// It must be called before this leader proposes a command.
+func (e *Engine) inheritLeases(previousTerm uint64) {
 	if len(e.state.Workers()) == 0 {
 		return // Leases are granted only to workers that the ledger knows.
 	}
@@ -37,18 +41,33 @@
 		longest = max(longest, e.cfg.MaxLease)
 	}
 	e.inherited.longest = longest
-	// The previous leader may grant leases for MaxConfirmationAge after this one has started.
-	e.inherited.expireBy = e.now + worstCaseDuration(MaxConfirmationAge+longest)
+	e.inherited.confirmationAge = unrecordedConfirmationAge
+	if ms := e.state.ConfirmationAge(previousTerm); ms > 0 {
+		e.inherited.confirmationAge = time.Duration(ms) * time.Millisecond
+	}
+	// Each voter of the quorum that confirmed an earlier leader did so before it could vote for this one. A lease counts
+	// from the decision to grant it, however late the request arrives.
+	e.inherited.sentBy = e.now + e.inherited.confirmationAge
+	e.inherited.expireBy = e.inherited.sentBy + worstCaseDuration(longest)
+	for _, s := range e.sessions {
+		s.leasesExpireBy = e.inherited.expireBy
+		e.inheritSuspension(s)
+	}
 }
 
-// recordLeaseBound records the longest lease that workers may hold, by which the next leader waits. Inherited leases
-// count until they have expired, because the next leader knows only what this one recorded.
+// recordLeaseBound records the longest lease that workers may hold, by which the next leader waits. What this leader
+// inherited counts as long as it matters, because the next leader knows only what this one recorded.
 func (e *Engine) recordLeaseBound() {
-	bound := e.grantedLease()
+	lease, age := e.grantedLease(), MaxConfirmationAge
 	if e.now <= e.inherited.expireBy {
-		bound = max(bound, e.inherited.longest)
+		lease = max(lease, e.inherited.longest)
+	}
+	if e.now <= e.inherited.sentBy {
+		age = max(age, e.inherited.confirmationAge)
 	}
-	if e.now < e.inherited.boundPendingUntil || e.state.LeaseBound(e.term) == bound.Milliseconds() {
+	bound := &workloadpb.LeaseBound{LeaseMs: lease.Milliseconds(), ConfirmationAgeMs: age.Milliseconds()}
+	recorded := e.state.LeaseBound(e.term) == bound.LeaseMs && e.state.ConfirmationAge(e.term) == bound.ConfirmationAgeMs
+	if e.now < e.inherited.boundPendingUntil || recorded {
 		return
 	}
 	if e.endOutdatedSuspensions() {
@@ -56,9 +75,7 @@
 		return
 	}
 	e.inherited.boundPendingUntil = e.now + proposalTimeout
-	e.propose(&workloadpb.Command{Change: &workloadpb.Command_LeaseBound{
-		LeaseBound: &workloadpb.LeaseBound{LeaseMs: bound.Milliseconds()},
-	}})
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_LeaseBound{LeaseBound: bound}})
 }
 
 // endOutdatedSuspensions proposes to end the suspensions that leaders of an earlier version have ignored, and reports
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -37,6 +37,8 @@
 	clockSteadyMs int64 // monotonic clock of the leader of clockTerm in its last command
 	leaseTerm     uint64
 	leaseMs       int64 // see LeaseBound
+	// confirmationAgeMs is part of the last LeaseBound, see ConfirmationAge.
+	confirmationAgeMs int64
 
 	nextJob, nextWorker uint64
 	changes             uint64
@@ -192,6 +194,7 @@
 		s.applyLeaseSuspension(m.LeaseSuspension)
 	case *workloadpb.Command_LeaseBound:
 		s.leaseTerm, s.leaseMs = c.Term, m.LeaseBound.LeaseMs
+		s.confirmationAgeMs = m.LeaseBound.ConfirmationAgeMs
 	}
 	return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_DONE}
 }
@@ -230,6 +233,15 @@
 	return s.leaseMs
 }
 
+// ConfirmationAge returns the longest time in milliseconds since a quorum confirmed the leader of a term, or one before
+// it, at which it sent requests, 0 if the leader recorded none.
+func (s *State) ConfirmationAge(term uint64) int64 {
+	if s.leaseTerm != term {
+		return 0
+	}
+	return s.confirmationAgeMs
+}
+
 // LastOrder returns the last announced order for an instance, nil if there was none.
 func (s *State) LastOrder(instance string) *workloadpb.LastOrder { return s.lastOrders[instance] }
 
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -19,8 +19,11 @@
 	maxGrantedLease = 4800 * time.Millisecond
 	// MaxConfirmationAge is the maximum time since a quorum confirmed the leader at which it still sends requests to
 	// workers. A worker that knows a later leader rejects them, and a later leader gives runs up only after this time and
-	// the longest lease that a leader grants.
-	MaxConfirmationAge = 2 * time.Second
+	// the longest lease that a leader grants. It is the shortest election timeout, after which the followers elect another
+	// leader.
+	MaxConfirmationAge = 500 * time.Millisecond
+	// unrecordedConfirmationAge replaces MaxConfirmationAge for leaders that recorded none, as in earlier versions.
+	unrecordedConfirmationAge = 2 * time.Second
 	// minClockRate is the slowest rate of a worker's clock that the platform allows.
 	minClockRate = 0.98
 	// expiryMargin covers the time that a worker needs to end its runs when the lease expires.
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -128,10 +128,11 @@
 // startTerm starts a term with a leader that has only the replicated state. Commands that are not committed are lost.
 func (s *sim) startTerm() {
 	s.loseLeader()
+	previous := s.term
 	s.term++
 	s.leaderless = false
 	s.k.BecomeLeader(s.now)
-	s.k.Observe(s.now, kernel.LeadershipGained{Term: s.term})
+	s.k.Observe(s.now, kernel.LeadershipGained{Term: s.term, PreviousTerm: previous})
 }
 
 func (s *sim) call(m *workloadpb.Command) *workloadpb.Response {
--- a/internal/workload/upgrade_test.go
+++ b/internal/workload/upgrade_test.go
@@ -73,6 +73,47 @@
 	}
 }
 
+// Guards against a new leader that gives runs up while a deposed leader of an earlier version still grants leases, as it
+// does for 2 s.
+func TestUpgradeKeepsRunsWhileEarlierVersionStillGrantsLeases(t *testing.T) {
+	const confirmationAge = 2 * time.Second
+	for _, recordsBound := range []bool{false, true} {
+		for gap := time.Duration(0); gap <= 3*time.Second; gap += 100 * time.Millisecond {
+			t.Run(fmt.Sprintf("records bound %v, next leader after %v", recordsBound, gap), func(t *testing.T) {
+				s, w := newSuspendedSim(t)
+				w.clockGain = -20
+				assert.Equal(t, s.e.State().ConfirmationAge(s.term), workload.MaxConfirmationAge.Milliseconds())
+				// Without a record, the leader of the earlier version is deposed before its first command is committed.
+				s.rejectCommand = func(*workloadpb.Command) bool { return !recordsBound }
+				s.startTerm()
+				if recordsBound {
+					s.rejectCommand = rejectLeaseBounds
+					s.run(simStep)
+					s.call(&workloadpb.Command{Term: s.term, SteadyMs: s.now.Milliseconds(), Change: &workloadpb.Command_LeaseBound{
+						LeaseBound: &workloadpb.LeaseBound{LeaseMs: workload.MaxGrantedLease.Milliseconds()},
+					}})
+				}
+				s.run(200 * time.Millisecond)
+				s.rejectCommand, w.unreachable = nil, true
+				s.startTerm()
+				changedAt := s.now
+				for s.now < changedAt+20*time.Second {
+					if s.now == changedAt+gap && gap > 0 {
+						s.startTerm()
+					}
+					if s.now < changedAt+confirmationAge {
+						w.leaseExpiryMs = max(w.leaseExpiryMs, w.clockMs()+workload.MaxGrantedLease.Milliseconds())
+					}
+					s.run(simStep)
+				}
+				assert.Equal(t, s.running("last"), 1)
+				assert.Equal(t, len(w.runs), 0)
+				assert.Equal(t, s.e.State().ConfirmationAge(s.term), workload.MaxConfirmationAge.Milliseconds())
+			})
+		}
+	}
+}
+
 // Guards against long-running tasks that wait for the longest lease that workers accept, long after an upgrade.
 func TestTasksOfLostWorkersRestartInTimeAfterUpgrade(t *testing.T) {
 	s, workers := newUpgradeSim(t, false)
