workload: keep ended jobs for their retention when the wall clock steps

A client that asks for the state of a job that has ended would be told that there is no such job, before the retention has passed: by as much as the clock of the leader's instance was set forward, or as that of a new leader is ahead. If a clock was set back, ended jobs would fill the memory.

Cause: the end of a job had a time by the wall clock of the leader, and the next leader compared it with its own.

Ruled out: twice the retention by the wall clock, which covers small steps only; counting from when a leader has seen the end, which begins anew with each leader, so that changes of leader would keep all jobs.

The first command of a leader after an end dates it by the clock of the ledger, which only counts the time of leaders and is never ahead of the time that has passed. An end that comes while the leader has nothing to propose is dated by an empty expiry.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -44,7 +44,7 @@
 	MoveDuration time.Duration
 	// TakeoverDelay is how long a new leader waits before its first request for an instance.
 	TakeoverDelay time.Duration
-	// JobRetention is how long the state of an ended job is kept.
+	// JobRetention is how long the state of an ended job is kept at least.
 	JobRetention time.Duration
 	// JobOrder is the order in which jobs are served.
 	JobOrder schedule.JobOrder
@@ -243,7 +243,9 @@
 		return
 	}
 	e.jobsExpiredAt = e.now
-	if list := e.state.EndedJobs(e.wallClockMs() - e.cfg.JobRetention.Milliseconds()); len(list) > 0 {
+	before := e.state.ClockAt(e.term, e.now.Milliseconds()) - e.cfg.JobRetention.Milliseconds()
+	// Each command of a leader dates the ends before it.
+	if list := e.state.EndedJobs(before); len(list) > 0 || e.state.HasUndatedEnds() {
 		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Expire{Expire: &workloadpb.Expire{Jobs: list}}})
 	}
 }
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -113,6 +113,7 @@
 
 func (s *State) endJob(j *Job, state JobState, at int64) {
 	j.state, j.EndedMs = state, at
+	s.undatedEnds = append(s.undatedEnds, j)
 	s.endedJobs = append(s.endedJobs, j)
 	s.activeJobs = slices.DeleteFunc(s.activeJobs, func(o *Job) bool { return o == j })
 	for _, o := range j.occurrences {
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -35,6 +35,7 @@
 	HasStarted bool
 
 	state          JobState
+	endedClockMs   int64 // clock of the ledger at the leader's first command after the end, 0 before that
 	nextOccurrence int32 // number of the next occurrence
 	occurrences    []*Occurrence
 	activeRuns     int
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -34,7 +34,7 @@
 	m := &workloadpb.JobState{
 		Number: j.Number, Id: j.ID, Queue: j.Queue, Account: j.Account, Spec: j.Spec, Steps: j.Steps, MaxRuns: j.MaxRuns,
 		StartAtMs: j.StartAtMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, EndedMs: j.EndedMs,
-		State: string(j.state), NextOccurrence: j.nextOccurrence, Begun: j.HasStarted,
+		EndedClockMs: j.endedClockMs, State: string(j.state), NextOccurrence: j.nextOccurrence, Begun: j.HasStarted,
 	}
 	for _, o := range j.occurrences {
 		om := &workloadpb.OccurrenceState{Number: o.Number}
@@ -91,8 +91,7 @@
 	j := &Job{
 		Number: m.Number, ID: m.Id, Queue: m.Queue, Account: m.Account, Spec: m.Spec, Steps: m.Steps, MaxRuns: m.MaxRuns,
 		StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: m.AcceptedMs, EndedMs: m.EndedMs,
-		HasStarted:     m.Begun,
-		nextOccurrence: m.NextOccurrence,
+		HasStarted: m.Begun, endedClockMs: m.EndedClockMs, nextOccurrence: m.NextOccurrence,
 	}
 	s.addJob(j)
 	// assignRun changes the state of the job, so the state from the snapshot is set after the active runs are restored.
@@ -118,5 +117,7 @@
 	j.state, j.HasStarted = JobState(m.State), m.Begun
 	if j.IsActive() {
 		s.activeJobs = append(s.activeJobs, j)
+	} else if j.endedClockMs == 0 {
+		s.undatedEnds = append(s.undatedEnds, j)
 	}
 }
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -46,6 +46,8 @@
 	pendingStops        []Stop
 	lossEvents          []LossEvent
 	endedJobs           []*Job
+	// undatedEnds are the jobs that have ended since the last command of a leader.
+	undatedEnds []*Job
 }
 
 // Stop is a run that must be stopped because its job has ended or its task is done.
@@ -121,10 +123,11 @@
 func (s *State) ActiveJobs() []*Job { return s.activeJobs }
 
 // EndedJobs returns the numbers of the jobs that ended at or before a time and have no active runs, in ascending order.
+// The time is that of the ledger's clock in milliseconds. Jobs with an undated end are not included.
 func (s *State) EndedJobs(before int64) []uint64 {
 	var list []uint64
 	for n, j := range s.jobs {
-		if !j.IsActive() && j.activeRuns == 0 && j.EndedMs <= before {
+		if j.endedClockMs > 0 && j.activeRuns == 0 && j.endedClockMs <= before {
 			list = append(list, n)
 		}
 	}
@@ -132,6 +135,9 @@
 	return list
 }
 
+// HasUndatedEnds reports whether the next command of a leader dates the end of a job.
+func (s *State) HasUndatedEnds() bool { return len(s.undatedEnds) > 0 }
+
 // Waves returns the maintenance waves ordered by number.
 func (s *State) Waves() []*workloadpb.Wave {
 	list := slices.Collect(maps.Values(s.waves))
@@ -208,6 +214,10 @@
 	}
 	s.clockMs = s.ClockAt(c.Term, c.SteadyMs)
 	s.clockTerm, s.clockSteadyMs = c.Term, c.SteadyMs
+	for _, j := range s.undatedEnds {
+		j.endedClockMs = max(s.clockMs, 1)
+	}
+	s.undatedEnds = nil
 }
 
 // Clock returns a lower bound of the milliseconds between the founding of the control group and the last command that a
