schedule: prefer a free worker for a long-running task that has lost two

A long-running task that crashes its workers crashed five of them where four would have told it, which leaves nothing of what the rule allows: one more start breaks it.

Cause: a long-running task must be isolated from three losses on, and from two it counts as isolated where it happens to be alone. But the choice of its worker put the address of an earlier loss before that, so in a small pool, in which the free workers are those that have just booted, it went to the one worker with other runs, and the crash told nothing.

Ruled out: isolating long-running tasks from two losses on. They would wait for a worker to become free, beside others with room.

From two losses on, workers without unproven runs of other jobs come first. Crashes of one address still need a fourth to count.

TestLongRunningTaskPrefersFreeWorkerAfterTwoCrashes on the code before: isolation_test.go:130: assertion failed: 5 (s.crashes["deadly.0.0.0"] int) != 4 (int)

--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -106,3 +107,25 @@
 	s.run(lostWindow + calmBefore)
 	assert.Equal(t, s.running("last"), 1)
 }
+
+// Guards against a long-running task that crashes another worker beside other runs, while a worker is free for it.
+func TestLongRunningTaskPrefersFreeWorkerAfterTwoCrashes(t *testing.T) {
+	s := newLossSim(t, 3)
+	s.run(time.Second)
+	s.loseWorkers(t, 2, "deadly", "", lasting(1, 2000, 1000))
+	s.isDeadly = func(task string) bool { return task == "deadly.0.0.0" }
+	for _, id := range sortedIDs(s.workers) {
+		if w := s.workers[id]; !w.dead && w.startedAt == 0 {
+			w.m.Labels = []string{"a", "uncrashed"}
+			s.report(w)
+		}
+	}
+	for i := range 60 {
+		small := step(1, 1000, 1000, 800)
+		small.Label = "uncrashed"
+		s.submit("glass", fmt.Sprintf("small-%d", i), small)
+		s.run(500 * time.Millisecond)
+	}
+	assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
+	assert.Equal(t, s.crashes["deadly.0.0.0"], 4)
+}
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -26,6 +26,8 @@
 	suspect bool
 	// isolated groups run only on workers without unproven runs of other jobs.
 	isolated bool
+	// prefersIsolation is set if a crash under an isolated run of a task of the group would count.
+	prefersIsolation bool
 	// lostAt holds the addresses of the workers that were lost under tasks of the group.
 	lostAt map[string]bool
 	// rack is the preferred rack, and tasksOnWorker the number of tasks of the step by the number of the incarnation.
@@ -61,6 +63,7 @@
 			isolated.tasks = append(isolated.tasks, t)
 		case len(t.Losses()) > 0:
 			suspect.tasks = append(suspect.tasks, t)
+			suspect.prefersIsolation = suspect.prefersIsolation || len(t.Losses()) >= isolatedFrom
 		default:
 			other.tasks = append(other.tasks, t)
 		}
@@ -117,7 +120,9 @@
 	if !g.suspect {
 		return cmp.Compare(min(len(a.suspects), 1), min(len(b.suspects), 1))
 	}
+	others := func(w *Worker) bool { return g.prefersIsolation && countOthers(w.unproven, g.job()) > 0 }
 	return cmp.Or(
+		compareBool(others(a), others(b)),
 		compareBool(g.lostAt[a.Address()], g.lostAt[b.Address()]),
 		cmp.Compare(countOthers(a.suspects, g.job()), countOthers(b.suspects, g.job())),
 		cmp.Compare(a.LongRunning, b.LongRunning),
