--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -129,3 +129,17 @@
 	assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
 	assert.Equal(t, s.crashes["deadly.0.0.0"], 4)
 }
+
+// Guards against a run that is stopped before its worker crashes and counts as one under which it crashed.
+func TestCrashAfterStopIsNotUnderTask(t *testing.T) {
+	s := newLossSim(t, 1)
+	s.run(time.Second)
+	s.submit("glass", "deadly", step(1, 1000, 1000, 1000))
+	s.run(2 * simStep)
+	w := s.workers[s.instances["m-glass-0"].Worker]
+	assert.Equal(t, len(w.runs), 1)
+	s.cancel("glass", "deadly")
+	s.run(2 * simStep)
+	assert.Assert(t, w.dead)
+	assert.Equal(t, s.crashes["deadly.0.0.0"], 0)
+}
