workload: ask at once when an isolated run may be harmless

In a pool of two workers, one of which may not take it, a task had crashed both. On the other worker three steps that had lost three workers ran isolated one after the other, from 76.6 s, 78.6 s and 81.1 s, and the task, with two losses, had no turn until 83.6 s.

Cause: a run is harmless 1.5 s after its start, but that showed 2.0 to 2.5 s after it: the leader asked in long polls of 0.5 s, the one that was sent before 1.5 s doesn't count, and the next one waited for its time as well. By the rule the task has to run, so the code was wrong and not the check.

Ruled out, as trials: long-running tasks that may start unisolated 3 s after their last loss, and before isolated ones.

The poll before the time ends at it, and the next one doesn't wait.

More isolated long-running tasks than about four in a row on one worker still wait longer than the rule allows.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -90,9 +90,7 @@
 			break
 		}
 	}
-	if s.hasSuspects() {
-		h.Wait = min(h.Wait, suspectRenewalWait)
-	}
+	h.Wait = min(h.Wait, s.suspectWait(e.now))
 	if s.mixesLatencySensitiveAndBestEffort() {
 		h.Wait = min(h.Wait, throttleRenewalWait)
 	}
--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -143,3 +143,24 @@
 	assert.Assert(t, w.dead)
 	assert.Equal(t, s.crashes["deadly.0.0.0"], 0)
 }
+
+// Guards against long-running tasks that wait beside capacity, because each isolated one before them takes long to prove
+// harmless.
+func TestIsolatedLongRunningTasksFollowEachOther(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	for i := range 4 {
+		s.submit("glass", fmt.Sprintf("last-%d", i), lasting(1, 1000, 1000))
+	}
+	for range 3 {
+		s.run(500 * time.Millisecond)
+		s.crash(s.workers[s.instances["m-glass-0"].Worker], 2*time.Second)
+		s.run(2*time.Second + simStep)
+	}
+	s.run(lostWindow + calmBefore)
+	for i := range 4 {
+		assert.Equal(t, s.running(fmt.Sprintf("last-%d", i)), 1)
+	}
+}
--- a/internal/workload/loss.go
+++ b/internal/workload/loss.go
@@ -34,14 +34,20 @@
 	}
 }
 
-// hasSuspects reports whether a run of a task that has lost workers may still crash this one.
-func (s *session) hasSuspects() bool {
+// suspectWait returns how long a lease renewal may wait so that the runs of tasks that have lost workers are known to be
+// harmless as soon as they are.
+func (s *session) suspectWait(now time.Duration) time.Duration {
+	wait := renewalWait
 	for _, r := range s.runs {
-		if len(r.task.Losses()) > 0 && !s.isHarmless(r) {
-			return true
+		if len(r.task.Losses()) == 0 || s.isHarmless(r) {
+			continue
+		}
+		wait = min(wait, suspectRenewalWait)
+		if due := r.startedAt + harmlessAfter; r.startedAt > 0 && s.renewalSentAt < due {
+			wait = min(wait, max(due-now, 0))
 		}
 	}
-	return false
+	return wait
 }
 
 // logLosses writes a line for each task that has lost several workers, and for each crash under it.
