Test tasks that crash workers in small pools and around changes of leader

The simulation tried one such job at a time in pools of nine workers, and workers that boot under another ID at their address.

-workload.deadly adds events with such tasks to TestRandomDisturbances.

Not covered: a worker that boots under another ID and at another address, which the protocol doesn't name.

--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -25,6 +25,7 @@
 	randomRuns = flag.Uint64("workload.runs", 30, "seeds of the random test")
 	shrinkRuns = flag.Bool("workload.shrink", false, "shorten the script of a failing seed")
 	leaseFlag  = flag.Duration("workload.lease", 0, "longest lease in the random test, 0 draws it")
+	moreDeadly = flag.Int("workload.deadly", 0, "adds events with tasks that crash workers, by this weight")
 	skipKinds  = flag.String("workload.skip", "", "kinds of events, or advice, to leave out, separated by commas")
 )
 
@@ -83,11 +84,12 @@
 	for range 1 + r.IntN(3*len(sc.pools)) {
 		add("lasting", between(0, 2*time.Second), 0)
 	}
+	kinds := slices.Concat(disturbances, slices.Repeat([]string{"deadly", "deadly-lasting"}, *moreDeadly))
 	now := 3 * time.Second
 	for range 2 + r.IntN(3) {
 		span := between(time.Second, 8*time.Second)
 		for range 1 + r.IntN([]int{4, 8, 24}[r.IntN(3)]) {
-			add(disturbances[r.IntN(len(disturbances))], now+between(0, span), between(200*time.Millisecond, 9*time.Second))
+			add(kinds[r.IntN(len(kinds))], now+between(0, span), between(200*time.Millisecond, 9*time.Second))
 		}
 		calm := between(12*time.Second, 18*time.Second)
 		for range r.IntN(6) {
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -70,6 +70,9 @@
 	isDeadly            func(task string) bool
 	rebootTime          time.Duration
 	crashes, lateStarts map[string]int
+	// rebootAs returns the ID and the address of the worker that an instance boots after a crash; if it is nil, the ID is
+	// another one and the address stays.
+	rebootAs func(instance string, crashed *fakeWorker) (id, address string)
 	// onCrash is called when a task crashes its worker; it may be nil.
 	onCrash func(task string)
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
@@ -557,7 +560,11 @@
 		if row.Worker == w.m.Id {
 			s.scheduleLasting(d, func() {
 				if s.workers[row.Worker] == w { // An operation may have started another one meanwhile, even with its ID.
-					s.startWorkerAs(name, fmt.Sprintf("w-%s-%d", name, s.now.Milliseconds()), w.m.Address)
+					id, address := fmt.Sprintf("w-%s-%d", name, s.now.Milliseconds()), w.m.Address
+					if s.rebootAs != nil {
+						id, address = s.rebootAs(name, w)
+					}
+					s.startWorkerAs(name, id, address)
 				}
 			})
 		}
