workload: a delayed heartbeat doesn't restore an earlier capacity

Callers would see more runs on a worker than its capacity allows: a heartbeat that was held up on its way, from before the worker shrank, replaced the recorded capacity (or pool, or labels) until the next heartbeat, and tasks were assigned by it.

Cause: the sequence of a heartbeat was looked at only for the time and the clock of the session, not before the heartbeat was recorded, and the replicated state didn't hold the sequence. The class is an update that is applied in the order of arrival rather than in that of its sender.

The ledger now holds the sequence of the last recorded heartbeat of each worker. The leader doesn't record a heartbeat that is older than that, or than the last one that it received. The check is at the proposal, not at the application of an entry, so replicas of neighbouring versions apply each entry as before; the new field is additional information, 0 where an earlier version recorded the heartbeat. Heartbeats that change nothing are still not in the log. What remains: a new leader can't tell that a heartbeat is outdated if the previous leader received a later one that changed nothing; the next heartbeat corrects that.

Ruled out: the entry and control processes decode the capacity of each heartbeat and forward it to the leader, and a recorded change of capacity triggers a scheduling pass.

--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -54,6 +54,9 @@
 // is 0 while leaders may grant leases.
 func (w *Worker) LeasesEndMs() int64 { return w.info.LeasesEndMs }
 
+// RecordedSequence returns the sequence of the last heartbeat that was recorded, 0 if it is not known.
+func (w *Worker) RecordedSequence() uint64 { return w.info.Sequence }
+
 // HasEnded reports whether the incarnation has ended.
 func (w *Worker) HasEnded() bool { return w.ended }
 
@@ -113,7 +116,7 @@
 		if w.info.BornMs == m.BornMs {
 			m = proto.CloneOf(m)
 			m.Number, m.Noted, m.Draining = w.info.Number, w.info.Noted, m.Draining || w.info.Draining
-			m.LeasesEndMs = w.info.LeasesEndMs
+			m.LeasesEndMs, m.Sequence = w.info.LeasesEndMs, r.Sequence
 			w.info, w.capacity = m, ResourcesOf(m.Capacity)
 			s.markChanged()
 			return
@@ -129,7 +132,7 @@
 	s.recordCrashes(m, at)
 	s.nextWorker++
 	m = proto.CloneOf(m)
-	m.Number, m.Noted, m.LeasesEndMs = s.nextWorker, 0, 0
+	m.Number, m.Noted, m.LeasesEndMs, m.Sequence = s.nextWorker, 0, 0, r.Sequence
 	s.addWorker(m)
 	s.markChanged()
 }
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -95,8 +95,7 @@
 			return done, kernel.AfterReadIndex
 		}
 	case *workloadpb.Command_Report:
-		e.handleHeartbeat(c.Report)
-		if e.state.IsRecorded(c.Report.Worker) {
+		if e.handleHeartbeat(c.Report) || e.state.IsRecorded(c.Report.Worker) {
 			return done, kernel.Immediate
 		}
 	case *workloadpb.Command_Leave:
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -329,15 +329,20 @@
 	return v
 }
 
-// handleHeartbeat updates the session of the worker that sent a heartbeat.
-func (e *Engine) handleHeartbeat(r *workloadpb.Report) {
+// handleHeartbeat updates the session of the worker that sent a heartbeat. It reports whether the heartbeat must not be
+// recorded, because a later one was received.
+func (e *Engine) handleHeartbeat(r *workloadpb.Report) (outdated bool) {
 	w := e.state.WorkerByID(r.GetWorker().GetId())
-	if w == nil || w.StartedMs() != r.Worker.BornMs || !e.leading {
-		return
+	if w == nil || w.StartedMs() != r.Worker.BornMs {
+		return false
 	}
 	s := e.sessions[w.Number()]
-	if s == nil || r.Sequence < s.heartbeatSequence {
-		return
+	if r.Sequence < w.RecordedSequence() || s != nil && r.Sequence < s.heartbeatSequence {
+		e.cfg.Log.V(1).Info("ignored a delayed heartbeat", "worker", w.ID(), "boot", w.Number(), "sequence", r.Sequence)
+		return true
+	}
+	if s == nil || !e.leading {
+		return false
 	}
 	s.heartbeatSequence, s.lastHeartbeat = r.Sequence, e.now
 	s.recordClock(r.ClockMs, e.now)
@@ -345,4 +350,5 @@
 	if r.Worker.Draining {
 		s.drainDeadline = e.now + time.Duration(r.LeavesInMs)*time.Millisecond
 	}
+	return false
 }
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -253,19 +253,25 @@
 }
 
 func (s *sim) report(w *fakeWorker) {
-	w.sequence++
+	m := s.heartbeat(w)
 	if s.leaderless {
 		return // Nobody takes the heartbeat.
 	}
+	s.call(m)
+}
+
+// heartbeat returns the next heartbeat of a worker.
+func (s *sim) heartbeat(w *fakeWorker) *workloadpb.Command {
+	w.sequence++
 	m := proto.CloneOf(w.m)
 	m.Draining = w.draining
 	leavesInMs := int64(5000)
 	if w.leavesAt > 0 {
 		leavesInMs = (w.leavesAt - s.now).Milliseconds()
 	}
-	s.call(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{
+	return &workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{
 		Worker: m, ClockMs: w.clockMs(), Sequence: w.sequence, LeavesInMs: leavesInMs,
-	}}})
+	}}}
 }
 
 func (s *sim) schedule(d time.Duration, f func()) {
