workload: release runs that no longer fit before they start

Callers would see more runs on a worker than its capacity allows: a run that was assigned, but not started yet, kept its place when the worker shrank. Its start was sent again after an attempt without an answer, or for the first time by a new leader that inherited it, however long the capacity had been gone.

Cause: capacity was checked when a run is assigned and never again; the start is a separate step that may come seconds later. The class is a decision that is carried out without a look at what has changed since.

A leader now gives up the runs of an overcommitted worker that have not started and don't fit beside the others. A run whose start was requested may be on the worker already. It counts as if it were; it is stopped, but not before a list that was requested later shows that it doesn't work, so that a run whose answer was lost survives. A stopped run counts until its end is known, so its task can't run twice. Runs that fit go on. The other runs of a gang are released too, which otherwise waited until they ended alone.

Ruled out: the client of the platform sends a start again only within one attempt; nothing else starts runs.

TestStartsAreNotRepeatedBeyondShrunkCapacity on the code before, all six cases:

no answer: worker_test.go:184: job.0.0.0 brings worker w-m-glass-0-0 over its capacity cpu:8000 memory_mib:65536: it needs {12000 1000 0}, free are {8000 65536 0}

TestGangIsReleasedWhenMemberNoLongerFits on the code before:

capacity_test.go:187: assertion failed: 1 (int) != 0 (int)

TestRunsThatWorkSurviveShrunkCapacity passed before; it guards the fix.

--- a/internal/workload/capacity_test.go
+++ b/internal/workload/capacity_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -87,3 +89,104 @@
 		})
 	}
 }
+
+// Guards against starts that are sent again, or for the first time by a new leader, beyond the capacity of a worker that
+// has shrunk since the run was assigned.
+func TestStartsAreNotRepeatedBeyondShrunkCapacity(t *testing.T) {
+	half := &workloadpb.Resources{Cpu: 8000, MemoryMib: 65536}
+	for _, tt := range []struct {
+		name string
+		// lost starts get no answer, the others stay on their way until the leader is lost.
+		lost, newLeader bool
+		step            *workloadpb.Step
+	}{
+		{"no answer", true, false, lasting(1, 12000, 1000)},
+		{"no answer, new leader", true, true, lasting(1, 12000, 1000)},
+		{"on the way, new leader", false, true, lasting(1, 12000, 1000)},
+		{"ordinary task", true, false, step(1, 12000, 1000, 60000)},
+		{"one task of two", true, false, lasting(2, 6000, 1000)},
+		{"one task of two, new leader", false, true, lasting(2, 6000, 1000)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			w := s.addWorkers("glass", 1)[0]
+			s.run(time.Second)
+			s.intercept = func(a kernel.Action) bool {
+				start, ok := a.(workload.StartRun)
+				if sent := s.sentAt; ok && tt.lost {
+					s.schedule(time.Second, func() { s.fail(start, workload.NoAnswer, sent) })
+				}
+				return ok
+			}
+			s.submit("glass", "job", tt.step)
+			s.run(100 * time.Millisecond)
+			w.resize(half)
+			s.run(shrinkGrace + time.Second)
+			s.intercept = nil
+			if tt.newLeader {
+				s.startTerm()
+			}
+			s.run(lostWindow)
+			assert.Equal(t, s.running("job"), int(tt.step.Count)-1)
+			w.resize(&workloadpb.Resources{Cpu: 16000, MemoryMib: 65536})
+			s.run(lostWindow)
+			assert.Equal(t, s.running("job"), int(tt.step.Count))
+		})
+	}
+}
+
+// Guards against working runs that are stopped because their worker has shrunk, although the answers to their starts
+// were lost.
+func TestRunsThatWorkSurviveShrunkCapacity(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	s.run(time.Second)
+	s.intercept = func(a kernel.Action) bool {
+		start, ok := a.(workload.StartRun)
+		if ok {
+			sent := s.sentAt
+			w.start(start, sent)
+			s.schedule(time.Second, func() { s.fail(start, workload.NoAnswer, sent) })
+		}
+		return ok
+	}
+	s.submit("glass", "job", lasting(2, 8000, 1000))
+	s.run(100 * time.Millisecond)
+	w.resize(&workloadpb.Resources{Cpu: 8000, MemoryMib: 65536})
+	s.report(w)
+	s.run(shrinkGrace + lostWindow)
+	assert.Equal(t, s.running("job"), 2)
+	for task, r := range w.runs {
+		assert.Equal(t, r.name.Run, int32(1), task)
+	}
+}
+
+// Guards against gangs that wait for a member that doesn't fit on its worker any more.
+func TestGangIsReleasedWhenMemberNoLongerFits(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	workers := s.addWorkers("glass", 2)
+	s.run(time.Second)
+	s.intercept = func(a kernel.Action) bool {
+		start, ok := a.(workload.StartRun)
+		if ok = ok && start.ID == workers[0].m.Id; ok {
+			sent := s.sentAt
+			s.schedule(time.Second, func() { s.fail(start, workload.NoAnswer, sent) })
+		}
+		return ok
+	}
+	gang := lasting(2, 10000, 1000)
+	gang.Gang = true
+	s.submit("glass", "gang", gang)
+	s.run(100 * time.Millisecond)
+	assert.Equal(t, s.running("gang"), 1)
+	workers[0].resize(&workloadpb.Resources{Cpu: 8000, MemoryMib: 65536})
+	s.run(shrinkGrace + time.Second)
+	assert.Equal(t, s.running("gang"), 0)
+	s.intercept = nil
+	workers[0].resize(&workloadpb.Resources{Cpu: 16000, MemoryMib: 65536})
+	s.run(lostWindow)
+	assert.Equal(t, s.running("gang"), 2)
+}
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -18,6 +18,7 @@
 	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
 		s.endsPending = false
 	}
+	e.releaseExcessRuns(s)
 	if !s.endsPending {
 		if len(s.runs) > 0 && s.failures > 0 && e.now > s.leasesExpireBy {
 			e.giveUpRuns(s)
@@ -49,6 +50,7 @@
 	st := r.task.Step()
 	r.requestInFlight = true
 	r.attempts++
+	r.requestedAt = e.now
 	r.ticket = e.advice.ticket(st, s.worker.Number())
 	e.addAction(StartRun{
 		RequestHeader: e.leaseHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
@@ -167,7 +169,11 @@
 	}
 	if len(ev.Ended) < maxListedEnds {
 		for k, r := range s.runs {
-			if !listed[k] && !ended[k] && e.hasVanished(r, ev.SentAt) {
+			if listed[k] || ended[k] {
+				continue
+			}
+			r.unlistedAt = ev.SentAt
+			if e.hasVanished(r, ev.SentAt) {
 				m.Ends = append(m.Ends, voidEnd(r))
 			}
 		}
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -44,6 +44,12 @@
 // Free returns the capacity that is left for further runs.
 func (w *Worker) Free() Resources { return w.capacity.Minus(w.used) }
 
+// IsOvercommitted reports whether the assigned runs reserve more than the capacity, which may shrink.
+func (w *Worker) IsOvercommitted() bool {
+	f := w.Free()
+	return f.CPU < 0 || f.Memory < 0 || f.Accelerators < 0
+}
+
 // IsDraining reports whether the worker has announced that it leaves.
 func (w *Worker) IsDraining() bool { return w.info.Draining }
 
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -107,6 +107,8 @@
 	inherited       bool // assigned by an earlier leader, and the worker was not asked for it yet
 	requestInFlight bool
 	attempts        int
+	requestedAt     time.Duration // its start was last requested
+	unlistedAt      time.Duration // the worker was last asked for a list that lacks the run
 	retryAt         time.Duration
 	startedAt       time.Duration // the worker acknowledged the start
 	shouldStop      bool
