Test that crashes outlast the move of a queue to another pool

Losses name the pool of their worker, so a queue that moves between two crashes was a place where they could be forgotten. Not covered: an instance that moves to another pool while its worker is down.

--- a/internal/workload/crash_variants_test.go
+++ b/internal/workload/crash_variants_test.go
@@ -148,3 +148,25 @@
 	assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Cancelled))
 	s.assertCompleted()
 }
+
+// Guards against crashes that are forgotten when the queue of their task moves to another pool.
+func TestMovedQueueKeepsCrashes(t *testing.T) {
+	for _, crashes := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
+			s := newLossSim(t, 3)
+			s.configure(2, nil, "glass", "clay")
+			s.addWorkers("clay", 3)
+			s.run(time.Second)
+			s.submit("glass", "deadly", step(3, 880, 1000, 800))
+			for s.crashes["deadly.0.0.0"] < crashes {
+				s.run(simStep)
+			}
+			s.configure(3, func(d *workloadpb.Document) { d.Queues[0].Pool = "clay" }, "glass", "clay")
+			s.runBusy(30*time.Second, 600*time.Millisecond, nil)
+			s.run(10 * time.Second)
+			t.Logf("crashes: %v", s.crashes)
+			assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
+			s.assertCompleted()
+		})
+	}
+}
