Test crashes of workers that come back under other names, known to fail

A loss becomes a crash when a later incarnation of the same pool registers at the address or under the ID. Where the worker comes back under another ID at another address, or its instance moves to another pool while it is down, each crash stays a loss of unknown cause, and a task starts a third time after five crashes:

loss_test.go:31: assertion failed: s.lateStarts[task] is >= excessiveStarts: deadly.0.0.0 starts again after it has crashed 5 workers

A loss of unknown cause may be a partition, so giving a job up for it could lose one without cause.

--- a/internal/workload/crash_variants_test.go
+++ b/internal/workload/crash_variants_test.go
@@ -170,3 +170,33 @@
 		})
 	}
 }
+
+// Guards against crashes that don't show, because the worker comes back with another name or in another pool.
+func TestCrashesOfRenamedWorkersAreCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// pool is the one to which the instance moves before it boots.
+		pool string
+		// renamed workers boot under another ID at another address.
+		renamed bool
+	}{
+		{"another ID and address", "glass", true},
+		{"another pool", "clay", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newLossSim(t, 8)
+			s.configure(2, nil, "glass", "clay")
+			s.rebootAs = func(name string, w *fakeWorker) (id, address string) {
+				s.instances[name].Pool = tt.pool
+				id = fmt.Sprintf("w-%s-%d", name, s.now.Milliseconds())
+				if tt.renamed {
+					return id, "a-" + id
+				}
+				return id, w.m.Address
+			}
+			s.submit("glass", "deadly", step(3, 880, 1000, 800))
+			s.runBusy(70*time.Second, 600*time.Millisecond, nil)
+			assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
+		})
+	}
+}
