workload: start runs only on workers whose capacity is known

Callers would see more runs on a worker than its capacity allows: a leader assigned tasks by the last recorded capacity of a worker whose heartbeats didn't reach it. That is a worker whose heartbeats are lost while it answers requests, and each worker at a new leader after a time without one that was longer than a capacity that is gone may be used.

Cause: an answer to a request counted as a sign of life like a heartbeat, but only a heartbeat shows the capacity, and a new leader set the time of the last heartbeat of each worker to its own start. The class is state that is used without regard to its age.

TestStartsWaitForCapacityOfSilentWorker on the code before:

leaderless false: worker_test.go:184: last.0.0.1 brings worker w-m-glass-0-0 over its capacity cpu:8000 memory_mib:65536: it needs {8000 1000 0}, free are {0 64536 0} leaderless true: the same

--- a/internal/workload/capacity_test.go
+++ b/internal/workload/capacity_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -190,3 +191,31 @@
 	s.run(lostWindow)
 	assert.Equal(t, s.running("gang"), 2)
 }
+
+// Guards against tasks that start beyond the capacity of a worker whose heartbeats the leader hasn't received since it
+// shrank.
+func TestStartsWaitForCapacityOfSilentWorker(t *testing.T) {
+	for _, leaderless := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leaderless %v", leaderless), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			w := s.addWorkers("glass", 1)[0]
+			s.run(time.Second)
+			w.resize(&workloadpb.Resources{Cpu: 8000, MemoryMib: 65536})
+			w.mute = true
+			if leaderless {
+				s.loseLeader()
+			}
+			s.run(shrinkGrace + time.Second)
+			if leaderless {
+				s.startTerm()
+			}
+			s.submit("glass", "last", lasting(2, 8000, 1000))
+			s.run(time.Second)
+			assert.Equal(t, s.running("last"), 0)
+			w.mute = false
+			s.run(lostWindow)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -40,7 +40,7 @@
 			r.requestInFlight = true
 			r.attempts++
 			e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: r.name})
-		case !r.shouldStop && !r.givenUp && r.startedAt == 0 && s.clockKnown && !s.suspension.active:
+		case !r.shouldStop && !r.givenUp && r.startedAt == 0 && s.clockKnown && !s.suspension.active && e.knowsCapacity(s):
 			e.startRun(s, r)
 		}
 	}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -393,7 +393,8 @@
 	for _, w := range e.state.Workers() {
 		if e.sessions[w.Number()] == nil {
 			// The list gives the worker's clock, and shows runs that a request for an earlier incarnation started.
-			e.openSession(w).mustList = true
+			s := e.openSession(w)
+			s.mustList, s.capacityKnownAt = true, max(e.now, 1)
 			if e.fleet.byWorker[w.ID()] == nil {
 				e.fleet.stale = true
 			}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -42,6 +42,9 @@
 	// heartbeatDelay is how late a heartbeat may be before an idle worker is asked for its runs, and gets none until it
 	// answers. A worker that is lost while it is idle is noticed before the runs of others that were lost with it restart.
 	heartbeatDelay = 500 * time.Millisecond
+	// maxMissedHeartbeats is how many heartbeats in a row a worker may miss before it gets no further runs, because its
+	// capacity may have shrunk.
+	maxMissedHeartbeats = 2
 )
 
 // worstCaseDuration returns how long d on the slowest clock of a worker takes, including expiryMargin.
@@ -62,6 +65,7 @@
 
 	lastHeartbeat     time.Duration
 	heartbeatSequence uint64
+	capacityKnownAt   time.Duration // last heartbeat that this leader received, 0 if there was none
 	drainDeadline     time.Duration
 
 	// The worker's clock showed at least workerClockMs at clockReadAt.
@@ -281,6 +285,12 @@
 	return e.now-s.seenAt() > e.cfg.HeartbeatInterval+heartbeatDelay
 }
 
+// knowsCapacity reports whether the capacity of a worker is recent enough to start runs on it. A worker that answers may
+// have changed its capacity since its last heartbeat.
+func (e *Engine) knowsCapacity(s *session) bool {
+	return s.capacityKnownAt > 0 && e.now-s.capacityKnownAt <= maxMissedHeartbeats*e.cfg.HeartbeatInterval+heartbeatDelay
+}
+
 // isUsable reports whether a worker may take new runs.
 func (e *Engine) isUsable(s *session) bool { return e.exclusion(s) == "" }
 
@@ -305,6 +315,8 @@
 		return "rejected-a-start"
 	case e.isOverdue(s):
 		return "no-heartbeat"
+	case !e.knowsCapacity(s):
+		return "capacity-unknown"
 	}
 	return ""
 }
@@ -346,7 +358,7 @@
 	if s == nil || !e.leading {
 		return false
 	}
-	s.heartbeatSequence, s.lastHeartbeat = r.Sequence, e.now
+	s.heartbeatSequence, s.lastHeartbeat, s.capacityKnownAt = r.Sequence, e.now, max(e.now, 1)
 	s.recordClock(r.ClockMs, e.now)
 	e.markDirty(s)
 	if r.Worker.Draining {
