workload: grow pools whose workers have shrunk

Callers saw ordinary tasks that waited for as long as the workers of their pool had too little capacity, beside idle spare instances.

Cause: the size of a pool was computed from the capacity of instances in the platform's list, which doesn't show what a worker has lost. What the workers report less than that is now added to the needed capacity of a pool that has demand. Pools whose workers have their full capacity keep their size.

Not covered: a list that shows the reduced capacity too; what the platform lists is not known.

TestPoolGrowsWhenItsWorkersShrink on the code before:

capacity_test.go:207: assertion failed: queued (string) != completed (string)

--- a/internal/workload/capacity_test.go
+++ b/internal/workload/capacity_test.go
@@ -219,3 +219,19 @@
 		})
 	}
 }
+
+// Guards against ordinary tasks that wait for as long as the workers of their pool lack capacity, beside spare instances.
+func TestPoolGrowsWhenItsWorkersShrink(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass", "spare")
+	workers := s.addWorkers("glass", 2)
+	s.addWorkers("spare", 2)
+	s.run(time.Second)
+	for _, w := range workers {
+		w.resize(&workloadpb.Resources{Cpu: 1000, MemoryMib: 65536})
+	}
+	s.run(2 * time.Second)
+	s.submit("glass", "job", step(2, 2000, 1000, 1000))
+	s.run(10 * time.Second)
+	assert.Equal(t, s.jobState("glass", "job"), "completed")
+}
--- a/internal/workload/ledger/resources.go
+++ b/internal/workload/ledger/resources.go
@@ -27,6 +27,11 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
+// AtLeastZero returns r with zero for each negative resource.
+func (r Resources) AtLeastZero() Resources {
+	return Resources{max(r.CPU, 0), max(r.Memory, 0), max(r.Accelerators, 0)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.CPU * int64(n), r.Memory * int64(n), r.Accelerators * int64(n)}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -42,7 +42,9 @@
 	have             int // instances that serve the pool or are moving to it
 	growing          int // instances that are moving to the pool
 	instanceCapacity ledger.Resources
-	want             int
+	// shortfall is what the workers of the pool have less than their instances.
+	shortfall ledger.Resources
+	want      int
 	// unplaced holds the long-running steps with tasks that wait for a worker, or for another one before maintenance.
 	unplaced      []*ledger.StepRun
 	unplacedTasks int
@@ -116,6 +118,9 @@
 		}
 		v.have++
 		v.instanceCapacity = ledger.ResourcesOf(in.Capacity)
+		if s != nil {
+			v.shortfall = v.shortfall.Plus(v.instanceCapacity.Minus(s.worker.Capacity()).AtLeastZero())
+		}
 		switch {
 		case in.operation != nil || !in.Up || e.mustWaitForTakeover(in.Name):
 		case v.spare:
@@ -199,15 +204,16 @@
 		return
 	}
 	needed := 0.0
-	for _, r := range [][2]int64{
-		{v.demand.CPU, v.instanceCapacity.CPU}, {v.demand.Memory, v.instanceCapacity.Memory},
-		{v.demand.Accelerators, v.instanceCapacity.Accelerators},
+	for _, r := range [][3]int64{
+		{v.demand.CPU, v.instanceCapacity.CPU, v.shortfall.CPU},
+		{v.demand.Memory, v.instanceCapacity.Memory, v.shortfall.Memory},
+		{v.demand.Accelerators, v.instanceCapacity.Accelerators, v.shortfall.Accelerators},
 	} {
-		if r[1] > 0 {
-			needed = math.Max(needed, float64(r[0])/float64(r[1]))
+		if r[0] > 0 && r[1] > 0 {
+			needed = math.Max(needed, float64(r[0])/float64(r[1])*headroom+float64(r[2])/float64(r[1]))
 		}
 	}
-	v.want = max(int(math.Ceil(needed*headroom)), v.minInstances, minPoolInstances)
+	v.want = max(int(math.Ceil(needed)), v.minInstances, minPoolInstances)
 }
 
 // isWithinQuota reports whether the quota of its client account allows one more task of a step.
