workload: shrink and grow workers in random tests

TestRandomCapacities plays the scripts of TestRandomDisturbances with workers that shrink and grow, to nothing at times, also while there is no leader and while requests are late; some heartbeats from before a change arrive up to 8 s later. The seeds of TestRandomDisturbances keep their scripts. A change of capacity is no disturbance, so long-running tasks must run in time in what has grown.

--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -49,6 +51,9 @@
 	case "fail", "done":
 		p.endRuns(a.kind, r)
 		return
+	case "resize":
+		p.resizeWorker(a, r)
+		return
 	}
 	p.check.disturb(p.now)
 	switch a.kind {
@@ -221,6 +226,45 @@
 	}
 }
 
+// resizeWorker changes the capacity of a worker for a time. A heartbeat from before that may be delayed.
+func (p *player) resizeWorker(a action, r *rand.Rand) {
+	var list []*fakeWorker
+	for _, id := range sortedIDs(p.workers) {
+		if !p.workers[id].dead {
+			list = append(list, p.workers[id])
+		}
+	}
+	i, delay := r.Uint64(), time.Duration(r.IntN(800))*simStep
+	isDelayed := r.IntN(3) == 0
+	full := &workloadpb.Resources{Cpu: 16000, MemoryMib: 65536}
+	c := proto.CloneOf(full)
+	c.Cpu = c.Cpu * r.Int64N(9) / 8
+	if r.IntN(2) == 0 {
+		c.MemoryMib = c.MemoryMib * r.Int64N(9) / 8
+	}
+	if len(list) == 0 {
+		return
+	}
+	w := list[i%uint64(len(list))]
+	if isDelayed {
+		m := p.heartbeat(w)
+		p.scheduleLasting(delay, func() {
+			if !p.leaderless {
+				p.logf("delayed heartbeat %d of %s", m.GetReport().Sequence, w.m.Id)
+				p.call(m)
+			}
+		})
+	}
+	p.logf("capacity of %s is %v for %v", w.m.Id, c, a.d)
+	w.resize(c)
+	p.scheduleLasting(a.d, func() {
+		if !w.dead && w.m.Capacity == c {
+			p.logf("capacity of %s is full again", w.m.Id)
+			w.resize(full)
+		}
+	})
+}
+
 // leave ends a draining worker; its instance starts another worker later, or never.
 func (p *player) leave(name string, w *fakeWorker, after time.Duration, mode int) {
 	if w.dead {
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"hash/fnv"
@@ -98,13 +99,33 @@
 		now += span + calm
 	}
 	slices.SortStableFunc(sc.actions, func(a, b action) int { return int(a.at - b.at) })
+	sc.end = now + 12*time.Second
+	sc.skip()
+	return sc
+}
+
+// skip leaves out the kinds of events of the flag.
+func (sc *script) skip() {
 	for _, k := range strings.Split(*skipKinds, ",") {
 		sc.actions = slices.DeleteFunc(sc.actions, func(a action) bool { return a.kind == k })
 		if k == "advice" {
 			clear(sc.advice)
 		}
 	}
-	sc.end = now + 12*time.Second
+}
+
+// newResizingScript returns the script of a seed with workers that shrink and grow.
+func newResizingScript(seed uint64) script {
+	sc := newScript(seed)
+	r := rand.New(rand.NewPCG(seed, 18))
+	for range 1 + r.IntN([]int{4, 24}[r.IntN(2)]) {
+		sc.actions = append(sc.actions, action{
+			at: time.Duration(r.Int64N(int64(sc.end))).Round(simStep), kind: "resize", n: r.Uint64(),
+			d: (200*time.Millisecond + time.Duration(r.Int64N(int64(15*time.Second)))).Round(simStep),
+		})
+	}
+	slices.SortStableFunc(sc.actions, func(a, b action) int { return cmp.Compare(a.at, b.at) })
+	sc.skip()
 	return sc
 }
 
@@ -418,7 +439,13 @@
 
 // Guards against long-running tasks that wait beside free capacity after disturbances that overlap, and against runs
 // that are started twice, without a lease or beyond the capacity of a worker.
-func TestRandomDisturbances(t *testing.T) {
+func TestRandomDisturbances(t *testing.T) { playSeeds(t, newScript) }
+
+// Guards against starts beyond the capacity of a worker that has shrunk, and tasks that wait beside one that has grown.
+func TestRandomCapacities(t *testing.T) { playSeeds(t, newResizingScript) }
+
+func playSeeds(t *testing.T, newScript func(seed uint64) script) {
+	name := t.Name()
 	for seed := *firstSeed; seed < *firstSeed+*randomRuns; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -434,8 +461,7 @@
 			}
 			t.Errorf("%s\nscript: lease %v, delay %v, pools %v, spare %d, advice %v, caps %v\n%s", violation, sc.lease,
 				sc.delay, sc.pools, sc.spare, sc.advice, sc.cap, log)
-			t.Errorf("run again: go test -run 'TestRandomDisturbances$' ./internal/workload -workload.seed %d -workload.runs 1",
-				seed)
+			t.Errorf("run again: go test -run '%s$' ./internal/workload -workload.seed %d -workload.runs 1", name, seed)
 		})
 	}
 }
@@ -445,8 +471,8 @@
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			_, _, first := play(t, newScript(seed))
-			_, _, second := play(t, newScript(seed))
+			_, _, first := play(t, newResizingScript(seed))
+			_, _, second := play(t, newResizingScript(seed))
 			assert.Equal(t, len(first), len(second))
 			for i := range first {
 				assert.DeepEqual(t, first[i], second[i])
