workload: shorten the leases of an unconfirmed leader instead of withholding them

Where the disk of the leader is slow, callers would see runs of sound workers lapse.

A new leader only needs to know how long leases last. So the dispatcher sends requests for 2 s after the confirmation, as before, and shortens a lease by the time beyond 0.2 s since then; a new leader waits for 0.2 s and the longest lease, 5.1 s instead of 5.5 s (7.04 s before both changes). A lease ends at a time on the worker's clock that is computed at the decision, so pauses between decision, check and arrival don't lengthen it. The voters that confirmed the old leader did so before they voted for the new one, so transfers of the leadership and voters that restart change nothing.

Ruled out: no wait at all by LeaderLease, as a transfer, and a voter that forgets the leader in a restart, elect another one within that time.

--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -64,6 +64,13 @@
 // QuorumConfirmed reports whether this voter leads and a quorum confirmed its leadership within the last d, including
 // any time for which the machine was suspended. If d is at most LeaderLease, no other voter can lead now.
 func (v *Voter) QuorumConfirmed(d time.Duration) bool {
+	age, ok := v.ConfirmationAge()
+	return ok && age < d
+}
+
+// ConfirmationAge returns the time since a quorum confirmed the leadership of this voter, including any time for which
+// the machine was suspended, and whether this voter leads and was confirmed.
+func (v *Voter) ConfirmationAge() (time.Duration, bool) {
 	at, now := v.confirmedAt.Load(), bootTime()
-	return v.isLeader.Load() && at > 0 && now >= at && now-at < int64(d)
+	return time.Duration(now - at), v.isLeader.Load() && at > 0 && now >= at
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,6 +41,8 @@
 	Now func() time.Duration
 	// QuorumConfirmed reports whether a quorum has confirmed this leader within the last d.
 	QuorumConfirmed func(d time.Duration) bool
+	// ConfirmationAge returns the time since a quorum has confirmed this leader, and whether one has.
+	ConfirmationAge func() (time.Duration, bool)
 	// LeaderLease is the time after such a confirmation during which no other leader can begin its term.
 	LeaderLease time.Duration
 	Log         logr.Logger
@@ -98,12 +100,15 @@
 }
 
 // callPort executes an order and returns its result, or nil for an order of another plug-in. An order is withheld if
-// the confirmation of the leader is too old.
+// the confirmation of the leader is too old, and its lease is shortened if the confirmation isn't recent.
 func (d *Dispatcher) callPort(ctx context.Context, a kernel.Action) kernel.Event {
 	sentAt := d.cfg.Now()
-	callWorker := func(timeout time.Duration, f func(ctx context.Context) workload.Answer) workload.Answer {
+	callWorker := func(
+		h *workload.RequestHeader, timeout time.Duration, f func(ctx context.Context) workload.Answer,
+	) workload.Answer {
 		r := workload.Answer{Outcome: workload.Withheld}
-		if d.cfg.QuorumConfirmed(workload.MaxConfirmationAge) {
+		if age, ok := d.cfg.ConfirmationAge(); ok && age < workload.MaxConfirmationAge {
+			h.ShortenLease(age)
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			r = f(ctx)
@@ -115,7 +120,7 @@
 	switch a := a.(type) {
 	case workload.RenewLease:
 		result := workload.RenewLeaseResult{Request: a}
-		result.Answer = callWorker(a.Wait+orderTimeout, func(ctx context.Context) workload.Answer {
+		result.Answer = callWorker(&a.RequestHeader, a.Wait+orderTimeout, func(ctx context.Context) workload.Answer {
 			r := port.RenewLease(ctx, a)
 			result.Running, result.Ended = r.Running, r.Ended
 			return r.Answer
@@ -124,17 +129,23 @@
 	case workload.StartRun:
 		return workload.StartRunResult{
 			Request: a,
-			Answer:  callWorker(orderTimeout, func(ctx context.Context) workload.Answer { return port.StartRun(ctx, a) }),
+			Answer: callWorker(&a.RequestHeader, orderTimeout, func(ctx context.Context) workload.Answer {
+				return port.StartRun(ctx, a)
+			}),
 		}
 	case workload.StopRun:
 		return workload.StopRunResult{
 			Request: a,
-			Answer:  callWorker(orderTimeout, func(ctx context.Context) workload.Answer { return port.StopRun(ctx, a) }),
+			Answer: callWorker(&a.RequestHeader, orderTimeout, func(ctx context.Context) workload.Answer {
+				return port.StopRun(ctx, a)
+			}),
 		}
 	case workload.ThrottleRun:
 		return workload.ThrottleRunResult{
 			Request: a,
-			Answer:  callWorker(orderTimeout, func(ctx context.Context) workload.Answer { return port.ThrottleRun(ctx, a) }),
+			Answer: callWorker(&a.RequestHeader, orderTimeout, func(ctx context.Context) workload.Answer {
+				return port.ThrottleRun(ctx, a)
+			}),
 		}
 	}
 	cctx, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +54,7 @@
 		Observe:         l.observe,
 		Now:             func() time.Duration { return time.Since(startedAt) },
 		QuorumConfirmed: func(time.Duration) bool { return true },
+		ConfirmationAge: func() (time.Duration, bool) { return 0, true },
 		Log:             logr.Discard(),
 	}), l
 }
@@ -118,3 +120,62 @@
 		})
 	}
 }
+
+// Guards against a deposed leader that grants leases which last longer than the next leader waits.
+func TestOldConfirmationShortensLease(t *testing.T) {
+	for _, tt := range []struct {
+		age         time.Duration
+		confirmed   bool
+		lease, want int64 // 0 for a request without a lease
+		outcome     workload.Outcome
+	}{
+		{0, true, 4800, 4800, workload.Accepted},
+		{200 * time.Millisecond, true, 4800, 4800, workload.Accepted},
+		{700 * time.Millisecond, true, 4800, 4299, workload.Accepted},
+		{1999 * time.Millisecond, true, 4800, 3000, workload.Accepted},
+		{1999 * time.Millisecond, true, 1000, 1, workload.Accepted},
+		{1999 * time.Millisecond, true, 0, 0, workload.Accepted},
+		{2 * time.Second, true, 4800, 0, workload.Withheld},
+		{0, false, 4800, 0, workload.Withheld},
+	} {
+		t.Run(fmt.Sprint(tt.age, tt.confirmed, tt.lease), func(t *testing.T) {
+			events := make(chan kernel.Event)
+			got := make(chan int64, 2)
+			d := dispatch.New(dispatch.Config{
+				Port: dispatch.Port{
+					RenewLease: func(_ context.Context, r workload.RenewLease) workload.RenewLeaseResult {
+						got <- r.LeaseExpiryMs
+						return workload.RenewLeaseResult{Answer: workload.Answer{Outcome: workload.Accepted}}
+					},
+					StartRun: func(_ context.Context, r workload.StartRun) workload.Answer {
+						got <- r.LeaseExpiryMs
+						return workload.Answer{Outcome: workload.Accepted}
+					},
+				},
+				Observe: func(_ context.Context, ev kernel.Event) error {
+					events <- ev
+					return nil
+				},
+				Now:             func() time.Duration { return 0 },
+				ConfirmationAge: func() (time.Duration, bool) { return tt.age, tt.confirmed },
+				Log:             logr.Discard(),
+			})
+			d.SetLeading(true)
+			defer d.SetLeading(false)
+			h := workload.RequestHeader{LeaseExpiryMs: tt.lease}
+			d.Execute([]kernel.Action{workload.RenewLease{RequestHeader: h}, workload.StartRun{RequestHeader: h}})
+			for range 2 {
+				switch ev := (<-events).(type) {
+				case workload.RenewLeaseResult:
+					assert.Equal(t, ev.Outcome, tt.outcome)
+				case workload.StartRunResult:
+					assert.Equal(t, ev.Outcome, tt.outcome)
+				}
+			}
+			assert.Equal(t, len(got) > 0, tt.outcome == workload.Accepted)
+			for len(got) > 0 {
+				assert.Equal(t, <-got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -120,7 +120,7 @@
 	}
 	dispatcher = dispatch.New(dispatch.Config{
 		Port: cfg.Port, Observe: c.voter.Observe, Now: c.voter.Now, QuorumConfirmed: c.voter.QuorumConfirmed,
-		LeaderLease: control.LeaderLease, Log: cfg.Log,
+		ConfirmationAge: c.voter.ConfirmationAge, LeaderLease: control.LeaderLease, Log: cfg.Log,
 	})
 	c.Caller = newCaller(c.transport, append([]string{cfg.PeerAddress}, cfg.Seeds...))
 	return nil
--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -69,5 +69,9 @@
 	return b.String()
 }
 
-// MaxGrantedLease is the longest lease that leaders grant.
-const MaxGrantedLease = maxGrantedLease
+const (
+	// MaxGrantedLease is the longest lease that leaders grant.
+	MaxGrantedLease = maxGrantedLease
+	// FullLeaseAge is the maximum time since a confirmation of the leader at which a lease is granted in full.
+	FullLeaseAge = fullLeaseAge
+)
--- a/internal/workload/lease.go
+++ b/internal/workload/lease.go
@@ -16,9 +16,9 @@
 // inheritedLeases bounds the leases that workers may hold from earlier leaders.
 type inheritedLeases struct {
 	longest time.Duration
-	// confirmationAge bounds the age of the confirmations by which earlier leaders send requests, and sentBy is when the
-	// last of these requests has been decided.
-	confirmationAge, sentBy time.Duration
+	// fullLeaseAge bounds the age of the confirmations by which earlier leaders grant leases in full, which may be until
+	// fullUntil.
+	fullLeaseAge, fullUntil time.Duration
 	// expireBy is when they have certainly expired.
 	expireBy time.Duration
 	// boundPendingUntil is when a bound that was proposed and not applied is proposed again.
@@ -41,14 +41,15 @@
 		longest = max(longest, e.cfg.MaxLease)
 	}
 	e.inherited.longest = longest
-	e.inherited.confirmationAge = unrecordedConfirmationAge
-	if ms := e.state.ConfirmationAge(previousTerm); ms > 0 {
-		e.inherited.confirmationAge = time.Duration(ms) * time.Millisecond
+	e.inherited.fullLeaseAge = unrecordedFullLeaseAge
+	if ms := e.state.FullLeaseAge(previousTerm); ms > 0 {
+		e.inherited.fullLeaseAge = time.Duration(ms) * time.Millisecond
 	}
 	// Each voter of the quorum that confirmed an earlier leader did so before it could vote for this one. A lease counts
-	// from the decision to grant it, however late the request arrives.
-	e.inherited.sentBy = e.now + e.inherited.confirmationAge
-	e.inherited.expireBy = e.inherited.sentBy + worstCaseDuration(longest)
+	// from the decision to grant it, however late the request arrives, and ends as soon as if it had been granted in full
+	// by then.
+	e.inherited.fullUntil = e.now + e.inherited.fullLeaseAge
+	e.inherited.expireBy = e.inherited.fullUntil + worstCaseDuration(longest)
 	for _, s := range e.sessions {
 		s.leasesExpireBy = e.inherited.expireBy
 		e.inheritSuspension(s)
@@ -58,15 +59,15 @@
 // recordLeaseBound records the longest lease that workers may hold, by which the next leader waits. What this leader
 // inherited counts as long as it matters, because the next leader knows only what this one recorded.
 func (e *Engine) recordLeaseBound() {
-	lease, age := e.grantedLease(), MaxConfirmationAge
+	lease, age := e.grantedLease(), fullLeaseAge
 	if e.now <= e.inherited.expireBy {
 		lease = max(lease, e.inherited.longest)
 	}
-	if e.now <= e.inherited.sentBy {
-		age = max(age, e.inherited.confirmationAge)
+	if e.now <= e.inherited.fullUntil {
+		age = max(age, e.inherited.fullLeaseAge)
 	}
-	bound := &workloadpb.LeaseBound{LeaseMs: lease.Milliseconds(), ConfirmationAgeMs: age.Milliseconds()}
-	recorded := e.state.LeaseBound(e.term) == bound.LeaseMs && e.state.ConfirmationAge(e.term) == bound.ConfirmationAgeMs
+	bound := &workloadpb.LeaseBound{LeaseMs: lease.Milliseconds(), FullLeaseAgeMs: age.Milliseconds()}
+	recorded := e.state.LeaseBound(e.term) == bound.LeaseMs && e.state.FullLeaseAge(e.term) == bound.FullLeaseAgeMs
 	if e.now < e.inherited.boundPendingUntil || recorded {
 		return
 	}
--- a/internal/workload/lease_test.go
+++ b/internal/workload/lease_test.go
@@ -39,11 +39,12 @@
 					w.unreachable = len(w.runs) > 0
 				}
 				s.startTerm()
+				changedAt := s.now
 				for end := s.now + workload.MaxConfirmationAge; s.now < end; s.run(simStep) {
 					for _, w := range workers {
 						if w.unreachable {
 							// The previous leader goes on granting.
-							w.leaseExpiryMs = max(w.leaseExpiryMs, w.clockMs()+leaseMs)
+							w.grant(time.Duration(leaseMs)*time.Millisecond, s.now-changedAt)
 						}
 					}
 				}
--- a/internal/workload/ledger/ledger_test.go
+++ b/internal/workload/ledger/ledger_test.go
@@ -278,7 +278,7 @@
 // Guards against a bound of leases that is lost with a snapshot, or that a later leader who recorded none inherits.
 func TestLeaseBoundBelongsToTerm(t *testing.T) {
 	f := newFixture(t)
-	bound := &workloadpb.Command_LeaseBound{LeaseBound: &workloadpb.LeaseBound{LeaseMs: 4800, ConfirmationAgeMs: 500}}
+	bound := &workloadpb.Command_LeaseBound{LeaseBound: &workloadpb.LeaseBound{LeaseMs: 4800, FullLeaseAgeMs: 500}}
 	f.apply(&workloadpb.Command{Change: bound, Term: 3, SteadyMs: 100})
 	data, err := f.Snapshot()
 	assert.NilError(t, err)
@@ -287,18 +287,18 @@
 	for _, s := range []*ledger.State{f.State, restored} {
 		assert.Equal(t, s.ClockTerm(), uint64(3))
 		assert.Equal(t, s.LeaseBound(3), int64(4800))
-		assert.Equal(t, s.ConfirmationAge(3), int64(500))
+		assert.Equal(t, s.FullLeaseAge(3), int64(500))
 		s.Apply(&workloadpb.Command{
 			Change: &workloadpb.Command_Expire{Expire: &workloadpb.Expire{}}, Term: 4, SteadyMs: 200,
 		}, f.nowMs)
 		assert.Equal(t, s.ClockTerm(), uint64(4))
 		assert.Equal(t, s.LeaseBound(4), int64(0))
-		assert.Equal(t, s.ConfirmationAge(4), int64(0))
+		assert.Equal(t, s.FullLeaseAge(4), int64(0))
 		s.Apply(&workloadpb.Command{
 			Change: &workloadpb.Command_LeaseBound{LeaseBound: &workloadpb.LeaseBound{LeaseMs: 4800}}, Term: 5, SteadyMs: 300,
 		}, f.nowMs)
 		assert.Equal(t, s.LeaseBound(5), int64(4800))
-		assert.Equal(t, s.ConfirmationAge(5), int64(0), "an earlier version records no age")
+		assert.Equal(t, s.FullLeaseAge(5), int64(0), "an earlier version records no age")
 	}
 	older, err := proto.Marshal(&workloadpb.State{ClockMs: 5, ClockTerm: 3, ClockSteadyMs: 100})
 	assert.NilError(t, err)
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -15,7 +15,7 @@
 	m := &workloadpb.State{
 		Document: s.document, Waves: s.Waves(), NextJob: s.nextJob, NextWorker: s.nextWorker,
 		ClockMs: s.clockMs, ClockTerm: s.clockTerm, ClockSteadyMs: s.clockSteadyMs,
-		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, LeaseConfirmationAgeMs: s.confirmationAgeMs,
+		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, FullLeaseAgeMs: s.fullLeaseAgeMs,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.lastOrders)) {
 		m.Ordered = append(m.Ordered, s.lastOrders[name])
@@ -71,7 +71,7 @@
 	}
 	s.nextJob, s.nextWorker = m.NextJob, m.NextWorker
 	s.clockMs, s.clockTerm, s.clockSteadyMs = m.ClockMs, m.ClockTerm, m.ClockSteadyMs
-	s.leaseTerm, s.leaseMs, s.confirmationAgeMs = m.LeaseTerm, m.LeaseMs, m.LeaseConfirmationAgeMs
+	s.leaseTerm, s.leaseMs, s.fullLeaseAgeMs = m.LeaseTerm, m.LeaseMs, m.FullLeaseAgeMs
 	for _, o := range m.Ordered {
 		s.lastOrders[o.Instance] = o
 	}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -37,8 +37,8 @@
 	clockSteadyMs int64 // monotonic clock of the leader of clockTerm in its last command
 	leaseTerm     uint64
 	leaseMs       int64 // see LeaseBound
-	// confirmationAgeMs is part of the last LeaseBound, see ConfirmationAge.
-	confirmationAgeMs int64
+	// fullLeaseAgeMs is part of the last LeaseBound, see FullLeaseAge.
+	fullLeaseAgeMs int64
 
 	nextJob, nextWorker uint64
 	changes             uint64
@@ -200,7 +200,7 @@
 		s.applyLeaseSuspension(m.LeaseSuspension)
 	case *workloadpb.Command_LeaseBound:
 		s.leaseTerm, s.leaseMs = c.Term, m.LeaseBound.LeaseMs
-		s.confirmationAgeMs = m.LeaseBound.ConfirmationAgeMs
+		s.fullLeaseAgeMs = m.LeaseBound.FullLeaseAgeMs
 	}
 	return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_DONE}
 }
@@ -243,13 +243,13 @@
 	return s.leaseMs
 }
 
-// ConfirmationAge returns the longest time in milliseconds since a quorum confirmed the leader of a term, or one before
-// it, at which it sent requests, 0 if the leader recorded none.
-func (s *State) ConfirmationAge(term uint64) int64 {
+// FullLeaseAge returns the longest time in milliseconds since a quorum confirmed the leader of a term, or one before it,
+// at which it granted leases in full, 0 if the leader recorded none.
+func (s *State) FullLeaseAge(term uint64) int64 {
 	if s.leaseTerm != term {
 		return 0
 	}
-	return s.confirmationAgeMs
+	return s.fullLeaseAgeMs
 }
 
 // LastOrder returns the last announced order for an instance, nil if there was none.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -18,12 +18,14 @@
 	// leader of 2 s after a renewal that waited for renewalWait.
 	maxGrantedLease = 4800 * time.Millisecond
 	// MaxConfirmationAge is the maximum time since a quorum confirmed the leader at which it still sends requests to
-	// workers. A worker that knows a later leader rejects them, and a later leader gives runs up only after this time and
-	// the longest lease that a leader grants. It is the shortest election timeout, after which the followers elect another
-	// leader.
-	MaxConfirmationAge = 500 * time.Millisecond
-	// unrecordedConfirmationAge replaces MaxConfirmationAge for leaders that recorded none, as in earlier versions.
-	unrecordedConfirmationAge = 2 * time.Second
+	// workers. A worker that knows a later leader rejects them.
+	MaxConfirmationAge = 2 * time.Second
+	// fullLeaseAge is the maximum time since such a confirmation at which a lease is granted in full. A later leader gives
+	// runs up only after this time and the longest lease, so a leader with an older confirmation shortens its leases by the
+	// rest. It covers a heartbeat of the leader and the answers to it.
+	fullLeaseAge = 200 * time.Millisecond
+	// unrecordedFullLeaseAge replaces fullLeaseAge for leaders that recorded none, as those of earlier versions.
+	unrecordedFullLeaseAge = 2 * time.Second
 	// minClockRate is the slowest rate of a worker's clock that the platform allows.
 	minClockRate = 0.98
 	// expiryMargin covers the time that a worker needs to end its runs when the lease expires.
@@ -223,6 +225,13 @@
 	return h
 }
 
+// ShortenLease shortens the lease of a request that a leader sends at a time since a quorum confirmed it.
+func (h *RequestHeader) ShortenLease(confirmationAge time.Duration) {
+	if rest := confirmationAge - fullLeaseAge; rest > 0 && h.LeaseExpiryMs > 0 {
+		h.LeaseExpiryMs = max(h.LeaseExpiryMs-rest.Milliseconds()-1, 1)
+	}
+}
+
 // recordClock records a reading of the worker's clock that was taken no later than at, unless the last reading tells
 // more, because this one was held up on its way.
 func (s *session) recordClock(clock int64, at time.Duration) {
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -64,7 +64,7 @@
 		}
 		w.dead, w.unreachable = !tt.cutOff, true
 		if tt.cutOff && s.now < firstTermAt+workload.MaxConfirmationAge {
-			w.leaseExpiryMs = max(w.leaseExpiryMs, w.clockMs()+workload.MaxGrantedLease.Milliseconds())
+			w.grant(workload.MaxGrantedLease, s.now-firstTermAt)
 		}
 		if s.running("last") == 0 {
 			continue
--- a/internal/workload/upgrade_test.go
+++ b/internal/workload/upgrade_test.go
@@ -82,7 +82,7 @@
 			t.Run(fmt.Sprintf("records bound %v, next leader after %v", recordsBound, gap), func(t *testing.T) {
 				s, w := newSuspendedSim(t)
 				w.clockGain = -20
-				assert.Equal(t, s.e.State().ConfirmationAge(s.term), workload.MaxConfirmationAge.Milliseconds())
+				assert.Equal(t, s.e.State().FullLeaseAge(s.term), workload.FullLeaseAge.Milliseconds())
 				// Without a record, the leader of the earlier version is deposed before its first command is committed.
 				s.rejectCommand = func(*workloadpb.Command) bool { return !recordsBound }
 				s.startTerm()
@@ -108,7 +108,7 @@
 				}
 				assert.Equal(t, s.running("last"), 1)
 				assert.Equal(t, len(w.runs), 0)
-				assert.Equal(t, s.e.State().ConfirmationAge(s.term), workload.MaxConfirmationAge.Milliseconds())
+				assert.Equal(t, s.e.State().FullLeaseAge(s.term), workload.FullLeaseAge.Milliseconds())
 			})
 		}
 	}
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -128,6 +128,13 @@
 	})
 }
 
+// grant renews the lease of a worker by a request that a deposed leader sends at a time since a quorum confirmed it.
+func (w *fakeWorker) grant(lease, confirmationAge time.Duration) {
+	h := workload.RequestHeader{LeaseExpiryMs: w.clockMs() + lease.Milliseconds()}
+	h.ShortenLease(confirmationAge)
+	w.leaseExpiryMs = max(w.leaseExpiryMs, h.LeaseExpiryMs)
+}
+
 func (w *fakeWorker) list(h workload.RenewLease) workload.RenewLeaseResult {
 	done := workload.RenewLeaseResult{
 		Request: h, Answer: w.answer(workload.Accepted, w.renewalSentAt), Ended: slices.Clone(w.ended),
