workload: release a worker whose maintenance may stop nothing

An ordinary task waited for 20 s and more beside free capacity: its worker stayed reserved for maintenance, which in turn waited until a long-running step with mayMiss could miss one of its tasks on the worker. If another task of the step has no worker, that never comes.

Cause: evacuate sets lacksRoom for a task without room elsewhere, but nothing for a task that its step can't miss, so neither bound of isHeldUp applied. Such maintenance is now held up as well once nothing of it has moved for 4 s, and is tried again later. A step whose tasks move one after the other begins the time anew with each of them.

The same cause at a second place: ordinary runs were stopped after drainTimeout even while long-running tasks kept the maintenance from beginning, in each attempt again. They are stopped only once these are no obstacle any more.

Ruled out: the drain of ordinary runs; the worker had none. Without the wave the task starts at once.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -28,6 +28,9 @@
 	// maxRoomWait is how long maintenance waits for room for the long-running tasks of the instance. An instance can move
 	// to the pool in this time.
 	maxRoomWait = 4 * time.Second
+	// maxReadyWait is how long maintenance waits for tasks that its long-running steps can't miss. A task that maintenance
+	// stopped is ready elsewhere in about two seconds.
+	maxReadyWait = 4 * time.Second
 	// maxReservedWait is how long a long-running task waits for maintenance of an instance whose worker could run it.
 	maxReservedWait = 2 * time.Second
 	// heldUpRetryDelay is the time before maintenance that was held up is tried again.
@@ -103,15 +106,19 @@
 	maybeRepeated bool
 	retryAt       time.Duration
 	awayUntil     time.Duration // the request was accepted; the instance is out of service until then
-	// lacksRoom is set while no other worker has room for a long-running task on the instance.
-	lacksRoom bool
-	// lacksRoomSince and keepsWaitingSince are the times since which that is so, and since which a long-running task
-	// waits that could run on the instance.
-	lacksRoomSince, keepsWaitingSince time.Duration
+	// lacksRoom is set while no other worker has room for a long-running task on the instance, awaitsReady while
+	// long-running tasks on it can't be stopped, because too many of their steps are unavailable, and none is being stopped.
+	lacksRoom, awaitsReady bool
+	// lacksRoomSince and awaitsReadySince are the times since which that is so, keepsWaitingSince since which a task waits
+	// that could run on the instance.
+	lacksRoomSince, awaitsReadySince, keepsWaitingSince time.Duration
 }
 
 func (e *Engine) newOperation(pool string, wave int64) *operation {
-	return &operation{pool: pool, wave: wave, createdAt: e.now, lacksRoomSince: e.now, keepsWaitingSince: e.now}
+	return &operation{
+		pool: pool, wave: wave, createdAt: e.now,
+		lacksRoomSince: e.now, awaitsReadySince: e.now, keepsWaitingSince: e.now,
+	}
 }
 
 func (f *fleet) reset() {
@@ -245,7 +252,7 @@
 			return
 		case op.wave > 0 && e.isHeldUp(op, s):
 			e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
-				"lacks-room", op.lacksRoom)
+				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
 			in.maintainAfter = e.now + heldUpRetryDelay
 			in.operation = nil
 			return
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -121,12 +121,13 @@
 // evacuate reports whether an instance may go out of service now. Long-running tasks are stopped while fewer than
 // MayMiss other tasks of their step are unavailable (0 means no limit), and start again elsewhere. That requires room
 // on another worker, or that the instance can go at once. Other tasks may run until drainTimeout, and are then stopped:
-// an end that the worker lists while it goes out of service may get lost. They aren't stopped if the worker doesn't answer,
-// or if the request may be a repeated one, which the platform accepts without ending them.
+// an end that the worker lists while it goes out of service may get lost. They aren't stopped while long-running tasks
+// hold up the maintenance, if the worker doesn't answer, or if the request may be a repeated one, which the platform
+// accepts without ending them.
 func (e *Engine) evacuate(in *instance, s *session) bool {
 	op := in.operation
 	timedOut := e.now-op.createdAt >= drainTimeout
-	stop := timedOut && s.failures == 0 &&
+	stop := timedOut && s.failures == 0 && !op.lacksRoom && !op.awaitsReady &&
 		(!e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}] || in.outlivedBy == s.worker.Number())
 	free := true
 	for _, r := range s.runs {
@@ -140,19 +141,24 @@
 		}
 	}
 	canGo := free && !e.mustWaitForTakeover(in.Name) && e.mayMissAll(s)
-	op.lacksRoom = false
+	stopping := false
+	op.lacksRoom, op.awaitsReady = false, false
 	for _, r := range s.sortedRuns(func(r *run) bool { return r.task.Step().Step.Lasting }) {
 		st := r.task.Step()
 		free = false
 		switch {
-		case r.shouldStop || st.Step.MayMiss > 0 && e.countUnavailable(st, r.task) >= int(st.Step.MayMiss):
+		case r.shouldStop:
+			stopping = true
+		case st.Step.MayMiss > 0 && e.countUnavailable(st, r.task) >= int(st.Step.MayMiss):
+			op.awaitsReady = true
 		case canGo || e.hasRoomElsewhere(st, s):
-			r.shouldStop = true
+			r.shouldStop, stopping = true, true
 			e.markDirty(s)
 		default:
 			op.lacksRoom = true
 		}
 	}
+	op.awaitsReady = op.awaitsReady && !stopping
 	return free && len(s.longRunningCounts()) == 0 && (!stop || len(s.worker.Runs()) == 0)
 }
 
@@ -197,15 +203,19 @@
 }
 
 // isHeldUp reports whether an operation should wait until later, because no other worker has room for the long-running
-// tasks of the instance, or because one that waits could run on its worker.
+// tasks of the instance, because their steps can't miss them, or because a task that waits could run on its worker.
 func (e *Engine) isHeldUp(op *operation, s *session) bool {
 	if !op.lacksRoom {
 		op.lacksRoomSince = e.now
 	}
+	if !op.awaitsReady {
+		op.awaitsReadySince = e.now
+	}
 	if !e.couldRunWaitingTask(op, s) {
 		op.keepsWaitingSince = e.now
 	}
-	return e.now-op.lacksRoomSince >= maxRoomWait || e.now-op.keepsWaitingSince >= maxReservedWait
+	return e.now-op.lacksRoomSince >= maxRoomWait || e.now-op.awaitsReadySince >= maxReadyWait ||
+		e.now-op.keepsWaitingSince >= maxReservedWait
 }
 
 // couldRunWaitingTask reports whether a worker that answers has free capacity for a long-running task that waits. Once a
--- a/internal/workload/withheld_test.go
+++ b/internal/workload/withheld_test.go
@@ -30,6 +30,22 @@
 	assert.Equal(t, s.done["other.0.0.0"], 1)
 }
 
+// Guards against ordinary runs that maintenance stops again and again, though it can't begin.
+func TestMaintenanceThatMayStopNothingKeepsOrdinaryRuns(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.run(time.Second)
+	apart := lasting(2, 1000, 1000)
+	apart.MaxPerWorker, apart.MayMiss = 1, 1
+	s.submit("glass", "apart", apart)
+	s.submit("glass", "other", step(1, 1000, 1000, 20000))
+	s.run(time.Second)
+	s.startWave(1, 1, "m-glass-0")
+	s.run(25 * time.Second)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
+
 // Guards against a worker that stays reserved while the platform doesn't answer, because another worker of the pool is
 // usable, though not by the task that waits.
 func TestUnansweredMaintenanceLeavesRoomToTaskWithLabel(t *testing.T) {
