workload: release a worker for any task that no usable worker could run

An ordinary task with a label waited for 20 s and more beside an idle worker with that label: it was reserved for maintenance that the platform didn't answer. The same in a pool whose other workers are full.

Cause: once a request for an operation has failed, the worker is released for ordinary tasks that wait, but only if the pool has no usable worker at all. A usable worker that lacks the label or the room counted as a way out. Now the condition is that of the class: the task could start on this worker, and on no usable one now.

In a full pool there is always such a task, so maintenance that the platform doesn't carry out is postponed there, where it was repeated before. The next instance of the wave would be evacuated at once, and its runs stopped in vain, so the failure postpones the maintenance of all instances.

Ruled out: other reasons for the exclusion of the worker; without the wave the tasks start at once.

On the old code: withheld_test.go:67: assertion failed: 0 (s.done["other.0.0.0"] int) != 1 (int) withheld_test.go:91: assertion failed: 0 (s.done["other.0.0.0"] int) != 1 (int)

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -52,6 +52,9 @@
 	// unplacedSince is the time since which a pool has had a long-running task without a worker.
 	unplacedSince map[string]time.Duration
 	startClockMs  int64 // the ledger's clock when this leader started
+	// maintainAfter is the time before which no maintenance starts, because the platform carried out none while a task
+	// waited.
+	maintainAfter time.Duration
 	// maybeMaintained holds the instances whose maintenance may have been carried out without this leader knowing.
 	maybeMaintained map[waveInstance]bool
 	unrecorded      []*maintenanceRecord
@@ -253,8 +256,7 @@
 		case op.wave > 0 && e.isHeldUp(op, s):
 			e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
 				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
-			in.maintainAfter = e.now + heldUpRetryDelay
-			in.operation = nil
+			e.postponeOperation(in)
 			return
 		case op.wave > 0 && !e.evacuate(in, s):
 			return
@@ -296,7 +298,7 @@
 	}
 	e.cfg.Log.Info("requests for an instance operation get no answer and a task waits; trying again later",
 		"instance", in.Name, "wave", op.wave, "pool", op.pool)
-	in.operation, in.maintainAfter = nil, e.now+heldUpRetryDelay
+	e.postponeOperation(in)
 	if op.wave > 0 {
 		in.maybeAwayUntil = settledAt + e.cfg.MaintenanceDuration
 		if op.first {
@@ -307,6 +309,16 @@
 	return true
 }
 
+// postponeOperation gives up an operation that is held up. If its requests failed, those for other instances would most
+// likely fail too, and their runs would be stopped in vain.
+func (e *Engine) postponeOperation(in *instance) {
+	in.maintainAfter = e.now + heldUpRetryDelay
+	if in.operation.retryAt > 0 {
+		e.fleet.maintainAfter = in.maintainAfter
+	}
+	in.operation = nil
+}
+
 // endOperation ends an operation that was accepted, once the instance is in service again.
 func (e *Engine) endOperation(in *instance) {
 	op := in.operation
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -42,7 +42,7 @@
 			Maintained: &workloadpb.Maintained{Wave: w.Number, Gone: gone},
 		}})
 	}
-	for busy < int(w.Cap) {
+	for busy < int(w.Cap) && e.now >= f.maintainAfter {
 		in := e.nextForMaintenance(w)
 		if in == nil {
 			return
@@ -219,21 +219,28 @@
 }
 
 // couldRunWaitingTask reports whether a worker that answers has free capacity for a long-running task that waits. Once a
-// request for the operation has failed, ordinary tasks count too in a pool without a usable worker.
+// request for the operation has failed, ordinary tasks count too if no usable worker could run them.
 func (e *Engine) couldRunWaitingTask(op *operation, s *session) bool {
 	if s.failures > 0 || s.worker.IsDraining() {
 		return false
 	}
 	in, v := schedule.Input{}, s.schedulerView()
-	ordinary := op.retryAt > 0 && !e.hasUsableWorker(s.worker.Pool())
+	var usable []*schedule.Worker
+	if op.retryAt > 0 {
+		usable = e.usableWorkers(s.worker.Pool())
+	}
 	for _, j := range e.state.ActiveJobs() {
 		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
 			continue
 		}
 		for _, o := range j.Occurrences() {
 			for _, st := range o.Steps {
-				if (st.Step.Lasting || ordinary) && st.Waiting() > 0 && st.Ready() && e.isWithinQuota(st) &&
-					in.Misfit(st, v, s.worker.Free(), schedule.TasksOnWorkers(st)[s.worker.Number()]) == "" {
+				if !st.Step.Lasting && op.retryAt == 0 || st.Waiting() == 0 || !st.Ready() || !e.isWithinQuota(st) {
+					continue
+				}
+				assigned := schedule.TasksOnWorkers(st)
+				fits := func(w *schedule.Worker) bool { return in.Misfit(st, w, w.Free(), assigned[w.Number()]) == "" }
+				if fits(v) && (st.Step.Lasting || !slices.ContainsFunc(usable, fits)) {
 					return true
 				}
 			}
@@ -242,11 +249,15 @@
 	return false
 }
 
-// hasUsableWorker reports whether a worker of a pool may take new runs.
-func (e *Engine) hasUsableWorker(pool string) bool {
-	return slices.ContainsFunc(e.state.Workers(), func(w *ledger.Worker) bool {
-		return w.Pool() == pool && e.isUsable(e.sessions[w.Number()])
-	})
+// usableWorkers returns the workers of a pool that may take new runs.
+func (e *Engine) usableWorkers(pool string) []*schedule.Worker {
+	var list []*schedule.Worker
+	for _, w := range e.state.Workers() {
+		if w.Pool() == pool && e.isUsable(e.sessions[w.Number()]) {
+			list = append(list, &schedule.Worker{Worker: w})
+		}
+	}
+	return list
 }
 
 // countUnavailable returns the number of tasks of a step other than t that are not known to be ready.
--- a/internal/workload/withheld_test.go
+++ b/internal/workload/withheld_test.go
@@ -66,6 +66,30 @@
 	assert.Equal(t, s.done["other.0.0.0"], 1)
 }
 
+// Guards against a worker that stays reserved while the platform doesn't answer, because another worker of the pool is
+// usable, though full.
+func TestUnansweredMaintenanceLeavesRoomInFullPool(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 2)
+	s.run(time.Second)
+	s.submit("glass", "full", lasting(1, 16000, 1000))
+	s.run(time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		_, ok := a.(workload.MaintainInstance)
+		return workload.NoAnswer, ok
+	}
+	for name, row := range s.instances {
+		if len(s.workers[row.Worker].runs) == 0 {
+			s.startWave(1, 1, name)
+		}
+	}
+	s.run(3 * time.Second)
+	s.submit("glass", "other", step(1, 1000, 1000, 1000))
+	s.run(20 * time.Second)
+	assert.Equal(t, s.done["other.0.0.0"], 1)
+}
+
 // Guards against a pool that takes all spare instances for a long-running task that the adviser allows nowhere.
 func TestTaskThatTheAdviserDeniesTakesNoInstances(t *testing.T) {
 	s := newSim(t)
