--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -75,6 +75,8 @@
 	rebootAs func(instance string, crashed *fakeWorker) (id, address string)
 	// onCrash is called when a task crashes its worker; it may be nil.
 	onCrash func(task string)
+	// startupTime is the time until a long-running task is ready, and stopTime the time that a run takes to stop.
+	startupTime, stopTime time.Duration
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
 	checkTicket func(w *fakeWorker, a workload.StartRun) bool
 }
