workload: don't start runs on a worker that has announced that it leaves

A client's task would start on a worker that leaves, seconds after it has said so, and be lost or stopped with it; a long-running one is missing meanwhile.

Cause: draining was looked at when a run is assigned and never again, so a start without an answer was sent again for as long as the worker answered other requests, and a new leader requested inherited starts.

Ruled out: stopRunsOutlastingDrain, which handles runs that have started.

A run that has not started is given up when its worker announces that it leaves, as when the worker has shrunk: at once if its start was never requested, otherwise stopped once a list shows that it doesn't work.

TestStartIsNotRepeatedOnDrainingWorker on the code before:

drain_test.go:44: assertion failed: 1 (starts int) != 0 (int): new leader false

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -18,7 +18,7 @@
 	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
 		s.endsPending = false
 	}
-	e.releaseExcessRuns(s)
+	e.releaseUnstartableRuns(s)
 	if !s.endsPending {
 		if len(s.runs) > 0 && s.failures > 0 && e.now > s.leasesExpireBy {
 			e.giveUpRuns(s)
--- a/internal/workload/overcommit.go
+++ b/internal/workload/release.go
@@ -2,10 +2,16 @@
 
 import "github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 
-// releaseExcessRuns gives up the runs that have not started and don't fit on a worker whose capacity has shrunk since
-// they were assigned. Runs that have started stay.
-func (e *Engine) releaseExcessRuns(s *session) {
-	if !s.worker.IsOvercommitted() {
+// releaseUnstartableRuns gives up the runs that have not started and mustn't any more, because their worker leaves or its
+// capacity has shrunk since they were assigned. Runs that have started stay.
+func (e *Engine) releaseUnstartableRuns(s *session) {
+	switch {
+	case s.worker.IsDraining():
+		for _, r := range s.sortedRuns((*run).isAwaitingStart) {
+			e.releaseRun(s, r)
+		}
+		return
+	case !s.worker.IsOvercommitted():
 		return
 	}
 	free := s.worker.Capacity()
@@ -50,8 +56,9 @@
 		s.mustList = true
 		return
 	}
-	e.cfg.Log.Info("giving up a run that no longer fits on its worker", "worker", s.worker.ID(), "job", r.name.Job,
-		"step", r.name.Step, "index", r.name.Index, "run", r.name.Run, "requested", r.attempts > 0)
+	e.cfg.Log.Info("giving up a run that its worker can't start any more", "worker", s.worker.ID(),
+		"draining", s.worker.IsDraining(), "job", r.name.Job, "step", r.name.Step, "index", r.name.Index,
+		"run", r.name.Run, "requested", r.attempts > 0)
 	e.releaseGang(r)
 }
 
