ledger: a crash under a run that has proven harmless is no evidence

Cause: that a task has proven harmless only cleared the losses that it had, and told nothing about the run that had shown it. If its worker crashed later, the task had no losses any more, so the age of the run decided alone: up to 15 s after the assignment the loss was recorded, as that of an isolated run. The age has to include the time until a loss is noticed, so it can't be shortened.

The active runs of a task that proves harmless are now marked so in the ledger, and no loss is recorded under them. The next run of the task is judged anew. Ruled out: clearing the losses again while the worker works on, which decides nothing about a crash after that.

--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -188,6 +188,7 @@
 	Isolated bool
 
 	assignedMs int64 // by the clock of the ledger, 0 if losses are not recorded
+	harmless   bool  // the task has proven harmless since the assignment
 }
 
 // RunKey identifies a run of a task.
--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -53,6 +53,14 @@
 	t.losses = list
 }
 
+// markHarmless records that the task doesn't crash its workers.
+func (t *Task) markHarmless() {
+	t.setLosses(nil)
+	for i := range t.ActiveRuns {
+		t.ActiveRuns[i].harmless = true
+	}
+}
+
 // AwaitsCause reports whether the task shouldn't start again until it is known why its last worker was lost. The time is
 // that of the ledger's clock in milliseconds.
 func (t *Task) AwaitsCause(clockMs int64) bool {
@@ -87,7 +95,7 @@
 		return
 	}
 	a := t.ActiveRuns[i]
-	if s.clockMs-a.assignedMs >= harmlessAfterMs && len(t.losses) == 0 {
+	if a.harmless || s.clockMs-a.assignedMs >= harmlessAfterMs && len(t.losses) == 0 {
 		return
 	}
 	l := &workloadpb.Loss{
--- a/internal/workload/ledger/loss_test.go
+++ b/internal/workload/ledger/loss_test.go
@@ -63,3 +63,22 @@
 	f.reportAt("a", "w3", 3)
 	assert.Assert(t, task.Losses()[0].Crashed)
 }
+
+// Guards against a snapshot after which a worker that is lost under a run that has proven harmless counts as evidence.
+func TestSnapshotKeepsHarmlessRuns(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+	w := f.report("w", 1)
+	k := f.assignRecorded(&j.Occurrences()[0].Steps[0].Tasks[0], w)
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_HarmlessTasks{
+		HarmlessTasks: &workloadpb.HarmlessTasks{Tasks: []*workloadpb.Task{k.TaskMessage()}},
+	}})
+	data, err := f.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, f.Restore(data))
+	f.end(k, f.WorkerByID("w"), workloadpb.How_HOW_LOST)
+	task := &f.JobByID("a").Occurrences()[0].Steps[0].Tasks[0]
+	assert.Equal(t, len(task.Losses()), 0)
+	f.end(f.assignRecorded(task, f.WorkerByID("w")), f.WorkerByID("w"), workloadpb.How_HOW_LOST)
+	assert.Equal(t, len(task.Losses()), 1)
+}
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -48,6 +48,7 @@
 				for _, a := range t.ActiveRuns {
 					tm.Attempts = append(tm.Attempts, &workloadpb.ActiveRun{
 						Run: a.Run, Worker: a.Worker.info.Number, AssignedMs: a.assignedMs, Isolated: a.Isolated,
+						Harmless: a.harmless,
 					})
 				}
 				sm.Subtasks = append(sm.Subtasks, tm)
@@ -104,7 +105,9 @@
 				t.setLosses(tm.Losses)
 				for _, a := range tm.Attempts {
 					if w := s.workers[a.Worker]; w != nil {
-						s.assignRun(t, ActiveRun{Run: a.Run, Worker: w, Isolated: a.Isolated, assignedMs: a.AssignedMs})
+						s.assignRun(t, ActiveRun{
+							Run: a.Run, Worker: w, Isolated: a.Isolated, assignedMs: a.AssignedMs, harmless: a.Harmless,
+						})
 					}
 				}
 				if tm.Done {
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -192,7 +192,7 @@
 	case *workloadpb.Command_HarmlessTasks:
 		for _, m := range m.HarmlessTasks.Tasks {
 			if t := s.findTask(runKeyOf(m, 0)); t != nil {
-				t.setLosses(nil)
+				t.markHarmless()
 			}
 		}
 		s.markChanged()
