ledger: a delayed heartbeat of the lost worker itself shows no crash

Callers could see an innocent job fail: a worker that is out of reach or has left passes for one that crashed, as soon as one of its own heartbeats that was held up on the way arrives.

Cause: a loss has no start time, so each heartbeat with its address or ID counted as that of a later incarnation.

Losses now hold the start of the incarnation, and only a heartbeat of one that started later shows a crash. It is the order by which heartbeats of the same ID and ends of earlier incarnations are told apart already. The price: where the clock of an instance steps back between a crash and the boot, the crash does not show.

--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -100,6 +100,7 @@
 	}
 	l := &workloadpb.Loss{
 		Incarnation: w.Number(), Address: w.Address(), Worker: w.ID(), Pool: w.Pool(), AtMs: s.clockMs, Isolated: a.Isolated,
+		StartedMs: w.StartedMs(),
 	}
 	t.setLosses(append(t.losses, l))
 	s.lossEvents = append(s.lossEvents, LossEvent{Task: t, Loss: l, Losses: len(t.losses)})
@@ -116,6 +117,9 @@
 			if l.Crashed || l.Pool != m.Pool || l.Address != m.Address && l.Worker != m.Id {
 				continue
 			}
+			if m.BornMs <= l.StartedMs {
+				continue // The heartbeat of the lost incarnation itself or of an earlier one was delayed.
+			}
 			l.Crashed = true
 			givenUp := t.CrashesWorkers() && t.step.Occurrence.Job.IsActive()
 			s.lossEvents = append(s.lossEvents, LossEvent{
--- a/internal/workload/ledger/loss_test.go
+++ b/internal/workload/ledger/loss_test.go
@@ -82,3 +82,21 @@
 	f.end(f.assignRecorded(task, f.WorkerByID("w")), f.WorkerByID("w"), workloadpb.How_HOW_LOST)
 	assert.Equal(t, len(task.Losses()), 1)
 }
+
+// Guards against a delayed heartbeat of the lost incarnation, or of the one before it, that passes for the next one after
+// the end of the incarnation is recorded.
+func TestDelayedHeartbeatAfterEndShowsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+	task := &j.Occurrences()[0].Steps[0].Tasks[0]
+	f.reportAt("a", "w1", 1)
+	w := f.reportAt("a", "w2", 2)
+	f.assignRecorded(task, w)
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: &workloadpb.Leave{Id: "w2", BornMs: 2, Lost: true}}})
+	assert.Equal(t, len(task.Losses()), 1)
+	f.reportAt("a", "w1", 1)
+	f.reportAt("a", "w2", 2)
+	assert.Assert(t, !task.Losses()[0].Crashed)
+	f.reportAt("a", "w3", 3)
+	assert.Assert(t, task.Losses()[0].Crashed)
+}
