ledger: announced ends of workers are no crashes

Callers could see an innocent job fail: workers that had said that they leave passed for crashed ones. Three ways led there.

- A worker that deregisters after the leader had given up its runs kept its losses, and the next incarnation at its address made them crashes.
The departure of an incarnation that had been replaced already was not even recorded.
- A worker that was draining and ended before its departure was known counted like any other.
- The same, if its runs had been given up before it announced its end.

A departure now drops the losses of its incarnation, whenever it comes. Losses of a worker that announced its end are marked, and become no crashes. They still lead to isolation: a task that crashes its workers may also crash one that has just begun to drain.

Weighed: draining workers get no runs, so such a crash has to come between the announcement and a start that was assigned before it. Dropping these losses instead, without isolation, would break the rule wherever two of the first three are dropped. Telling a crash by an end before the announced time was ruled out: a worker whose announcement is not confirmed ends sooner, and a job that is shown as failed without cause is the graver error.

--- a/internal/workload/crash_evidence_test.go
+++ b/internal/workload/crash_evidence_test.go
@@ -154,3 +154,23 @@
 	losses := s.e.State().JobByID("innocent").Occurrences()[0].Steps[0].Tasks[0].Losses()
 	assert.Equal(t, len(losses), 0, "%v", losses)
 }
+
+// Guards against a departure that is ignored, because the incarnation has been replaced, although it shows that the worker
+// has not crashed.
+func TestLateDepartureOfLostWorkerIsRecorded(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	w.stuck = true
+	s.run(time.Second)
+	s.submit("glass", "innocent", step(1, 1000, 1000, 1000))
+	s.run(time.Second)
+	w.dead = true
+	s.startWorkerAs("m-glass-0", "w-later", w.m.Address)
+	task := &s.e.State().JobByID("innocent").Occurrences()[0].Steps[0].Tasks[0]
+	assert.Equal(t, len(task.Losses()), 1)
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
+		Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs},
+	}})
+	assert.Equal(t, len(task.Losses()), 0)
+}
--- a/internal/workload/crash_variants_test.go
+++ b/internal/workload/crash_variants_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +97,31 @@
 	}
 }
 
+// Guards against a task that goes on crashing workers, because some of them had begun to drain when they crashed.
+func TestCrashesOfDrainingWorkersKeepLimit(t *testing.T) {
+	for _, deadly := range []*workloadpb.Step{step(3, 880, 1000, 800), lasting(1, 2000, 1000)} {
+		for _, draining := range [][]int{{1}, {2}, {3}, {4}, {1, 2}, {1, 3}, {1, 4}, {2, 3}, {2, 4}, {3, 4}} {
+			t.Run(fmt.Sprintf("long-running=%t/%s", deadly.Lasting, strings.Trim(fmt.Sprint(draining), "[]")), func(t *testing.T) {
+				s := newLossSim(t, 8)
+				s.run(time.Second)
+				s.onCrash = func(task string) {
+					for _, id := range sortedIDs(s.workers) {
+						if w := s.workers[id]; !w.dead && w.runs[task] != nil && slices.Contains(draining, s.crashes[task]) {
+							w.draining = true
+							s.report(w)
+						}
+					}
+				}
+				s.submit("glass", "deadly", deadly)
+				s.runBusy(60*time.Second, 600*time.Millisecond, nil)
+				s.run(10 * time.Second)
+				assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
+				s.assertCompleted()
+			})
+		}
+	}
+}
+
 // Guards against innocent jobs that fail in a pool with few workers, one of which crashes again and again by itself.
 func TestFlappingWorkerOfSmallPoolFailsNoJob(t *testing.T) {
 	for _, workers := range []int{2, 3, 4} {
--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -65,7 +65,11 @@
 // that of the ledger's clock in milliseconds.
 func (t *Task) AwaitsCause(clockMs int64) bool {
 	n := len(t.losses)
-	return n >= openLosses && !t.losses[n-1].Crashed && clockMs-t.losses[n-1].AtMs < maxOpenMs
+	if n < openLosses {
+		return false
+	}
+	l := t.losses[n-1]
+	return !l.Crashed && !l.Announced && clockMs-l.AtMs < maxOpenMs
 }
 
 // CrashesWorkers reports whether the task is known to crash the workers that start it.
@@ -100,7 +104,7 @@
 	}
 	l := &workloadpb.Loss{
 		Incarnation: w.Number(), Address: w.Address(), Worker: w.ID(), Pool: w.Pool(), AtMs: s.clockMs, Isolated: a.Isolated,
-		StartedMs: w.StartedMs(),
+		StartedMs: w.StartedMs(), Announced: w.IsDraining(),
 	}
 	t.setLosses(append(t.losses, l))
 	s.lossEvents = append(s.lossEvents, LossEvent{Task: t, Loss: l, Losses: len(t.losses)})
@@ -114,7 +118,7 @@
 	}
 	for _, t := range s.tasksWithLosses() {
 		for _, l := range t.losses {
-			if l.Crashed || l.Pool != m.Pool || l.Address != m.Address && l.Worker != m.Id {
+			if l.Crashed || l.Announced || l.Pool != m.Pool || l.Address != m.Address && l.Worker != m.Id {
 				continue
 			}
 			if m.BornMs <= l.StartedMs {
@@ -132,10 +136,30 @@
 	}
 }
 
-// forgetLosses drops the losses of an incarnation that was only out of reach.
-func (s *State) forgetLosses(incarnation uint64) {
+// HasLosses reports whether losses of an incarnation are recorded.
+func (s *State) HasLosses(id string, startedMs int64) bool {
+	return slices.ContainsFunc(s.tasksWithLosses(), func(t *Task) bool {
+		return slices.ContainsFunc(t.losses, func(l *workloadpb.Loss) bool { return isLossOf(l, id, startedMs) })
+	})
+}
+
+func isLossOf(l *workloadpb.Loss, id string, startedMs int64) bool {
+	return l.Worker == id && l.StartedMs == startedMs
+}
+
+// forgetLosses drops the losses of an incarnation that has not crashed.
+func (s *State) forgetLosses(id string, startedMs int64) {
 	for _, t := range s.tasksWithLosses() {
-		t.setLosses(slices.DeleteFunc(t.losses, func(l *workloadpb.Loss) bool { return l.Incarnation == incarnation }))
+		t.setLosses(slices.DeleteFunc(t.losses, func(l *workloadpb.Loss) bool { return isLossOf(l, id, startedMs) }))
+	}
+}
+
+// markLossesAnnounced records that a lost incarnation has announced its end.
+func (s *State) markLossesAnnounced(id string, startedMs int64) {
+	for _, t := range s.tasksWithLosses() {
+		for _, l := range t.losses {
+			l.Announced = l.Announced || isLossOf(l, id, startedMs)
+		}
 	}
 }
 
--- a/internal/workload/ledger/loss_test.go
+++ b/internal/workload/ledger/loss_test.go
@@ -100,3 +100,29 @@
 	f.reportAt("a", "w3", 3)
 	assert.Assert(t, task.Losses()[0].Crashed)
 }
+
+// Guards against a departure that is known late, and a worker that passes for one that crashed until then.
+func TestLateDepartureShowsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+	task := &j.Occurrences()[0].Steps[0].Tasks[0]
+	f.assignRecorded(task, f.reportAt("a", "w1", 1))
+	f.reportAt("a", "w2", 2)
+	assert.Assert(t, task.Losses()[0].Crashed)
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: &workloadpb.Leave{Id: "w1", BornMs: 1}}})
+	assert.Equal(t, len(task.Losses()), 0)
+}
+
+// Guards against the announced end of a worker that passes for a crash, because its runs were given up before it drained.
+func TestAnnouncementAfterLossShowsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+	task := &j.Occurrences()[0].Steps[0].Tasks[0]
+	w := f.reportAt("a", "w1", 1)
+	f.end(f.assignRecorded(task, w), w, workloadpb.How_HOW_LOST)
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{Worker: &workloadpb.Worker{
+		Id: "w1", Address: "a", BornMs: 1, Pool: "glass", Draining: true,
+	}}}})
+	f.reportAt("a", "w2", 2)
+	assert.Assert(t, !task.Losses()[0].Crashed)
+}
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -118,6 +118,9 @@
 	if m.GetId() == "" || s.IsRecorded(m) {
 		return
 	}
+	if m.Draining {
+		s.markLossesAnnounced(m.Id, m.BornMs)
+	}
 	if w := s.WorkerByID(m.Id); w != nil {
 		if w.info.BornMs == m.BornMs {
 			m = proto.CloneOf(m)
@@ -151,6 +154,9 @@
 }
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
+	if !m.Lost {
+		s.forgetLosses(m.Id, m.BornMs)
+	}
 	if w := s.WorkerByID(m.Id); w != nil && w.info.BornMs == m.BornMs {
 		s.removeWorker(w, m.Lost)
 	}
@@ -162,7 +168,7 @@
 	case w == nil:
 	case m.Resumed:
 		w.info.LeasesEndMs = 0
-		s.forgetLosses(m.Worker)
+		s.forgetLosses(w.ID(), w.StartedMs())
 	default:
 		w.info.LeasesEndMs = max(s.clockMs+m.RemainingMs, 1)
 	}
