workload: delay a step whose starts workers reject

An ordinary task got no capacity for 30 s, because workers rejected the starts of a long-running job: its tasks took all capacity of the pool in each pass, were rejected, and were assigned again before all others. The same job took three spare instances, though there was room for it.

Cause: a rejected start excludes its worker for 0.5 s and has no consequence for its task, which comes first again as soon as the worker is usable.

A step whose start was rejected is now left out of the assignment for 0.1 s, and for twice as long after each further rejection, 1 s at most; that is longer than the worker is excluded, and far below the 3 s for which long-running tasks may wait beside room. An accepted start ends that. The delay holds for the step and not for the task: more rejected tasks than the pool holds would otherwise take turns. It is state of the leader, not of the ledger: a new leader begins anew, which costs one more rejection, and replicas of earlier versions aren't concerned. Such a step takes no further instances, and doesn't hold up an operation while it is delayed.

Ruled out: quota and reservations; with the job cancelled the ordinary task starts at once.

On the old code: withheld_test.go:176: assertion failed: 0 (s.done["other.0.0.0"] int) != 1 (int) withheld_test.go:192: assertion failed: 3 (s.moves int) != 0 (int)

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -304,6 +304,7 @@
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or has vanished.
 		r.startedAt = ev.EndedAt
+		delete(e.rejections, r.task.Step())
 	case NoCapacity, BadTicket, Unhealthy, Malformed:
 		e.cfg.Log.Info("worker rejected the start of a run", "worker", s.worker.ID(), "job", r.name.Job, "step", r.name.Step,
 			"index", r.name.Index, "run", r.name.Run, "outcome", ev.Outcome.String())
@@ -311,6 +312,7 @@
 		if ev.Outcome == BadTicket {
 			e.advice.rejectTicket(r.task.Step(), s.worker.Number(), ev.Request.Ticket)
 		}
+		e.rejections.addRejection(r.task.Step(), e.now)
 		r.handleRejectedStart()
 	case DeadlineExceeded:
 		r.retryAt = e.now
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -82,6 +82,7 @@
 	shares                accountShares
 	rates                 arrivalRates
 	waits                 waitLog
+	rejections            rejections
 }
 
 func newEngine(state *ledger.State) *Engine {
@@ -139,6 +140,7 @@
 	e.fleet.reset()
 	e.shares.reset()
 	e.rates = arrivalRates{}
+	e.rejections = rejections{}
 	e.fleet.startClockMs = e.state.Clock()
 	for _, w := range e.state.Waves() {
 		for _, name := range w.Ordered {
@@ -278,10 +280,12 @@
 		return
 	}
 	e.plannedAt, e.plannedChanges = e.now, e.state.Changes()
+	e.rejections.removeEnded()
 	in := schedule.Input{
 		State: e.state, NowMs: e.wallClockMs(), ClockMs: e.state.ClockAt(e.term, e.now.Milliseconds()),
 		Order: e.cfg.JobOrder, MaxAssignments: maxAssignmentsPerCommand,
 		BeyondShare: e.shares.isBeyondShare, Allowed: e.adviserAllows, MayReserve: e.advice.mayReserve,
+		IsDelayed: func(s *ledger.StepRun) bool { return e.rejections.isDelayed(s, e.now) },
 	}
 	in.Candidates = schedule.RankCandidates(in)
 	pools := map[string]bool{}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -60,7 +60,7 @@
 
 func (e *Engine) addUnplaced(v *poolView, st *ledger.StepRun, tasks int) {
 	v.unplaced = append(v.unplaced, st)
-	if !e.advice.hasDenied(st) {
+	if tasks == 0 || !e.advice.hasDenied(st) {
 		v.unplacedTasks += tasks
 		return
 	}
@@ -212,7 +212,11 @@
 					per := schedule.PreferredPerWorker(st.Step)
 					v.minInstances = max(v.minInstances, (n+per-1)/per)
 					if st.Waiting() > 0 && e.isWithinQuota(st) {
-						e.addUnplaced(v, st, st.Waiting())
+						tasks := st.Waiting()
+						if e.rejections.wasRejected(st, e.now) {
+							tasks = 0
+						}
+						e.addUnplaced(v, st, tasks)
 					}
 				}
 			}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -66,6 +66,8 @@
 	MaxAssignments int
 	// BeyondShare reports whether a job exceeds the share of its client account. It may be nil.
 	BeyondShare func(j *ledger.Job) bool
+	// IsDelayed reports whether no tasks of a step are assigned now. It may be nil.
+	IsDelayed func(s *ledger.StepRun) bool
 	// Allowed reports whether the adviser lets a worker run a step now, and MayReserve whether its last answer did, even
 	// if that isn't valid any more. Both may be nil.
 	Allowed, MayReserve func(s *ledger.StepRun, w *Worker) bool
@@ -109,7 +111,7 @@
 func (p *pass) forEachStep(place func(s *ledger.StepRun, workers []*Worker)) {
 	for _, c := range p.in.Candidates {
 		for _, s := range c.ReadySteps() {
-			if len(p.assignments) < p.in.MaxAssignments {
+			if len(p.assignments) < p.in.MaxAssignments && (p.in.IsDelayed == nil || !p.in.IsDelayed(s)) {
 				place(s, p.pools[c.queue.Pool])
 			}
 		}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -235,7 +235,8 @@
 		}
 		for _, o := range j.Occurrences() {
 			for _, st := range o.Steps {
-				if !st.Step.Lasting && op.retryAt == 0 || st.Waiting() == 0 || !st.Ready() || !e.isWithinQuota(st) {
+				if !st.Step.Lasting && op.retryAt == 0 || st.Waiting() == 0 || !st.Ready() || !e.isWithinQuota(st) ||
+					e.rejections.isDelayed(st, e.now) {
 					continue
 				}
 				assigned := schedule.TasksOnWorkers(st)
--- a/internal/workload/withheld_test.go
+++ b/internal/workload/withheld_test.go
@@ -159,3 +159,19 @@
 	s.run(30 * time.Second)
 	assert.Equal(t, s.done["other.0.0.0"], 1)
 }
+
+// Guards against a pool that grows for a long-running task whose starts workers reject.
+func TestRejectedStartsTakeNoInstances(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass", "spare")
+	s.addWorkers("glass", 1)
+	s.addWorkers("spare", 3)
+	s.run(time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		st, ok := a.(workload.StartRun)
+		return workload.Malformed, ok && st.Name.Job == "rejected"
+	}
+	s.submit("glass", "rejected", lasting(1, 1000, 1000))
+	s.run(30 * time.Second)
+	assert.Equal(t, s.moves, 0)
+}
