workload: only malformed starts delay a step

If the only worker with room is unhealthy and rejects all starts, callers would see a long-running task wait beside spare instances for as long as that lasts: again a condition that the blocked work can't end.

Starts that a worker rejects because it is unhealthy, has no capacity or misses a ticket say nothing about the task; the worker is excluded for a time already. Only starts that are rejected as malformed count now.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -309,10 +309,12 @@
 		e.cfg.Log.Info("worker rejected the start of a run", "worker", s.worker.ID(), "job", r.name.Job, "step", r.name.Step,
 			"index", r.name.Index, "run", r.name.Run, "outcome", ev.Outcome.String())
 		s.excludedUntil = e.now + maxRetryDelay
-		if ev.Outcome == BadTicket {
+		switch ev.Outcome {
+		case BadTicket:
 			e.advice.rejectTicket(r.task.Step(), s.worker.Number(), ev.Request.Ticket)
+		case Malformed:
+			e.rejections.addRejection(r.task.Step(), e.now)
 		}
-		e.rejections.addRejection(r.task.Step(), e.now)
 		r.handleRejectedStart()
 	case DeadlineExceeded:
 		r.retryAt = e.now
--- a/internal/workload/rejection.go
+++ b/internal/workload/rejection.go
@@ -8,7 +8,7 @@
 
 const (
 	// minRejectionDelay and maxRejectionDelay bound the time for which the tasks of a step aren't assigned after a worker
-	// rejected the start of one of them. At most it is longer than workers are excluded after that, so that other jobs get
+	// rejected the start of one of them as malformed. At most it is longer than workers are excluded after that, so that other jobs get
 	// their turn, and far shorter than users let long-running tasks wait.
 	minRejectionDelay = 100 * time.Millisecond
 	maxRejectionDelay = 2 * maxRetryDelay
@@ -17,7 +17,8 @@
 	rejectionMemory = 5 * time.Second
 )
 
-// rejections holds the steps whose last starts workers rejected.
+// rejections holds the steps whose last starts workers rejected as malformed. Other rejections are the fault of a worker,
+// and tasks needn't wait for others.
 type rejections map[*ledger.StepRun]rejection
 
 type rejection struct {
--- a/internal/workload/withheld_test.go
+++ b/internal/workload/withheld_test.go
@@ -175,3 +175,19 @@
 	s.run(30 * time.Second)
 	assert.Equal(t, s.moves, 0)
 }
+
+// Guards against a long-running task that waits beside spare instances, because the only worker with room rejects starts.
+func TestUnhealthyWorkerDoesNotKeepPoolFromGrowing(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass", "spare")
+	w := s.addWorkers("glass", 1)[0]
+	s.addWorkers("spare", 3)
+	s.run(time.Second)
+	s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+		st, ok := a.(workload.StartRun)
+		return workload.Unhealthy, ok && st.ID == w.m.Id
+	}
+	s.submit("glass", "last", lasting(1, 1000, 1000))
+	s.run(lostGrace + lostWindow)
+	assert.Equal(t, s.running("last"), 1)
+}
