schedule: keep workers for isolated tasks only while there is room

Callers saw long-running tasks, and in pools with an isolated gang all other tasks, wait beside free workers for as long as an ordinary task ran on one that was kept for a task that must be isolated.

Cause: a worker was kept from other jobs until the isolated task, or all tasks of its gang, had room, which depends on the end of ordinary tasks. A gang was also exempt from the limit of half a pool, so all workers were kept.

A worker is kept now only where there is room already and the task, or the whole gang, waits for other runs to prove harmless, which takes about 1.5 s. For room, long-running tasks that must be isolated reserve capacity against ordinary tasks, as others do; ordinary ones wait like other ordinary tasks, and go first when there is room. No entry in the log changes its meaning.

Ruled out: waiting without reservations. A long-running task of three quarters of a worker then doesn't start within 20 s of a stream of ordinary tasks (TestIsolatedLongRunningTaskReservesCapacity).

What is given up: a long-running gang that must be isolated was sure to get all its workers; in a half-empty pool with a stream of ordinary tasks it waits now as gangs without losses do, because reservations withhold one worker there.

--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -164,3 +164,24 @@
 		assert.Equal(t, s.running(fmt.Sprintf("last-%d", i)), 1)
 	}
 }
+
+// Guards against an isolated long-running task that never starts, because ordinary tasks take the capacity it waits for.
+func TestIsolatedLongRunningTaskReservesCapacity(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 3)
+	s.run(time.Second)
+	s.onCrash = func(string) {
+		if s.crashes["last.0.0.0"] == 3 {
+			s.rebootTime = time.Hour
+		}
+	}
+	last := lasting(2, 12000, 1000)
+	last.MaxPerWorker = 1
+	s.loseWorkers(t, 3, "last", "", last)
+	for i := range int64(200) {
+		s.submit("glass", fmt.Sprintf("ordinary-%d", i), step(1, 3000, 1000, 1000+i%7*300))
+		s.run(100 * time.Millisecond)
+	}
+	assert.Equal(t, s.running("last"), 2)
+}
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -141,8 +141,9 @@
 	return m
 }
 
-// placeIsolated assigns the tasks that must be isolated. While there is no worker for one, or not enough for a gang, it
-// keeps workers from taking further tasks until they are free.
+// placeIsolated assigns the tasks that must be isolated. Where there is room for one, or for a gang, but beside runs that
+// aren't known to be harmless, it keeps workers from taking further tasks until these are, which is soon. Runs that take the
+// room of a task may last, so it keeps no worker from others until they end.
 func (p *pass) placeIsolated(s *ledger.StepRun, workers []*Worker) {
 	if !s.HasLosses() || len(workers) == 0 {
 		return
@@ -156,13 +157,14 @@
 	}
 	left -= p.placeGroup(&g, workers)
 	if s.Step.Gang {
-		g.tasksOnWorker = nil // What a gang took in vain is free again.
-		if !p.canHold(&g, workers, left) {
-			return
-		}
+		g.tasksOnWorker = map[uint64]int{} // What a gang took in vain is free again.
 	} else {
 		left = min(left, 1)
 	}
+	if !p.canHold(&g, workers, left) {
+		p.reserveForIsolated(&g, workers, left)
+		return
+	}
 	for left > 0 && mayKeep() {
 		w := p.chooseKept(&g, workers)
 		if w == nil {
@@ -184,20 +186,37 @@
 	return n
 }
 
-// chooseKept returns the worker that will be free for tasks of the group soonest, nil if none can be.
+// chooseKept returns the worker with room for tasks of the group that will be free for them soonest, nil if there is none.
 func (p *pass) chooseKept(g *taskGroup, workers []*Worker) *Worker {
-	lacksRoom := func(w *Worker) bool { return !ledger.RequiredCapacity(g.step.Step).Within(w.free) }
 	var best *Worker
 	for _, w := range workers {
-		if w.keptFor == 0 && p.countRoom(g, w) > 0 &&
-			(best == nil || cmp.Or(compareBool(lacksRoom(w), lacksRoom(best)), g.compareRisk(w, best)) < 0) {
+		if w.keptFor == 0 && p.countRoom(g, w) > 0 && (best == nil || g.compareRisk(w, best) < 0) {
 			best = w
 		}
 	}
 	return best
 }
 
-// canHold reports whether the workers have room for n tasks of the group once ordinary tasks have ended.
+// reserveForIsolated reserves capacity for n tasks of a long-running step that no worker has room for, or for none if they
+// are a gang and there won't be enough for it.
+func (p *pass) reserveForIsolated(g *taskGroup, workers []*Worker, n int) {
+	if !g.step.Step.Lasting {
+		return
+	}
+	var reserved []*Worker
+	for len(reserved) < n {
+		w := p.reserveWorker(g, workers, ledger.RequiredCapacity(g.step.Step))
+		if w == nil {
+			break
+		}
+		reserved = append(reserved, w)
+	}
+	if g.step.Step.Gang {
+		p.reserveForGang(g.step, nil, reserved, len(reserved) == n)
+	}
+}
+
+// canHold reports whether the workers have room for n tasks of the group.
 func (p *pass) canHold(g *taskGroup, workers []*Worker, n int) bool {
 	for _, w := range workers {
 		if !w.IsKeptFromJob(g.job()) {
@@ -207,8 +226,7 @@
 	return n <= 0
 }
 
-// countRoom returns how many tasks of the group a worker has room for once ordinary tasks have ended.
+// countRoom returns how many tasks of the group a worker has room for now.
 func (p *pass) countRoom(g *taskGroup, w *Worker) int {
-	room := w.Capacity().Minus(w.LongRunningUsage)
-	return p.in.CountRoom(g.step, w, room, g.tasksOnWorker[w.Number()], len(g.tasks))
+	return p.in.CountRoom(g.step, w, p.available(g.step.Step, w), g.tasksOnWorker[w.Number()], len(g.tasks))
 }
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -316,7 +316,7 @@
 	in := Input{Allowed: p.in.MayReserve}
 	var best *Worker
 	for _, w := range workers {
-		if g.mayUse(w) && in.Misfit(s, w, w.Capacity().Minus(w.LongRunningUsage), g.tasksOnWorker[w.Number()]) == "" &&
+		if !w.IsKeptFromJob(g.job()) && in.Misfit(s, w, w.Capacity().Minus(w.LongRunningUsage), g.tasksOnWorker[w.Number()]) == "" &&
 			(best == nil || w.slack(required) > best.slack(required)) {
 			best = w
 		}
