--- a/internal/workload/crash_variants_test.go
+++ b/internal/workload/crash_variants_test.go
@@ -99,9 +99,12 @@
 
 // Guards against a task that goes on crashing workers, because some of them had begun to drain when they crashed.
 func TestCrashesOfDrainingWorkersKeepLimit(t *testing.T) {
-	for _, deadly := range []*workloadpb.Step{step(3, 880, 1000, 800), lasting(1, 2000, 1000)} {
+	for _, tt := range []struct {
+		name   string
+		deadly *workloadpb.Step
+	}{{"ordinary", step(3, 880, 1000, 800)}, {"lasting", lasting(1, 2000, 1000)}} {
 		for _, draining := range [][]int{{1}, {2}, {3}, {4}, {1, 2}, {1, 3}, {1, 4}, {2, 3}, {2, 4}, {3, 4}} {
-			t.Run(fmt.Sprintf("long-running=%t/%s", deadly.Lasting, strings.Trim(fmt.Sprint(draining), "[]")), func(t *testing.T) {
+			t.Run(tt.name+"/"+strings.Trim(fmt.Sprint(draining), "[]"), func(t *testing.T) {
 				s := newLossSim(t, 8)
 				s.run(time.Second)
 				s.onCrash = func(task string) {
@@ -112,7 +115,7 @@
 						}
 					}
 				}
-				s.submit("glass", "deadly", deadly)
+				s.submit("glass", "deadly", tt.deadly)
 				s.runBusy(60*time.Second, 600*time.Millisecond, nil)
 				s.run(10 * time.Second)
 				assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
