schedule: keep a worker for the same isolated job whatever the order of its runs

Runs that start isolated are not known to be harmless again after a change of leader, so several jobs may have such runs on one worker. Which of them it was kept for depended on the order of a map: a failure of a seed of the random tests couldn't be repeated.

Now it is the job with the lowest number.

--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -90,7 +90,7 @@
 	if len(t.Losses()) > 0 {
 		w.suspects[job]++
 	}
-	if isolated {
+	if isolated && (w.keptFor == 0 || job < w.keptFor) {
 		w.keptFor = job
 	}
 }
