workload: begin maintenance as soon as its steps can miss the tasks

Now it waits for 8 s, in which the tasks of a lost worker are ready again elsewhere, before it releases its worker. After that it begins when its steps can miss all tasks on the instance, not after a fixed time, and doesn't reserve the worker before that.

On the old code: --- FAIL: TestMaintenanceBeginsOnceTasksAreReady/4s, /5s, /6s withheld_test.go:70: assertion failed: 0 (s.lastWave["m-glass-0"] int64) != 1 (int64)

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -28,9 +28,9 @@
 	// maxRoomWait is how long maintenance waits for room for the long-running tasks of the instance. An instance can move
 	// to the pool in this time.
 	maxRoomWait = 4 * time.Second
-	// maxReadyWait is how long maintenance waits for tasks that its long-running steps can't miss. A task that maintenance
-	// stopped is ready elsewhere in about two seconds.
-	maxReadyWait = 4 * time.Second
+	// maxReadyWait is how long maintenance waits for tasks that its long-running steps can't miss. Those of a lost worker
+	// are ready again in this time: a lease later and after their start.
+	maxReadyWait = 8 * time.Second
 	// maxReservedWait is how long a long-running task waits for maintenance of an instance whose worker could run it.
 	maxReservedWait = 2 * time.Second
 	// heldUpRetryDelay is the time before maintenance that was held up is tried again.
@@ -54,8 +54,8 @@
 	// triedAt is when a pool last got an instance for steps that the adviser has denied workers.
 	triedAt      map[string]time.Duration
 	startClockMs int64 // the ledger's clock when this leader started
-	// maintainAfter is the time before which no maintenance starts, because the platform carried out none while a task
-	// waited.
+	// maintainAfter is the time before which no maintenance starts, unless the platform carries out an operation, because
+	// it carried out none while a task waited.
 	maintainAfter time.Duration
 	// maybeMaintained holds the instances whose maintenance may have been carried out without this leader knowing.
 	maybeMaintained map[waveInstance]bool
@@ -84,6 +84,8 @@
 	movedAt   time.Duration // when a move was last begun
 	// maintainAfter is the time before which no maintenance starts, because it was held up.
 	maintainAfter time.Duration
+	// awaitsReady is set if it was held up until its long-running steps can miss their tasks.
+	awaitsReady bool
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
 	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
@@ -315,9 +317,12 @@
 // postponeOperation gives up an operation that is held up. If its requests failed, those for other instances would most
 // likely fail too, and their runs would be stopped in vain.
 func (e *Engine) postponeOperation(in *instance) {
-	in.maintainAfter = e.now + heldUpRetryDelay
-	if in.operation.retryAt > 0 {
-		e.fleet.maintainAfter = in.maintainAfter
+	op := in.operation
+	if in.awaitsReady = op.awaitsReady; !in.awaitsReady {
+		in.maintainAfter = e.now + heldUpRetryDelay
+	}
+	if op.retryAt > 0 {
+		e.fleet.maintainAfter = e.now + heldUpRetryDelay
 	}
 	in.operation = nil
 }
@@ -396,6 +401,7 @@
 	gone := false
 	switch o {
 	case Accepted:
+		e.fleet.maintainAfter = 0
 		away := e.cfg.MoveDuration
 		if op.wave > 0 {
 			away = e.cfg.MaintenanceDuration
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -77,7 +77,8 @@
 			continue
 		}
 		if s != nil {
-			if s.worker.IsDraining() || len(s.longRunningCounts()) > 0 && e.isEvacuatingLongRunning(in.Pool) {
+			if s.worker.IsDraining() || len(s.longRunningCounts()) > 0 && e.isEvacuatingLongRunning(in.Pool) ||
+				in.awaitsReady && !e.mayStopLongRunning(s) {
 				continue
 			}
 			cost = s.worker.Used().CPU
@@ -149,7 +150,7 @@
 		switch {
 		case r.shouldStop:
 			stopping = true
-		case st.Step.MayMiss > 0 && e.countUnavailable(st, r.task) >= int(st.Step.MayMiss):
+		case !e.mayMiss(r.task):
 			op.awaitsReady = true
 		case canGo || e.hasRoomElsewhere(st, s):
 			r.shouldStop, stopping = true, true
@@ -162,6 +163,22 @@
 	return free && len(s.longRunningCounts()) == 0 && (!stop || len(s.worker.Runs()) == 0)
 }
 
+// mayMiss reports whether a long-running task may be unavailable now.
+func (e *Engine) mayMiss(t *ledger.Task) bool {
+	st := t.Step()
+	return st.Step.MayMiss <= 0 || e.countUnavailable(st, t) < int(st.Step.MayMiss)
+}
+
+// mayStopLongRunning reports whether each long-running task of a worker may be unavailable now.
+func (e *Engine) mayStopLongRunning(s *session) bool {
+	for _, t := range s.worker.Runs() {
+		if t.Step().Step.Lasting && !e.mayMiss(t) {
+			return false
+		}
+	}
+	return true
+}
+
 // mayMissAll reports whether all long-running tasks of a worker may be unavailable at the same time.
 func (e *Engine) mayMissAll(s *session) bool {
 	for st, n := range s.longRunningCounts() {
--- a/internal/workload/withheld_test.go
+++ b/internal/workload/withheld_test.go
@@ -46,6 +46,31 @@
 	assert.Equal(t, s.done["other.0.0.0"], 1)
 }
 
+// Guards against maintenance that was held up until a task is ready, and begins long after that.
+func TestMaintenanceBeginsOnceTasksAreReady(t *testing.T) {
+	for heldUp := 4 * time.Second; heldUp < 10*time.Second; heldUp += time.Second {
+		t.Run(heldUp.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 1)
+			s.run(time.Second)
+			apart := lasting(2, 1000, 1000)
+			apart.MaxPerWorker, apart.MayMiss = 1, 1
+			s.submit("glass", "apart", apart)
+			s.run(time.Second)
+			s.startWave(1, 1, "m-glass-0")
+			s.run(heldUp)
+			assert.Equal(t, s.running("apart"), 1)
+			s.instances["m-glass-1"] = &workload.Instance{
+				Name: "m-glass-1", Pool: "glass", Up: true, Capacity: &workloadpb.Resources{Cpu: 16000, MemoryMib: 65536},
+			}
+			s.startWorker("m-glass-1")
+			s.run(3 * time.Second)
+			assert.Equal(t, s.lastWave["m-glass-0"], int64(1))
+		})
+	}
+}
+
 // Guards against a worker that stays reserved while the platform doesn't answer, because another worker of the pool is
 // usable, though not by the task that waits.
 func TestUnansweredMaintenanceLeavesRoomToTaskWithLabel(t *testing.T) {
