workload: keep maintenance for which a full pool only has to wait in turn

Since the release of workers for tasks that no usable worker could run now, maintenance whose requests failed was postponed by 5 s, and with it the whole wave, whenever the pool was full of ordinary tasks.

Tasks in a pool that is full of ordinary tasks get their turn when these end, so the reservation doesn't withhold anything for good. The worker is released for those that a usable worker couldn't run even then: for want of a label, beside long-running tasks, or by a denial of the adviser. The pause of all maintenance after that isn't needed any more; TestMaintenanceThatIsRejectedStopsRunsOnce passes without it.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -54,9 +54,6 @@
 	// triedAt is when a pool last got an instance for steps that the adviser has denied workers.
 	triedAt      map[string]time.Duration
 	startClockMs int64 // the ledger's clock when this leader started
-	// maintainAfter is the time before which no maintenance starts, unless the platform carries out an operation, because
-	// it carried out none while a task waited.
-	maintainAfter time.Duration
 	// maybeMaintained holds the instances whose maintenance may have been carried out without this leader knowing.
 	maybeMaintained map[waveInstance]bool
 	unrecorded      []*maintenanceRecord
@@ -314,16 +311,11 @@
 	return true
 }
 
-// postponeOperation gives up an operation that is held up. If its requests failed, those for other instances would most
-// likely fail too, and their runs would be stopped in vain.
+// postponeOperation gives up an operation that is held up.
 func (e *Engine) postponeOperation(in *instance) {
-	op := in.operation
-	if in.awaitsReady = op.awaitsReady; !in.awaitsReady {
+	if in.awaitsReady = in.operation.awaitsReady; !in.awaitsReady {
 		in.maintainAfter = e.now + heldUpRetryDelay
 	}
-	if op.retryAt > 0 {
-		e.fleet.maintainAfter = e.now + heldUpRetryDelay
-	}
 	in.operation = nil
 }
 
@@ -401,7 +393,6 @@
 	gone := false
 	switch o {
 	case Accepted:
-		e.fleet.maintainAfter = 0
 		away := e.cfg.MoveDuration
 		if op.wave > 0 {
 			away = e.cfg.MaintenanceDuration
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -42,7 +42,7 @@
 			Maintained: &workloadpb.Maintained{Wave: w.Number, Gone: gone},
 		}})
 	}
-	for busy < int(w.Cap) && e.now >= f.maintainAfter {
+	for busy < int(w.Cap) {
 		in := e.nextForMaintenance(w)
 		if in == nil {
 			return
@@ -236,7 +236,8 @@
 }
 
 // couldRunWaitingTask reports whether a worker that answers has free capacity for a long-running task that waits. Once a
-// request for the operation has failed, ordinary tasks count too if no usable worker could run them.
+// request for the operation has failed, ordinary tasks count too, but for those that a usable worker could run now or when
+// other ordinary tasks have ended.
 func (e *Engine) couldRunWaitingTask(op *operation, s *session) bool {
 	if s.failures > 0 || s.worker.IsDraining() {
 		return false
@@ -246,6 +247,11 @@
 	if op.retryAt > 0 {
 		usable = e.usableWorkers(s.worker.Pool())
 	}
+	fitsElsewhere := func(st *ledger.StepRun) bool {
+		return slices.ContainsFunc(usable, func(w *schedule.Worker) bool {
+			return in.Misfit(st, w, w.Capacity().Minus(w.LongRunningUsage), 0) == ""
+		})
+	}
 	for _, j := range e.state.ActiveJobs() {
 		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
 			continue
@@ -256,9 +262,8 @@
 					e.rejections.isDelayed(st, e.now) {
 					continue
 				}
-				assigned := schedule.TasksOnWorkers(st)
-				fits := func(w *schedule.Worker) bool { return in.Misfit(st, w, w.Free(), assigned[w.Number()]) == "" }
-				if fits(v) && (st.Step.Lasting || !slices.ContainsFunc(usable, fits)) {
+				if in.Misfit(st, v, s.worker.Free(), schedule.TasksOnWorkers(st)[s.worker.Number()]) == "" &&
+					(st.Step.Lasting || !fitsElsewhere(st)) {
 					return true
 				}
 			}
@@ -271,8 +276,8 @@
 func (e *Engine) usableWorkers(pool string) []*schedule.Worker {
 	var list []*schedule.Worker
 	for _, w := range e.state.Workers() {
-		if w.Pool() == pool && e.isUsable(e.sessions[w.Number()]) {
-			list = append(list, &schedule.Worker{Worker: w})
+		if s := e.sessions[w.Number()]; w.Pool() == pool && e.isUsable(s) {
+			list = append(list, s.schedulerView())
 		}
 	}
 	return list
