workload: requested maintenance of a worker that shows life is no crash

Callers could see an innocent job fail: the system itself had the instance of a worker maintained that answered no requests, and counted that as a crash under the runs that still stood on it.

Cause: the end of an incarnation by an operation on its instance was proposed in the same way as that of one that another incarnation had replaced: as a loss without notice.

A worker that has answered, or sent a heartbeat, after an answer was overdue had not crashed until then; its losses are dropped now when an operation on its instance is accepted.

Weighed: a worker that is silent in both directions stays a loss. An answer to an operation that was lost, or one that may repeat an earlier operation, doesn't change the losses either: the next heartbeat then shows a crash.

TestCrashesAroundMaintenanceKeepLimit: tasks that crash workers while all instances of the pool are maintained.

--- a/internal/workload/crash_evidence_test.go
+++ b/internal/workload/crash_evidence_test.go
@@ -174,3 +174,30 @@
 	}})
 	assert.Equal(t, len(task.Losses()), 0)
 }
+
+// Guards against maintenance that passes for a crash under the tasks of a worker that was cut off, before or after its
+// runs were given up.
+func TestMaintenanceOfCutOffWorkerIsNoCrash(t *testing.T) {
+	for _, cutOffFor := range []time.Duration{0, 7 * time.Second} {
+		t.Run(cutOffFor.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			w := s.addWorkers("glass", 1)[0]
+			w.stuck = true
+			s.keepsID = func(string) bool { return true }
+			s.run(time.Second)
+			s.submit("glass", "innocent", step(1, 1000, 1000, 1000))
+			s.run(time.Second)
+			w.unreachable = true
+			s.run(cutOffFor)
+			s.startWave(1, 1, "m-glass-0")
+			task := &s.e.State().JobByID("innocent").Occurrences()[0].Steps[0].Tasks[0]
+			for end := s.now + 8*time.Second; s.now < end; s.run(simStep) {
+				for _, l := range task.Losses() {
+					assert.Assert(t, !l.Crashed, "%v", l)
+				}
+			}
+			assert.Assert(t, w.dead)
+		})
+	}
+}
--- a/internal/workload/crash_variants_test.go
+++ b/internal/workload/crash_variants_test.go
@@ -125,6 +125,41 @@
 	}
 }
 
+// Guards against a task that goes on crashing workers, because the instances of some of them are maintained before they
+// boot again.
+func TestCrashesAroundMaintenanceKeepLimit(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		deadly *workloadpb.Step
+	}{{"ordinary", step(3, 880, 1000, 800)}, {"lasting", lasting(1, 2000, 1000)}} {
+		for _, atCrash := range []int{0, 1, 2, 3} {
+			t.Run(fmt.Sprintf("%s/%d", tt.name, atCrash), func(t *testing.T) {
+				s := newLossSim(t, 8)
+				var wave []string
+				for i := range 8 {
+					wave = append(wave, fmt.Sprintf("m-glass-%d", i))
+				}
+				start := func() { s.startWave(1, 2, wave...) }
+				s.run(time.Second)
+				s.onCrash = func(task string) {
+					if s.crashes[task] == atCrash {
+						start()
+					}
+				}
+				s.submit("glass", "deadly", tt.deadly)
+				if atCrash == 0 {
+					start()
+				}
+				s.runBusy(60*time.Second, 600*time.Millisecond, nil)
+				s.run(10 * time.Second)
+				assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
+				assert.Assert(t, s.waveCompleted(1))
+				s.assertCompleted()
+			})
+		}
+	}
+}
+
 // Guards against innocent jobs that fail in a pool with few workers, one of which crashes again and again by itself.
 func TestFlappingWorkerOfSmallPoolFailsNoJob(t *testing.T) {
 	for _, workers := range []int{2, 3, 4} {
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -113,12 +113,12 @@
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
 	case OtherIncarnation:
-		e.endIncarnation(s, "another incarnation answered a lease renewal")
+		e.endReplaced(s, "lease renewal")
 		s.nextRenewalAt = e.now + proposalTimeout
 	case Withheld:
 		s.nextRenewalAt = e.now + minRetryDelay
 	default:
-		e.recordFailure(s, "hold", ev.Outcome)
+		e.recordFailure(s, "hold", ev.Outcome, ev.SentAt+ev.Request.Wait)
 		s.nextRenewalAt = e.now + s.retryDelay()
 	}
 }
@@ -287,7 +287,7 @@
 		e.recordAnswer(s, a)
 	}
 	if a.Outcome == OtherIncarnation {
-		e.endIncarnation(s, "another incarnation answered a request")
+		e.endReplaced(s, "request")
 	}
 	if r != nil {
 		r.requestInFlight = false
@@ -326,7 +326,7 @@
 	case OtherIncarnation:
 		r.retryAt = e.now + proposalTimeout
 	default:
-		e.recordFailure(s, "start", ev.Outcome)
+		e.recordFailure(s, "start", ev.Outcome, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
 	}
 }
@@ -352,7 +352,7 @@
 	case OtherIncarnation:
 		r.retryAt = e.now + proposalTimeout
 	case NoAnswer, Unreachable:
-		e.recordFailure(s, "stop", ev.Outcome)
+		e.recordFailure(s, "stop", ev.Outcome, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
 	default:
 		r.retryAt = e.now + maxRetryDelay
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -402,7 +402,7 @@
 		if s := e.sessions[op.incarnation]; s != nil && op.maybeRepeated {
 			e.doubt(s)
 		} else if s != nil {
-			e.endIncarnation(s, "its instance is moved or maintained")
+			e.endByOperation(s)
 		}
 	case Malformed, NotFound:
 		gone = true
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -154,12 +154,12 @@
 }
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
-	if !m.Lost {
-		s.forgetLosses(m.Id, m.BornMs)
-	}
 	if w := s.WorkerByID(m.Id); w != nil && w.info.BornMs == m.BornMs {
 		s.removeWorker(w, m.Lost)
 	}
+	if !m.Lost {
+		s.forgetLosses(m.Id, m.BornMs)
+	}
 }
 
 func (s *State) applyLeaseSuspension(m *workloadpb.LeaseSuspension) {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -88,6 +88,7 @@
 
 	failures              int
 	failingSince          time.Duration
+	unansweredAt          time.Duration // the answer to the first request that failed was due
 	lastAnswerAt          time.Duration
 	mustAnswer            bool // gets no new runs until it answers a request
 	hasUnassignedRuns     bool // lists runs that are not assigned to it
@@ -254,10 +255,11 @@
 	s.recordClock(a.ClockMs, a.EndedAt)
 }
 
-func (e *Engine) recordFailure(s *session, request string, o Outcome) {
+// recordFailure records that a request, whose answer was due at a time, failed.
+func (e *Engine) recordFailure(s *session, request string, o Outcome, due time.Duration) {
 	s.failures++
 	if s.failures == 1 {
-		s.failingSince = e.now
+		s.failingSince, s.unansweredAt = e.now, due
 		e.cfg.Log.Info("request to worker failed", "worker", s.worker.ID(), "boot", s.worker.Number(), "order", request,
 			"outcome", o.String(), "runs", len(s.runs), "lease-ends-in", (s.leasesExpireBy - e.now).String())
 	}
@@ -267,14 +269,24 @@
 	return min(minRetryDelay*time.Duration(max(s.failures, 1)), maxRetryDelay)
 }
 
-// endIncarnation proposes to record that the incarnation of a session has ended, for the given reason. Its runs may have
-// crashed it before that.
-func (e *Engine) endIncarnation(s *session, reason string) {
+// endReplaced proposes to record that the incarnation of a session has ended, because another one answered a request.
+// Its runs may have crashed it.
+func (e *Engine) endReplaced(s *session, request string) {
+	e.endIncarnation(s, "another incarnation answered a "+request, &workloadpb.Leave{Lost: true})
+}
+
+// endByOperation proposes to record that an operation on the instance has ended the incarnation of a session. Its runs may
+// have crashed it before, unless it has given a sign of life since it stopped answering.
+func (e *Engine) endByOperation(s *session) {
+	silent := max(s.confirmedAt, s.capacityKnownAt) <= s.unansweredAt
+	e.endIncarnation(s, "its instance is moved or maintained", &workloadpb.Leave{Lost: silent})
+}
+
+func (e *Engine) endIncarnation(s *session, reason string, m *workloadpb.Leave) {
+	m.Id, m.BornMs = s.worker.ID(), s.worker.StartedMs()
 	e.cfg.Log.Info("ending incarnation of a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
 		"reason", reason, "runs", len(s.runs))
-	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-		Leave: &workloadpb.Leave{Id: s.worker.ID(), BornMs: s.worker.StartedMs(), Lost: true},
-	}})
+	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: m}})
 }
 
 // doubt records that the incarnation of a session may have ended, and asks the worker.
