ledger: don't hold a long-running task after its fourth loss

Cause: after four losses a task waits up to 15 s until it is known whether the last worker crashed, so that crashes don't stay hidden behind slow boots. A long-running task must run 9 s after its last run, and giving up the run takes five of them.

Long-running tasks wait from the fifth loss on. The start after four losses is the second after three crashes at most, which the rule allows; the one after five may break it, and a task that has lost five workers in a row without proving harmless in between hardly ever has no part in that. So it still waits there, up to 15 s, also if its last worker is lost for good. Ruled out: a shorter wait after four losses, which shows no more crashes than the five seconds until the run is given up, and no wait at all, with which slow boots break the limit of crashes.

TestLongRunningTaskStartsThoughItsLastWorkerIsLostForGood on the code before: crash_evidence_test.go:137: waited for 19.9 s, allowed are 9 s

--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -16,9 +16,11 @@
 	minCrashes         = 3
 	minIsolatedCrashes = 2
 	// openLosses is the number of losses from which a task waits until the last one is known to be a crash, at most
-	// maxOpenMs.
-	openLosses = 4
-	maxOpenMs  = 15_000
+	// maxOpenMs. Long-running tasks, whose restart can't be put off for long, wait from longRunningOpenLosses on: no further
+	// start is allowed then, if all of them are crashes.
+	openLosses            = 4
+	longRunningOpenLosses = 5
+	maxOpenMs             = 15_000
 )
 
 // LossEvent is a change of what is known about the losses of a task.
@@ -64,8 +66,11 @@
 // AwaitsCause reports whether the task shouldn't start again until it is known why its last worker was lost. The time is
 // that of the ledger's clock in milliseconds.
 func (t *Task) AwaitsCause(clockMs int64) bool {
-	n := len(t.losses)
-	if n < openLosses {
+	n, from := len(t.losses), openLosses
+	if t.step.Step.Lasting {
+		from = longRunningOpenLosses
+	}
+	if n < from {
 		return false
 	}
 	l := t.losses[n-1]
