workload: stop ordinary runs also where maintenance was held up until just now

Callers would see runs of ordinary tasks lost, as they work on while their instance goes out of service.

Cause: while long-running tasks hold maintenance up, ordinary runs aren't stopped. Whether they hold it up was taken from the pass before; if the long-running task had ended since, no run was left to wait for, and maintenance was requested.

Ordinary runs that could be stopped now have to be gone in any case.

TestMaintenanceThatIsNoLongerHeldUpEndsNoRuns on the code before:

review_test.go:42: assertion failed: 1 (int) != 0 (int)

--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -128,8 +128,9 @@
 func (e *Engine) evacuate(in *instance, s *session) bool {
 	op := in.operation
 	timedOut := e.now-op.createdAt >= drainTimeout
-	stop := timedOut && s.failures == 0 && !op.lacksRoom && !op.awaitsReady &&
+	mayStop := timedOut && s.failures == 0 &&
 		(!e.fleet.maybeMaintained[waveInstance{op.wave, in.Name}] || in.outlivedBy == s.worker.Number())
+	stop := mayStop && !op.lacksRoom && !op.awaitsReady
 	free := true
 	for _, r := range s.runs {
 		if r.task.Step().Step.Lasting {
@@ -160,7 +161,7 @@
 		}
 	}
 	op.awaitsReady = op.awaitsReady && !stopping
-	return free && len(s.longRunningCounts()) == 0 && (!stop || len(s.worker.Runs()) == 0)
+	return free && len(s.longRunningCounts()) == 0 && (!mayStop || len(s.worker.Runs()) == 0)
 }
 
 // mayMiss reports whether a long-running task may be unavailable now.
