workload: release runs that wait for the heartbeats of their worker

Callers would see a long-running task wait beside a free worker, because its run was assigned to one that answers, but whose heartbeats are lost: the start waited for them without a bound.

--- a/internal/workload/release.go
+++ b/internal/workload/release.go
@@ -2,11 +2,11 @@
 
 import "github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 
-// releaseUnstartableRuns gives up the runs that have not started and mustn't any more, because their worker leaves or its
-// capacity has shrunk since they were assigned. Runs that have started stay.
+// releaseUnstartableRuns gives up the runs that have not started and mustn't any more, because their worker leaves, sends
+// no heartbeats, or its capacity has shrunk since they were assigned. Runs that have started stay.
 func (e *Engine) releaseUnstartableRuns(s *session) {
 	switch {
-	case s.worker.IsDraining():
+	case s.worker.IsDraining() || s.failures == 0 && e.isCapacityOutdated(s):
 		for _, r := range s.sortedRuns((*run).isAwaitingStart) {
 			e.releaseRun(s, r)
 		}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -309,7 +309,14 @@
 // knowsCapacity reports whether the capacity of a worker is recent enough to start runs on it. A worker that answers may
 // have changed its capacity since its last heartbeat.
 func (e *Engine) knowsCapacity(s *session) bool {
-	return s.capacityKnownAt > 0 && e.now-s.capacityKnownAt <= maxMissedHeartbeats*e.cfg.HeartbeatInterval+heartbeatDelay
+	return s.capacityKnownAt > 0 && !e.isCapacityOutdated(s)
+}
+
+// isCapacityOutdated reports whether the capacity of a worker is too old to start runs on it. A new leader waits as long
+// for the first heartbeat of a worker.
+func (e *Engine) isCapacityOutdated(s *session) bool {
+	age := e.now - max(s.capacityKnownAt, e.leadingSince)
+	return age > maxMissedHeartbeats*e.cfg.HeartbeatInterval+heartbeatDelay
 }
 
 // isUsable reports whether a worker may take new runs.
