workload: limit the growth of pools only for steps that are denied everywhere

Callers would see long-running tasks wait beside spare instances, because the adviser had denied their step one worker: all its tasks counted as one, every 10 s.

A step counts as denied only if the adviser allows it none of the workers that it was asked about. A pool that gets one instance for it learns whether others would help.

TestTasksThatTheAdviserDeniesOneWorkerGetInstances on the code before:

review_test.go:183: assertion failed: 6 (int) != 8 (int)

It passes now, and so does TestTaskThatTheAdviserDeniesTakesNoInstances.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -170,17 +170,17 @@
 	return !a.denies(s, w.Number())
 }
 
-// hasDenied reports whether the adviser has denied a step a worker.
-func (a *advice) hasDenied(s *ledger.StepRun) bool {
-	if a.steps[s] == nil {
+// deniesAll reports whether the adviser has denied a step each worker that it was asked about.
+func (a *advice) deniesAll(s *ledger.StepRun) bool {
+	if a.steps[s] == nil || len(a.steps[s].answers) == 0 {
 		return false
 	}
 	for _, answer := range a.steps[s].answers {
-		if answer.ticket == "" {
-			return true
+		if answer.ticket != "" {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 func (a *advice) ticket(s *ledger.StepRun, incarnation uint64) string {
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -51,7 +51,7 @@
 	noSurplusAt  map[string]time.Duration // when a pool last had no more instances than it needs
 	// unplacedSince is the time since which a pool has had a long-running task without a worker.
 	unplacedSince map[string]time.Duration
-	// triedAt is when a pool last got an instance for steps that the adviser has denied workers.
+	// triedAt is when a pool last got an instance for steps that the adviser has denied each worker.
 	triedAt      map[string]time.Duration
 	startClockMs int64 // the ledger's clock when this leader started
 	// maybeMaintained holds the instances whose maintenance may have been carried out without this leader knowing.
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -30,7 +30,7 @@
 	// instance.
 	unplacedGrowDelay = 600 * time.Millisecond
 	// adviserTrialInterval is the time between instances that a pool gets for long-running steps that the adviser has denied
-	// workers. Whether it allows one is known only once its worker is in the pool.
+	// each worker. Whether it allows one is known only once its worker is in the pool.
 	adviserTrialInterval = 10 * time.Second
 	// minPoolInstances is the minimum number of instances of each pool except the spare pool.
 	minPoolInstances = 1
@@ -50,7 +50,7 @@
 	want      int
 	// unplaced holds the long-running steps with tasks that wait for a worker, or for another one before maintenance.
 	unplaced []*ledger.StepRun
-	// unplacedTasks is the number of these tasks, where all of those that the adviser has denied workers count as one.
+	// unplacedTasks is the number of these tasks, where all of those that the adviser has denied each worker count as one.
 	// deniedTasks reports whether there are such tasks.
 	unplacedTasks int
 	deniedTasks   bool
@@ -60,7 +60,7 @@
 
 func (e *Engine) addUnplaced(v *poolView, st *ledger.StepRun, tasks int) {
 	v.unplaced = append(v.unplaced, st)
-	if tasks == 0 || !e.advice.hasDenied(st) {
+	if tasks == 0 || !e.advice.deniesAll(st) {
 		v.unplacedTasks += tasks
 		return
 	}
