ledger: apply assignments of earlier versions as these did

Assignments without the mark of this version (records_losses) are checked by the earlier rule.

TestAssignmentOfEarlierVersionToShrunkWorkerIsRejected on the code before:

review_test.go:49: assertion failed: 1 (int) != 0 (int)

--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -180,7 +180,7 @@
 func (s *State) applyAssign(m *workloadpb.Assign) {
 	for _, a := range m.Assignments {
 		k := runKeyOf(a.Subtask, a.Run)
-		if t := s.findTask(k); t != nil && s.mayAssign(t, a) {
+		if t := s.findTask(k); t != nil && s.mayAssign(t, a, m.RecordsLosses) {
 			r := ActiveRun{Run: k.Run, Worker: s.workers[a.Worker], Isolated: a.Isolated}
 			if m.RecordsLosses {
 				r.assignedMs = max(s.clockMs, 1)
@@ -191,8 +191,9 @@
 	s.markChanged()
 }
 
-// mayAssign repeats the checks of the scheduler, because the state may have changed since the command was proposed.
-func (s *State) mayAssign(t *Task, a *workloadpb.Assignment) bool {
+// mayAssign repeats the checks of the scheduler, because the state may have changed since the command was proposed. Earlier
+// versions, which don't record losses, compare resources that a task doesn't need with what is free, too.
+func (s *State) mayAssign(t *Task, a *workloadpb.Assignment, recordsLosses bool) bool {
 	w := s.workers[a.Worker]
 	step := t.step.Step
 	j := t.step.Occurrence.Job
@@ -202,7 +203,8 @@
 	if len(t.ActiveRuns) > 0 && !step.Speculative {
 		return false
 	}
-	if p := s.pools[w.Pool()]; p != nil && !RequiredCapacity(step).Within(w.Free()) {
+	required := RequiredCapacity(step)
+	if s.pools[w.Pool()] != nil && !(required.Within(w.Free()) && (recordsLosses || required.WithinEach(w.Free()))) {
 		return false
 	}
 	quota := ResourcesOf(s.accounts[j.Account].GetAllowance())
--- a/internal/workload/ledger/resources.go
+++ b/internal/workload/ledger/resources.go
@@ -44,6 +44,11 @@
 		(r.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
 }
 
+// WithinEach reports whether r is at most limit for each resource.
+func (r Resources) WithinEach(limit Resources) bool {
+	return r.CPU <= limit.CPU && r.Memory <= limit.Memory && r.Accelerators <= limit.Accelerators
+}
+
 // WithinQuota reports whether r is at most limit for each resource; zero fields of limit are unlimited.
 func (r Resources) WithinQuota(limit Resources) bool {
 	return (limit.CPU == 0 || r.CPU <= limit.CPU) && (limit.Memory == 0 || r.Memory <= limit.Memory) &&
