--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -204,7 +204,8 @@
 		return false
 	}
 	required := RequiredCapacity(step)
-	if s.pools[w.Pool()] != nil && !(required.Within(w.Free()) && (recordsLosses || required.WithinEach(w.Free()))) {
+	fits := required.Within(w.Free()) && (recordsLosses || required.WithinEach(w.Free()))
+	if s.pools[w.Pool()] != nil && !fits {
 		return false
 	}
 	quota := ResourcesOf(s.accounts[j.Account].GetAllowance())
