schedule: let long-running tasks start beside ones that prefer isolation

Cause: only j4 had a task with three losses, which must be isolated. The tasks of the others, j6 included, had two and only prefer it, but an isolated run keeps its worker from other jobs whether it must be isolated or not.

Now such a task isn't isolated where another long-running task of the same scheduling pass would have no room otherwise; both start. What it costs: the crash of a task among these counts as one, but not as one under an isolated run, so the task may crash five workers instead of four, as in the cases before that had no free worker. It must be isolated after that, so that the two starts that the rule allows after three crashes decide. Isolated tasks of earlier passes keep their workers.

--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -185,3 +185,35 @@
 	}
 	assert.Equal(t, s.running("last"), 2)
 }
+
+// Guards against long-running tasks that start one after the other, because each prefers to run alone on the only worker.
+func TestPreferredIsolationLeavesRoomToLongRunningTasks(t *testing.T) {
+	const jobs = 6
+	for _, deadly := range []bool{false, true} {
+		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 1)
+			s.run(time.Second)
+			for i := range jobs {
+				s.submit("glass", fmt.Sprintf("last-%d", i), lasting(1, 1000, 1000))
+			}
+			for range 2 {
+				s.run(500 * time.Millisecond)
+				s.crash(s.workers[s.instances["m-glass-0"].Worker], 2*time.Second)
+				s.run(2*time.Second + simStep)
+			}
+			if deadly {
+				s.isDeadly = func(task string) bool { return task == "deadly.0.0.0" }
+				s.submit("glass", "deadly", lasting(1, 1000, 1000))
+				s.run(60 * time.Second)
+				assert.Equal(t, s.jobState("glass", "deadly"), string(ledger.Failed))
+			} else {
+				s.run(lostWindow)
+			}
+			for i := range jobs {
+				assert.Equal(t, s.running(fmt.Sprintf("last-%d", i)), 1)
+			}
+		})
+	}
+}
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// releasePreferred returns a worker with room for a task of a long-running step that the pass keeps for tasks which only
+// prefer to be isolated, and lets others run beside these; nil if there is none. Otherwise many such tasks would start one
+// after the other.
+func (p *pass) releasePreferred(g *taskGroup, workers []*Worker) *Worker {
+	var best *Worker
+	for _, w := range workers {
+		if len(w.preferring) > 0 && p.in.Misfit(g.step, w, w.free, g.tasksOnWorker[w.Number()]) == "" &&
+			(best == nil || g.isBetter(w, best)) {
+			best = w
+		}
+	}
+	if best != nil {
+		for _, a := range best.preferring {
+			a.Isolated = false
+		}
+		best.keptFor, best.preferring = 0, nil
+	}
+	return best
+}
+
 // canHold reports whether the workers have room for n tasks of the group.
 func (p *pass) canHold(g *taskGroup, workers []*Worker, n int) bool {
 	for _, w := range workers {
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -23,6 +23,8 @@
 	// lost workers. keptFor is the only job that the worker takes tasks of, 0 if it takes any.
 	unproven, suspects map[uint64]int
 	keptFor            uint64
+	// preferring holds the assignments of the pass that are isolated only because their tasks prefer it.
+	preferring []*workloadpb.Assignment
 
 	free ledger.Resources
 	// reserved is kept for long-running tasks that wait. It may exceed free, as it includes capacity that ordinary tasks
@@ -179,10 +181,14 @@
 			previous = lastRun
 		}
 		key := t.Key(previous + 1)
-		p.assignments = append(p.assignments, &workloadpb.Assignment{
+		a := &workloadpb.Assignment{
 			Subtask: key.TaskMessage(), Worker: w.Number(), Run: key.Run, Isolated: g.isIsolatedOn(t, w),
-		})
-		w.AddUnproven(t, g.isIsolatedOn(t, w))
+		}
+		p.assignments = append(p.assignments, a)
+		if a.Isolated && !g.isolated && (w.keptFor == 0 || len(w.preferring) > 0) {
+			w.preferring = append(w.preferring, a)
+		}
+		w.AddUnproven(t, a.Isolated)
 	}
 	account, need := s.Occurrence.Job.Account, ledger.ResourcesOf(s.Step.Need)
 	p.plannedUsage[account] = p.plannedUsage[account].Plus(need.Times(len(chosen)))
@@ -253,6 +259,9 @@
 				best = w
 			}
 		}
+		if best == nil && s.Step.Lasting && !g.isolated {
+			best = p.releasePreferred(g, workers)
+		}
 		if best == nil {
 			for s.Step.Lasting && !g.isolated && len(chosen)+len(reserved) < n {
 				w := p.reserveWorker(g, workers, required)
