workload: log workers that are kept for isolated tasks that wait

The log line "long-running tasks don't run" showed has-room for a worker that the scheduler kept for a task which had yet to start isolated. It knew the runs that are isolated already, but not what the last scheduling pass kept. The line and its counter show kept-for-isolated-run for these workers now.

On the old code: --- FAIL: TestKeptWorkerIsNotLoggedAsRoom/200ms isolation_test.go:247: assertion failed: 6 (reasons["has-room"] int) != 0 (int): map[has-room:6 kept-for-isolated-run:16 unreachable:44] and /300ms to /700ms in the same way.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -74,6 +74,7 @@
 	assignPending         bool
 	plannedAt             time.Duration
 	plannedChanges        uint64
+	keptFor               map[uint64]uint64 // job that the last scheduling pass kept a worker for, by incarnation
 	jobsExpiredAt         time.Duration
 	occurrencesProposedAt time.Duration
 	inherited             inheritedLeases
@@ -279,7 +280,7 @@
 	if e.state.Changes() == e.plannedChanges && e.now-e.plannedAt < replanInterval {
 		return
 	}
-	e.plannedAt, e.plannedChanges = e.now, e.state.Changes()
+	e.plannedAt, e.plannedChanges, e.keptFor = e.now, e.state.Changes(), map[uint64]uint64{}
 	e.rejections.removeEnded()
 	in := schedule.Input{
 		State: e.state, NowMs: e.wallClockMs(), ClockMs: e.state.ClockAt(e.term, e.now.Milliseconds()),
@@ -301,6 +302,9 @@
 		}
 	}
 	list := schedule.Plan(in)
+	for _, w := range in.Workers {
+		e.keptFor[w.Number()] = w.KeptFor()
+	}
 	if len(list) == 0 {
 		return
 	}
--- a/internal/workload/isolation_test.go
+++ b/internal/workload/isolation_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
@@ -217,3 +218,33 @@
 		})
 	}
 }
+
+// Guards against a log that shows room on a worker that is kept for an isolated task which waits.
+func TestKeptWorkerIsNotLoggedAsRoom(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			s := newSim(t)
+			reasons := map[string]int{}
+			s.e.Configure(workload.Config{
+				WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxLease: s.maxLease,
+				IncrementCounter: func(name, _, value string) {
+					if name == "hibiscusroute_long_running_waits_total" {
+						reasons[value]++
+					}
+				},
+			})
+			s.configure(1, nil, "glass")
+			s.addWorkers("glass", 3)
+			s.run(time.Second + phase)
+			s.onCrash = func(string) { s.rebootTime = time.Hour }
+			s.loseWorkers(t, 2, "lost", "", step(1, 1000, 1000, 60_000))
+			for i := range 100 {
+				s.submit("glass", fmt.Sprintf("small-%d", i), step(1, 100, 100, 3000))
+				s.submit("glass", fmt.Sprintf("last-%d", i), lasting(1, 10, 10))
+				s.run(100 * time.Millisecond)
+			}
+			assert.Assert(t, reasons["kept-for-isolated-run"] > 0, "%v", reasons)
+			assert.Equal(t, reasons["has-room"], 0, "%v", reasons)
+		})
+	}
+}
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -106,6 +106,9 @@
 	return n
 }
 
+// KeptFor returns the number of the only job that the worker takes tasks of, 0 if it takes any.
+func (w *Worker) KeptFor() uint64 { return w.keptFor }
+
 // IsKeptFromJob reports whether the worker takes no tasks of a job, because it is kept for another one.
 func (w *Worker) IsKeptFromJob(job uint64) bool { return w.keptFor != 0 && w.keptFor != job }
 
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -73,8 +73,9 @@
 		ws := e.sessions[w.Number()]
 		reason := e.exclusion(ws)
 		if reason == "" {
-			v := ws.schedulerView()
-			if reason = in.Misfit(s, v, w.Free(), assigned[w.Number()]); reason == "" && v.IsKeptFromJob(j.Number) {
+			v, keptFor := ws.schedulerView(), e.keptFor[w.Number()]
+			reason = in.Misfit(s, v, w.Free(), assigned[w.Number()])
+			if reason == "" && (v.IsKeptFromJob(j.Number) || keptFor != 0 && keptFor != j.Number) {
 				reason = "kept-for-isolated-run"
 			}
 		}
