--- a/internal/workload/rejection.go
+++ b/internal/workload/rejection.go
@@ -8,8 +8,8 @@
 
 const (
 	// minRejectionDelay and maxRejectionDelay bound the time for which the tasks of a step aren't assigned after a worker
-	// rejected the start of one of them as malformed. At most it is longer than workers are excluded after that, so that other jobs get
-	// their turn, and far shorter than users let long-running tasks wait.
+	// rejected the start of one of them as malformed. The longest delay is longer than workers are excluded after that, so
+	// that other jobs get their turn, and far shorter than long-running tasks may wait.
 	minRejectionDelay = 100 * time.Millisecond
 	maxRejectionDelay = 2 * maxRetryDelay
 	// rejectionMemory is the time after the delay for which a rejection makes the next delay longer, and keeps the pool from
