--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,10 +23,10 @@
 	"replaced-core":    {10, 3, playReplacedCore},
 	"restarted-worker": {10, 3, playRestartedWorker},
 	"renamed-route":    {10, 3, playRenamedRoute},
+	"new-machine":      {10, 3, playNewMachine},
 	"pending":          {10, 3, playPending},
 	"other-writer":     {10, 3, playOtherWriter},
 	"gang":             {10, 3, playGang},
-	"late-submission":  {10, 3, playLateSubmission},
 	"deadly":           {10, 3, playDeadly},
 }
 
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -33,6 +33,8 @@
 	life    *life
 	lives   int
 	history []*run
+	// state is that of its machine; empty means up, "none" that there is no such machine yet.
+	state string
 	// sheds makes the worker unhealthy: it answers starts with 503 and does nothing.
 	sheds bool
 	// fails makes all runs that it starts fail shortly after.
@@ -89,6 +91,39 @@
 	w.d.rec.logf("worker %s fails all that it starts: %v", w.name, fails)
 }
 
+// machine returns the row of its machine in the platform's list, nil if there is none.
+func (w *worker) machine() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state == "none" {
+		return nil
+	}
+	row := map[string]any{
+		"machine": "m-" + w.name, "pool": w.d.pool, "state": "up", "zone": "bole", "labels": w.labels(),
+		"capacity": w.capacity, "id": w.id,
+	}
+	if w.state != "" {
+		row["state"], row["id"] = w.state, ""
+	}
+	return row
+}
+
+func (w *worker) setState(state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = state
+}
+
+// bootAnew starts a life with another ID, and its machine is up.
+func (w *worker) bootAnew() {
+	w.mu.Lock()
+	w.id, w.state = "i-"+newID()[:10], ""
+	w.mu.Unlock()
+	if err := w.boot(); err != nil {
+		w.d.rec.logf("%v", err)
+	}
+}
+
 // boot starts a life of the worker. It first listens and then reports itself.
 func (w *worker) boot() error {
 	l, err := net.Listen("tcp", w.address)
@@ -206,7 +241,7 @@
 		body := f.heartbeat()
 		for range 2 * len(f.w.controls) {
 			n := f.w.controls[at%len(f.w.controls)]
-			status, err := postJSON(f.ctx, time.Second, "http://"+f.w.d.controlAddress(n)+"/Instances.Heartbeat/"+f.w.id, body)
+			status, err := postJSON(f.ctx, "http://"+f.w.d.controlAddress(n)+"/Instances.Heartbeat/"+f.w.id, body)
 			if err == nil && status/100 == 2 {
 				break
 			}
@@ -224,12 +259,13 @@
 	}
 }
 
-func postJSON(ctx context.Context, timeout time.Duration, url string, body any) (int, error) {
+// postJSON sends a body and returns the status; it waits a second for the answer.
+func postJSON(ctx context.Context, url string, body any) (int, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data)) //nolint:gosec // A loopback address.
 	if err != nil {
