--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,10 +48,15 @@
 	return &recorder{begin: time.Now(), file: f}, err
 }
 
+// taskName is the name of a subtask on the wire, ID.K.STEP.INDEX, parts of which can look like an address.
+var taskName = regexp.MustCompile(`([0-9a-f]{16})\.(\d+)\.(\d+)\.(\d+)`)
+
+// logf writes a line. The names of subtasks get slashes instead of points, so that only addresses look like addresses.
 func (r *recorder) logf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	line := fmt.Sprintf("%8.3f  ", time.Since(r.begin).Seconds()) + fmt.Sprintf(format, args...)
+	line := fmt.Sprintf("%8.3f  ", time.Since(r.begin).Seconds()) +
+		taskName.ReplaceAllString(fmt.Sprintf(format, args...), "$1/$2/$3/$4")
 	_, _ = fmt.Fprintln(r.file, line) // A lost line of the record doesn't change the result.
 }
 
