control: let a lost voter leave as soon as its replacement is ready

Callers got 503 for good and the configuration was gone after two machines of the core were replaced 8 s apart.

Cause: a caught-up learner was promoted at once, and a lost voter was removed 8 s after the current leader first missed it. In between the quorum was three of four voters, one of them lost, so that the next loss left no quorum for good. With two lost voters of five, the log rejected the removal of either.

Ruled out: a late join of the replacement.

The quorum isn't raised any more while a voter is missing: with an odd number of voters the lost one leaves first, 1 s after it was missed, and the replacement takes its place. Removing a voter that is missing never costs redundancy, so it needs a quorum of the others only.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -8,7 +8,6 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
-	"github.com/hibiscusroute/hibiscusroute/internal/maintenance"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
@@ -95,29 +94,6 @@
 	v.cfg.Record(timeline.Event{Kind: "member-change", Text: ch.Kind.String() + " " + ch.Member.Id})
 }
 
-// manageVoters promotes learners that have caught up and removes voters that are lost. A voter that lost its disk joins
-// again under the same name with a new identity; its old identity is removed once the new one is a voter.
-func (v *Voter) manageVoters() {
-	members := v.core.Status().Members
-	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
-	for _, m := range members {
-		if !m.Member.Voter && m.CaughtUp {
-			v.proposeMemberChange(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: m.Member})
-			return
-		}
-	}
-	for _, old := range members {
-		for _, m := range members {
-			replaced := m.Member.Name == old.Member.Name && m.Member.Id != old.Member.Id
-			if replaced && m.Member.Voter && m.CaughtUp && !old.CaughtUp {
-				v.proposeMemberChange(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: old.Member})
-				return
-			}
-		}
-	}
-	v.removeLostVoter(members)
-}
-
 // memberAddresses returns the peer addresses of the members.
 func (v *Voter) memberAddresses() []string {
 	var list []string
@@ -127,47 +103,6 @@
 	return list
 }
 
-// minVoters is the number of voters that the removal of lost voters leaves. A group of three tolerates the loss of one.
-const minVoters = 3
-
-// removeLostVoter removes a voter that has not been caught up for Config.RemoveLostAfter, such as one whose machine was
-// replaced by one with another address. Otherwise the lost voter would count towards the quorum size forever.
-func (v *Voter) removeLostVoter(members []raft.MemberStatus) {
-	voters := 0
-	var lost *raftpb.Member
-	for _, m := range members {
-		if !m.Member.Voter {
-			continue
-		}
-		voters++
-		since, ok := v.notCaughtUpSince[m.Member.Id]
-		switch {
-		case m.CaughtUp:
-			delete(v.notCaughtUpSince, m.Member.Id)
-		case !ok:
-			v.notCaughtUpSince[m.Member.Id] = v.now()
-		case v.now()-since >= v.cfg.RemoveLostAfter:
-			lost = m.Member
-		}
-	}
-	if v.cfg.RemoveLostAfter > 0 && lost != nil && voters > minVoters {
-		v.proposeMemberChange(&raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: lost})
-	}
-}
-
-// hasRedundancy reports whether the group can lose a voter now: it has at least three members, and all of them are
-// caught-up voters.
-func hasRedundancy(members []raft.MemberStatus) bool {
-	voters := 0
-	for _, m := range members {
-		if !m.Member.Voter || !m.CaughtUp {
-			return false
-		}
-		voters++
-	}
-	return voters >= 3
-}
-
 // publishVoters proposes the voters as the next membership of the at-most-once record if they have changed.
 func (v *Voter) publishVoters(members []raft.MemberStatus) {
 	var voters []*claimpb.Voter
--- /dev/null
+++ b/internal/control/membership.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/maintenance"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+const (
+	// minVoters is the number of voters that the removal of lost voters leaves. A group of three tolerates the loss of one.
+	minVoters = 3
+	// replaceLostAfter is how long a voter has not been caught up before it leaves the group where that costs no
+	// redundancy: where a learner takes its place, or where the number of voters is even, so that the quorum shrinks.
+	replaceLostAfter = time.Second
+)
+
+// manageVoters promotes learners that have caught up and removes voters that are lost.
+func (v *Voter) manageVoters() {
+	members := v.core.Status().Members
+	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
+	v.trackLostVoters(members)
+	if ch := chooseMemberChange(members, v.missingFor, v.cfg.RemoveLostAfter); ch != nil {
+		v.proposeMemberChange(ch)
+	}
+}
+
+// trackLostVoters records since when each voter has not been caught up.
+func (v *Voter) trackLostVoters(members []raft.MemberStatus) {
+	for _, m := range members {
+		if m.CaughtUp || !m.Member.Voter {
+			delete(v.notCaughtUpSince, m.Member.Id)
+		} else if _, ok := v.notCaughtUpSince[m.Member.Id]; !ok {
+			v.notCaughtUpSince[m.Member.Id] = v.now()
+		}
+	}
+}
+
+// missingFor returns how long a voter has not been caught up, as far as this leader knows.
+func (v *Voter) missingFor(id string) time.Duration {
+	if since, ok := v.notCaughtUpSince[id]; ok {
+		return v.now() - since
+	}
+	return 0
+}
+
+// chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing:
+// with a lost voter that still counts, a group of four doesn't tolerate the loss of one more member. A removeLostAfter
+// of 0 keeps lost voters, except those that joined again under the same name.
+func chooseMemberChange(
+	members []raft.MemberStatus, missingFor func(id string) time.Duration, removeLostAfter time.Duration,
+) *raftpb.MemberChange {
+	learner := findCaughtUpLearner(members)
+	voters := 0
+	var lost *raftpb.Member // the voter that has been missing for the longest time
+	for _, m := range members {
+		if !m.Member.Voter {
+			continue
+		}
+		voters++
+		if m.CaughtUp {
+			continue
+		}
+		if hasSuccessor(members, m.Member) {
+			return removal(m.Member)
+		}
+		if lost == nil || missingFor(m.Member.Id) > missingFor(lost.Id) {
+			lost = m.Member
+		}
+	}
+	odd := voters%2 == 1
+	if learner != nil && (removeLostAfter == 0 || lost == nil || !odd) {
+		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
+	}
+	if removeLostAfter == 0 || lost == nil || learner == nil && voters <= minVoters {
+		return nil
+	}
+	wait := removeLostAfter
+	if learner != nil || !odd {
+		wait = min(wait, replaceLostAfter)
+	}
+	if missingFor(lost.Id) < wait {
+		return nil
+	}
+	return removal(lost)
+}
+
+func removal(m *raftpb.Member) *raftpb.MemberChange {
+	return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: m}
+}
+
+func findCaughtUpLearner(members []raft.MemberStatus) *raftpb.Member {
+	for _, m := range members {
+		if !m.Member.Voter && m.CaughtUp {
+			return m.Member
+		}
+	}
+	return nil
+}
+
+// hasSuccessor reports whether the process of a voter has lost its disk and caught up again under a new identity.
+func hasSuccessor(members []raft.MemberStatus, old *raftpb.Member) bool {
+	for _, m := range members {
+		if m.Member.Name == old.Name && m.Member.Id != old.Id && m.CaughtUp {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRedundancy reports whether the group can lose a voter now: it has at least three members, and all of them are
+// caught-up voters.
+func hasRedundancy(members []raft.MemberStatus) bool {
+	voters := 0
+	for _, m := range members {
+		if !m.Member.Voter || !m.CaughtUp {
+			return false
+		}
+		voters++
+	}
+	return voters >= minVoters
+}
--- /dev/null
+++ b/internal/control/membership_test.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft"
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
+
+// Guards against a quorum that is raised while a voter is missing, against a lost voter that counts longer than its
+// replacement needs, and against the removal of a voter that is only restarting.
+func TestChooseMemberChange(t *testing.T) {
+	voter := func(name string, caughtUp bool) raft.MemberStatus {
+		return raft.MemberStatus{Member: &raftpb.Member{Id: "id-" + name, Name: name, Voter: true}, CaughtUp: caughtUp}
+	}
+	learner := func(id, name string, caughtUp bool) raft.MemberStatus {
+		return raft.MemberStatus{Member: &raftpb.Member{Id: id, Name: name}, CaughtUp: caughtUp}
+	}
+	ready, behind := learner("id-n", "n", true), learner("id-n", "n", false)
+	a, b, c, d, e := voter("a", true), voter("b", true), voter("c", true), voter("d", true), voter("e", true)
+	lostA, lostB := voter("a", false), voter("b", false)
+	const removeLostAfter = 8 * time.Second
+	tests := []struct {
+		name            string
+		members         []raft.MemberStatus
+		missingA        time.Duration
+		missingB        time.Duration
+		removeLostAfter time.Duration
+		want            string
+	}{
+		{"complete group", []raft.MemberStatus{a, b, c}, 0, 0, removeLostAfter, ""},
+		{"another process", []raft.MemberStatus{a, b, c, ready}, 0, 0, removeLostAfter, "promote id-n"},
+		{"process that is not caught up", []raft.MemberStatus{a, b, c, behind}, 0, 0, removeLostAfter, ""},
+		{"restart", []raft.MemberStatus{lostA, b, c}, time.Minute, 0, removeLostAfter, ""},
+		{"short absence beside a learner", []raft.MemberStatus{lostA, b, c, ready}, 900 * time.Millisecond, 0, removeLostAfter,
+			""},
+		{"replacement", []raft.MemberStatus{lostA, b, c, ready}, time.Second, 0, removeLostAfter, "remove id-a"},
+		{"replacement that is not caught up", []raft.MemberStatus{lostA, b, c, behind}, time.Minute, 0, removeLostAfter, ""},
+		{"after the removal", []raft.MemberStatus{b, c, ready}, 0, 0, removeLostAfter, "promote id-n"},
+		{"replacement that came first", []raft.MemberStatus{lostA, b, c, d}, time.Second, 0, removeLostAfter, "remove id-a"},
+		{"short absence in an even group", []raft.MemberStatus{lostA, b, c, d}, 900 * time.Millisecond, 0, removeLostAfter, ""},
+		{"two replacements, first", []raft.MemberStatus{lostA, lostB, c, d, e, ready}, 2 * time.Second, 3 * time.Second,
+			removeLostAfter, "remove id-b"},
+		{"two replacements, promotion", []raft.MemberStatus{lostA, c, d, e, ready}, 2 * time.Second, 0, removeLostAfter,
+			"promote id-n"},
+		{"no replacement", []raft.MemberStatus{lostA, b, c, d, e}, 7 * time.Second, 0, removeLostAfter, ""},
+		{"no replacement for long", []raft.MemberStatus{lostA, b, c, d, e}, removeLostAfter, 0, removeLostAfter, "remove id-a"},
+		{"lost disk", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, removeLostAfter, "remove id-a"},
+		{"lost disk, removal by hand only", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, 0,
+			"remove id-a"},
+		{"removal by hand only", []raft.MemberStatus{lostA, b, c, ready}, time.Minute, 0, 0, "promote id-n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			missing := map[string]time.Duration{"id-a": test.missingA, "id-b": test.missingB}
+			got := ""
+			missingFor := func(id string) time.Duration { return missing[id] }
+			if ch := chooseMemberChange(test.members, missingFor, test.removeLostAfter); ch != nil {
+				got = map[raftpb.ChangeKind]string{
+					raftpb.ChangeKind_CHANGE_KIND_PROMOTE: "promote ", raftpb.ChangeKind_CHANGE_KIND_REMOVE: "remove ",
+				}[ch.Kind] + ch.Member.Id
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -168,10 +168,27 @@
 	if m.Id == c.cfg.ID {
 		return ErrInvalid.New("member %s leads; transfer the leadership before its removal", m.Id)
 	}
+	if force {
+		return nil
+	}
+	caughtUp, remaining := 0, 0
 	for _, other := range c.members {
-		if !force && other.Voter && other.Id != m.Id && !c.isCaughtUp(other.Id) {
-			return ErrNotCaughtUp.New("voter %s is not caught up, so the removal of %s could cost the quorum", other.Id, m.Id)
+		if !other.Voter || other.Id == m.Id {
+			continue
 		}
+		remaining++
+		if c.isCaughtUp(other.Id) {
+			caughtUp++
+		}
+	}
+	// The removal of a voter that is missing itself never costs redundancy, as long as the others have a quorum.
+	required := remaining
+	if !c.isCaughtUp(m.Id) {
+		required = remaining/2 + 1
+	}
+	if caughtUp < required {
+		return ErrNotCaughtUp.New("%d of %d other voters are caught up, so the removal of %s could cost the quorum",
+			caughtUp, remaining, m.Id)
 	}
 	return nil
 }
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -285,3 +285,33 @@
 	w.propose("a")
 	assert.Assert(t, strings.HasSuffix(w.nodes[w.otherMember(l.cfg.ID)].state, "a"))
 }
+
+// Guards against a lost voter that can't be removed while another one is lost, so that their replacements raise the
+// quorum until it is out of reach.
+func TestReplaceTwoLostVoters(t *testing.T) {
+	w := newNetwork(t, 5)
+	l := w.waitForLeader()
+	first := w.otherMember(l.cfg.ID)
+	second := w.otherMember(l.cfg.ID, first)
+	w.drop = func(m *raftpb.Message) bool {
+		return m.From == first || m.To == first || m.From == second || m.To == second
+	}
+	w.tick(10)
+	for i, lost := range []string{first, second} {
+		change := func(kind raftpb.ChangeKind, id string) {
+			t.Helper()
+			m := &raftpb.Member{Id: id, Name: id, Address: "127.0.0.1:2"}
+			_, err := l.ProposeMemberChange(&raftpb.MemberChange{Kind: kind, Member: m})
+			assert.NilError(t, err)
+			w.tick(5)
+		}
+		replacement := fmt.Sprintf("m%d", 6+i)
+		w.addNode(replacement, PersistentState{Snapshot: &Snapshot{Meta: &raftpb.SnapshotMeta{}}})
+		change(raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER, replacement)
+		change(raftpb.ChangeKind_CHANGE_KIND_REMOVE, lost)
+		change(raftpb.ChangeKind_CHANGE_KIND_PROMOTE, replacement)
+	}
+	w.propose("kept")
+	assert.Equal(t, len(l.Status().Members), 5)
+	assert.Equal(t, w.nodes["m7"].state, w.nodes[l.cfg.ID].state)
+}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -25,10 +25,8 @@
 const (
 	// joinInterval is the time between requests to become a voter. Repeated requests have no effect.
 	joinInterval = time.Second
-	// voterCheckInterval is the time after which a voter requests again, in case it was removed.
-	voterCheckInterval = 5 * time.Second
 	// defaultRemoveLostAfter is the default of ControlConfig.RemoveLostAfter. It is longer than a machine takes to
-	// restart, and short enough that a replaced machine is removed before the next one may fail.
+	// restart.
 	defaultRemoveLostAfter = 8 * time.Second
 	// transferTimeout limits the time to transfer the leadership before the process exits.
 	transferTimeout = 1500 * time.Millisecond
@@ -45,7 +43,8 @@
 	Zone string
 	// Seeds are the peer addresses of control processes from the settings.
 	Seeds []string
-	// RemoveLostAfter is the time without contact after which a control process is removed from the voters; 0 means 8 s.
+	// RemoveLostAfter is the time without contact after which a control process without a replacement is removed from the
+	// voters; 0 means 8 s.
 	RemoveLostAfter time.Duration
 	// Bootstrap is set at the first start of the whole deployment.
 	Bootstrap     bool
@@ -177,17 +176,13 @@
 		Id: c.store.Identity(), Name: c.cfg.PeerAddress, Address: c.cfg.PeerAddress, AvailabilityZone: c.cfg.Zone,
 	}
 	for {
-		interval := joinInterval
 		attemptCtx, cancel := context.WithTimeout(ctx, joinInterval)
-		voter, err := c.client.AddVoter(attemptCtx, member)
+		_, _ = c.client.AddVoter(attemptCtx, member) // A failed request is repeated.
 		cancel()
-		if err == nil && voter {
-			interval = voterCheckInterval
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval):
+		case <-time.After(joinInterval):
 		}
 	}
 }
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -207,3 +207,56 @@
 	stops[0]()
 	awaitVoters(3)
 }
+
+// Guards against a control process that counts for the quorum beside its replacement: the loss of a second one, after
+// the replacement has had the time to catch up, would leave no quorum for good.
+func TestLossAfterReplacementKeepsQuorum(t *testing.T) {
+	const (
+		replacedAfter = time.Second
+		catchUp       = 4 * time.Second // the time after which a replacement has to count
+	)
+	platform := &fakePlatform{startedAt: time.Now(), runs: map[string]time.Time{}, startCount: map[string]int{}}
+	addresses := []string{freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)}
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	processes, stops := make([]*site.Control, len(addresses)), make([]context.CancelFunc, len(addresses))
+	start := func(i int) {
+		t.Helper()
+		var err error
+		processes[i], err = site.NewControl(site.ControlConfig{
+			Name: fmt.Sprintf("core-%d", i), PeerAddress: addresses[i], Zone: "a", Seeds: addresses[:3], Bootstrap: i < 3,
+			DataDirectory: t.TempDir(), Port: platform.port(), Log: logr.Discard(),
+		})
+		assert.NilError(t, err)
+		var pctx context.Context
+		pctx, stops[i] = context.WithCancel(ctx)
+		group.Go(func() { assert.Check(t, processes[i].Run(pctx)) })
+	}
+	for i := range 3 {
+		start(i)
+	}
+	configure := func(version uint64, from *site.Control) {
+		t.Helper()
+		executeUntilAnswered(t, from.Execute, &workloadpb.Command{Change: &workloadpb.Command_Document{
+			Document: &workloadpb.Document{Version: version, Pools: []*workloadpb.Pool{{Name: "p"}}},
+		}})
+	}
+	configure(1, processes[0])
+	stopLeader := func() {
+		for i, c := range processes {
+			if c != nil && c.Leading() {
+				stops[i]()
+				return
+			}
+		}
+		t.Fatal("no process leads")
+	}
+	stopLeader()
+	time.Sleep(replacedAfter)
+	start(3)
+	time.Sleep(catchUp)
+	stopLeader()
+	configure(2, processes[3])
+}
