workload: stop runs at a later incarnation before its predecessor ends

Two runs of one task were seen at the same time, on workers that were up: a worker restarts under its ID, executes a start that was meant for its former incarnation, and the task is started elsewhere within 10 ms.

Cause: an answer with another start time was treated like a rejection, although a worker with the same ID has executed the request. The end of the former incarnation was recorded at once, which frees its tasks. The same happened when a heartbeat told of the later incarnation while the answer was lost or on its way, and after a change of leader.

Ruled out: leases (the former incarnation held none) and a repeated start.

The former incarnation now ends only after the runs that were requested from it and may be executed late have been stopped at the later one, and after its list has shown which of them are done. Until then it gets no runs.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -15,6 +15,10 @@
 
 // advanceSession sends the requests that are due for a session.
 func (e *Engine) advanceSession(s *session) {
+	if s.replaced {
+		e.endReplaced(s)
+		return
+	}
 	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
 		s.endsPending = false
 	}
@@ -113,8 +117,8 @@
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
 	case OtherIncarnation:
-		e.endReplaced(s, "lease renewal")
-		s.nextRenewalAt = e.now + proposalTimeout
+		e.handleOtherIncarnation(s, "lease renewal", ev.Answer)
+		e.recordEndsAtReplacement(s, ev)
 	case Withheld:
 		s.nextRenewalAt = e.now + minRetryDelay
 	default:
@@ -287,7 +291,7 @@
 		e.recordAnswer(s, a)
 	}
 	if a.Outcome == OtherIncarnation {
-		e.endReplaced(s, "request")
+		e.handleOtherIncarnation(s, "request", a)
 	}
 	if r != nil {
 		r.requestInFlight = false
@@ -300,6 +304,7 @@
 	if r == nil {
 		return
 	}
+	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.Outcome == OtherIncarnation && ev.Executed
 	switch ev.Outcome {
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or has vanished.
@@ -324,7 +329,7 @@
 	case Fenced:
 		r.retryAt = e.now + maxRetryDelay
 	case OtherIncarnation:
-		r.retryAt = e.now + proposalTimeout
+		r.retryAt = e.now
 	default:
 		e.recordFailure(s, "start", ev.Outcome, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
@@ -350,7 +355,9 @@
 	case Accepted:
 		r.stoppedAt = ev.EndedAt
 	case OtherIncarnation:
-		r.retryAt = e.now + proposalTimeout
+		if ev.Executed {
+			r.stoppedAt = ev.EndedAt
+		}
 	case NoAnswer, Unreachable:
 		e.recordFailure(s, "stop", ev.Outcome, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -321,7 +321,8 @@
 	p.logf("reboot: %s is %s", name, row.Worker)
 }
 
-func (p *player) targetOf(a kernel.Action) (workload.RequestHeader, bool) {
+// targetOf returns the header of a request for a worker.
+func targetOf(a kernel.Action) (workload.RequestHeader, bool) {
 	switch a := a.(type) {
 	case workload.StartRun:
 		return a.RequestHeader, true
@@ -338,7 +339,7 @@
 // handle handles requests that meet a fault, and all requests to the adviser and to the platform.
 func (p *player) handle(a kernel.Action) bool {
 	sent := p.sentAt
-	if h, ok := p.targetOf(a); ok {
+	if h, ok := targetOf(a); ok {
 		return p.handleWorkerRequest(a, h)
 	}
 	failing := func(until time.Duration) (workload.Outcome, bool) {
@@ -445,12 +446,15 @@
 		p.schedule(simStep, func() { p.fail(a, o, sent) })
 		return true
 	}
-	if w.m.Id != h.ID || w.m.BornMs != h.StartedMs {
+	if w.m.Id != h.ID {
 		return answer(workload.OtherIncarnation)
 	}
 	if w.unhealthy {
 		return answer(workload.Unhealthy)
 	}
+	if w.m.BornMs != h.StartedMs {
+		return false
+	}
 	start, ok := a.(workload.StartRun)
 	if ok && p.now < p.lateUntil && p.draw(2, "late", start.Name, h.Incarnation) == 0 {
 		after := 2*time.Second + time.Duration(p.draw(1000, "delay", start.Name, h.Incarnation))*simStep
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -150,6 +150,9 @@
 // Answer is the part that every answer of a worker has.
 type Answer struct {
 	Outcome Outcome
+	// Executed is set if the outcome is OtherIncarnation, and that incarnation has the ID of the target and has executed
+	// the request.
+	Executed bool
 	// ClockMs is the worker's clock in milliseconds since the incarnation started.
 	ClockMs int64
 	// SentAt and EndedAt are the times of the request and of its end on the leader's monotonic clock.
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -177,7 +177,7 @@
 
 // identity names a request; delays depend on it.
 func (p *player) identity(a kernel.Action) string {
-	h, _ := p.targetOf(a)
+	h, _ := targetOf(a)
 	switch a := a.(type) {
 	case workload.StartRun:
 		return fmt.Sprint("start", h.Incarnation, a.Name)
--- /dev/null
+++ b/internal/workload/replaced_test.go
@@ -0,0 +1,87 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+)
+
+// restartSilently replaces a worker by a later incarnation with the same ID and address, which has sent no heartbeat yet.
+func (s *sim) restartSilently(w *fakeWorker) *fakeWorker {
+	w.dead = true
+	m := proto.CloneOf(w.m)
+	m.BornMs = 1_000_000 + s.now.Milliseconds()
+	later := &fakeWorker{
+		sim: s, startedAt: s.now, runs: map[string]*fakeRun{}, highestRun: map[string]int32{}, how: w.how, m: m, mute: true,
+	}
+	s.workers[m.Id] = later
+	return later
+}
+
+// Guards against a task that is started elsewhere while a later incarnation of its worker, with the same ID, executes the
+// start that was meant for the earlier one. The simulation fails if a task runs twice.
+func TestStartAtLaterIncarnationRunsOnce(t *testing.T) {
+	const jobTime = 2 * time.Second
+	tests := []struct {
+		name string
+		// disturb is called when the job is submitted, just after the worker restarted.
+		disturb func(s *sim, later *fakeWorker)
+	}{
+		{"late heartbeat", func(*sim, *fakeWorker) {}},
+		{"lost answers", func(s *sim, later *fakeWorker) {
+			s.intercept = func(a kernel.Action) bool {
+				start, ok := a.(workload.StartRun)
+				if !ok || start.ID != later.m.Id {
+					return false
+				}
+				later.start(start, s.sentAt)
+				s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, s.now-time.Second) })
+				return true
+			}
+		}},
+		{"heartbeat overtakes the start", func(s *sim, later *fakeWorker) {
+			s.requestDelay = func(kernel.Action) time.Duration { return 300 * time.Millisecond }
+			s.schedule(150*time.Millisecond, func() { s.report(later) })
+		}},
+		{"heartbeat is recorded late", func(s *sim, later *fakeWorker) {
+			s.commitDelay = func() time.Duration { return 200 * time.Millisecond }
+			s.report(later)
+		}},
+		{"done before it can be stopped", func(s *sim, later *fakeWorker) {
+			until := s.now + jobTime + 500*time.Millisecond
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				_, ok := a.(workload.StopRun)
+				return workload.NoAnswer, ok && s.now < until
+			}
+		}},
+		{"another leader", func(s *sim, later *fakeWorker) {
+			s.scheduleLasting(200*time.Millisecond, s.startTerm)
+			s.scheduleLasting(220*time.Millisecond, func() { s.report(later) })
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(t)
+			s.stopTime = 100 * time.Millisecond
+			workers := s.addWorkers("p", 10)
+			s.configure(1, nil, "p")
+			s.run(2 * time.Second)
+			later := s.restartSilently(workers[0])
+			s.run(100 * time.Millisecond)
+			s.submit("p", "j", step(9, 12000, 1000, jobTime.Milliseconds()))
+			test.disturb(s, later)
+			s.run(900 * time.Millisecond)
+			later.mute = false
+			s.run(8 * time.Second)
+			assert.Equal(t, s.jobState("p", "j"), "completed")
+			s.submit("p", "k", step(10, 12000, 1000, jobTime.Milliseconds()))
+			s.run(5 * time.Second)
+			assert.Equal(t, s.jobState("p", "k"), "completed", "the later incarnation takes runs")
+		})
+	}
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -77,6 +77,11 @@
 	// leasesExpireBy is when every lease that was granted has certainly expired.
 	leasesExpireBy time.Duration
 	suspension     suspension
+	// replaced is set when a later incarnation with the same ID is known, which executes what is requested for this one.
+	replaced bool
+	// settled is set once the later incarnation executes no run that was requested from this one, and asked once the list
+	// that shows which of them are done was requested.
+	asked, settled bool
 
 	renewalInFlight bool
 	renewalSentAt   time.Duration
@@ -119,6 +124,7 @@
 	retryAt         time.Duration
 	startedAt       time.Duration // the worker acknowledged the start
 	shouldStop      bool
+	doubtful        bool          // a request to start it got no answer of this incarnation, so a later one may execute it
 	givenUp         bool          // its end is or will be proposed, so it must not start
 	harmlessAt      time.Duration // its task was last proposed to be recorded as harmless
 	lost            bool          // was given up because its worker doesn't answer, and may have started
@@ -269,12 +275,6 @@
 	return min(minRetryDelay*time.Duration(max(s.failures, 1)), maxRetryDelay)
 }
 
-// endReplaced proposes to record that the incarnation of a session has ended, because another one answered a request.
-// Its runs may have crashed it.
-func (e *Engine) endReplaced(s *session, request string) {
-	e.endIncarnation(s, "another incarnation answered a "+request, &workloadpb.Leave{Lost: true})
-}
-
 // endByOperation proposes to record that an operation on the instance has ended the incarnation of a session. Its runs may
 // have crashed it before, unless it has given a sign of life since it stopped answering.
 func (e *Engine) endByOperation(s *session) {
@@ -325,6 +325,8 @@
 // exclusion returns why a worker may not take new runs, empty if it may.
 func (e *Engine) exclusion(s *session) string {
 	switch {
+	case s.replaced:
+		return "replaced"
 	case s.failures > 0:
 		return "unreachable"
 	case s.mustAnswer:
@@ -375,10 +377,16 @@
 // recorded, because a later one was received.
 func (e *Engine) handleHeartbeat(r *workloadpb.Report) (outdated bool) {
 	w := e.state.WorkerByID(r.GetWorker().GetId())
-	if w == nil || w.StartedMs() != r.Worker.BornMs {
+	if w == nil {
 		return false
 	}
 	s := e.sessions[w.Number()]
+	if s != nil && e.leading && r.Worker.BornMs > w.StartedMs() {
+		return e.handleReplacement(s)
+	}
+	if w.StartedMs() != r.Worker.BornMs {
+		return false
+	}
 	if r.Sequence < w.RecordedSequence() || s != nil && r.Sequence < s.heartbeatSequence {
 		e.cfg.Log.V(1).Info("ignored a delayed heartbeat", "worker", w.ID(), "boot", w.Number(), "sequence", r.Sequence)
 		return true
--- a/internal/workload/silence_test.go
+++ b/internal/workload/silence_test.go
@@ -312,7 +312,7 @@
 			}
 			refused := map[string]bool{}
 			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
-				h, _ := (&player{}).targetOf(a)
+				h, _ := targetOf(a)
 				return workload.Unreachable, refused[h.ID]
 			}
 			delays := []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, time.Second, 3 * time.Second}
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -422,6 +422,12 @@
 			return
 		}
 	}
+	if h, ok := targetOf(a); ok {
+		if w := s.worker(h.Target); w != nil && w.m.BornMs != h.StartedMs {
+			s.deliverToSuccessor(w, a, sent)
+			return
+		}
+	}
 	switch a := a.(type) {
 	case workload.RenewLease:
 		w := s.worker(a.Target)
@@ -489,6 +495,34 @@
 	}
 }
 
+// deliverToSuccessor carries out a request at a later incarnation with the ID of the one that it was sent to.
+func (s *sim) deliverToSuccessor(w *fakeWorker, a kernel.Action, sent time.Duration) {
+	o := workload.Accepted
+	switch a := a.(type) {
+	case workload.StartRun:
+		o = w.start(a, sent)
+	case workload.StopRun:
+		w.stop(a)
+	case workload.RenewLease:
+		w.acceptHeader(a.RequestHeader)
+		w.acknowledge(a.AckedEnd)
+	}
+	answer := workload.Answer{Outcome: o, SentAt: sent}
+	if o == workload.Accepted {
+		answer.Outcome, answer.Executed = workload.OtherIncarnation, true
+	}
+	s.schedule(simStep, func() {
+		if h, ok := a.(workload.RenewLease); ok {
+			r := w.list(h)
+			r.Answer = answer
+			r.EndedAt = s.now
+			s.k.Observe(s.now, r)
+			return
+		}
+		s.observeAnswer(a, answer)
+	})
+}
+
 // deliverOutdated carries out a request that an earlier leader sent at a time.
 func (s *sim) deliverOutdated(a kernel.Action, sent time.Duration) {
 	switch a := a.(type) {
@@ -509,16 +543,8 @@
 }
 
 func (s *sim) fail(a kernel.Action, o workload.Outcome, sent time.Duration) {
-	answer := workload.Answer{Outcome: o, SentAt: sent, EndedAt: s.now}
+	s.observeAnswer(a, workload.Answer{Outcome: o, SentAt: sent})
 	switch a := a.(type) {
-	case workload.RenewLease:
-		s.k.Observe(s.now, workload.RenewLeaseResult{Request: a, Answer: answer})
-	case workload.StartRun:
-		s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: answer})
-	case workload.StopRun:
-		s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: answer})
-	case workload.ThrottleRun:
-		s.k.Observe(s.now, workload.ThrottleRunResult{Request: a, Answer: answer})
 	case workload.RequestAdvice:
 		s.k.Observe(s.now, workload.AdviceResult{Request: a, Outcome: o, SentAt: sent})
 	case workload.ListInstances:
@@ -530,6 +556,21 @@
 	}
 }
 
+// observeAnswer passes the answer to a request for a worker, which arrives now, to the leader.
+func (s *sim) observeAnswer(a kernel.Action, answer workload.Answer) {
+	answer.EndedAt = s.now
+	switch a := a.(type) {
+	case workload.RenewLease:
+		s.k.Observe(s.now, workload.RenewLeaseResult{Request: a, Answer: answer})
+	case workload.StartRun:
+		s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: answer})
+	case workload.StopRun:
+		s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: answer})
+	case workload.ThrottleRun:
+		s.k.Observe(s.now, workload.ThrottleRunResult{Request: a, Answer: answer})
+	}
+}
+
 // maintain restarts an instance unless the maintenance of the wave was done before.
 func (s *sim) maintain(a workload.MaintainInstance) {
 	if s.lastWave[a.Instance] != a.Wave {
