workload: take an instance of a wave for gone only by a list requested after the wave

A wave was reported as completed although machines that had just come had no maintenance.

Cause: an instance that the leader's list lacks counted as gone at once, and the list may be 10 s old. Ruled out: a rejected request, and a list of several pages.

A list that was requested before this leader knew the wave says nothing about its instances now, so the list is read again first. That holds for reads on their way, for failed reads and for a new leader as well.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -144,6 +144,7 @@
 	e.rejections = rejections{}
 	e.fleet.startClockMs = e.state.Clock()
 	for _, w := range e.state.Waves() {
+		e.fleet.waveKnownAt[w.Number] = now
 		for _, name := range w.Ordered {
 			e.fleet.maybeMaintained[waveInstance{w.Number, name}] = true
 		}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -41,10 +41,12 @@
 
 // fleet is what the leader knows about instances.
 type fleet struct {
-	instances    map[string]*instance
-	byWorker     map[string]*instance
-	listed       bool
-	listedAt     time.Duration
+	instances map[string]*instance
+	byWorker  map[string]*instance
+	listed    bool
+	listedAt  time.Duration
+	// listSentAt is when the list that instances holds was requested.
+	listSentAt   time.Duration
 	listInFlight bool
 	stale        bool
 	advancedAt   time.Duration
@@ -56,7 +58,9 @@
 	startClockMs int64 // the ledger's clock when this leader started
 	// maybeMaintained holds the instances whose maintenance may have been carried out without this leader knowing.
 	maybeMaintained map[waveInstance]bool
-	unrecorded      []*maintenanceRecord
+	// waveKnownAt is when this leader first knew a wave. An older list may lack instances of the wave that have just come.
+	waveKnownAt map[int64]time.Duration
+	unrecorded  []*maintenanceRecord
 }
 
 // waveInstance identifies an instance in a maintenance wave.
@@ -131,6 +135,7 @@
 		noSurplusAt: map[string]time.Duration{}, unplacedSince: map[string]time.Duration{},
 		triedAt:         map[string]time.Duration{},
 		maybeMaintained: map[waveInstance]bool{},
+		waveKnownAt:     map[int64]time.Duration{},
 	}
 }
 
@@ -200,7 +205,7 @@
 		f.stale = true
 		return
 	}
-	f.stale, f.listed = false, true
+	f.stale, f.listed, f.listSentAt = false, true, ev.SentAt
 	rows := map[string]*instance{}
 	clear(f.byWorker)
 	for _, row := range ev.Instances {
--- a/internal/workload/replaced_test.go
+++ b/internal/workload/replaced_test.go
@@ -52,7 +52,7 @@
 			s.commitDelay = func() time.Duration { return 200 * time.Millisecond }
 			s.report(later)
 		}},
-		{"done before it can be stopped", func(s *sim, later *fakeWorker) {
+		{"done before it can be stopped", func(s *sim, _ *fakeWorker) {
 			until := s.now + jobTime + 500*time.Millisecond
 			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
 				_, ok := a.(workload.StopRun)
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -22,8 +22,13 @@
 // advanceWave starts the maintenance of instances of a wave, at most as many at once as the wave allows.
 func (e *Engine) advanceWave(w *workloadpb.Wave) {
 	f := &e.fleet
+	knownAt, ok := f.waveKnownAt[w.Number]
+	if !ok {
+		knownAt = e.now
+		f.waveKnownAt[w.Number] = knownAt
+	}
 	busy := 0
-	var gone []string
+	var missing []string
 	for _, name := range w.Instances {
 		in := f.instances[name]
 		switch {
@@ -32,15 +37,18 @@
 		case in != nil && (e.now < in.maybeAwayUntil || e.maybeUnderMaintenance(name, w.Number)):
 			busy++
 		case in == nil && !f.stale && !slices.Contains(w.Gone, name):
-			gone = append(gone, name)
+			missing = append(missing, name)
 		}
 	}
-	if len(gone) > 0 {
+	if len(missing) > 0 {
 		// No instance is reported as gone until the list is read again, so that the command isn't repeated at once.
 		f.stale = true
-		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Maintained{
-			Maintained: &workloadpb.Maintained{Wave: w.Number, Gone: gone},
-		}})
+		if f.listSentAt > knownAt {
+			e.cfg.Log.Info("instances of a wave are gone", "wave", w.Number, "instances", missing)
+			e.propose(&workloadpb.Command{Change: &workloadpb.Command_Maintained{
+				Maintained: &workloadpb.Maintained{Wave: w.Number, Gone: missing},
+			}})
+		}
 	}
 	for busy < int(w.Cap) {
 		in := e.nextForMaintenance(w)
