ledger: keep jobs with the route of their queue, whatever its name

Clients got 410 for accepted jobs, and the jobs never ran on, after a configuration gave their route another name with the same host and prefix.

Cause: a job held the name of its queue, and all lookups went by it, although a call names only host and prefix. Ruled out: jobs that were removed from the ledger, and outdated routes at entry processes.

A job now keeps host and prefix. Its queue is resolved once for each configuration, by them first and then by name, so that calls, scheduling, pools, upkeep and the limit of attempts agree. Jobs without a queue are logged.

The random test looks a queue up by name in the configuration itself, as State.Queue is gone; its assertions are the same.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -46,13 +46,13 @@
 // updateAdvice requests advice on the ready steps of queues that need it.
 func (e *Engine) updateAdvice() {
 	for k := range e.advice.steps {
-		if j := k.Occurrence.Job; !j.IsActive() || k.Done() || e.state.Queue(j.Queue).GetAdvice() == nil {
+		if j := k.Occurrence.Job; !j.IsActive() || k.Done() || e.state.QueueOf(j).GetAdvice() == nil {
 			delete(e.advice.steps, k)
 		}
 	}
 	due := false
 	for _, j := range e.state.ActiveJobs() {
-		if e.state.Queue(j.Queue).GetAdvice() == nil {
+		if e.state.QueueOf(j).GetAdvice() == nil {
 			continue
 		}
 		for _, o := range j.Occurrences() {
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -237,7 +237,7 @@
 func (e *Engine) askIdleWorkers(lost *session) {
 	pools := map[string]bool{}
 	for _, r := range lost.runs {
-		pools[e.state.Queue(r.task.Step().Occurrence.Job.Queue).GetPool()] = true
+		pools[e.state.QueueOf(r.task.Step().Occurrence.Job).GetPool()] = true
 	}
 	for _, w := range e.state.Workers() {
 		if s := e.sessions[w.Number()]; pools[w.Pool()] && len(s.runs) == 0 && s.lastAnswerAt < lost.failingSince {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -387,13 +387,28 @@
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
 			j := e.state.JobByID(c.Submit.Id)
 			e.shares.chargeJob(e.state, j, e.now)
-			e.rates.addJob(e.state.Queue(j.Queue).GetPool(), j, e.now)
+			e.rates.addJob(e.state.QueueOf(j).GetPool(), j, e.now)
 			e.cfg.IncrementCounter("hibiscusroute_jobs_accepted_total", "queue", j.Queue)
 			e.cfg.Log.Info("job accepted", "job", j.ID, "queue", j.Queue, "account", j.Account, "steps", len(j.Steps),
 				"beyond-share", e.shares.isBeyondShare(j), "configuration", e.state.Document().Version)
 		}
 	case *workloadpb.Command_Document:
 		e.cfg.Log.Info("configuration is in force", "version", e.state.Document().Version)
+		e.logJobsWithoutQueue()
+	}
+}
+
+// logJobsWithoutQueue writes a line if jobs wait because the configuration has no queue for them any more.
+func (e *Engine) logJobsWithoutQueue() {
+	waiting := map[string]int{}
+	for _, j := range e.state.ActiveJobs() {
+		if e.state.QueueOf(j) == nil {
+			waiting[j.Queue]++
+		}
+	}
+	if len(waiting) > 0 {
+		e.cfg.Log.Info("jobs wait, because the configuration has no queue for them", "version", e.state.Document().Version,
+			"jobs-by-queue", waiting)
 	}
 }
 
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -35,7 +35,7 @@
 	if v != workloadpb.Verdict_VERDICT_DONE {
 		return newResponse(v), true
 	}
-	if j := s.jobsByID[m.Id]; j != nil && j.Queue == q.Name {
+	if j := s.jobsByID[m.Id]; j != nil && j.queue == q {
 		return newResponse(workloadpb.Verdict_VERDICT_DONE), true
 	} else if j != nil || !IsValidSubmit(m) {
 		return newResponse(workloadpb.Verdict_VERDICT_INVALID), true
@@ -52,6 +52,7 @@
 	j := &Job{
 		Number: s.nextJob, ID: m.Id, Queue: q.Name, Account: account, Spec: m.Spec, Steps: m.Steps,
 		MaxRuns: m.MaxRuns, StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: at, state: Queued,
+		route: routeOf(q),
 	}
 	if j.MaxRuns == 0 {
 		j.beginOccurrence(0)
@@ -64,6 +65,7 @@
 
 func (s *State) addJob(j *Job) {
 	s.jobs[j.Number], s.jobsByID[j.ID] = j, j
+	j.queue = s.findQueue(j.route, j.Queue)
 }
 
 // FindJob returns the job that a call refers to, or the response to the call if there is no such job.
@@ -73,7 +75,7 @@
 		return nil, newResponse(v)
 	}
 	j := s.jobsByID[id]
-	if j == nil || j.Queue != q.Name {
+	if j == nil || j.queue != q {
 		return nil, newResponse(workloadpb.Verdict_VERDICT_NO_JOB)
 	}
 	return j, nil
@@ -103,7 +105,7 @@
 	r := newResponse(v)
 	if v == workloadpb.Verdict_VERDICT_DONE {
 		for _, j := range s.activeJobs {
-			if j.Queue == q.Name && !j.HasStarted {
+			if j.queue == q && !j.HasStarted {
 				r.Pending++
 			}
 		}
@@ -330,7 +332,7 @@
 	if !j.IsActive() {
 		return
 	}
-	if limit := s.queues[j.Queue].GetMaxAttempts(); limit > 0 && !t.Done && !t.step.Step.Lasting {
+	if limit := s.QueueOf(j).GetMaxAttempts(); limit > 0 && !t.Done && !t.step.Step.Lasting {
 		failures := t.Failures
 		if t.step.Step.Gang {
 			failures = t.step.Failures()
--- a/internal/workload/ledger/document.go
+++ b/internal/workload/ledger/document.go
@@ -13,6 +13,11 @@
 // ErrInvalid is the type of errors about an invalid configuration.
 var ErrInvalid = errorx.NewNamespace("workload").NewType("invalid")
 
+// route is the host and the path prefix by which callers select a queue. The host is in lower case.
+type route struct{ host, prefix string }
+
+func routeOf(q *workloadpb.Queue) route { return route{strings.ToLower(q.Host), q.Prefix} }
+
 // CheckDocument validates a configuration and returns the first error found.
 func CheckDocument(d *workloadpb.Document) error {
 	poolNames := map[string]bool{}
@@ -22,7 +27,7 @@
 		}
 		poolNames[p.Name] = true
 	}
-	routes := map[[2]string]string{}
+	routes := map[route]string{}
 	queueNames := map[string]bool{}
 	for _, q := range d.Queues {
 		if q.Name == "" || queueNames[q.Name] {
@@ -32,11 +37,11 @@
 		if !poolNames[q.Pool] {
 			return ErrInvalid.New("queue %s names the unknown pool %q", q.Name, q.Pool)
 		}
-		route := [2]string{strings.ToLower(q.Host), q.Prefix}
-		if other, ok := routes[route]; ok {
+		r := routeOf(q)
+		if other, ok := routes[r]; ok {
 			return ErrInvalid.New("queues %s and %s have the same host and prefix", q.Name, other)
 		}
-		routes[route] = q.Name
+		routes[r] = q.Name
 	}
 	accountNames := map[string]bool{}
 	accountByKey := map[string]string{}
@@ -66,14 +71,16 @@
 func (s *State) setDocument(d *workloadpb.Document) {
 	s.document = d
 	clear(s.queues)
+	clear(s.queuesByRoute)
 	clear(s.queuesByHost)
 	clear(s.pools)
 	clear(s.accounts)
 	clear(s.accountsByKey)
 	for _, q := range d.GetQueues() {
 		s.queues[q.Name] = q
-		host := strings.ToLower(q.Host)
-		s.queuesByHost[host] = append(s.queuesByHost[host], q)
+		r := routeOf(q)
+		s.queuesByRoute[r] = q
+		s.queuesByHost[r.host] = append(s.queuesByHost[r.host], q)
 	}
 	for _, list := range s.queuesByHost {
 		slices.SortStableFunc(list, func(a, b *workloadpb.Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -87,6 +94,9 @@
 			s.accountsByKey[k] = a
 		}
 	}
+	for _, j := range s.jobs {
+		j.queue = s.findQueue(j.route, j.Queue)
+	}
 }
 
 // Route returns the queue of a call and the name of the client account of its key. The path consists of the prefix of
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -21,8 +21,9 @@
 
 // Job is an accepted job.
 type Job struct {
-	Number  uint64
-	ID      string
+	Number uint64
+	ID     string
+	// Queue is the name that the queue had when the job was accepted; see State.QueueOf.
 	Queue   string
 	Account string
 	Spec    string
@@ -34,6 +35,8 @@
 	// HasStarted is true once a task has been assigned.
 	HasStarted bool
 
+	route          route             // of the queue to which the job was submitted
+	queue          *workloadpb.Queue // see State.QueueOf
 	state          JobState
 	endedClockMs   int64 // clock of the ledger at the leader's first command after the end, 0 before that
 	nextOccurrence int32 // number of the next occurrence
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -35,6 +35,7 @@
 		Number: j.Number, Id: j.ID, Queue: j.Queue, Account: j.Account, Spec: j.Spec, Steps: j.Steps, MaxRuns: j.MaxRuns,
 		StartAtMs: j.StartAtMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, EndedMs: j.EndedMs,
 		EndedClockMs: j.endedClockMs, State: string(j.state), NextOccurrence: j.nextOccurrence, Begun: j.HasStarted,
+		Host: j.route.host, Prefix: j.route.prefix,
 	}
 	for _, o := range j.occurrences {
 		om := &workloadpb.OccurrenceState{Number: o.Number}
@@ -93,6 +94,7 @@
 		Number: m.Number, ID: m.Id, Queue: m.Queue, Account: m.Account, Spec: m.Spec, Steps: m.Steps, MaxRuns: m.MaxRuns,
 		StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: m.AcceptedMs, EndedMs: m.EndedMs,
 		HasStarted: m.Begun, endedClockMs: m.EndedClockMs, nextOccurrence: m.NextOccurrence,
+		route: route{m.Host, m.Prefix},
 	}
 	s.addJob(j)
 	// assignRun changes the state of the job, so the state from the snapshot is set after the active runs are restored.
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -12,6 +12,8 @@
 type State struct {
 	document *workloadpb.Document
 	queues   map[string]*workloadpb.Queue
+	// queuesByRoute holds the queues by what callers know of them.
+	queuesByRoute map[route]*workloadpb.Queue
 	// queuesByHost holds the queues by host name in lower case, the queues with the longest prefix first.
 	queuesByHost  map[string][]*workloadpb.Queue
 	pools         map[string]*workloadpb.Pool
@@ -82,7 +84,7 @@
 
 func (s *State) reset() {
 	*s = State{
-		queues: map[string]*workloadpb.Queue{}, queuesByHost: map[string][]*workloadpb.Queue{},
+		queues: map[string]*workloadpb.Queue{}, queuesByRoute: map[route]*workloadpb.Queue{}, queuesByHost: map[string][]*workloadpb.Queue{},
 		pools:    map[string]*workloadpb.Pool{},
 		accounts: map[string]*workloadpb.Account{}, accountsByKey: map[string]*workloadpb.Account{},
 		jobs: map[uint64]*Job{}, jobsByID: map[string]*Job{}, workers: map[uint64]*Worker{},
@@ -101,8 +103,17 @@
 // Document returns the configuration in force, nil if there is none yet.
 func (s *State) Document() *workloadpb.Document { return s.document }
 
-// Queue returns a queue by name, nil if there is none.
-func (s *State) Queue(name string) *workloadpb.Queue { return s.queues[name] }
+// QueueOf returns the queue of a job, nil if there is none. Callers know a queue by its host and prefix only, so a queue
+// that gets another name keeps its jobs. If no queue has the host and the prefix any more, the one with the name does, as
+// it was moved.
+func (s *State) QueueOf(j *Job) *workloadpb.Queue { return j.queue }
+
+func (s *State) findQueue(r route, name string) *workloadpb.Queue {
+	if q := s.queuesByRoute[r]; q != nil && r != (route{}) {
+		return q
+	}
+	return s.queues[name]
+}
 
 // Pool returns a pool by name, nil if there is none.
 func (s *State) Pool(name string) *workloadpb.Pool { return s.pools[name] }
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -192,7 +192,7 @@
 // measureDemand adds up the demand of the tasks that run or could run now.
 func (e *Engine) measureDemand(pools map[string]*poolView) {
 	for _, j := range e.state.ActiveJobs() {
-		v := pools[e.state.Queue(j.Queue).GetPool()]
+		v := pools[e.state.QueueOf(j).GetPool()]
 		if v == nil {
 			continue
 		}
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -286,7 +286,15 @@
 	return b.String()
 }
 
-func (p *player) queueOf(job string) *workloadpb.Queue { return p.e.State().Queue(p.queue[job]) }
+// queueOf returns the queue of a job, nil if the configuration lacks it.
+func (p *player) queueOf(job string) *workloadpb.Queue {
+	for _, q := range p.e.State().Document().GetQueues() {
+		if q.Name == p.queue[job] {
+			return q
+		}
+	}
+	return nil
+}
 
 func (p *player) configureAll() {
 	if p.doc == nil {
--- a/internal/workload/schedule/order.go
+++ b/internal/workload/schedule/order.go
@@ -39,7 +39,7 @@
 func RankCandidates(in Input) []Candidate {
 	var list []Candidate
 	for _, j := range in.State.ActiveJobs() {
-		q := in.State.Queue(j.Queue)
+		q := in.State.QueueOf(j)
 		if q == nil {
 			continue
 		}
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -62,7 +62,7 @@
 
 func (e *Engine) logWait(s *ledger.StepRun, unreachable int, waited time.Duration) {
 	j := s.Occurrence.Job
-	q := e.state.Queue(j.Queue)
+	q := e.state.QueueOf(j)
 	in := schedule.Input{Allowed: e.adviserAllows}
 	assigned := schedule.TasksOnWorkers(s)
 	reasons := map[string]int{}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -206,7 +206,7 @@
 // hasRoomElsewhere reports whether workers other than that of s have room for one more long-running task than those of
 // the step that wait or are being stopped on s, once other tasks have released their capacity.
 func (e *Engine) hasRoomElsewhere(st *ledger.StepRun, s *session) bool {
-	q := e.state.Queue(st.Occurrence.Job.Queue)
+	q := e.state.QueueOf(st.Occurrence.Job)
 	if q == nil {
 		// No worker may run the task, so there is nothing to wait for.
 		return true
@@ -262,7 +262,7 @@
 		})
 	}
 	for _, j := range e.state.ActiveJobs() {
-		if e.state.Queue(j.Queue).GetPool() != s.worker.Pool() {
+		if e.state.QueueOf(j).GetPool() != s.worker.Pool() {
 			continue
 		}
 		for _, o := range j.Occurrences() {
