control: keep lost voters that have no replacement

A lost voter without a replacement was removed after 8 s, and since the log accepts the removal of one lost voter beside another, a group of five could shrink to three while two machines are dark.

The time-based removal served replaced machines only, which are removed with their replacement now. RemoveLostAfter is the one wait of both cases, 1 s by default. Ruled out as a reason to keep it: a group of five bears two losses without it.

Before: the case "two lost, no replacement" of TestChooseMemberChange gives "remove id-a". After: no change.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -8,13 +8,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 )
 
-const (
-	// minVoters is the number of voters that the removal of lost voters leaves. A group of three tolerates the loss of one.
-	minVoters = 3
-	// replaceLostAfter is how long a voter has not been caught up before it leaves the group where that costs no
-	// redundancy: where a learner takes its place, or where the number of voters is even, so that the quorum shrinks.
-	replaceLostAfter = time.Second
-)
+// minVoters is the smallest number of voters that tolerates the loss of one.
+const minVoters = 3
 
 // manageVoters promotes learners that have caught up and removes voters that are lost.
 func (v *Voter) manageVoters() {
@@ -46,8 +41,10 @@
 }
 
 // chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing:
-// with a lost voter that still counts, a group of four doesn't tolerate the loss of one more member. A removeLostAfter
-// of 0 keeps lost voters, except those that joined again under the same name.
+// with a lost voter that still counts, a group of four doesn't tolerate the loss of one more member. A lost voter leaves
+// if a learner can take its place, or if the number of voters is even, as beside a replacement. Otherwise it stays, so that
+// entries are committed by as many voters as the group needs to bear the loss of disks. A removeLostAfter of 0 keeps all
+// lost voters, except those that joined again under the same name.
 func chooseMemberChange(
 	members []raft.MemberStatus, missingFor func(id string) time.Duration, removeLostAfter time.Duration,
 ) *raftpb.MemberChange {
@@ -73,14 +70,8 @@
 	if learner != nil && (removeLostAfter == 0 || lost == nil || !odd) {
 		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
 	}
-	if removeLostAfter == 0 || lost == nil || learner == nil && voters <= minVoters {
-		return nil
-	}
-	wait := removeLostAfter
-	if learner != nil || !odd {
-		wait = min(wait, replaceLostAfter)
-	}
-	if missingFor(lost.Id) < wait {
+	mayLeave := learner != nil || !odd && voters > minVoters
+	if removeLostAfter == 0 || lost == nil || !mayLeave || missingFor(lost.Id) < removeLostAfter {
 		return nil
 	}
 	return removal(lost)
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -22,7 +22,7 @@
 	ready, behind := learner("id-n", "n", true), learner("id-n", "n", false)
 	a, b, c, d, e := voter("a", true), voter("b", true), voter("c", true), voter("d", true), voter("e", true)
 	lostA, lostB := voter("a", false), voter("b", false)
-	const removeLostAfter = 8 * time.Second
+	const removeLostAfter = time.Second
 	tests := []struct {
 		name            string
 		members         []raft.MemberStatus
@@ -46,8 +46,8 @@
 			removeLostAfter, "remove id-b"},
 		{"two replacements, promotion", []raft.MemberStatus{lostA, c, d, e, ready}, 2 * time.Second, 0, removeLostAfter,
 			"promote id-n"},
-		{"no replacement", []raft.MemberStatus{lostA, b, c, d, e}, 7 * time.Second, 0, removeLostAfter, ""},
-		{"no replacement for long", []raft.MemberStatus{lostA, b, c, d, e}, removeLostAfter, 0, removeLostAfter, "remove id-a"},
+		{"no replacement", []raft.MemberStatus{lostA, b, c, d, e}, time.Minute, 0, removeLostAfter, ""},
+		{"two lost, no replacement", []raft.MemberStatus{lostA, lostB, c, d, e}, time.Minute, time.Minute, removeLostAfter, ""},
 		{"lost disk", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, removeLostAfter, "remove id-a"},
 		{"lost disk, removal by hand only", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, 0,
 			"remove id-a"},
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -58,9 +58,8 @@
 	// Founders are the peer addresses of the initial voters of a new group, including this one; used with Bootstrap. The
 	// voters may start in any order, each with the identity that FounderIdentity returns.
 	Founders []string
-	// RemoveLostAfter is how long the leader waits before it removes a voter that is unreachable or lagging from a
-	// group of more than three, unless a replacement allows it earlier; 0 disables the removal. A removed voter that
-	// comes back must join again.
+	// RemoveLostAfter is how long the leader waits before it removes a voter that is unreachable or lagging, where
+	// another one takes its place; 0 disables the removal. A removed voter that comes back must join again.
 	RemoveLostAfter time.Duration
 	// Setup is called with the kernel before the snapshot is restored. It may be nil.
 	Setup func(k *kernel.Kernel)
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -25,9 +25,9 @@
 const (
 	// joinInterval is the time between requests to become a voter. Repeated requests have no effect.
 	joinInterval = time.Second
-	// defaultRemoveLostAfter is the default of ControlConfig.RemoveLostAfter. It is longer than a machine takes to
-	// restart.
-	defaultRemoveLostAfter = 8 * time.Second
+	// defaultRemoveLostAfter is the default of ControlConfig.RemoveLostAfter. It is longer than an election takes, and
+	// short enough that a replaced machine is removed before the next one may fail.
+	defaultRemoveLostAfter = time.Second
 	// transferTimeout limits the time to transfer the leadership before the process exits.
 	transferTimeout = 1500 * time.Millisecond
 	// segmentBytes is the size of a log segment; the small disks of control processes have room for a few of them.
@@ -43,8 +43,8 @@
 	Zone string
 	// Seeds are the peer addresses of control processes from the settings.
 	Seeds []string
-	// RemoveLostAfter is the time without contact after which a control process without a replacement is removed from the
-	// voters; 0 means 8 s.
+	// RemoveLostAfter is the time without contact after which a control process that has a replacement is removed from the
+	// voters; 0 means 1 s.
 	RemoveLostAfter time.Duration
 	// Bootstrap is set at the first start of the whole deployment.
 	Bootstrap     bool
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -289,21 +289,15 @@
 		// transferAfter is the time from the start of the replacement until the leadership is transferred, 0 if it isn't,
 		// and lostAfter the time from then until the second loss.
 		transferAfter, lostAfter time.Duration
-		removeLostAfter          time.Duration
 	}{
 		{name: "in a row", lostAfter: 4 * time.Second},
-		{
-			name: "with a change of leader", transferAfter: 1500 * time.Millisecond, lostAfter: 2500 * time.Millisecond,
-			removeLostAfter: 3500 * time.Millisecond,
-		},
+		{name: "with a change of leader", transferAfter: 1500 * time.Millisecond, lostAfter: 2500 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			platform := &fakePlatform{startedAt: time.Now(), runs: map[string]time.Time{}, startCount: map[string]int{}}
 			g := &controlGroup{
 				t: t, processes: make([]*site.Control, 4), stops: make([]func(), 4),
-				cfg: site.ControlConfig{
-					Zone: "a", RemoveLostAfter: tt.removeLostAfter, Port: platform.port(), Log: logr.Discard(),
-				},
+				cfg: site.ControlConfig{Zone: "a", Port: platform.port(), Log: logr.Discard()},
 			}
 			for range 4 {
 				g.addresses, g.dirs = append(g.addresses, freeAddress(t)), append(g.dirs, t.TempDir())
