workload: record the tasks that are done at a later incarnation, also if the log rejects that once

If the log rejected the record of a run that was done at a later incarnation, the heartbeat of that incarnation ended the former one meanwhile, and the task started again after it was done.

Cause: a session counted as settled from the proposal on, and the time-out of proposals didn't apply to replaced sessions. Now heartbeats wait until the record is applied, and after the time-out the later incarnation is asked again.

Before: the new case of TestStartAtLaterIncarnationRunsOnce fails ("started again and then its success was recorded").

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -15,13 +15,13 @@
 
 // advanceSession sends the requests that are due for a session.
 func (e *Engine) advanceSession(s *session) {
+	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
+		s.endsPending, s.asked, s.settled = false, false, false
+	}
 	if s.replaced {
 		e.endReplaced(s)
 		return
 	}
-	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
-		s.endsPending = false
-	}
 	e.releaseUnstartableRuns(s)
 	if !s.endsPending {
 		if len(s.runs) > 0 && s.failures > 0 && e.now > s.leasesExpireBy {
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -29,7 +29,10 @@
 			"runs", len(s.runs), "doubtful-runs", len(s.sortedRuns(e.mayRunAtReplacement)))
 	}
 	e.markDirty(s)
-	return !s.settled && (s.hasDoubtfulRuns() || len(s.sortedRuns(e.mayRunAtReplacement)) > 0)
+	if s.settled {
+		return s.endsPending
+	}
+	return s.hasDoubtfulRuns() || len(s.sortedRuns(e.mayRunAtReplacement)) > 0
 }
 
 // mayRunAtReplacement reports whether a later incarnation may execute a run that was requested from this one.
@@ -45,6 +48,8 @@
 func (e *Engine) endReplaced(s *session) {
 	pending := s.sortedRuns(e.mayRunAtReplacement)
 	switch {
+	case s.endsPending:
+		return
 	case e.now > s.leasesExpireBy: // The later incarnation has ended these runs.
 	case len(pending) > 0:
 		for _, r := range pending {
@@ -58,13 +63,13 @@
 		return
 	case !s.settled && s.hasDoubtfulRuns():
 		if !s.renewalInFlight && e.now >= s.nextRenewalAt {
-			s.asked, s.renewalInFlight, s.renewalSentAt = true, true, e.now
+			s.asked, s.renewalInFlight, s.renewalSentAt, s.nextRenewalAt = true, true, e.now, e.now+minRetryDelay
 			// The numbers of ends start anew, so none is acknowledged.
 			e.addAction(RenewLease{RequestHeader: e.requestHeader(s)})
 		}
 		return
 	}
-	if s.endsPending || e.now < s.nextRenewalAt {
+	if e.now < s.nextRenewalAt {
 		return
 	}
 	s.nextRenewalAt = e.now + proposalTimeout
--- a/internal/workload/replaced_test.go
+++ b/internal/workload/replaced_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
 // restartSilently replaces a worker by a later incarnation with the same ID and address, which has sent no heartbeat yet.
@@ -59,6 +60,19 @@
 				return workload.NoAnswer, ok && s.now < until
 			}
 		}},
+		{"done, and its record is rejected once", func(s *sim, later *fakeWorker) {
+			until := s.now + jobTime + 500*time.Millisecond
+			s.rejectRequest = func(a kernel.Action) (workload.Outcome, bool) {
+				_, ok := a.(workload.StopRun)
+				return workload.NoAnswer, ok && s.now < until
+			}
+			rejected := false
+			s.rejectCommand = func(m *workloadpb.Command) bool {
+				reject := !rejected && m.GetEnds() != nil && s.e.State().Worker(m.GetEnds().Worker).ID() == later.m.Id
+				rejected = rejected || reject
+				return reject
+			}
+		}},
 		{"another leader", func(s *sim, later *fakeWorker) {
 			s.scheduleLasting(200*time.Millisecond, s.startTerm)
 			s.scheduleLasting(220*time.Millisecond, func() { s.report(later) })
