--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -177,7 +177,9 @@
 	}
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, joinInterval)
-		_, _ = c.client.AddVoter(attemptCtx, member) // A failed request is repeated.
+		if _, err := c.client.AddVoter(attemptCtx, member); err != nil {
+			c.cfg.Log.V(1).Info("no leader answered the request to become a voter; repeating it", "reason", err.Error())
+		}
 		cancel()
 		select {
 		case <-ctx.Done():
