--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -321,21 +321,6 @@
 	p.logf("reboot: %s is %s", name, row.Worker)
 }
 
-// targetOf returns the header of a request for a worker.
-func targetOf(a kernel.Action) (workload.RequestHeader, bool) {
-	switch a := a.(type) {
-	case workload.StartRun:
-		return a.RequestHeader, true
-	case workload.StopRun:
-		return a.RequestHeader, true
-	case workload.RenewLease:
-		return a.RequestHeader, true
-	case workload.ThrottleRun:
-		return a.RequestHeader, true
-	}
-	return workload.RequestHeader{}, false
-}
-
 // handle handles requests that meet a fault, and all requests to the adviser and to the platform.
 func (p *player) handle(a kernel.Action) bool {
 	sent := p.sentAt
--- /dev/null
+++ b/internal/workload/sim_delivery_test.go
@@ -0,0 +1,215 @@
+package workload_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+)
+
+func taskKey(n workload.RunName) string {
+	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
+}
+
+// worker returns the worker that a request is meant for, nil if it does not answer.
+func (s *sim) worker(t workload.Target) *fakeWorker {
+	if w := s.workers[t.ID]; w != nil && !w.dead && !w.unreachable && !w.deaf {
+		return w
+	}
+	return nil
+}
+
+func (s *sim) execute(a kernel.Action) {
+	s.t.Helper()
+	s.requests = append(s.requests, a)
+	if s.requestDelay != nil {
+		// A request of an earlier leader still arrives, but its answer is lost.
+		sent, term := s.now, s.term
+		s.scheduleLasting(s.requestDelay(a), func() { s.deliver(a, sent, term) })
+		return
+	}
+	s.deliver(a, s.now, s.term)
+}
+
+// deliver carries out a request that was sent at a time in a term.
+func (s *sim) deliver(a kernel.Action, sent time.Duration, term uint64) {
+	s.t.Helper()
+	if term < s.term || s.leaderless {
+		// Only the answers to the new leader are observed.
+		s.deliverOutdated(a, sent)
+		return
+	}
+	s.sentAt = sent
+	if s.intercept != nil && s.intercept(a) {
+		return
+	}
+	if s.rejectRequest != nil {
+		if o, ok := s.rejectRequest(a); ok {
+			s.schedule(simStep, func() { s.fail(a, o, sent) })
+			return
+		}
+	}
+	if h, ok := targetOf(a); ok {
+		if w := s.worker(h.Target); w != nil && w.m.BornMs != h.StartedMs {
+			s.deliverToSuccessor(w, a, sent)
+			return
+		}
+	}
+	switch a := a.(type) {
+	case workload.RenewLease:
+		w := s.worker(a.Target)
+		if w == nil {
+			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+			return
+		}
+		w.acceptHeader(a.RequestHeader)
+		w.acknowledge(a.AckedEnd)
+		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, sent, s.now+max(a.Wait, simStep)
+	case workload.StartRun:
+		w := s.worker(a.Target)
+		if w == nil {
+			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+			return
+		}
+		o := w.start(a, sent)
+		s.schedule(simStep, func() { s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: w.answer(o, sent)}) })
+	case workload.StopRun:
+		w := s.worker(a.Target)
+		if w == nil {
+			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+			return
+		}
+		w.stop(a)
+		s.schedule(simStep, func() {
+			s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: w.answer(workload.Accepted, sent)})
+		})
+	case workload.RequestAdvice:
+		done := workload.AdviceResult{
+			Request: a, Outcome: workload.Accepted, Tickets: map[string]string{}, Validity: 3 * time.Second, SentAt: sent,
+		}
+		for _, id := range a.Workers {
+			if id == s.advisedWorker {
+				done.Tickets[id] = "ticket-" + id
+			}
+		}
+		s.schedule(20*simStep, func() { s.k.Observe(s.now, done) })
+	case workload.ThrottleRun:
+		s.schedule(simStep, func() {
+			s.k.Observe(s.now, workload.ThrottleRunResult{
+				Request: a, Answer: workload.Answer{Outcome: workload.Accepted, SentAt: sent, EndedAt: s.now},
+			})
+		})
+	case workload.ListInstances:
+		done := workload.ListInstancesResult{Outcome: workload.Accepted, SentAt: sent}
+		for _, row := range s.instances {
+			done.Instances = append(done.Instances, *row)
+		}
+		if s.onListInstances != nil {
+			s.onListInstances()
+		}
+		s.schedule(simStep, func() { s.k.Observe(s.now, done) })
+	case workload.MoveInstance:
+		s.moves++
+		s.restart(a.Instance, a.Pool, 1500*time.Millisecond)
+		s.schedule(2*simStep, func() {
+			s.k.Observe(s.now, workload.MoveInstanceResult{Request: a, Outcome: workload.Accepted, SentAt: sent})
+		})
+	case workload.MaintainInstance:
+		s.maintain(a)
+		s.schedule(2*simStep, func() {
+			s.k.Observe(s.now, workload.MaintainInstanceResult{Request: a, Outcome: workload.Accepted, SentAt: sent})
+		})
+	}
+}
+
+// deliverToSuccessor carries out a request at a later incarnation with the ID of the one that it was sent to.
+func (s *sim) deliverToSuccessor(w *fakeWorker, a kernel.Action, sent time.Duration) {
+	o := workload.Accepted
+	switch a := a.(type) {
+	case workload.StartRun:
+		o = w.start(a, sent)
+	case workload.StopRun:
+		w.stop(a)
+	case workload.RenewLease:
+		w.acceptHeader(a.RequestHeader)
+		w.acknowledge(a.AckedEnd)
+	}
+	answer := workload.Answer{Outcome: o, SentAt: sent}
+	if o == workload.Accepted {
+		answer.Outcome, answer.Executed = workload.OtherIncarnation, true
+	}
+	s.schedule(simStep, func() {
+		if h, ok := a.(workload.RenewLease); ok {
+			r := w.list(h)
+			r.Answer = answer
+			r.EndedAt = s.now
+			s.k.Observe(s.now, r)
+			return
+		}
+		s.observeAnswer(a, answer)
+	})
+}
+
+// deliverOutdated carries out a request that an earlier leader sent at a time.
+func (s *sim) deliverOutdated(a kernel.Action, sent time.Duration) {
+	switch a := a.(type) {
+	case workload.RenewLease:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
+			w.acceptHeader(a.RequestHeader)
+			w.acknowledge(a.AckedEnd)
+		}
+	case workload.StartRun:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs {
+			w.start(a, sent)
+		}
+	case workload.StopRun:
+		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
+			w.stop(a)
+		}
+	}
+}
+
+func (s *sim) fail(a kernel.Action, o workload.Outcome, sent time.Duration) {
+	s.observeAnswer(a, workload.Answer{Outcome: o, SentAt: sent})
+	switch a := a.(type) {
+	case workload.RequestAdvice:
+		s.k.Observe(s.now, workload.AdviceResult{Request: a, Outcome: o, SentAt: sent})
+	case workload.ListInstances:
+		s.k.Observe(s.now, workload.ListInstancesResult{Outcome: o, SentAt: sent})
+	case workload.MoveInstance:
+		s.k.Observe(s.now, workload.MoveInstanceResult{Request: a, Outcome: o, SentAt: sent})
+	case workload.MaintainInstance:
+		s.k.Observe(s.now, workload.MaintainInstanceResult{Request: a, Outcome: o, SentAt: sent})
+	}
+}
+
+// observeAnswer passes the answer to a request for a worker, which arrives now, to the leader.
+func (s *sim) observeAnswer(a kernel.Action, answer workload.Answer) {
+	answer.EndedAt = s.now
+	switch a := a.(type) {
+	case workload.RenewLease:
+		s.k.Observe(s.now, workload.RenewLeaseResult{Request: a, Answer: answer})
+	case workload.StartRun:
+		s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: answer})
+	case workload.StopRun:
+		s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: answer})
+	case workload.ThrottleRun:
+		s.k.Observe(s.now, workload.ThrottleRunResult{Request: a, Answer: answer})
+	}
+}
+
+// targetOf returns the header of a request for a worker.
+func targetOf(a kernel.Action) (workload.RequestHeader, bool) {
+	switch a := a.(type) {
+	case workload.StartRun:
+		return a.RequestHeader, true
+	case workload.StopRun:
+		return a.RequestHeader, true
+	case workload.RenewLease:
+		return a.RequestHeader, true
+	case workload.ThrottleRun:
+		return a.RequestHeader, true
+	}
+	return workload.RequestHeader{}, false
+}
