workload, platform: ignore heartbeats that come from no worker

One heartbeat of another writer, with an unknown service, without three fields, and with the address of a live worker, and a subtask ran on two workers at once.

Cause: the ledger ends the incarnation at an address when a later one reports from there. The adapter took missing fields for zeros, and the leader took any pool, so a heartbeat that no worker sent ended a live one. Under the ID of a live worker such heartbeats did the same, or replaced its pool and address.

Ruled out: a lapsed lease (the run went on), a restart (born is unchanged), a delayed heartbeat (an earlier start ends nothing).

The leader ignores unknown incarnations of pools that the configuration lacks, and reports that contradict what an incarnation keeps. The checks precede replication, so mixed versions apply the log alike.

--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -373,10 +373,25 @@
 	return v
 }
 
+// isForeign reports whether a heartbeat comes from another writer than a worker. It names a pool that the configuration
+// lacks, or differs from the known heartbeats of its incarnation in what an incarnation keeps; w is the latest incarnation
+// with its ID.
+func (e *Engine) isForeign(m *workloadpb.Worker, w *ledger.Worker) bool {
+	if w != nil && w.StartedMs() == m.GetBornMs() {
+		return !w.HasOrigin(m)
+	}
+	return e.state.Document() != nil && e.state.Pool(m.GetPool()) == nil
+}
+
 // handleHeartbeat updates the session of the worker that sent a heartbeat. It reports whether the heartbeat must not be
-// recorded, because a later one was received.
-func (e *Engine) handleHeartbeat(r *workloadpb.Report) (outdated bool) {
+// recorded, because a later one was received or it comes from another writer, who says nothing about any worker.
+func (e *Engine) handleHeartbeat(r *workloadpb.Report) (mustIgnore bool) {
 	w := e.state.WorkerByID(r.GetWorker().GetId())
+	if e.isForeign(r.GetWorker(), w) {
+		e.cfg.Log.Info("ignored a heartbeat of another writer", "worker", r.GetWorker().GetId(), "pool",
+			r.GetWorker().GetPool(), "address", r.GetWorker().GetAddress(), "born", r.GetWorker().GetBornMs())
+		return true
+	}
 	if w == nil {
 		return false
 	}
