workload, platform: let foreign entries of the list hide no instance

What callers would see: runs that end without their maintenance being announced, or a wave that is never completed.

Cause: as for heartbeats, what another writer left was taken for a true entry. The last entry for an instance won, so a foreign one hid its worker or its state.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -209,6 +209,10 @@
 	rows := map[string]*instance{}
 	clear(f.byWorker)
 	for _, row := range ev.Instances {
+		if rows[row.Name] != nil && e.state.Pool(row.Pool) == nil {
+			e.cfg.Log.Info("ignored an entry of another writer in the list of instances", "instance", row.Name, "pool", row.Pool)
+			continue
+		}
 		in := f.instances[row.Name]
 		if in == nil {
 			in = &instance{}
