workload: wait for the recorded end of an incarnation after a misdirected request

What callers would see: nothing directly; until the end was in the log, the leader repeated each start and stop that a worker had answered as misdirected once a round trip, and proposed the end each time.

Change: a run whose request another incarnation answered without executing it waits for proposalTimeout; only executed requests skip the wait.

Evidence: TestEndedIncarnationIsAskedOnce, with a log that records no end: 100 requests a second for a run before, one now.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -295,6 +295,9 @@
 	}
 	if r != nil {
 		r.requestInFlight = false
+		if a.Outcome == OtherIncarnation && !a.Executed {
+			r.retryAt = e.now + proposalTimeout // The end of the incarnation was proposed.
+		}
 	}
 	return s, r
 }
@@ -329,7 +332,7 @@
 	case Fenced:
 		r.retryAt = e.now + maxRetryDelay
 	case OtherIncarnation:
-		r.retryAt = e.now
+		// Either its end was proposed, or the run is stopped at the later incarnation.
 	default:
 		e.recordFailure(s, "start", ev.Outcome, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
--- a/internal/workload/replaced_test.go
+++ b/internal/workload/replaced_test.go
@@ -99,3 +99,73 @@
 		})
 	}
 }
+
+// Guards against requests and proposals that are repeated once a round trip while the end of an incarnation, which another
+// one at its address has shown, is not in the log yet.
+func TestEndedIncarnationIsAskedOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// request makes the leader send requests for runs.
+		request func(s *sim)
+		isFor   func(a kernel.Action) bool
+	}{
+		{"start", func(s *sim) { s.submit("p", "j", step(4, 4000, 1000, 1000)) }, func(a kernel.Action) bool {
+			_, ok := a.(workload.StartRun)
+			return ok
+		}},
+		{"stop", func(s *sim) { s.cancel("p", "long") }, func(a kernel.Action) bool {
+			_, ok := a.(workload.StopRun)
+			return ok
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(t)
+			w := s.addWorkers("p", 1)[0]
+			s.configure(1, nil, "p")
+			s.run(2 * time.Second)
+			s.submit("p", "long", step(2, 1000, 1000, 20_000))
+			s.run(200 * time.Millisecond)
+			w.dead = true
+			s.intercept = func(a kernel.Action) bool {
+				_, ok := targetOf(a)
+				if ok {
+					sent := s.now
+					s.schedule(simStep, func() { s.fail(a, workload.OtherIncarnation, sent) })
+				}
+				return ok
+			}
+			test.request(s)
+			s.run(simStep)
+			s.requests = nil
+			ends := 0
+			s.rejectCommand = func(m *workloadpb.Command) bool { // The log is slow.
+				if m.GetLeave() != nil {
+					ends++
+				}
+				return m.GetLeave() != nil
+			}
+			s.run(time.Second)
+			sent := map[workload.RunName]int{}
+			for _, a := range s.requests {
+				if test.isFor(a) {
+					sent[runNameOf(a)]++
+				}
+			}
+			for n, count := range sent {
+				assert.Assert(t, count <= 1, "%v was requested %d times", n, count)
+			}
+			assert.Assert(t, ends > 0 && ends <= 5, "the end was proposed %d times", ends)
+		})
+	}
+}
+
+func runNameOf(a kernel.Action) workload.RunName {
+	switch a := a.(type) {
+	case workload.StartRun:
+		return a.Name
+	case workload.StopRun:
+		return a.Name
+	}
+	return workload.RunName{}
+}
