workload: take a capacity for as old as the clock of its heartbeat says

What callers would see: a start beyond the capacity of a worker that has shrunk (LIMIT).

Cause: the age of a capacity counted from the arrival of the heartbeat. A new leader has no sequence to recognize one that was held up, so a heartbeat from before the worker shrank passed for a current one.

Ruled out: a start that was sent earlier and arrived late.

Change: the capacity is as old as what the worker's clock has advanced since the heartbeat. Runs are only given to workers that have answered, which shows it.

--- a/internal/workload/capacity_test.go
+++ b/internal/workload/capacity_test.go
@@ -91,6 +91,30 @@
 	}
 }
 
+// Guards against starts beyond the capacity of a worker that has shrunk while it was silent, because the first heartbeat that
+// a new leader receives was delayed. The simulation fails at such a start.
+func TestDelayedHeartbeatShowsNoCurrentCapacity(t *testing.T) {
+	for silence := shrinkGrace; silence < shrinkGrace+3*time.Second; silence += 100 * time.Millisecond {
+		t.Run(silence.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			w := s.addWorkers("glass", 1)[0]
+			s.run(2 * time.Second)
+			delayed := s.heartbeat(w)
+			w.unreachable = true
+			w.resize(&workloadpb.Resources{Cpu: 8000, MemoryMib: 65536})
+			s.run(time.Second)
+			s.startTerm()
+			s.run(silence)
+			w.unreachable = false
+			s.call(delayed)
+			s.submit("glass", "last", lasting(2, 8000, 1000))
+			s.run(lostWindow)
+			assert.Equal(t, s.running("last"), 1)
+		})
+	}
+}
+
 // Guards against starts that are sent again, or for the first time by a new leader, beyond the capacity of a worker that
 // has shrunk since the run was assigned.
 func TestStartsAreNotRepeatedBeyondShrunkCapacity(t *testing.T) {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -68,6 +68,7 @@
 	lastHeartbeat     time.Duration
 	heartbeatSequence uint64
 	capacityKnownAt   time.Duration // last heartbeat that this leader received, 0 if there was none
+	capacityClockMs   int64         // the worker's clock in that heartbeat, 0 if there was none
 	drainDeadline     time.Duration
 
 	// The worker's clock showed at least workerClockMs at clockReadAt.
@@ -226,8 +227,7 @@
 		return h
 	}
 	lease := e.grantedLease()
-	elapsed := float64((e.now - s.clockReadAt).Milliseconds())
-	h.LeaseExpiryMs = s.workerClockMs + int64(minClockRate*elapsed) + lease.Milliseconds()
+	h.LeaseExpiryMs = s.earliestClockMs(e.now) + lease.Milliseconds()
 	s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(lease))
 	return h
 }
@@ -239,6 +239,11 @@
 	}
 }
 
+// earliestClockMs returns the earliest time that the worker's clock may show, if a reading of it is known.
+func (s *session) earliestClockMs(now time.Duration) int64 {
+	return s.workerClockMs + int64(minClockRate*float64((now-s.clockReadAt).Milliseconds()))
+}
+
 // recordClock records a reading of the worker's clock that was taken no later than at, unless the last reading tells
 // more, because this one was held up on its way.
 func (s *session) recordClock(clock int64, at time.Duration) {
@@ -316,6 +321,10 @@
 // for the first heartbeat of a worker.
 func (e *Engine) isCapacityOutdated(s *session) bool {
 	age := e.now - max(s.capacityKnownAt, e.leadingSince)
+	if s.capacityClockMs > 0 {
+		// The heartbeat may have been delayed, which shows once the worker answers.
+		age = max(age, millis(s.earliestClockMs(e.now)-s.capacityClockMs))
+	}
 	return age > maxMissedHeartbeats*e.cfg.HeartbeatInterval+heartbeatDelay
 }
 
@@ -410,6 +419,7 @@
 		return false
 	}
 	s.heartbeatSequence, s.lastHeartbeat, s.capacityKnownAt = r.Sequence, e.now, max(e.now, 1)
+	s.capacityClockMs = r.ClockMs
 	s.recordClock(r.ClockMs, e.now)
 	e.markDirty(s)
 	if r.Worker.Draining {
