--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -109,16 +109,16 @@
 
 // sameInfo reports whether a heartbeat with b would change nothing in a. Draining can't be undone.
 func sameInfo(a, b *workloadpb.Worker) bool {
-	return sameOrigin(a, b) && proto.Equal(a.Capacity, b.Capacity) && (a.Draining || !b.Draining)
+	return sameIdentity(a, b) && proto.Equal(a.Capacity, b.Capacity) && (a.Draining || !b.Draining)
 }
 
-// sameOrigin reports whether a and b agree in what an incarnation keeps, unlike its capacity.
-func sameOrigin(a, b *workloadpb.Worker) bool {
+// sameIdentity reports whether a and b agree in what an incarnation keeps, unlike its capacity.
+func sameIdentity(a, b *workloadpb.Worker) bool {
 	return a.Address == b.Address && a.Pool == b.Pool && a.Zone == b.Zone && slices.Equal(a.Labels, b.Labels)
 }
 
-// HasOrigin reports whether m has the address, the pool, the zone and the labels of the worker.
-func (w *Worker) HasOrigin(m *workloadpb.Worker) bool { return sameOrigin(w.info, m) }
+// HasIdentity reports whether m has the address, the pool, the zone and the labels of the worker.
+func (w *Worker) HasIdentity(m *workloadpb.Worker) bool { return sameIdentity(w.info, m) }
 
 func (s *State) applyReport(r *workloadpb.Report, at int64) {
 	m := r.GetWorker()
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -387,7 +387,7 @@
 // with its ID.
 func (e *Engine) isForeign(m *workloadpb.Worker, w *ledger.Worker) bool {
 	if w != nil && w.StartedMs() == m.GetBornMs() {
-		return !w.HasOrigin(m)
+		return !w.HasIdentity(m)
 	}
 	return e.state.Document() != nil && e.state.Pool(m.GetPool()) == nil
 }
