--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -210,6 +210,7 @@
 	clear(f.byWorker)
 	for _, row := range ev.Instances {
 		if rows[row.Name] != nil && e.state.Pool(row.Pool) == nil {
+			// A lone entry of such a pool counts: the maintenance of its instance may be due.
 			e.cfg.Log.Info("ignored an entry of another writer in the list of instances", "instance", row.Name, "pool", row.Pool)
 			continue
 		}
