control: tell which voters are missing while no leader is known

A voter that knows no leader for 2 s logs its role, its term, the quorum and the addresses of the voters that send messages and of those that don't; each voter logs the members after a change, the leader when a voter is missing and when it has caught up. A request to join without an answer tells which addresses were tried.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -24,10 +24,15 @@
 // trackLostVoters records since when each voter has not been caught up.
 func (v *Voter) trackLostVoters(members []raft.MemberStatus) {
 	for _, m := range members {
-		if m.CaughtUp || !m.Member.Voter {
-			delete(v.notCaughtUpSince, m.Member.Id)
-		} else if _, ok := v.notCaughtUpSince[m.Member.Id]; !ok {
+		_, wasMissing := v.notCaughtUpSince[m.Member.Id]
+		switch missing := m.Member.Voter && !m.CaughtUp; {
+		case missing && !wasMissing:
 			v.notCaughtUpSince[m.Member.Id] = v.now()
+			v.cfg.Log.Info("voter is missing", "member", m.Member.Id, "address", m.Member.Address)
+		case !missing && wasMissing:
+			v.cfg.Log.Info("voter has caught up", "member", m.Member.Id, "address", m.Member.Address,
+				"after", v.missingFor(m.Member.Id).String())
+			delete(v.notCaughtUpSince, m.Member.Id)
 		}
 	}
 }
--- /dev/null
+++ b/internal/control/observe.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft"
+)
+
+const (
+	// leaderlessAfter is how long a voter knows no leader before it logs that; an election takes less.
+	leaderlessAfter = 2 * time.Second
+	// leaderlessInterval is the time between two such messages.
+	leaderlessInterval = 5 * time.Second
+	// silentAfter is the time since the last message of a member after which the member counts as silent. A voter without
+	// a leader asks the others for their votes more often.
+	silentAfter = 2 * time.Second
+)
+
+// GroupStatus is what a voter knows about the control group.
+type GroupStatus struct {
+	// Voters is the number of voters, Missing the number of those that the leader can't reach or that lag behind it; 0
+	// unless this voter leads.
+	Voters, Missing int
+	// LeaderKnown is set while this voter leads or follows a leader.
+	LeaderKnown bool
+}
+
+// observeGroup updates the status of the group and logs if no leader is known for longer than an election takes.
+func (v *Voter) observeGroup() {
+	st := v.core.Status()
+	status := GroupStatus{LeaderKnown: st.Leader != ""}
+	for _, m := range st.Members {
+		if !m.Member.Voter {
+			continue
+		}
+		status.Voters++
+		if v.leading && !m.CaughtUp {
+			status.Missing++
+		}
+	}
+	v.group.Store(&status)
+	if status.LeaderKnown {
+		v.leaderSeenAt, v.leaderlessLoggedAt = v.now(), 0
+		return
+	}
+	leaderless := v.now() - v.leaderSeenAt
+	if leaderless < leaderlessAfter || v.leaderlessLoggedAt != 0 && v.now()-v.leaderlessLoggedAt < leaderlessInterval {
+		return
+	}
+	v.leaderlessLoggedAt = v.now()
+	answering, silent, learners := v.splitMembers(st)
+	v.cfg.Log.Info("no leader of the control group is known", "for", leaderless.String(), "role", st.Role.String(),
+		"term", st.Term, "lastIndex", st.LastIndex, "voters", status.Voters, "quorum", raft.Quorum(status.Voters),
+		"answering", answering, "silent", silent, "learners", learners)
+}
+
+// splitMembers returns the addresses of the other voters that sent a message lately, of those that didn't, and of the
+// learners.
+func (v *Voter) splitMembers(st raft.Status) (answering, silent, learners []string) {
+	for _, m := range st.Members {
+		heardAt, heard := v.heardAt[m.Member.Id]
+		switch {
+		case m.Member.Id == st.ID:
+		case !m.Member.Voter:
+			learners = append(learners, m.Member.Address)
+		case heard && v.now()-heardAt < silentAfter:
+			answering = append(answering, m.Member.Address)
+		default:
+			silent = append(silent, m.Member.Address)
+		}
+	}
+	return answering, silent, learners
+}
+
+// logMembership logs the members after a committed change.
+func (v *Voter) logMembership() {
+	var voters, learners []string
+	for _, m := range v.core.Status().Members {
+		if m.Member.Voter {
+			voters = append(voters, m.Member.Address)
+		} else {
+			learners = append(learners, m.Member.Address)
+		}
+	}
+	v.cfg.Log.Info("membership of the control group changed", "voters", voters, "learners", learners)
+}
+
+// Group returns what this voter knew about the control group at its last tick.
+func (v *Voter) Group() GroupStatus {
+	if s := v.group.Load(); s != nil {
+		return *s
+	}
+	return GroupStatus{}
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -52,6 +52,7 @@
 		}
 		v.sender.recordAddress(m.From, m.Address)
 		err := v.post(ctx, func() {
+			v.heardAt[m.From] = v.now()
 			if err := v.core.Step(m); err != nil {
 				v.cfg.Log.Info("rejected a message from a member", "from", m.From, "reason", err.Error())
 			}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -89,6 +89,8 @@
 	isLeader atomic.Bool
 	// confirmedAt is the bootTime at which the newest heartbeat round that a quorum answered was sent.
 	confirmedAt atomic.Int64
+	// group is a copy of the state of the group for other goroutines.
+	group atomic.Pointer[GroupStatus]
 
 	// The fields below belong to the control loop.
 	leading          bool
@@ -113,6 +115,10 @@
 	roundTimes       roundTimes
 	notCaughtUpSince map[string]time.Duration // since when a voter has not caught up
 	limitRecordedAt  map[string]time.Duration // when the holders of a team's limit were last recorded
+	heardAt          map[string]time.Duration // when the last message of a member arrived
+	leaderSeenAt     time.Duration            // when a leader was last known
+
+	leaderlessLoggedAt time.Duration // 0 while a leader is known
 }
 
 // lastRenewal is what a process reported with its last lease renewal.
@@ -146,6 +152,7 @@
 		done:             make(chan struct{}),
 		pendingProposals: map[uint64]pendingProposal{},
 		readCallbacks:    map[uint64]func(raft.ReadResult){},
+		heardAt:          map[string]time.Duration{},
 	}
 	if v.kernel, err = kernel.New(kernel.Config{OnViolation: cfg.Violation, Log: cfg.Log}); err != nil {
 		return nil, err
@@ -265,6 +272,7 @@
 func (v *Voter) onTick() {
 	v.core.Tick()
 	v.detectLostLeadership()
+	v.observeGroup()
 	v.confirmRenewals()
 	if v.leading {
 		v.manageVoters()
@@ -443,6 +451,9 @@
 		v.decisionDue = true
 	} else {
 		v.kernel.Skip(e.Index)
+		if e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+			v.logMembership()
+		}
 		if e.Type == raftpb.EntryType_ENTRY_TYPE_EMPTY {
 			if st := v.core.Status(); st.Role == raft.Leader && st.Term == e.Term && !v.leading {
 				v.startLeading(e.Term)
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -37,7 +37,10 @@
 	return n
 }
 
-func (c *Core) quorum() int { return countVoters(c.members)/2 + 1 }
+// Quorum returns how many voters of a group decide.
+func Quorum(voters int) int { return voters/2 + 1 }
+
+func (c *Core) quorum() int { return Quorum(countVoters(c.members)) }
 
 // applyMemberChange returns the membership after the change, and leaves members as it is.
 func applyMemberChange(members []*raftpb.Member, ch *raftpb.MemberChange) []*raftpb.Member {
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -147,6 +147,9 @@
 	return n, nil
 }
 
+// Group returns what this process knows about the control group.
+func (c *Control) Group() control.GroupStatus { return c.voter.Group() }
+
 // Leading reports whether this process is the leader, as far as it knows.
 func (c *Control) Leading() bool { return c.voter.Leading() }
 
@@ -178,7 +181,8 @@
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, joinInterval)
 		if _, err := c.client.AddVoter(attemptCtx, member); err != nil {
-			c.cfg.Log.V(1).Info("no leader answered the request to become a voter; repeating it", "reason", err.Error())
+			c.cfg.Log.Info("no leader answered the request to become a voter; repeating it", "reason", err.Error(),
+				"tried", c.client.Voters())
 		}
 		cancel()
 		select {
