control: let lost voters leave a group that has more voters than a complete one

Callers got no answer for good, and the configuration couldn't be read back, after the machines of the core had been replaced and one disk was lost, though no more machines were missing at a time than the deployment tolerates.

Cause: a learner was promoted into a group of four with one lost voter, as that doesn't raise the quorum. The group then had five voters, and the lost voters of an odd group leave only beside a learner, so nothing removed them after the last replacement. With two of five voters gone, the loss of one disk leaves no quorum. It takes a replacement that starts within about 1.5 s after the predecessor of the last one stopped; each further one keeps the group at five.

Evidence: the logs of TestLostDiskAfterOverlappingReplacementsKeepsQuorum show the promotion to five voters, no removal after the last one, and "voters=5 quorum=3" with two that are left. Ruled out in that run: a replacement that doesn't join (each was a voter) and elections that fail for another reason (the other voter answers, the terms stay).

A group has a complete size now, twice the tolerated losses and one, which the settings tell. Voters beyond it that are lost leave after 1 s, whether the number is odd or even, and learners wait until then. A group that isn't larger keeps its lost voters as before, so that entries are on as many disks as losses are tolerated, and one more; that holds for a group of four of five as well now, which removed a lost voter without a replacement.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -16,7 +16,8 @@
 	members := v.core.Status().Members
 	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
 	v.trackLostVoters(members)
-	if ch := chooseMemberChange(members, v.missingFor, v.cfg.RemoveLostAfter); ch != nil {
+	policy := memberPolicy{removeLostAfter: v.cfg.RemoveLostAfter, completeGroup: max(minVoters, 2*v.cfg.ToleratedLosses+1)}
+	if ch := policy.chooseMemberChange(members, v.missingFor); ch != nil {
 		v.proposeMemberChange(ch)
 	}
 }
@@ -45,13 +46,22 @@
 	return 0
 }
 
+// memberPolicy decides about the members of the group.
+type memberPolicy struct {
+	// removeLostAfter is Config.RemoveLostAfter.
+	removeLostAfter time.Duration
+	// completeGroup is the number of voters that a complete group has.
+	completeGroup int
+}
+
 // chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing:
 // with a lost voter that still counts, a group of four doesn't tolerate the loss of one more member. A lost voter leaves
-// if a learner can take its place, or if the number of voters is even, as beside a replacement. Otherwise it stays, so that
-// entries are committed by as many voters as the group needs to bear the loss of disks. A removeLostAfter of 0 keeps all
-// lost voters, except those that joined again under the same name.
-func chooseMemberChange(
-	members []raft.MemberStatus, missingFor func(id string) time.Duration, removeLostAfter time.Duration,
+// if a learner can take its place, or if the group has more voters than a complete one, as beside a replacement. Otherwise
+// it stays, so that entries are committed by as many voters as the group needs to bear the loss of disks. Learners wait
+// until the surplus voters that are lost have left. A removeLostAfter of 0 keeps all lost voters, except those that joined
+// again under the same name.
+func (p memberPolicy) chooseMemberChange(
+	members []raft.MemberStatus, missingFor func(id string) time.Duration,
 ) *raftpb.MemberChange {
 	learner := findCaughtUpLearner(members)
 	voters := 0
@@ -71,12 +81,12 @@
 			lost = m.Member
 		}
 	}
-	odd := voters%2 == 1
-	if learner != nil && (removeLostAfter == 0 || lost == nil || !odd) {
+	even, surplus := voters%2 == 0, voters > p.completeGroup
+	if learner != nil && (p.removeLostAfter == 0 || lost == nil || even && !surplus) {
 		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
 	}
-	mayLeave := learner != nil || !odd && voters > minVoters
-	if removeLostAfter == 0 || lost == nil || !mayLeave || missingFor(lost.Id) < removeLostAfter {
+	mayLeave := learner != nil || surplus
+	if p.removeLostAfter == 0 || lost == nil || !mayLeave || missingFor(lost.Id) < p.removeLostAfter {
 		return nil
 	}
 	return removal(lost)
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -11,7 +11,8 @@
 )
 
 // Guards against a quorum that is raised while a voter is missing, against a lost voter that counts longer than its
-// replacement needs, and against the removal of a voter that is only restarting.
+// replacement needs, against a group that grows by voters that are gone, and against the removal of a voter that is only
+// restarting.
 func TestChooseMemberChange(t *testing.T) {
 	voter := func(name string, caughtUp bool) raft.MemberStatus {
 		return raft.MemberStatus{Member: &raftpb.Member{Id: "id-" + name, Name: name, Voter: true}, CaughtUp: caughtUp}
@@ -29,36 +30,47 @@
 		missingA        time.Duration
 		missingB        time.Duration
 		removeLostAfter time.Duration
+		completeGroup   int
 		want            string
 	}{
-		{"complete group", []raft.MemberStatus{a, b, c}, 0, 0, removeLostAfter, ""},
-		{"another process", []raft.MemberStatus{a, b, c, ready}, 0, 0, removeLostAfter, "promote id-n"},
-		{"process that is not caught up", []raft.MemberStatus{a, b, c, behind}, 0, 0, removeLostAfter, ""},
-		{"restart", []raft.MemberStatus{lostA, b, c}, time.Minute, 0, removeLostAfter, ""},
-		{"short absence beside a learner", []raft.MemberStatus{lostA, b, c, ready}, 900 * time.Millisecond, 0, removeLostAfter,
+		{"complete group", []raft.MemberStatus{a, b, c}, 0, 0, removeLostAfter, 3, ""},
+		{"another process", []raft.MemberStatus{a, b, c, ready}, 0, 0, removeLostAfter, 3, "promote id-n"},
+		{"process that is not caught up", []raft.MemberStatus{a, b, c, behind}, 0, 0, removeLostAfter, 3, ""},
+		{"restart", []raft.MemberStatus{lostA, b, c}, time.Minute, 0, removeLostAfter, 3, ""},
+		{"short absence beside a learner", []raft.MemberStatus{lostA, b, c, ready}, 900 * time.Millisecond, 0, removeLostAfter, 3,
+			""},
+		{"replacement", []raft.MemberStatus{lostA, b, c, ready}, time.Second, 0, removeLostAfter, 3, "remove id-a"},
+		{"replacement that is not caught up", []raft.MemberStatus{lostA, b, c, behind}, time.Minute, 0, removeLostAfter, 3, ""},
+		{"after the removal", []raft.MemberStatus{b, c, ready}, 0, 0, removeLostAfter, 3, "promote id-n"},
+		{"replacement that came first", []raft.MemberStatus{lostA, b, c, d}, time.Second, 0, removeLostAfter, 3, "remove id-a"},
+		{"short absence in an even group", []raft.MemberStatus{lostA, b, c, d}, 900 * time.Millisecond, 0, removeLostAfter, 3,
 			""},
-		{"replacement", []raft.MemberStatus{lostA, b, c, ready}, time.Second, 0, removeLostAfter, "remove id-a"},
-		{"replacement that is not caught up", []raft.MemberStatus{lostA, b, c, behind}, time.Minute, 0, removeLostAfter, ""},
-		{"after the removal", []raft.MemberStatus{b, c, ready}, 0, 0, removeLostAfter, "promote id-n"},
-		{"replacement that came first", []raft.MemberStatus{lostA, b, c, d}, time.Second, 0, removeLostAfter, "remove id-a"},
-		{"short absence in an even group", []raft.MemberStatus{lostA, b, c, d}, 900 * time.Millisecond, 0, removeLostAfter, ""},
 		{"two replacements, first", []raft.MemberStatus{lostA, lostB, c, d, e, ready}, 2 * time.Second, 3 * time.Second,
-			removeLostAfter, "remove id-b"},
-		{"two replacements, promotion", []raft.MemberStatus{lostA, c, d, e, ready}, 2 * time.Second, 0, removeLostAfter,
+			removeLostAfter, 5, "remove id-b"},
+		{"two replacements, promotion", []raft.MemberStatus{lostA, c, d, e, ready}, 2 * time.Second, 0, removeLostAfter, 5,
 			"promote id-n"},
-		{"no replacement", []raft.MemberStatus{lostA, b, c, d, e}, time.Minute, 0, removeLostAfter, ""},
-		{"two lost, no replacement", []raft.MemberStatus{lostA, lostB, c, d, e}, time.Minute, time.Minute, removeLostAfter, ""},
-		{"lost disk", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, removeLostAfter, "remove id-a"},
-		{"lost disk, removal by hand only", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, 0,
+		{"no replacement", []raft.MemberStatus{lostA, b, c, d, e}, time.Minute, 0, removeLostAfter, 5, ""},
+		{"two lost, no replacement", []raft.MemberStatus{lostA, lostB, c, d, e}, time.Minute, time.Minute, removeLostAfter, 5, ""},
+		{"lost while a replacement is missing", []raft.MemberStatus{lostA, b, c, d}, time.Minute, 0, removeLostAfter, 5, ""},
+		{"next replacement before the removal", []raft.MemberStatus{lostA, b, c, d, ready}, 900 * time.Millisecond, 0,
+			removeLostAfter, 3, ""},
+		{"next replacement, removal", []raft.MemberStatus{lostA, b, c, d, ready}, time.Second, 0, removeLostAfter, 3,
+			"remove id-a"},
+		{"surplus voter", []raft.MemberStatus{lostA, b, c, d, e}, time.Second, 0, removeLostAfter, 3, "remove id-a"},
+		{"two surplus voters", []raft.MemberStatus{lostA, lostB, c, d, e}, time.Second, 2 * time.Second, removeLostAfter, 3,
+			"remove id-b"},
+		{"lost disk", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, removeLostAfter, 3, "remove id-a"},
+		{"lost disk, removal by hand only", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, 0, 3,
 			"remove id-a"},
-		{"removal by hand only", []raft.MemberStatus{lostA, b, c, ready}, time.Minute, 0, 0, "promote id-n"},
+		{"removal by hand only", []raft.MemberStatus{lostA, b, c, ready}, time.Minute, 0, 0, 3, "promote id-n"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			missing := map[string]time.Duration{"id-a": test.missingA, "id-b": test.missingB}
 			got := ""
 			missingFor := func(id string) time.Duration { return missing[id] }
-			if ch := chooseMemberChange(test.members, missingFor, test.removeLostAfter); ch != nil {
+			policy := memberPolicy{removeLostAfter: test.removeLostAfter, completeGroup: test.completeGroup}
+			if ch := policy.chooseMemberChange(test.members, missingFor); ch != nil {
 				got = map[raftpb.ChangeKind]string{
 					raftpb.ChangeKind_CHANGE_KIND_PROMOTE: "promote ", raftpb.ChangeKind_CHANGE_KIND_REMOVE: "remove ",
 				}[ch.Kind] + ch.Member.Id
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -61,6 +61,9 @@
 	// RemoveLostAfter is how long the leader waits before it removes a voter that is unreachable or lagging, where
 	// another one takes its place; 0 disables the removal. A removed voter that comes back must join again.
 	RemoveLostAfter time.Duration
+	// ToleratedLosses is the number of voters whose loss the group must tolerate; 0 means 1. A group of more than twice as
+	// many and one needs no lost voter.
+	ToleratedLosses int
 	// Setup is called with the kernel before the snapshot is restored. It may be nil.
 	Setup func(k *kernel.Kernel)
 	// RunActions is called with the actions that the kernel of the leader decided. It must not block and may be nil.
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -46,6 +46,8 @@
 	// RemoveLostAfter is the time without contact after which a control process that has a replacement is removed from the
 	// voters; 0 means 1 s.
 	RemoveLostAfter time.Duration
+	// ToleratedLosses is the number of control processes whose loss the deployment must tolerate; 0 means 1.
+	ToleratedLosses int
 	// Bootstrap is set at the first start of the whole deployment.
 	Bootstrap     bool
 	DataDirectory string
@@ -106,7 +108,8 @@
 	voterConfig := control.Config{
 		Name: cfg.PeerAddress, PeerAddress: cfg.PeerAddress, AvailabilityZone: cfg.Zone, Store: c.store, Persisted: persisted,
 		Transport: c.transport, Bootstrap: founder,
-		RemoveLostAfter: cmp.Or(cfg.RemoveLostAfter, defaultRemoveLostAfter), Record: events.Record, Log: cfg.Log,
+		RemoveLostAfter: cmp.Or(cfg.RemoveLostAfter, defaultRemoveLostAfter), ToleratedLosses: cfg.ToleratedLosses,
+		Record: events.Record, Log: cfg.Log,
 		RunActions:        func(actions []kernel.Action) { dispatcher.Execute(actions) },
 		LeadershipChanged: func(leading bool) { dispatcher.SetLeading(leading) },
 		Setup:             c.configureWorkload,
