control: let learners that are gone leave the group

Only voters were ever removed. A machine that is lost, or loses its disk, before it is promoted stays a learner for good: the leader sends to it, its address is among those that callers search for the leader, and the redundancy that maintenance asks for is never complete again.

With removal by hand only (a wait of 0) learners stay as voters do.

Before: the case "silent learner" of TestChooseMemberChange gives no change. After: its removal.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -8,39 +8,45 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 )
 
-// minVoters is the smallest number of voters that tolerates the loss of one.
-const minVoters = 3
+const (
+	// minVoters is the smallest number of voters that tolerates the loss of one.
+	minVoters = 3
+	// removeLearnerAfter is how long a learner has been silent before it leaves. It may be silent while it installs a
+	// snapshot, and its removal gains nothing for the quorum.
+	removeLearnerAfter = 5 * time.Second
+)
 
-// manageVoters promotes learners that have caught up and removes voters that are lost.
+// manageVoters promotes learners that have caught up and removes members that are lost.
 func (v *Voter) manageVoters() {
 	members := v.core.Status().Members
 	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
-	v.trackLostVoters(members)
+	v.trackLostMembers(members)
 	policy := memberPolicy{removeLostAfter: v.cfg.RemoveLostAfter, completeGroup: max(minVoters, 2*v.cfg.ToleratedLosses+1)}
 	if ch := policy.chooseMemberChange(members, v.missingFor); ch != nil {
 		v.proposeMemberChange(ch)
 	}
 }
 
-// trackLostVoters records since when each voter has not been caught up.
-func (v *Voter) trackLostVoters(members []raft.MemberStatus) {
+// trackLostMembers records since when each voter has not been caught up and each learner has been silent.
+func (v *Voter) trackLostMembers(members []raft.MemberStatus) {
 	for _, m := range members {
-		_, wasMissing := v.notCaughtUpSince[m.Member.Id]
-		switch missing := m.Member.Voter && !m.CaughtUp; {
+		_, wasMissing := v.missingSince[m.Member.Id]
+		missing := !m.Active || m.Member.Voter && !m.CaughtUp
+		switch {
 		case missing && !wasMissing:
-			v.notCaughtUpSince[m.Member.Id] = v.now()
-			v.cfg.Log.Info("voter is missing", "member", m.Member.Id, "address", m.Member.Address)
+			v.missingSince[m.Member.Id] = v.now()
+			v.cfg.Log.Info("member is missing", "member", m.Member.Id, "address", m.Member.Address, "voter", m.Member.Voter)
 		case !missing && wasMissing:
-			v.cfg.Log.Info("voter has caught up", "member", m.Member.Id, "address", m.Member.Address,
+			v.cfg.Log.Info("member is back", "member", m.Member.Id, "address", m.Member.Address, "voter", m.Member.Voter,
 				"after", v.missingFor(m.Member.Id).String())
-			delete(v.notCaughtUpSince, m.Member.Id)
+			delete(v.missingSince, m.Member.Id)
 		}
 	}
 }
 
-// missingFor returns how long a voter has not been caught up, as far as this leader knows.
+// missingFor returns how long a voter has not been caught up or a learner has been silent, as far as this leader knows.
 func (v *Voter) missingFor(id string) time.Duration {
-	if since, ok := v.notCaughtUpSince[id]; ok {
+	if since, ok := v.missingSince[id]; ok {
 		return v.now() - since
 	}
 	return 0
@@ -58,7 +64,7 @@
 // with a lost voter that still counts, a group of four doesn't tolerate the loss of one more member. A lost voter leaves
 // if a learner can take its place, or if the group has more voters than a complete one, as beside a replacement. Otherwise
 // it stays, so that entries are committed by as many voters as the group needs to bear the loss of disks. Learners wait
-// until the surplus voters that are lost have left. A removeLostAfter of 0 keeps all lost voters, except those that joined
+// until the surplus voters that are lost have left. A removeLostAfter of 0 keeps all lost members, except voters that joined
 // again under the same name.
 func (p memberPolicy) chooseMemberChange(
 	members []raft.MemberStatus, missingFor func(id string) time.Duration,
@@ -86,10 +92,22 @@
 		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
 	}
 	mayLeave := learner != nil || surplus
-	if p.removeLostAfter == 0 || lost == nil || !mayLeave || missingFor(lost.Id) < p.removeLostAfter {
-		return nil
+	if p.removeLostAfter > 0 && lost != nil && mayLeave && missingFor(lost.Id) >= p.removeLostAfter {
+		return removal(lost)
+	}
+	return p.chooseLearnerRemoval(members, missingFor)
+}
+
+// chooseLearnerRemoval returns the removal of a learner that is lost, or nil.
+func (p memberPolicy) chooseLearnerRemoval(
+	members []raft.MemberStatus, missingFor func(id string) time.Duration,
+) *raftpb.MemberChange {
+	for _, m := range members {
+		if p.removeLostAfter > 0 && !m.Member.Voter && missingFor(m.Member.Id) >= removeLearnerAfter {
+			return removal(m.Member)
+		}
 	}
-	return removal(lost)
+	return nil
 }
 
 func removal(m *raftpb.Member) *raftpb.MemberChange {
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a quorum that is raised while a voter is missing, against a lost voter that counts longer than its
 // replacement needs, against a group that grows by voters that are gone, and against the removal of a voter that is only
-// restarting.
+// restarting, and against learners that are gone and stay.
 func TestChooseMemberChange(t *testing.T) {
 	voter := func(name string, caughtUp bool) raft.MemberStatus {
 		return raft.MemberStatus{Member: &raftpb.Member{Id: "id-" + name, Name: name, Voter: true}, CaughtUp: caughtUp}
@@ -59,6 +59,10 @@
 		{"surplus voter", []raft.MemberStatus{lostA, b, c, d, e}, time.Second, 0, removeLostAfter, 3, "remove id-a"},
 		{"two surplus voters", []raft.MemberStatus{lostA, lostB, c, d, e}, time.Second, 2 * time.Second, removeLostAfter, 3,
 			"remove id-b"},
+		{"silent learner", []raft.MemberStatus{a, b, c, learner("id-a", "n", false)}, removeLearnerAfter, 0, removeLostAfter, 3,
+			"remove id-a"},
+		{"learner that installs a snapshot", []raft.MemberStatus{a, b, c, learner("id-a", "n", false)},
+			removeLearnerAfter - time.Millisecond, 0, removeLostAfter, 3, ""},
 		{"lost disk", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, removeLostAfter, 3, "remove id-a"},
 		{"lost disk, removal by hand only", []raft.MemberStatus{lostA, b, c, learner("id-2", "a", true)}, 0, 0, 0, 3,
 			"remove id-a"},
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -116,7 +116,7 @@
 	proposedVoters   []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	runErr           error
 	roundTimes       roundTimes
-	notCaughtUpSince map[string]time.Duration // since when a voter has not caught up
+	missingSince     map[string]time.Duration // since when a voter has not been caught up or a learner silent
 	limitRecordedAt  map[string]time.Duration // when the holders of a team's limit were last recorded
 	heardAt          map[string]time.Duration // when the last message of a member arrived
 	leaderSeenAt     time.Duration            // when a leader was last known
@@ -307,7 +307,7 @@
 	v.lastRenewals = map[string]lastRenewal{}
 	v.limitRecordedAt = map[string]time.Duration{}
 	v.proposedVoters = nil
-	v.notCaughtUpSince = map[string]time.Duration{}
+	v.missingSince = map[string]time.Duration{}
 	v.kernel.BecomeLeader(v.now())
 	// A leader starts with the first entry of its term, which every later leader has in its log.
 	v.kernel.Observe(v.now(), kernel.LeadershipGained{Term: term, PreviousTerm: v.lastAppliedTerm})
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -199,10 +199,17 @@
 // isCaughtUp reports whether the leader heard from the member within the minimum election timeout and the member has
 // synced all entries that were committed at the last periodic heartbeat.
 func (c *Core) isCaughtUp(id string) bool {
+	if id == c.cfg.ID {
+		return true
+	}
+	return c.isActive(id) && c.progress[id].matchIndex >= c.commitIndexAtHeartbeat
+}
+
+// isActive reports whether the leader heard from the member within the minimum election timeout.
+func (c *Core) isActive(id string) bool {
 	if id == c.cfg.ID {
 		return true
 	}
 	p := c.progress[id]
-	return p != nil && c.tickCount-p.lastHeardTick < uint64(c.cfg.ElectionTicks) &&
-		p.matchIndex >= c.commitIndexAtHeartbeat
+	return p != nil && c.tickCount-p.lastHeardTick < uint64(c.cfg.ElectionTicks)
 }
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -22,6 +22,9 @@
 	// CaughtUp reports whether the leader heard from the member within the minimum election timeout and the member
 	// has synced all entries that were committed at the last periodic heartbeat; false unless this member leads.
 	CaughtUp bool
+	// Active reports whether the leader heard from the member within the minimum election timeout; false unless this
+	// member leads.
+	Active bool
 }
 
 // Status returns the current state.
@@ -33,7 +36,7 @@
 	for _, m := range c.members {
 		ms := MemberStatus{Member: m}
 		if p := c.progress[m.Id]; c.role == Leader && p != nil {
-			ms.MatchIndex, ms.CaughtUp = p.matchIndex, c.isCaughtUp(m.Id)
+			ms.MatchIndex, ms.CaughtUp, ms.Active = p.matchIndex, c.isCaughtUp(m.Id), c.isActive(m.Id)
 		}
 		s.Members = append(s.Members, ms)
 	}
