follower: go on with the search for the leader where the last call ended

Calls of control and entry processes got no leader for good while one led, when the addresses of machines that are gone came before its own: a request to join with two of them, a client's call of 2.4 s with four, any call that is shorter than an attempt with one.

Cause: a voter that is gone doesn't answer, so it costs a whole attempt of 700 ms, and each call tried the voters in the same order. The list that the leader sends, and new seeds in the settings, left the silent addresses in front.

Evidence: TestRepeatedCallsReachLeaderBehindSilentVoters, in which silent voters block until the attempt ends. Before, none of 10 calls in a row reached the leader in any of its six cases; after, the second or third call does.

A voter that failed goes behind all others until it answers again, and the order holds for all calls of the process, so each call takes at least one silent address out of the way of the next. A voter whose attempt the caller's deadline cut short keeps its place if the call tried another one before: it may be sound and had little time. Still one voter is asked at a time, so the leader gets no more calls, and what is known about the outcome of a command stays the same.

--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -42,6 +42,7 @@
 	mu     sync.Mutex
 	leader string   // peer address, empty if unknown
 	voters []string // peer addresses
+	failed []string // those of voters that failed since they last answered, the one that failed last at the end
 	group  string   // identity of the control group, empty if unknown
 }
 
@@ -81,6 +82,7 @@
 			c.voters = append(c.voters, a)
 		}
 	}
+	c.failed = slices.DeleteFunc(c.failed, func(a string) bool { return !slices.Contains(c.voters, a) })
 }
 
 // acceptLeader records a voter that responded as the leader. It fails if the voter leads another control group than the
@@ -115,7 +117,31 @@
 	}
 }
 
-// candidateAddresses returns the addresses to try, the last known leader first.
+// demote moves a voter that failed behind all others.
+func (c *Client) demote(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.removeFailed(address)
+	if slices.Contains(c.voters, address) {
+		c.failed = append(c.failed, address)
+	}
+}
+
+// recordAnswer lets a voter that answered be tried before those that failed.
+func (c *Client) recordAnswer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.removeFailed(address)
+}
+
+func (c *Client) removeFailed(address string) {
+	if i := slices.Index(c.failed, address); i >= 0 {
+		c.failed = slices.Delete(c.failed, i, i+1)
+	}
+}
+
+// candidateAddresses returns the addresses to try: the last known leader, voters that haven't failed, and those that
+// have, so that the next call goes on with the search where this one ends.
 func (c *Client) candidateAddresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,6 +150,11 @@
 		list = append(list, c.leader)
 	}
 	for _, a := range c.voters {
+		if a != c.leader && !slices.Contains(c.failed, a) {
+			list = append(list, a)
+		}
+	}
+	for _, a := range c.failed {
 		if a != c.leader {
 			list = append(list, a)
 		}
@@ -150,6 +181,7 @@
 	ctx context.Context, kind string, req proto.Message, resp leaderResponse, atMostOnce bool,
 ) (repeated bool, err error) {
 	lastErr := peer.ErrUnreachable.New("no leader of the control group was found")
+	failures := 0
 	for {
 		for _, address := range c.candidateAddresses() {
 			err := c.attempt(ctx, address, kind, req, resp)
@@ -167,7 +199,14 @@
 			}
 			if err != nil {
 				c.forgetLeader(address)
-				if !errorx.IsOfType(err, peer.ErrUnreachable) && (atMostOnce || !errorx.IsOfType(err, peer.ErrInterrupted)) {
+				interrupted := errorx.IsOfType(err, peer.ErrInterrupted)
+				answered := !interrupted && !errorx.IsOfType(err, peer.ErrUnreachable)
+				// A voter may be sound if ctx cut its attempt short. The next call then starts with it, unless this call had
+				// time for no other one.
+				if failures++; !answered && (failures == 1 || ctx.Err() == nil) {
+					c.demote(address)
+				}
+				if answered || interrupted && atMostOnce {
 					return errorx.IsOfType(lastErr, peer.ErrInterrupted), err
 				}
 				// After an attempt that may have been handled, later failures leave the outcome unknown.
@@ -192,7 +231,11 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
 	defer cancel()
 	proto.Reset(resp)
-	return c.cfg.Call(ctx, address, kind, req, resp)
+	if err := c.cfg.Call(ctx, address, kind, req, resp); err != nil {
+		return err
+	}
+	c.recordAnswer(address)
+	return nil
 }
 
 // ProposeIdempotent replicates an idempotent command and retries it after an attempt whose outcome is unknown. If
