control: list members that are silent last

A process that searches for the leader may ask a voter that is gone before those that answer, which takes an attempt of up to 700 ms. It remembers which voters failed, but knows nothing about them if it has had no reason to search.

Cause: the leader sends the members in the order of their identities with each answer, though it knows which of them it hears from.

The leader lists the members without a message in the last 2 s last. They stay in the list, since they may be cut off from this leader only and follow the next one.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -94,13 +94,20 @@
 	v.cfg.Record(timeline.Event{Kind: "member-change", Text: ch.Kind.String() + " " + ch.Member.Id})
 }
 
-// memberAddresses returns the peer addresses of the members.
+// memberAddresses returns the peer addresses of the members, the silent ones last, as processes that search for the
+// leader ask the members in this order.
 func (v *Voter) memberAddresses() []string {
-	var list []string
-	for _, m := range v.core.Status().Members {
-		list = append(list, m.Member.Address)
+	st := v.core.Status()
+	now := v.now()
+	var list, silent []string
+	for _, m := range st.Members {
+		if m.Member.Id == st.ID || v.heardLately(m.Member.Id, now) {
+			list = append(list, m.Member.Address)
+		} else {
+			silent = append(silent, m.Member.Address)
+		}
 	}
-	return list
+	return append(list, silent...)
 }
 
 // publishVoters proposes the voters as the next membership of the at-most-once record if they have changed.
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -57,13 +57,13 @@
 // splitMembers returns the addresses of the other voters that sent a message lately, of those that didn't, and of the
 // learners.
 func (v *Voter) splitMembers(st raft.Status) (answering, silent, learners []string) {
+	now := v.now()
 	for _, m := range st.Members {
-		heardAt, heard := v.heardAt[m.Member.Id]
 		switch {
 		case m.Member.Id == st.ID:
 		case !m.Member.Voter:
 			learners = append(learners, m.Member.Address)
-		case heard && v.now()-heardAt < silentAfter:
+		case v.heardLately(m.Member.Id, now):
 			answering = append(answering, m.Member.Address)
 		default:
 			silent = append(silent, m.Member.Address)
@@ -72,6 +72,12 @@
 	return answering, silent, learners
 }
 
+// heardLately reports whether a member sent a message within silentAfter.
+func (v *Voter) heardLately(id string, now time.Duration) bool {
+	heardAt, ok := v.heardAt[id]
+	return ok && now-heardAt < silentAfter
+}
+
 // logMembership logs the members after a committed change.
 func (v *Voter) logMembership() {
 	var voters, learners []string
