control: list silent members last in renewals, too

Members that renew their leases got the list of members in the order of identities, by a loop of its own beside memberAddresses. One function serves both; TestLeaderListsSilentVotersLast covers it.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -202,9 +202,7 @@
 			}
 			resp := &controlpb.RenewResponse{
 				Commit: r.Index, Term: v.leadTerm, Recalls: v.quotas.Recalls(req.Id), Group: v.voters.Group(),
-			}
-			for _, m := range v.core.Status().Members {
-				resp.Voters = append(resp.Voters, m.Member.Address)
+				Voters: v.memberAddresses(),
 			}
 			answer(resp, nil)
 		})
