--- /dev/null
+++ b/internal/site/search_test.go
@@ -0,0 +1,78 @@
+package site_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/site"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// silentAddresses returns addresses on which nobody answers, like those of machines that are gone.
+func silentAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { assert.NilError(t, ln.Close()) })
+		list = append(list, ln.Addr().String())
+	}
+	return list
+}
+
+// Guards against processes that never find the leader because the settings list machines that are gone before it.
+func TestLeaderIsFoundBehindSilentSeeds(t *testing.T) {
+	platform := &fakePlatform{startedAt: time.Now(), runs: map[string]time.Time{}, startCount: map[string]int{}}
+	g := &controlGroup{
+		t: t, processes: make([]*site.Control, 4), stops: make([]func(), 4),
+		cfg: site.ControlConfig{Zone: "a", Port: platform.port(), Log: logr.Discard()},
+	}
+	for range 4 {
+		g.addresses, g.dirs = append(g.addresses, freeAddress(t)), append(g.dirs, t.TempDir())
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	g.configure(1)
+	t.Run("control-process-joins", func(t *testing.T) {
+		c, err := site.NewControl(site.ControlConfig{
+			Name: "core-3", PeerAddress: g.addresses[3], Zone: "a", Seeds: append(silentAddresses(t, 2), g.addresses[:3]...),
+			DataDirectory: g.dirs[3], Port: platform.port(), Log: logr.Discard(),
+		})
+		assert.NilError(t, err)
+		runUntilEnd(t, c.Run)
+		for end := time.Now().Add(10 * time.Second); !c.IsVoter(t.Context()); time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end), "the process is no voter")
+		}
+	})
+	t.Run("entry-process-calls", func(t *testing.T) {
+		e, err := site.NewEntry(site.EntryConfig{
+			Name: "front", PeerAddress: freeAddress(t), Seeds: append(silentAddresses(t, 4), g.addresses[:3]...),
+			Log: logr.Discard(),
+		})
+		assert.NilError(t, err)
+		runUntilEnd(t, e.Run)
+		executeUntilAnswered(t, e.Execute, &workloadpb.Command{Change: &workloadpb.Command_Inspect{
+			Inspect: &workloadpb.Inspect{},
+		}})
+	})
+}
+
+// runUntilEnd runs a process until the test ends.
+func runUntilEnd(t *testing.T, run func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { assert.Check(t, run(ctx)) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+}
