control: promote a replacement although a surplus voter is lost

Callers got no answer for good if the next voter stopped meanwhile: of the four voters f0, f1, f2 and n0, f0 stops after n0 has replaced it, n1 starts and waits, f1 stops, and two of four are left.

The promotion into an even group doesn't raise the quorum and adds a voter that is alive, so it is never worse.

The size is named targetVoters.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -21,7 +21,7 @@
 	members := v.core.Status().Members
 	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
 	v.trackLostMembers(members)
-	policy := memberPolicy{removeLostAfter: v.cfg.RemoveLostAfter, completeGroup: max(minVoters, 2*v.cfg.ToleratedLosses+1)}
+	policy := memberPolicy{removeLostAfter: v.cfg.RemoveLostAfter, targetVoters: max(minVoters, 2*v.cfg.ToleratedLosses+1)}
 	if ch := policy.chooseMemberChange(members, v.missingFor); ch != nil {
 		v.proposeMemberChange(ch)
 	}
@@ -56,16 +56,15 @@
 type memberPolicy struct {
 	// removeLostAfter is Config.RemoveLostAfter.
 	removeLostAfter time.Duration
-	// completeGroup is the number of voters that a complete group has.
-	completeGroup int
+	// targetVoters is the number of voters that the group needs to tolerate losses.
+	targetVoters int
 }
 
-// chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing:
-// with a lost voter that still counts, a group of four doesn't tolerate the loss of one more member. A lost voter leaves
-// if a learner can take its place, or if the group has more voters than a complete one, as beside a replacement. Otherwise
-// it stays, so that entries are committed by as many voters as the group needs to bear the loss of disks. Learners wait
-// until the surplus voters that are lost have left. A removeLostAfter of 0 keeps all lost members, except voters that joined
-// again under the same name.
+// chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing: a
+// group of four with a lost voter doesn't tolerate the loss of one more. A lost voter leaves if a learner can take its
+// place, or if the group has more voters than its target, as beside a replacement. Otherwise it stays, so that entries
+// are committed by as many voters as the group needs to tolerate the loss of disks. A removeLostAfter of 0 keeps all lost
+// members, except voters that joined again under the same name.
 func (p memberPolicy) chooseMemberChange(
 	members []raft.MemberStatus, missingFor func(id string) time.Duration,
 ) *raftpb.MemberChange {
@@ -87,11 +86,11 @@
 			lost = m.Member
 		}
 	}
-	even, surplus := voters%2 == 0, voters > p.completeGroup
-	if learner != nil && (p.removeLostAfter == 0 || lost == nil || even && !surplus) {
+	even := voters%2 == 0
+	if learner != nil && (p.removeLostAfter == 0 || lost == nil || even) {
 		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
 	}
-	mayLeave := learner != nil || surplus
+	mayLeave := learner != nil || voters > p.targetVoters
 	if p.removeLostAfter > 0 && lost != nil && mayLeave && missingFor(lost.Id) >= p.removeLostAfter {
 		return removal(lost)
 	}
