control: keep the lost voters of odd groups where the tolerated losses are unknown

With settings that tolerate zones or regions instead of machines, or don't tell, took the group for one that tolerates one loss. Six voters in three zones shrank to three when three were dark, and two of these could be on the disks of one zone.

The number of tolerated losses is known for machines only; otherwise lost voters leave groups with an even number of voters, as before.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -21,8 +21,7 @@
 	members := v.core.Status().Members
 	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
 	v.trackLostMembers(members)
-	policy := memberPolicy{removeLostAfter: v.cfg.RemoveLostAfter, targetVoters: max(minVoters, 2*v.cfg.ToleratedLosses+1)}
-	if ch := policy.chooseMemberChange(members, v.missingFor); ch != nil {
+	if ch := newMemberPolicy(v.cfg).chooseMemberChange(members, v.missingFor); ch != nil {
 		v.proposeMemberChange(ch)
 	}
 }
@@ -56,10 +55,27 @@
 type memberPolicy struct {
 	// removeLostAfter is Config.RemoveLostAfter.
 	removeLostAfter time.Duration
-	// targetVoters is the number of voters that the group needs to tolerate losses.
+	// targetVoters is the number of voters that the group needs to tolerate losses; 0 if that is unknown.
 	targetVoters int
 }
 
+func newMemberPolicy(cfg Config) memberPolicy {
+	p := memberPolicy{removeLostAfter: cfg.RemoveLostAfter}
+	if cfg.ToleratedLosses > 0 {
+		p.targetVoters = 2*cfg.ToleratedLosses + 1
+	}
+	return p
+}
+
+// hasSurplus reports whether a group has more voters than it needs. Without a target, only an even one has, since its
+// quorum is that of a group with one voter more.
+func (p memberPolicy) hasSurplus(voters int) bool {
+	if p.targetVoters == 0 {
+		return voters > minVoters && voters%2 == 0
+	}
+	return voters > p.targetVoters
+}
+
 // chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing: a
 // group of four with a lost voter doesn't tolerate the loss of one more. A lost voter leaves if a learner can take its
 // place, or if the group has more voters than its target, as beside a replacement. Otherwise it stays, so that entries
@@ -90,7 +106,7 @@
 	if learner != nil && (p.removeLostAfter == 0 || lost == nil || even) {
 		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
 	}
-	mayLeave := learner != nil || voters > p.targetVoters
+	mayLeave := learner != nil || p.hasSurplus(voters)
 	if p.removeLostAfter > 0 && lost != nil && mayLeave && missingFor(lost.Id) >= p.removeLostAfter {
 		return removal(lost)
 	}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -61,8 +61,8 @@
 	// RemoveLostAfter is how long the leader waits before it removes a voter that is unreachable or lagging, where
 	// another one takes its place; 0 disables the removal. A removed voter that comes back must join again.
 	RemoveLostAfter time.Duration
-	// ToleratedLosses is the number of voters whose loss the group must tolerate, f; 0 means 1. Lost voters leave a group
-	// that has more than 2f+1 voters.
+	// ToleratedLosses is the number of voters whose loss the group must tolerate, f. Lost voters leave a group that has more
+	// than 2f+1 voters. If it is 0, f is unknown, and they leave groups with an even number of voters only.
 	ToleratedLosses int
 	// Setup is called with the kernel before the snapshot is restored. It may be nil.
 	Setup func(k *kernel.Kernel)
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -46,7 +46,8 @@
 	// RemoveLostAfter is the time without contact after which a control process that has a replacement is removed from the
 	// voters; 0 means 1 s.
 	RemoveLostAfter time.Duration
-	// ToleratedLosses is the number of control processes whose loss the deployment must tolerate; 0 means 1.
+	// ToleratedLosses is the number of control processes whose loss the deployment must tolerate; 0 if that is
+	// unknown.
 	ToleratedLosses int
 	// Bootstrap is set at the first start of the whole deployment.
 	Bootstrap     bool
