control: let a voter that stops leave a group with more voters than it needs

Callers got no answer for good if a disk was lost within about 1.5 s after a replaced machine had stopped, or if several replaced machines stopped together, though the replacements had caught up.

Cause: a replaced voter that stopped counted for the quorum until the leader had missed it for a second. Until then the group of four, with a quorum of three, tolerated no loss, although the replaced machine is none any more: it stops counting once its successor has had the time to catch up.

On SIGTERM, a voter of a group with more voters than it needs asks the leader to remove it, after it has handed over the leadership. The leader decides, one after the other, so that a rolling restart never takes the group below its target. The others need a quorum only, as the voter stops in any case. It no longer asks to join while it stops.

Before: TestReplacedVotersThatStopTogetherKeepQuorum and TestLostDiskRightAfterReplacedVoterStopsKeepsQuorum fail ("the command was not answered", two runs each). After: 3 of 3 runs pass. A voter that is killed still counts until it is missed.

The field stopping is new in RemoveRequest; a leader of an earlier version takes the request for one by hand and removes the voter only if all others are caught up.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -51,6 +51,14 @@
 		ch := &raftpb.MemberChange{
 			Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: &raftpb.Member{Id: req.Id}, Force: req.Force,
 		}
+		if req.Stopping {
+			if !newMemberPolicy(v.cfg).mayLeave(v.core.Status().Members, req.Id) {
+				answer(&controlpb.RemoveResponse{Group: v.voters.Group()}, nil)
+				return
+			}
+			// It stops in any case, so the others need a quorum only; not all of them have to be caught up.
+			ch.Force = true
+		}
 		if _, err := v.core.ProposeMemberChange(ch); err != nil {
 			answer(nil, kernel.ErrConflict.New("%v", err))
 			return
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -125,6 +125,25 @@
 	return nil
 }
 
+// mayLeave reports whether a voter that is about to stop leaves the group: there is a surplus, and the others have a quorum.
+func (p memberPolicy) mayLeave(members []raft.MemberStatus, id string) bool {
+	voters, others, caughtUp := 0, 0, 0
+	for _, m := range members {
+		if !m.Member.Voter {
+			continue
+		}
+		voters++
+		if m.Member.Id == id {
+			continue
+		}
+		others++
+		if m.CaughtUp {
+			caughtUp++
+		}
+	}
+	return others < voters && p.hasSurplus(voters) && caughtUp >= raft.Quorum(others)
+}
+
 func removal(m *raftpb.Member) *raftpb.MemberChange {
 	return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_REMOVE, Member: m}
 }
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -10,19 +10,20 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
 )
 
+func voterStatus(name string, caughtUp bool) raft.MemberStatus {
+	return raft.MemberStatus{Member: &raftpb.Member{Id: "id-" + name, Name: name, Voter: true}, CaughtUp: caughtUp}
+}
+
 // Guards against a quorum that is raised while a voter is missing, against a lost voter that counts longer than its
 // replacement needs, against a group that grows by voters that are gone, and against the removal of a voter that is only
 // restarting, and against learners that are gone and stay.
 func TestChooseMemberChange(t *testing.T) {
-	voter := func(name string, caughtUp bool) raft.MemberStatus {
-		return raft.MemberStatus{Member: &raftpb.Member{Id: "id-" + name, Name: name, Voter: true}, CaughtUp: caughtUp}
-	}
 	learner := func(id, name string, caughtUp bool) raft.MemberStatus {
 		return raft.MemberStatus{Member: &raftpb.Member{Id: id, Name: name}, CaughtUp: caughtUp}
 	}
 	ready, behind := learner("id-n", "n", true), learner("id-n", "n", false)
-	a, b, c, d, e := voter("a", true), voter("b", true), voter("c", true), voter("d", true), voter("e", true)
-	lostA, lostB := voter("a", false), voter("b", false)
+	a, b, c, d, e := voterStatus("a", true), voterStatus("b", true), voterStatus("c", true), voterStatus("d", true), voterStatus("e", true)
+	lostA, lostB := voterStatus("a", false), voterStatus("b", false)
 	const removeLostAfter = time.Second
 	tests := []struct {
 		name            string
@@ -87,3 +88,27 @@
 		})
 	}
 }
+
+// Guards against a voter that stops and counts for the quorum although its replacement does, and against one whose removal
+// leaves too few voters, or a quorum that isn't there.
+func TestStoppingVoterLeavesSurplus(t *testing.T) {
+	a, b, c, d := voterStatus("a", true), voterStatus("b", true), voterStatus("c", true), voterStatus("d", true)
+	lostC, lostD := voterStatus("c", false), voterStatus("d", false)
+	for _, tt := range []struct {
+		name         string
+		members      []raft.MemberStatus
+		targetVoters int
+		want         bool
+	}{
+		{"beside its replacement", []raft.MemberStatus{a, b, c, d}, 3, true},
+		{"without a replacement", []raft.MemberStatus{a, b, c}, 3, false},
+		{"replacement of a group of five", []raft.MemberStatus{a, b, c, d}, 5, false},
+		{"beside a lost voter", []raft.MemberStatus{a, b, c, lostD}, 3, true},
+		{"no quorum of the others", []raft.MemberStatus{a, b, lostC, lostD}, 3, false},
+		{"no member", []raft.MemberStatus{b, c, d, voterStatus("e", true)}, 3, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, memberPolicy{targetVoters: tt.targetVoters}.mayLeave(tt.members, "id-a"), tt.want)
+		})
+	}
+}
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -21,6 +21,8 @@
 	// Voters is the number of voters, Missing the number of those that the leader can't reach or that lag behind it; 0
 	// unless this voter leads.
 	Voters, Missing int
+	// Surplus is set while this process is a voter and the group has more voters than it needs.
+	Surplus bool
 	// LeaderKnown is set while this voter leads or follows a leader.
 	LeaderKnown bool
 }
@@ -29,15 +31,18 @@
 func (v *Voter) observeGroup() {
 	st := v.core.Status()
 	status := GroupStatus{LeaderKnown: st.Leader != ""}
+	member := false
 	for _, m := range st.Members {
 		if !m.Member.Voter {
 			continue
 		}
 		status.Voters++
+		member = member || m.Member.Id == st.ID
 		if v.leading && !m.CaughtUp {
 			status.Missing++
 		}
 	}
+	status.Surplus = member && newMemberPolicy(v.cfg).hasSurplus(status.Voters)
 	v.group.Store(&status)
 	if status.LeaderKnown {
 		v.leaderSeenAt, v.leaderlessLoggedAt = v.now(), 0
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -307,6 +307,13 @@
 	return c.call(ctx, control.RemoveKind, req, &controlpb.RemoveResponse{}, true)
 }
 
+// LeaveGroup tells the leader that the voter with the given identity is about to stop. The leader removes it if the group
+// has more voters than it needs.
+func (c *Client) LeaveGroup(ctx context.Context, id string) error {
+	req := &controlpb.RemoveRequest{Id: id, Stopping: true}
+	return c.call(ctx, control.RemoveKind, req, &controlpb.RemoveResponse{}, false)
+}
+
 // Status returns the status of the leader. Only the leader knows the other voters and the rollouts.
 func (c *Client) Status(ctx context.Context) (*controlpb.StatusResponse, error) {
 	// The query only serves to find the leader.
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -28,8 +28,11 @@
 	// defaultRemoveLostAfter is the default of ControlConfig.RemoveLostAfter. It is longer than an election takes, and
 	// short enough that a replaced machine is removed before the next one may fail.
 	defaultRemoveLostAfter = time.Second
-	// transferTimeout limits the time to transfer the leadership before the process exits.
+	// transferTimeout limits the time to transfer the leadership and to leave the group before the process exits.
 	transferTimeout = 1500 * time.Millisecond
+	// leaveInterval is the time between requests to leave the group before the process exits. It is the interval at which
+	// the voter updates what it knows about the group.
+	leaveInterval = 100 * time.Millisecond
 	// segmentBytes is the size of a log segment; the small disks of control processes have room for a few of them.
 	segmentBytes = 4 << 20
 )
@@ -157,14 +160,15 @@
 // Leading reports whether this process is the leader, as far as it knows.
 func (c *Control) Leading() bool { return c.voter.Leading() }
 
-// Run serves until ctx is done and then transfers the leadership to another voter.
+// Run serves until ctx is done. Then it transfers the leadership to another voter, and leaves the group if that has more
+// voters than it needs.
 func (c *Control) Run(ctx context.Context) error {
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed := make(chan error, 2)
 	go func() { failed <- c.transport.Serve(serveCtx) }()
 	go func() { failed <- c.voter.Run(serveCtx) }()
-	go c.joinVoters(serveCtx)
+	go c.joinVoters(ctx)
 	select {
 	case err := <-failed:
 		return err
@@ -173,9 +177,24 @@
 	transferCtx, cancel := context.WithTimeout(serveCtx, transferTimeout)
 	defer cancel()
 	c.transferLeadership(transferCtx)
+	c.leaveGroup(transferCtx)
 	return nil
 }
 
+// leaveGroup asks the leader to remove this voter while the group has more voters than it needs, as beside its replacement.
+// Otherwise the voter would count for the quorum until the leader has missed it.
+func (c *Control) leaveGroup(ctx context.Context) {
+	for ctx.Err() == nil && c.voter.Group().Surplus {
+		if err := c.client.LeaveGroup(ctx, c.store.Identity()); err != nil {
+			c.cfg.Log.Info("failed to leave the control group; repeating it", "reason", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leaveInterval):
+		}
+	}
+}
+
 // joinVoters asks the leader to make this process a voter. It repeats this until ctx is done, since the leader removes
 // voters that it loses contact with.
 func (c *Control) joinVoters(ctx context.Context) {
--- a/internal/site/replacement_test.go
+++ b/internal/site/replacement_test.go
@@ -105,3 +105,35 @@
 	g.stop(replaced[1])
 	g.configure(2)
 }
+
+// Guards against voters that stop together after their replacements have caught up, and leave no quorum.
+func TestReplacedVotersThatStopTogetherKeepQuorum(t *testing.T) {
+	g := newControlGroup(t, 2*founders)
+	for i := founders; i < 2*founders; i++ {
+		g.start(i)
+	}
+	for i := founders; i < 2*founders; i++ {
+		g.awaitVoter(i)
+	}
+	time.Sleep(catchUpTime)
+	for i := range founders {
+		g.stop(i)
+	}
+	g.configure(2)
+}
+
+// Guards against a replaced voter that counts for the quorum after it has stopped, so that the loss of a disk right then
+// ends the group.
+func TestLostDiskRightAfterReplacedVoterStopsKeepsQuorum(t *testing.T) {
+	g := newControlGroup(t, founders+2)
+	g.start(founders)
+	g.awaitVoter(founders)
+	time.Sleep(catchUpTime)
+	others := g.followers() // A transfer of the leadership would delay the loss.
+	replaced, lost := others[0], others[1]
+	g.stop(replaced)
+	g.stop(lost)
+	g.addresses[founders+1] = g.addresses[lost] // the same machine with an empty disk
+	g.start(founders + 1)
+	g.configure(2)
+}
