--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -30,8 +30,7 @@
 func (v *Voter) trackLostMembers(members []raft.MemberStatus) {
 	for _, m := range members {
 		_, wasMissing := v.missingSince[m.Member.Id]
-		missing := !m.Active || m.Member.Voter && !m.CaughtUp
-		switch {
+		switch missing := isMissing(m); {
 		case missing && !wasMissing:
 			v.missingSince[m.Member.Id] = v.now()
 			v.cfg.Log.Info("member is missing", "member", m.Member.Id, "address", m.Member.Address, "voter", m.Member.Voter)
@@ -43,6 +42,14 @@
 	}
 }
 
+// isMissing reports whether a member is missing. A learner that the leader hears from may need long to catch up.
+func isMissing(m raft.MemberStatus) bool {
+	if m.Member.Voter {
+		return !m.CaughtUp
+	}
+	return !m.Active
+}
+
 // missingFor returns how long a voter has not been caught up or a learner has been silent, as far as this leader knows.
 func (v *Voter) missingFor(id string) time.Duration {
 	if since, ok := v.missingSince[id]; ok {
