--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -64,6 +64,23 @@
 	assert.Equal(t, w.nodes[old.cfg.ID].state, "kept")
 }
 
+// Guards against a member that counts as active although the leader doesn't hear from it, or as silent because it lags.
+func TestStatusTellsActiveMembers(t *testing.T) {
+	w := newNetwork(t, 3)
+	l := w.waitForLeader()
+	silent := w.otherMember(l.cfg.ID)
+	lagging := w.otherMember(l.cfg.ID, silent)
+	w.drop = func(m *raftpb.Message) bool {
+		return m.From == silent || m.To == lagging && m.Type == raftpb.MessageType_MESSAGE_TYPE_APPEND
+	}
+	_, err := l.Propose([]byte("a"))
+	assert.NilError(t, err)
+	w.tick(l.cfg.ElectionTicks)
+	for _, m := range l.Status().Members {
+		assert.Equal(t, m.Active, m.Member.Id != silent, m.Member.Id)
+	}
+}
+
 // Guards against a leader that keeps leading, or is elected, because learners count toward the quorum.
 func TestLearnersDoNotCountTowardQuorum(t *testing.T) {
 	members := testMembers(4)
