control: promote a replacement before the next lost disk leaves

With two lost disks of five, both machines back as learners, the leader removed one old identity after the other, so the group had three voters and entries on two disks for a moment, which the loss of two disks may take.

A removal that is followed by no promotion yet leaves an even group; the next change is the promotion then, which doesn't raise the quorum, and the other old identity leaves after it.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -93,7 +93,8 @@
 ) *raftpb.MemberChange {
 	learner := findCaughtUpLearner(members)
 	voters := 0
-	var lost *raftpb.Member // the voter that has been missing for the longest time
+	var lost *raftpb.Member     // the voter that has been missing for the longest time
+	var replaced *raftpb.Member // a voter that joined again under the same name
 	for _, m := range members {
 		if !m.Member.Voter {
 			continue
@@ -102,17 +103,20 @@
 		if m.CaughtUp {
 			continue
 		}
-		if hasSuccessor(members, m.Member) {
-			return removal(m.Member)
+		if replaced == nil && hasSuccessor(members, m.Member) {
+			replaced = m.Member
 		}
 		if lost == nil || missingFor(m.Member.Id) > missingFor(lost.Id) {
 			lost = m.Member
 		}
 	}
 	even := voters%2 == 0
-	if learner != nil && (p.removeLostAfter == 0 || lost == nil || even) {
+	if learner != nil && (p.removeLostAfter == 0 && replaced == nil || lost == nil || even) {
 		return &raftpb.MemberChange{Kind: raftpb.ChangeKind_CHANGE_KIND_PROMOTE, Member: learner}
 	}
+	if replaced != nil {
+		return removal(replaced)
+	}
 	mayLeave := learner != nil || p.hasSurplus(voters)
 	if p.removeLostAfter > 0 && lost != nil && mayLeave && missingFor(lost.Id) >= p.removeLostAfter {
 		return removal(lost)
