--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -119,7 +119,7 @@
 func (c *Core) hasActiveQuorum() bool {
 	n := 0
 	for _, m := range c.members {
-		if m.Voter && (m.Id == c.cfg.ID || c.tickCount-c.progress[m.Id].lastHeardTick < uint64(c.cfg.ElectionTicks)) {
+		if m.Voter && c.isActive(m.Id) {
 			n++
 		}
 	}
