--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -205,7 +205,7 @@
 		attemptCtx, cancel := context.WithTimeout(ctx, joinInterval)
 		if _, err := c.client.AddVoter(attemptCtx, member); err != nil {
 			c.cfg.Log.Info("no leader answered the request to become a voter; repeating it", "reason", err.Error(),
-				"tried", c.client.Voters())
+				"known", c.client.Voters())
 		}
 		cancel()
 		select {
