--- a/internal/site/search_test.go
+++ b/internal/site/search_test.go
@@ -29,23 +29,12 @@
 
 // Guards against processes that never find the leader because the settings list machines that are gone before it.
 func TestLeaderIsFoundBehindSilentSeeds(t *testing.T) {
-	platform := &fakePlatform{startedAt: time.Now(), runs: map[string]time.Time{}, startCount: map[string]int{}}
-	g := &controlGroup{
-		t: t, processes: make([]*site.Control, 4), stops: make([]func(), 4),
-		cfg: site.ControlConfig{Zone: "a", Port: platform.port(), Log: logr.Discard()},
-	}
-	for range 4 {
-		g.addresses, g.dirs = append(g.addresses, freeAddress(t)), append(g.dirs, t.TempDir())
-	}
-	for i := range 3 {
-		g.start(i)
-	}
-	g.configure(1)
+	g := newControlGroup(t, founders+1)
 	t.Run("control-process-joins", func(t *testing.T) {
-		c, err := site.NewControl(site.ControlConfig{
-			Name: "core-3", PeerAddress: g.addresses[3], Zone: "a", Seeds: append(silentAddresses(t, 2), g.addresses[:3]...),
-			DataDirectory: g.dirs[3], Port: platform.port(), Log: logr.Discard(),
-		})
+		cfg := g.cfg
+		cfg.Name, cfg.PeerAddress, cfg.DataDirectory = "core-3", g.addresses[founders], g.dirs[founders]
+		cfg.Seeds = append(silentAddresses(t, 2), g.addresses[:founders]...)
+		c, err := site.NewControl(cfg)
 		assert.NilError(t, err)
 		runUntilEnd(t, c.Run)
 		for end := time.Now().Add(10 * time.Second); !c.IsVoter(t.Context()); time.Sleep(20 * time.Millisecond) {
@@ -54,7 +43,7 @@
 	})
 	t.Run("entry-process-calls", func(t *testing.T) {
 		e, err := site.NewEntry(site.EntryConfig{
-			Name: "front", PeerAddress: freeAddress(t), Seeds: append(silentAddresses(t, 4), g.addresses[:3]...),
+			Name: "front", PeerAddress: freeAddress(t), Seeds: append(silentAddresses(t, 4), g.addresses[:founders]...),
 			Log: logr.Discard(),
 		})
 		assert.NilError(t, err)
