--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -138,21 +138,19 @@
 
 // mayLeave reports whether a voter that is about to stop leaves the group: there is a surplus, and the others have a quorum.
 func (p memberPolicy) mayLeave(members []raft.MemberStatus, id string) bool {
-	voters, others, caughtUp := 0, 0, 0
+	voters, caughtUpOthers, member := 0, 0, false
 	for _, m := range members {
 		if !m.Member.Voter {
 			continue
 		}
 		voters++
 		if m.Member.Id == id {
-			continue
-		}
-		others++
-		if m.CaughtUp {
-			caughtUp++
+			member = true
+		} else if m.CaughtUp {
+			caughtUpOthers++
 		}
 	}
-	return others < voters && p.hasSurplus(voters) && caughtUp >= raft.Quorum(others)
+	return member && p.hasSurplus(voters) && caughtUpOthers >= raft.Quorum(voters-1)
 }
 
 func removal(m *raftpb.Member) *raftpb.MemberChange {
