--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -16,24 +16,32 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 )
 
-// runFounder runs a founder of a group until the test ends.
-func runFounder(t *testing.T, ln net.Listener, founders []string) *Voter {
+// newFounder returns a founder of a group, which doesn't run yet, and its transport.
+func newFounder(t *testing.T, ln net.Listener, founders []string, log logr.Logger) (*Voter, *peer.Transport) {
 	t.Helper()
 	self := ln.Addr().String()
 	store, err := disk.Open(disk.Config{
-		Dir: filepath.Join(t.TempDir(), "group"), Log: logr.Discard(),
+		Dir: filepath.Join(t.TempDir(), "group"), Log: log,
 		NewIdentity: func() (string, error) { return FounderIdentity(self), nil },
 	})
 	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, store.Close()) })
 	persisted, err := store.Load()
 	assert.NilError(t, err)
-	transport, err := peer.New(peer.Config{Name: self, Listener: ln, Log: logr.Discard()})
+	transport, err := peer.New(peer.Config{Name: self, Listener: ln, Log: log})
 	assert.NilError(t, err)
 	v, err := New(Config{
 		Name: self, PeerAddress: self, Store: store, Persisted: persisted, Transport: transport, Bootstrap: true,
-		Founders: founders, Log: logr.Discard(),
+		Founders: founders, Log: log,
 	})
 	assert.NilError(t, err)
+	return v, transport
+}
+
+// runFounder runs a founder of a group until the test ends.
+func runFounder(t *testing.T, ln net.Listener, founders []string) *Voter {
+	t.Helper()
+	v, transport := newFounder(t, ln, founders, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { assert.Check(t, transport.Serve(ctx)) })
@@ -41,7 +49,6 @@
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
-		assert.NilError(t, store.Close())
 	})
 	return v
 }
--- a/internal/control/observe_test.go
+++ b/internal/control/observe_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -11,9 +10,6 @@
 
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
-
-	"github.com/hibiscusroute/hibiscusroute/internal/disk"
-	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 )
 
 // Guards against a group without a leader whose logs don't tell which voters are missing.
@@ -28,22 +24,8 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, ln.Close()) }()
-	self, lost := ln.Addr().String(), "127.0.0.1:1"
-	store, err := disk.Open(disk.Config{
-		Dir: filepath.Join(t.TempDir(), "group"), Log: log,
-		NewIdentity: func() (string, error) { return FounderIdentity(self), nil },
-	})
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, store.Close()) }()
-	persisted, err := store.Load()
-	assert.NilError(t, err)
-	transport, err := peer.New(peer.Config{Name: "v", Listener: ln, Log: log})
-	assert.NilError(t, err)
-	v, err := New(Config{
-		Name: self, PeerAddress: self, Store: store, Persisted: persisted, Transport: transport, Bootstrap: true,
-		Founders: []string{self, lost}, Log: log,
-	})
-	assert.NilError(t, err)
+	const lost = "127.0.0.1:1"
+	v, _ := newFounder(t, ln, []string{ln.Addr().String(), lost}, log)
 	ctx, cancel := context.WithTimeout(t.Context(), leaderlessAfter+time.Second)
 	defer cancel()
 	assert.NilError(t, v.Run(ctx))
