--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -139,21 +139,6 @@
 	}
 }
 
-// CountVoters returns the number of voters as this process knows it.
-func (c *Control) CountVoters(ctx context.Context) (int, error) {
-	status, err := c.voter.Status(ctx)
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	for _, v := range status.Voters {
-		if v.Member.Voter {
-			n++
-		}
-	}
-	return n, nil
-}
-
 // Group returns what this process knows about the control group.
 func (c *Control) Group() control.GroupStatus { return c.voter.Group() }
 
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -198,7 +198,7 @@
 	awaitVoters := func(voters int) {
 		t.Helper()
 		for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-			if n, err := processes[3].CountVoters(ctx); err == nil && n == voters {
+			if processes[3].Group().Voters == voters {
 				return
 			}
 			assert.Assert(t, time.Now().Before(end), "the number of voters is not %d", voters)
