--- a/internal/site/replacement_test.go
+++ b/internal/site/replacement_test.go
@@ -49,10 +49,10 @@
 }
 
 // awaitVoter waits until a process is a voter.
-func (g *controlGroup) awaitVoter(i int) {
-	g.t.Helper()
-	for end := time.Now().Add(10 * time.Second); !g.processes[i].IsVoter(g.t.Context()); time.Sleep(20 * time.Millisecond) {
-		assert.Assert(g.t, time.Now().Before(end), "process %d is no voter", i)
+func awaitVoter(t *testing.T, c *site.Control) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !c.IsVoter(t.Context()); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the process is no voter")
 	}
 }
 
@@ -79,7 +79,7 @@
 	// Each replacement is a voter before its predecessor stops, and the next one starts right after that.
 	for i := founders; i < 2*founders; i++ {
 		g.start(i)
-		g.awaitVoter(i)
+		awaitVoter(t, g.processes[i])
 		g.stop(i - founders)
 	}
 	time.Sleep(calm)
@@ -87,7 +87,7 @@
 	g.dirs[founders] = t.TempDir()
 	g.start(founders)
 	g.configure(2)
-	g.awaitVoter(founders)
+	awaitVoter(t, g.processes[founders])
 }
 
 // Guards against a replacement that waits as a learner for the removal of a voter that has stopped: if the next voter stops
@@ -95,7 +95,7 @@
 func TestNextReplacedVoterStopsBeforeRemovalOfLast(t *testing.T) {
 	g := newControlGroup(t, founders+2)
 	g.start(founders)
-	g.awaitVoter(founders)
+	awaitVoter(t, g.processes[founders])
 	time.Sleep(catchUpTime)
 	replaced := g.followers()
 	g.stop(replaced[0])
@@ -113,7 +113,7 @@
 		g.start(i)
 	}
 	for i := founders; i < 2*founders; i++ {
-		g.awaitVoter(i)
+		awaitVoter(t, g.processes[i])
 	}
 	time.Sleep(catchUpTime)
 	for i := range founders {
@@ -127,7 +127,7 @@
 func TestLostDiskRightAfterReplacedVoterStopsKeepsQuorum(t *testing.T) {
 	g := newControlGroup(t, founders+2)
 	g.start(founders)
-	g.awaitVoter(founders)
+	awaitVoter(t, g.processes[founders])
 	time.Sleep(catchUpTime)
 	others := g.followers() // A transfer of the leadership would delay the loss.
 	replaced, lost := others[0], others[1]
--- a/internal/site/search_test.go
+++ b/internal/site/search_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
@@ -37,9 +36,7 @@
 		c, err := site.NewControl(cfg)
 		assert.NilError(t, err)
 		runUntilEnd(t, c.Run)
-		for end := time.Now().Add(10 * time.Second); !c.IsVoter(t.Context()); time.Sleep(20 * time.Millisecond) {
-			assert.Assert(t, time.Now().Before(end), "the process is no voter")
-		}
+		awaitVoter(t, c)
 	})
 	t.Run("entry-process-calls", func(t *testing.T) {
 		e, err := site.NewEntry(site.EntryConfig{
