workload: log and count runs that a worker's lists miss or hold unexpectedly

The second left no trace in the logs, and the line on the others named neither the incarnation nor the lease.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -158,8 +158,10 @@
 		if !ok || r == nil {
 			if !ended[k] {
 				s.hasUnassignedRuns = true
+				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "unassigned-run")
 				e.cfg.Log.Info("worker lists a run that is not assigned to it; stopping the run", "worker", s.worker.ID(),
-					"job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index, "run", row.Name.Run)
+					"boot", s.worker.Number(), "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index,
+					"run", row.Name.Run, "lease-ends-in", (s.leasesExpireBy - e.now).String())
 				e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: row.Name})
 			}
 			continue
@@ -178,6 +180,10 @@
 			}
 			r.unlistedAt = ev.SentAt
 			if e.hasVanished(r, ev.SentAt) {
+				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "vanished-run")
+				e.cfg.Log.Info("worker lists a run neither as running nor as ended", "worker", s.worker.ID(),
+					"boot", s.worker.Number(), "job", r.name.Job, "step", r.name.Step, "index", r.name.Index,
+					"run", r.name.Run, "last-recorded-end", s.worker.LastRecordedEnd())
 				m.Ends = append(m.Ends, voidEnd(r))
 			}
 		}
