workload: let workers reject what was meant for an earlier incarnation of them

Cause: a request says what it says in terms of one incarnation of a worker: its lease on that one's clock, its acknowledgement by that one's numbers. A worker that starts again under its ID passes the check of the ID, and the fencing token was the term of the leader, the same for both. So a late renewal for the earlier incarnation extended the lease of the later one beyond what the leader counted with, or acknowledged ends that the leader hadn't read.

Change: the token is the term plus the number of earlier incarnations of the ID, which the ledger keeps, also for ten minutes after the last one has ended. A later leader knows all incarnations that an earlier one has sent requests to, so tokens rise with both. Before its first request with the new token a worker may take a late renewal still: it gets no run until then, and its lease is counted as the longest from then on, by later leaders from when its first run was assigned. A replaced incarnation ends once the later one, asked with the higher token, lists nothing; before, stops went first, and a list of yet another incarnation would have passed for its list.

Ruled out: term and incarnation number together as the token, which would need no memory of ended workers, but leaves a leader of an earlier version no worker that takes its requests.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -16,9 +16,9 @@
 // advanceSession sends the requests that are due for a session.
 func (e *Engine) advanceSession(s *session) {
 	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
-		s.endsPending, s.asked, s.settled = false, false, false
+		s.endsPending, s.settled = false, false
 	}
-	if s.replaced {
+	if s.successorMs > 0 {
 		e.endReplaced(s)
 		return
 	}
@@ -114,11 +114,12 @@
 	switch ev.Outcome {
 	case Accepted:
 		e.recordAnswer(s, ev.Answer)
+		e.recordFence(s, ev.EndedAt)
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
 	case OtherIncarnation:
 		e.handleOtherIncarnation(s, "lease renewal", ev.Answer)
-		e.recordEndsAtReplacement(s, ev)
+		e.settleRuns(s, ev)
 	case Withheld:
 		s.nextRenewalAt = e.now + minRetryDelay
 	default:
@@ -301,7 +302,7 @@
 	}
 	if r != nil {
 		r.requestInFlight = false
-		if a.Outcome == OtherIncarnation && !a.Executed {
+		if a.Outcome == OtherIncarnation && a.ExecutedBy == 0 {
 			r.retryAt = e.now + proposalTimeout // The end of the incarnation was proposed.
 		}
 	}
@@ -313,7 +314,7 @@
 	if r == nil {
 		return
 	}
-	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.Outcome == OtherIncarnation && ev.Executed
+	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.ExecutedBy > 0
 	switch ev.Outcome {
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or has vanished.
@@ -364,9 +365,7 @@
 	case Accepted:
 		r.stoppedAt = ev.EndedAt
 	case OtherIncarnation:
-		if ev.Executed {
-			r.stoppedAt = ev.EndedAt
-		}
+		// The list of the later incarnation shows whether the run has ended there.
 	case NoAnswer, Unreachable:
 		e.recordFailure(s, "stop", ev.Outcome, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
--- a/internal/workload/lease.go
+++ b/internal/workload/lease.go
@@ -52,6 +52,7 @@
 	e.inherited.expireBy = e.inherited.fullUntil + worstCaseDuration(longest)
 	for _, s := range e.sessions {
 		s.leasesExpireBy = e.inherited.expireBy
+		e.inheritFence(s)
 		e.inheritSuspension(s)
 	}
 }
@@ -157,3 +158,13 @@
 		s.leasesExpireBy = min(s.leasesExpireBy, e.now+max(millis(end-e.state.Clock()), 0))
 	}
 }
+
+// inheritFence takes over that an earlier leader has assigned runs to a worker, and so knew that it rejects requests for
+// earlier incarnations. One of them may have granted the longest lease just before that.
+func (e *Engine) inheritFence(s *session) {
+	if s.worker.Predecessors() == 0 || !s.fenced {
+		return
+	}
+	age := millis(e.state.Clock() - s.worker.AssignedSinceMs())
+	s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(e.cfg.MaxLease)-age)
+}
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -188,6 +188,9 @@
 				r.assignedMs = max(s.clockMs, 1)
 			}
 			s.assignRun(t, r)
+			if w := r.Worker.info; w.AssignedSinceMs == 0 {
+				w.AssignedSinceMs = max(s.clockMs, 1)
+			}
 		}
 	}
 	s.markChanged()
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -20,6 +20,9 @@
 	for _, name := range slices.Sorted(maps.Keys(s.lastOrders)) {
 		m.Ordered = append(m.Ordered, s.lastOrders[name])
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.endedWorkers)) {
+		m.EndedWorkers = append(m.EndedWorkers, s.endedWorkers[id])
+	}
 	for _, w := range s.workerList {
 		m.Workers = append(m.Workers, w.info)
 	}
@@ -77,6 +80,9 @@
 	for _, o := range m.Ordered {
 		s.lastOrders[o.Instance] = o
 	}
+	for _, w := range m.EndedWorkers {
+		s.endedWorkers[w.Id] = w
+	}
 	for _, w := range m.Workers {
 		s.addWorker(w)
 	}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -30,8 +30,10 @@
 	workersByID map[string]*Worker
 	// workerList holds the incarnations that have not ended, ordered by number.
 	workerList []*Worker
-	usage      map[string]Resources // of active runs, by client account
-	waves      map[int64]*workloadpb.Wave
+	// endedWorkers holds the last incarnations that have ended, by their IDs.
+	endedWorkers map[string]*workloadpb.EndedWorker
+	usage        map[string]Resources // of active runs, by client account
+	waves        map[int64]*workloadpb.Wave
 
 	lastOrders    map[string]*workloadpb.LastOrder // by instance
 	clockMs       int64                            // see Clock
@@ -88,8 +90,8 @@
 		pools:    map[string]*workloadpb.Pool{},
 		accounts: map[string]*workloadpb.Account{}, accountsByKey: map[string]*workloadpb.Account{},
 		jobs: map[uint64]*Job{}, jobsByID: map[string]*Job{}, workers: map[uint64]*Worker{},
-		workersByID: map[string]*Worker{},
-		lastOrders:  map[string]*workloadpb.LastOrder{}, usage: map[string]Resources{},
+		workersByID: map[string]*Worker{}, endedWorkers: map[string]*workloadpb.EndedWorker{},
+		lastOrders: map[string]*workloadpb.LastOrder{}, usage: map[string]Resources{},
 		waves: map[int64]*workloadpb.Wave{}, changes: s.changes + 1,
 		workerChanges: s.workerChanges + 1,
 	}
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -1,13 +1,19 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+// endedWorkerRetention is how long the number of incarnations with an ID is kept after the last one has ended. A request for
+// that one is carried out at most seconds late.
+const endedWorkerRetention = 10 * time.Minute
+
 // Worker is one incarnation of a worker.
 type Worker struct {
 	info     *workloadpb.Worker
@@ -60,6 +66,12 @@
 // is 0 while leaders may grant leases.
 func (w *Worker) LeasesEndMs() int64 { return w.info.LeasesEndMs }
 
+// Predecessors returns the number of earlier incarnations with the ID. Those that ended long ago may be left out.
+func (w *Worker) Predecessors() uint64 { return w.info.Predecessors }
+
+// AssignedSinceMs returns when a run was first assigned to the worker on the ledger's clock, 0 if none was.
+func (w *Worker) AssignedSinceMs() int64 { return w.info.AssignedSinceMs }
+
 // RecordedSequence returns the sequence of the last heartbeat that was recorded, 0 if it is not known.
 func (w *Worker) RecordedSequence() uint64 { return w.info.Sequence }
 
@@ -133,6 +145,7 @@
 			m = proto.CloneOf(m)
 			m.Number, m.Noted, m.Draining = w.info.Number, w.info.Noted, m.Draining || w.info.Draining
 			m.LeasesEndMs, m.Sequence = w.info.LeasesEndMs, r.Sequence
+			m.Predecessors, m.AssignedSinceMs = w.info.Predecessors, w.info.AssignedSinceMs
 			w.info, w.capacity = m, ResourcesOf(m.Capacity)
 			s.markChanged()
 			return
@@ -149,6 +162,8 @@
 	s.nextWorker++
 	m = proto.CloneOf(m)
 	m.Number, m.Noted, m.LeasesEndMs, m.Sequence = s.nextWorker, 0, 0, r.Sequence
+	m.Predecessors, m.AssignedSinceMs = s.endedWorkers[m.Id].GetIncarnations(), 0
+	delete(s.endedWorkers, m.Id)
 	s.addWorker(m)
 	s.markChanged()
 }
@@ -191,9 +206,19 @@
 		s.endRun(w, k, workloadpb.How_HOW_VOID, "")
 	}
 	w.ended = true
+	s.rememberEndedWorker(w)
 	s.workerChanges++
 	delete(s.workers, w.info.Number)
 	delete(s.workersByID, w.info.Id)
 	s.workerList = slices.DeleteFunc(s.workerList, func(o *Worker) bool { return o == w })
 	s.markChanged()
 }
+
+// rememberEndedWorker keeps the number of incarnations with the ID of a worker that has ended, and forgets those that ended
+// long ago.
+func (s *State) rememberEndedWorker(w *Worker) {
+	maps.DeleteFunc(s.endedWorkers, func(_ string, e *workloadpb.EndedWorker) bool {
+		return e.EndedMs+endedWorkerRetention.Milliseconds() < s.clockMs
+	})
+	s.endedWorkers[w.ID()] = &workloadpb.EndedWorker{Id: w.ID(), Incarnations: w.Predecessors() + 1, EndedMs: s.clockMs}
+}
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -25,7 +25,8 @@
 // RequestHeader is the part that every request to a worker has.
 type RequestHeader struct {
 	Target
-	// FencingToken is the term of the leader; workers reject requests with a lower one than they have seen.
+	// FencingToken rises with the term of the leader and with the incarnations of the worker's ID; workers reject requests with
+	// a lower one than they have seen.
 	FencingToken uint64
 	// LeaseExpiryMs is the end of the lease on the worker's clock in milliseconds; 0 grants none.
 	LeaseExpiryMs int64
@@ -150,9 +151,9 @@
 // Answer is the part that every answer of a worker has.
 type Answer struct {
 	Outcome Outcome
-	// Executed is set if the outcome is OtherIncarnation, and that incarnation has the ID of the target and has executed
-	// the request.
-	Executed bool
+	// ExecutedBy is the start in Unix milliseconds of another incarnation with the ID of the target that has executed the
+	// request; 0 if none has. The outcome is OtherIncarnation then.
+	ExecutedBy int64
 	// ClockMs is the worker's clock in milliseconds since the incarnation started.
 	ClockMs int64
 	// SentAt and EndedAt are the times of the request and of its end on the leader's monotonic clock.
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -5,8 +5,8 @@
 // handleOtherIncarnation handles the answer of another incarnation to a request for the incarnation of a session. Its
 // runs may have crashed it.
 func (e *Engine) handleOtherIncarnation(s *session, request string, a Answer) {
-	if a.Executed {
-		e.handleReplacement(s)
+	if a.ExecutedBy > 0 {
+		e.handleReplacement(s, a.ExecutedBy)
 		return
 	}
 	s.nextRenewalAt = e.now + proposalTimeout
@@ -14,75 +14,64 @@
 }
 
 // handleReplacement records that a later incarnation with the same ID has replaced that of a session. It reports whether
-// runs have to be stopped there before this incarnation may end and its tasks may start elsewhere.
-func (e *Engine) handleReplacement(s *session) (mustStopRuns bool) {
-	if !s.replaced {
-		s.replaced = true
+// the later one must not be registered yet, because it may execute runs that were requested from this one.
+func (e *Engine) handleReplacement(s *session, startedMs int64) (mustSettle bool) {
+	if startedMs > s.successorMs {
+		s.successorMs, s.settled = startedMs, false
 		// The later incarnation limits a lease by its own clock, which started anew.
 		s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(e.cfg.MaxLease))
-		// Usually the heartbeat of the later incarnation ends this one.
-		s.nextRenewalAt = e.now + proposalTimeout
-		for _, r := range s.runs {
-			r.stoppedAt = 0 // A stop holds only for the incarnation that acknowledged it.
+		// The answer to a request for this incarnation must not be waited for, and usually the heartbeat of the later one
+		// ends it.
+		s.renewalInFlight, s.nextRenewalAt = false, e.now+proposalTimeout
+		if s.hasDoubtfulRuns() {
+			s.nextRenewalAt = e.now
 		}
 		e.cfg.Log.Info("a later incarnation has replaced a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
-			"runs", len(s.runs), "doubtful-runs", len(s.sortedRuns(e.mayRunAtReplacement)))
+			"started-ms", startedMs, "runs", len(s.runs), "doubtful-runs", len(s.sortedRuns((*run).isDoubtful)))
 	}
 	e.markDirty(s)
 	if s.settled {
 		return s.endsPending
 	}
-	return s.hasDoubtfulRuns() || len(s.sortedRuns(e.mayRunAtReplacement)) > 0
+	return s.hasDoubtfulRuns()
 }
 
-// mayRunAtReplacement reports whether a later incarnation may execute a run that was requested from this one.
-func (e *Engine) mayRunAtReplacement(r *run) bool {
-	if r.requestInFlight {
-		return true
-	}
-	return (r.doubtful || r.inherited) && (r.stoppedAt == 0 || e.now <= r.stoppedAt+e.cfg.StopTimeout)
-}
+// isDoubtful reports whether a later incarnation may execute the run, because a request to start it has no answer of this
+// one.
+func (r *run) isDoubtful() bool { return r.doubtful || r.inherited || r.requestInFlight }
+
+func (s *session) hasDoubtfulRuns() bool { return len(s.sortedRuns((*run).isDoubtful)) > 0 }
 
-// endReplaced stops the runs that the later incarnation may execute, asks it which of them are done, and then proposes to
-// record that this one has ended.
+// endReplaced asks the later incarnation for its runs until it has none that this one may have been asked to start, and then
+// proposes to record that this one has ended.
 func (e *Engine) endReplaced(s *session) {
-	pending := s.sortedRuns(e.mayRunAtReplacement)
 	switch {
-	case s.endsPending:
+	case s.endsPending || e.now < s.nextRenewalAt:
 		return
 	case e.now > s.leasesExpireBy: // The later incarnation has ended these runs.
-	case len(pending) > 0:
-		for _, r := range pending {
-			if !r.requestInFlight && r.stoppedAt == 0 && e.now >= r.retryAt {
-				r.requestInFlight = true
-				r.attempts++
-				e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: r.name})
-			}
-		}
-		s.nextRenewalAt = e.now
-		return
 	case !s.settled && s.hasDoubtfulRuns():
-		if !s.renewalInFlight && e.now >= s.nextRenewalAt {
-			s.asked, s.renewalInFlight, s.renewalSentAt, s.nextRenewalAt = true, true, e.now, e.now+minRetryDelay
+		if !s.renewalInFlight {
+			s.renewalInFlight, s.renewalSentAt, s.nextRenewalAt = true, e.now, e.now+minRetryDelay
 			// The numbers of ends start anew, so none is acknowledged.
 			e.addAction(RenewLease{RequestHeader: e.requestHeader(s)})
 		}
 		return
 	}
-	if e.now < s.nextRenewalAt {
-		return
-	}
 	s.nextRenewalAt = e.now + proposalTimeout
 	e.endIncarnation(s, "a later incarnation has replaced it", &workloadpb.Leave{Lost: true})
 }
 
-// recordEndsAtReplacement records the runs that are done at the later incarnation, so that their tasks don't start again.
-// The other ends are recorded once that incarnation is registered.
-func (e *Engine) recordEndsAtReplacement(s *session, ev RenewLeaseResult) {
-	if !ev.Executed || !s.asked {
+// settleRuns stops what the later incarnation of a worker executes, and records the runs that are done there, so that their
+// tasks don't start again. Only a list that was requested with a higher fencing token than the runs shows them all. The
+// other ends are recorded once that incarnation is registered.
+func (e *Engine) settleRuns(s *session, ev RenewLeaseResult) {
+	if ev.ExecutedBy == 0 || ev.ExecutedBy != s.successorMs || ev.Request.FencingToken < e.fencingToken(s) {
 		return
 	}
-	s.settled = true
+	for _, row := range ev.Running {
+		e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: row.Name})
+	}
+	s.settled = len(ev.Running) == 0
 	m := &workloadpb.Ends{Worker: s.worker.Number()}
 	for _, row := range ev.Ended {
 		if k, ok := e.runKey(row.Name); ok && s.runs[k] != nil && row.How == workloadpb.How_HOW_DONE {
@@ -93,12 +82,3 @@
 	}
 	e.proposeEnds(s, m)
 }
-
-func (s *session) hasDoubtfulRuns() bool {
-	for _, r := range s.runs {
-		if r.doubtful || r.inherited {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -78,11 +78,13 @@
 	// leasesExpireBy is when every lease that was granted has certainly expired.
 	leasesExpireBy time.Duration
 	suspension     suspension
-	// replaced is set when a later incarnation with the same ID is known, which executes what is requested for this one.
-	replaced bool
-	// settled is set once the later incarnation executes no run that was requested from this one, and asked once the list
-	// that shows which of them are done was requested.
-	asked, settled bool
+	// fenced is set once the incarnation rejects requests for earlier ones with its ID.
+	fenced bool
+	// successorMs is the start in Unix milliseconds of the latest known incarnation with the same ID, which executes what is
+	// requested for this one; 0 if there is none.
+	successorMs int64
+	// settled is set once the successor rejects requests for this incarnation and has no run that was requested from it.
+	settled bool
 
 	renewalInFlight bool
 	renewalSentAt   time.Duration
@@ -142,10 +144,11 @@
 }
 
 func (e *Engine) openSession(w *ledger.Worker) *session {
-	s := &session{worker: w, runs: map[ledger.RunKey]*run{}}
+	s := &session{worker: w, runs: map[ledger.RunKey]*run{}, fenced: w.Predecessors() == 0 || w.AssignedSinceMs() > 0}
 	e.sessions[w.Number()] = s
 	e.markDirty(s)
-	e.cfg.Log.Info("worker registered", "worker", w.ID(), "boot", w.Number(), "pool", w.Pool(), "address", w.Address())
+	e.cfg.Log.Info("worker registered", "worker", w.ID(), "boot", w.Number(), "predecessors", w.Predecessors(),
+		"pool", w.Pool(), "address", w.Address())
 	return s
 }
 
@@ -215,7 +218,25 @@
 
 // requestHeader returns the header of a request to the worker that grants no lease.
 func (e *Engine) requestHeader(s *session) RequestHeader {
-	return RequestHeader{Target: s.target(), FencingToken: e.term}
+	return RequestHeader{Target: s.target(), FencingToken: e.fencingToken(s)}
+}
+
+// fencingToken returns the token of requests to a worker. A later leader knows all incarnations that an earlier one has sent
+// requests to, so its tokens are higher.
+func (e *Engine) fencingToken(s *session) uint64 {
+	token := e.term + s.worker.Predecessors()
+	if s.successorMs > 0 {
+		token++
+	}
+	return token
+}
+
+// recordFence records that an incarnation has carried out a request of this leader at a time, and so rejects those for earlier
+// incarnations from then on. One of them may have granted the longest lease just before.
+func (e *Engine) recordFence(s *session, at time.Duration) {
+	if !s.fenced {
+		s.fenced, s.leasesExpireBy = true, max(s.leasesExpireBy, at+worstCaseDuration(e.cfg.MaxLease))
+	}
 }
 
 // leaseHeader returns the header of a request to the worker, with a lease if the worker answers, its clock is known and
@@ -334,7 +355,7 @@
 // exclusion returns why a worker may not take new runs, empty if it may.
 func (e *Engine) exclusion(s *session) string {
 	switch {
-	case s.replaced:
+	case s.successorMs > 0:
 		return "replaced"
 	case s.failures > 0:
 		return "unreachable"
@@ -342,6 +363,8 @@
 		return "unanswered"
 	case !s.clockKnown:
 		return "clock-unknown"
+	case !s.fenced:
+		return "not-fenced"
 	case s.worker.IsDraining():
 		return "draining"
 	case s.hasUnassignedRuns:
@@ -406,7 +429,7 @@
 	}
 	s := e.sessions[w.Number()]
 	if s != nil && e.leading && r.Worker.BornMs > w.StartedMs() {
-		return e.handleReplacement(s)
+		return e.handleReplacement(s, r.Worker.BornMs)
 	}
 	if w.StartedMs() != r.Worker.BornMs {
 		return false
--- a/internal/workload/sim_delivery_test.go
+++ b/internal/workload/sim_delivery_test.go
@@ -137,7 +137,7 @@
 	}
 	answer := workload.Answer{Outcome: o, SentAt: sent}
 	if o == workload.Accepted {
-		answer.Outcome, answer.Executed = workload.OtherIncarnation, true
+		answer.Outcome, answer.ExecutedBy = workload.OtherIncarnation, w.m.BornMs
 	}
 	s.schedule(simStep, func() {
 		if h, ok := a.(workload.RenewLease); ok {
