workload: wait for a later incarnation as long as it sends heartbeats

What callers saw: a task ran twice, as a late start was carried out by a later incarnation of its worker while the leader had started the task elsewhere.

Cause: the leader waited 6.1 s from when it knew of the later incarnation, the longest lease of a start that is carried out by then.

Change: each heartbeat within these 12 s extends the wait by the longest lease. Without heartbeats the wait stays, since the tasks of a worker that is lost have to start elsewhere in time.

Evidence: TestLateStartAtSilentIncarnationRunsOnce fails on and on the commit before (two runs at the same time).

--- a/internal/workload/late_request_test.go
+++ b/internal/workload/late_request_test.go
@@ -30,8 +30,8 @@
 	return workload.Accepted
 }
 
-// holdUpRequests keeps the requests for the current incarnation of a worker from arriving, and returns a function that
-// lets them arrive at the latest one.
+// holdUpRequests keeps the requests to a worker from arriving until it is dead, and returns a function that lets them arrive
+// at the latest incarnation with its ID.
 func (s *sim) holdUpRequests(w *fakeWorker) (release func()) {
 	type request struct {
 		a    kernel.Action
@@ -40,7 +40,7 @@
 	var held []request
 	s.intercept = func(a kernel.Action) bool {
 		h, ok := targetOf(a)
-		if !ok || h.ID != w.m.Id || h.StartedMs != w.m.BornMs {
+		if !ok || h.ID != w.m.Id || w.dead {
 			return false
 		}
 		r := request{a, s.sentAt}
@@ -122,6 +122,31 @@
 	}
 }
 
+// Guards against a task that starts elsewhere while a later incarnation, which sends heartbeats and answers nothing, executes
+// a late start for the earlier one.
+func TestLateStartAtSilentIncarnationRunsOnce(t *testing.T) {
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.run(2 * time.Second)
+	release := s.holdUpRequests(workers[0])
+	s.submit("p", "job", step(1, 12000, 1000, 20_000))
+	s.run(500 * time.Millisecond)
+	workers[0].dead = true
+	s.run(700 * time.Millisecond)
+	later := s.startWorkerAs("m-p-0", workers[0].m.Id, workers[0].m.Address)
+	later.deaf = true
+	s.startWorker("m-p-1")
+	s.run(5 * time.Second)
+	release()
+	assert.Equal(t, len(later.runs), 1)
+	s.run(3 * time.Second)
+	later.deaf = false
+	s.run(5 * time.Second)
+	assert.Equal(t, s.running("job"), 1)
+}
+
 // Guards against a lease renewal for an earlier incarnation that acknowledges ends of a later one which the leader doesn't
 // know, so that a task that is done starts again.
 func TestLateRenewalForEarlierIncarnationAcknowledgesNoEnd(t *testing.T) {
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -1,6 +1,13 @@
 package workload
 
-import "github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+import (
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// maxRequestDelay is how late a request without an answer may be carried out.
+const maxRequestDelay = 12 * time.Second
 
 // handleOtherIncarnation handles the answer of another incarnation to a request for the incarnation of a session. Its
 // runs may have crashed it.
@@ -17,9 +24,7 @@
 // the later one must not be registered yet, because it may execute runs that were requested from this one.
 func (e *Engine) handleReplacement(s *session, startedMs int64) (mustSettle bool) {
 	if startedMs > s.successorMs {
-		s.successorMs, s.settled = startedMs, false
-		// The later incarnation limits a lease by its own clock, which started anew.
-		s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(e.cfg.MaxLease))
+		s.successorMs, s.settled, s.replacedAt = startedMs, false, e.now
 		// The answer to a request for this incarnation must not be waited for, and usually the heartbeat of the later one
 		// ends it.
 		s.renewalInFlight, s.nextRenewalAt = false, e.now+proposalTimeout
@@ -29,6 +34,10 @@
 		e.cfg.Log.Info("a later incarnation has replaced a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
 			"started-ms", startedMs, "runs", len(s.runs), "doubtful-runs", len(s.sortedRuns((*run).isDoubtful)))
 	}
+	if e.now <= s.replacedAt+maxRequestDelay {
+		// A late start has the longest lease, as the later incarnation limits it by its own clock, which started anew.
+		s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(e.cfg.MaxLease))
+	}
 	e.markDirty(s)
 	if s.settled {
 		return s.endsPending
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -83,6 +83,7 @@
 	// successorMs is the start in Unix milliseconds of the latest known incarnation with the same ID, which executes what is
 	// requested for this one; 0 if there is none.
 	successorMs int64
+	replacedAt  time.Duration // the successor became known
 	// settled is set once the successor rejects requests for this incarnation and has no run that was requested from it.
 	settled bool
 
