workload: register a later incarnation by the heartbeat that was held back

What callers saw: tasks waited up to a heartbeat, 1.5 s, longer than needed for a worker that had started again.

Cause: heartbeats of a later incarnation are not recorded until the earlier one has settled, and then it was the next one that registered it.

Change: the last heartbeat that was held back is proposed in place of the end of the earlier incarnation, unless it is older than a heartbeat interval.

--- a/internal/workload/late_request_test.go
+++ b/internal/workload/late_request_test.go
@@ -122,20 +122,34 @@
 	}
 }
 
-// Guards against a task that starts elsewhere while a later incarnation, which sends heartbeats and answers nothing, executes
-// a late start for the earlier one.
-func TestLateStartAtSilentIncarnationRunsOnce(t *testing.T) {
-	s := newSim(t)
+// newLateStartSim returns a simulation with a worker that has crashed before a start arrived, and has started again under its
+// ID and with its address.
+func newLateStartSim(t *testing.T) (s *sim, later *fakeWorker, release func()) {
+	t.Helper()
+	s = newSim(t)
 	workers := s.addWorkers("p", 2)
 	workers[1].dead = true
 	s.configure(1, nil, "p")
 	s.run(2 * time.Second)
-	release := s.holdUpRequests(workers[0])
+	release = s.holdUpRequests(workers[0])
 	s.submit("p", "job", step(1, 12000, 1000, 20_000))
 	s.run(500 * time.Millisecond)
 	workers[0].dead = true
 	s.run(700 * time.Millisecond)
-	later := s.startWorkerAs("m-p-0", workers[0].m.Id, workers[0].m.Address)
+	return s, s.startWorkerAs("m-p-0", workers[0].m.Id, workers[0].m.Address), release
+}
+
+// Guards against a worker that started again and gets no runs until its second heartbeat, if a start was on its way.
+func TestLaterIncarnationTakesRunsAtOnce(t *testing.T) {
+	s, later, _ := newLateStartSim(t)
+	s.run(500 * time.Millisecond)
+	assert.Equal(t, len(later.runs), 1)
+}
+
+// Guards against a task that starts elsewhere while a later incarnation, which sends heartbeats and answers nothing, executes
+// a late start for the earlier one.
+func TestLateStartAtSilentIncarnationRunsOnce(t *testing.T) {
+	s, later, release := newLateStartSim(t)
 	later.deaf = true
 	s.startWorker("m-p-1")
 	s.run(5 * time.Second)
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -24,7 +24,7 @@
 // the later one must not be registered yet, because it may execute runs that were requested from this one.
 func (e *Engine) handleReplacement(s *session, startedMs int64) (mustSettle bool) {
 	if startedMs > s.successorMs {
-		s.successorMs, s.settled, s.replacedAt = startedMs, false, e.now
+		s.successorMs, s.settled, s.replacedAt, s.successorHeartbeat = startedMs, false, e.now, nil
 		// The answer to a request for this incarnation must not be waited for, and usually the heartbeat of the later one
 		// ends it.
 		s.renewalInFlight, s.nextRenewalAt = false, e.now+proposalTimeout
@@ -67,6 +67,12 @@
 		return
 	}
 	s.nextRenewalAt = e.now + proposalTimeout
+	if s.successorHeartbeat != nil && e.now-s.successorSeenAt <= e.cfg.HeartbeatInterval {
+		e.cfg.Log.Info("registering the later incarnation of a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
+			"started-ms", s.successorMs, "runs", len(s.runs))
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: s.successorHeartbeat}})
+		return
+	}
 	e.endIncarnation(s, "a later incarnation has replaced it", &workloadpb.Leave{Lost: true})
 }
 
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -84,6 +84,9 @@
 	// requested for this one; 0 if there is none.
 	successorMs int64
 	replacedAt  time.Duration // the successor became known
+	// successorHeartbeat is the last one of the successor that was not recorded, received at successorSeenAt.
+	successorHeartbeat *workloadpb.Report
+	successorSeenAt    time.Duration
 	// settled is set once the successor rejects requests for this incarnation and has no run that was requested from it.
 	settled bool
 
@@ -430,7 +433,13 @@
 	}
 	s := e.sessions[w.Number()]
 	if s != nil && e.leading && r.Worker.BornMs > w.StartedMs() {
-		return e.handleReplacement(s, r.Worker.BornMs)
+		if !e.handleReplacement(s, r.Worker.BornMs) {
+			return false
+		}
+		if r.Worker.BornMs == s.successorMs && r.Sequence >= s.successorHeartbeat.GetSequence() {
+			s.successorHeartbeat, s.successorSeenAt = r, e.now
+		}
+		return true
 	}
 	if w.StartedMs() != r.Worker.BornMs {
 		return false
