workload: let the simulated workers check the fencing token of every request

A request reaches whichever incarnation has the ID when it arrives, also after a change of leader. One method of the fake worker carries out all kinds of requests; a throttle of a worker that doesn't answer gets no answer any more.

--- a/internal/workload/capacity_test.go
+++ b/internal/workload/capacity_test.go
@@ -172,7 +172,7 @@
 		start, ok := a.(workload.StartRun)
 		if ok {
 			sent := s.sentAt
-			w.start(start, sent)
+			w.execute(start, sent)
 			s.schedule(time.Second, func() { s.fail(start, workload.NoAnswer, sent) })
 		}
 		return ok
--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -447,22 +447,14 @@
 			if w.dead || w.unreachable || w.deaf {
 				return
 			}
-			p.logf("late start of %s#%d on %s: %v", taskKey(start.Name), start.Name.Run, w.m.Id, w.start(start, sent))
+			p.logf("late start of %s#%d on %s: %v", taskKey(start.Name), start.Name.Run, w.m.Id, w.execute(start, sent))
 		})
 		p.schedule(time.Second, func() { p.fail(a, workload.NoAnswer, sent) })
 		p.logf("start of %s#%d on %s is late by %v", taskKey(start.Name), start.Name.Run, w.m.Id, after)
 		return true
 	}
 	if p.now < p.unansweredUntil && p.draw(3, "unanswered", h.Incarnation, fmt.Sprintf("%T", a)) == 0 {
-		switch a := a.(type) {
-		case workload.StartRun:
-			w.start(a, sent)
-		case workload.StopRun:
-			w.stop(a)
-		case workload.RenewLease:
-			w.acceptHeader(a.RequestHeader)
-			w.acknowledge(a.AckedEnd)
-		}
+		w.execute(a, sent)
 		p.schedule(time.Second, func() { p.fail(a, workload.NoAnswer, sent) })
 		return true
 	}
--- a/internal/workload/late_request_test.go
+++ b/internal/workload/late_request_test.go
@@ -10,26 +10,6 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 )
 
-// execute carries out a request that was sent at a time, whichever incarnation it was meant for.
-func (w *fakeWorker) execute(a kernel.Action, sent time.Duration) workload.Outcome {
-	switch a := a.(type) {
-	case workload.RenewLease:
-		if a.FencingToken < w.fencingToken {
-			return workload.Fenced
-		}
-		w.acceptHeader(a.RequestHeader)
-		w.acknowledge(a.AckedEnd)
-	case workload.StartRun:
-		return w.start(a, sent)
-	case workload.StopRun:
-		if a.FencingToken < w.fencingToken {
-			return workload.Fenced
-		}
-		w.stop(a)
-	}
-	return workload.Accepted
-}
-
 // holdUpRequests keeps the requests to a worker from arriving until it is dead, and returns a function that lets them arrive
 // at the latest incarnation with its ID.
 func (s *sim) holdUpRequests(w *fakeWorker) (release func()) {
--- a/internal/workload/replaced_test.go
+++ b/internal/workload/replaced_test.go
@@ -40,7 +40,7 @@
 				if !ok || start.ID != later.m.Id {
 					return false
 				}
-				later.start(start, s.sentAt)
+				later.execute(start, s.sentAt)
 				s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, s.now-time.Second) })
 				return true
 			}
--- a/internal/workload/sim_delivery_test.go
+++ b/internal/workload/sim_delivery_test.go
@@ -37,7 +37,7 @@
 	s.t.Helper()
 	if term < s.term || s.leaderless {
 		// Only the answers to the new leader are observed.
-		s.deliverOutdated(a, sent)
+		s.deliverUnanswered(a, sent)
 		return
 	}
 	s.sentAt = sent
@@ -51,39 +51,10 @@
 		}
 	}
 	if h, ok := targetOf(a); ok {
-		if w := s.worker(h.Target); w != nil && w.m.BornMs != h.StartedMs {
-			s.deliverToSuccessor(w, a, sent)
-			return
-		}
+		s.deliverToWorker(a, h, sent)
+		return
 	}
 	switch a := a.(type) {
-	case workload.RenewLease:
-		w := s.worker(a.Target)
-		if w == nil {
-			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
-			return
-		}
-		w.acceptHeader(a.RequestHeader)
-		w.acknowledge(a.AckedEnd)
-		w.renewal, w.renewalSentAt, w.renewalDeadline = &a, sent, s.now+max(a.Wait, simStep)
-	case workload.StartRun:
-		w := s.worker(a.Target)
-		if w == nil {
-			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
-			return
-		}
-		o := w.start(a, sent)
-		s.schedule(simStep, func() { s.k.Observe(s.now, workload.StartRunResult{Request: a, Answer: w.answer(o, sent)}) })
-	case workload.StopRun:
-		w := s.worker(a.Target)
-		if w == nil {
-			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
-			return
-		}
-		w.stop(a)
-		s.schedule(simStep, func() {
-			s.k.Observe(s.now, workload.StopRunResult{Request: a, Answer: w.answer(workload.Accepted, sent)})
-		})
 	case workload.RequestAdvice:
 		done := workload.AdviceResult{
 			Request: a, Outcome: workload.Accepted, Tickets: map[string]string{}, Validity: 3 * time.Second, SentAt: sent,
@@ -94,12 +65,6 @@
 			}
 		}
 		s.schedule(20*simStep, func() { s.k.Observe(s.now, done) })
-	case workload.ThrottleRun:
-		s.schedule(simStep, func() {
-			s.k.Observe(s.now, workload.ThrottleRunResult{
-				Request: a, Answer: workload.Answer{Outcome: workload.Accepted, SentAt: sent, EndedAt: s.now},
-			})
-		})
 	case workload.ListInstances:
 		done := workload.ListInstancesResult{Outcome: workload.Accepted, SentAt: sent}
 		for _, row := range s.instances {
@@ -123,24 +88,34 @@
 	}
 }
 
-// deliverToSuccessor carries out a request at a later incarnation with the ID of the one that it was sent to.
-func (s *sim) deliverToSuccessor(w *fakeWorker, a kernel.Action, sent time.Duration) {
-	o := workload.Accepted
-	switch a := a.(type) {
-	case workload.StartRun:
-		o = w.start(a, sent)
-	case workload.StopRun:
-		w.stop(a)
-	case workload.RenewLease:
-		w.acceptHeader(a.RequestHeader)
-		w.acknowledge(a.AckedEnd)
+// deliverToWorker carries out a request at the incarnation that has the ID and answers now, which may be a later one than
+// the request was sent to.
+func (s *sim) deliverToWorker(a kernel.Action, h workload.RequestHeader, sent time.Duration) {
+	w := s.worker(h.Target)
+	if w == nil {
+		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+		return
+	}
+	o := w.execute(a, sent)
+	renewal, isRenewal := a.(workload.RenewLease)
+	switch {
+	case w.m.BornMs != h.StartedMs:
+		s.answerAsSuccessor(w, a, o, sent)
+	case isRenewal && o == workload.Accepted:
+		w.renewal, w.renewalSentAt, w.renewalDeadline = &renewal, sent, s.now+max(renewal.Wait, simStep)
+	default:
+		s.schedule(simStep, func() { s.observeAnswer(a, w.answer(o, sent)) })
 	}
+}
+
+// answerAsSuccessor passes the answer of a later incarnation with the ID of the one that a request was sent to.
+func (s *sim) answerAsSuccessor(w *fakeWorker, a kernel.Action, o workload.Outcome, sent time.Duration) {
 	answer := workload.Answer{Outcome: o, SentAt: sent}
 	if o == workload.Accepted {
 		answer.Outcome, answer.ExecutedBy = workload.OtherIncarnation, w.m.BornMs
 	}
 	s.schedule(simStep, func() {
-		if h, ok := a.(workload.RenewLease); ok {
+		if h, ok := a.(workload.RenewLease); ok && o == workload.Accepted {
 			r := w.list(h)
 			r.Answer = answer
 			r.EndedAt = s.now
@@ -151,21 +126,11 @@
 	})
 }
 
-// deliverOutdated carries out a request that an earlier leader sent at a time.
-func (s *sim) deliverOutdated(a kernel.Action, sent time.Duration) {
-	switch a := a.(type) {
-	case workload.RenewLease:
-		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
-			w.acceptHeader(a.RequestHeader)
-			w.acknowledge(a.AckedEnd)
-		}
-	case workload.StartRun:
-		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs {
-			w.start(a, sent)
-		}
-	case workload.StopRun:
-		if w := s.worker(a.Target); w != nil && w.m.BornMs == a.StartedMs && a.FencingToken >= w.fencingToken {
-			w.stop(a)
+// deliverUnanswered carries out a request at the incarnation that has the ID now. Its answer is lost.
+func (s *sim) deliverUnanswered(a kernel.Action, sent time.Duration) {
+	if h, ok := targetOf(a); ok {
+		if w := s.worker(h.Target); w != nil {
+			w.execute(a, sent)
 		}
 	}
 }
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -175,12 +176,28 @@
 	w.highestRun[task] = max(w.highestRun[task], a.Name.Run)
 }
 
-// start carries out a start that was sent at a time.
-func (w *fakeWorker) start(a workload.StartRun, sent time.Duration) workload.Outcome {
-	s := w.sim
-	if a.FencingToken < w.fencingToken {
+// execute carries out a request that was sent at a time, whichever incarnation it was meant for.
+func (w *fakeWorker) execute(a kernel.Action, sent time.Duration) workload.Outcome {
+	h, _ := targetOf(a)
+	if h.FencingToken < w.fencingToken {
 		return workload.Fenced
 	}
+	if start, ok := a.(workload.StartRun); ok {
+		return w.start(start, sent)
+	}
+	w.acceptHeader(h)
+	switch a := a.(type) {
+	case workload.RenewLease:
+		w.acknowledge(a.AckedEnd)
+	case workload.StopRun:
+		w.stop(a)
+	}
+	return workload.Accepted
+}
+
+// start carries out a start that was sent at a time and is not fenced.
+func (w *fakeWorker) start(a workload.StartRun, sent time.Duration) workload.Outcome {
+	s := w.sim
 	assert.Assert(s.t, a.LeaseExpiryMs > 0, "%v starts without a lease", a.Name)
 	if a.LeaseExpiryMs <= w.clockMs() {
 		return workload.DeadlineExceeded
