--- a/internal/workload/sim_delivery_test.go
+++ b/internal/workload/sim_delivery_test.go
@@ -115,6 +115,9 @@
 		answer.Outcome, answer.ExecutedBy = workload.OtherIncarnation, w.m.BornMs
 	}
 	s.schedule(simStep, func() {
+		if answer.ExecutedBy > 0 {
+			w.markKnown()
+		}
 		if h, ok := a.(workload.RenewLease); ok && o == workload.Accepted {
 			r := w.list(h)
 			r.Answer = answer
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -55,6 +55,8 @@
 	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
 	// keepsID reports whether an instance starts its worker under the last ID after an operation; it may be nil.
 	keepsID func(instance string) bool
+	// startsMute reports whether a worker sends no heartbeats at first; it may be nil.
+	startsMute func(w *fakeWorker) bool
 	// clockGain returns the thousandths by which the clock of a worker is fast; it may be nil.
 	clockGain    func(w *fakeWorker) int64
 	requestDelay func(a kernel.Action) time.Duration
@@ -136,6 +138,10 @@
 	previous := s.term
 	s.term++
 	s.leaderless = false
+	for _, w := range s.workers {
+		in := s.e.State().WorkerByID(w.m.Id)
+		w.known = w.known && in != nil && in.StartedMs() == w.m.BornMs
+	}
 	s.k.BecomeLeader(s.now)
 	s.k.Observe(s.now, kernel.LeadershipGained{Term: s.term, PreviousTerm: previous})
 }
@@ -250,6 +256,10 @@
 	if s.clockGain != nil {
 		w.clockGain = s.clockGain(w)
 	}
+	if s.startsMute != nil && s.startsMute(w) {
+		w.mute = true
+		return w
+	}
 	s.report(w)
 	return w
 }
@@ -259,6 +269,7 @@
 	if s.leaderless {
 		return // Nobody takes the heartbeat.
 	}
+	w.markKnown()
 	s.call(m)
 }
 
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -27,6 +27,9 @@
 	mute          bool // sends no heartbeats, but answers
 	unhealthy     bool // rejects all requests
 	fencingToken  uint64
+	known         bool // to the leader, since knownAt
+	knownAt       time.Duration
+	reached       bool // by a request of a leader that knew of this incarnation
 	leaseExpiryMs int64
 	runs          map[string]*fakeRun
 	highestRun    map[string]int32
@@ -182,6 +185,7 @@
 	if h.FencingToken < w.fencingToken {
 		return workload.Fenced
 	}
+	w.reached = w.reached || h.StartedMs == w.m.BornMs || w.known && sent >= w.knownAt
 	if start, ok := a.(workload.StartRun); ok {
 		return w.start(start, sent)
 	}
@@ -195,6 +199,13 @@
 	return workload.Accepted
 }
 
+// markKnown notes that the leader gets to know of the incarnation now.
+func (w *fakeWorker) markKnown() {
+	if !w.known {
+		w.known, w.knownAt = true, w.sim.now
+	}
+}
+
 // start carries out a start that was sent at a time and is not fenced.
 func (w *fakeWorker) start(a workload.StartRun, sent time.Duration) workload.Outcome {
 	s := w.sim
