workload: acknowledge no end that a later incarnation may take for one of its own

What callers saw: a task that was done started again.

Cause: each lease renewal carried the number of the last recorded end. Repeated after a lost answer, it reached a later incarnation that had executed a start whose answer was lost as well, and made it forget the end of that run before the leader had read it.

Change: a renewal acknowledges only what is not acknowledged yet, and nothing while the worker doesn't answer or an assigned run without an answer isn't listed.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -82,7 +82,7 @@
 	if s.renewalInFlight || s.endsPending || e.now < s.nextRenewalAt || s.isResuming() || !e.mustAskForRuns(s) {
 		return
 	}
-	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.worker.LastRecordedEnd(), Wait: renewalWait}
+	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.endToAcknowledge(), Wait: renewalWait}
 	if len(s.runs) > 0 {
 		h.RequestHeader = e.leaseHeader(s)
 	}
@@ -101,9 +101,26 @@
 		h.Wait = min(h.Wait, throttleRenewalWait)
 	}
 	s.renewalInFlight, s.renewalSentAt = true, e.now
+	if h.AckedEnd == 0 && s.ackedEnd < s.worker.LastRecordedEnd() {
+		s.nextRenewalAt = e.now + minRetryDelay // The worker lists these ends again, so it doesn't wait.
+	}
 	e.addAction(h)
 }
 
+// endToAcknowledge returns the number of the last end that the worker may forget, 0 if there is no further one, or if a later
+// incarnation may execute a run that is assigned and get the acknowledgement. It would forget ends that are not recorded.
+func (s *session) endToAcknowledge() int64 {
+	if s.failures > 0 || s.ackedEnd >= s.worker.LastRecordedEnd() {
+		return 0
+	}
+	for _, r := range s.runs {
+		if r.doubtful && !r.listed {
+			return 0
+		}
+	}
+	return s.worker.LastRecordedEnd()
+}
+
 func (e *Engine) handleRenewLeaseResult(ev RenewLeaseResult) {
 	s := e.sessions[ev.Request.Incarnation]
 	if s == nil {
--- a/internal/workload/late_request_test.go
+++ b/internal/workload/late_request_test.go
@@ -192,3 +192,33 @@
 	s.run(15 * time.Second)
 	assert.Equal(t, s.done["job.0.0.0"], 1)
 }
+
+// Guards against a lease renewal that is repeated after a lost answer and acknowledges the end of a run that a later
+// incarnation has executed.
+func TestRepeatedRenewalAcknowledgesNoEnd(t *testing.T) {
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.submit("p", "first", step(14, 12000, 1000, 1000))
+	s.run(16 * time.Second)
+	assert.Equal(t, s.jobState("p", "first"), "completed")
+	later := s.restartSilently(workers[0])
+	s.run(100 * time.Millisecond)
+	s.intercept = func(a kernel.Action) bool {
+		if start, ok := a.(workload.StartRun); ok {
+			later.execute(start, s.sentAt)
+		}
+		sent := s.sentAt
+		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+		return true
+	}
+	s.submit("p", "job", step(1, 12000, 1000, 300))
+	s.run(700 * time.Millisecond)
+	assert.Equal(t, s.done["job.0.0.0"], 1)
+	s.intercept = nil
+	s.run(600 * time.Millisecond)
+	later.mute = false
+	s.run(8 * time.Second)
+	assert.Equal(t, s.done["job.0.0.0"], 1)
+}
