platform: tell which answers may come from a later incarnation

Cause: only lists of runs name the incarnation on the users' platform. So a start that a later incarnation had executed passed for accepted by the earlier one. The next heartbeat ended that one, its tasks were free, and the task started elsewhere while the later incarnation executed it.

Change: the port marks such answers, and the leader keeps the run doubtful until the incarnation lists it. They don't show either that the incarnation has outlived an operation on its instance. The simulation answers like the platform now.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		listed[k] = true
-		r.inherited, r.listed = false, true
+		r.inherited, r.unattributed, r.listed = false, false, true
 		if r.startedAt == 0 {
 			r.startedAt = ev.EndedAt
 		}
@@ -335,7 +335,7 @@
 	switch ev.Outcome {
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or has vanished.
-		r.startedAt = ev.EndedAt
+		r.startedAt, r.unattributed = ev.EndedAt, ev.Unattributed
 		delete(e.rejections, r.task.Step())
 	case NoCapacity, BadTicket, Unhealthy, Malformed:
 		e.cfg.Log.Info("worker rejected the start of a run", "worker", s.worker.ID(), "job", r.name.Job, "step", r.name.Step,
--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -74,4 +74,6 @@
 	MaxGrantedLease = maxGrantedLease
 	// FullLeaseAge is the maximum time since a confirmation of the leader at which a lease is granted in full.
 	FullLeaseAge = fullLeaseAge
+	// MaxRequestDelay is how late a request without an answer may be carried out.
+	MaxRequestDelay = maxRequestDelay
 )
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -154,6 +154,8 @@
 	// ExecutedBy is the start in Unix milliseconds of another incarnation with the ID of the target that has executed the
 	// request; 0 if none has. The outcome is OtherIncarnation then.
 	ExecutedBy int64
+	// Unattributed is set if the answer doesn't tell which incarnation with the ID of the target gave it.
+	Unattributed bool
 	// ClockMs is the worker's clock in milliseconds since the incarnation started.
 	ClockMs int64
 	// SentAt and EndedAt are the times of the request and of its end on the leader's monotonic clock.
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -241,6 +241,7 @@
 	}
 	p.keepsID = func(instance string) bool { return p.draw(2, "keeps", instance) == 0 }
 	p.startsMute = p.startMute
+	p.attributesAnswers = p.fixed(2, "attributes") == 0
 	p.clockGain = func(w *fakeWorker) int64 { return int64(p.fixed(41, "clock", w.m.Id, w.m.BornMs)) - 20 }
 	if sc.delay > 0 {
 		p.requestDelay = func(a kernel.Action) time.Duration { return p.drawDelay(p.identity(a)) }
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -132,6 +132,7 @@
 	startedAt       time.Duration // the worker acknowledged the start
 	shouldStop      bool
 	doubtful        bool          // a request to start it got no answer of this incarnation, so a later one may execute it
+	unattributed    bool          // the answer to its start may be that of a later incarnation
 	givenUp         bool          // its end is or will be proposed, so it must not start
 	harmlessAt      time.Duration // its task was last proposed to be recorded as harmless
 	lost            bool          // was given up because its worker doesn't answer, and may have started
@@ -286,7 +287,7 @@
 			"failures", s.failures)
 	}
 	s.failures, s.lastAnswerAt, s.mustAnswer = 0, a.EndedAt, false
-	if a.Outcome != OtherIncarnation {
+	if a.Outcome != OtherIncarnation && !a.Unattributed {
 		s.confirmedAt = max(s.confirmedAt, a.SentAt)
 	}
 	s.recordClock(a.ClockMs, a.EndedAt)
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -55,6 +55,8 @@
 	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
 	// keepsID reports whether an instance starts its worker under the last ID after an operation; it may be nil.
 	keepsID func(instance string) bool
+	// attributesAnswers makes the answers to all requests for workers tell the incarnation, not only lists of runs.
+	attributesAnswers bool
 	// startsMute reports whether a worker sends no heartbeats at first; it may be nil.
 	startsMute func(w *fakeWorker) bool
 	// clockGain returns the thousandths by which the clock of a worker is fast; it may be nil.
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -29,7 +29,8 @@
 	fencingToken  uint64
 	known         bool // to the leader, since knownAt
 	knownAt       time.Duration
-	reached       bool // by a request of a leader that knew of this incarnation
+	heardAt       time.Duration // last heartbeat or answer within MaxRequestDelay after knownAt
+	reached       bool          // by a request of a leader that knew of this incarnation
 	leaseExpiryMs int64
 	runs          map[string]*fakeRun
 	highestRun    map[string]int32
@@ -199,11 +200,14 @@
 	return workload.Accepted
 }
 
-// markKnown notes that the leader gets to know of the incarnation now.
+// markKnown notes that the leader hears of the incarnation now.
 func (w *fakeWorker) markKnown() {
 	if !w.known {
 		w.known, w.knownAt = true, w.sim.now
 	}
+	if w.sim.now <= w.knownAt+workload.MaxRequestDelay {
+		w.heardAt = w.sim.now
+	}
 }
 
 // start carries out a start that was sent at a time and is not fenced.
