--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -101,7 +101,7 @@
 		h.Wait = min(h.Wait, throttleRenewalWait)
 	}
 	s.renewalInFlight, s.renewalSentAt = true, e.now
-	if h.AckedEnd == 0 && s.ackedEnd < s.worker.LastRecordedEnd() {
+	if s.lastAnswerAt > 0 && h.AckedEnd == 0 && s.ackedEnd < s.worker.LastRecordedEnd() {
 		s.nextRenewalAt = e.now + minRetryDelay // The worker lists these ends again, so it doesn't wait.
 	}
 	e.addAction(h)
@@ -110,7 +110,7 @@
 // endToAcknowledge returns the number of the last end that the worker may forget, 0 if there is no further one, or if a later
 // incarnation may execute a run that is assigned and get the acknowledgement. It would forget ends that are not recorded.
 func (s *session) endToAcknowledge() int64 {
-	if s.failures > 0 || s.ackedEnd >= s.worker.LastRecordedEnd() {
+	if s.failures > 0 || s.lastAnswerAt == 0 || s.ackedEnd >= s.worker.LastRecordedEnd() {
 		return 0
 	}
 	for _, r := range s.runs {
