--- a/internal/workload/late_script_test.go
+++ b/internal/workload/late_script_test.go
@@ -257,14 +257,15 @@
 		if r := m.GetReport(); r != nil {
 			return r.Worker.Id == a.ID && r.Worker.BornMs > a.StartedMs
 		}
-		return m.GetEnds().GetWorker() == a.Incarnation && slices.ContainsFunc(m.GetEnds().GetEnds(), func(e *workloadpb.End) bool {
+		ends := m.GetEnds()
+		return ends.GetWorker() == a.Incarnation && slices.ContainsFunc(ends.GetEnds(), func(e *workloadpb.End) bool {
 			return proto.Equal(e.Subtask, key.TaskMessage()) && e.Run == n.Run
 		})
 	})
 }
 
-// noteLosses notes the jobs that the leader may give up, as a task of theirs seems to crash its workers. All crashes of these
-// scripts come from restarts.
+// noteLosses notes the jobs that the leader may give up, as a task of theirs seems to crash its workers. All crashes of
+// these scripts come from restarts.
 func (p *player) noteLosses() {
 	if len(p.heldUntil) == 0 {
 		return
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -512,7 +512,7 @@
 func TestRandomDisturbancesAreRepeatable(t *testing.T) {
 	scripts := []script{newCrowdedScript(1)}
 	for seed := range uint64(8) {
-		scripts = append(scripts, newResizingScript(seed))
+		scripts = append(scripts, newResizingScript(seed), newLateRequestScript(seed))
 	}
 	for i, sc := range scripts {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
