workload: acknowledge ends when a list is full, and not after an answer of unknown origin

Causes: a worker lists 500 ends at most. Beyond that, a doubtful run that has ended isn't listed until others are forgotten, and none were acknowledged because of it. And the answer to a start, which names no incarnation, counted as a sign that the worker answers, so the next renewal acknowledged ends at the later incarnation that had given it.

Change: a full list lifts the restriction, and only answers that name the incarnation count. The simulated worker lists 500 ends at most.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -114,7 +114,8 @@
 		return 0
 	}
 	for _, r := range s.runs {
-		if r.doubtful && !r.listed {
+		// The end of the run may be missing in a list that is full until others are forgotten.
+		if r.doubtful && !r.listed && !s.listFull {
 			return 0
 		}
 	}
@@ -169,7 +170,7 @@
 		}
 	}
 	listed := map[ledger.RunKey]bool{}
-	s.hasUnassignedRuns = false
+	s.hasUnassignedRuns, s.listFull = false, len(ev.Ended) >= maxListedEnds
 	for _, row := range ev.Running {
 		k, ok := e.runKey(row.Name)
 		r := s.runs[k]
@@ -191,7 +192,7 @@
 		}
 		r.lastCheckpoint, r.progress, r.load = cmp.Or(row.Checkpoint, r.lastCheckpoint), row.Percent, row.Load
 	}
-	if len(ev.Ended) < maxListedEnds {
+	if !s.listFull {
 		for k, r := range s.runs {
 			if listed[k] || ended[k] {
 				continue
--- /dev/null
+++ b/internal/workload/later_incarnation_test.go
@@ -0,0 +1,109 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+)
+
+// Guards against ends that are never acknowledged, because the end of a doubtful run is missing in a full list.
+func TestMoreEndsThanListHoldsAreAcknowledgedToNewLeader(t *testing.T) {
+	s := newSim(t)
+	s.addWorkers("p", 1)
+	s.configure(1, nil, "p")
+	s.run(2 * time.Second)
+	s.submit("p", "job", step(maxListedEnds+100, 20, 10, 3000))
+	s.run(1500 * time.Millisecond)
+	s.leaderless = true
+	s.run(3 * time.Second)
+	s.leaderless = false
+	s.startTerm()
+	s.run(5 * time.Second)
+	assert.Equal(t, s.jobState("p", "job"), "completed")
+}
+
+// Guards against an acknowledgement that a later incarnation gets after an answer that may be its own.
+func TestAnswerWithoutIncarnationAllowsNoAcknowledgement(t *testing.T) {
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.submit("p", "first", step(1, 12000, 1000, 1000))
+	s.run(2500 * time.Millisecond)
+	s.submit("p", "second", step(1, 2000, 1000, 1000))
+	var later *fakeWorker
+	s.intercept = func(a kernel.Action) bool {
+		sent := s.sentAt
+		switch a := a.(type) {
+		case workload.RenewLease:
+			if a.AckedEnd >= 2 && later == nil {
+				later = s.restartSilently(workers[0])
+				s.submit("p", "job", step(1, 12000, 1000, 50))
+				s.schedule(60*time.Millisecond, func() { s.fail(a, workload.NoAnswer, sent) })
+				return true
+			}
+		case workload.StartRun:
+			if later != nil && a.Name.Job == "job" && a.StartedMs == workers[0].m.BornMs {
+				s.schedule(50*time.Millisecond, func() {
+					answer := later.answer(later.execute(a, sent), sent)
+					answer.Unattributed = true
+					s.schedule(60*time.Millisecond, func() { s.observeAnswer(a, answer) })
+				})
+				return true
+			}
+		}
+		return false
+	}
+	s.run(4 * time.Second)
+	assert.Assert(t, later != nil)
+	later.mute = false
+	s.run(8 * time.Second)
+	assert.Equal(t, s.done["job.0.0.0"], 1)
+}
+
+// Guards against an acknowledgement without an answer that a later incarnation carries out after it has executed a start
+// without an answer, so that a task that is done starts again.
+func TestAcknowledgementSecondsLateForgetsNoEnd(t *testing.T) {
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.submit("p", "first", step(1, 12000, 1000, 1000))
+	s.run(2500 * time.Millisecond)
+	s.submit("p", "second", step(1, 2000, 1000, 1000))
+	var late *workload.RenewLease
+	s.intercept = func(a kernel.Action) bool {
+		sent := s.sentAt
+		r, ok := a.(workload.RenewLease)
+		if !ok || r.AckedEnd < 2 || late != nil {
+			return false
+		}
+		late = &r
+		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+		return true
+	}
+	s.run(2300 * time.Millisecond)
+	assert.Assert(t, late != nil)
+	s.report(workers[0])
+	s.run(20 * time.Millisecond)
+	later := s.restartSilently(workers[0])
+	s.intercept = func(a kernel.Action) bool {
+		if start, ok := a.(workload.StartRun); ok {
+			later.execute(start, s.sentAt)
+		}
+		sent := s.sentAt
+		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+		return true
+	}
+	s.submit("p", "job", step(1, 12000, 1000, 300))
+	s.run(500 * time.Millisecond)
+	assert.Equal(t, s.done["job.0.0.0"], 1)
+	later.execute(*late, s.now)
+	s.intercept, later.mute = nil, false
+	s.run(8 * time.Second)
+	assert.Equal(t, s.done["job.0.0.0"], 1)
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -104,6 +104,7 @@
 	lastAnswerAt          time.Duration
 	mustAnswer            bool // gets no new runs until it answers a request
 	hasUnassignedRuns     bool // lists runs that are not assigned to it
+	listFull              bool // the last list may lack ends
 	consecutiveFailedRuns int  // runs that failed since one succeeded
 	excludedUntil         time.Duration
 	reservedForOperation  bool // gets no new runs because its instance is moved or maintained
@@ -280,14 +281,17 @@
 	}
 }
 
-// recordAnswer records that the worker answered.
+// recordAnswer records that the worker answered. An answer that may be that of a later incarnation tells nothing.
 func (e *Engine) recordAnswer(s *session, a Answer) {
+	if a.Unattributed {
+		return
+	}
 	if s.failures > 0 {
 		e.cfg.Log.Info("worker is reachable again", "worker", s.worker.ID(), "boot", s.worker.Number(),
 			"failures", s.failures)
 	}
 	s.failures, s.lastAnswerAt, s.mustAnswer = 0, a.EndedAt, false
-	if a.Outcome != OtherIncarnation && !a.Unattributed {
+	if a.Outcome != OtherIncarnation {
 		s.confirmedAt = max(s.confirmedAt, a.SentAt)
 	}
 	s.recordClock(a.ClockMs, a.EndedAt)
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -17,6 +17,9 @@
 // users' rules and one heartbeat.
 const shrinkGrace = 4500 * time.Millisecond
 
+// maxListedEnds is how many ends a worker lists at once.
+const maxListedEnds = 500
+
 type fakeWorker struct {
 	sim           *sim
 	m             *workloadpb.Worker
@@ -143,7 +146,8 @@
 
 func (w *fakeWorker) list(h workload.RenewLease) workload.RenewLeaseResult {
 	done := workload.RenewLeaseResult{
-		Request: h, Answer: w.answer(workload.Accepted, w.renewalSentAt), Ended: slices.Clone(w.ended),
+		Request: h, Answer: w.answer(workload.Accepted, w.renewalSentAt),
+		Ended: slices.Clone(w.ended[:min(len(w.ended), maxListedEnds)]),
 	}
 	for _, r := range w.sortedRuns(nil) {
 		percent := 100
