workload: let nothing wait for a later incarnation that needn't

What callers saw: tasks that wait for up to 18 s where they waited for 6 s to 8 s before, beside free workers; and a worker that has left stays registered.

Causes: the runs that are certainly gone waited with a doubtful one for a later incarnation that answers nothing. One at another address was waited for, although the late requests go to the earlier address. The heartbeat that is held back was proposed although the worker had deregistered meanwhile.

Change: runs that are not doubtful are given up at once, a later incarnation at another address is registered at once, and a deregistration drops the heartbeat.

Evidence: TestOtherRunsDoNotWaitForDoubtfulRun, TestLaterIncarnationAtAnotherAddressTakesRunsAtOnce and TestLaterIncarnationThatHasLeftIsNotRegistered fail on the commit before.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -249,7 +249,7 @@
 // giveUpRuns gives up the runs of a worker whose lease has certainly expired.
 func (e *Engine) giveUpRuns(s *session) {
 	for _, r := range s.runs {
-		r.givenUp, r.lost = true, r.attempts > 0 || r.repeated || r.inherited || r.startedAt > 0
+		r.giveUpAsLost()
 	}
 	e.cfg.Log.Info("lease of an unreachable worker expired; giving up its runs", "worker", s.worker.ID(),
 		"boot", s.worker.Number(), "runs", len(s.runs))
@@ -257,6 +257,11 @@
 	e.askIdleWorkers(s)
 }
 
+// giveUpAsLost gives up a run whose worker is lost.
+func (r *run) giveUpAsLost() {
+	r.givenUp, r.lost = true, r.attempts > 0 || r.repeated || r.inherited || r.startedAt > 0
+}
+
 // askIdleWorkers asks the idle workers that may take the runs of a lost worker, unless they have answered since it was
 // lost. Their heartbeats don't show that requests reach them.
 func (e *Engine) askIdleWorkers(lost *session) {
--- a/internal/workload/later_incarnation_test.go
+++ b/internal/workload/later_incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
 // Guards against ends that are never acknowledged, because the end of a doubtful run is missing in a full list.
@@ -135,3 +136,63 @@
 	w.execute(*held, s.now)
 	assert.Equal(t, s.running("job"), 1)
 }
+
+// Guards against a worker that waits although it started again at an address that no late request is sent to.
+func TestLaterIncarnationAtAnotherAddressTakesRunsAtOnce(t *testing.T) {
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.run(2 * time.Second)
+	s.holdUpRequests(workers[0])
+	s.submit("p", "job", step(1, 12000, 1000, 5000))
+	s.run(500 * time.Millisecond)
+	workers[0].dead = true
+	s.run(700 * time.Millisecond)
+	later := s.startWorkerAs("m-p-0", workers[0].m.Id, "another")
+	s.intercept = func(a kernel.Action) bool {
+		h, ok := targetOf(a)
+		if !ok || h.Address != workers[0].m.Address {
+			return false
+		}
+		sent := s.sentAt
+		s.schedule(simStep, func() { s.fail(a, workload.Unreachable, sent) })
+		return true
+	}
+	s.run(500 * time.Millisecond)
+	assert.Equal(t, len(later.runs), 1)
+}
+
+// Guards against runs that wait with a doubtful one for a later incarnation that answers nothing.
+func TestOtherRunsDoNotWaitForDoubtfulRun(t *testing.T) {
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.submit("p", "sound", step(5, 1000, 1000, 60_000))
+	s.run(4 * time.Second)
+	s.holdUpRequests(workers[0])
+	s.submit("p", "doubtful", step(1, 5000, 1000, 20_000))
+	s.run(500 * time.Millisecond)
+	workers[0].dead = true
+	s.run(700 * time.Millisecond)
+	s.startWorkerAs("m-p-0", workers[0].m.Id, workers[0].m.Address).deaf = true
+	s.startWorker("m-p-1")
+	s.run(500 * time.Millisecond)
+	assert.Equal(t, s.running("sound"), 5)
+	assert.Equal(t, s.running("doubtful"), 0)
+}
+
+// Guards against a worker that has left and is registered by a heartbeat that was held back.
+func TestLaterIncarnationThatHasLeftIsNotRegistered(t *testing.T) {
+	s, later, _ := newLateStartSim(t)
+	later.deaf = true
+	s.run(17 * time.Second)
+	s.report(later)
+	later.dead = true
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
+		Leave: &workloadpb.Leave{Id: later.m.Id, BornMs: later.m.BornMs},
+	}})
+	s.run(8 * time.Second)
+	assert.Assert(t, s.e.State().WorkerByID(later.m.Id) == nil)
+}
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -99,6 +99,7 @@
 			return done, kernel.Immediate
 		}
 	case *workloadpb.Command_Leave:
+		e.forgetSuccessor(c.Leave)
 		w := e.state.WorkerByID(c.Leave.Id)
 		if (w == nil || w.StartedMs() != c.Leave.BornMs) && !e.state.HasLosses(c.Leave.Id, c.Leave.BornMs) {
 			return done, kernel.Immediate
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -54,6 +54,15 @@
 // endReplaced asks the later incarnation for its runs until it has none that this one may have been asked to start, and then
 // proposes to record that this one has ended.
 func (e *Engine) endReplaced(s *session) {
+	if !s.endsPending && s.hasDoubtfulRuns() {
+		// The others ended with this incarnation, so their tasks needn't wait.
+		for _, r := range s.runs {
+			if !r.isDoubtful() {
+				r.giveUpAsLost()
+			}
+		}
+		e.endGivenUpRuns(s)
+	}
 	switch {
 	case s.endsPending || e.now < s.nextRenewalAt:
 		return
@@ -97,3 +106,12 @@
 	}
 	e.proposeEnds(s, m)
 }
+
+// forgetSuccessor keeps the heartbeat of a later incarnation that has left from registering it.
+func (e *Engine) forgetSuccessor(m *workloadpb.Leave) {
+	if w := e.state.WorkerByID(m.Id); w != nil {
+		if s := e.sessions[w.Number()]; s != nil && s.successorMs == m.BornMs {
+			s.successorHeartbeat = nil
+		}
+	}
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -229,8 +229,8 @@
 	return RequestHeader{Target: s.target(), FencingToken: e.fencingToken(s)}
 }
 
-// fencingToken returns the token of requests to a worker. A later leader knows all incarnations that an earlier one has sent
-// requests to, so its tokens are higher.
+// fencingToken returns the token of requests to a worker. A later leader knows all incarnations that an earlier one has
+// registered, so its tokens are higher than those of requests that start runs, grant leases or acknowledge ends.
 func (e *Engine) fencingToken(s *session) uint64 {
 	token := e.term + s.worker.Predecessors()
 	if s.successorMs > 0 {
@@ -440,6 +440,9 @@
 	}
 	s := e.sessions[w.Number()]
 	if s != nil && e.leading && r.Worker.BornMs > w.StartedMs() {
+		if r.Worker.Address != w.Address() {
+			return false // Late requests for this incarnation don't reach the later one.
+		}
 		if !e.handleReplacement(s, r.Worker.BornMs) {
 			return false
 		}
