--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -107,8 +107,8 @@
 	e.addAction(h)
 }
 
-// endToAcknowledge returns the number of the last end that the worker may forget, 0 if there is no further one, or if a later
-// incarnation may execute a run that is assigned and get the acknowledgement. It would forget ends that are not recorded.
+// endToAcknowledge returns the number of the last end that the worker may forget. It is 0 if all recorded ends are
+// acknowledged, or if a later incarnation may get the request, which would forget ends that are not recorded.
 func (s *session) endToAcknowledge() int64 {
 	if s.failures > 0 || s.lastAnswerAt == 0 || s.ackedEnd >= s.worker.LastRecordedEnd() {
 		return 0
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -25,9 +25,9 @@
 func (e *Engine) handleReplacement(s *session, startedMs int64) (mustSettle bool) {
 	if startedMs > s.successorMs {
 		s.successorMs, s.settled, s.replacedAt, s.successorHeartbeat = startedMs, false, e.now, nil
-		// The answer to a request for this incarnation must not be waited for, and usually the heartbeat of the later one
-		// ends it.
-		s.renewalInFlight, s.nextRenewalAt = false, e.now+proposalTimeout
+		s.renewalInFlight = false // Its answer is not waited for.
+		// Without doubtful runs, the heartbeat of the later incarnation ends this one.
+		s.nextRenewalAt = e.now + proposalTimeout
 		if s.hasDoubtfulRuns() {
 			s.nextRenewalAt = e.now
 		}
