--- a/internal/workload/late_request_test.go
+++ b/internal/workload/late_request_test.go
@@ -40,20 +40,27 @@
 // job and gets no requests any more, and crashes. The later incarnation has its ID and its address.
 func newLateRequestSim(t *testing.T, taskTime time.Duration) (s *sim, later *fakeWorker, release func()) {
 	t.Helper()
-	s = newSim(t)
-	workers := s.addWorkers("p", 2)
-	workers[1].dead = true
-	s.configure(1, nil, "p")
-	s.submit("p", "first", step(14, 12000, 1000, 1000))
-	s.run(16 * time.Second)
-	assert.Equal(t, s.jobState("p", "first"), "completed")
+	s, w := newRecordedEndsSim(t, 14)
 	s.submit("p", "job", step(1, 12000, 1000, taskTime.Milliseconds()))
 	s.run(500 * time.Millisecond)
-	release = s.holdUpRequests(workers[0])
+	release = s.holdUpRequests(w)
 	s.run(1500 * time.Millisecond)
-	workers[0].dead = true
+	w.dead = true
 	s.run(700 * time.Millisecond)
-	return s, s.startWorkerAs("m-p-0", workers[0].m.Id, workers[0].m.Address), release
+	return s, s.startWorkerAs("m-p-0", w.m.Id, w.m.Address), release
+}
+
+// newRecordedEndsSim returns a simulation in which the only worker of a pool has recorded ends, and its instance m-p-1 is down.
+func newRecordedEndsSim(t *testing.T, ends int32) (*sim, *fakeWorker) {
+	t.Helper()
+	s := newSim(t)
+	workers := s.addWorkers("p", 2)
+	workers[1].dead = true
+	s.configure(1, nil, "p")
+	s.submit("p", "first", step(ends, 12000, 1000, 1000))
+	s.runUntil(time.Duration(ends+2)*time.Second, func() bool { return s.jobState("p", "first") == "completed" })
+	s.run(time.Second)
+	return s, workers[0]
 }
 
 // runUntil advances the virtual time until a condition holds.
@@ -207,34 +214,37 @@
 	s.addWorkers("p", 2)
 	s.configure(1, nil, "p")
 	s.run(2 * time.Second)
-	var held []workload.StartRun
+	held := s.answerFirstStart(func(start workload.StartRun) workload.Answer {
+		w := s.workers[start.ID]
+		return w.answer(w.execute(start, s.now), s.now)
+	})
+	s.submit("p", "job", step(1, 12000, 1000, 10_000))
+	s.run(100 * time.Millisecond)
+	s.executeAtLaterIncarnation(*held)
+}
+
+// answerFirstStart answers the first start as one that was repeated, and returns where its request will be stored.
+func (s *sim) answerFirstStart(answer func(start workload.StartRun) workload.Answer) *workload.StartRun {
+	held := &workload.StartRun{}
 	s.intercept = func(a kernel.Action) bool {
 		start, ok := a.(workload.StartRun)
-		if ok && len(held) == 0 {
-			held = append(held, start)
-			answer := s.workers[start.ID].answer(s.workers[start.ID].execute(start, s.now), s.now)
-			answer.Repeated = true
-			s.schedule(simStep, func() { s.observeAnswer(start, answer) })
-			return true
+		if !ok || held.ID != "" {
+			return false
 		}
-		return false
+		*held = start
+		r := answer(start)
+		r.Repeated = true
+		s.schedule(simStep, func() { s.observeAnswer(start, r) })
+		return true
 	}
-	s.submit("p", "job", step(1, 12000, 1000, 10_000))
-	s.run(100 * time.Millisecond)
-	s.executeAtLaterIncarnation(held[0])
+	return held
 }
 
 // Guards against a lease renewal that is repeated after a lost answer and acknowledges the end of a run that a later
 // incarnation has executed.
 func TestRepeatedRenewalAcknowledgesNoEnd(t *testing.T) {
-	s := newSim(t)
-	workers := s.addWorkers("p", 2)
-	workers[1].dead = true
-	s.configure(1, nil, "p")
-	s.submit("p", "first", step(14, 12000, 1000, 1000))
-	s.run(16 * time.Second)
-	assert.Equal(t, s.jobState("p", "first"), "completed")
-	later := s.restartSilently(workers[0])
+	s, w := newRecordedEndsSim(t, 14)
+	later := s.restartSilently(w)
 	s.run(100 * time.Millisecond)
 	s.intercept = func(a kernel.Action) bool {
 		if start, ok := a.(workload.StartRun); ok {
--- a/internal/workload/later_incarnation_test.go
+++ b/internal/workload/later_incarnation_test.go
@@ -29,12 +29,7 @@
 
 // Guards against an acknowledgement that a later incarnation gets after an answer that may be its own.
 func TestAnswerWithoutIncarnationAllowsNoAcknowledgement(t *testing.T) {
-	s := newSim(t)
-	workers := s.addWorkers("p", 2)
-	workers[1].dead = true
-	s.configure(1, nil, "p")
-	s.submit("p", "first", step(1, 12000, 1000, 1000))
-	s.run(2500 * time.Millisecond)
+	s, w := newRecordedEndsSim(t, 1)
 	s.submit("p", "second", step(1, 2000, 1000, 1000))
 	var later *fakeWorker
 	s.intercept = func(a kernel.Action) bool {
@@ -42,13 +37,13 @@
 		switch a := a.(type) {
 		case workload.RenewLease:
 			if a.AckedEnd >= 2 && later == nil {
-				later = s.restartSilently(workers[0])
+				later = s.restartSilently(w)
 				s.submit("p", "job", step(1, 12000, 1000, 50))
 				s.schedule(60*time.Millisecond, func() { s.fail(a, workload.NoAnswer, sent) })
 				return true
 			}
 		case workload.StartRun:
-			if later != nil && a.Name.Job == "job" && a.StartedMs == workers[0].m.BornMs {
+			if later != nil && a.Name.Job == "job" && a.StartedMs == w.m.BornMs {
 				s.schedule(50*time.Millisecond, func() {
 					answer := later.answer(later.execute(a, sent), sent)
 					answer.Unattributed = true
@@ -69,12 +64,7 @@
 // Guards against an acknowledgement without an answer that a later incarnation carries out after it has executed a start
 // without an answer, so that a task that is done starts again.
 func TestAcknowledgementSecondsLateForgetsNoEnd(t *testing.T) {
-	s := newSim(t)
-	workers := s.addWorkers("p", 2)
-	workers[1].dead = true
-	s.configure(1, nil, "p")
-	s.submit("p", "first", step(1, 12000, 1000, 1000))
-	s.run(2500 * time.Millisecond)
+	s, w := newRecordedEndsSim(t, 1)
 	s.submit("p", "second", step(1, 2000, 1000, 1000))
 	var late *workload.RenewLease
 	s.intercept = func(a kernel.Action) bool {
@@ -89,9 +79,9 @@
 	}
 	s.run(2300 * time.Millisecond)
 	assert.Assert(t, late != nil)
-	s.report(workers[0])
+	s.report(w)
 	s.run(20 * time.Millisecond)
-	later := s.restartSilently(workers[0])
+	later := s.restartSilently(w)
 	s.intercept = func(a kernel.Action) bool {
 		if start, ok := a.(workload.StartRun); ok {
 			later.execute(start, s.sentAt)
@@ -116,17 +106,9 @@
 	s.addWorkers("p", 2)
 	s.configure(1, nil, "p")
 	s.run(2 * time.Second)
-	var held *workload.StartRun
-	s.intercept = func(a kernel.Action) bool {
-		start, ok := a.(workload.StartRun)
-		if !ok || held != nil {
-			return false
-		}
-		held = &start
-		answer := workload.Answer{Outcome: workload.Withheld, SentAt: s.now, Repeated: true}
-		s.schedule(simStep, func() { s.observeAnswer(a, answer) })
-		return true
-	}
+	held := s.answerFirstStart(func(workload.StartRun) workload.Answer {
+		return workload.Answer{Outcome: workload.Withheld, SentAt: s.now}
+	})
 	s.submit("p", "job", step(1, 12000, 1000, 20_000))
 	s.run(30 * time.Millisecond)
 	w := s.workers[held.ID]
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -89,7 +89,7 @@
 // tasks don't start again. Only a list that was requested with a higher fencing token than the runs shows them all. The
 // other ends are recorded once that incarnation is registered.
 func (e *Engine) settleRuns(s *session, ev RenewLeaseResult) {
-	if ev.ExecutedBy == 0 || ev.ExecutedBy != s.successorMs || ev.Request.FencingToken < e.fencingToken(s) {
+	if ev.ExecutedBy == 0 || ev.ExecutedBy != s.successorMs || ev.Request.FencingToken < e.tokenFor(s) {
 		return
 	}
 	for _, row := range ev.Running {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -226,12 +226,12 @@
 
 // requestHeader returns the header of a request to the worker that grants no lease.
 func (e *Engine) requestHeader(s *session) RequestHeader {
-	return RequestHeader{Target: s.target(), FencingToken: e.fencingToken(s)}
+	return RequestHeader{Target: s.target(), FencingToken: e.tokenFor(s)}
 }
 
-// fencingToken returns the token of requests to a worker. A later leader knows all incarnations that an earlier one has
+// tokenFor returns the fencing token of requests to a worker. A later leader knows all incarnations that an earlier one has
 // registered, so its tokens are higher than those of requests that start runs, grant leases or acknowledge ends.
-func (e *Engine) fencingToken(s *session) uint64 {
+func (e *Engine) tokenFor(s *session) uint64 {
 	token := e.term + s.worker.Predecessors()
 	if s.successorMs > 0 {
 		token++
