workload: let simulated workers check the pool and the label of starts

The simulation couldn't show ROUTE: its workers started whatever they were told to. They now check that some configuration has sent the queue of the job to their pool, and that they have the required label. A simulated instance can keep the ID of its worker through the spare pool, which it forgot there.

--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -55,6 +56,12 @@
 	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
 	// keepsID reports whether an instance starts its worker under the last ID after an operation; it may be nil.
 	keepsID func(instance string) bool
+	// keepsAllIDs makes each instance do so, also when it was off. parked holds the last workers of instances that are off.
+	keepsAllIDs bool
+	parked      map[string]*fakeWorker
+	// poolsOfQueue holds the pools to which any configuration has sent a queue, by the path prefix of the queue.
+	poolsOfQueue map[string]map[string]bool
+	prefixes     map[string]string // of the queues of jobs
 	// attributesAnswers makes the answers to all requests for workers tell the incarnation, not only lists of runs.
 	attributesAnswers bool
 	// startsMute reports whether a worker sends no heartbeats at first; it may be nil.
@@ -108,6 +115,7 @@
 		t: t, k: k, e: e, workers: map[string]*fakeWorker{}, instances: map[string]*workload.Instance{},
 		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{},
 		steps: map[string][]*workloadpb.Step{}, crashes: map[string]int{}, lateStarts: map[string]int{},
+		parked: map[string]*fakeWorker{}, poolsOfQueue: map[string]map[string]bool{}, prefixes: map[string]string{},
 		rebootTime: 3300 * time.Millisecond,
 	}
 	s.setMaxLease(6 * time.Second)
@@ -160,7 +168,13 @@
 	r := &workloadpb.Response{}
 	assert.NilError(s.t, proto.Unmarshal(body, r))
 	if m := m.GetSubmit(); m != nil && r.Verdict == workloadpb.Verdict_VERDICT_DONE {
-		s.steps[m.Id] = m.Steps
+		s.steps[m.Id], s.prefixes[m.Id] = m.Steps, strings.TrimSuffix(m.Path, m.Id)
+	}
+	for _, q := range m.GetDocument().GetQueues() {
+		if s.poolsOfQueue[q.Prefix] == nil {
+			s.poolsOfQueue[q.Prefix] = map[string]bool{}
+		}
+		s.poolsOfQueue[q.Prefix][q.Pool] = true
 	}
 	return r
 }
@@ -408,13 +422,15 @@
 	if old != nil {
 		old.dead = true
 	}
+	former := cmp.Or(old, s.parked[instance])
 	row.Up, row.Pool, row.Worker = false, pool, ""
 	s.scheduleLasting(d, func() {
 		row.Up = true
 		switch {
 		case pool == "spare":
-		case old != nil && s.keepsID != nil && s.keepsID(instance):
-			s.startWorkerAs(instance, old.m.Id, old.m.Address)
+			s.parked[instance] = former
+		case s.keepsAllIDs && former != nil || old != nil && s.keepsID != nil && s.keepsID(instance):
+			s.startWorkerAs(instance, former.m.Id, former.m.Address)
 		default:
 			s.startWorker(instance)
 		}
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -233,6 +233,10 @@
 		return workload.Outdated
 	}
 	st := s.steps[a.Name.Job][a.Name.Step]
+	assert.Assert(s.t, s.poolsOfQueue[s.prefixes[a.Name.Job]][w.m.Pool], "%s starts on worker %s of pool %s, to which no"+
+		" configuration sends its queue", task, w.m.Id, w.m.Pool)
+	assert.Assert(s.t, st.Label == "" || slices.Contains(w.m.Labels, st.Label), "%s starts on worker %s without the label %s",
+		task, w.m.Id, st.Label)
 	r := &fakeRun{
 		name: a.Name, task: task, need: ledger.RequiredCapacity(st), longRunning: st.Lasting, startedAt: s.now,
 		endsAt: s.now + time.Duration(st.EstimateMs)*time.Millisecond,
