--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -56,6 +56,7 @@
 	r.attempts++
 	r.requestedAt = e.now
 	r.ticket = e.advice.ticket(st, s.worker.Number())
+	e.recordStartSent(s.worker.ID())
 	e.addAction(StartRun{
 		RequestHeader: e.leaseHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
 		Ticket: r.ticket,
@@ -135,6 +136,7 @@
 		e.recordFence(s, ev.EndedAt)
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
+		s.hasListed = true
 	case OtherIncarnation:
 		e.handleOtherIncarnation(s, "lease renewal", ev.Answer)
 		e.settleRuns(s, ev)
@@ -179,7 +181,8 @@
 				s.hasUnassignedRuns = true
 				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "unassigned-run")
 				e.cfg.Log.Info("worker lists a run that is not assigned to it; stopping the run", "worker", s.worker.ID(),
-					"boot", s.worker.Number(), "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index,
+					"boot", s.worker.Number(), "pool", s.worker.Pool(), "predecessors", s.worker.Predecessors(),
+					"first-list", !s.hasListed, "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index,
 					"run", row.Name.Run, "lease-ends-in", (s.leasesExpireBy - e.now).String())
 				e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: row.Name})
 			}
@@ -333,6 +336,7 @@
 }
 
 func (e *Engine) handleStartRunResult(ev StartRunResult) {
+	e.recordStartResult(ev)
 	s, r := e.handleAnswer(ev.Request.Incarnation, ev.Request.Name, ev.Answer)
 	if r == nil {
 		return
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -84,6 +84,7 @@
 	rates                 arrivalRates
 	waits                 waitLog
 	rejections            rejections
+	lateStarts            map[string]*lateStarts // by the ID of the worker
 }
 
 func newEngine(state *ledger.State) *Engine {
@@ -135,7 +136,7 @@
 func (e *Engine) resetLeaderState(now time.Duration) {
 	*e = Engine{
 		cfg: e.cfg, state: e.state, leadingSince: now, now: now, scannedAt: now - sessionScanInterval,
-		sessions: map[uint64]*session{},
+		sessions: map[uint64]*session{}, lateStarts: map[string]*lateStarts{},
 	}
 	e.advice.reset()
 	e.fleet.reset()
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -355,6 +355,7 @@
 		}
 		op := in.operation
 		op.announcedAt, op.requestInFlight, op.requested, op.requestedAt = 0, true, true, e.now
+		e.logLateStarts(in)
 		if op.wave > 0 {
 			e.addAction(MaintainInstance{Instance: name, Wave: op.wave, FencingToken: e.term})
 		} else {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -103,6 +103,7 @@
 	unansweredAt          time.Duration // the answer to the first request that failed was due
 	lastAnswerAt          time.Duration
 	mustAnswer            bool // gets no new runs until it answers a request
+	hasListed             bool // has listed its runs to this leader
 	hasUnassignedRuns     bool // lists runs that are not assigned to it
 	listFull              bool // the last list may lack ends
 	consecutiveFailedRuns int  // runs that failed since one succeeded
