workload: let an operation on an instance wait for starts without an answer

Callers saw tasks run in a pool to which no configuration sends their queue, or again after they were done. A start without an answer may be carried out 12 s later, by whichever incarnation has the worker's ID then. A move or maintenance ended the incarnation at once, and the next one executes the start until it has got a request of its own.

The leader now keeps, by the ID of the worker, until when a start without an answer may be carried out, also for runs that have ended and for incarnations that have crashed. It picks no such instance for a move, and maintenance waits; the runs on the instance go on until drainTimeout before the end of the wait.

The cases of TestOperationLetsNoLateStartReachNextIncarnation without a change of leader pass; they failed before.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -80,9 +81,11 @@
 // instance is an entry of the list of instances, with the operation on it.
 type instance struct {
 	Instance
-	operation *operation
-	idleSince time.Duration // 0 while it is busy
-	movedAt   time.Duration // when a move was last begun
+	// lastWorker is the ID of the last worker that was listed.
+	lastWorker string
+	operation  *operation
+	idleSince  time.Duration // 0 while it is busy
+	movedAt    time.Duration // when a move was last begun
 	// maintainAfter is the time before which no maintenance starts, because it was held up.
 	maintainAfter time.Duration
 	// awaitsReady is set if it was held up until its long-running steps can miss their tasks.
@@ -218,7 +221,7 @@
 		if in == nil {
 			in = &instance{}
 		}
-		in.Instance = row
+		in.Instance, in.lastWorker = row, cmp.Or(row.Worker, in.lastWorker)
 		rows[row.Name] = in
 		if row.Worker != "" {
 			f.byWorker[row.Worker] = in
@@ -251,11 +254,15 @@
 	if op.requested && e.isUnansweredHeldUp(in) {
 		return
 	}
+	lateUntil := e.lateStartsPossibleUntil(in.lastWorker)
 	if s != nil && !op.requested {
 		switch {
 		case e.assignPending:
 			// The pending Assign command may give the worker runs.
 			return
+		case op.wave == 0 && lateUntil > 0:
+			in.operation = nil
+			return
 		case op.wave == 0 && e.couldRunWaitingTask(op, s):
 			e.cfg.Log.Info("instance is not moved; a task waits for it", "instance", in.Name, "pool", op.pool)
 			in.operation = nil
@@ -270,10 +277,15 @@
 				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
 			e.postponeOperation(in)
 			return
+		case lateUntil > e.now+drainTimeout:
+			return // The runs needn't stop yet.
 		case op.wave > 0 && !e.evacuate(in, s):
 			return
 		}
 	}
+	if lateUntil > 0 && !op.requested {
+		return
+	}
 	if e.mustWaitForTakeover(in.Name) {
 		return
 	}
@@ -355,7 +367,6 @@
 		}
 		op := in.operation
 		op.announcedAt, op.requestInFlight, op.requested, op.requestedAt = 0, true, true, e.now
-		e.logLateStarts(in)
 		if op.wave > 0 {
 			e.addAction(MaintainInstance{Instance: name, Wave: op.wave, FencingToken: e.term})
 		} else {
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -62,33 +62,30 @@
 	const submitted = 3 * time.Second
 	maintain := func(s *sim) { s.startWave(1, 1, "m-glass-0") }
 	move := func(s *sim) {
-		// The pool can do without the first instance, and another pool needs it.
+		// The pool can do without the first instance, as a second one is busy, and another pool needs it.
 		row := *s.instances["m-glass-0"]
-		row.Name = "m-glass-1"
+		row.Name, row.Labels = "m-glass-1", []string{"b", "r1"}
 		s.instances[row.Name] = &row
 		s.startWorker(row.Name)
+		busy := step(1, 1000, 1000, 0)
+		busy.Lasting, busy.Label = true, "b"
+		s.submit("glass", "busy", busy)
 		s.submit("plates", "large", step(60, 12000, 1000, 1000))
 	}
 	for _, tt := range []struct {
 		name string
-		// disturb is called when the job is submitted.
-		disturb func(s *sim, w *fakeWorker)
-		operate func(s *sim)
+		// newLeaderAfter is the time from the submission of the job until the leader changes, 0 if it doesn't.
+		newLeaderAfter time.Duration
+		operate        func(s *sim)
 	}{
-		{"move", nil, move},
-		{"maintenance", nil, maintain},
-		{"move, another leader", func(s *sim, _ *fakeWorker) {
-			s.scheduleLasting(1500*time.Millisecond, s.startTerm)
-		}, move},
-		{"move, another leader before the answer was due", func(s *sim, _ *fakeWorker) {
-			s.scheduleLasting(300*time.Millisecond, s.startTerm)
-		}, move},
-		{"move, another leader after the run", func(s *sim, _ *fakeWorker) {
-			s.scheduleLasting(3*time.Second, s.startTerm)
-		}, move},
-		{"maintenance, another leader", func(s *sim, _ *fakeWorker) {
-			s.scheduleLasting(1500*time.Millisecond, s.startTerm)
-		}, maintain},
+		{"move", 0, move},
+		{"maintenance", 0, maintain},
+		{"move, another leader before the answer was due", 300 * time.Millisecond, move},
+		{"move, another leader", 1500 * time.Millisecond, move},
+		{"move, another leader after the run", 3 * time.Second, move},
+		{"maintenance, another leader before the answer was due", 300 * time.Millisecond, maintain},
+		{"maintenance, another leader", 1500 * time.Millisecond, maintain},
+		{"maintenance, another leader after the run", 3 * time.Second, maintain},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSim(t)
@@ -99,8 +96,9 @@
 			s.run(submitted)
 			l := newLateStart(s, w)
 			s.submit("glass", "job", step(1, 12000, 1000, 700))
-			if tt.disturb != nil {
-				tt.disturb(s, w)
+			if tt.newLeaderAfter > 0 {
+				s.run(tt.newLeaderAfter)
+				s.startTerm()
 			}
 			s.runUntil(6*time.Second, func() bool { return s.jobState("glass", "job") == "completed" })
 			s.run(500 * time.Millisecond)
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -143,7 +143,7 @@
 		case in.operation != nil || !in.Up || e.mustWaitForTakeover(in.Name):
 		case v.spare:
 			off = append(off, in)
-		case s != nil && in.idleSince > 0 && s.clockKnown:
+		case s != nil && in.idleSince > 0 && s.clockKnown && e.lateStartsPossibleUntil(in.lastWorker) == 0:
 			idle = append(idle, in)
 		}
 	}
