workload: record starts without an answer for the next leader

Callers saw tasks run in a pool to which no configuration sends their queue, or again after they were done, also when the leader had changed between the start without an answer and the operation: the next leader didn't know of it.

- A leader records the workers whose starts got no answer, and sends no further start to such a worker before that is in the log.
So at most one start of a run is on its way that the log doesn't tell of.
- The next leader takes a run of an earlier one that a list shows for one whose only start was carried out.
If a list lacks the run, or until there is a list, that start counts as late until 12 s after the last request that the former leader can have sent.
- An incarnation that ends with runs, and a run that is given up as lost, count as well, as the answer to a start may not have been due.

Ruled out: waiting after each change of leader for all instances. Each would keep all instances in their pools for 14 s.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -44,7 +44,8 @@
 			r.requestInFlight = true
 			r.attempts++
 			e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: r.name})
-		case !r.shouldStop && !r.givenUp && r.startedAt == 0 && s.clockKnown && !s.suspension.active && e.knowsCapacity(s):
+		case !r.shouldStop && !r.givenUp && r.startedAt == 0 && s.clockKnown && !s.suspension.active && e.knowsCapacity(s) &&
+			!e.hasUnrecordedLateStarts(s.worker.ID()):
 			e.startRun(s, r)
 		}
 	}
@@ -56,7 +57,7 @@
 	r.attempts++
 	r.requestedAt = e.now
 	r.ticket = e.advice.ticket(st, s.worker.Number())
-	e.recordStartSent(s.worker.ID())
+	e.lateStarts.recordSent(s.worker.ID())
 	e.addAction(StartRun{
 		RequestHeader: e.leaseHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
 		Ticket: r.ticket,
@@ -159,6 +160,9 @@
 		m.Noted = max(m.Noted, row.Number)
 		if k, ok := e.runKey(row.Name); ok {
 			ended[k] = true
+			if r := s.runs[k]; r != nil {
+				e.resolveInheritedStart(s, r, true)
+			}
 			m.Ends = append(m.Ends, &workloadpb.End{
 				Subtask: k.TaskMessage(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint, Number: row.Number,
 			})
@@ -189,6 +193,7 @@
 			continue
 		}
 		listed[k] = true
+		e.resolveInheritedStart(s, r, true)
 		r.inherited, r.unattributed, r.listed = false, false, true
 		if r.startedAt == 0 {
 			r.startedAt = ev.EndedAt
@@ -201,6 +206,7 @@
 				continue
 			}
 			r.unlistedAt = ev.SentAt
+			e.resolveInheritedStart(s, r, false)
 			if e.hasVanished(r, ev.SentAt) {
 				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "vanished-run")
 				e.cfg.Log.Info("worker lists a run neither as running nor as ended", "worker", s.worker.ID(),
@@ -336,7 +342,7 @@
 }
 
 func (e *Engine) handleStartRunResult(ev StartRunResult) {
-	e.recordStartResult(ev)
+	e.lateStarts.recordResult(ev)
 	s, r := e.handleAnswer(ev.Request.Incarnation, ev.Request.Name, ev.Answer)
 	if r == nil {
 		return
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -84,7 +84,7 @@
 	rates                 arrivalRates
 	waits                 waitLog
 	rejections            rejections
-	lateStarts            map[string]*lateStarts // by the ID of the worker
+	lateStarts            lateStartTable
 }
 
 func newEngine(state *ledger.State) *Engine {
@@ -136,7 +136,7 @@
 func (e *Engine) resetLeaderState(now time.Duration) {
 	*e = Engine{
 		cfg: e.cfg, state: e.state, leadingSince: now, now: now, scannedAt: now - sessionScanInterval,
-		sessions: map[uint64]*session{}, lateStarts: map[string]*lateStarts{},
+		sessions: map[uint64]*session{},
 	}
 	e.advice.reset()
 	e.fleet.reset()
@@ -150,6 +150,7 @@
 			e.fleet.maybeMaintained[waveInstance{w.Number, name}] = true
 		}
 	}
+	e.inheritLateStarts()
 	for _, w := range e.state.Workers() {
 		s := e.openSession(w)
 		s.lastHeartbeat = now
@@ -203,6 +204,7 @@
 		return kernel.Decision{}
 	}
 	e.recordLeaseBound()
+	e.recordLateStarts()
 	e.advanceSessions()
 	e.expireEndedJobs()
 	e.startDueOccurrences()
@@ -380,6 +382,10 @@
 		if m.Term == e.term {
 			e.handleSuspension(c.LeaseSuspension)
 		}
+	case *workloadpb.Command_LateStarts:
+		if m.Term == e.term {
+			e.handleRecordedLateStarts(c.LateStarts, millis(m.SteadyMs))
+		}
 	case *workloadpb.Command_Order:
 		if m.Term == e.term {
 			e.sendAnnounced(c.Order)
--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -74,6 +74,4 @@
 	MaxGrantedLease = maxGrantedLease
 	// FullLeaseAge is the maximum time since a confirmation of the leader at which a lease is granted in full.
 	FullLeaseAge = fullLeaseAge
-	// MaxRequestDelay is how late a request without an answer may be carried out.
-	MaxRequestDelay = maxRequestDelay
 )
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -117,6 +117,8 @@
 	maybeRepeated bool
 	retryAt       time.Duration
 	awayUntil     time.Duration // the request was accepted; the instance is out of service until then
+	// awaitsStarts is set once the operation has waited for starts that may be carried out late.
+	awaitsStarts bool
 	// lacksRoom is set while no other worker has room for a long-running task on the instance, awaitsReady while
 	// long-running tasks on it can't be stopped, because too many of their steps are unavailable, and none is being stopped.
 	lacksRoom, awaitsReady bool
@@ -278,13 +280,14 @@
 			e.postponeOperation(in)
 			return
 		case lateUntil > e.now+drainTimeout:
+			e.logWaitForStarts(in, lateUntil)
 			return // The runs needn't stop yet.
 		case op.wave > 0 && !e.evacuate(in, s):
 			return
 		}
 	}
 	if lateUntil > 0 && !op.requested {
-		return
+		return // The next incarnation with the ID might execute such a start.
 	}
 	if e.mustWaitForTakeover(in.Name) {
 		return
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -211,6 +211,10 @@
 		s.markChanged()
 	case *workloadpb.Command_LeaseSuspension:
 		s.applyLeaseSuspension(m.LeaseSuspension)
+	case *workloadpb.Command_LateStarts:
+		for _, id := range m.LateStarts.Workers {
+			s.recordLateStarts(id, m.LateStarts.RemainingMs)
+		}
 	case *workloadpb.Command_LeaseBound:
 		s.leaseTerm, s.leaseMs = c.Term, m.LeaseBound.LeaseMs
 		s.fullLeaseAgeMs = m.LeaseBound.FullLeaseAgeMs
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -10,6 +10,9 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+// MaxRequestDelay is how late a request without an answer may be carried out.
+const MaxRequestDelay = 12 * time.Second
+
 // endedWorkerRetention is how long the number of incarnations with an ID is kept after the last one has ended. A request for
 // that one is carried out at most seconds late.
 const endedWorkerRetention = 10 * time.Minute
@@ -146,6 +149,7 @@
 			m.Number, m.Noted, m.Draining = w.info.Number, w.info.Noted, m.Draining || w.info.Draining
 			m.LeasesEndMs, m.Sequence = w.info.LeasesEndMs, r.Sequence
 			m.Predecessors, m.AssignedSinceMs = w.info.Predecessors, w.info.AssignedSinceMs
+			m.LateStartsEndMs = w.info.LateStartsEndMs
 			w.info, w.capacity = m, ResourcesOf(m.Capacity)
 			s.markChanged()
 			return
@@ -163,6 +167,7 @@
 	m = proto.CloneOf(m)
 	m.Number, m.Noted, m.LeasesEndMs, m.Sequence = s.nextWorker, 0, 0, r.Sequence
 	m.Predecessors, m.AssignedSinceMs = s.endedWorkers[m.Id].GetIncarnations(), 0
+	m.LateStartsEndMs = s.endedWorkers[m.Id].GetLateStartsEndMs()
 	delete(s.endedWorkers, m.Id)
 	s.addWorker(m)
 	s.markChanged()
@@ -199,6 +204,10 @@
 // removeWorker ends an incarnation and all its runs, which can't run without it. They are recorded as lost if it ended
 // without notice.
 func (s *State) removeWorker(w *Worker, lost bool) {
+	if len(w.runs) > 0 {
+		// The answer to one of their starts may not be due yet.
+		s.recordLateStarts(w.ID(), MaxRequestDelay.Milliseconds())
+	}
 	for _, k := range sortedRunKeys(w.runs) {
 		if lost {
 			s.recordLoss(w, k)
@@ -220,5 +229,30 @@
 	maps.DeleteFunc(s.endedWorkers, func(_ string, e *workloadpb.EndedWorker) bool {
 		return e.EndedMs+endedWorkerRetention.Milliseconds() < s.clockMs
 	})
-	s.endedWorkers[w.ID()] = &workloadpb.EndedWorker{Id: w.ID(), Incarnations: w.Predecessors() + 1, EndedMs: s.clockMs}
+	s.endedWorkers[w.ID()] = &workloadpb.EndedWorker{
+		Id: w.ID(), Incarnations: w.Predecessors() + 1, EndedMs: s.clockMs, LateStartsEndMs: w.info.LateStartsEndMs,
+	}
+}
+
+// LateStarts returns the IDs with starts that may be carried out late, each with the time, in milliseconds on the ledger's
+// clock, when none is any more.
+func (s *State) LateStarts() map[string]int64 {
+	ends := map[string]int64{}
+	for _, w := range s.workerList {
+		ends[w.ID()] = w.info.LateStartsEndMs
+	}
+	for id, w := range s.endedWorkers {
+		ends[id] = w.LateStartsEndMs
+	}
+	maps.DeleteFunc(ends, func(_ string, end int64) bool { return end <= s.clockMs })
+	return ends
+}
+
+func (s *State) recordLateStarts(id string, remainingMs int64) {
+	end := s.clockMs + remainingMs
+	if w := s.workersByID[id]; w != nil {
+		w.info.LateStartsEndMs = max(w.info.LateStartsEndMs, end)
+	} else if w := s.endedWorkers[id]; w != nil {
+		w.LateStartsEndMs = max(w.LateStartsEndMs, end)
+	}
 }
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 )
 
 // bootDelay is the time from the start of an incarnation until the leader learns of it.
@@ -18,6 +19,7 @@
 	s         *sim
 	request   workload.StartRun
 	sent      time.Duration
+	skips     int // incarnations that get other requests first
 	delivered bool
 }
 
@@ -32,14 +34,16 @@
 		}
 		l.request, l.sent = start, s.sentAt
 		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, l.sent) })
-		s.scheduleLasting(workload.MaxRequestDelay-simStep, l.deliver)
+		s.scheduleLasting(ledger.MaxRequestDelay-simStep, l.deliver)
 		return true
 	}
 	s.startsMute = func(later *fakeWorker) bool {
 		if later.m.Id != w.m.Id {
 			return false
 		}
-		s.scheduleLasting(simStep, l.deliver)
+		if l.skips--; l.skips < 0 {
+			s.scheduleLasting(simStep, l.deliver)
+		}
 		s.scheduleLasting(bootDelay, func() {
 			later.mute = false
 			s.report(later)
@@ -74,18 +78,26 @@
 	}
 	for _, tt := range []struct {
 		name string
-		// newLeaderAfter is the time from the submission of the job until the leader changes, 0 if it doesn't.
-		newLeaderAfter time.Duration
-		operate        func(s *sim)
+		// leaderChanges are the times of changes of the leader after the submission of the job.
+		leaderChanges []time.Duration
+		// restarts is set if the worker crashes after the run and starts again before the operation.
+		restarts bool
+		operate  func(s *sim)
 	}{
-		{"move", 0, move},
-		{"maintenance", 0, maintain},
-		{"move, another leader before the answer was due", 300 * time.Millisecond, move},
-		{"move, another leader", 1500 * time.Millisecond, move},
-		{"move, another leader after the run", 3 * time.Second, move},
-		{"maintenance, another leader before the answer was due", 300 * time.Millisecond, maintain},
-		{"maintenance, another leader", 1500 * time.Millisecond, maintain},
-		{"maintenance, another leader after the run", 3 * time.Second, maintain},
+		{"move", nil, false, move},
+		{"move, another leader before the answer was due", []time.Duration{300 * time.Millisecond}, false, move},
+		{"move, another leader", []time.Duration{1500 * time.Millisecond}, false, move},
+		{"move, another leader after the run", []time.Duration{3 * time.Second}, false, move},
+		{"move, two other leaders", []time.Duration{300 * time.Millisecond, 600 * time.Millisecond}, false, move},
+		{"move, two other leaders around the run", []time.Duration{300 * time.Millisecond, 3 * time.Second}, false, move},
+		{"move after a restart", nil, true, move},
+		{"move after a restart, another leader", []time.Duration{6 * time.Second}, true, move},
+		{"maintenance", nil, false, maintain},
+		{"maintenance, another leader before the answer was due", []time.Duration{300 * time.Millisecond}, false, maintain},
+		{"maintenance, another leader", []time.Duration{1500 * time.Millisecond}, false, maintain},
+		{"maintenance, another leader after the run", []time.Duration{3 * time.Second}, false, maintain},
+		{"maintenance, two other leaders", []time.Duration{300 * time.Millisecond, 600 * time.Millisecond}, false, maintain},
+		{"maintenance, two other leaders around the run", []time.Duration{300 * time.Millisecond, 3 * time.Second}, false, maintain},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSim(t)
@@ -96,8 +108,15 @@
 			s.run(submitted)
 			l := newLateStart(s, w)
 			s.submit("glass", "job", step(1, 12000, 1000, 700))
-			if tt.newLeaderAfter > 0 {
-				s.run(tt.newLeaderAfter)
+			if tt.restarts {
+				l.skips = 1
+				s.runUntil(6*time.Second, func() bool { return s.jobState("glass", "job") == "completed" })
+				w.dead = true
+				w = s.startWorkerAs("m-glass-0", w.m.Id, w.m.Address)
+				s.run(2 * time.Second)
+			}
+			for _, at := range tt.leaderChanges {
+				s.run(submitted + at - s.now)
 				s.startTerm()
 			}
 			s.runUntil(6*time.Second, func() bool { return s.jobState("glass", "job") == "completed" })
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -1,14 +1,10 @@
 package workload
 
 import (
-	"time"
-
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// maxRequestDelay is how late a request without an answer may be carried out.
-const maxRequestDelay = 12 * time.Second
-
 // handleOtherIncarnation handles the answer of another incarnation to a request for the incarnation of a session. Its
 // runs may have crashed it.
 func (e *Engine) handleOtherIncarnation(s *session, request string, a Answer) {
@@ -34,7 +30,7 @@
 		e.cfg.Log.Info("a later incarnation has replaced a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
 			"started-ms", startedMs, "runs", len(s.runs), "doubtful-runs", len(s.sortedRuns((*run).isDoubtful)))
 	}
-	if e.now <= s.replacedAt+maxRequestDelay {
+	if e.now <= s.replacedAt+ledger.MaxRequestDelay {
 		// A late start has the longest lease, as the later incarnation limits it by its own clock, which started anew.
 		s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(e.cfg.MaxLease))
 	}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -126,6 +126,7 @@
 	ticket     string
 
 	inherited       bool // assigned by an earlier leader, and the worker was not asked for it yet
+	startUnresolved bool // assigned by an earlier leader, and lateStarts counts it as inherited
 	requestInFlight bool
 	attempts        int
 	requestedAt     time.Duration // its start was last requested
@@ -172,7 +173,7 @@
 	s.adoptAssignedRuns()
 	for _, r := range s.runs {
 		// An earlier leader may have requested the start without an answer.
-		r.inherited, r.doubtful = true, true
+		r.inherited, r.doubtful, r.startUnresolved = true, true, true
 	}
 	s.mustList = true
 }
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -209,7 +209,7 @@
 	if !w.known {
 		w.known, w.knownAt = true, w.sim.now
 	}
-	if w.sim.now <= w.knownAt+workload.MaxRequestDelay {
+	if w.sim.now <= w.knownAt+ledger.MaxRequestDelay {
 		w.heardAt = w.sim.now
 	}
 }
