workload: let instances be turned off while a start may be carried out late

Waiting for starts without an answer kept idle instances in their pools for 12 s. In the spare pool an instance is off, so there is no next incarnation that could carry the start out. Only what lets a worker boot waits now: a move out of the spare pool or between others, and maintenance in a pool. Waves take the instances first that needn't wait.

As the list of instances names no worker of an instance that is off, the announcement of an operation records the last one for later leaders. The new case of the test fails without that.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -81,7 +81,7 @@
 // instance is an entry of the list of instances, with the operation on it.
 type instance struct {
 	Instance
-	// lastWorker is the ID of the last worker that was listed.
+	// lastWorker is the ID of the last worker that is known.
 	lastWorker string
 	operation  *operation
 	idleSince  time.Duration // 0 while it is busy
@@ -223,7 +223,8 @@
 		if in == nil {
 			in = &instance{}
 		}
-		in.Instance, in.lastWorker = row, cmp.Or(row.Worker, in.lastWorker)
+		in.Instance = row
+		in.lastWorker = cmp.Or(row.Worker, in.lastWorker, e.state.LastOrder(row.Name).GetWorker())
 		rows[row.Name] = in
 		if row.Worker != "" {
 			f.byWorker[row.Worker] = in
@@ -256,7 +257,7 @@
 	if op.requested && e.isUnansweredHeldUp(in) {
 		return
 	}
-	lateUntil := e.lateStartsPossibleUntil(in.lastWorker)
+	lateUntil := e.lateStartsUntil(in, cmp.Or(op.pool, in.Pool))
 	if s != nil && !op.requested {
 		switch {
 		case e.assignPending:
@@ -306,7 +307,7 @@
 	// Operations are announced in the log, so that the next leader knows for which instances it must not request
 	// operations for a while.
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Order{
-		Order: &workloadpb.Order{Instances: []string{in.Name}, Wave: op.wave},
+		Order: &workloadpb.Order{Instances: []string{in.Name}, Wave: op.wave, Workers: []string{in.lastWorker}},
 	}})
 }
 
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -96,10 +96,12 @@
 	}
 }
 
-// lateStartsPossibleUntil returns until when a start for an ID may be carried out late, 0 if none may.
-func (e *Engine) lateStartsPossibleUntil(id string) time.Duration {
+// lateStartsUntil returns until when the next incarnation on an instance, in a pool, could carry out a late start if it had
+// the ID of the last one; 0 if it couldn't. Instances of a spare pool are off.
+func (e *Engine) lateStartsUntil(in *instance, pool string) time.Duration {
+	id := in.lastWorker
 	l := e.lateStarts.byID[id]
-	if l == nil {
+	if l == nil || e.state.Pool(pool).GetSpare() {
 		return 0
 	}
 	until := l.possibleUntil
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -174,8 +174,12 @@
 	s.advanceClock(c)
 	switch m := c.Change.(type) {
 	case *workloadpb.Command_Order:
-		for _, name := range m.Order.Instances {
-			s.lastOrders[name] = &workloadpb.LastOrder{Instance: name, Term: c.Term, AtMs: s.clockMs, Wave: m.Order.Wave}
+		for i, name := range m.Order.Instances {
+			o := &workloadpb.LastOrder{Instance: name, Term: c.Term, AtMs: s.clockMs, Wave: m.Order.Wave}
+			if i < len(m.Order.Workers) { // Earlier versions don't tell the workers.
+				o.Worker = m.Order.Workers[i]
+			}
+			s.lastOrders[name] = o
 			if w := s.waves[m.Order.Wave]; w != nil && !slices.Contains(w.Ordered, name) {
 				w.Ordered = append(w.Ordered, name)
 			}
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -16,15 +16,15 @@
 
 // lateStart is a start that gets no answer and is carried out late.
 type lateStart struct {
-	s         *sim
-	request   workload.StartRun
-	sent      time.Duration
-	skips     int // incarnations that get other requests first
-	delivered bool
+	s       *sim
+	request workload.StartRun
+	sent    time.Duration
+	skips   int // incarnations that get other requests first
+	isOver  bool
 }
 
 // newLateStart holds up the first start for a worker. It is carried out by the incarnation that begins next under the ID of
-// the worker, before any other request, but no later than requests may be.
+// the worker, before any other request, or at the latest possible time, if there is an incarnation then.
 func newLateStart(s *sim, w *fakeWorker) *lateStart {
 	l := &lateStart{s: s}
 	s.intercept = func(a kernel.Action) bool {
@@ -34,7 +34,10 @@
 		}
 		l.request, l.sent = start, s.sentAt
 		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, l.sent) })
-		s.scheduleLasting(ledger.MaxRequestDelay-simStep, l.deliver)
+		s.scheduleLasting(ledger.MaxRequestDelay-simStep, func() {
+			l.deliver()
+			l.isOver = true
+		})
 		return true
 	}
 	s.startsMute = func(later *fakeWorker) bool {
@@ -54,8 +57,8 @@
 }
 
 func (l *lateStart) deliver() {
-	if w := l.s.workers[l.request.ID]; !l.delivered && !w.dead {
-		l.delivered = true
+	if w := l.s.workers[l.request.ID]; !l.isOver && !w.dead {
+		l.isOver = true
 		w.execute(l.request, l.sent)
 	}
 }
@@ -76,6 +79,12 @@
 		s.submit("glass", "busy", busy)
 		s.submit("plates", "large", step(60, 12000, 1000, 1000))
 	}
+	moveThroughSparePool := func(s *sim) {
+		move(s)
+		in := s.instances["m-glass-0"]
+		s.runUntil(5*time.Second, func() bool { return in.Pool == "spare" && in.Up })
+		s.startTerm()
+	}
 	for _, tt := range []struct {
 		name string
 		// leaderChanges are the times of changes of the leader after the submission of the job.
@@ -92,6 +101,7 @@
 		{"move, two other leaders around the run", []time.Duration{300 * time.Millisecond, 3 * time.Second}, false, move},
 		{"move after a restart", nil, true, move},
 		{"move after a restart, another leader", []time.Duration{6 * time.Second}, true, move},
+		{"move through the spare pool, another leader", nil, false, moveThroughSparePool},
 		{"maintenance", nil, false, maintain},
 		{"maintenance, another leader before the answer was due", []time.Duration{300 * time.Millisecond}, false, maintain},
 		{"maintenance, another leader", []time.Duration{1500 * time.Millisecond}, false, maintain},
@@ -122,7 +132,7 @@
 			s.runUntil(6*time.Second, func() bool { return s.jobState("glass", "job") == "completed" })
 			s.run(500 * time.Millisecond)
 			tt.operate(s)
-			s.runUntil(40*time.Second, func() bool { return l.delivered && s.workers[w.m.Id] != w && !s.workers[w.m.Id].dead })
+			s.runUntil(40*time.Second, func() bool { return l.isOver && s.workers[w.m.Id] != w && !s.workers[w.m.Id].dead })
 			s.run(5 * time.Second)
 			assert.Equal(t, s.done["job.0.0.0"], 1)
 		})
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -143,7 +143,7 @@
 		case in.operation != nil || !in.Up || e.mustWaitForTakeover(in.Name):
 		case v.spare:
 			off = append(off, in)
-		case s != nil && in.idleSince > 0 && s.clockKnown && e.lateStartsPossibleUntil(in.lastWorker) == 0:
+		case s != nil && in.idleSince > 0 && s.clockKnown:
 			idle = append(idle, in)
 		}
 	}
@@ -280,7 +280,7 @@
 	}
 	take := func(list *[]*instance, mayTake func(in *instance) bool) *instance {
 		i := slices.IndexFunc(*list, func(in *instance) bool {
-			return (v.have < v.want || e.suitsUnplaced(v, in)) && mayTake(in)
+			return (v.have < v.want || e.suitsUnplaced(v, in)) && mayTake(in) && e.lateStartsUntil(in, v.name) == 0
 		})
 		if i < 0 {
 			return nil
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -1,8 +1,10 @@
 package workload
 
 import (
+	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
@@ -68,10 +70,10 @@
 		e.lastOrderAge(name) < e.cfg.TakeoverDelay+takeoverMargin+e.cfg.MaintenanceDuration
 }
 
-// nextForMaintenance returns the instance whose maintenance costs least, or nil if no maintenance may start.
+// nextForMaintenance returns the instance whose maintenance can begin first or else costs least, or nil if no maintenance may start.
 func (e *Engine) nextForMaintenance(w *workloadpb.Wave) *instance {
 	var best *instance
-	least := int64(0)
+	shortest, least := time.Duration(0), int64(0)
 	for _, name := range w.Instances {
 		in := e.fleet.instances[name]
 		if in == nil || in.operation != nil || !in.Up || e.now < in.maintainAfter || e.mustWaitForTakeover(name) ||
@@ -95,8 +97,9 @@
 				cost += int64(n) * s.worker.Capacity().CPU
 			}
 		}
-		if best == nil || cost < least {
-			best, least = in, cost
+		wait := e.lateStartsUntil(in, in.Pool)
+		if best == nil || cmp.Or(cmp.Compare(wait, shortest), cmp.Compare(cost, least)) < 0 {
+			best, shortest, least = in, wait, cost
 		}
 	}
 	return best
