workload: drop simulated timers of a leader that is lost within a timer

The simulation kept the answers to a lost leader's requests that were due later if the leader changed within a timer, as run holds the due list then. They reached the next leader.

--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -72,6 +72,8 @@
 	commitDelay  func() time.Duration
 	uncommitted  []uncommitted
 	leaderless   bool
+	// leadersLost counts the leaders that have ended.
+	leadersLost int
 	// rejectCommand rejects commands of the leader, as the replicated log may do; it may be nil.
 	rejectCommand func(m *workloadpb.Command) bool
 	// sentAt is when the request that is being delivered was sent.
@@ -101,8 +103,10 @@
 type timer struct {
 	at time.Duration
 	f  func()
-	// outlivesTerm timers stay when the leader changes, because they don't concern the leader.
+	// outlivesTerm timers stay when the leader changes, because they don't concern the leader. The others belong to the
+	// leader that follows leadersLost others.
 	outlivesTerm bool
+	leadersLost  int
 }
 
 func newSim(t testing.TB) *sim {
@@ -126,7 +130,7 @@
 // loseLeader ends the leader, which gets no answer any more. Nothing is decided until the next term starts.
 func (s *sim) loseLeader() {
 	s.uncommitted = nil
-	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool { return !t.outlivesTerm })
+	s.leadersLost++
 	for _, w := range s.workers {
 		w.renewal = nil
 	}
@@ -304,7 +308,7 @@
 }
 
 func (s *sim) schedule(d time.Duration, f func()) {
-	s.timers = append(s.timers, timer{at: s.now + d, f: f})
+	s.timers = append(s.timers, timer{at: s.now + d, f: f, leadersLost: s.leadersLost})
 }
 
 // scheduleLasting schedules what happens whether the leader changes or not.
@@ -319,9 +323,11 @@
 		due := s.timers
 		s.timers = nil
 		for _, ev := range due {
-			if ev.at <= s.now {
+			switch {
+			case !ev.outlivesTerm && ev.leadersLost < s.leadersLost:
+			case ev.at <= s.now:
 				ev.f()
-			} else {
+			default:
 				s.timers = append(s.timers, ev)
 			}
 		}
