workload: play late requests around operations in a random test

TestRandomLateRequests left out each late start at an incarnation that no request had reached, whatever ended the one before, and no script played operations on instances whose workers keep their IDs.

- A late start is played if an operation on the instance was carried out since the start was sent, also if a worker crashed before or after that: a leader could have waited with the operation.
After crashes alone it is still left out.
- TestRandomLateRequestsAroundOperations changes the demand between pools and maintains instances while requests are late, leaders change and the platform fails.
With -workload.operation-delay, operations without an answer are carried out later than usual.
- Operations of a deposed leader that are on their way are carried out.
- New checks: the cap of a wave, that a wave counts no instance whose maintenance has not begun, and, in scripts without long-running jobs, that all waves end.

--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -21,7 +21,7 @@
 	r := rand.New(rand.NewPCG(a.n, 2))
 	until := p.now + a.d
 	pool := r.IntN(len(p.script.pools))
-	if p.removed[poolName(pool)] || p.applyCrowded(a, pool, r) || p.applyLate(a, r) {
+	if p.removed[poolName(pool)] || p.applyCrowded(a, pool, r) || p.applyLate(a, r) || p.applyDemand(a, pool, r) {
 		return
 	}
 	switch a.kind {
@@ -151,6 +151,7 @@
 func (p *player) startWave(r *rand.Rand) {
 	p.nextWave++
 	w := &workloadpb.Wave{Number: p.nextWave, DurationMs: 20000, Cap: 1 + r.Int32N(3)}
+	p.waveCaps[w.Number] = w.Cap
 	for _, name := range p.instanceNames() {
 		if r.IntN(2) == 0 {
 			w.Instances = append(w.Instances, name)
@@ -376,9 +377,25 @@
 // maybeLater carries out an operation on an instance that gets no answer at once, later or not at all.
 func (p *player) maybeLater(instance string, operate func() workload.Outcome) {
 	after := []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, -1}[p.draw(4, "carried out", instance)]
+	if d := p.script.operationDelay; d > 0 && after > 0 {
+		after = time.Duration(1+p.draw(int(d/simStep), "carried out after", instance)) * simStep
+	}
 	if after >= 0 {
+		sent := p.sentAt
 		p.check.disturb(p.now + after)
-		p.scheduleLasting(after, func() { p.logf("operation on %s without an answer: %v", instance, operate()) })
+		p.scheduleLasting(after, func() {
+			p.logf("operation on %s without an answer, sent at %v: %v", instance, sent, operate())
+		})
+	}
+}
+
+// carryOutUnanswered carries out an operation of a deposed leader.
+func (p *player) carryOutUnanswered(a kernel.Action) {
+	switch a := a.(type) {
+	case workload.MoveInstance:
+		p.logf("move of %s to %s for a deposed leader: %v", a.Instance, a.Pool, p.move(a))
+	case workload.MaintainInstance:
+		p.logf("maintenance of %s in wave %d for a deposed leader: %v", a.Instance, a.Wave, p.maintainInstance(a))
 	}
 }
 
@@ -398,6 +415,7 @@
 	case !row.Up || w != nil && w.draining:
 		return workload.Busy
 	}
+	p.noteOperation(a.Instance)
 	p.restart(a.Instance, a.Pool, 1500*time.Millisecond)
 	return workload.Accepted
 }
@@ -411,6 +429,8 @@
 	case !row.Up || w != nil && w.draining:
 		return workload.Busy
 	}
+	p.noteOperation(a.Instance)
+	p.noteMaintenance(a)
 	p.maintain(a)
 	return workload.Accepted
 }
@@ -419,6 +439,10 @@
 func (p *player) handleWorkerRequest(a kernel.Action, h workload.RequestHeader) bool {
 	sent := p.sentAt
 	p.noteSettled(p.now)
+	if start, ok := a.(workload.StartRun); ok && *traceRuns {
+		p.logf("  start of %s#%d for %s, token %d, incarnation %d, sent at %v", taskKey(start.Name), start.Name.Run, h.ID,
+			h.FencingToken, h.StartedMs, sent)
+	}
 	if p.mayHoldUp(a, h) {
 		return true
 	}
--- a/internal/workload/late_script_test.go
+++ b/internal/workload/late_script_test.go
@@ -127,6 +127,9 @@
 
 // startMute lets some incarnations send their first heartbeats late.
 func (p *player) startMute(w *fakeWorker) bool {
+	if p.script.operations {
+		return p.startUnknown(w)
+	}
 	if p.heldUntil[w.m.Id] == 0 || p.draw(3, "mute", w.m.Id) > 0 {
 		return false
 	}
@@ -145,18 +148,14 @@
 	settledAt time.Duration
 	// startedOn is the later incarnation that has started the run, nil if none has.
 	startedOn *fakeWorker
+	delivered bool
 }
 
 // holdUp carries out a request after a time, at the incarnation that has the ID then.
 func (p *player) holdUp(a kernel.Action, h workload.RequestHeader, after time.Duration) {
 	q := &lateRequest{a: a, h: h, sent: p.sentAt}
 	p.held = append(p.held, q)
-	p.scheduleLasting(after, func() {
-		p.executeLate(q)
-		if q.startedOn == nil {
-			p.held = slices.DeleteFunc(p.held, func(o *lateRequest) bool { return o == q })
-		}
-	})
+	p.scheduleLasting(after, func() { p.deliverLate(q) })
 	timeout := time.Second
 	if r, ok := a.(workload.RenewLease); ok {
 		timeout += r.Wait
@@ -164,6 +163,18 @@
 	p.schedule(timeout, func() { p.fail(a, workload.NoAnswer, q.sent) })
 }
 
+// deliverLate carries out a request that was held up, unless it was carried out before.
+func (p *player) deliverLate(q *lateRequest) {
+	if q.delivered {
+		return
+	}
+	q.delivered = true
+	p.executeLate(q)
+	if q.startedOn == nil {
+		p.held = slices.DeleteFunc(p.held, func(o *lateRequest) bool { return o == q })
+	}
+}
+
 // mayHoldUp holds up most requests for some workers.
 func (p *player) mayHoldUp(a kernel.Action, h workload.RequestHeader) bool {
 	if p.now >= p.heldUntil[h.ID] || p.draw(4, "held", h.ID, fmt.Sprintf("%T", a)) == 0 {
@@ -193,7 +204,8 @@
 }
 
 // isUnpreventable reports whether no leader can keep a late request from doing harm at a later incarnation, because none of
-// its requests for that one has arrived, which would have raised the fencing token.
+// its requests for that one has arrived, which would have raised the fencing token. After an operation on the instance each
+// leader can, as it could have waited with the operation.
 //   - A start, if the leader has ended the run before it knew of that incarnation, or after it has neither reached it nor got
 //     a heartbeat for as long as leases last. Nothing else that a leader sends can get there first.
 //   - A renewal that acknowledges a success of that incarnation, whose run came from another late start.
@@ -203,13 +215,25 @@
 	}
 	switch a := q.a.(type) {
 	case workload.StartRun:
-		return q.settledAt > 0 && (!w.known || q.settledAt < w.knownAt || q.settledAt >= w.heardAt+w.sim.maxLease)
+		if q.settledAt == 0 || w.followsOperation(q.sent) {
+			return false
+		}
+		return !w.known || q.settledAt < w.knownAt || q.settledAt >= w.heardAt+w.sim.maxLease
 	case workload.RenewLease:
-		return slices.ContainsFunc(w.successes, func(e success) bool { return e.number <= a.AckedEnd })
+		return slices.ContainsFunc(w.successes, func(e success) bool {
+			return e.number <= a.AckedEnd && !w.followsOperation(e.sent)
+		})
 	}
 	return false
 }
 
+// followsOperation reports whether an operation has ended an earlier incarnation with the ID of the worker since a time. It
+// doesn't matter whether others have crashed before or after that.
+func (w *fakeWorker) followsOperation(since time.Duration) bool {
+	at, ok := w.sim.operatedAt[w.m.Id]
+	return ok && at >= since
+}
+
 // noteSettled notes which of the late starts belong to runs that have ended for the leader by a time. A start that would
 // be left out from then on is taken back if it was carried out before.
 func (p *player) noteSettled(at time.Duration) {
@@ -267,7 +291,7 @@
 // noteLosses notes the jobs that the leader may give up, as a task of theirs seems to crash its workers. All crashes of
 // these scripts come from restarts.
 func (p *player) noteLosses() {
-	if len(p.heldUntil) == 0 {
+	if len(p.heldUntil) == 0 && !p.script.operations {
 		return
 	}
 	for _, j := range p.e.State().ActiveJobs() {
--- a/internal/workload/random_test.go
+++ b/internal/workload/random_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -27,6 +28,7 @@
 	shrinkRuns = flag.Bool("workload.shrink", false, "shorten the script of a failing seed")
 	leaseFlag  = flag.Duration("workload.lease", 0, "longest lease in the random test, 0 draws it")
 	moreDeadly = flag.Int("workload.deadly", 0, "adds events with tasks that crash workers, by this weight")
+	traceRuns  = flag.Bool("workload.trace", false, "add the lines of the leader and all starts to the log of a failing seed")
 	skipKinds  = flag.String("workload.skip", "", "kinds of events, or advice, to leave out, separated by commas")
 )
 
@@ -50,8 +52,12 @@
 	delay   time.Duration // longest time that a request or a commit takes, 0 if they take none
 	startup time.Duration // time until a long-running task is ready
 	stop    time.Duration // time that a run takes to stop
-	actions []action
-	end     time.Duration
+	// operations is set in scripts of operations on instances, whose workers keep their IDs. All waves have to be completed.
+	operations bool
+	// operationDelay is the longest time by which operations without an answer are late, 0 for the usual times.
+	operationDelay time.Duration
+	actions        []action
+	end            time.Duration
 }
 
 // disturbances are the kinds of events that the calm phases don't have.
@@ -157,7 +163,10 @@
 	// suspected tells of jobs whether a task of theirs has lost workers so often that the leader may give it up.
 	suspected map[string]bool
 	nextWave  int64
-	out       *strings.Builder
+	waveCaps  map[int64]int32 // by the number of the wave
+	// maintained tells when each instance was maintained for a wave.
+	maintained map[maintenance]time.Duration
+	out        *strings.Builder
 }
 
 type stream struct {
@@ -211,6 +220,7 @@
 		script: sc, deadly: map[string]bool{}, queue: map[string]string{}, attempts: map[string]int{},
 		aloneSince: map[string]time.Duration{}, removed: map[string]bool{}, cancelled: map[string]bool{},
 		heldUntil: map[string]time.Duration{}, suspected: map[string]bool{},
+		waveCaps: map[int64]int32{}, maintained: map[maintenance]time.Duration{},
 		out: &strings.Builder{},
 	}
 	defer func() {
@@ -223,6 +233,9 @@
 		}
 	}()
 	p.sim = newSim(r)
+	if *traceRuns {
+		p.log = funcr.New(func(_, args string) { p.logf("  %s", args) }, funcr.Options{})
+	}
 	p.setMaxLease(sc.lease)
 	p.startupTime, p.stopTime = sc.startup, sc.stop
 	p.check = &lostCheck{
@@ -240,7 +253,7 @@
 		p.logf("%s crashes its worker", task)
 	}
 	p.keepsID = func(instance string) bool { return p.draw(2, "keeps", instance) == 0 }
-	p.startsMute = p.startMute
+	p.startsMute, p.carryOut, p.keepsAllIDs = p.startMute, p.carryOutUnanswered, sc.operations
 	p.attributesAnswers = p.fixed(2, "attributes") == 0
 	p.clockGain = func(w *fakeWorker) int64 { return int64(p.fixed(41, "clock", w.m.Id, w.m.BornMs)) - 20 }
 	if sc.delay > 0 {
@@ -281,7 +294,7 @@
 			return fmt.Sprintf("job %s is cancelled without cause", job), p.out.String(), nil
 		}
 	}
-	return "", p.out.String(), nil
+	return p.checkWaves(), p.out.String(), nil
 }
 
 func (p *player) describe(t *lastingTask, workers []*fakeWorker) string {
@@ -457,7 +470,10 @@
 // shrink leaves out events as long as the script still fails in the same way.
 func shrink(t testing.TB, sc script, violation string) (script, string, string) {
 	log := ""
-	kind := func(v string) bool { return strings.Contains(v, "doesn't run") }
+	kinds := []string{"doesn't run", "without cause", "configuration sends", "wave", "capacity"}
+	kind := func(v string) int {
+		return slices.IndexFunc(kinds, func(k string) bool { return strings.Contains(v, k) })
+	}
 	for again := true; again; {
 		again = false
 		for i := len(sc.actions) - 1; i >= 0; i-- {
@@ -512,7 +528,7 @@
 func TestRandomDisturbancesAreRepeatable(t *testing.T) {
 	scripts := []script{newCrowdedScript(1)}
 	for seed := range uint64(8) {
-		scripts = append(scripts, newResizingScript(seed), newLateRequestScript(seed))
+		scripts = append(scripts, newResizingScript(seed), newLateRequestScript(seed), newLateOperationScript(seed))
 	}
 	for i, sc := range scripts {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
--- a/internal/workload/sim_delivery_test.go
+++ b/internal/workload/sim_delivery_test.go
@@ -132,12 +132,15 @@
 	})
 }
 
-// deliverUnanswered carries out a request at the incarnation that has the ID now. Its answer is lost.
+// deliverUnanswered carries out a request of a deposed leader, for a worker at the incarnation that has the ID now. Its
+// answer is lost.
 func (s *sim) deliverUnanswered(a kernel.Action, sent time.Duration) {
 	if h, ok := targetOf(a); ok {
 		if w := s.worker(h.Target); w != nil {
 			w.execute(a, sent)
 		}
+	} else if s.carryOut != nil {
+		s.carryOut(a)
 	}
 }
 
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -22,6 +22,9 @@
 // simStep is the resolution of the virtual time.
 const simStep = 10 * time.Millisecond
 
+// maintenanceTime is how long maintenance takes.
+const maintenanceTime = 2 * time.Second
+
 // sim simulates a leader with fake workers and a fake platform in virtual time, and checks what must never reach a
 // worker: a start without a lease, more runs than fit, and a second run of a task.
 type sim struct {
@@ -49,6 +52,8 @@
 	requests      []kernel.Action
 	// maxLease is the longest lease that workers accept.
 	maxLease time.Duration
+	// log gets the lines of the leader; its zero value discards them.
+	log logr.Logger
 	// steps holds the steps of each submitted job.
 	steps map[string][]*workloadpb.Step
 	// intercept handles a request instead of the fakes if it returns true; it may be nil.
@@ -59,6 +64,10 @@
 	// keepsAllIDs makes each instance do so, also when it was off. parked holds the last workers of instances that are off.
 	keepsAllIDs bool
 	parked      map[string]*fakeWorker
+	// operatedAt is when an operation last ended an incarnation with the ID of a worker, or followed it.
+	operatedAt map[string]time.Duration
+	// carryOut carries out an operation on an instance whose answer is lost; it may be nil.
+	carryOut func(a kernel.Action)
 	// poolsOfQueue holds the pools to which any configuration has sent a queue, by the path prefix of the queue.
 	poolsOfQueue map[string]map[string]bool
 	prefixes     map[string]string // of the queues of jobs
@@ -120,7 +129,7 @@
 		done: map[string]int{}, noted: map[string]bool{}, lastWave: map[string]int64{},
 		steps: map[string][]*workloadpb.Step{}, crashes: map[string]int{}, lateStarts: map[string]int{},
 		parked: map[string]*fakeWorker{}, poolsOfQueue: map[string]map[string]bool{}, prefixes: map[string]string{},
-		rebootTime: 3300 * time.Millisecond,
+		operatedAt: map[string]time.Duration{}, rebootTime: 3300 * time.Millisecond,
 	}
 	s.setMaxLease(6 * time.Second)
 	s.startTerm()
@@ -142,7 +151,7 @@
 func (s *sim) setMaxLease(d time.Duration) {
 	s.maxLease = d
 	s.e.Configure(workload.Config{
-		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxLease: d,
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxLease: d, Log: s.log,
 	})
 }
 
@@ -417,7 +426,7 @@
 func (s *sim) maintain(a workload.MaintainInstance) {
 	if s.lastWave[a.Instance] != a.Wave {
 		s.lastWave[a.Instance] = a.Wave
-		s.restart(a.Instance, s.instances[a.Instance].Pool, 2*time.Second)
+		s.restart(a.Instance, s.instances[a.Instance].Pool, maintenanceTime)
 	}
 }
 
@@ -429,6 +438,9 @@
 		old.dead = true
 	}
 	former := cmp.Or(old, s.parked[instance])
+	if former != nil {
+		s.operatedAt[former.m.Id] = s.now
+	}
 	row.Up, row.Pool, row.Worker = false, pool, ""
 	s.scheduleLasting(d, func() {
 		row.Up = true
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -69,6 +69,8 @@
 type success struct {
 	number int64
 	task   string
+	// sent is when the start of the run was sent.
+	sent time.Duration
 	// startedAgain is set if the task has started again since. The end must not be acknowledged then.
 	startedAgain bool
 }
@@ -77,6 +79,7 @@
 	name        workload.RunName
 	task        string // taskKey of the name
 	need        ledger.Resources
+	sent        time.Duration // the start
 	startedAt   time.Duration
 	endsAt      time.Duration
 	longRunning bool
@@ -119,7 +122,7 @@
 	if how == workloadpb.How_HOW_DONE {
 		w.sim.done[r.task]++
 		if !r.longRunning { // Long-running tasks start again however they end.
-			w.successes = append(w.successes, success{number: w.lastEnd, task: r.task})
+			w.successes = append(w.successes, success{number: w.lastEnd, task: r.task, sent: r.sent})
 		}
 	}
 }
@@ -238,7 +241,7 @@
 	assert.Assert(s.t, st.Label == "" || slices.Contains(w.m.Labels, st.Label), "%s starts on worker %s without the label %s",
 		task, w.m.Id, st.Label)
 	r := &fakeRun{
-		name: a.Name, task: task, need: ledger.RequiredCapacity(st), longRunning: st.Lasting, startedAt: s.now,
+		name: a.Name, task: task, need: ledger.RequiredCapacity(st), longRunning: st.Lasting, sent: sent, startedAt: s.now,
 		endsAt: s.now + time.Duration(st.EstimateMs)*time.Millisecond,
 	}
 	assert.Assert(s.t, w.mayStart(r.need, sent), "%s brings worker %s over its capacity %v: it needs %v, free are %v", task,
