workload: turn instances off before maintenance that would wait for late starts

An instance that is off boots no worker, so it can be maintained at once: the instance is evacuated as before, moved to the spare pool and maintained there. Without a spare pool its maintenance waits.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -102,6 +102,8 @@
 	// pool is the target of a move, empty for maintenance.
 	pool string
 	wave int64
+	// beforeWave is the wave of the maintenance that follows a move to the spare pool, 0 if there is none.
+	beforeWave int64
 	// first is set if no request for the maintenance may have been carried out before this operation.
 	first bool
 	// incarnation is the number of the incarnation that ends with the operation, 0 if the instance had no worker.
@@ -280,7 +282,7 @@
 				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
 			e.postponeOperation(in)
 			return
-		case lateUntil > e.now+drainTimeout:
+		case lateUntil > e.now+drainTimeout && e.sparePool() == "":
 			e.logWaitForStarts(in, lateUntil)
 			return // The runs needn't stop yet.
 		case op.wave > 0 && !e.evacuate(in, s):
@@ -288,7 +290,9 @@
 		}
 	}
 	if lateUntil > 0 && !op.requested {
-		return // The next incarnation with the ID might execute such a start.
+		// The next incarnation with the ID might execute such a start, so there must be none.
+		e.turnOffForMaintenance(in)
+		return
 	}
 	if e.mustWaitForTakeover(in.Name) {
 		return
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -170,3 +170,25 @@
 			in.lastWorker, "wave", in.operation.wave, "for", (until - e.now).String())
 	}
 }
+
+// turnOffForMaintenance moves an instance without runs, whose maintenance would have to wait for starts that may be carried
+// out late, to the spare pool first. It can be maintained there at once, as no worker boots.
+func (e *Engine) turnOffForMaintenance(in *instance) {
+	if spare := e.sparePool(); spare != "" && in.operation.wave > 0 {
+		move := e.newOperation(spare, 0)
+		move.beforeWave = in.operation.wave
+		in.operation = move
+		e.cfg.Log.Info("moving instance to the spare pool before its maintenance; a start may be carried out late", "instance",
+			in.Name, "worker", in.lastWorker, "from", in.Pool, "wave", move.beforeWave)
+	}
+}
+
+// sparePool returns the name of the spare pool, empty if there is none.
+func (e *Engine) sparePool() string {
+	for _, p := range e.state.Document().GetPools() {
+		if p.Spare {
+			return p.Name
+		}
+	}
+	return ""
+}
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -103,6 +103,10 @@
 		{"move after a restart, another leader", []time.Duration{6 * time.Second}, true, move},
 		{"move through the spare pool, another leader", nil, false, moveThroughSparePool},
 		{"maintenance", nil, false, maintain},
+		{"maintenance without a spare pool", nil, false, func(s *sim) {
+			s.configure(2, nil, "glass", "plates")
+			maintain(s)
+		}},
 		{"maintenance, another leader before the answer was due", []time.Duration{300 * time.Millisecond}, false, maintain},
 		{"maintenance, another leader", []time.Duration{1500 * time.Millisecond}, false, maintain},
 		{"maintenance, another leader after the run", []time.Duration{3 * time.Second}, false, maintain},
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -94,14 +94,11 @@
 	}
 	pools := map[string]*poolView{}
 	var order []*poolView
-	spare := ""
+	spare := e.sparePool()
 	for _, p := range d.Pools {
 		v := &poolView{name: p.Name, spare: p.Spare}
 		pools[p.Name] = v
 		order = append(order, v)
-		if p.Spare {
-			spare = p.Name
-		}
 	}
 	if spare == "" {
 		return
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -34,7 +34,7 @@
 	for _, name := range w.Instances {
 		in := f.instances[name]
 		switch {
-		case in != nil && in.operation != nil && in.operation.wave == w.Number:
+		case in != nil && in.operation != nil && (in.operation.wave == w.Number || in.operation.beforeWave == w.Number):
 			busy++
 		case in != nil && (e.now < in.maybeAwayUntil || e.maybeUnderMaintenance(name, w.Number)):
 			busy++
