workload: keep instances in their pool while a move without an answer may be carried out

A move that got no answer was requested again and accepted, and the instance was moved on soon after. The platform may carry out the first request late: it then ends the incarnation in the pool of today, without a wait for its starts, and the next one executes a late start in the former pool (ROUTE). Instances aren't moved on until no such request is carried out any more, which delays nothing while the platform answers.

TestLateMoveEndsNoLaterIncarnation fails without the change.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -90,6 +90,8 @@
 	maintainAfter time.Duration
 	// awaitsReady is set if it was held up until its long-running steps can miss their tasks.
 	awaitsReady bool
+	// lateMovesUntil is when no move of the instance that got no answer is carried out any more.
+	lateMovesUntil time.Duration
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
 	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
@@ -440,8 +442,11 @@
 		in.operation = nil
 	default:
 		op.outcomeUnknown = op.outcomeUnknown || o == NoAnswer
-		if op.wave > 0 && op.outcomeUnknown {
+		switch {
+		case op.wave > 0 && op.outcomeUnknown:
 			e.fleet.maybeMaintained[waveInstance{op.wave, name}] = true
+		case o == NoAnswer:
+			in.lateMovesUntil = op.requestedAt + ledger.MaxRequestDelay
 		}
 		op.retryAt = e.now + operationRetryDelay
 		e.fleet.stale = true
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -23,13 +23,13 @@
 	isOver  bool
 }
 
-// newLateStart holds up the first start for a worker. It is carried out by the incarnation that begins next under the ID of
-// the worker, before any other request, or at the latest possible time, if there is an incarnation then.
-func newLateStart(s *sim, w *fakeWorker) *lateStart {
+// newLateStart holds up the next start for the worker with an ID. It is carried out by the incarnation that begins next under
+// the ID, before any other request, or at the latest possible time, if there is an incarnation then.
+func newLateStart(s *sim, id string) *lateStart {
 	l := &lateStart{s: s}
 	s.intercept = func(a kernel.Action) bool {
 		start, ok := a.(workload.StartRun)
-		if !ok || start.ID != w.m.Id || l.sent > 0 {
+		if !ok || start.ID != id || l.sent > 0 {
 			return false
 		}
 		l.request, l.sent = start, s.sentAt
@@ -41,7 +41,7 @@
 		return true
 	}
 	s.startsMute = func(later *fakeWorker) bool {
-		if later.m.Id != w.m.Id {
+		if later.m.Id != id {
 			return false
 		}
 		if l.skips--; l.skips < 0 {
@@ -120,7 +120,7 @@
 			w := s.addWorkers("glass", 1)[0]
 			s.addWorkers("plates", 1)
 			s.run(submitted)
-			l := newLateStart(s, w)
+			l := newLateStart(s, w.m.Id)
 			s.submit("glass", "job", step(1, 12000, 1000, 700))
 			if tt.restarts {
 				l.skips = 1
@@ -142,3 +142,43 @@
 		})
 	}
 }
+
+// Guards against a move without an answer that is carried out after the instance was moved on, so that the next incarnation
+// with the ID runs a task in a pool of other queues.
+func TestLateMoveEndsNoLaterIncarnation(t *testing.T) {
+	s := newSim(t)
+	s.keepsAllIDs = true
+	s.configure(1, nil, "glass", "plates", "spare")
+	s.addWorkers("glass", 1)
+	s.addWorkers("plates", 1)
+	s.addWorkers("spare", 1)
+	in := s.instances["m-spare-0"]
+	late := false
+	s.intercept = func(a kernel.Action) bool {
+		move, ok := a.(workload.MoveInstance)
+		if !ok || late {
+			return false
+		}
+		late = true
+		sent := s.sentAt
+		s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+		s.scheduleLasting(9*time.Second, func() {
+			if in.Pool != move.Pool {
+				s.restart(move.Instance, move.Pool, 1500*time.Millisecond)
+			}
+		})
+		return true
+	}
+	busy := step(1, 1000, 1000, 0)
+	busy.Lasting = true
+	s.submit("plates", "busy", busy)
+	s.run(time.Second)
+	s.submit("plates", "large", step(2, 12000, 1000, 1000))
+	s.runUntil(5*time.Second, func() bool { return in.Pool == "plates" && in.Up })
+	s.runUntil(9*time.Second, func() bool { return s.jobState("plates", "large") == "completed" })
+	l := newLateStart(s, in.Worker)
+	l.skips = 1
+	s.submit("glass", "job", step(2, 12000, 1000, 20_000))
+	s.runUntil(30*time.Second, func() bool { return l.sent > 0 })
+	s.run(8 * time.Second)
+}
