workload: take a start for carried out once a list shows its run

Instances waited 12 s for each start without an answer, also where only the answer was lost and the worker's list showed the run. A leader requests the start of a run again only after a list, so that run's only start has been carried out, and nothing is on its way. If the list lacks the run, or the run ends otherwise, the start counts as late as before. Starts that an earlier leader sent are handled by the same code now.

An end is proposed after the late starts that it hides from later leaders.

TestListedRunDelaysNoMove fails without the change.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -45,7 +45,7 @@
 			r.attempts++
 			e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: r.name})
 		case !r.shouldStop && !r.givenUp && r.startedAt == 0 && s.clockKnown && !s.suspension.active && e.knowsCapacity(s) &&
-			!e.hasUnrecordedLateStarts(s.worker.ID()):
+			e.mayRequestStart(s, r):
 			e.startRun(s, r)
 		}
 	}
@@ -57,7 +57,7 @@
 	r.attempts++
 	r.requestedAt = e.now
 	r.ticket = e.advice.ticket(st, s.worker.Number())
-	e.lateStarts.recordSent(s.worker.ID())
+	e.lateStarts.recordSent(s.worker.ID(), r)
 	e.addAction(StartRun{
 		RequestHeader: e.leaseHeader(s), Name: r.name, Spec: st.Occurrence.Job.Spec, Checkpoint: r.checkpoint,
 		Ticket: r.ticket,
@@ -161,7 +161,7 @@
 		if k, ok := e.runKey(row.Name); ok {
 			ended[k] = true
 			if r := s.runs[k]; r != nil {
-				e.resolveInheritedStart(s, r, true)
+				e.lateStarts.resolve(s.worker.ID(), r, true)
 			}
 			m.Ends = append(m.Ends, &workloadpb.End{
 				Subtask: k.TaskMessage(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint, Number: row.Number,
@@ -193,7 +193,7 @@
 			continue
 		}
 		listed[k] = true
-		e.resolveInheritedStart(s, r, true)
+		e.lateStarts.resolve(s.worker.ID(), r, true)
 		r.inherited, r.unattributed, r.listed = false, false, true
 		if r.startedAt == 0 {
 			r.startedAt = ev.EndedAt
@@ -206,7 +206,7 @@
 				continue
 			}
 			r.unlistedAt = ev.SentAt
-			e.resolveInheritedStart(s, r, false)
+			e.lateStarts.resolve(s.worker.ID(), r, false)
 			if e.hasVanished(r, ev.SentAt) {
 				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "vanished-run")
 				e.cfg.Log.Info("worker lists a run neither as running nor as ended", "worker", s.worker.ID(),
@@ -252,6 +252,7 @@
 			cmp.Compare(a.Subtask.Index, b.Subtask.Index), cmp.Compare(a.Run, b.Run))
 	})
 	s.endsPending, s.endsProposedAt = true, e.now
+	e.recordLateStarts() // A later leader must not learn of the ends only.
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
 }
 
@@ -342,8 +343,8 @@
 }
 
 func (e *Engine) handleStartRunResult(ev StartRunResult) {
-	e.lateStarts.recordResult(ev)
 	s, r := e.handleAnswer(ev.Request.Incarnation, ev.Request.Name, ev.Answer)
+	e.lateStarts.recordResult(r, ev)
 	if r == nil {
 		return
 	}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -154,7 +154,7 @@
 	for _, w := range e.state.Workers() {
 		s := e.openSession(w)
 		s.lastHeartbeat = now
-		s.adoptInheritedRuns()
+		e.adoptInheritedRuns(s)
 	}
 }
 
@@ -373,7 +373,7 @@
 		}
 	case *workloadpb.Command_Ends:
 		if s := e.sessions[c.Ends.Worker]; s != nil {
-			s.removeEndedRuns(c.Ends)
+			e.removeEndedRuns(s, c.Ends)
 			e.markDirty(s)
 		}
 	case *workloadpb.Command_Occur:
@@ -434,6 +434,9 @@
 	for n, s := range e.sessions {
 		if s.worker.HasEnded() {
 			delete(e.sessions, n)
+			for _, r := range s.runs {
+				e.lateStarts.resolve(s.worker.ID(), r, false)
+			}
 			e.cfg.Log.Info("incarnation of a worker ended", "worker", s.worker.ID(), "boot", n)
 		}
 	}
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,20 +17,22 @@
 // executes them as long as it has got no request of its own.
 type lateStartTable struct {
 	byID map[string]*lateStarts
-	// hasUnrecorded is set while a start may be carried out later than the log tells.
-	hasUnrecorded bool
-	// retryAt is when a record that was proposed and not applied is proposed again.
-	retryAt time.Duration
+	// checkAt is when starts are to be recorded next.
+	checkAt time.Duration
 }
 
 // lateStarts tells until when starts for the incarnations of an ID may be carried out late.
 type lateStarts struct {
 	// inFlight is the number of starts whose answer is not due yet.
 	inFlight int
-	// inherited is the number of runs that an earlier leader assigned and no list has shown. Their starts may be on their way.
-	inherited int
-	// possibleUntil is when none of the starts without an answer is carried out any more, recordedUntil what the log tells.
-	possibleUntil, recordedUntil time.Duration
+	// unresolved is the number of runs whose only start has no answer, and about which no list has told yet. None of these
+	// starts is carried out after unresolvedUntil.
+	unresolved      int
+	unresolvedUntil time.Duration
+	// possibleUntil is when none of the other starts without an answer is carried out any more.
+	possibleUntil time.Duration
+	// recordedUntil is what the log tells of that, proposedUntil what was proposed at proposedAt.
+	recordedUntil, proposedUntil, proposedAt time.Duration
 }
 
 // of returns the starts for an ID, creating an entry if there is none.
@@ -46,61 +49,80 @@
 func (t *lateStartTable) extend(id string, until time.Duration) {
 	l := t.of(id)
 	l.possibleUntil = max(l.possibleUntil, until)
-	t.hasUnrecorded = t.hasUnrecorded || l.possibleUntil > l.recordedUntil
+	if l.possibleUntil > l.recordedUntil {
+		t.checkAt = 0
+	}
 }
 
-func (t *lateStartTable) recordSent(id string) { t.of(id).inFlight++ }
+// addUnresolved notes that the only start of a run for an ID has no answer.
+func (t *lateStartTable) addUnresolved(id string, r *run, until time.Duration) {
+	r.startUnresolved, r.lateUntil = true, until
+	l := t.of(id)
+	l.unresolved++
+	l.unresolvedUntil = max(l.unresolvedUntil, until)
+}
 
-// recordResult records the result of a start. Of one that was sent twice, the first copy has had no answer.
-func (t *lateStartTable) recordResult(ev StartRunResult) {
-	l := t.of(ev.Request.ID)
-	l.inFlight = max(l.inFlight-1, 0)
-	if ev.Outcome == NoAnswer || ev.Repeated {
-		t.extend(ev.Request.ID, ev.SentAt+ledger.MaxRequestDelay)
+// resolve notes that a list has shown a run for an ID, and so its only start was carried out, or that the start may still be
+// carried out late, as a list lacks the run or the run has ended otherwise.
+func (t *lateStartTable) resolve(id string, r *run, isListed bool) {
+	r.carriedOut = r.carriedOut || isListed
+	if !r.startUnresolved {
+		return
+	}
+	r.startUnresolved = false
+	t.of(id).unresolved--
+	if !isListed {
+		t.extend(id, r.lateUntil)
 	}
-	if *l == (lateStarts{}) {
-		delete(t.byID, ev.Request.ID)
+}
+
+// recordSent notes that the start of a run for an ID is sent.
+func (t *lateStartTable) recordSent(id string, r *run) {
+	t.of(id).inFlight++
+	r.startCopies++
+}
+
+// recordResult records the result of a start; the run is nil if it has ended. Of a start that was sent twice, the first copy
+// has had no answer.
+func (t *lateStartTable) recordResult(r *run, ev StartRunResult) {
+	id, until := ev.Request.ID, ev.SentAt+ledger.MaxRequestDelay
+	l := t.of(id)
+	l.inFlight = max(l.inFlight-1, 0)
+	switch {
+	case ev.Outcome != NoAnswer && !ev.Repeated:
+		if r != nil {
+			r.startCopies--
+		}
+		if *l == (lateStarts{}) {
+			delete(t.byID, id)
+		}
+	case r == nil || ev.Repeated || r.startCopies > 1:
+		t.extend(id, until)
+	case !r.carriedOut:
+		t.addUnresolved(id, r, until)
 	}
 }
 
-// inheritLateStarts takes over what earlier leaders recorded, and the starts of the runs that they assigned.
+// inheritLateStarts takes over what earlier leaders recorded.
 func (e *Engine) inheritLateStarts() {
 	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}}
 	for id, endMs := range e.state.LateStarts() {
 		until := e.now + millis(endMs-e.state.Clock())
 		*e.lateStarts.of(id) = lateStarts{possibleUntil: until, recordedUntil: until}
 	}
-	for _, w := range e.state.Workers() {
-		if n := len(w.Runs()); n > 0 {
-			e.lateStarts.of(w.ID()).inherited = n
-		}
-	}
-}
-
-// inheritedStartsUntil returns when no start of an earlier leader is carried out any more.
-func (e *Engine) inheritedStartsUntil() time.Duration {
-	return e.leadingSince + MaxConfirmationAge + ledger.MaxRequestDelay
 }
 
-// resolveInheritedStart records that a list was requested of the worker of a run that an earlier leader assigned. If it
-// shows the run, its only start that is not recorded was carried out. If not, it may still be.
-func (e *Engine) resolveInheritedStart(s *session, r *run, isListed bool) {
-	if !r.startUnresolved {
-		return
-	}
-	r.startUnresolved = false
-	l := e.lateStarts.of(s.worker.ID())
-	l.inherited = max(l.inherited-1, 0)
-	if !isListed {
-		e.lateStarts.extend(s.worker.ID(), e.inheritedStartsUntil())
-	}
+// inheritStart takes over the start of a run that an earlier leader assigned. A leader repeats no start that is not
+// recorded, so there is one at most.
+func (e *Engine) inheritStart(s *session, r *run) {
+	r.startCopies = 1
+	e.lateStarts.addUnresolved(s.worker.ID(), r, e.leadingSince+MaxConfirmationAge+ledger.MaxRequestDelay)
 }
 
 // lateStartsUntil returns until when the next incarnation on an instance, in a pool, could carry out a late start if it had
 // the ID of the last one; 0 if it couldn't. Instances of a spare pool are off.
 func (e *Engine) lateStartsUntil(in *instance, pool string) time.Duration {
-	id := in.lastWorker
-	l := e.lateStarts.byID[id]
+	l := e.lateStarts.byID[in.lastWorker]
 	if l == nil || e.state.Pool(pool).GetSpare() {
 		return 0
 	}
@@ -108,50 +130,69 @@
 	if l.inFlight > 0 {
 		until = e.now + ledger.MaxRequestDelay
 	}
-	if l.inherited > 0 {
-		until = max(until, e.inheritedStartsUntil())
+	if l.unresolved > 0 {
+		until = max(until, l.unresolvedUntil)
 	}
 	if until <= e.now {
-		delete(e.lateStarts.byID, id)
 		return 0
 	}
 	return until
 }
 
-// hasUnrecordedLateStarts reports whether a start for an ID may be carried out later than the log tells. No further start is
-// requested meanwhile: a later leader takes a run that is listed for one whose only start was carried out.
-func (e *Engine) hasUnrecordedLateStarts(id string) bool {
-	l := e.lateStarts.byID[id]
-	return l != nil && l.possibleUntil > l.recordedUntil && l.possibleUntil > e.now
+// mayRequestStart reports whether the start of a run may be requested. A later leader takes a run that is listed for one
+// whose only start was carried out, so all others must be in the log first.
+func (e *Engine) mayRequestStart(s *session, r *run) bool {
+	l := e.lateStarts.byID[s.worker.ID()]
+	return !r.startUnresolved && (l == nil || !l.isUnrecorded(e.now))
+}
+
+// isOver reports whether no start that has been sent can be carried out any more.
+func (l *lateStarts) isOver(now time.Duration) bool {
+	return l.inFlight == 0 && l.unresolved == 0 && l.possibleUntil <= now
+}
+
+// isUnrecorded reports whether a start may be carried out later than the log tells.
+func (l *lateStarts) isUnrecorded(now time.Duration) bool {
+	return l.possibleUntil > max(l.recordedUntil, now)
 }
 
 // recordLateStarts proposes to record the starts that got no answer.
 func (e *Engine) recordLateStarts() {
 	t := &e.lateStarts
-	if !t.hasUnrecorded || e.now < t.retryAt {
+	if e.now < t.checkAt {
 		return
 	}
+	t.checkAt = math.MaxInt64
 	m := &workloadpb.LateStarts{}
 	remaining := time.Duration(0)
 	for id, l := range t.byID {
-		if e.hasUnrecordedLateStarts(id) {
+		switch retryAt := l.proposedAt + proposalTimeout; {
+		case l.isOver(e.now):
+			delete(t.byID, id)
+		case !l.isUnrecorded(e.now):
+		case l.proposedUntil >= l.possibleUntil && e.now < retryAt:
+			t.checkAt = min(t.checkAt, retryAt)
+		default:
 			m.Workers = append(m.Workers, id)
 			remaining = max(remaining, l.possibleUntil-e.now)
 		}
 	}
 	if len(m.Workers) == 0 {
-		t.hasUnrecorded = false
 		return
 	}
+	remaining += lateStartsSlack
+	for _, id := range m.Workers {
+		l := t.byID[id]
+		l.proposedUntil, l.proposedAt = e.now+remaining, e.now
+	}
+	t.checkAt = min(t.checkAt, e.now+proposalTimeout)
 	slices.Sort(m.Workers)
-	m.RemainingMs = (remaining + lateStartsSlack).Milliseconds()
-	t.retryAt = e.now + proposalTimeout
+	m.RemainingMs = remaining.Milliseconds()
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_LateStarts{LateStarts: m}})
 }
 
 // handleRecordedLateStarts handles a record of this leader, proposed at a time, that is in the log.
 func (e *Engine) handleRecordedLateStarts(m *workloadpb.LateStarts, proposedAt time.Duration) {
-	e.lateStarts.retryAt = 0
 	for _, id := range m.Workers {
 		if l := e.lateStarts.byID[id]; l != nil {
 			l.recordedUntil = max(l.recordedUntil, proposedAt+millis(m.RemainingMs))
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -182,3 +182,27 @@
 	s.runUntil(30*time.Second, func() bool { return l.sent > 0 })
 	s.run(8 * time.Second)
 }
+
+// Guards against instances that wait for a start whose answer was lost, although the list of the worker shows the run.
+func TestListedRunDelaysNoMove(t *testing.T) {
+	s := newSim(t)
+	s.keepsAllIDs = true
+	s.configure(1, nil, "glass", "plates", "spare")
+	w := s.addWorkers("glass", 1)[0]
+	s.addWorkers("plates", 1)
+	s.run(3 * time.Second)
+	s.intercept = func(a kernel.Action) bool {
+		start, ok := a.(workload.StartRun)
+		if ok {
+			sent := s.sentAt
+			w.execute(start, sent)
+			s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+			s.intercept = nil
+		}
+		return ok
+	}
+	s.submit("glass", "job", step(1, 12000, 1000, 2000))
+	s.runUntil(6*time.Second, func() bool { return s.jobState("glass", "job") == "completed" })
+	s.startWave(1, 1, "m-glass-0")
+	s.runUntil(2*time.Second, func() bool { return s.instances["m-glass-0"].Pool == "glass" && !s.instances["m-glass-0"].Up })
+}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -125,8 +125,11 @@
 	checkpoint string
 	ticket     string
 
-	inherited       bool // assigned by an earlier leader, and the worker was not asked for it yet
-	startUnresolved bool // assigned by an earlier leader, and lateStarts counts it as inherited
+	inherited       bool          // assigned by an earlier leader, and the worker was not asked for it yet
+	startCopies     int           // requests to start it without an answer, with those of earlier leaders
+	startUnresolved bool          // the only one has no answer, and no list has told yet whether it was carried out
+	lateUntil       time.Duration // it may be carried out late until then
+	carriedOut      bool          // a list has shown the run
 	requestInFlight bool
 	attempts        int
 	requestedAt     time.Duration // its start was last requested
@@ -169,11 +172,12 @@
 }
 
 // adoptInheritedRuns adds the runs that an earlier leader assigned.
-func (s *session) adoptInheritedRuns() {
+func (e *Engine) adoptInheritedRuns(s *session) {
 	s.adoptAssignedRuns()
 	for _, r := range s.runs {
 		// An earlier leader may have requested the start without an answer.
-		r.inherited, r.doubtful, r.startUnresolved = true, true, true
+		r.inherited, r.doubtful = true, true
+		e.inheritStart(s, r)
 	}
 	s.mustList = true
 }
@@ -201,10 +205,11 @@
 }
 
 // removeEndedRuns removes the runs whose ends were recorded, and counts consecutive failures.
-func (s *session) removeEndedRuns(m *workloadpb.Ends) {
+func (e *Engine) removeEndedRuns(s *session, m *workloadpb.Ends) {
 	s.endsPending = false
-	for k := range s.runs {
+	for k, r := range s.runs {
 		if s.worker.Runs()[k] == nil {
+			e.lateStarts.resolve(s.worker.ID(), r, false)
 			delete(s.runs, k)
 		}
 	}
