workload: don't take the answer to a stop for that to a start

A job's owner would see two runs of a task at the same time: a worker crashed while a start had no answer yet, the later incarnation with its ID executed the start, and the leader stopped the run there. The answer to the stop cleared the flag by which a run counts as doubtful while its start has no answer, so the run was given up as lost and started elsewhere while it was still being stopped. Starts and stops in flight have flags of their own now.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -35,13 +35,13 @@
 	e.stopRunsOutlastingDrain(s)
 	due := s.sortedRuns(func(r *run) bool {
 		// A start grants a lease, which a worker that doesn't answer must not get.
-		return !r.requestInFlight && e.now >= r.retryAt && !r.inherited && (s.failures == 0 || r.attempts == 0 && r.shouldStop) &&
+		return !r.requestInFlight() && e.now >= r.retryAt && !r.inherited && (s.failures == 0 || r.attempts == 0 && r.shouldStop) &&
 			(r.shouldStop && r.stoppedAt == 0 || !r.shouldStop && r.startedAt == 0)
 	})
 	for _, r := range due {
 		switch {
 		case r.shouldStop && r.stoppedAt == 0:
-			r.requestInFlight = true
+			r.stopInFlight = true
 			r.attempts++
 			e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: r.name})
 		case !r.shouldStop && !r.givenUp && r.startedAt == 0 && s.clockKnown && !s.suspension.active && e.knowsCapacity(s) &&
@@ -53,7 +53,7 @@
 
 func (e *Engine) startRun(s *session, r *run) {
 	st := r.task.Step()
-	r.requestInFlight = true
+	r.startInFlight = true
 	r.attempts++
 	r.requestedAt = e.now
 	r.ticket = e.advice.ticket(st, s.worker.Number())
@@ -231,9 +231,9 @@
 		return false
 	}
 	if r.stoppedAt > 0 {
-		return !r.requestInFlight && r.stoppedAt+e.cfg.StopTimeout < listedAt
+		return !r.requestInFlight() && r.stoppedAt+e.cfg.StopTimeout < listedAt
 	}
-	return !r.requestInFlight && r.startedAt > 0 && r.startedAt < listedAt
+	return !r.requestInFlight() && r.startedAt > 0 && r.startedAt < listedAt
 }
 
 func voidEnd(r *run) *workloadpb.End {
@@ -333,11 +333,8 @@
 	if a.Outcome == OtherIncarnation {
 		e.handleOtherIncarnation(s, "request", a)
 	}
-	if r != nil {
-		r.requestInFlight = false
-		if a.Outcome == OtherIncarnation && a.ExecutedBy == 0 {
-			r.retryAt = e.now + proposalTimeout // The end of the incarnation was proposed.
-		}
+	if r != nil && a.Outcome == OtherIncarnation && a.ExecutedBy == 0 {
+		r.retryAt = e.now + proposalTimeout // The end of the incarnation was proposed.
 	}
 	return s, r
 }
@@ -348,6 +345,7 @@
 	if r == nil {
 		return
 	}
+	r.startInFlight = false
 	r.repeated = r.repeated || ev.Repeated
 	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.Repeated || ev.ExecutedBy > 0
 	switch ev.Outcome {
@@ -396,6 +394,7 @@
 	if r == nil {
 		return
 	}
+	r.stopInFlight = false
 	switch ev.Outcome {
 	case Accepted:
 		r.stoppedAt = ev.EndedAt
--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -23,7 +23,7 @@
 		s.leasesExpireBy-e.now, w.Used(), w.Capacity())
 	for _, r := range s.runs {
 		fmt.Fprintf(b, " %s.%d.%d#%d(inherited %v, in flight %v, attempts %d, started %v, stop %v, stopped %v, retry in %v)",
-			r.name.Job, r.name.Step, r.name.Index, r.name.Run, r.inherited, r.requestInFlight, r.attempts, r.startedAt,
+			r.name.Job, r.name.Step, r.name.Index, r.name.Run, r.inherited, r.requestInFlight(), r.attempts, r.startedAt,
 			r.shouldStop, r.stoppedAt, r.retryAt-e.now)
 	}
 	for _, in := range e.fleet.instances {
@@ -63,7 +63,7 @@
 		fmt.Fprintf(b, " failures %d, leases expire in %v", s.failures, s.leasesExpireBy-e.now)
 		if r != nil {
 			fmt.Fprintf(b, ", inherited %v, in flight %v, attempts %d, started %v, stop %v, stopped %v",
-				r.inherited, r.requestInFlight, r.attempts, r.startedAt, r.shouldStop, r.stoppedAt)
+				r.inherited, r.requestInFlight(), r.attempts, r.startedAt, r.shouldStop, r.stoppedAt)
 		}
 	}
 	return b.String()
--- a/internal/workload/release.go
+++ b/internal/workload/release.go
@@ -38,7 +38,7 @@
 
 // isAwaitingStart reports whether the next request for a run is its start.
 func (r *run) isAwaitingStart() bool {
-	return !r.inherited && !r.requestInFlight && !r.shouldStop && !r.givenUp && r.startedAt == 0
+	return !r.inherited && !r.requestInFlight() && !r.shouldStop && !r.givenUp && r.startedAt == 0
 }
 
 func (r *run) requiredCapacity() ledger.Resources { return ledger.RequiredCapacity(r.task.Step().Step) }
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -43,7 +43,7 @@
 
 // isDoubtful reports whether a later incarnation may execute the run, because a request to start it has no answer that is
 // certainly of this one.
-func (r *run) isDoubtful() bool { return r.doubtful || r.unattributed || r.requestInFlight }
+func (r *run) isDoubtful() bool { return r.doubtful || r.unattributed || r.startInFlight }
 
 func (s *session) hasDoubtfulRuns() bool { return len(s.sortedRuns((*run).isDoubtful)) > 0 }
 
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -130,7 +130,8 @@
 	startUnresolved bool          // the only one has no answer, and no list has told yet whether it was carried out
 	lateUntil       time.Duration // it may be carried out late until then
 	carriedOut      bool          // a list has shown the run
-	requestInFlight bool
+	startInFlight   bool
+	stopInFlight    bool
 	attempts        int
 	requestedAt     time.Duration // its start was last requested
 	unlistedAt      time.Duration // the worker was last asked for a list that lacks the run
@@ -171,6 +172,8 @@
 	}
 }
 
+func (r *run) requestInFlight() bool { return r.startInFlight || r.stopInFlight }
+
 // adoptInheritedRuns adds the runs that an earlier leader assigned.
 func (e *Engine) adoptInheritedRuns(s *session) {
 	s.adoptAssignedRuns()
