workload: begin no operation by a list from before the last one

Callers saw tasks run in a pool to which no configuration sends their queue. A move out of the spare pool had ended and the next reads of the list failed, so the list still showed the instance there, without a worker. The leader moved it once more, without looking at the runs on it or reserving its worker, and didn't record the end of its incarnation: starts that it went on sending were executed by the next one in another pool.

TestInstanceIsNotMovedByListFromBeforeItsMove failed before.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -92,6 +92,8 @@
 	awaitsReady bool
 	// lateMovesUntil is when no move of the instance that got no answer is carried out any more.
 	lateMovesUntil time.Duration
+	// changedAt is when an operation on it last ended. An older list shows another pool or worker.
+	changedAt time.Duration
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
 	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
@@ -333,6 +335,7 @@
 	e.cfg.Log.Info("requests for an instance operation get no answer and a task waits; trying again later",
 		"instance", in.Name, "wave", op.wave, "pool", op.pool)
 	e.postponeOperation(in)
+	in.changedAt = e.now
 	if op.wave > 0 {
 		in.maybeAwayUntil = settledAt + e.cfg.MaintenanceDuration
 		if op.first {
@@ -364,7 +367,7 @@
 	case s != nil:
 		e.doubt(s)
 	}
-	in.operation, e.fleet.stale = nil, true
+	in.operation, in.changedAt, e.fleet.stale = nil, e.now, true
 }
 
 // sendAnnounced sends the requests of the operations whose announcement is now in the log. An announcement that was
@@ -412,6 +415,12 @@
 	return e.state.Pool(in.Pool).GetSpare()
 }
 
+// mayOperate reports whether an operation on an instance may begin: it is up, without another operation, and listed since the
+// last one has ended.
+func (e *Engine) mayOperate(in *instance) bool {
+	return in.operation == nil && in.Up && e.fleet.listSentAt >= in.changedAt && !e.mustWaitForTakeover(in.Name)
+}
+
 // handleOperationResult handles the answer to the request of an operation.
 func (e *Engine) handleOperationResult(name string, o Outcome) {
 	in := e.fleet.instances[name]
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -137,7 +137,7 @@
 			v.shortfall = v.shortfall.Plus(v.instanceCapacity.Minus(s.worker.Capacity()).AtLeastZero())
 		}
 		switch {
-		case in.operation != nil || !in.Up || e.mustWaitForTakeover(in.Name) || e.now < in.lateMovesUntil:
+		case !e.mayOperate(in) || e.now < in.lateMovesUntil:
 		case v.spare:
 			off = append(off, in)
 		case s != nil && in.idleSince > 0 && s.clockKnown:
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -76,7 +76,7 @@
 	shortest, least := time.Duration(0), int64(0)
 	for _, name := range w.Instances {
 		in := e.fleet.instances[name]
-		if in == nil || in.operation != nil || !in.Up || e.now < in.maintainAfter || e.mustWaitForTakeover(name) ||
+		if in == nil || !e.mayOperate(in) || e.now < in.maintainAfter ||
 			slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) ||
 			e.fleet.isUnrecorded(waveInstance{w.Number, name}) {
 			continue
