workload: don't turn off an instance whose worker could run a waiting task

Since a long-running task could wait beside an idle worker for as long as a start may be carried out late (LOST): maintenance was replaced by a move to the spare pool, the move was dropped as a task waited, and the wave began again, each time with a new operation, so that the bound on the wait never applied. The instance isn't turned off then, and its maintenance is put off after maxReservedWait as before.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -295,7 +295,9 @@
 	}
 	if lateUntil > 0 && !op.requested {
 		// The next incarnation with the ID might execute such a start, so there must be none.
-		e.turnOffForMaintenance(in)
+		if s != nil {
+			e.turnOffForMaintenance(in, s)
+		}
 		return
 	}
 	if e.mustWaitForTakeover(in.Name) {
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -213,9 +213,10 @@
 }
 
 // turnOffForMaintenance moves an instance without runs, whose maintenance would have to wait for starts that may be carried
-// out late, to the spare pool first. It can be maintained there at once, as no worker boots.
-func (e *Engine) turnOffForMaintenance(in *instance) {
-	if spare := e.sparePool(); spare != "" && in.operation.wave > 0 {
+// out late, to the spare pool first, unless a task waits that its worker could run. It can be maintained there at once, as
+// no worker boots.
+func (e *Engine) turnOffForMaintenance(in *instance, s *session) {
+	if spare := e.sparePool(); spare != "" && in.operation.wave > 0 && !e.couldRunWaitingTask(in.operation, s) {
 		move := e.newOperation(spare, 0)
 		move.beforeWave = in.operation.wave
 		in.operation = move
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -206,3 +206,24 @@
 	s.startWave(1, 1, "m-glass-0")
 	s.runUntil(2*time.Second, func() bool { return s.instances["m-glass-0"].Pool == "glass" && !s.instances["m-glass-0"].Up })
 }
+
+// Guards against a long-running task that waits beside an idle worker, whose instance is due for maintenance and gets a new
+// operation again and again while a start may be carried out late.
+func TestMaintenanceBehindLateStartHoldsUpNoTask(t *testing.T) {
+	for phase := time.Duration(0); phase < 300*time.Millisecond; phase += 20 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass", "spare")
+			w := s.addWorkers("glass", 1)[0]
+			s.run(time.Second)
+			newLateStart(s, w.m.Id)
+			s.submit("glass", "job", step(1, 12000, 1000, 700))
+			s.runUntil(6*time.Second, func() bool { return s.jobState("glass", "job") == "completed" })
+			s.startWave(1, 1, "m-glass-0")
+			s.run(phase)
+			isOff := !s.instances["m-glass-0"].Up
+			s.submit("glass", "last", longRunningStep(1000))
+			s.runUntil(4*time.Second, func() bool { return isOff || s.running("last") == 1 })
+		})
+	}
+}
