workload: start no runs where an earlier leader may have ordered an operation

A leader requests a move or maintenance, and the next one doesn't know whether that is carried out. It waited before it requested operations of its own for the instance, but started runs there at once: the operation then ended the incarnation with a start on its way, which the next one executed in another pool (ROUTE). The new leader now gives such a worker no runs until the request can't be carried out any more, and until the worker has answered a request after that.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -22,6 +22,10 @@
 		e.endReplaced(s)
 		return
 	}
+	if s.operationUntil > 0 && e.now >= s.operationUntil {
+		s.operationUntil = 0
+		e.doubt(s)
+	}
 	e.releaseUnstartableRuns(s)
 	if !s.endsPending {
 		if len(s.runs) > 0 && s.failures > 0 && e.now > s.leasesExpireBy {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -156,6 +156,7 @@
 		s.lastHeartbeat = now
 		e.adoptInheritedRuns(s)
 	}
+	e.inheritOperations()
 }
 
 func (e *Engine) handleEvent(now time.Duration, ev kernel.Event) {
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -400,6 +400,18 @@
 	return millis(e.fleet.startClockMs-o.AtMs) + e.now - e.leadingSince
 }
 
+// inheritOperations keeps runs from workers whose instances an earlier leader may have ordered to be moved or maintained just
+// now: such an operation doesn't wait for the starts of this leader.
+func (e *Engine) inheritOperations() {
+	for _, w := range e.state.Workers() {
+		if o := e.state.LastOrderOf(w.ID()); o != nil {
+			if wait := e.cfg.TakeoverDelay + takeoverMargin - e.lastOrderAge(o.Instance); wait > 0 {
+				e.sessions[w.Number()].operationUntil = e.now + wait
+			}
+		}
+	}
+}
+
 // mustWaitForTakeover reports whether no operation on an instance may be requested yet, because a request of an
 // earlier leader may still be in transit.
 func (e *Engine) mustWaitForTakeover(instance string) bool {
--- a/internal/workload/late_operation_test.go
+++ b/internal/workload/late_operation_test.go
@@ -23,7 +23,7 @@
 	busy.Label = "b"
 	s.submit("glass", "busy", busy)
 	s.submit("plates", "large", step(60, 12000, 1000, 1000))
-	l := newLateStart(s, w.m.Id)
+	newLateStart(s, w.m.Id)
 	holdStart := s.intercept
 	announced := false
 	s.intercept = func(a kernel.Action) bool {
@@ -39,8 +39,7 @@
 	s.runUntil(5*time.Second, func() bool { return announced })
 	s.startTerm()
 	s.submit("glass", "job", step(1, 16000, 1000, 20_000))
-	s.runUntil(30*time.Second, func() bool { return l.isOver })
-	s.run(5 * time.Second)
+	s.run(20 * time.Second)
 }
 
 // Guards against a move of an instance that left the spare pool after it was last listed: it ends the runs there, and the next
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -276,6 +276,17 @@
 // LastOrder returns the last announced order for an instance, nil if there was none.
 func (s *State) LastOrder(instance string) *workloadpb.LastOrder { return s.lastOrders[instance] }
 
+// LastOrderOf returns the last announced order for the instance of a worker, nil if there was none.
+func (s *State) LastOrderOf(worker string) *workloadpb.LastOrder {
+	var last *workloadpb.LastOrder
+	for _, o := range s.lastOrders {
+		if o.Worker == worker && worker != "" && (last == nil || o.AtMs > last.AtMs) {
+			last = o
+		}
+	}
+	return last
+}
+
 func (s *State) applyWave(w *workloadpb.Wave, at int64) {
 	if s.waves[w.Number] == nil {
 		w.AcceptedMs, w.Begun, w.Gone, w.Ordered = at, nil, nil, nil
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -57,7 +57,7 @@
 }
 
 func (l *lateStart) deliver() {
-	if w := l.s.workers[l.request.ID]; !l.isOver && !w.dead {
+	if w := l.s.workers[l.request.ID]; !l.isOver && w != nil && !w.dead {
 		l.isOver = true
 		w.execute(l.request, l.sent)
 	}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -109,6 +109,9 @@
 	consecutiveFailedRuns int  // runs that failed since one succeeded
 	excludedUntil         time.Duration
 	reservedForOperation  bool // gets no new runs because its instance is moved or maintained
+	// operationUntil is when no operation on its instance that an earlier leader announced is carried out any more, 0 if there
+	// is none or the worker has been asked since.
+	operationUntil time.Duration
 	// doubtedAt is when the platform accepted an operation that may have ended the incarnation. Only the answer to a
 	// later request shows that it did not.
 	doubtedAt time.Duration
@@ -390,7 +393,7 @@
 		return "draining"
 	case s.hasUnassignedRuns:
 		return "lists-unassigned-runs"
-	case s.reservedForOperation:
+	case s.reservedForOperation || s.operationUntil > 0:
 		return "reserved-for-operation"
 	case s.isDoubted():
 		return "maybe-ended"
