--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -90,6 +90,8 @@
 	maintainAfter time.Duration
 	// awaitsReady is set if it was held up until its long-running steps can miss their tasks.
 	awaitsReady bool
+	// lateMovesUntil is when no move of the instance that got no answer is carried out any more.
+	lateMovesUntil time.Duration
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
 	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
@@ -102,6 +104,8 @@
 	// pool is the target of a move, empty for maintenance.
 	pool string
 	wave int64
+	// beforeWave is the wave of the maintenance that follows a move to the spare pool, 0 if there is none.
+	beforeWave int64
 	// first is set if no request for the maintenance may have been carried out before this operation.
 	first bool
 	// incarnation is the number of the incarnation that ends with the operation, 0 if the instance had no worker.
@@ -280,7 +284,7 @@
 				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
 			e.postponeOperation(in)
 			return
-		case lateUntil > e.now+drainTimeout:
+		case lateUntil > e.now+drainTimeout && e.sparePool() == "":
 			e.logWaitForStarts(in, lateUntil)
 			return // The runs needn't stop yet.
 		case op.wave > 0 && !e.evacuate(in, s):
@@ -288,7 +292,9 @@
 		}
 	}
 	if lateUntil > 0 && !op.requested {
-		return // The next incarnation with the ID might execute such a start.
+		// The next incarnation with the ID might execute such a start, so there must be none.
+		e.turnOffForMaintenance(in)
+		return
 	}
 	if e.mustWaitForTakeover(in.Name) {
 		return
@@ -436,8 +442,11 @@
 		in.operation = nil
 	default:
 		op.outcomeUnknown = op.outcomeUnknown || o == NoAnswer
-		if op.wave > 0 && op.outcomeUnknown {
+		switch {
+		case op.wave > 0 && op.outcomeUnknown:
 			e.fleet.maybeMaintained[waveInstance{op.wave, name}] = true
+		case o == NoAnswer:
+			in.lateMovesUntil = op.requestedAt + ledger.MaxRequestDelay
 		}
 		op.retryAt = e.now + operationRetryDelay
 		e.fleet.stale = true
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -94,14 +94,11 @@
 	}
 	pools := map[string]*poolView{}
 	var order []*poolView
-	spare := ""
+	spare := e.sparePool()
 	for _, p := range d.Pools {
 		v := &poolView{name: p.Name, spare: p.Spare}
 		pools[p.Name] = v
 		order = append(order, v)
-		if p.Spare {
-			spare = p.Name
-		}
 	}
 	if spare == "" {
 		return
@@ -140,7 +137,7 @@
 			v.shortfall = v.shortfall.Plus(v.instanceCapacity.Minus(s.worker.Capacity()).AtLeastZero())
 		}
 		switch {
-		case in.operation != nil || !in.Up || e.mustWaitForTakeover(in.Name):
+		case in.operation != nil || !in.Up || e.mustWaitForTakeover(in.Name) || e.now < in.lateMovesUntil:
 		case v.spare:
 			off = append(off, in)
 		case s != nil && in.idleSince > 0 && s.clockKnown:
