--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -317,7 +317,10 @@
 	// Operations are announced in the log, so that the next leader knows for which instances it must not request
 	// operations for a while.
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Order{
-		Order: &workloadpb.Order{Instances: []string{in.Name}, Wave: op.wave, Workers: []string{in.lastWorker}},
+		Order: &workloadpb.Order{
+			Instances: []string{in.Name}, Wave: op.wave,
+			Workers: []string{in.lastWorker}, Incarnations: []uint64{op.incarnation},
+		},
 	}})
 }
 
@@ -400,12 +403,12 @@
 	return millis(e.fleet.startClockMs-o.AtMs) + e.now - e.leadingSince
 }
 
-// inheritOperations keeps runs from workers whose instances an earlier leader may have ordered to be moved or maintained just
-// now: such an operation doesn't wait for the starts of this leader.
+// inheritOperations keeps runs from the incarnations that operations of earlier leaders may still end. Such an operation
+// doesn't wait for the starts of this leader.
 func (e *Engine) inheritOperations() {
 	for _, w := range e.state.Workers() {
-		if o := e.state.LastOrderOf(w.ID()); o != nil {
-			if wait := e.cfg.TakeoverDelay + takeoverMargin - e.lastOrderAge(o.Instance); wait > 0 {
+		if o := e.state.LastOrderOf(w.Number()); o != nil {
+			if wait := ledger.MaxRequestDelay - e.lastOrderAge(o.Instance); wait > 0 {
 				e.sessions[w.Number()].operationUntil = e.now + wait
 			}
 		}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -176,8 +176,8 @@
 	case *workloadpb.Command_Order:
 		for i, name := range m.Order.Instances {
 			o := &workloadpb.LastOrder{Instance: name, Term: c.Term, AtMs: s.clockMs, Wave: m.Order.Wave}
-			if i < len(m.Order.Workers) { // Earlier versions don't tell the workers.
-				o.Worker = m.Order.Workers[i]
+			if i < len(m.Order.Workers) && i < len(m.Order.Incarnations) { // Earlier versions don't tell them.
+				o.Worker, o.Incarnation = m.Order.Workers[i], m.Order.Incarnations[i]
 			}
 			s.lastOrders[name] = o
 			if w := s.waves[m.Order.Wave]; w != nil && !slices.Contains(w.Ordered, name) {
@@ -276,11 +276,11 @@
 // LastOrder returns the last announced order for an instance, nil if there was none.
 func (s *State) LastOrder(instance string) *workloadpb.LastOrder { return s.lastOrders[instance] }
 
-// LastOrderOf returns the last announced order for the instance of a worker, nil if there was none.
-func (s *State) LastOrderOf(worker string) *workloadpb.LastOrder {
+// LastOrderOf returns the last announced order that ends an incarnation, nil if there was none.
+func (s *State) LastOrderOf(incarnation uint64) *workloadpb.LastOrder {
 	var last *workloadpb.LastOrder
 	for _, o := range s.lastOrders {
-		if o.Worker == worker && worker != "" && (last == nil || o.AtMs > last.AtMs) {
+		if o.Incarnation == incarnation && (last == nil || o.AtMs > last.AtMs) {
 			last = o
 		}
 	}
