platform: let the leader repeat starts whose connection was closed

The client sent a request once more by itself if its connection was closed. The leader now records the first copy and requests the start again; the worker doesn't count as unreachable.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -352,6 +352,10 @@
 	r.startInFlight = false
 	r.repeated = r.repeated || ev.Repeated
 	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.Repeated || ev.ExecutedBy > 0
+	if ev.Closed {
+		r.retryAt = e.now // An idle connection that the worker closes doesn't show that it is unreachable.
+		return
+	}
 	switch ev.Outcome {
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or has vanished.
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -96,7 +96,7 @@
 		if *l == (lateStarts{}) {
 			delete(t.byID, id)
 		}
-	case r == nil || ev.Repeated || r.startCopies > 1:
+	case r == nil || ev.Repeated || ev.Closed || r.startCopies > 1:
 		t.extend(id, until)
 	case !r.carriedOut:
 		t.addUnresolved(id, r, until)
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -227,3 +227,28 @@
 		})
 	}
 }
+
+// Guards against a start that is repeated, after its connection was closed, before later leaders can learn of the first copy,
+// and against a worker that counts as unreachable because of that.
+func TestStartOnClosedConnectionIsRecordedBeforeItIsRepeated(t *testing.T) {
+	s := newSim(t)
+	s.commitDelay = func() time.Duration { return 5 * simStep }
+	s.configure(1, nil, "glass")
+	w := s.addWorkers("glass", 1)[0]
+	s.run(3 * time.Second)
+	starts := 0
+	s.intercept = func(a kernel.Action) bool {
+		if _, ok := a.(workload.StartRun); !ok {
+			return false
+		}
+		if starts++; starts > 1 {
+			assert.Equal(t, len(s.e.State().LateStarts()), 1)
+			return false
+		}
+		answer := workload.Answer{Closed: true, SentAt: s.sentAt}
+		s.schedule(simStep, func() { s.observeAnswer(a, answer) })
+		return true
+	}
+	s.submit("glass", "job", step(1, 12000, 1000, 2000))
+	s.runUntil(300*time.Millisecond, func() bool { return len(w.runs) == 1 })
+}
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -158,6 +158,8 @@
 	Unattributed bool
 	// Repeated is set if the request was sent twice, and the first time it got no answer.
 	Repeated bool
+	// Closed is set if the request got no answer as its connection was closed, possibly before it was sent.
+	Closed bool
 	// ClockMs is the worker's clock in milliseconds since the incarnation started.
 	ClockMs int64
 	// SentAt and EndedAt are the times of the request and of its end on the leader's monotonic clock.
