workload: wait for operations as late as the platform carries them out

A move without an answer was given up after 3.5 s if a task waited for the worker, which then got starts.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -44,6 +44,8 @@
 	MoveDuration time.Duration
 	// TakeoverDelay is how long a new leader waits before its first request for an instance.
 	TakeoverDelay time.Duration
+	// MaxOperationDelay is how late an operation on an instance that got no answer may be carried out.
+	MaxOperationDelay time.Duration
 	// JobRetention is how long the state of an ended job is kept at least.
 	JobRetention time.Duration
 	// JobOrder is the order in which jobs are served.
@@ -111,6 +113,7 @@
 			*d.to = d.value
 		}
 	}
+	cfg.MaxOperationDelay = max(cfg.MaxOperationDelay, cfg.TakeoverDelay+takeoverMargin)
 	if cfg.IncrementCounter == nil {
 		cfg.IncrementCounter = func(string, string, string) {}
 	}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -333,7 +333,7 @@
 	if s == nil || !e.isHeldUp(op, s) {
 		return false
 	}
-	settledAt := op.requestedAt + e.cfg.TakeoverDelay + takeoverMargin
+	settledAt := op.requestedAt + e.cfg.MaxOperationDelay
 	if e.now < settledAt {
 		return true
 	}
