workload: evacuate an instance before its maintenance waits for late starts

Without a spare pool, the runs of an instance went on while its maintenance waited. A worker that answers renewals and never a start got the start again and again, each time with another 12 s to wait, so its maintenance never began. The instance is evacuated first again, which ends the repetition.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -286,17 +286,14 @@
 				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
 			e.postponeOperation(in)
 			return
-		case lateUntil > e.now+drainTimeout && e.sparePool() == "":
-			e.logWaitForStarts(in, lateUntil)
-			return // The runs needn't stop yet.
 		case op.wave > 0 && !e.evacuate(in, s):
 			return
 		}
 	}
 	if lateUntil > 0 && !op.requested {
 		// The next incarnation with the ID might execute such a start, so there must be none.
-		if s != nil {
-			e.turnOffForMaintenance(in, s)
+		if s == nil || !e.turnOffForMaintenance(in, s) {
+			e.logWaitForStarts(in, lateUntil)
 		}
 		return
 	}
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -214,15 +214,18 @@
 
 // turnOffForMaintenance moves an instance without runs, whose maintenance would have to wait for starts that may be carried
 // out late, to the spare pool first, unless a task waits that its worker could run. It can be maintained there at once, as
-// no worker boots.
-func (e *Engine) turnOffForMaintenance(in *instance, s *session) {
-	if spare := e.sparePool(); spare != "" && in.operation.wave > 0 && !e.couldRunWaitingTask(in.operation, s) {
-		move := e.newOperation(spare, 0)
-		move.beforeWave = in.operation.wave
-		in.operation = move
-		e.cfg.Log.Info("moving instance to the spare pool before its maintenance; a start may be carried out late", "instance",
-			in.Name, "worker", in.lastWorker, "from", in.Pool, "wave", move.beforeWave)
-	}
+// no worker boots. It reports whether it does so.
+func (e *Engine) turnOffForMaintenance(in *instance, s *session) bool {
+	spare := e.sparePool()
+	if spare == "" || in.operation.wave == 0 || e.couldRunWaitingTask(in.operation, s) {
+		return false
+	}
+	move := e.newOperation(spare, 0)
+	move.beforeWave = in.operation.wave
+	in.operation = move
+	e.cfg.Log.Info("moving instance to the spare pool before its maintenance; a start may be carried out late", "instance",
+		in.Name, "worker", in.lastWorker, "from", in.Pool, "wave", move.beforeWave)
+	return true
 }
 
 // sparePool returns the name of the spare pool, empty if there is none.
