workload: record the end of a run together with its late starts

A record of a start without an answer may be rejected by the log, while the end of its run is not. The next leader then knew neither, and a move let the start run in another pool (ROUTE). The command that records the end carries the time, too.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -256,7 +256,7 @@
 			cmp.Compare(a.Subtask.Index, b.Subtask.Index), cmp.Compare(a.Run, b.Run))
 	})
 	s.endsPending, s.endsProposedAt = true, e.now
-	e.recordLateStarts() // A later leader must not learn of the ends only.
+	m.LateStartsRemainingMs = e.unrecordedLateStarts(s).Milliseconds()
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
 }
 
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -146,6 +146,15 @@
 	return !r.startUnresolved && (l == nil || !l.isUnrecorded(e.now))
 }
 
+// unrecordedLateStarts returns for how long starts for a worker may be carried out that the log doesn't tell of, 0 if there are
+// none.
+func (e *Engine) unrecordedLateStarts(s *session) time.Duration {
+	if l := e.lateStarts.byID[s.worker.ID()]; l != nil && l.isUnrecorded(e.now) {
+		return l.possibleUntil - e.now
+	}
+	return 0
+}
+
 // isOver reports whether no start that has been sent can be carried out any more.
 func (l *lateStarts) isOver(now time.Duration) bool {
 	return l.inFlight == 0 && l.unresolved == 0 && l.possibleUntil <= now
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -240,6 +240,9 @@
 	if w == nil {
 		return
 	}
+	if m.LateStartsRemainingMs > 0 {
+		s.recordLateStarts(w.ID(), m.LateStartsRemainingMs)
+	}
 	for _, e := range m.Ends {
 		if e.Number > 0 && e.Number <= w.info.Noted {
 			continue
