--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -71,7 +71,7 @@
 	}
 	r.startUnresolved = false
 	t.of(id).unresolved--
-	if !isListed {
+	if !isListed || r.startCopies > 1 {
 		t.extend(id, r.lateUntil)
 	}
 }
@@ -85,7 +85,7 @@
 // recordResult records the result of a start; the run is nil if it has ended. Of a start that was sent twice, the first copy
 // has had no answer.
 func (t *lateStartTable) recordResult(r *run, ev StartRunResult) {
-	id, until := ev.Request.ID, ev.SentAt+ledger.MaxRequestDelay
+	id, until := ev.Request.ID, ev.EndedAt+ledger.MaxRequestDelay
 	l := t.of(id)
 	l.inFlight = max(l.inFlight-1, 0)
 	switch {
@@ -113,9 +113,12 @@
 }
 
 // inheritStart takes over the start of a run that an earlier leader assigned. A leader repeats no start that is not
-// recorded, so there is one at most.
+// recorded, so there is one at most unless there is a record.
 func (e *Engine) inheritStart(s *session, r *run) {
 	r.startCopies = 1
+	if e.lateStarts.of(s.worker.ID()).recordedUntil > 0 {
+		r.startCopies = 2
+	}
 	e.lateStarts.addUnresolved(s.worker.ID(), r, e.leadingSince+MaxConfirmationAge+ledger.MaxRequestDelay)
 }
 
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -257,7 +257,7 @@
 		}
 		if e.How == workloadpb.How_HOW_LOST {
 			s.recordLoss(w, k)
-			s.recordLateStarts(w.ID(), MaxRequestDelay.Milliseconds())
+			s.recordLateStarts(w.ID(), lateStartsAfterEnd.Milliseconds())
 		}
 		s.endRun(w, k, e.How, e.Checkpoint)
 		s.endJobIfFinished(t, at)
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -13,6 +13,10 @@
 // MaxRequestDelay is how late a request without an answer may be carried out.
 const MaxRequestDelay = 12 * time.Second
 
+// lateStartsAfterEnd is how long after the end of a run its start may be carried out late, on the ledger's clock: a deposed
+// leader may still send for 2 s, and heartbeats, which may end an incarnation, don't advance the clock.
+const lateStartsAfterEnd = MaxRequestDelay + 4*time.Second
+
 // endedWorkerRetention is how long the number of incarnations with an ID is kept after the last one has ended. A request for
 // that one is carried out at most seconds late.
 const endedWorkerRetention = 10 * time.Minute
@@ -206,7 +210,7 @@
 func (s *State) removeWorker(w *Worker, lost bool) {
 	if len(w.runs) > 0 {
 		// The answer to one of their starts may not be due yet.
-		s.recordLateStarts(w.ID(), MaxRequestDelay.Milliseconds())
+		s.recordLateStarts(w.ID(), lateStartsAfterEnd.Milliseconds())
 	}
 	for _, k := range sortedRunKeys(w.runs) {
 		if lost {
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -63,24 +63,26 @@
 	}
 }
 
+// moveFirstInstance makes the leader move the first instance of the pool glass, as a second one that is busy suffices and
+// another pool needs it.
+func moveFirstInstance(s *sim) {
+	row := *s.instances["m-glass-0"]
+	row.Name, row.Labels = "m-glass-1", []string{"b", "r1"}
+	s.instances[row.Name] = &row
+	s.startWorker(row.Name)
+	busy := step(1, 1000, 1000, 0)
+	busy.Lasting, busy.Label = true, "b"
+	s.submit("glass", "busy", busy)
+	s.submit("plates", "large", step(60, 12000, 1000, 1000))
+}
+
 // Guards against a move or maintenance that ends an incarnation while a start for it is still on its way, so that the next
 // incarnation with its ID runs the task in a pool of other queues, or once more.
 func TestOperationLetsNoLateStartReachNextIncarnation(t *testing.T) {
 	const submitted = 3 * time.Second
 	maintain := func(s *sim) { s.startWave(1, 1, "m-glass-0") }
-	move := func(s *sim) {
-		// The pool can do without the first instance, as a second one is busy, and another pool needs it.
-		row := *s.instances["m-glass-0"]
-		row.Name, row.Labels = "m-glass-1", []string{"b", "r1"}
-		s.instances[row.Name] = &row
-		s.startWorker(row.Name)
-		busy := step(1, 1000, 1000, 0)
-		busy.Lasting, busy.Label = true, "b"
-		s.submit("glass", "busy", busy)
-		s.submit("plates", "large", step(60, 12000, 1000, 1000))
-	}
 	moveThroughSparePool := func(s *sim) {
-		move(s)
+		moveFirstInstance(s)
 		in := s.instances["m-glass-0"]
 		s.runUntil(5*time.Second, func() bool { return in.Pool == "spare" && in.Up })
 		s.startTerm()
@@ -93,14 +95,14 @@
 		restarts bool
 		operate  func(s *sim)
 	}{
-		{"move", nil, false, move},
-		{"move, another leader before the answer was due", []time.Duration{300 * time.Millisecond}, false, move},
-		{"move, another leader", []time.Duration{1500 * time.Millisecond}, false, move},
-		{"move, another leader after the run", []time.Duration{3 * time.Second}, false, move},
-		{"move, two other leaders", []time.Duration{300 * time.Millisecond, 600 * time.Millisecond}, false, move},
-		{"move, two other leaders around the run", []time.Duration{300 * time.Millisecond, 3 * time.Second}, false, move},
-		{"move after a restart", nil, true, move},
-		{"move after a restart, another leader", []time.Duration{6 * time.Second}, true, move},
+		{"move", nil, false, moveFirstInstance},
+		{"move, another leader before the answer was due", []time.Duration{300 * time.Millisecond}, false, moveFirstInstance},
+		{"move, another leader", []time.Duration{1500 * time.Millisecond}, false, moveFirstInstance},
+		{"move, another leader after the run", []time.Duration{3 * time.Second}, false, moveFirstInstance},
+		{"move, two other leaders", []time.Duration{300 * time.Millisecond, 600 * time.Millisecond}, false, moveFirstInstance},
+		{"move, two other leaders around the run", []time.Duration{300 * time.Millisecond, 3 * time.Second}, false, moveFirstInstance},
+		{"move after a restart", nil, true, moveFirstInstance},
+		{"move after a restart, another leader", []time.Duration{6 * time.Second}, true, moveFirstInstance},
 		{"move through the spare pool, another leader", nil, false, moveThroughSparePool},
 		{"maintenance", nil, false, maintain},
 		{"maintenance without a spare pool", nil, false, func(s *sim) {
