--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -263,38 +263,7 @@
 	if op.requested && e.isUnansweredHeldUp(in) {
 		return
 	}
-	lateUntil := e.lateStartsUntil(in, cmp.Or(op.pool, in.Pool))
-	if s != nil && !op.requested {
-		switch {
-		case e.assignPending:
-			// The pending Assign command may give the worker runs.
-			return
-		case op.wave == 0 && lateUntil > 0:
-			in.operation = nil
-			return
-		case op.wave == 0 && e.couldRunWaitingTask(op, s):
-			e.cfg.Log.Info("instance is not moved; a task waits for it", "instance", in.Name, "pool", op.pool)
-			in.operation = nil
-			return
-		case op.wave == 0 && len(s.worker.Runs()) > 0:
-			if e.now-op.createdAt > drainTimeout {
-				in.operation = nil
-			}
-			return
-		case op.wave > 0 && e.isHeldUp(op, s):
-			e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
-				"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
-			e.postponeOperation(in)
-			return
-		case op.wave > 0 && !e.evacuate(in, s):
-			return
-		}
-	}
-	if lateUntil > 0 && !op.requested {
-		// The next incarnation with the ID might execute such a start, so there must be none.
-		if s == nil || !e.turnOffForMaintenance(in, s) {
-			e.logWaitForStarts(in, lateUntil)
-		}
+	if !op.requested && !e.prepareOperation(in, s) {
 		return
 	}
 	if e.mustWaitForTakeover(in.Name) {
@@ -312,7 +281,7 @@
 	}
 	op.announcedAt = e.now
 	// Operations are announced in the log, so that the next leader knows for which instances it must not request
-	// operations for a while.
+	// operations for a while, and to which workers it must give no runs.
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Order{
 		Order: &workloadpb.Order{
 			Instances: []string{in.Name}, Wave: op.wave,
@@ -321,6 +290,46 @@
 	}})
 }
 
+// prepareOperation prepares an instance for its operation: nothing may run on it, and no start be on its way that the next
+// incarnation could execute. It reports whether the operation can be requested, and may give it up.
+func (e *Engine) prepareOperation(in *instance, s *session) bool {
+	op := in.operation
+	lateUntil := e.lateStartsUntil(in, cmp.Or(op.pool, in.Pool))
+	if s == nil {
+		return lateUntil == 0
+	}
+	switch {
+	case e.assignPending:
+		// The pending Assign command may give the worker runs.
+		return false
+	case op.wave == 0 && lateUntil > 0:
+		in.operation = nil
+		return false
+	case op.wave == 0 && e.couldRunWaitingTask(op, s):
+		e.cfg.Log.Info("instance is not moved; a task waits for it", "instance", in.Name, "pool", op.pool)
+		in.operation = nil
+		return false
+	case op.wave == 0 && len(s.worker.Runs()) > 0:
+		if e.now-op.createdAt > drainTimeout {
+			in.operation = nil
+		}
+		return false
+	case op.wave > 0 && e.isHeldUp(op, s):
+		e.cfg.Log.Info("maintenance is held up; trying again later", "instance", in.Name, "wave", op.wave,
+			"lacks-room", op.lacksRoom, "awaits-ready", op.awaitsReady)
+		e.postponeOperation(in)
+		return false
+	case op.wave > 0 && !e.evacuate(in, s):
+		return false
+	case lateUntil > 0:
+		if !e.turnOffForMaintenance(in, s) {
+			e.logWaitForStarts(in, lateUntil)
+		}
+		return false
+	}
+	return true
+}
+
 // isUnansweredHeldUp reports whether an operation whose requests got no answer isn't requested again, because a task that
 // waits could run on the worker. The worker is released once no request can be carried out any more, so that the operation
 // ends no task that starts there.
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -214,38 +214,3 @@
 		}
 	}
 }
-
-// logWaitForStarts writes a line if maintenance begins to wait for starts that may be carried out late.
-func (e *Engine) logWaitForStarts(in *instance, until time.Duration) {
-	if !in.operation.awaitsStarts {
-		in.operation.awaitsStarts = true
-		e.cfg.Log.Info("maintenance waits for starts that may be carried out late", "instance", in.Name, "worker",
-			in.lastWorker, "wave", in.operation.wave, "for", (until - e.now).String())
-	}
-}
-
-// turnOffForMaintenance moves an instance without runs, whose maintenance would have to wait for starts that may be carried
-// out late, to the spare pool first, unless a task waits that its worker could run. It can be maintained there at once, as
-// no worker boots. It reports whether it does so.
-func (e *Engine) turnOffForMaintenance(in *instance, s *session) bool {
-	spare := e.sparePool()
-	if spare == "" || in.operation.wave == 0 || e.couldRunWaitingTask(in.operation, s) {
-		return false
-	}
-	move := e.newOperation(spare, 0)
-	move.beforeWave = in.operation.wave
-	in.operation = move
-	e.cfg.Log.Info("moving instance to the spare pool before its maintenance; a start may be carried out late", "instance",
-		in.Name, "worker", in.lastWorker, "from", in.Pool, "wave", move.beforeWave)
-	return true
-}
-
-// sparePool returns the name of the spare pool, empty if there is none.
-func (e *Engine) sparePool() string {
-	for _, p := range e.state.Document().GetPools() {
-		if p.Spare {
-			return p.Name
-		}
-	}
-	return ""
-}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -186,6 +186,16 @@
 	}
 }
 
+// sparePool returns the name of the spare pool, empty if there is none.
+func (e *Engine) sparePool() string {
+	for _, p := range e.state.Document().GetPools() {
+		if p.Spare {
+			return p.Name
+		}
+	}
+	return ""
+}
+
 // measureDemand adds up the demand of the tasks that run or could run now.
 func (e *Engine) measureDemand(pools map[string]*poolView) {
 	for _, j := range e.state.ActiveJobs() {
