workload: retry a start on a closed connection once without a pause

Since the leader repeats a start whose connection was closed at once, and the worker doesn't count as unreachable. A worker that closes every connection got the start again after each round trip: 200 times in 2 s of the simulation, with steps of 10 ms. Only the first one of a run is repeated without a pause now; the others count as failures like any start without an answer.

Found by reading. TestStartsOnClosedConnectionsAreRepeatedSeldom failed before.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -352,7 +352,7 @@
 	r.startInFlight = false
 	r.repeated = r.repeated || ev.Repeated
 	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.Repeated || ev.ExecutedBy > 0
-	if ev.Closed {
+	if ev.Closed && r.startCopies == 1 {
 		r.retryAt = e.now // An idle connection that the worker closes doesn't show that it is unreachable.
 		return
 	}
--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -254,3 +254,24 @@
 	s.submit("glass", "job", step(1, 12000, 1000, 2000))
 	s.runUntil(300*time.Millisecond, func() bool { return len(w.runs) == 1 })
 }
+
+// Guards against starts that are repeated without a pause on a worker that closes each connection.
+func TestStartsOnClosedConnectionsAreRepeatedSeldom(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.addWorkers("glass", 1)
+	s.run(3 * time.Second)
+	starts := 0
+	s.intercept = func(a kernel.Action) bool {
+		if _, ok := a.(workload.StartRun); !ok {
+			return false
+		}
+		starts++
+		answer := workload.Answer{Closed: true, SentAt: s.sentAt}
+		s.schedule(simStep, func() { s.observeAnswer(a, answer) })
+		return true
+	}
+	s.submit("glass", "job", step(1, 12000, 1000, 2000))
+	s.run(2 * time.Second)
+	assert.Assert(t, starts > 1 && starts <= 21, "%d starts in 2 s", starts) // minRetryDelay is 100 ms
+}
