workload: search no orders for each worker when a term begins

No change of behaviour. A new leader looked through all announced orders for each worker; it goes through the orders once now. The check for starts that the log doesn't tell of stood twice, and turnOffForMaintenance asked for a wave although moves never get there.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -412,11 +412,10 @@
 // inheritOperations keeps runs from the incarnations that operations of earlier leaders may still end. Such an operation
 // doesn't wait for the starts of this leader.
 func (e *Engine) inheritOperations() {
-	for _, w := range e.state.Workers() {
-		if o := e.state.LastOrderOf(w.Number()); o != nil {
-			if wait := ledger.MaxRequestDelay - e.lastOrderAge(o.Instance); wait > 0 {
-				e.sessions[w.Number()].operationUntil = e.now + wait
-			}
+	for name, o := range e.state.LastOrders() {
+		wait := ledger.MaxRequestDelay - e.lastOrderAge(name)
+		if s := e.sessions[o.Incarnation]; s != nil && wait > 0 {
+			s.operationUntil = max(s.operationUntil, e.now+wait)
 		}
 	}
 }
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -145,8 +145,7 @@
 // mayRequestStart reports whether the start of a run may be requested. A later leader takes a run that is listed for one
 // whose only start was carried out, so all others must be in the log first.
 func (e *Engine) mayRequestStart(s *session, r *run) bool {
-	l := e.lateStarts.byID[s.worker.ID()]
-	return !r.startUnresolved && (l == nil || !l.isUnrecorded(e.now))
+	return !r.startUnresolved && e.unrecordedLateStarts(s) == 0
 }
 
 // unrecordedLateStarts returns for how long starts for a worker may be carried out that the log doesn't tell of, 0 if there are
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -276,16 +276,8 @@
 // LastOrder returns the last announced order for an instance, nil if there was none.
 func (s *State) LastOrder(instance string) *workloadpb.LastOrder { return s.lastOrders[instance] }
 
-// LastOrderOf returns the last announced order that ends an incarnation, nil if there was none.
-func (s *State) LastOrderOf(incarnation uint64) *workloadpb.LastOrder {
-	var last *workloadpb.LastOrder
-	for _, o := range s.lastOrders {
-		if o.Incarnation == incarnation && (last == nil || o.AtMs > last.AtMs) {
-			last = o
-		}
-	}
-	return last
-}
+// LastOrders returns the last announced orders by instance. The map must not be modified.
+func (s *State) LastOrders() map[string]*workloadpb.LastOrder { return s.lastOrders }
 
 func (s *State) applyWave(w *workloadpb.Wave, at int64) {
 	if s.waves[w.Number] == nil {
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -70,7 +70,8 @@
 		e.lastOrderAge(name) < e.cfg.TakeoverDelay+takeoverMargin+e.cfg.MaintenanceDuration
 }
 
-// nextForMaintenance returns the instance whose maintenance can begin first or else costs least, or nil if no maintenance may start.
+// nextForMaintenance returns the instance whose maintenance can begin first, the cheapest of several, or nil if no maintenance
+// may start.
 func (e *Engine) nextForMaintenance(w *workloadpb.Wave) *instance {
 	var best *instance
 	shortest, least := time.Duration(0), int64(0)
@@ -189,7 +190,7 @@
 // no worker boots. It reports whether it does so.
 func (e *Engine) turnOffForMaintenance(in *instance, s *session) bool {
 	spare := e.sparePool()
-	if spare == "" || in.operation.wave == 0 || e.couldRunWaitingTask(in.operation, s) {
+	if spare == "" || e.couldRunWaitingTask(in.operation, s) {
 		return false
 	}
 	move := e.newOperation(spare, 0)
