--- a/internal/workload/operation_test.go
+++ b/internal/workload/operation_test.go
@@ -70,8 +70,8 @@
 	row.Name, row.Labels = "m-glass-1", []string{"b", "r1"}
 	s.instances[row.Name] = &row
 	s.startWorker(row.Name)
-	busy := step(1, 1000, 1000, 0)
-	busy.Lasting, busy.Label = true, "b"
+	busy := longRunningStep(1000)
+	busy.Label = "b"
 	s.submit("glass", "busy", busy)
 	s.submit("plates", "large", step(60, 12000, 1000, 1000))
 }
@@ -79,7 +79,6 @@
 // Guards against a move or maintenance that ends an incarnation while a start for it is still on its way, so that the next
 // incarnation with its ID runs the task in a pool of other queues, or once more.
 func TestOperationLetsNoLateStartReachNextIncarnation(t *testing.T) {
-	const submitted = 3 * time.Second
 	maintain := func(s *sim) { s.startWave(1, 1, "m-glass-0") }
 	moveThroughSparePool := func(s *sim) {
 		moveFirstInstance(s)
@@ -116,12 +115,8 @@
 		{"maintenance, two other leaders around the run", []time.Duration{300 * time.Millisecond, 3 * time.Second}, false, maintain},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			s := newSim(t)
-			s.keepsAllIDs = true
-			s.configure(1, nil, "glass", "plates", "spare")
-			w := s.addWorkers("glass", 1)[0]
-			s.addWorkers("plates", 1)
-			s.run(submitted)
+			s, w := newOperationSim(t)
+			submitted := s.now
 			l := newLateStart(s, w.m.Id)
 			s.submit("glass", "job", step(1, 12000, 1000, 700))
 			if tt.restarts {
@@ -171,9 +166,7 @@
 		})
 		return true
 	}
-	busy := step(1, 1000, 1000, 0)
-	busy.Lasting = true
-	s.submit("plates", "busy", busy)
+	s.submit("plates", "busy", longRunningStep(1000))
 	s.run(time.Second)
 	s.submit("plates", "large", step(2, 12000, 1000, 1000))
 	s.runUntil(5*time.Second, func() bool { return in.Pool == "plates" && in.Up })
@@ -187,12 +180,7 @@
 
 // Guards against instances that wait for a start whose answer was lost, although the list of the worker shows the run.
 func TestListedRunDelaysNoMove(t *testing.T) {
-	s := newSim(t)
-	s.keepsAllIDs = true
-	s.configure(1, nil, "glass", "plates", "spare")
-	w := s.addWorkers("glass", 1)[0]
-	s.addWorkers("plates", 1)
-	s.run(3 * time.Second)
+	s, w := newOperationSim(t)
 	s.intercept = func(a kernel.Action) bool {
 		start, ok := a.(workload.StartRun)
 		if ok {
@@ -230,6 +218,12 @@
 	}
 }
 
+// answerClosed answers a request that its connection was closed.
+func (s *sim) answerClosed(a kernel.Action) {
+	answer := workload.Answer{Closed: true, SentAt: s.sentAt}
+	s.schedule(simStep, func() { s.observeAnswer(a, answer) })
+}
+
 // Guards against a start that is repeated, after its connection was closed, before later leaders can learn of the first copy,
 // and against a worker that counts as unreachable because of that.
 func TestStartOnClosedConnectionIsRecordedBeforeItIsRepeated(t *testing.T) {
@@ -247,8 +241,7 @@
 			assert.Equal(t, len(s.e.State().LateStarts()), 1)
 			return false
 		}
-		answer := workload.Answer{Closed: true, SentAt: s.sentAt}
-		s.schedule(simStep, func() { s.observeAnswer(a, answer) })
+		s.answerClosed(a)
 		return true
 	}
 	s.submit("glass", "job", step(1, 12000, 1000, 2000))
@@ -267,8 +260,7 @@
 			return false
 		}
 		starts++
-		answer := workload.Answer{Closed: true, SentAt: s.sentAt}
-		s.schedule(simStep, func() { s.observeAnswer(a, answer) })
+		s.answerClosed(a)
 		return true
 	}
 	s.submit("glass", "job", step(1, 12000, 1000, 2000))
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -58,7 +58,6 @@
 	steps map[string][]*workloadpb.Step
 	// intercept handles a request instead of the fakes if it returns true; it may be nil.
 	intercept func(a kernel.Action) bool
-	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
 	// keepsID reports whether an instance starts its worker under the last ID after an operation; it may be nil.
 	keepsID func(instance string) bool
 	// keepsAllIDs makes each instance do so, also when it was off. parked holds the last workers of instances that are off.
@@ -76,7 +75,8 @@
 	// startsMute reports whether a worker sends no heartbeats at first; it may be nil.
 	startsMute func(w *fakeWorker) bool
 	// clockGain returns the thousandths by which the clock of a worker is fast; it may be nil.
-	clockGain    func(w *fakeWorker) int64
+	clockGain func(w *fakeWorker) int64
+	// requestDelay and commitDelay return how long a request and a command take; they may be nil.
 	requestDelay func(a kernel.Action) time.Duration
 	commitDelay  func() time.Duration
 	uncommitted  []uncommitted
