workload: log runs that end while a start of them may be carried out late

Each run keeps until when that may be; no decision depends on it yet. The timeout of requests to workers moves to the package that needs it for that.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,13 +11,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 )
 
-const (
-	// orderTimeout is the timeout of an order to a worker. Workers answer within a round trip, so a slower one is most
-	// likely unreachable.
-	orderTimeout = time.Second
-	// platformTimeout is the timeout of a call to the platform or to the adviser, which may be slow.
-	platformTimeout = 3 * time.Second
-)
+// platformTimeout is the timeout of a call to the platform or to the adviser, which may be slow.
+const platformTimeout = 3 * time.Second
 
 // Port calls workers, the adviser and the platform. Each function returns when ctx ends. The functions set no times in
 // their results; the dispatcher adds them.
@@ -120,7 +115,7 @@
 	switch a := a.(type) {
 	case workload.RenewLease:
 		result := workload.RenewLeaseResult{Request: a}
-		result.Answer = callWorker(&a.RequestHeader, a.Wait+orderTimeout, func(ctx context.Context) workload.Answer {
+		result.Answer = callWorker(&a.RequestHeader, a.Wait+workload.RequestTimeout, func(ctx context.Context) workload.Answer {
 			r := port.RenewLease(ctx, a)
 			result.Running, result.Ended = r.Running, r.Ended
 			return r.Answer
@@ -129,21 +124,21 @@
 	case workload.StartRun:
 		return workload.StartRunResult{
 			Request: a,
-			Answer: callWorker(&a.RequestHeader, orderTimeout, func(ctx context.Context) workload.Answer {
+			Answer: callWorker(&a.RequestHeader, workload.RequestTimeout, func(ctx context.Context) workload.Answer {
 				return port.StartRun(ctx, a)
 			}),
 		}
 	case workload.StopRun:
 		return workload.StopRunResult{
 			Request: a,
-			Answer: callWorker(&a.RequestHeader, orderTimeout, func(ctx context.Context) workload.Answer {
+			Answer: callWorker(&a.RequestHeader, workload.RequestTimeout, func(ctx context.Context) workload.Answer {
 				return port.StopRun(ctx, a)
 			}),
 		}
 	case workload.ThrottleRun:
 		return workload.ThrottleRunResult{
 			Request: a,
-			Answer: callWorker(&a.RequestHeader, orderTimeout, func(ctx context.Context) workload.Answer {
+			Answer: callWorker(&a.RequestHeader, workload.RequestTimeout, func(ctx context.Context) workload.Answer {
 				return port.ThrottleRun(ctx, a)
 			}),
 		}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -439,6 +439,7 @@
 		if s.worker.HasEnded() {
 			delete(e.sessions, n)
 			for _, r := range s.runs {
+				e.logLateStart(s, r, "incarnation-ended")
 				e.lateStarts.resolve(s.worker.ID(), r, false)
 			}
 			e.cfg.Log.Info("incarnation of a worker ended", "worker", s.worker.ID(), "boot", n)
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -71,9 +71,11 @@
 	}
 	r.startUnresolved = false
 	t.of(id).unresolved--
-	if !isListed || r.startCopies > 1 {
-		t.extend(id, r.lateUntil)
+	if isListed && r.startCopies == 1 {
+		r.lateUntil = 0
+		return
 	}
+	t.extend(id, r.lateUntil)
 }
 
 // recordSent notes that the start of a run for an ID is sent.
@@ -96,13 +98,40 @@
 		if *l == (lateStarts{}) {
 			delete(t.byID, id)
 		}
-	case r == nil || ev.Repeated || ev.Closed || r.startCopies > 1:
+	case r == nil:
+		t.extend(id, until)
+	case ev.Repeated || ev.Closed || r.startCopies > 1:
+		r.lateUntil = max(r.lateUntil, until)
 		t.extend(id, until)
 	case !r.carriedOut:
 		t.addUnresolved(id, r, until)
 	}
 }
 
+// lateStartUntil returns until when a start of the run that has no answer may be carried out, 0 if there is none.
+func (r *run) lateStartUntil(now time.Duration) time.Duration {
+	until := r.lateUntil
+	if r.startInFlight && (!r.carriedOut || r.startCopies > 1) {
+		until = max(until, now+RequestTimeout+ledger.MaxRequestDelay)
+	}
+	if until <= now {
+		return 0
+	}
+	return until
+}
+
+// logLateStart writes a line on a run that ends while a start of it may still be carried out.
+func (e *Engine) logLateStart(s *session, r *run, kind string) {
+	until := r.lateStartUntil(e.now)
+	if until == 0 {
+		return
+	}
+	e.cfg.IncrementCounter("hibiscusroute_runs_ended_before_late_starts_total", "kind", kind)
+	e.cfg.Log.Info("run ended while a start of it may be carried out late", "worker", s.worker.ID(), "boot", s.worker.Number(),
+		"kind", kind, "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.name.Run,
+		"late-starts-end-in", (until - e.now).String(), "answers", s.failures == 0, "replaced", s.successorMs > 0)
+}
+
 // inheritLateStarts takes over what earlier leaders recorded.
 func (e *Engine) inheritLateStarts() {
 	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}}
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -6,6 +6,10 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+// RequestTimeout is how long the answer to a request to a worker is waited for, beyond the time that the request asks the worker
+// to wait. Workers answer within a round trip, so a slower one is most likely unreachable.
+const RequestTimeout = time.Second
+
 // RunName identifies a run on workers.
 type RunName struct {
 	// Job is the ID that the client chose.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -131,7 +131,7 @@
 	inherited       bool          // assigned by an earlier leader, and the worker was not asked for it yet
 	startCopies     int           // requests to start it without an answer, with those of earlier leaders
 	startUnresolved bool          // the only one has no answer, and no list has told yet whether it was carried out
-	lateUntil       time.Duration // it may be carried out late until then
+	lateUntil       time.Duration // starts without an answer may be carried out until then, 0 if there are none
 	carriedOut      bool          // a list has shown the run
 	startInFlight   bool
 	stopInFlight    bool
@@ -215,6 +215,7 @@
 	s.endsPending = false
 	for k, r := range s.runs {
 		if s.worker.Runs()[k] == nil {
+			e.logLateStart(s, r, "run-ended")
 			e.lateStarts.resolve(s.worker.ID(), r, false)
 			delete(s.runs, k)
 		}
