workload: keep a task to a worker's ID while a late start may be carried out there

Cause: a run was ended, as its worker was lost or had started again, while a start of it without an answer could still be carried out, up to 12 s after it was sent. The task started elsewhere; an incarnation with the ID that no request had reached then carried out the late start. Nothing that such an incarnation checks (ID, deadline by its own clock, fencing token) can reject it, so only the leader can prevent it, by where and when the task starts.

The end of a run now carries for how long a start of it may be late, the ledger keeps that with the task, and the task starts only on a worker with the ID until then. A worker takes runs only once it rejects earlier starts, so incarnations of one ID follow each other, and so do their runs. After that it may start elsewhere once a list of the worker lacks the run, or the longest lease has passed; at once, if another worker has the address. Long-running tasks, which may not be away for so long, are left out.

An unanswered start is recorded in the log at once, not only once it is to be repeated, so that a later leader knows of it.

Ruled out: waiting on all workers instead of all others.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -141,7 +141,7 @@
 		e.recordFence(s, ev.EndedAt)
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
-		s.hasListed = true
+		s.hasListed, s.listedAt = true, ev.SentAt
 	case OtherIncarnation:
 		e.handleOtherIncarnation(s, "lease renewal", ev.Answer)
 		e.settleRuns(s, ev)
@@ -257,6 +257,11 @@
 	})
 	s.endsPending, s.endsProposedAt = true, e.now
 	m.LateStartsRemainingMs = e.unrecordedLateStarts(s).Milliseconds()
+	for _, end := range m.Ends {
+		if r := s.runs[ledger.RunKeyOf(end.Subtask, end.Run)]; r != nil && end.How != workloadpb.How_HOW_DONE {
+			end.LateStartRemainingMs = e.remainingLateStart(r).Milliseconds()
+		}
+	}
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
 }
 
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -31,8 +31,9 @@
 	unresolvedUntil time.Duration
 	// possibleUntil is when none of the other starts without an answer is carried out any more.
 	possibleUntil time.Duration
-	// recordedUntil is what the log tells of that, proposedUntil what was proposed at proposedAt.
-	recordedUntil, proposedUntil, proposedAt time.Duration
+	// recordedUntil is what the log tells of the starts without an answer, proposedUntil what was proposed at proposedAt. The log
+	// has to tell of mustRecordUntil.
+	recordedUntil, proposedUntil, proposedAt, mustRecordUntil time.Duration
 }
 
 // of returns the starts for an ID, creating an entry if there is none.
@@ -49,14 +50,20 @@
 func (t *lateStartTable) extend(id string, until time.Duration) {
 	l := t.of(id)
 	l.possibleUntil = max(l.possibleUntil, until)
-	if l.possibleUntil > l.recordedUntil {
+	t.mustRecord(l, until)
+}
+
+// mustRecord notes that the log has to tell of starts until a time.
+func (t *lateStartTable) mustRecord(l *lateStarts, until time.Duration) {
+	l.mustRecordUntil = max(l.mustRecordUntil, until)
+	if l.mustRecordUntil > l.recordedUntil {
 		t.checkAt = 0
 	}
 }
 
-// addUnresolved notes that the only start of a run for an ID has no answer.
+// addUnresolved notes that the only start of a run for an ID may have no answer.
 func (t *lateStartTable) addUnresolved(id string, r *run, until time.Duration) {
-	r.startUnresolved, r.lateUntil = true, until
+	r.startUnresolved, r.unresolvedUntil = true, until
 	l := t.of(id)
 	l.unresolved++
 	l.unresolvedUntil = max(l.unresolvedUntil, until)
@@ -75,7 +82,7 @@
 		r.lateUntil = 0
 		return
 	}
-	t.extend(id, r.lateUntil)
+	t.extend(id, r.unresolvedUntil)
 }
 
 // recordSent notes that the start of a run for an ID is sent.
@@ -104,7 +111,9 @@
 		r.lateUntil = max(r.lateUntil, until)
 		t.extend(id, until)
 	case !r.carriedOut:
+		r.lateUntil = until
 		t.addUnresolved(id, r, until)
+		t.mustRecord(l, until)
 	}
 }
 
@@ -120,6 +129,75 @@
 	return until
 }
 
+// remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not.
+// Long-running tasks don't wait, as they have to run again soon, and speculative ones may run twice.
+func (e *Engine) remainingLateStart(r *run) time.Duration {
+	until := r.lateStartUntil(e.now)
+	if step := r.task.Step().Step; until == 0 || step.Lasting || step.Speculative {
+		return 0
+	}
+	return until - e.now
+}
+
+// hasLateStarts reports whether tasks of a session's runs have to wait for starts of these.
+func (e *Engine) hasLateStarts(s *session) bool {
+	for _, r := range s.runs {
+		if e.remainingLateStart(r) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUpLateRuns gives up the runs of a worker that is lost whose tasks have to wait, so that the log tells of that.
+func (e *Engine) giveUpLateRuns(s *session) {
+	for _, r := range s.runs {
+		if e.remainingLateStart(r) > 0 {
+			r.giveUpAsLost()
+		}
+	}
+	e.endGivenUpRuns(s)
+}
+
+// pinnedTo returns the ID of the only worker that a task may start on, because an incarnation with the ID may still carry out a
+// start of an ended run, or work on that run. A later one with the ID can start the task, as a worker takes runs only once it
+// rejects that start. The ID is empty if the task may start anywhere.
+func (e *Engine) pinnedTo(t *ledger.Task) string {
+	l := t.LateStart()
+	if l == nil || e.isOutOfReach(l) {
+		return ""
+	}
+	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
+	if over > worstCaseDuration(e.cfg.MaxLease) || over > 0 && e.hasListedSince(l.Worker, e.now-over) {
+		return "" // Even a run that started last has ended.
+	}
+	return l.Worker
+}
+
+// hasListedSince reports whether the incarnation with an ID has listed its runs since a time, all of them assigned to it. If not,
+// it is asked for a list.
+func (e *Engine) hasListedSince(id string, at time.Duration) bool {
+	w := e.state.WorkerByID(id)
+	if w == nil {
+		return false
+	}
+	s := e.sessions[w.Number()]
+	if s.listedAt <= at {
+		s.mustList = true
+		e.markDirty(s)
+		return false
+	}
+	return !s.hasUnassignedRuns
+}
+
+// isOutOfReach reports whether no incarnation can carry out a late start: a later one with another ID has the address, or one
+// with the ID has another address.
+func (e *Engine) isOutOfReach(l *workloadpb.LateStart) bool {
+	return slices.ContainsFunc(e.state.Workers(), func(w *ledger.Worker) bool {
+		return w.StartedMs() > l.StartedMs && (w.ID() == l.Worker) != (w.Address() == l.Address)
+	})
+}
+
 // logLateStart writes a line on a run that ends while a start of it may still be carried out.
 func (e *Engine) logLateStart(s *session, r *run, kind string) {
 	until := r.lateStartUntil(e.now)
@@ -145,8 +223,11 @@
 // recorded, so there is one at most unless there is a record.
 func (e *Engine) inheritStart(s *session, r *run) {
 	r.startCopies = 1
-	if e.lateStarts.of(s.worker.ID()).recordedUntil > 0 {
+	if until := e.lateStarts.of(s.worker.ID()).recordedUntil; until > 0 {
 		r.startCopies = 2
+		if s.worker.MayRunLate(r.task.RunOn(s.worker)) {
+			r.lateUntil = until
+		}
 	}
 	e.lateStarts.addUnresolved(s.worker.ID(), r, e.leadingSince+MaxConfirmationAge+ledger.MaxRequestDelay)
 }
@@ -181,7 +262,7 @@
 // none.
 func (e *Engine) unrecordedLateStarts(s *session) time.Duration {
 	if l := e.lateStarts.byID[s.worker.ID()]; l != nil && l.isUnrecorded(e.now) {
-		return l.possibleUntil - e.now
+		return l.mustRecordUntil - e.now
 	}
 	return 0
 }
@@ -193,7 +274,7 @@
 
 // isUnrecorded reports whether a start may be carried out later than the log tells.
 func (l *lateStarts) isUnrecorded(now time.Duration) bool {
-	return l.possibleUntil > max(l.recordedUntil, now)
+	return l.mustRecordUntil > max(l.recordedUntil, now)
 }
 
 // recordLateStarts proposes to record the starts that got no answer.
@@ -210,11 +291,11 @@
 		case l.isOver(e.now):
 			delete(t.byID, id)
 		case !l.isUnrecorded(e.now):
-		case l.proposedUntil >= l.possibleUntil && e.now < retryAt:
+		case l.proposedUntil >= l.mustRecordUntil && e.now < retryAt:
 			t.checkAt = min(t.checkAt, retryAt)
 		default:
 			m.Workers = append(m.Workers, id)
-			remaining = max(remaining, l.possibleUntil-e.now)
+			remaining = max(remaining, l.mustRecordUntil-e.now)
 		}
 	}
 	if len(m.Workers) == 0 {
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -181,7 +181,7 @@
 
 func (s *State) applyAssign(m *workloadpb.Assign) {
 	for _, a := range m.Assignments {
-		k := runKeyOf(a.Subtask, a.Run)
+		k := RunKeyOf(a.Subtask, a.Run)
 		if t := s.findTask(k); t != nil && s.mayAssign(t, a, m.RecordsLosses) {
 			r := ActiveRun{Run: k.Run, Worker: s.workers[a.Worker], Isolated: a.Isolated}
 			if m.RecordsLosses {
@@ -241,13 +241,13 @@
 		return
 	}
 	if m.LateStartsRemainingMs > 0 {
-		s.recordLateStarts(w.ID(), m.LateStartsRemainingMs)
+		s.recordUnansweredStarts(w.ID(), m.LateStartsRemainingMs)
 	}
 	for _, e := range m.Ends {
 		if e.Number > 0 && e.Number <= w.info.Noted {
 			continue
 		}
-		k := runKeyOf(e.Subtask, e.Run)
+		k := RunKeyOf(e.Subtask, e.Run)
 		t := w.runs[k]
 		if t == nil {
 			t = s.findTask(k)
@@ -260,6 +260,11 @@
 			s.recordLateStarts(w.ID(), lateStartsAfterEnd.Milliseconds())
 		}
 		s.endRun(w, k, e.How, e.Checkpoint)
+		if e.LateStartRemainingMs > 0 {
+			t.lateStart = &workloadpb.LateStart{
+				Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + e.LateStartRemainingMs,
+			}
+		}
 		s.endJobIfFinished(t, at)
 	}
 	w.info.Noted = max(w.info.Noted, m.Noted)
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -157,16 +157,31 @@
 	// ActiveRuns are the assigned runs whose end is not recorded yet.
 	ActiveRuns []ActiveRun
 
-	step   *StepRun
-	losses []*workloadpb.Loss
+	step      *StepRun
+	losses    []*workloadpb.Loss
+	lateStart *workloadpb.LateStart
 }
 
 // Step returns the step that the task belongs to.
 func (t *Task) Step() *StepRun { return t.step }
 
+// LateStart returns the last late start of an ended run of the task that the log tells of, nil if there is none. It must not be
+// modified.
+func (t *Task) LateStart() *workloadpb.LateStart { return t.lateStart }
+
 // IsWaiting reports whether the task is neither done nor assigned.
 func (t *Task) IsWaiting() bool { return !t.Done && len(t.ActiveRuns) == 0 }
 
+// RunOn returns the last run of the task that is assigned to a worker, the zero value if there is none.
+func (t *Task) RunOn(w *Worker) ActiveRun {
+	for _, a := range slices.Backward(t.ActiveRuns) {
+		if a.Worker == w {
+			return a
+		}
+	}
+	return ActiveRun{}
+}
+
 // RunsOn reports whether a run of the task is assigned to a worker.
 func (t *Task) RunsOn(w *Worker) bool {
 	return slices.ContainsFunc(t.ActiveRuns, func(a ActiveRun) bool { return a.Worker == w })
@@ -212,6 +227,7 @@
 	return &workloadpb.Task{Job: k.Job, Occurrence: k.Occurrence, Step: k.Step, Index: k.Index}
 }
 
-func runKeyOf(m *workloadpb.Task, run int32) RunKey {
+// RunKeyOf returns the key of a run of the task that a message identifies.
+func RunKeyOf(m *workloadpb.Task, run int32) RunKey {
 	return RunKey{Job: m.GetJob(), Occurrence: m.GetOccurrence(), Step: m.GetStep(), Index: m.GetIndex(), Run: run}
 }
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -48,6 +48,7 @@
 				t := &st.Tasks[i]
 				tm := &workloadpb.TaskState{
 					Done: t.Done, Runs: t.LastRun, Failures: t.Failures, Checkpoint: t.Checkpoint, Losses: t.losses,
+					LateStart: t.lateStart,
 				}
 				for _, a := range t.ActiveRuns {
 					tm.Attempts = append(tm.Attempts, &workloadpb.ActiveRun{
@@ -110,6 +111,7 @@
 			for n, tm := range sm.Subtasks {
 				t := &o.Steps[i].Tasks[n]
 				t.LastRun, t.Failures, t.Checkpoint = tm.Runs, tm.Failures, tm.Checkpoint
+				t.lateStart = tm.LateStart
 				t.setLosses(tm.Losses)
 				for _, a := range tm.Attempts {
 					if w := s.workers[a.Worker]; w != nil {
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -208,7 +208,7 @@
 		s.applyMaintained(m.Maintained)
 	case *workloadpb.Command_HarmlessTasks:
 		for _, m := range m.HarmlessTasks.Tasks {
-			if t := s.findTask(runKeyOf(m, 0)); t != nil {
+			if t := s.findTask(RunKeyOf(m, 0)); t != nil {
 				t.markHarmless()
 			}
 		}
@@ -217,7 +217,7 @@
 		s.applyLeaseSuspension(m.LeaseSuspension)
 	case *workloadpb.Command_LateStarts:
 		for _, id := range m.LateStarts.Workers {
-			s.recordLateStarts(id, m.LateStarts.RemainingMs)
+			s.recordUnansweredStarts(id, m.LateStarts.RemainingMs)
 		}
 	case *workloadpb.Command_LeaseBound:
 		s.leaseTerm, s.leaseMs = c.Term, m.LeaseBound.LeaseMs
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -79,6 +79,11 @@
 // AssignedSinceMs returns when a run was first assigned to the worker on the ledger's clock, 0 if none was.
 func (w *Worker) AssignedSinceMs() int64 { return w.info.AssignedSinceMs }
 
+// MayRunLate reports whether a leader has recorded a start for the worker without an answer since a run was assigned to it.
+func (w *Worker) MayRunLate(r ActiveRun) bool {
+	return w.info.UnansweredStartMs > 0 && w.info.UnansweredStartMs >= r.assignedMs
+}
+
 // RecordedSequence returns the sequence of the last heartbeat that was recorded, 0 if it is not known.
 func (w *Worker) RecordedSequence() uint64 { return w.info.Sequence }
 
@@ -153,7 +158,7 @@
 			m.Number, m.Noted, m.Draining = w.info.Number, w.info.Noted, m.Draining || w.info.Draining
 			m.LeasesEndMs, m.Sequence = w.info.LeasesEndMs, r.Sequence
 			m.Predecessors, m.AssignedSinceMs = w.info.Predecessors, w.info.AssignedSinceMs
-			m.LateStartsEndMs = w.info.LateStartsEndMs
+			m.LateStartsEndMs, m.UnansweredStartMs = w.info.LateStartsEndMs, w.info.UnansweredStartMs
 			w.info, w.capacity = m, ResourcesOf(m.Capacity)
 			s.markChanged()
 			return
@@ -171,7 +176,7 @@
 	m = proto.CloneOf(m)
 	m.Number, m.Noted, m.LeasesEndMs, m.Sequence = s.nextWorker, 0, 0, r.Sequence
 	m.Predecessors, m.AssignedSinceMs = s.endedWorkers[m.Id].GetIncarnations(), 0
-	m.LateStartsEndMs = s.endedWorkers[m.Id].GetLateStartsEndMs()
+	m.LateStartsEndMs, m.UnansweredStartMs = s.endedWorkers[m.Id].GetLateStartsEndMs(), 0
 	delete(s.endedWorkers, m.Id)
 	s.addWorker(m)
 	s.markChanged()
@@ -252,6 +257,15 @@
 	return ends
 }
 
+// recordUnansweredStarts records the starts for an ID that a leader got no answer to.
+func (s *State) recordUnansweredStarts(id string, remainingMs int64) {
+	s.recordLateStarts(id, remainingMs)
+	if w := s.workersByID[id]; w != nil {
+		w.info.UnansweredStartMs = max(s.clockMs, 1)
+	}
+}
+
+// recordLateStarts records that starts for an ID may be carried out late.
 func (s *State) recordLateStarts(id string, remainingMs int64) {
 	end := s.clockMs + remainingMs
 	if w := s.workersByID[id]; w != nil {
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -36,7 +36,7 @@
 	}
 	e.markDirty(s)
 	if s.settled {
-		return s.endsPending
+		return s.endsPending || e.hasLateStarts(s)
 	}
 	return s.hasDoubtfulRuns()
 }
@@ -71,6 +71,10 @@
 		}
 		return
 	}
+	if e.hasLateStarts(s) {
+		e.giveUpLateRuns(s)
+		return
+	}
 	s.nextRenewalAt = e.now + proposalTimeout
 	if s.successorHeartbeat != nil && e.now-s.successorSeenAt <= e.cfg.HeartbeatInterval {
 		e.cfg.Log.Info("registering the later incarnation of a worker", "worker", s.worker.ID(), "boot", s.worker.Number(),
@@ -90,10 +94,12 @@
 	}
 	for _, row := range ev.Running {
 		e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: row.Name})
+		e.resolveStart(s, row.Name)
 	}
 	s.settled = len(ev.Running) == 0
 	m := &workloadpb.Ends{Worker: s.worker.Number()}
 	for _, row := range ev.Ended {
+		e.resolveStart(s, row.Name)
 		if k, ok := e.runKey(row.Name); ok && s.runs[k] != nil && row.How == workloadpb.How_HOW_DONE {
 			m.Ends = append(m.Ends, &workloadpb.End{
 				Subtask: k.TaskMessage(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint,
@@ -103,6 +109,13 @@
 	e.proposeEnds(s, m)
 }
 
+// resolveStart notes that a start of a run was carried out, as a list of the later incarnation shows.
+func (e *Engine) resolveStart(s *session, n RunName) {
+	if k, ok := e.runKey(n); ok && s.runs[k] != nil {
+		e.lateStarts.resolve(s.worker.ID(), s.runs[k], true)
+	}
+}
+
 // forgetSuccessor keeps the heartbeat of a later incarnation that has left from registering it.
 func (e *Engine) forgetSuccessor(m *workloadpb.Leave) {
 	if w := e.state.WorkerByID(m.Id); w != nil {
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -50,15 +50,15 @@
 	return len(t.Losses()) >= isolatedFrom && countOthers(w.unproven, g.job()) == 0
 }
 
-// groupTasks divides the waiting tasks of a step into groups. The tasks of a gang form one group.
-func (in *Input) groupTasks(s *ledger.StepRun) (isolated, suspect, other taskGroup) {
+// groupTasks divides the waiting tasks of a step with a pin into groups. The tasks of a gang form one group.
+func (in *Input) groupTasks(s *ledger.StepRun, pin string) (isolated, suspect, other taskGroup) {
 	isolated = taskGroup{step: s, suspect: true, isolated: true}
 	suspect = taskGroup{step: s, suspect: true}
 	other = taskGroup{step: s}
 	for i := range s.Tasks {
 		t := &s.Tasks[i]
 		switch {
-		case !t.IsWaiting() || t.AwaitsCause(in.ClockMs):
+		case !t.IsWaiting() || t.AwaitsCause(in.ClockMs) || in.pinnedTo(t) != pin:
 		case mustBeIsolated(t):
 			isolated.tasks = append(isolated.tasks, t)
 		case len(t.Losses()) > 0:
@@ -144,14 +144,14 @@
 	return m
 }
 
-// placeIsolated assigns the tasks that must be isolated. Where there is room for one, or for a gang, but beside runs that
+// placeIsolated assigns the tasks with a pin that must be isolated. Where there is room for one, or for a gang, but beside runs that
 // aren't known to be harmless, it keeps workers from taking further tasks until these are, which is soon. Runs that take the
 // room of a task may last, so it keeps no worker from others until they end.
-func (p *pass) placeIsolated(s *ledger.StepRun, workers []*Worker) {
+func (p *pass) placeIsolated(s *ledger.StepRun, pin string, workers []*Worker) {
 	if !s.HasLosses() || len(workers) == 0 {
 		return
 	}
-	g, _, _ := p.in.groupTasks(s)
+	g, _, _ := p.in.groupTasks(s, pin)
 	limit := max(len(workers)/keptFraction, 1)
 	mayKeep := func() bool { return s.Step.Gang || countKept(workers, g.job()) < limit }
 	left := p.countStartable(&g)
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -70,6 +70,8 @@
 	BeyondShare func(j *ledger.Job) bool
 	// IsDelayed reports whether no tasks of a step are assigned now. It may be nil.
 	IsDelayed func(s *ledger.StepRun) bool
+	// PinnedTo returns the ID of the only worker that a task may start on, empty if it may start on any. It may be nil.
+	PinnedTo func(t *ledger.Task) string
 	// Allowed reports whether the adviser lets a worker run a step now, and MayReserve whether its last answer did, even
 	// if that isn't valid any more. Both may be nil.
 	Allowed, MayReserve func(s *ledger.StepRun, w *Worker) bool
@@ -84,8 +86,7 @@
 	busy         map[string]bool
 	withheld     map[string]*Worker
 	plannedUsage map[string]ledger.Resources
-	// tasksOnWorkers is the number of tasks of a step by the number of the incarnation, for steps whose tasks are placed in
-	// several groups.
+	// tasksOnWorkers is the number of tasks of a step by the number of the incarnation.
 	tasksOnWorkers map[*ledger.StepRun]map[uint64]int
 	assignments    []*workloadpb.Assignment
 }
@@ -109,15 +110,43 @@
 	return p.assignments
 }
 
-// forEachStep calls place for each step with tasks that may start, until there are enough assignments.
-func (p *pass) forEachStep(place func(s *ledger.StepRun, workers []*Worker)) {
+// forEachStep calls place for each step with tasks that may start, until there are enough assignments. The tasks that are pinned
+// to a worker are placed apart from the others, so a gang with both waits.
+func (p *pass) forEachStep(place func(s *ledger.StepRun, pin string, workers []*Worker)) {
 	for _, c := range p.in.Candidates {
 		for _, s := range c.ReadySteps() {
-			if len(p.assignments) < p.in.MaxAssignments && (p.in.IsDelayed == nil || !p.in.IsDelayed(s)) {
-				place(s, p.pools[c.queue.Pool])
+			if len(p.assignments) >= p.in.MaxAssignments || p.in.IsDelayed != nil && p.in.IsDelayed(s) {
+				continue
+			}
+			workers := p.pools[c.queue.Pool]
+			place(s, "", workers)
+			for _, id := range p.in.pins(s) {
+				if i := slices.IndexFunc(workers, func(w *Worker) bool { return w.ID() == id }); i >= 0 {
+					place(s, id, workers[i:i+1])
+				}
+			}
+		}
+	}
+}
+
+// pins returns the IDs of the workers that waiting tasks of a step are pinned to.
+func (in *Input) pins(s *ledger.StepRun) []string {
+	var ids []string
+	for i := range s.Tasks {
+		if t := &s.Tasks[i]; t.IsWaiting() {
+			if id := in.pinnedTo(t); id != "" && !slices.Contains(ids, id) {
+				ids = append(ids, id)
 			}
 		}
 	}
+	return ids
+}
+
+func (in *Input) pinnedTo(t *ledger.Task) string {
+	if in.PinnedTo == nil {
+		return ""
+	}
+	return in.PinnedTo(t)
 }
 
 // ReadySteps returns the steps of the occurrence with tasks that may start now.
@@ -131,9 +160,9 @@
 	return list
 }
 
-// placeTasks assigns as many waiting tasks of a step as fit, except those that must be isolated.
-func (p *pass) placeTasks(s *ledger.StepRun, workers []*Worker) {
-	_, suspect, other := p.in.groupTasks(s)
+// placeTasks assigns as many waiting tasks of a step with a pin as fit, except those that must be isolated.
+func (p *pass) placeTasks(s *ledger.StepRun, pin string, workers []*Worker) {
+	_, suspect, other := p.in.groupTasks(s, pin)
 	p.placeGroup(&suspect, workers)
 	p.placeGroup(&other, workers)
 }
@@ -233,9 +262,7 @@
 	g.tasksOnWorker = p.tasksOnWorkers[s]
 	if g.tasksOnWorker == nil {
 		g.tasksOnWorker = TasksOnWorkers(s)
-		if s.HasLosses() {
-			p.tasksOnWorkers[s] = g.tasksOnWorker
-		}
+		p.tasksOnWorkers[s] = g.tasksOnWorker
 	}
 	g.rack = s.Step.DataRack
 	for i := range s.Tasks {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -102,11 +102,12 @@
 	failingSince          time.Duration
 	unansweredAt          time.Duration // the answer to the first request that failed was due
 	lastAnswerAt          time.Duration
-	mustAnswer            bool // gets no new runs until it answers a request
-	hasListed             bool // has listed its runs to this leader
-	hasUnassignedRuns     bool // lists runs that are not assigned to it
-	listFull              bool // the last list may lack ends
-	consecutiveFailedRuns int  // runs that failed since one succeeded
+	mustAnswer            bool          // gets no new runs until it answers a request
+	hasListed             bool          // has listed its runs to this leader
+	listedAt              time.Duration // the last list was requested
+	hasUnassignedRuns     bool          // lists runs that are not assigned to it
+	listFull              bool          // the last list may lack ends
+	consecutiveFailedRuns int           // runs that failed since one succeeded
 	excludedUntil         time.Duration
 	reservedForOperation  bool // gets no new runs because its instance is moved or maintained
 	// operationUntil is when no operation on its instance that an earlier leader announced is carried out any more, 0 if there
@@ -131,23 +132,25 @@
 	inherited       bool          // assigned by an earlier leader, and the worker was not asked for it yet
 	startCopies     int           // requests to start it without an answer, with those of earlier leaders
 	startUnresolved bool          // the only one has no answer, and no list has told yet whether it was carried out
-	lateUntil       time.Duration // starts without an answer may be carried out until then, 0 if there are none
-	carriedOut      bool          // a list has shown the run
-	startInFlight   bool
-	stopInFlight    bool
-	attempts        int
-	requestedAt     time.Duration // its start was last requested
-	unlistedAt      time.Duration // the worker was last asked for a list that lacks the run
-	retryAt         time.Duration
-	startedAt       time.Duration // the worker acknowledged the start
-	shouldStop      bool
-	doubtful        bool          // a request to start it got no answer of this incarnation, so a later one may execute it
-	unattributed    bool          // the answer to its start may be that of a later incarnation
-	repeated        bool          // a request to start it was sent twice
-	givenUp         bool          // its end is or will be proposed, so it must not start
-	harmlessAt      time.Duration // its task was last proposed to be recorded as harmless
-	lost            bool          // was given up because its worker doesn't answer, and may have started
-	stoppedAt       time.Duration // the worker acknowledged the stop
+	unresolvedUntil time.Duration // if startUnresolved, the start may be carried out late until then
+	// lateUntil is until when starts without an answer, as far as they are known, may be carried out; 0 if there are none.
+	lateUntil     time.Duration
+	carriedOut    bool // a list has shown the run
+	startInFlight bool
+	stopInFlight  bool
+	attempts      int
+	requestedAt   time.Duration // its start was last requested
+	unlistedAt    time.Duration // the worker was last asked for a list that lacks the run
+	retryAt       time.Duration
+	startedAt     time.Duration // the worker acknowledged the start
+	shouldStop    bool
+	doubtful      bool          // a request to start it got no answer of this incarnation, so a later one may execute it
+	unattributed  bool          // the answer to its start may be that of a later incarnation
+	repeated      bool          // a request to start it was sent twice
+	givenUp       bool          // its end is or will be proposed, so it must not start
+	harmlessAt    time.Duration // its task was last proposed to be recorded as harmless
+	lost          bool          // was given up because its worker doesn't answer, and may have started
+	stoppedAt     time.Duration // the worker acknowledged the stop
 
 	listed         bool
 	lastCheckpoint string
--- a/internal/workload/worker_test.go
+++ b/internal/workload/worker_test.go
@@ -121,6 +121,7 @@
 	w.ended = append(w.ended, workload.EndedRun{Number: w.lastEnd, Name: r.name, How: how})
 	if how == workloadpb.How_HOW_DONE {
 		w.sim.done[r.task]++
+		w.sim.doneOn[r.task] = w.m.Id
 		if !r.longRunning { // Long-running tasks start again however they end.
 			w.successes = append(w.successes, success{number: w.lastEnd, task: r.task, sent: r.sent})
 		}
