workload: record a start in the log once its answer is overdue

Starts are recorded 200 ms after they were sent now, as workers answer within a round trip.

TestNextLeaderKnowsOfOverdueStart fails before, passes now. What remains are the 200 ms and the time until the record is in the log.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -26,6 +26,7 @@
 		s.operationUntil = 0
 		e.doubt(s)
 	}
+	e.recordOverdueStarts(s)
 	e.releaseUnstartableRuns(s)
 	if !s.endsPending {
 		if len(s.runs) > 0 && s.failures > 0 && e.now > s.leasesExpireBy {
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -13,6 +13,10 @@
 // each of them.
 const lateStartsSlack = time.Second
 
+// overdueAfter is the time after which a start without an answer is recorded although its answer is not due, in case the leader
+// is lost until then. Workers answer within a round trip.
+const overdueAfter = 200 * time.Millisecond
+
 // lateStartTable holds the starts that may be carried out late, by the ID of the worker. The next incarnation with the ID
 // executes them as long as it has got no request of its own.
 type lateStartTable struct {
@@ -210,6 +214,16 @@
 		"late-starts-end-in", (until - e.now).String(), "answers", s.failures == 0, "replaced", s.successorMs > 0)
 }
 
+// recordOverdueStarts makes sure that the log tells of the starts that should have been answered.
+func (e *Engine) recordOverdueStarts(s *session) {
+	for _, r := range s.runs {
+		if r.startInFlight && !r.carriedOut && e.now-r.requestedAt >= overdueAfter {
+			until := r.requestedAt + RequestTimeout + ledger.MaxRequestDelay
+			e.lateStarts.mustRecord(e.lateStarts.of(s.worker.ID()), until)
+		}
+	}
+}
+
 // inheritLateStarts takes over what earlier leaders recorded.
 func (e *Engine) inheritLateStarts() {
 	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}}
--- a/internal/workload/unreached_incarnation_test.go
+++ b/internal/workload/unreached_incarnation_test.go
@@ -96,6 +96,17 @@
 	return s, crashed, s.addWorkerTo("p", "m-p-1")
 }
 
+// Guards against a leader that doesn't know of a start whose answer was overdue when its predecessor was lost.
+func TestNextLeaderKnowsOfOverdueStart(t *testing.T) {
+	s, crashed, _ := newLostStartSim(t, step(1, 12000, 1000, 20_000))
+	s.run(300 * time.Millisecond)
+	s.startTerm()
+	s.run(8 * time.Second)
+	s.startWorkerAs("m-p-0", crashed.m.Id, crashed.m.Address)
+	s.runUntil(50*time.Second, func() bool { return s.jobState("p", "job") == "completed" })
+	assert.Equal(t, s.done["job.0.0.0"], 1)
+}
+
 // Guards against a task that waits for longer than a late start, and the run that it begins, may take.
 func TestTaskOfWorkerLostForGoodStartsElsewhere(t *testing.T) {
 	s, _, other := newLostStartSim(t, step(1, 12000, 1000, 1000))
