--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -294,7 +294,7 @@
 		State: e.state, NowMs: e.wallClockMs(), ClockMs: e.state.ClockAt(e.term, e.now.Milliseconds()),
 		Order: e.cfg.JobOrder, MaxAssignments: maxAssignmentsPerCommand,
 		BeyondShare: e.shares.isBeyondShare, Allowed: e.adviserAllows, MayReserve: e.advice.mayReserve,
-		IsDelayed: func(s *ledger.StepRun) bool { return e.rejections.isDelayed(s, e.now) }, PinnedTo: e.pinnedTo,
+		IsDelayed: func(s *ledger.StepRun) bool { return e.rejections.isDelayed(s, e.now) }, PinnedTo: e.newPinnedTo(),
 	}
 	in.Candidates = schedule.RankCandidates(in)
 	pools := map[string]bool{}
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -163,12 +163,28 @@
 	e.endGivenUpRuns(s)
 }
 
-// pinnedTo returns the ID of the only worker that a task may start on, because an incarnation with the ID may still carry out a
-// start of an ended run, or work on that run. A later one with the ID can start the task, as a worker takes runs only once it
+// newPinnedTo returns a function that returns the ID of the only worker that a task may start on, see pinnedTo.
+func (e *Engine) newPinnedTo() func(t *ledger.Task) string {
+	ids := map[*workloadpb.LateStart]string{}
+	return func(t *ledger.Task) string {
+		l := t.LateStart()
+		if l == nil {
+			return ""
+		}
+		id, ok := ids[l]
+		if !ok {
+			id = e.pinnedTo(l)
+			ids[l] = id
+		}
+		return id
+	}
+}
+
+// pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID may
+// still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only once it
 // rejects that start. The ID is empty if the task may start anywhere.
-func (e *Engine) pinnedTo(t *ledger.Task) string {
-	l := t.LateStart()
-	if l == nil || e.isOutOfReach(l) {
+func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
+	if e.isOutOfReach(l) {
 		return ""
 	}
 	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -260,7 +260,7 @@
 			s.recordLateStarts(w.ID(), lateStartsAfterEnd.Milliseconds())
 		}
 		s.endRun(w, k, e.How, e.Checkpoint)
-		if e.LateStartRemainingMs > 0 {
+		if e.LateStartRemainingMs > 0 && !t.Done {
 			t.lateStart = &workloadpb.LateStart{
 				Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + e.LateStartRemainingMs,
 			}
@@ -317,7 +317,7 @@
 	if t.IsWaiting() {
 		t.step.waitingTasks--
 	}
-	t.Done, t.Checkpoint = true, ""
+	t.Done, t.Checkpoint, t.lateStart = true, "", nil
 	t.setLosses(nil)
 	t.step.doneTasks++
 }
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -165,8 +165,8 @@
 // Step returns the step that the task belongs to.
 func (t *Task) Step() *StepRun { return t.step }
 
-// LateStart returns the last late start of an ended run of the task that the log tells of, nil if there is none. It must not be
-// modified.
+// LateStart returns the last late start of an ended run of the task that the log tells of, nil if there is none or the task is
+// done. It must not be modified.
 func (t *Task) LateStart() *workloadpb.LateStart { return t.lateStart }
 
 // IsWaiting reports whether the task is neither done nor assigned.
