workload: repeat no start whose end the worker has listed

A start without an answer was repeated after a list that showed the end of its run, as long as that end wasn't in the log. A listed end counts as a start of the run now.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -167,6 +167,7 @@
 			ended[k] = true
 			if r := s.runs[k]; r != nil {
 				e.lateStarts.resolve(s.worker.ID(), r, true)
+				r.startedAt = max(r.startedAt, 1) // The start isn't repeated until the end is recorded.
 			}
 			m.Ends = append(m.Ends, &workloadpb.End{
 				Subtask: k.TaskMessage(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint, Number: row.Number,
