--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -136,11 +136,16 @@
 // remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not.
 // Long-running tasks don't wait, as they have to run again soon, and speculative ones may run twice.
 func (e *Engine) remainingLateStart(r *run) time.Duration {
-	until := r.lateStartUntil(e.now)
-	if step := r.task.Step().Step; until == 0 || step.Lasting || step.Speculative {
+	if step := r.task.Step().Step; step.Lasting || step.Speculative {
 		return 0
 	}
-	return until - e.now
+	if until := r.lateStartUntil(e.now); until > 0 {
+		return until - e.now
+	}
+	if r.lateUntil > 0 && e.now <= r.lateUntil+worstCaseDuration(e.cfg.MaxLease) {
+		return time.Millisecond // What was started last may still work.
+	}
+	return 0
 }
 
 // hasLateStarts reports whether tasks of a session's runs have to wait for starts of these.
--- a/internal/workload/unreached_incarnation_test.go
+++ b/internal/workload/unreached_incarnation_test.go
@@ -128,3 +128,25 @@
 	s, _, other := newLostStartSim(t, longRunningStep(1000))
 	s.runUntil(calmBefore+lostWindow, func() bool { return len(other.runs) == 1 })
 }
+
+// Guards against a task that starts elsewhere although a start of its run was sent twice, and the worker was lost when the first
+// copy could be carried out no more, but its run could still work.
+func TestRunOfLateStartEndsBeforeTaskStartsElsewhere(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "p")
+	w := s.addWorkers("p", 1)[0]
+	s.run(2 * time.Second)
+	l := newLateStart(s, w.m.Id)
+	s.submit("p", "job", step(1, 12000, 1000, 60_000))
+	s.run(10 * time.Second)
+	assert.Equal(t, len(w.runs), 1)
+	w.dead = true
+	s.addWorkerTo("p", "m-p-1")
+	s.runUntil(5*time.Second, func() bool { return s.now >= l.sent+ledger.MaxRequestDelay-100*time.Millisecond })
+	later := s.restartSilently(w)
+	later.unreachable = true
+	s.run(200 * time.Millisecond)
+	assert.Equal(t, len(later.runs), 1)
+	s.run(20 * time.Second)
+	assert.Equal(t, s.running("job"), 1)
+}
