workload: let later leaders and the ledger know of each start that may be late

The same happened after a start that the new leader repeated itself, after one that an older record for the worker seemed to cover, and when the worker left by itself, which ends its runs without the leader.

Each Assign command has a number now, and each command of a leader tells up to which number no start is on its way without a record. Runs beyond that count as requested by an earlier leader until 12 s after it can have sent the last start, and the new leader records that. A worker's own leave does the same for its runs. If no other command follows within 50 ms, an empty one tells. That bounds the runs that wait after a change of leader to those with a start on its way; a record for all of them failed two cases of TestLateRenewalForEarlierIncarnationLetsNoTaskRunTwice, as tasks waited 20 s.

TestNextLeaderAwaitsLateStart (2 of 4 cases), two more tests of a change of leader and TestLateStartAfterWorkerHasLeftRunsOnce (3 of 3) fail before, none now.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -87,6 +87,8 @@
 	waits                 waitLog
 	rejections            rejections
 	lateStarts            lateStartTable
+	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
+	assigns, lastAssign uint64
 }
 
 func newEngine(state *ledger.State) *Engine {
@@ -192,7 +194,8 @@
 func (e *Engine) addAction(a kernel.Action) { e.actions = append(e.actions, a) }
 
 func (e *Engine) propose(m *workloadpb.Command) {
-	m.Term, m.SteadyMs = e.term, e.now.Milliseconds()
+	m.Term, m.SteadyMs, m.ResolvedAssigns = e.term, e.now.Milliseconds(), e.resolvedAssigns()
+	e.lateStarts.proposedResolved, e.lateStarts.proposedResolvedAt = m.ResolvedAssigns, e.now
 	c, err := kernel.NewCommand(Name, "", m)
 	if err != nil {
 		e.cfg.Log.Error(err, "failed to encode workload command")
@@ -216,6 +219,7 @@
 	e.advanceFleet()
 	e.assignTasks()
 	e.logWaits()
+	e.proposeResolvedAssigns()
 	d := kernel.Decision{Commands: e.commands, Actions: e.actions}
 	e.commands, e.actions = nil, nil
 	return d
@@ -317,9 +321,10 @@
 		return
 	}
 	e.assignPending = true
+	e.assigns++
 	e.logAssignments(list, len(in.Workers))
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Assign{
-		Assign: &workloadpb.Assign{Assignments: list, RecordsLosses: true},
+		Assign: &workloadpb.Assign{Assignments: list, RecordsLosses: true, Number: e.term<<assignNumberBits + e.assigns},
 	}})
 }
 
@@ -368,10 +373,10 @@
 	}
 	switch c := m.Change.(type) {
 	case *workloadpb.Command_Assign:
-		e.assignPending = false
+		e.assignPending, e.lastAssign = false, max(e.lastAssign, c.Assign.Number)
 		for _, a := range c.Assign.Assignments {
 			if s := e.sessions[a.Worker]; s != nil {
-				s.adoptAssignedRuns()
+				e.adoptAssignedRuns(s)
 				e.markDirty(s)
 			}
 		}
@@ -441,6 +446,7 @@
 			for _, r := range s.runs {
 				e.logLateStart(s, r, "incarnation-ended")
 				e.lateStarts.resolve(s.worker.ID(), r, false)
+				delete(e.lateStarts.open, r)
 			}
 			e.cfg.Log.Info("incarnation of a worker ended", "worker", s.worker.ID(), "boot", n)
 		}
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -17,10 +17,22 @@
 // is lost until then. Workers answer within a round trip.
 const overdueAfter = 200 * time.Millisecond
 
+// resolvedDelay is the time after which the log is told of resolved starts although no other command is proposed.
+const resolvedDelay = 50 * time.Millisecond
+
+// assignNumberBits is the number of low bits of the number of an Assign command that count the commands of a term.
+const assignNumberBits = 32
+
 // lateStartTable holds the starts that may be carried out late, by the ID of the worker. The next incarnation with the ID
 // executes them as long as it has got no request of its own.
 type lateStartTable struct {
 	byID map[string]*lateStarts
+	// open holds the runs with a start that may be on its way without a record of it, with the numbers of the commands that
+	// assigned them.
+	open map[*run]uint64
+	// proposedResolved is the last number that a command has told of the others, at proposedResolvedAt.
+	proposedResolved   uint64
+	proposedResolvedAt time.Duration
 	// checkAt is when starts are to be recorded next.
 	checkAt time.Duration
 }
@@ -84,14 +96,23 @@
 	t.of(id).unresolved--
 	if isListed && r.startCopies == 1 {
 		r.lateUntil = 0
+		t.closeRecorded(id, r)
 		return
 	}
 	t.extend(id, r.unresolvedUntil)
 }
 
+// closeRecorded notes that no start of a run is on its way without a record of it, if that is so.
+func (t *lateStartTable) closeRecorded(id string, r *run) {
+	if r.lateUntil <= t.of(id).recordedUntil {
+		delete(t.open, r)
+	}
+}
+
 // recordSent notes that the start of a run for an ID is sent.
 func (t *lateStartTable) recordSent(id string, r *run) {
 	t.of(id).inFlight++
+	t.open[r] = r.assignNumber
 	r.startCopies++
 }
 
@@ -105,6 +126,7 @@
 	case ev.Outcome != NoAnswer && !ev.Repeated:
 		if r != nil {
 			r.startCopies--
+			t.closeRecorded(id, r)
 		}
 		if *l == (lateStarts{}) {
 			delete(t.byID, id)
@@ -133,96 +155,6 @@
 	return until
 }
 
-// remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not.
-// Long-running tasks don't wait, as they have to run again soon, and speculative ones may run twice.
-func (e *Engine) remainingLateStart(r *run) time.Duration {
-	if step := r.task.Step().Step; step.Lasting || step.Speculative {
-		return 0
-	}
-	if until := r.lateStartUntil(e.now); until > 0 {
-		return until - e.now
-	}
-	if r.lateUntil > 0 && e.now <= r.lateUntil+worstCaseDuration(e.cfg.MaxLease) {
-		return time.Millisecond // What was started last may still work.
-	}
-	return 0
-}
-
-// hasLateStarts reports whether tasks of a session's runs have to wait for starts of these.
-func (e *Engine) hasLateStarts(s *session) bool {
-	for _, r := range s.runs {
-		if e.remainingLateStart(r) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// giveUpLateRuns gives up the runs of a worker that is lost whose tasks have to wait, so that the log tells of that.
-func (e *Engine) giveUpLateRuns(s *session) {
-	for _, r := range s.runs {
-		if e.remainingLateStart(r) > 0 {
-			r.giveUpAsLost()
-		}
-	}
-	e.endGivenUpRuns(s)
-}
-
-// newPinnedTo returns a function that returns the ID of the only worker that a task may start on, see pinnedTo.
-func (e *Engine) newPinnedTo() func(t *ledger.Task) string {
-	ids := map[*workloadpb.LateStart]string{}
-	return func(t *ledger.Task) string {
-		l := t.LateStart()
-		if l == nil {
-			return ""
-		}
-		id, ok := ids[l]
-		if !ok {
-			id = e.pinnedTo(l)
-			ids[l] = id
-		}
-		return id
-	}
-}
-
-// pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID may
-// still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only once it
-// rejects that start. The ID is empty if the task may start anywhere.
-func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
-	if e.isOutOfReach(l) {
-		return ""
-	}
-	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
-	if over > worstCaseDuration(e.cfg.MaxLease) || over > 0 && e.hasListedSince(l.Worker, e.now-over) {
-		return "" // Even a run that started last has ended.
-	}
-	return l.Worker
-}
-
-// hasListedSince reports whether the incarnation with an ID has listed its runs since a time, all of them assigned to it. If not,
-// it is asked for a list.
-func (e *Engine) hasListedSince(id string, at time.Duration) bool {
-	w := e.state.WorkerByID(id)
-	if w == nil {
-		return false
-	}
-	s := e.sessions[w.Number()]
-	if s.listedAt <= at {
-		s.mustList = true
-		e.markDirty(s)
-		return false
-	}
-	return !s.hasUnassignedRuns
-}
-
-// isOutOfReach reports whether no incarnation can carry out a late start: a later one with another ID has the address, or one
-// with the ID has another address.
-func (e *Engine) isOutOfReach(l *workloadpb.LateStart) bool {
-	return slices.ContainsFunc(e.state.Workers(), func(w *ledger.Worker) bool {
-		return w.StartedMs() > l.StartedMs && (w.ID() == l.Worker) != (w.Address() == l.Address)
-	})
-}
-
 // logLateStart writes a line on a run that ends while a start of it may still be carried out.
 func (e *Engine) logLateStart(s *session, r *run, kind string) {
 	until := r.lateStartUntil(e.now)
@@ -238,33 +170,63 @@
 // recordOverdueStarts makes sure that the log tells of the starts that should have been answered.
 func (e *Engine) recordOverdueStarts(s *session) {
 	for _, r := range s.runs {
-		if r.startInFlight && !r.carriedOut && e.now-r.requestedAt >= overdueAfter {
-			until := r.requestedAt + RequestTimeout + ledger.MaxRequestDelay
-			e.lateStarts.mustRecord(e.lateStarts.of(s.worker.ID()), until)
+		if r.startInFlight && !r.carriedOut && r.isOverdue(e.now) {
+			e.lateStarts.mustRecord(e.lateStarts.of(s.worker.ID()), r.requestedAt+RequestTimeout+ledger.MaxRequestDelay)
 		}
 	}
 }
 
+func (r *run) isOverdue(now time.Duration) bool { return now-r.requestedAt >= overdueAfter }
+
 // inheritLateStarts takes over what earlier leaders recorded.
 func (e *Engine) inheritLateStarts() {
-	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}}
+	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}, open: map[*run]uint64{}}
 	for id, endMs := range e.state.LateStarts() {
 		until := e.now + millis(endMs-e.state.Clock())
-		*e.lateStarts.of(id) = lateStarts{possibleUntil: until, recordedUntil: until}
+		*e.lateStarts.of(id) = lateStarts{possibleUntil: until}
 	}
 }
 
 // inheritStart takes over the start of a run that an earlier leader assigned. A leader repeats no start that is not
 // recorded, so there is one at most unless there is a record.
 func (e *Engine) inheritStart(s *session, r *run) {
+	l, id := e.lateStarts.of(s.worker.ID()), s.worker.ID()
+	a := r.task.RunOn(s.worker)
+	until := e.leadingSince + MaxConfirmationAge + ledger.MaxRequestDelay
 	r.startCopies = 1
-	if until := e.lateStarts.of(s.worker.ID()).recordedUntil; until > 0 {
+	if l.possibleUntil > 0 {
 		r.startCopies = 2
-		if s.worker.MayRunLate(r.task.RunOn(s.worker)) {
-			r.lateUntil = until
-		}
 	}
-	e.lateStarts.addUnresolved(s.worker.ID(), r, e.leadingSince+MaxConfirmationAge+ledger.MaxRequestDelay)
+	if s.worker.MayRunLate(a) {
+		r.lateUntil = l.possibleUntil
+	}
+	if !e.state.IsStartResolved(a) {
+		r.lateUntil = max(r.lateUntil, until)
+	}
+	if r.lateUntil > 0 {
+		e.lateStarts.mustRecord(l, r.lateUntil)
+	} else {
+		delete(e.lateStarts.open, r)
+	}
+	e.lateStarts.addUnresolved(id, r, until)
+}
+
+// resolvedAssigns returns the last number of an Assign command such that no start of its runs, and of those of the commands
+// before, is on its way without a record of it.
+func (e *Engine) resolvedAssigns() uint64 {
+	resolved := max(e.term<<assignNumberBits, e.lastAssign)
+	for _, n := range e.lateStarts.open {
+		resolved = min(resolved, max(n, 1)-1)
+	}
+	return resolved
+}
+
+// proposeResolvedAssigns tells the next leader of resolved starts if no other command does so.
+func (e *Engine) proposeResolvedAssigns() {
+	t := &e.lateStarts
+	if e.now-t.proposedResolvedAt >= resolvedDelay && e.resolvedAssigns() > t.proposedResolved {
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_LateStarts{LateStarts: &workloadpb.LateStarts{}}})
+	}
 }
 
 // lateStartsUntil returns until when the next incarnation on an instance, in a pool, could carry out a late start if it had
@@ -354,7 +316,13 @@
 			l.recordedUntil = max(l.recordedUntil, proposedAt+millis(m.RemainingMs))
 		}
 		if w := e.state.WorkerByID(id); w != nil && e.sessions[w.Number()] != nil {
-			e.markDirty(e.sessions[w.Number()])
+			s := e.sessions[w.Number()]
+			for _, r := range s.runs {
+				if !r.startInFlight || r.isOverdue(e.now) {
+					e.lateStarts.closeRecorded(id, r)
+				}
+			}
+			e.markDirty(s)
 		}
 	}
 }
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -183,7 +183,7 @@
 	for _, a := range m.Assignments {
 		k := RunKeyOf(a.Subtask, a.Run)
 		if t := s.findTask(k); t != nil && s.mayAssign(t, a, m.RecordsLosses) {
-			r := ActiveRun{Run: k.Run, Worker: s.workers[a.Worker], Isolated: a.Isolated}
+			r := ActiveRun{Run: k.Run, Worker: s.workers[a.Worker], Isolated: a.Isolated, assignNumber: m.Number}
 			if m.RecordsLosses {
 				r.assignedMs = max(s.clockMs, 1)
 			}
@@ -260,10 +260,8 @@
 			s.recordLateStarts(w.ID(), lateStartsAfterEnd.Milliseconds())
 		}
 		s.endRun(w, k, e.How, e.Checkpoint)
-		if e.LateStartRemainingMs > 0 && !t.Done {
-			t.lateStart = &workloadpb.LateStart{
-				Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + e.LateStartRemainingMs,
-			}
+		if e.LateStartRemainingMs > 0 {
+			s.setLateStart(t, w, e.LateStartRemainingMs)
 		}
 		s.endJobIfFinished(t, at)
 	}
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -172,6 +172,9 @@
 // IsWaiting reports whether the task is neither done nor assigned.
 func (t *Task) IsWaiting() bool { return !t.Done && len(t.ActiveRuns) == 0 }
 
+// AssignNumber returns the number of the command that assigned the run, 0 if an earlier version proposed it.
+func (r ActiveRun) AssignNumber() uint64 { return r.assignNumber }
+
 // RunOn returns the last run of the task that is assigned to a worker, the zero value if there is none.
 func (t *Task) RunOn(w *Worker) ActiveRun {
 	for _, a := range slices.Backward(t.ActiveRuns) {
@@ -207,6 +210,8 @@
 
 	assignedMs int64 // by the clock of the ledger, 0 if losses are not recorded
 	harmless   bool  // the task has proven harmless since the assignment
+	// assignNumber is the number of the Assign command, 0 if it has none.
+	assignNumber uint64
 }
 
 // RunKey identifies a run of a task.
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -15,7 +15,7 @@
 	m := &workloadpb.State{
 		Document: s.document, Waves: s.Waves(), NextJob: s.nextJob, NextWorker: s.nextWorker,
 		ClockMs: s.clockMs, ClockTerm: s.clockTerm, ClockSteadyMs: s.clockSteadyMs,
-		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, FullLeaseAgeMs: s.fullLeaseAgeMs,
+		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, FullLeaseAgeMs: s.fullLeaseAgeMs, ResolvedAssigns: s.resolvedAssigns,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.lastOrders)) {
 		m.Ordered = append(m.Ordered, s.lastOrders[name])
@@ -53,7 +53,7 @@
 				for _, a := range t.ActiveRuns {
 					tm.Attempts = append(tm.Attempts, &workloadpb.ActiveRun{
 						Run: a.Run, Worker: a.Worker.info.Number, AssignedMs: a.assignedMs, Isolated: a.Isolated,
-						Harmless: a.harmless,
+						Harmless: a.harmless, AssignNumber: a.assignNumber,
 					})
 				}
 				sm.Subtasks = append(sm.Subtasks, tm)
@@ -78,6 +78,7 @@
 	s.nextJob, s.nextWorker = m.NextJob, m.NextWorker
 	s.clockMs, s.clockTerm, s.clockSteadyMs = m.ClockMs, m.ClockTerm, m.ClockSteadyMs
 	s.leaseTerm, s.leaseMs, s.fullLeaseAgeMs = m.LeaseTerm, m.LeaseMs, m.FullLeaseAgeMs
+	s.resolvedAssigns = m.ResolvedAssigns
 	for _, o := range m.Ordered {
 		s.lastOrders[o.Instance] = o
 	}
@@ -117,6 +118,7 @@
 					if w := s.workers[a.Worker]; w != nil {
 						s.assignRun(t, ActiveRun{
 							Run: a.Run, Worker: w, Isolated: a.Isolated, assignedMs: a.AssignedMs, harmless: a.Harmless,
+							assignNumber: a.AssignNumber,
 						})
 					}
 				}
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -10,13 +10,6 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// MaxRequestDelay is how late a request without an answer may be carried out.
-const MaxRequestDelay = 12 * time.Second
-
-// lateStartsAfterEnd is how long after the end of a run its start may be carried out late, on the ledger's clock: a deposed
-// leader may still send for 2 s, and heartbeats, which may end an incarnation, don't advance the clock.
-const lateStartsAfterEnd = MaxRequestDelay + 4*time.Second
-
 // endedWorkerRetention is how long the number of incarnations with an ID is kept after the last one has ended. A request for
 // that one is carried out at most seconds late.
 const endedWorkerRetention = 10 * time.Minute
@@ -79,11 +72,6 @@
 // AssignedSinceMs returns when a run was first assigned to the worker on the ledger's clock, 0 if none was.
 func (w *Worker) AssignedSinceMs() int64 { return w.info.AssignedSinceMs }
 
-// MayRunLate reports whether a leader has recorded a start for the worker without an answer since a run was assigned to it.
-func (w *Worker) MayRunLate(r ActiveRun) bool {
-	return w.info.UnansweredStartMs > 0 && w.info.UnansweredStartMs >= r.assignedMs
-}
-
 // RecordedSequence returns the sequence of the last heartbeat that was recorded, 0 if it is not known.
 func (w *Worker) RecordedSequence() uint64 { return w.info.Sequence }
 
@@ -191,6 +179,9 @@
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
 	if w := s.WorkerByID(m.Id); w != nil && w.info.BornMs == m.BornMs {
+		if !m.Lost {
+			s.setLateStarts(w)
+		}
 		s.removeWorker(w, m.Lost)
 	}
 	if !m.Lost {
@@ -242,35 +233,3 @@
 		Id: w.ID(), Incarnations: w.Predecessors() + 1, EndedMs: s.clockMs, LateStartsEndMs: w.info.LateStartsEndMs,
 	}
 }
-
-// LateStarts returns the IDs with starts that may be carried out late, each with the time, in milliseconds on the ledger's
-// clock, when none is any more.
-func (s *State) LateStarts() map[string]int64 {
-	ends := map[string]int64{}
-	for _, w := range s.workerList {
-		ends[w.ID()] = w.info.LateStartsEndMs
-	}
-	for id, w := range s.endedWorkers {
-		ends[id] = w.LateStartsEndMs
-	}
-	maps.DeleteFunc(ends, func(_ string, end int64) bool { return end <= s.clockMs })
-	return ends
-}
-
-// recordUnansweredStarts records the starts for an ID that a leader got no answer to.
-func (s *State) recordUnansweredStarts(id string, remainingMs int64) {
-	s.recordLateStarts(id, remainingMs)
-	if w := s.workersByID[id]; w != nil {
-		w.info.UnansweredStartMs = max(s.clockMs, 1)
-	}
-}
-
-// recordLateStarts records that starts for an ID may be carried out late.
-func (s *State) recordLateStarts(id string, remainingMs int64) {
-	end := s.clockMs + remainingMs
-	if w := s.workersByID[id]; w != nil {
-		w.info.LateStartsEndMs = max(w.info.LateStartsEndMs, end)
-	} else if w := s.endedWorkers[id]; w != nil {
-		w.LateStartsEndMs = max(w.LateStartsEndMs, end)
-	}
-}
--- /dev/null
+++ b/internal/workload/pin.go
@@ -0,0 +1,98 @@
+package workload
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not.
+func (e *Engine) remainingLateStart(r *run) time.Duration {
+	if !ledger.AwaitsLateStarts(r.task.Step().Step) {
+		return 0
+	}
+	if until := r.lateStartUntil(e.now); until > 0 {
+		return until - e.now
+	}
+	if r.lateUntil > 0 && e.now <= r.lateUntil+worstCaseDuration(e.cfg.MaxLease) {
+		return time.Millisecond // What was started last may still work.
+	}
+	return 0
+}
+
+// hasLateStarts reports whether tasks of a session's runs have to wait for starts of these.
+func (e *Engine) hasLateStarts(s *session) bool {
+	for _, r := range s.runs {
+		if e.remainingLateStart(r) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUpLateRuns gives up the runs of a worker that is lost whose tasks have to wait, so that the log tells of that.
+func (e *Engine) giveUpLateRuns(s *session) {
+	for _, r := range s.runs {
+		if e.remainingLateStart(r) > 0 {
+			r.giveUpAsLost()
+		}
+	}
+	e.endGivenUpRuns(s)
+}
+
+// newPinnedTo returns a function that returns the ID of the only worker that a task may start on, see pinnedTo.
+func (e *Engine) newPinnedTo() func(t *ledger.Task) string {
+	ids := map[*workloadpb.LateStart]string{}
+	return func(t *ledger.Task) string {
+		l := t.LateStart()
+		if l == nil {
+			return ""
+		}
+		id, ok := ids[l]
+		if !ok {
+			id = e.pinnedTo(l)
+			ids[l] = id
+		}
+		return id
+	}
+}
+
+// pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID may
+// still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only once it
+// rejects that start. The ID is empty if the task may start anywhere.
+func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
+	if e.isOutOfReach(l) {
+		return ""
+	}
+	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
+	if over > worstCaseDuration(e.cfg.MaxLease) || over > 0 && e.hasListedSince(l.Worker, e.now-over) {
+		return "" // Even a run that started last has ended.
+	}
+	return l.Worker
+}
+
+// hasListedSince reports whether the incarnation with an ID has listed its runs since a time, all of them assigned to it. If not,
+// it is asked for a list.
+func (e *Engine) hasListedSince(id string, at time.Duration) bool {
+	w := e.state.WorkerByID(id)
+	if w == nil {
+		return false
+	}
+	s := e.sessions[w.Number()]
+	if s.listedAt <= at {
+		s.mustList = true
+		e.markDirty(s)
+		return false
+	}
+	return !s.hasUnassignedRuns
+}
+
+// isOutOfReach reports whether no incarnation can carry out a late start: a later one with another ID has the address, or one
+// with the ID has another address.
+func (e *Engine) isOutOfReach(l *workloadpb.LateStart) bool {
+	return slices.ContainsFunc(e.state.Workers(), func(w *ledger.Worker) bool {
+		return w.StartedMs() > l.StartedMs && (w.ID() == l.Worker) != (w.Address() == l.Address)
+	})
+}
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -6,8 +6,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// RequestTimeout is how long the answer to a request to a worker is waited for, beyond the time that the request asks the worker
-// to wait. Workers answer within a round trip, so a slower one is most likely unreachable.
+// RequestTimeout is how long the answer to a request to a worker is waited for, beyond the time that the request asks the
+// worker to wait. Workers answer within a round trip, so a slower one is most likely unreachable.
 const RequestTimeout = time.Second
 
 // RunName identifies a run on workers.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -125,6 +125,8 @@
 	key  ledger.RunKey
 	task *ledger.Task
 	name RunName
+	// assignNumber is the number of the command that assigned the run, 0 if an earlier version proposed it.
+	assignNumber uint64
 	// checkpoint is the one that the run starts from.
 	checkpoint string
 	ticket     string
@@ -182,7 +184,7 @@
 
 // adoptInheritedRuns adds the runs that an earlier leader assigned.
 func (e *Engine) adoptInheritedRuns(s *session) {
-	s.adoptAssignedRuns()
+	e.adoptAssignedRuns(s)
 	for _, r := range s.runs {
 		// An earlier leader may have requested the start without an answer.
 		r.inherited, r.doubtful = true, true
@@ -192,10 +194,12 @@
 }
 
 // adoptAssignedRuns adds the runs that were assigned since the last call.
-func (s *session) adoptAssignedRuns() {
+func (e *Engine) adoptAssignedRuns(s *session) {
 	for k, t := range s.worker.Runs() {
 		if s.runs[k] == nil {
-			s.runs[k] = newRun(k, t)
+			r := newRun(k, t)
+			r.assignNumber = t.RunOn(s.worker).AssignNumber()
+			s.runs[k], e.lateStarts.open[r] = r, r.assignNumber
 		}
 	}
 }
@@ -220,6 +224,7 @@
 		if s.worker.Runs()[k] == nil {
 			e.logLateStart(s, r, "run-ended")
 			e.lateStarts.resolve(s.worker.ID(), r, false)
+			delete(e.lateStarts.open, r)
 			delete(s.runs, k)
 		}
 	}
