workload: let a task wait instead of starting again on a worker that was lost twice

After the second start there without an answer the task waits until no late start is possible, and then prefers other workers. TestTaskLeavesWorkerThatIsLostAgain fails before, passes now. The limit on workers that are kept for isolated tasks counts the pool again, not the worker that a task is pinned to.

--- a/internal/workload/ledger/late_start.go
+++ b/internal/workload/ledger/late_start.go
@@ -23,8 +23,10 @@
 	if t.Done || !AwaitsLateStarts(t.step.Step) {
 		return
 	}
+	last := t.lateStart
 	t.lateStart = &workloadpb.LateStart{
 		Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + remainingMs,
+		Repeated: last.GetWorker() == w.ID() && last.GetEndMs()+lateStartsAfterEnd.Milliseconds() > s.clockMs,
 	}
 }
 
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -8,6 +8,9 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+// noWorker is the pin of a task that may start on no worker.
+const noWorker = "\x00"
+
 // remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not.
 func (e *Engine) remainingLateStart(r *run) time.Duration {
 	if !ledger.AwaitsLateStarts(r.task.Step().Step) {
@@ -61,7 +64,8 @@
 
 // pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID may
 // still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only once it
-// rejects that start. The ID is empty if the task may start anywhere.
+// rejects that start. If a start there has got no answer again, the task waits instead. The ID is empty if the task may start
+// anywhere.
 func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
 	if e.isOutOfReach(l) {
 		return ""
@@ -70,6 +74,9 @@
 	if over > worstCaseDuration(e.cfg.MaxLease) || over > 0 && e.hasListedSince(l.Worker, e.now-over) {
 		return "" // Even a run that started last has ended.
 	}
+	if l.Repeated {
+		return noWorker
+	}
 	return l.Worker
 }
 
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -30,6 +30,8 @@
 	prefersIsolation bool
 	// lostAt holds the addresses of the workers that were lost under tasks of the group.
 	lostAt map[string]bool
+	// lateAt holds the IDs of the workers to which late starts of tasks of the group were sent.
+	lateAt map[string]bool
 	// rack is the preferred rack, and tasksOnWorker the number of tasks of the step by the number of the incarnation.
 	rack          string
 	tasksOnWorker map[uint64]int
@@ -77,6 +79,14 @@
 		}
 	}
 	isolated.lostAt, suspect.lostAt = lostAddresses(isolated.tasks), lostAddresses(suspect.tasks)
+	for _, g := range []*taskGroup{&isolated, &suspect, &other} {
+		g.lateAt = map[string]bool{}
+		for _, t := range g.tasks {
+			if l := t.LateStart(); l != nil {
+				g.lateAt[l.Worker] = true
+			}
+		}
+	}
 	return isolated, suspect, other
 }
 
@@ -144,16 +154,17 @@
 	return m
 }
 
-// placeIsolated assigns the tasks with a pin that must be isolated. Where there is room for one, or for a gang, but beside runs that
-// aren't known to be harmless, it keeps workers from taking further tasks until these are, which is soon. Runs that take the
-// room of a task may last, so it keeps no worker from others until they end.
+// placeIsolated assigns the tasks with a pin that must be isolated. Where there is room for one, or for a gang, but beside runs
+// that aren't known to be harmless, it keeps workers from taking further tasks until these are, which is soon. Runs that take
+// the room of a task may last, so it keeps no worker from others until they end.
 func (p *pass) placeIsolated(s *ledger.StepRun, pin string, workers []*Worker) {
 	if !s.HasLosses() || len(workers) == 0 {
 		return
 	}
 	g, _, _ := p.in.groupTasks(s, pin)
-	limit := max(len(workers)/keptFraction, 1)
-	mayKeep := func() bool { return s.Step.Gang || countKept(workers, g.job()) < limit }
+	pool := p.pools[workers[0].Pool()]
+	limit := max(len(pool)/keptFraction, 1)
+	mayKeep := func() bool { return s.Step.Gang || countKept(pool, g.job()) < limit }
 	left := p.countStartable(&g)
 	if left == 0 || !mayKeep() {
 		return
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -110,8 +110,8 @@
 	return p.assignments
 }
 
-// forEachStep calls place for each step with tasks that may start, until there are enough assignments. The tasks that are pinned
-// to a worker are placed apart from the others, so a gang with both waits.
+// forEachStep calls place for each step with tasks that may start, until there are enough assignments. The tasks that are
+// pinned to a worker are placed apart from the others, so a gang with both waits.
 func (p *pass) forEachStep(place func(s *ledger.StepRun, pin string, workers []*Worker)) {
 	for _, c := range p.in.Candidates {
 		for _, s := range c.ReadySteps() {
@@ -433,6 +433,9 @@
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
+	if x, y := g.lateAt[a.ID()], g.lateAt[b.ID()]; x != y {
+		return y
+	}
 	if n := g.compareRisk(a, b); n != 0 {
 		return n < 0
 	}
--- a/internal/workload/unreached_incarnation_test.go
+++ b/internal/workload/unreached_incarnation_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -166,3 +167,44 @@
 		})
 	}
 }
+
+// Guards against a task that is kept to a worker which is lost again and again after a start, beside a sound one.
+func TestTaskLeavesWorkerThatIsLostAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		lose func(s *sim, w *fakeWorker)
+	}{
+		{"cut off", func(s *sim, w *fakeWorker) {
+			w.unreachable = true
+			s.scheduleLasting(9*time.Second, func() { w.unreachable = false })
+		}},
+		{"crashes", func(s *sim, w *fakeWorker) {
+			w.dead = true
+			s.scheduleLasting(3*time.Second, func() { restartAgain(s, w) })
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "p")
+			id := s.addWorkers("p", 1)[0].m.Id
+			s.run(2 * time.Second)
+			starts := 0
+			s.intercept = func(a kernel.Action) bool {
+				start, ok := a.(workload.StartRun)
+				if !ok || start.ID != id {
+					return false
+				}
+				starts++
+				sent := s.sentAt
+				tt.lose(s, s.workers[id])
+				s.schedule(time.Second, func() { s.fail(a, workload.NoAnswer, sent) })
+				return true
+			}
+			s.submit("p", "job", step(1, 12000, 1000, 1000))
+			s.run(200 * time.Millisecond)
+			s.addWorkerTo("p", "m-p-1")
+			s.runUntil(60*time.Second, func() bool { return s.jobState("p", "job") == "completed" })
+			assert.Equal(t, starts, 2)
+		})
+	}
+}
