workload: wait for the lease of a late start only where an incarnation is known

Until no start can be late any more the task waits as before; after that it waits for the lease only if a later incarnation of the ID is known.

--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -16,13 +16,7 @@
 	if !ledger.AwaitsLateStarts(r.task.Step().Step) {
 		return 0
 	}
-	if until := r.lateStartUntil(e.now); until > 0 {
-		return until - e.now
-	}
-	if r.lateUntil > 0 && e.now <= r.lateUntil+worstCaseDuration(e.cfg.MaxLease) {
-		return time.Millisecond // What was started last may still work.
-	}
-	return 0
+	return max(r.lateStartUntil(e.now)-e.now, 0)
 }
 
 // hasLateStarts reports whether tasks of a session's runs have to wait for starts of these.
@@ -62,17 +56,22 @@
 	}
 }
 
-// pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID may
-// still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only once it
-// rejects that start. If a start there has got no answer again, the task waits instead. The ID is empty if the task may start
-// anywhere.
+// pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID
+// may still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only
+// once it rejects that start. If a start there has got no answer again, the task waits instead. The ID is empty if the task may
+// start anywhere.
 func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
 	if e.isOutOfReach(l) {
 		return ""
 	}
 	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
-	if over > worstCaseDuration(e.cfg.MaxLease) || over > 0 && e.hasListedSince(l.Worker, e.now-over) {
-		return "" // Even a run that started last has ended.
+	switch {
+	case over <= 0:
+	case over > worstCaseDuration(e.cfg.MaxLease): // Even a run that started last has ended.
+		return ""
+	case !e.hasLaterIncarnation(l) || e.hasListedSince(l.Worker, e.now-over):
+		// The task of a worker that is lost for good can't wait for the lease of one that may never have started.
+		return ""
 	}
 	if l.Repeated {
 		return noWorker
@@ -80,6 +79,12 @@
 	return l.Worker
 }
 
+// hasLaterIncarnation reports whether a later incarnation than that to which a late start was sent is known.
+func (e *Engine) hasLaterIncarnation(l *workloadpb.LateStart) bool {
+	w := e.state.WorkerByID(l.Worker)
+	return w != nil && (w.StartedMs() > l.StartedMs || e.sessions[w.Number()].successorMs > 0)
+}
+
 // hasListedSince reports whether the incarnation with an ID has listed its runs since a time, all of them assigned to it. If not,
 // it is asked for a list.
 func (e *Engine) hasListedSince(id string, at time.Duration) bool {
