--- a/internal/workload/ledger/late_starts_test.go
+++ b/internal/workload/ledger/late_starts_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"google.golang.org/protobuf/testing/protocmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -66,3 +67,135 @@
 		})
 	}
 }
+
+// restored returns the state that a snapshot of the ledger holds.
+func (f *fixture) restored() *ledger.State {
+	f.t.Helper()
+	data, err := f.Snapshot()
+	assert.NilError(f.t, err)
+	s := ledger.New()
+	assert.NilError(f.t, s.Restore(data))
+	return s
+}
+
+// Guards against a late start of an ended run that isn't kept with its task, or is forgotten by a snapshot, so that the task
+// starts elsewhere beside it.
+func TestLateStartIsKeptWithItsTask(t *testing.T) {
+	const remainingMs = 11_000
+	newLateStart := func(id string, startedMs, endMs int64) *workloadpb.LateStart {
+		return &workloadpb.LateStart{Worker: id, Address: "a-" + id, StartedMs: startedMs, EndMs: endMs}
+	}
+	endLate := func(f *fixture, k ledger.RunKey, w *ledger.Worker) {
+		f.apply(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: &workloadpb.Ends{
+			Worker: w.Number(), Ends: []*workloadpb.End{{
+				Subtask: k.TaskMessage(), Run: k.Run, How: workloadpb.How_HOW_VOID, LateStartRemainingMs: remainingMs,
+			}},
+		}}})
+	}
+	const beganMs, laterMs = 5000, 7000
+	for _, tt := range []struct {
+		name  string
+		event func(f *fixture, task *ledger.Task, w *ledger.Worker)
+		want  *workloadpb.LateStart
+	}{
+		{"none", func(f *fixture, task *ledger.Task, w *ledger.Worker) {
+			f.end(f.assignRecorded(task, w), w, workloadpb.How_HOW_VOID)
+		}, nil},
+		{"ended", func(f *fixture, task *ledger.Task, w *ledger.Worker) {
+			endLate(f, f.assignRecorded(task, w), w)
+		}, newLateStart("w", 1, beganMs+remainingMs)},
+		{"ended, then the worker started again", func(f *fixture, task *ledger.Task, w *ledger.Worker) {
+			endLate(f, f.assignRecorded(task, w), w)
+			f.report("w", 2)
+		}, newLateStart("w", 1, beganMs+remainingMs)},
+		{"ended, then the worker left", func(f *fixture, task *ledger.Task, w *ledger.Worker) {
+			endLate(f, f.assignRecorded(task, w), w)
+			f.apply(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: &workloadpb.Leave{Id: "w", BornMs: 1}}})
+		}, newLateStart("w", 1, beganMs+remainingMs)},
+		{"a later run ended without one", func(f *fixture, task *ledger.Task, w *ledger.Worker) {
+			endLate(f, f.assignRecorded(task, w), w)
+			w = f.report("w", 2)
+			f.advanceClock(laterMs)
+			f.end(f.assignRecorded(task, w), w, workloadpb.How_HOW_VOID)
+		}, newLateStart("w", 1, beganMs+remainingMs)},
+		{"a later run ended with one", func(f *fixture, task *ledger.Task, w *ledger.Worker) {
+			endLate(f, f.assignRecorded(task, w), w)
+			w = f.report("w", 2)
+			f.advanceClock(laterMs)
+			endLate(f, f.assignRecorded(task, w), w)
+		}, newLateStart("w", 2, laterMs+remainingMs)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			w := f.report("w", 1)
+			j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(2)}})
+			f.advanceClock(beganMs)
+			tasks := j.Occurrences()[0].Steps[0].Tasks
+			tt.event(f, &tasks[0], w)
+			for _, list := range [][]ledger.Task{tasks, f.restored().JobByID("a").Occurrences()[0].Steps[0].Tasks} {
+				assert.DeepEqual(t, list[0].LateStart(), tt.want, protocmp.Transform())
+				assert.Assert(t, list[1].LateStart() == nil)
+			}
+		})
+	}
+}
+
+// Guards against a leader that takes the start of a run, which a former one recorded as unanswered, for one without a late copy,
+// and against one that expects a late copy of a start which was sent after that.
+func TestUnansweredStartsAreKeptWithTheIncarnation(t *testing.T) {
+	const recordedMs = 5000
+	record := func(f *fixture) {
+		f.apply(&workloadpb.Command{Term: 1, SteadyMs: recordedMs, Change: &workloadpb.Command_LateStarts{
+			LateStarts: &workloadpb.LateStarts{Workers: []string{"w"}, RemainingMs: ledger.MaxRequestDelay.Milliseconds()},
+		}})
+	}
+	for _, tt := range []struct {
+		name string
+		// before and after are what happens before and after the record. The run is assigned between before and the record.
+		before, after func(f *fixture)
+		want          bool
+	}{
+		{"recorded", nil, nil, true},
+		{"recorded before the assignment", record, nil, false},
+		{"capacity changes", nil, func(f *fixture) {
+			f.apply(&workloadpb.Command{Change: &workloadpb.Command_Report{Report: &workloadpb.Report{Worker: &workloadpb.Worker{
+				Id: "w", Address: "a-w", BornMs: 1, Pool: "glass", Capacity: &workloadpb.Resources{Cpu: 8000, MemoryMib: 65536},
+			}}}})
+		}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.report("w", 1)
+			if tt.before != nil {
+				tt.before(f)
+				f.advanceClock(recordedMs + 10_000)
+			}
+			j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+			f.assignRecorded(&j.Occurrences()[0].Steps[0].Tasks[0], f.WorkerByID("w"))
+			if tt.before == nil {
+				record(f)
+			}
+			if tt.after != nil {
+				tt.after(f)
+			}
+			for _, s := range []*ledger.State{f.State, f.restored()} {
+				w := s.WorkerByID("w")
+				assert.Equal(t, w.MayRunLate(s.JobByID("a").Occurrences()[0].Steps[0].Tasks[0].RunOn(w)), tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a record for an earlier incarnation that a later one inherits.
+func TestLaterIncarnationHasNoUnansweredStarts(t *testing.T) {
+	f := newFixture(t)
+	f.report("w", 1)
+	f.apply(&workloadpb.Command{Term: 1, SteadyMs: 5000, Change: &workloadpb.Command_LateStarts{
+		LateStarts: &workloadpb.LateStarts{Workers: []string{"w"}, RemainingMs: ledger.MaxRequestDelay.Milliseconds()},
+	}})
+	w := f.report("w", 2)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(1)}})
+	task := &j.Occurrences()[0].Steps[0].Tasks[0]
+	f.assignRecorded(task, w)
+	assert.Assert(t, !w.MayRunLate(task.RunOn(w)))
+}
