--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -111,6 +111,9 @@
 		Incarnation: w.Number(), Address: w.Address(), Worker: w.ID(), Pool: w.Pool(), AtMs: s.clockMs, Isolated: a.Isolated,
 		StartedMs: w.StartedMs(), Announced: w.IsDraining(),
 	}
+	if t.lateStart.GetWorker() == w.ID() {
+		t.lateStart.Repeated = true
+	}
 	t.setLosses(append(t.losses, l))
 	s.lossEvents = append(s.lossEvents, LossEvent{Task: t, Loss: l, Losses: len(t.losses)})
 }
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -58,8 +58,8 @@
 
 // pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID
 // may still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only
-// once it rejects that start. If a start there has got no answer again, the task waits instead. The ID is empty if the task may
-// start anywhere.
+// once it rejects that start. If the worker was lost again, or another start got no answer, the task waits instead. The ID is
+// empty if the task may start anywhere.
 func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
 	if e.isOutOfReach(l) {
 		return ""
