--- a/internal/workload/inflight_start_test.go
+++ b/internal/workload/inflight_start_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
 )
 
 // Guards against a late start of a leader that was lost before the answer was due, so that no record tells the next one of it.
--- a/internal/workload/left_worker_test.go
+++ b/internal/workload/left_worker_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
 )
 
 // Guards against a task that starts elsewhere beside a late start, because its worker has left by itself and comes back.
