workload: tests for mutants of the pin that survived

Gangs in part, tasks pinned to different workers, a maximum per worker without losses, heartbeats before a late start is recorded, lists that are older than the end of a late start or still show its run, and lists of a later incarnation that show that the start was carried out.

--- a/internal/workload/late_copy_test.go
+++ b/internal/workload/late_copy_test.go
@@ -26,26 +26,33 @@
 		{"another incarnation before", restartTooSmall, false},
 		{"another incarnation before, another leader", restartTooSmall, true},
 	} {
-		t.Run(tt.name, func(t *testing.T) {
-			s := newPinnedSim(t, step(1, 12000, 1000, 30_000))
-			s.run(500 * time.Millisecond)
-			if tt.between != nil {
-				s.late.skips = 1
-				tt.between(s.sim, s.lost)
-			}
-			if tt.newLeader {
-				s.run(2 * time.Second)
-				s.startTerm()
-			}
-			s.run(s.late.sent + 11*time.Second - s.now)
-			s.workers[s.lost.m.Id].dead = true
-			s.run(500 * time.Millisecond)
-			later := s.restartLost(0)
-			later.unreachable = true
-			assert.Equal(t, len(later.runs), 1)
-			s.runUntil(60*time.Second, func() bool { return s.jobState("p", "job") == "completed" })
-			assert.Equal(t, s.done["job.0.0.0"], 1)
-		})
+		for _, isKnown := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, known %v", tt.name, isKnown), func(t *testing.T) {
+				s := newPinnedSim(t, step(1, 12000, 1000, 30_000))
+				s.run(500 * time.Millisecond)
+				if tt.between != nil {
+					s.late.skips = 1
+					tt.between(s.sim, s.lost)
+				}
+				if tt.newLeader {
+					s.run(2 * time.Second)
+					s.startTerm()
+				}
+				s.run(s.late.sent + 11*time.Second - s.now)
+				s.workers[s.lost.m.Id].dead = true
+				s.run(500 * time.Millisecond)
+				s.startsMute = func(*fakeWorker) bool { return true }
+				later := s.startWorkerAs("m-p-0", s.lost.m.Id, s.lost.m.Address)
+				s.late.deliver()
+				assert.Equal(t, len(later.runs), 1)
+				later.unreachable = true
+				if isKnown {
+					s.report(later)
+				}
+				s.runUntil(60*time.Second, func() bool { return s.jobState("p", "job") == "completed" })
+				assert.Equal(t, s.done["job.0.0.0"], 1)
+			})
+		}
 	}
 }
 
--- a/internal/workload/ledger/late_starts_test.go
+++ b/internal/workload/ledger/late_starts_test.go
@@ -186,6 +186,21 @@
 	}
 }
 
+// Guards against a leader that learns of the end of a run and not of the starts without an answer that are recorded with it.
+func TestUnansweredStartsAreRecordedWithEnds(t *testing.T) {
+	f := newFixture(t)
+	w := f.report("w", 1)
+	j := f.submit(&workloadpb.Submit{Id: "a", Steps: []*workloadpb.Step{newStep(2)}})
+	tasks := j.Occurrences()[0].Steps[0].Tasks
+	ended := f.assignRecorded(&tasks[0], w)
+	f.assignRecorded(&tasks[1], w)
+	f.apply(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: &workloadpb.Ends{
+		Worker: w.Number(), LateStartsRemainingMs: ledger.MaxRequestDelay.Milliseconds(),
+		Ends: []*workloadpb.End{{Subtask: ended.TaskMessage(), Run: ended.Run, How: workloadpb.How_HOW_VOID}},
+	}}})
+	assert.Assert(t, w.MayRunLate(tasks[1].RunOn(w)))
+}
+
 // Guards against a record for an earlier incarnation that a later one inherits.
 func TestLaterIncarnationHasNoUnansweredStarts(t *testing.T) {
 	f := newFixture(t)
