workload: record a late start again if the record is older than its run

Callers saw a task start elsewhere beside a late start, after a change of leader. A start without an answer was not recorded if an earlier record for the ID lasts for as long, but the next leader takes only runs that were assigned before the last record for ones with a late start.

TestLateStartCoveredByEarlierRecordRunsOnce and TestLateStartCoveredByRecordOfLossRunsOnce fail before.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -354,6 +354,9 @@
 	if r == nil {
 		return
 	}
+	if r.lateUntil > 0 && !s.worker.MayRunLate(r.task.RunOn(s.worker)) {
+		e.lateStarts.recordAgain(s.worker.ID())
+	}
 	r.startInFlight = false
 	r.repeated = r.repeated || ev.Repeated
 	r.doubtful = r.doubtful || ev.Outcome == NoAnswer || ev.Repeated || ev.ExecutedBy > 0
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// recordAgain notes that the log has to tell of the starts for an ID again, as what it tells is older than a run that was assigned
+// since.
+func (t *lateStartTable) recordAgain(id string) {
+	l := t.of(id)
+	l.recordedUntil, l.proposedUntil = 0, 0
+	t.checkAt = 0
+}
+
 // addUnresolved notes that the only start of a run for an ID may have no answer.
 func (t *lateStartTable) addUnresolved(id string, r *run, until time.Duration) {
 	r.startUnresolved, r.unresolvedUntil = true, until
