--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// recordAgain notes that the log has to tell of the starts for an ID again, as what it tells is older than a run that was
+// assigned since.
+func (t *lateStartTable) recordAgain(id string) {
+	l := t.of(id)
+	l.recordedUntil, l.proposedUntil = 0, 0
+	t.checkAt = 0
+}
+
 // addUnresolved notes that the only start of a run for an ID may have no answer.
 func (t *lateStartTable) addUnresolved(id string, r *run, until time.Duration) {
 	r.startUnresolved, r.unresolvedUntil = true, until
@@ -104,11 +112,18 @@
 
 // closeRecorded notes that no start of a run is on its way without a record of it, if that is so.
 func (t *lateStartTable) closeRecorded(id string, r *run) {
-	if r.lateUntil <= t.of(id).recordedUntil {
+	if r.lateUntil == 0 || r.lateUntil <= t.of(id).recordedUntil && r.hasRecord() {
 		delete(t.open, r)
 	}
 }
 
+// hasRecord reports whether the log has told of starts of the run's worker without an answer since the run was assigned.
+func (r *run) hasRecord() bool {
+	return slices.ContainsFunc(r.task.ActiveRuns, func(a ledger.ActiveRun) bool {
+		return a.Run == r.key.Run && a.Worker.MayRunLate(a)
+	})
+}
+
 // recordSent notes that the start of a run for an ID is sent.
 func (t *lateStartTable) recordSent(id string, r *run) {
 	t.of(id).inFlight++
