workload: wait longer beside an incarnation that is known, and where starts get lost

A worker that answers other requests after a start without an answer is likely to lose the next one, too, so the task waits instead of starting there, as after a second loss. The list of a later incarnation that shows the run settles its last start. Two starts of a task that are both lost and carried out by one incarnation remain possible if nothing tells of it before (no test: the simulation doesn't tell runs of one worker apart).

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -262,6 +262,8 @@
 	for _, end := range m.Ends {
 		if r := s.runs[ledger.RunKeyOf(end.Subtask, end.Run)]; r != nil && end.How != workloadpb.How_HOW_DONE {
 			end.LateStartRemainingMs = e.remainingLateStart(r).Milliseconds()
+			end.LaterKnown = s.successorMs > 0
+			end.StartIgnored = end.How == workloadpb.How_HOW_LOST && s.lastAnswerAt > r.requestedAt+overdueAfter
 		}
 	}
 	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
--- a/internal/workload/ledger/late_start.go
+++ b/internal/workload/ledger/late_start.go
@@ -26,7 +26,7 @@
 	last := t.lateStart
 	t.lateStart = &workloadpb.LateStart{
 		Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + remainingMs,
-		Repeated: last.GetWorker() == w.ID() && last.GetEndMs()+lateStartsAfterEnd.Milliseconds() > s.clockMs,
+		Blocked: last.GetWorker() == w.ID() && last.GetEndMs()+lateStartsAfterEnd.Milliseconds() > s.clockMs,
 	}
 }
 
--- a/internal/workload/ledger/late_starts_test.go
+++ b/internal/workload/ledger/late_starts_test.go
@@ -124,7 +124,7 @@
 			f.advanceClock(laterMs)
 			endLate(f, f.assignRecorded(task, w), w)
 		}, &workloadpb.LateStart{
-			Worker: "w", Address: "a-w", StartedMs: 2, EndMs: laterMs + remainingMs, Repeated: true,
+			Worker: "w", Address: "a-w", StartedMs: 2, EndMs: laterMs + remainingMs, Blocked: true,
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -112,7 +112,7 @@
 		StartedMs: w.StartedMs(), Announced: w.IsDraining(),
 	}
 	if t.lateStart.GetWorker() == w.ID() {
-		t.lateStart.Repeated = true
+		t.lateStart.Blocked = true
 	}
 	t.setLosses(append(t.losses, l))
 	s.lossEvents = append(s.lossEvents, LossEvent{Task: t, Loss: l, Losses: len(t.losses)})
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -58,8 +58,8 @@
 
 // pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID
 // may still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only
-// once it rejects that start. If the worker was lost again, or another start got no answer, the task waits instead. The ID is
-// empty if the task may start anywhere.
+// once it rejects that start. If the worker seems to lose starts, or is lost again, the task waits instead: two late starts of
+// different runs at one incarnation would both be carried out. The ID is empty if the task may start anywhere.
 func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
 	if e.isOutOfReach(l) {
 		return ""
@@ -73,7 +73,7 @@
 		// The task of a worker that is lost for good can't wait for the lease of one that may never have started.
 		return ""
 	}
-	if l.Repeated {
+	if l.Blocked {
 		return noWorker
 	}
 	return l.Worker
@@ -82,7 +82,7 @@
 // hasLaterIncarnation reports whether a later incarnation than that to which a late start was sent is known.
 func (e *Engine) hasLaterIncarnation(l *workloadpb.LateStart) bool {
 	w := e.state.WorkerByID(l.Worker)
-	return w != nil && (w.StartedMs() > l.StartedMs || e.sessions[w.Number()].successorMs > 0)
+	return l.LaterKnown || w != nil && (w.StartedMs() > l.StartedMs || e.sessions[w.Number()].successorMs > 0)
 }
 
 // hasListedSince reports whether the incarnation with an ID has listed its runs since a time, all of them assigned to it. If not,
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -109,10 +109,14 @@
 	e.proposeEnds(s, m)
 }
 
-// resolveStart notes that a start of a run was carried out, as a list of the later incarnation shows.
+// resolveStart notes that a start of a run without an answer was carried out by the later incarnation, as its list shows.
 func (e *Engine) resolveStart(s *session, n RunName) {
-	if k, ok := e.runKey(n); ok && s.runs[k] != nil {
-		e.lateStarts.resolve(s.worker.ID(), s.runs[k], true)
+	k, ok := e.runKey(n)
+	if r := s.runs[k]; ok && r != nil {
+		e.lateStarts.resolve(s.worker.ID(), r, true)
+		if r.startCopies == 1 {
+			r.lateUntil = 0
+		}
 	}
 }
 
--- a/internal/workload/unreached_incarnation_test.go
+++ b/internal/workload/unreached_incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -89,7 +90,7 @@
 	s = newSim(t)
 	s.configure(1, nil, "p")
 	crashed = s.addWorkers("p", 1)[0]
-	s.run(2 * time.Second)
+	s.run(9 * time.Second)
 	newLateStart(s, crashed.m.Id)
 	s.submit("p", "job", st)
 	s.run(200 * time.Millisecond)
@@ -123,6 +124,28 @@
 	assert.Equal(t, s.running("job"), 1)
 }
 
+// Guards against a task that starts elsewhere beside such a run at an incarnation that was heard of once, before its predecessor
+// ended.
+func TestTaskAwaitsRunOfIncarnationThatWasHeardOfOnce(t *testing.T) {
+	s, crashed, _ := newLostStartSim(t, step(1, 12000, 1000, 20_000))
+	s.startsMute = nil
+	var start workload.StartRun
+	for _, a := range s.requests {
+		if r, ok := a.(workload.StartRun); ok && r.ID == crashed.m.Id {
+			start = r
+		}
+	}
+	sent := s.now - 200*time.Millisecond
+	s.run(500 * time.Millisecond)
+	later := s.startWorkerAs("m-p-0", crashed.m.Id, crashed.m.Address)
+	later.unreachable = true
+	s.runUntil(20*time.Second, func() bool { return s.now >= sent+ledger.MaxRequestDelay-100*time.Millisecond })
+	later.execute(start, sent)
+	assert.Equal(t, len(later.runs), 1)
+	s.run(15 * time.Second)
+	assert.Equal(t, s.running("job"), 1)
+}
+
 // Guards against a task that waits for a late start which no incarnation can carry out any more, as another worker has the
 // address.
 func TestTaskDoesNotAwaitLateStartAtReusedAddress(t *testing.T) {
