workload: wait for the lease of a late start unless the worker's instance is down

The platform's list of instances tells such a worker from one that is lost for good, which is why didn't wait: it is read once no start can be late any more, and the task waits for the lease only if the instance is up.

In TestTaskOfWorkerLostForGoodStartsElsewhere the platform lists the instance as down, as it does; the bound under another leader of TestTaskPinnedToUnusableWorkerStartsElsewhereInTime, from today, is that of what the new leader has to assume (2 s and 12 s from its begin), not of the former one's record.

--- a/internal/workload/late_script_test.go
+++ b/internal/workload/late_script_test.go
@@ -211,8 +211,7 @@
 //   - A start, if the task was done before by a worker with the ID, as its end can't wait for that; or if the task is
 //     long-running and the leader has ended the run before it knew of that incarnation, or after it has neither reached it nor
 //     got a heartbeat for as long as leases last, as such a task can't wait. Nothing else that a leader sends can get there
-//     first. Other tasks wait until no start can be late any more, but not for a run of an incarnation that nobody has heard
-//     of by then.
+//     first.
 //   - A renewal that acknowledges a success of that incarnation, whose run came from another late start.
 func (q *lateRequest) isUnpreventable(w *fakeWorker) bool {
 	if w.reached || w.m.BornMs == q.h.StartedMs {
@@ -220,12 +219,9 @@
 	}
 	switch a := q.a.(type) {
 	case workload.StartRun:
-		if q.settledAt == 0 || w.followsOperation(q.sent) {
+		if q.settledAt == 0 || w.followsOperation(q.sent) || !q.isDone && !w.sim.steps[a.Name.Job][a.Name.Step].Lasting {
 			return false
 		}
-		if !q.isDone && !w.sim.steps[a.Name.Job][a.Name.Step].Lasting {
-			return !w.known && w.sim.now >= q.sent+workload.RequestTimeout+ledger.MaxRequestDelay
-		}
 		return !w.known || q.settledAt < w.knownAt || q.settledAt >= w.heardAt+w.sim.maxLease
 	case workload.RenewLease:
 		return slices.ContainsFunc(w.successes, func(e success) bool {
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -69,8 +69,8 @@
 	case over <= 0:
 	case over > worstCaseDuration(e.cfg.MaxLease): // Even a run that started last has ended.
 		return ""
-	case !e.hasLaterIncarnation(l) || e.hasListedSince(l.Worker, e.now-over):
-		// The task of a worker that is lost for good can't wait for the lease of one that may never have started.
+	case !e.hasLaterIncarnation(l) && !e.mayBeUp(l.Worker, e.now-over) || e.hasListedSince(l.Worker, e.now-over):
+		// The task of a worker that is lost for good can't wait for the lease of one that never started.
 		return ""
 	}
 	if l.Blocked {
@@ -85,6 +85,17 @@
 	return l.LaterKnown || w != nil && (w.StartedMs() > l.StartedMs || e.sessions[w.Number()].successorMs > 0)
 }
 
+// mayBeUp reports whether the instance of a worker may be up, by a list of instances that was requested after a time. If there is
+// no such list, one is requested.
+func (e *Engine) mayBeUp(id string, at time.Duration) bool {
+	if e.fleet.listSentAt <= at {
+		e.fleet.stale = true
+		return true
+	}
+	in := e.fleet.byWorker[id]
+	return in != nil && in.Up
+}
+
 // hasListedSince reports whether the incarnation with an ID has listed its runs since a time, all of them assigned to it. If not,
 // it is asked for a list.
 func (e *Engine) hasListedSince(id string, at time.Duration) bool {
--- a/internal/workload/pinned_task_test.go
+++ b/internal/workload/pinned_task_test.go
@@ -16,8 +16,8 @@
 const (
 	// pinnedSlack is how much later than it may a pinned task has to start elsewhere.
 	pinnedSlack = time.Second
-	// inheritedSlack is how much later than that it may start under another leader, which knows only the record of the start.
-	// The record lasts a second longer, and the clock of the ledger stands still while the leader changes.
+	// inheritedSlack is that under another leader. The record lasts a second longer, and the clock of the ledger stands still
+	// while the leader changes.
 	inheritedSlack = 2 * time.Second
 )
 
@@ -106,7 +106,7 @@
 				if newLeader {
 					s.run(time.Second)
 					s.startTerm()
-					over += inheritedSlack
+					over = s.now + workload.MaxConfirmationAge + ledger.MaxRequestDelay + tt.after + inheritedSlack
 				}
 				s.runUntil(over-s.now, func() bool { return len(s.other.runs) == 1 })
 				assert.Assert(t, s.now >= s.late.sent+ledger.MaxRequestDelay)
--- a/internal/workload/unreached_incarnation_test.go
+++ b/internal/workload/unreached_incarnation_test.go
@@ -106,6 +106,7 @@
 	for _, lease := range []time.Duration{6 * time.Second, 10 * time.Second} {
 		t.Run(lease.String(), func(t *testing.T) {
 			s, _, other := newLostStartSim(t, step(1, 12000, 1000, 1000))
+			s.instances["m-p-0"].Up = false
 			s.setMaxLease(lease)
 			s.runUntil(finishTime, func() bool { return len(other.runs) == 1 })
 		})
