workload: share the simulation of a start without an answer between tests

The set-up of newLostStartSim was that of newPinnedSim but for the age of the worker, and one test wrote the leave of a worker again. Assertions unchanged.

--- a/internal/workload/pinned_task_test.go
+++ b/internal/workload/pinned_task_test.go
@@ -29,11 +29,17 @@
 }
 
 func newPinnedSim(t *testing.T, st *workloadpb.Step) *pinnedSim {
+	t.Helper()
+	return newPinnedSimAt(t, 2*time.Second, st)
+}
+
+// newPinnedSimAt is newPinnedSim with a worker that has the given age when the job is submitted.
+func newPinnedSimAt(t *testing.T, age time.Duration, st *workloadpb.Step) *pinnedSim {
 	t.Helper()
 	s := &pinnedSim{sim: newSim(t)}
 	s.configure(1, nil, "p")
 	s.lost = s.addWorkers("p", 1)[0]
-	s.run(2 * time.Second)
+	s.run(age)
 	s.late = newLateStart(s.sim, s.lost.m.Id)
 	s.submit("p", "job", st)
 	s.run(200 * time.Millisecond)
--- a/internal/workload/unreached_incarnation_test.go
+++ b/internal/workload/unreached_incarnation_test.go
@@ -84,18 +84,11 @@
 }
 
 // newLostStartSim returns a simulation with a job whose only start got no answer, as its worker has crashed, and another
-// worker.
+// worker. The deadline of the start is later than the clocks of the next incarnations.
 func newLostStartSim(t *testing.T, st *workloadpb.Step) (s *sim, crashed, other *fakeWorker) {
 	t.Helper()
-	s = newSim(t)
-	s.configure(1, nil, "p")
-	crashed = s.addWorkers("p", 1)[0]
-	s.run(9 * time.Second)
-	newLateStart(s, crashed.m.Id)
-	s.submit("p", "job", st)
-	s.run(200 * time.Millisecond)
-	crashed.dead = true
-	return s, crashed, s.addWorkerTo("p", "m-p-1")
+	p := newPinnedSimAt(t, 9*time.Second, st)
+	return p.sim, p.lost, p.other
 }
 
 // finishTime is the time after the end of the traffic at which the users' rule asks for jobs that don't run.
@@ -174,8 +167,7 @@
 			s.submit("p", "job", step(1, 12000, 1000, 20_000))
 			s.run(since)
 			w.dead = true
-			leave := &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs}
-			s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: leave}})
+			s.leave(w)
 			s.addWorkerTo("p", "m-p-1")
 			s.run(2 * time.Second)
 			restartAgain(s, w)
