--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -142,7 +142,7 @@
 		e.recordFence(s, ev.EndedAt)
 		s.mustList, s.ackedEnd = false, max(s.ackedEnd, ev.Request.AckedEnd)
 		e.reconcileRuns(s, ev)
-		s.hasListed, s.listedAt = true, ev.SentAt
+		s.listedAt = max(ev.SentAt, 1)
 	case OtherIncarnation:
 		e.handleOtherIncarnation(s, "lease renewal", ev.Answer)
 		e.settleRuns(s, ev)
@@ -192,7 +192,7 @@
 				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "unassigned-run")
 				e.cfg.Log.Info("worker lists a run that is not assigned to it; stopping the run", "worker", s.worker.ID(),
 					"boot", s.worker.Number(), "pool", s.worker.Pool(), "predecessors", s.worker.Predecessors(),
-					"first-list", !s.hasListed, "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index,
+					"first-list", s.listedAt == 0, "job", row.Name.Job, "step", row.Name.Step, "index", row.Name.Index,
 					"run", row.Name.Run, "lease-ends-in", (s.leasesExpireBy - e.now).String())
 				e.addAction(StopRun{RequestHeader: e.requestHeader(s), Name: row.Name})
 			}
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -27,9 +27,8 @@
 // executes them as long as it has got no request of its own.
 type lateStartTable struct {
 	byID map[string]*lateStarts
-	// open holds the runs with a start that may be on its way without a record of it, with the numbers of the commands that
-	// assigned them.
-	open map[*run]uint64
+	// open holds the runs with a start that may be on its way without a record of it.
+	open map[*run]bool
 	// proposedResolved is the last number that a command has told of the others, at proposedResolvedAt.
 	proposedResolved   uint64
 	proposedResolvedAt time.Duration
@@ -127,7 +126,7 @@
 // recordSent notes that the start of a run for an ID is sent.
 func (t *lateStartTable) recordSent(id string, r *run) {
 	t.of(id).inFlight++
-	t.open[r] = r.assignNumber
+	t.open[r] = true
 	r.startCopies++
 }
 
@@ -195,7 +194,7 @@
 
 // inheritLateStarts takes over what earlier leaders recorded.
 func (e *Engine) inheritLateStarts() {
-	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}, open: map[*run]uint64{}}
+	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}, open: map[*run]bool{}}
 	for id, endMs := range e.state.LateStarts() {
 		until := e.now + millis(endMs-e.state.Clock())
 		*e.lateStarts.of(id) = lateStarts{possibleUntil: until}
@@ -230,8 +229,8 @@
 // before, is on its way without a record of it.
 func (e *Engine) resolvedAssigns() uint64 {
 	resolved := max(e.term<<assignNumberBits, e.lastAssign)
-	for _, n := range e.lateStarts.open {
-		resolved = min(resolved, max(n, 1)-1)
+	for r := range e.lateStarts.open {
+		resolved = min(resolved, max(r.assignNumber, 1)-1)
 	}
 	return resolved
 }
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -261,10 +261,7 @@
 		}
 		s.endRun(w, k, e.How, e.Checkpoint)
 		if e.LateStartRemainingMs > 0 {
-			s.setLateStart(t, w, e.LateStartRemainingMs)
-			if l := t.lateStart; l != nil {
-				l.Blocked, l.LaterKnown = l.Blocked || e.StartIgnored, e.LaterKnown
-			}
+			s.setLateStart(t, w, e)
 		}
 		s.endJobIfFinished(t, at)
 	}
--- a/internal/workload/ledger/late_start.go
+++ b/internal/workload/ledger/late_start.go
@@ -18,15 +18,16 @@
 // Long-running tasks don't, as they have to run again soon, and speculative ones may run twice.
 func AwaitsLateStarts(step *workloadpb.Step) bool { return !step.Lasting && !step.Speculative }
 
-// setLateStart records that a start of an ended run of a task on a worker may be carried out late.
-func (s *State) setLateStart(t *Task, w *Worker, remainingMs int64) {
+// setLateStart records that a start of a run of a task that has ended on a worker may be carried out late.
+func (s *State) setLateStart(t *Task, w *Worker, end *workloadpb.End) {
 	if t.Done || !AwaitsLateStarts(t.step.Step) {
 		return
 	}
 	last := t.lateStart
+	isRepeated := last.GetWorker() == w.ID() && last.GetEndMs()+lateStartsAfterEnd.Milliseconds() > s.clockMs
 	t.lateStart = &workloadpb.LateStart{
-		Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + remainingMs,
-		Blocked: last.GetWorker() == w.ID() && last.GetEndMs()+lateStartsAfterEnd.Milliseconds() > s.clockMs,
+		Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + end.LateStartRemainingMs,
+		Blocked: isRepeated || end.StartIgnored, LaterKnown: end.LaterKnown,
 	}
 }
 
@@ -34,7 +35,7 @@
 func (s *State) setLateStarts(w *Worker) {
 	for _, t := range w.runs {
 		if r := t.RunOn(w); !s.IsStartResolved(r) || w.MayRunLate(r) {
-			s.setLateStart(t, w, lateStartsAfterEnd.Milliseconds())
+			s.setLateStart(t, w, &workloadpb.End{LateStartRemainingMs: lateStartsAfterEnd.Milliseconds()})
 		}
 	}
 }
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -80,12 +80,7 @@
 	}
 	isolated.lostAt, suspect.lostAt = lostAddresses(isolated.tasks), lostAddresses(suspect.tasks)
 	for _, g := range []*taskGroup{&isolated, &suspect, &other} {
-		g.lateAt = map[string]bool{}
-		for _, t := range g.tasks {
-			if l := t.LateStart(); l != nil {
-				g.lateAt[l.Worker] = true
-			}
-		}
+		g.lateAt = lateWorkers(g.tasks)
 	}
 	return isolated, suspect, other
 }
@@ -154,6 +149,20 @@
 	return m
 }
 
+// lateWorkers returns the IDs of the workers to which late starts of tasks were sent, nil if there are none.
+func lateWorkers(tasks []*ledger.Task) map[string]bool {
+	var m map[string]bool
+	for _, t := range tasks {
+		if l := t.LateStart(); l != nil {
+			if m == nil {
+				m = map[string]bool{}
+			}
+			m[l.Worker] = true
+		}
+	}
+	return m
+}
+
 // placeIsolated assigns the tasks with a pin that must be isolated. Where there is room for one, or for a gang, but beside runs
 // that aren't known to be harmless, it keeps workers from taking further tasks until these are, which is soon. Runs that take
 // the room of a task may last, so it keeps no worker from others until they end.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -103,8 +103,7 @@
 	unansweredAt          time.Duration // the answer to the first request that failed was due
 	lastAnswerAt          time.Duration
 	mustAnswer            bool          // gets no new runs until it answers a request
-	hasListed             bool          // has listed its runs to this leader
-	listedAt              time.Duration // the last list was requested
+	listedAt              time.Duration // the last list to this leader was requested, 0 if there was none
 	hasUnassignedRuns     bool          // lists runs that are not assigned to it
 	listFull              bool          // the last list may lack ends
 	consecutiveFailedRuns int           // runs that failed since one succeeded
@@ -199,7 +198,7 @@
 		if s.runs[k] == nil {
 			r := newRun(k, t)
 			r.assignNumber = t.RunOn(s.worker).AssignNumber()
-			s.runs[k], e.lateStarts.open[r] = r, r.assignNumber
+			s.runs[k], e.lateStarts.open[r] = r, true
 		}
 	}
 }
