schedule: try no worker of a pool that has no room

While more waits than a pool can hold, a pass went through all workers of the pool for each waiting step. A pass now remembers what no worker had room for and skips ordinary steps that require as much; room only shrinks during a pass, but where a gang gives back what it took in vain, which forgets it. Not measured apart.

--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -140,9 +140,12 @@
 
 // lostAddresses returns the addresses of the workers that were lost under tasks.
 func lostAddresses(tasks []*ledger.Task) map[string]bool {
-	m := map[string]bool{}
+	var m map[string]bool
 	for _, t := range tasks {
 		for _, l := range t.Losses() {
+			if m == nil {
+				m = map[string]bool{}
+			}
 			m[l.Address] = true
 		}
 	}
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -86,6 +86,9 @@
 	busy         map[string]bool
 	withheld     map[string]*Worker
 	plannedUsage map[string]ledger.Resources
+	// crowded holds requirements that no worker of a pool has room for any more, by the name of the pool. Ordinary tasks
+	// that require as much needn't be tried on each worker.
+	crowded map[string][]ledger.Resources
 	// tasksOnWorkers is the number of tasks of a step by the number of the incarnation.
 	tasksOnWorkers map[*ledger.StepRun]map[uint64]int
 	assignments    []*workloadpb.Assignment
@@ -95,7 +98,7 @@
 func Plan(in Input) []*workloadpb.Assignment {
 	p := &pass{
 		in: &in, pools: map[string][]*Worker{}, busy: map[string]bool{}, plannedUsage: map[string]ledger.Resources{},
-		withheld: map[string]*Worker{}, tasksOnWorkers: map[*ledger.StepRun]map[uint64]int{},
+		withheld: map[string]*Worker{}, crowded: map[string][]ledger.Resources{}, tasksOnWorkers: map[*ledger.StepRun]map[uint64]int{},
 	}
 	for _, w := range in.Workers {
 		w.free = w.Free()
@@ -230,6 +233,7 @@
 	required := ledger.RequiredCapacity(s.Step)
 	for _, w := range chosen {
 		w.free, w.reserved = w.free.Plus(required), w.reserved.Plus(required)
+		delete(p.crowded, w.Pool())
 	}
 	if keep {
 		return
@@ -273,6 +277,9 @@
 		}
 	}
 	required := ledger.RequiredCapacity(s.Step)
+	if p.isCrowded(s.Step, workers, required) {
+		return nil, nil
+	}
 	fits := func(w *Worker) bool {
 		return g.mayUse(w) && p.in.Misfit(s, w, p.available(s.Step, w), g.tasksOnWorker[w.Number()]) == ""
 	}
@@ -290,6 +297,7 @@
 			best = p.releasePreferred(g, workers)
 		}
 		if best == nil {
+			p.noteCrowded(s.Step, workers, required)
 			for s.Step.Lasting && !g.isolated && len(chosen)+len(reserved) < n {
 				w := p.reserveWorker(g, workers, required)
 				if w == nil {
@@ -307,6 +315,25 @@
 	return chosen, reserved
 }
 
+// isCrowded reports whether an earlier search of the pass shows that no worker has room for an ordinary task. Room only
+// shrinks during a pass, except where a gang gives back what it took in vain.
+func (p *pass) isCrowded(s *workloadpb.Step, workers []*Worker, required ledger.Resources) bool {
+	return !s.Lasting && len(workers) > 0 && slices.ContainsFunc(p.crowded[workers[0].Pool()], func(r ledger.Resources) bool {
+		return r.Within(required)
+	})
+}
+
+// noteCrowded records that no worker has room for an ordinary task, unless one was unsuitable for another reason.
+func (p *pass) noteCrowded(s *workloadpb.Step, workers []*Worker, required ledger.Resources) {
+	if s.Lasting || len(workers) == 0 || len(workers) < len(p.pools[workers[0].Pool()]) {
+		return
+	}
+	if !slices.ContainsFunc(workers, func(w *Worker) bool { return required.Within(p.available(s, w)) }) {
+		pool := workers[0].Pool()
+		p.crowded[pool] = append(p.crowded[pool], required)
+	}
+}
+
 // TasksOnWorkers returns the number of assigned tasks of a step by the number of the worker's incarnation.
 func TasksOnWorkers(s *ledger.StepRun) map[uint64]int {
 	n := map[uint64]int{}
