control: log rounds of the control loop that hold up the heartbeats

A leader that is replaced because it was busy left no trace of what it was busy with. The line tells the time in the log, in events and in deciding.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -16,6 +16,27 @@
 	silentAfter = 2 * time.Second
 )
 
+// slowRound is the duration of a round of the control loop from which on it is logged. A leader sends no heartbeats
+// meanwhile, and loses its leadership after an election timeout.
+const slowRound = electionTicks * tickInterval / 2
+
+// loopRound holds when the phases of a round of the control loop ended.
+type loopRound struct {
+	beganAt, readyAt, wokeAt, handledAt time.Duration
+	events                              int // 0 for a tick
+}
+
+// logSlowRound logs a round that held up the heartbeats, without the time that it waited for an event.
+func (v *Voter) logSlowRound(r loopRound) {
+	end := v.now()
+	took := end - r.beganAt - (r.wokeAt - r.readyAt)
+	if took < slowRound {
+		return
+	}
+	v.cfg.Log.Info("control loop was busy", "for", took.String(), "leading", v.leading, "log", (r.readyAt - r.beganAt).String(),
+		"events", r.events, "handling", (r.handledAt - r.wokeAt).String(), "deciding", (end - r.handledAt).String())
+}
+
 // GroupStatus is what a voter knows about the control group.
 type GroupStatus struct {
 	// Voters is the number of voters, Missing the number of those that the leader can't reach or that lag behind it; 0
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -238,38 +238,47 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for v.runErr == nil {
+		round := loopRound{beganAt: v.now()}
 		if err := v.processReady(); err != nil {
 			v.runErr = err
 			break
 		}
+		round.readyAt = v.now()
 		select {
 		case <-ctx.Done():
 			v.failPendingProposals()
 			return nil
 		case f := <-v.events:
+			round.wokeAt = v.now()
 			f()
-			v.handleQueuedEvents()
+			round.events = 1 + v.handleQueuedEvents()
 		case <-ticker.C:
+			round.wokeAt = v.now()
 			v.onTick()
 		}
+		round.handledAt = v.now()
 		if v.decisionDue {
 			v.decide()
 		}
+		v.logSlowRound(round)
 	}
 	v.failPendingProposals()
 	return v.runErr
 }
 
-// handleQueuedEvents runs the functions that are already queued, so that their log entries share one sync.
-func (v *Voter) handleQueuedEvents() {
-	for range maxEventBatch {
+// handleQueuedEvents runs the functions that are already queued, so that their log entries share one sync. It returns
+// how many there were.
+func (v *Voter) handleQueuedEvents() (handled int) {
+	for handled < maxEventBatch {
 		select {
 		case f := <-v.events:
 			f()
+			handled++
 		default:
-			return
+			return handled
 		}
 	}
+	return handled
 }
 
 func (v *Voter) onTick() {
