relay: other control processes send the leader's requests to workers

Cause: the leader was the only process that called workers, and with 1,100 of them spent a third of its processor time on these calls while four control processes were idle at 7 % of a core.

A relay sends a request only while the frame, the confirmation of the leader and the term are fresh by its own clock, which also counts the time for which its machine was suspended, and otherwise tells that it did not send it. What a lost relay had got has no answer; what it hadn't is withheld. The leader calls a worker itself that didn't answer its relay.

--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -15,9 +15,9 @@
 // because the clocks of the voters differ.
 const LeaderLease = (electionTicks - 1) * tickInterval
 
-// bootTime returns the time in nanoseconds of a monotonic clock that also runs while the machine is suspended, or 0 if
+// BootTime returns the time in nanoseconds of a monotonic clock that also runs while the machine is suspended, or 0 if
 // the clock can't be read.
-func bootTime() int64 {
+func BootTime() int64 {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return 0 // With 0, QuorumConfirmed reports false. Every Linux kernel that Go supports has this clock.
@@ -37,7 +37,7 @@
 	if newest < r.newest {
 		*r = roundTimes{} // The count restarted with a new term.
 	}
-	now := bootTime()
+	now := BootTime()
 	for n := max(r.newest+1, max(newest, maxRounds)-maxRounds+1); n <= newest; n++ {
 		r.sentAt[n%maxRounds] = now
 	}
@@ -71,6 +71,6 @@
 // ConfirmationAge returns the time since a quorum confirmed the leadership of this voter, including any time for which
 // the machine was suspended, and whether this voter leads and was confirmed.
 func (v *Voter) ConfirmationAge() (time.Duration, bool) {
-	at, now := v.confirmedAt.Load(), bootTime()
+	at, now := v.confirmedAt.Load(), BootTime()
 	return time.Duration(now - at), v.isLeader.Load() && at > 0 && now >= at
 }
--- a/internal/control/clock_test.go
+++ b/internal/control/clock_test.go
@@ -27,8 +27,8 @@
 	v := &Voter{}
 	v.isLeader.Store(true)
 	assert.Assert(t, !v.QuorumConfirmed(1<<62), "no round has been confirmed yet")
-	v.confirmedAt.Store(bootTime() - int64(LeaderLease) - 1)
+	v.confirmedAt.Store(BootTime() - int64(LeaderLease) - 1)
 	assert.Assert(t, !v.QuorumConfirmed(LeaderLease))
-	v.confirmedAt.Store(bootTime())
+	v.confirmedAt.Store(BootTime())
 	assert.Assert(t, v.QuorumConfirmed(LeaderLease))
 }
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -53,6 +53,7 @@
 	st := v.core.Status()
 	status := GroupStatus{LeaderKnown: st.Leader != ""}
 	member := false
+	var answering []string
 	for _, m := range st.Members {
 		if !m.Member.Voter {
 			continue
@@ -62,9 +63,13 @@
 		if v.leading && !m.CaughtUp {
 			status.Missing++
 		}
+		if m.Member.Id != st.ID && v.heardLately(m.Member.Id, v.now()) {
+			answering = append(answering, m.Member.Address)
+		}
 	}
 	status.Surplus = member && newMemberPolicy(v.cfg).hasSurplus(status.Voters)
 	v.group.Store(&status)
+	v.answering.Store(&answering)
 	if status.LeaderKnown {
 		v.leaderSeenAt, v.leaderlessLoggedAt = v.now(), 0
 		return
@@ -117,6 +122,14 @@
 	v.cfg.Log.Info("membership of the control group changed", "voters", voters, "learners", learners)
 }
 
+// AnsweringVoters returns the peer addresses of the other voters that had sent a message lately at the last tick.
+func (v *Voter) AnsweringVoters() []string {
+	if list := v.answering.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // Group returns what this voter knew about the control group at its last tick.
 func (v *Voter) Group() GroupStatus {
 	if s := v.group.Load(); s != nil {
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -90,10 +90,14 @@
 
 	// isLeader is a copy of leading for other goroutines.
 	isLeader atomic.Bool
-	// confirmedAt is the bootTime at which the newest heartbeat round that a quorum answered was sent.
+	// confirmedAt is the BootTime at which the newest heartbeat round that a quorum answered was sent.
 	confirmedAt atomic.Int64
+	// term is the newest term in the data directory.
+	term atomic.Uint64
 	// group is a copy of the state of the group for other goroutines.
 	group atomic.Pointer[GroupStatus]
+	// answering is a copy of the addresses of the other voters that answer.
+	answering atomic.Pointer[[]string]
 
 	// The fields below belong to the control loop.
 	leading          bool
@@ -180,6 +184,7 @@
 	if err != nil {
 		return nil, err
 	}
+	v.term.Store(v.core.Status().Term)
 	v.sender = newSender(cfg.Transport, cfg.Log)
 	v.feed = newFeed(v.kernel.Applied())
 	v.registerHandlers()
@@ -225,6 +230,9 @@
 // Leading reports whether this voter leads the control group as far as it knows; see QuorumConfirmed.
 func (v *Voter) Leading() bool { return v.isLeader.Load() }
 
+// Term returns the newest term of which this voter knows a leader or for which it has voted.
+func (v *Voter) Term() uint64 { return v.term.Load() }
+
 // Now returns the monotonic time that is passed to the kernel.
 func (v *Voter) Now() time.Duration { return v.now() }
 
@@ -392,6 +400,9 @@
 			if err := v.cfg.Store.Save(rd.HardState, rd.Entries); err != nil {
 				return err
 			}
+			if rd.HardState != nil {
+				v.term.Store(rd.HardState.Term)
+			}
 		}
 		v.recordRounds()
 		v.sendMessages(rd.Messages)
@@ -572,12 +583,15 @@
 	}
 }
 
-// Observe passes an event, such as a report of the platform, to the kernel if this voter leads.
-func (v *Voter) Observe(ctx context.Context, ev kernel.Event) error {
+// Observe passes events, such as reports of the platform, to the kernel if this voter leads.
+func (v *Voter) Observe(ctx context.Context, events ...kernel.Event) error {
 	return v.post(ctx, func() {
-		if v.leading {
+		if !v.leading {
+			return
+		}
+		for _, ev := range events {
 			v.kernel.Observe(v.now(), ev)
-			v.decisionDue = true
 		}
+		v.decisionDue = true
 	})
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,7 +31,10 @@
 type Config struct {
 	Port Port
 	// Observe passes an event to the control loop of the leader.
-	Observe func(ctx context.Context, ev kernel.Event) error
+	Observe func(ctx context.Context, events ...kernel.Event) error
+	// Route hands requests to workers over to other processes, and returns the orders that are left; it may be nil. The
+	// context ends with the term of the leader.
+	Route func(ctx context.Context, actions []kernel.Action) []kernel.Action
 	// Now returns the monotonic time of the control loop.
 	Now func() time.Duration
 	// QuorumConfirmed reports whether a quorum has confirmed this leader within the last d.
@@ -76,6 +79,9 @@
 	if ctx == nil {
 		return
 	}
+	if d.cfg.Route != nil {
+		actions = d.cfg.Route(ctx, actions)
+	}
 	for _, a := range actions {
 		go d.executeAction(ctx, a)
 	}
@@ -94,55 +100,43 @@
 	}
 }
 
-// callPort executes an order and returns its result, or nil for an order of another plug-in. An order is withheld if
-// the confirmation of the leader is too old, and its lease is shortened if the confirmation isn't recent.
-func (d *Dispatcher) callPort(ctx context.Context, a kernel.Action) kernel.Event {
-	sentAt := d.cfg.Now()
-	callWorker := func(
-		h *workload.RequestHeader, timeout time.Duration, f func(ctx context.Context) workload.Answer,
-	) workload.Answer {
-		r := workload.Answer{Outcome: workload.Withheld}
-		if age, ok := d.cfg.ConfirmationAge(); ok && age < workload.MaxConfirmationAge {
-			h.ShortenLease(age)
-			ctx, cancel := context.WithTimeout(ctx, timeout)
-			defer cancel()
-			r = f(ctx)
-		}
-		r.SentAt, r.EndedAt = sentAt, d.cfg.Now()
-		return r
-	}
-	port := d.cfg.Port
+// CallWorker sends a request to a worker and returns the reply without times.
+func (p Port) CallWorker(ctx context.Context, a kernel.Action) workload.Reply {
 	switch a := a.(type) {
 	case workload.RenewLease:
-		result := workload.RenewLeaseResult{Request: a}
-		result.Answer = callWorker(&a.RequestHeader, a.Wait+workload.RequestTimeout, func(ctx context.Context) workload.Answer {
-			r := port.RenewLease(ctx, a)
-			result.Running, result.Ended = r.Running, r.Ended
-			return r.Answer
-		})
-		return result
+		r := p.RenewLease(ctx, a)
+		return workload.Reply{Answer: r.Answer, Running: r.Running, Ended: r.Ended}
 	case workload.StartRun:
-		return workload.StartRunResult{
-			Request: a,
-			Answer: callWorker(&a.RequestHeader, workload.RequestTimeout, func(ctx context.Context) workload.Answer {
-				return port.StartRun(ctx, a)
-			}),
-		}
+		return workload.Reply{Answer: p.StartRun(ctx, a)}
 	case workload.StopRun:
-		return workload.StopRunResult{
-			Request: a,
-			Answer: callWorker(&a.RequestHeader, workload.RequestTimeout, func(ctx context.Context) workload.Answer {
-				return port.StopRun(ctx, a)
-			}),
-		}
+		return workload.Reply{Answer: p.StopRun(ctx, a)}
 	case workload.ThrottleRun:
-		return workload.ThrottleRunResult{
-			Request: a,
-			Answer: callWorker(&a.RequestHeader, workload.RequestTimeout, func(ctx context.Context) workload.Answer {
-				return port.ThrottleRun(ctx, a)
-			}),
-		}
+		return workload.Reply{Answer: p.ThrottleRun(ctx, a)}
+	}
+	return workload.Reply{Answer: workload.Answer{Outcome: workload.Withheld}}
+}
+
+// callWorker sends a request to a worker and returns its result. It is withheld if the confirmation of the leader is too
+// old, and its lease is shortened if the confirmation isn't recent.
+func (d *Dispatcher) callWorker(ctx context.Context, a kernel.Action, h workload.RequestHeader) kernel.Event {
+	sentAt := d.cfg.Now()
+	r := workload.Reply{Answer: workload.Answer{Outcome: workload.Withheld}}
+	if age, ok := d.cfg.ConfirmationAge(); ok && age < workload.MaxConfirmationAge {
+		h.ShortenLease(age)
+		ctx, cancel := context.WithTimeout(ctx, workload.TimeoutOf(a))
+		defer cancel()
+		r = d.cfg.Port.CallWorker(ctx, workload.WithHeader(a, h))
+	}
+	r.SentAt, r.EndedAt = sentAt, d.cfg.Now()
+	return workload.ResultOf(a, r)
+}
+
+// callPort executes an order and returns its result, or nil for an order of another plug-in.
+func (d *Dispatcher) callPort(ctx context.Context, a kernel.Action) kernel.Event {
+	if h, ok := workload.HeaderOf(a); ok {
+		return d.callWorker(ctx, a, h)
 	}
+	sentAt, port := d.cfg.Now(), d.cfg.Port
 	cctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	switch a := a.(type) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -21,9 +21,9 @@
 	refused []error
 }
 
-func (l *loop) observe(ctx context.Context, ev kernel.Event) error {
+func (l *loop) observe(ctx context.Context, events ...kernel.Event) error {
 	select {
-	case l.events <- ev:
+	case l.events <- events[0]:
 		return nil
 	case <-ctx.Done():
 		l.refused = append(l.refused, ctx.Err())
@@ -152,8 +152,8 @@
 						return workload.Answer{Outcome: workload.Accepted}
 					},
 				},
-				Observe: func(_ context.Context, ev kernel.Event) error {
-					events <- ev
+				Observe: func(_ context.Context, list ...kernel.Event) error {
+					events <- list[0]
 					return nil
 				},
 				Now:             func() time.Duration { return 0 },
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/relay"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 )
@@ -108,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	c.transport.Handle(relay.StreamKind, relay.NewServer(relay.ServerConfig{
+		CallWorker: cfg.Port.CallWorker, Term: func() uint64 { return c.voter.Term() }, BootTime: control.BootTime,
+		Log: cfg.Log,
+	}).Serve)
 	var dispatcher *dispatch.Dispatcher
 	voterConfig := control.Config{
 		Name: cfg.PeerAddress, PeerAddress: cfg.PeerAddress, AvailabilityZone: cfg.Zone, Store: c.store, Persisted: persisted,
@@ -125,13 +130,28 @@
 		return err
 	}
 	dispatcher = dispatch.New(dispatch.Config{
-		Port: cfg.Port, Observe: c.voter.Observe, Now: c.voter.Now, QuorumConfirmed: c.voter.QuorumConfirmed,
+		Port: cfg.Port, Observe: c.voter.Observe, Route: c.newRouter().Route, Now: c.voter.Now, QuorumConfirmed: c.voter.QuorumConfirmed,
 		ConfirmationAge: c.voter.ConfirmationAge, LeaderLease: control.LeaderLease, Log: cfg.Log,
 	})
 	c.Caller = newCaller(c.transport, append([]string{cfg.PeerAddress}, cfg.Seeds...))
 	return nil
 }
 
+// newRouter returns the router that hands requests to workers over to the other voters.
+func (c *Control) newRouter() *relay.Router {
+	return relay.NewRouter(relay.RouterConfig{
+		Open: func(ctx context.Context, address string) (*peer.Stream, error) {
+			return c.transport.Open(ctx, address, relay.StreamKind)
+		},
+		Relays: c.voter.AnsweringVoters, Term: c.voter.Term, ConfirmationAge: c.voter.ConfirmationAge, Now: c.voter.Now, Log: c.cfg.Log,
+		Observe: func(ctx context.Context, events []kernel.Event) {
+			if err := c.voter.Observe(ctx, events...); err != nil {
+				c.cfg.Log.Info("control loop did not accept results of relays", "results", len(events), "reason", err.Error())
+			}
+		},
+	})
+}
+
 // configureWorkload passes the settings to the workload engine of a kernel.
 func (c *Control) configureWorkload(k *kernel.Kernel) {
 	if e, ok := kernel.Lookup[*workload.Engine](k, workload.Name); ok {
