--- /dev/null
+++ b/internal/site/batch_test.go
@@ -0,0 +1,85 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+func heartbeat(id string) *workloadpb.Command {
+	return &workloadpb.Command{Change: &workloadpb.Command_Report{
+		Report: &workloadpb.Report{Worker: &workloadpb.Worker{Id: id}},
+	}}
+}
+
+// Guards against a response that goes to another worker's heartbeat, and against a call of the leader for each of them.
+func TestHeartbeatsOfManyWorkersShareCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		b := &batcher{propose: func(_ context.Context, commands []kernel.Command) ([]kernel.Result, error) {
+			calls++
+			results := make([]kernel.Result, len(commands))
+			for i, c := range commands {
+				m := &workloadpb.Command{}
+				assert.NilError(t, proto.Unmarshal(c.Body, m))
+				body, err := proto.Marshal(&workloadpb.Response{State: m.GetReport().Worker.Id})
+				results[i] = kernel.Result{Body: body, Err: err}
+			}
+			return results, nil
+		}}
+		var group sync.WaitGroup
+		for i := range 100 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				id := fmt.Sprint("w", i)
+				r, err := b.execute(t.Context(), heartbeat(id))
+				assert.Check(t, err)
+				assert.Check(t, r.GetState() == id)
+			})
+		}
+		group.Wait()
+		assert.Assert(t, calls <= 5, "%d calls for 100 heartbeats in 100 ms", calls)
+	})
+}
+
+// Guards against a heartbeat that counts as received although the leader didn't get it, so that its worker calls no other
+// process.
+func TestHeartbeatsOfFailedCallFail(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		err    error
+		result kernel.Result
+		silent bool
+	}{
+		{"no leader", peer.ErrUnreachable.New("no leader"), kernel.Result{}, false},
+		{"invalid", nil, kernel.Result{Err: kernel.ErrInvalid.New("empty")}, false},
+		{"malformed response", nil, kernel.Result{Body: []byte{0xff}}, false},
+		{"no answer", nil, kernel.Result{}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &batcher{propose: func(ctx context.Context, _ []kernel.Command) ([]kernel.Result, error) {
+					if tt.silent {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return []kernel.Result{tt.result}, tt.err
+				}}
+				begin := time.Now()
+				_, err := b.execute(t.Context(), heartbeat("w"))
+				assert.Assert(t, err != nil)
+				assert.Assert(t, time.Since(begin) < time.Second, "the worker has given up before")
+			})
+		})
+	}
+}
