site: forward calls to a busy leader in batches

A call that a voter could not forward goes to the leader itself; unless it was certainly not sent, its outcome counts as unknown. Relays and leader exchange a frame each 8 ms, passes pause for 100 instead of 40 µs for each worker and occurrence, new incarnations are found without a walk over all, and control processes collect garbage at 300 %.

--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -26,8 +26,10 @@
 	// memoryLimitShare is the share of the configured memory that becomes the soft memory limit of the Go runtime, above
 	// which it collects garbage regardless of the cost.
 	memoryLimitShare = 0.7
-	// serveGCPercent is the GOGC value: the heap growth, in percent of the live heap, that triggers a collection.
-	serveGCPercent = 150
+	// serveGCPercent is the GOGC value: the heap growth, in percent of the live heap, that triggers a collection. Control
+	// processes are few, and one of them is short of processor time before it is short of memory.
+	serveGCPercent   = 150
+	controlGCPercent = 300
 )
 
 // serveCommand runs a process on the users' platform.
@@ -60,6 +62,9 @@
 	}
 	runtime.GOMAXPROCS(s.Cores)
 	debug.SetGCPercent(serveGCPercent)
+	if s.ServesControl {
+		debug.SetGCPercent(controlGCPercent)
+	}
 	if s.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMiB) * (1 << 20)))
 	}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -22,6 +22,7 @@
 const (
 	ProposeKind = "propose"
 	BatchKind   = "propose-batch"
+	ForwardKind = "forward"
 	QueryKind   = "query"
 	RenewKind   = "renew"
 	FollowKind  = "follow"
@@ -103,13 +104,14 @@
 			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
 			return
 		}
+		v.calls.add(v.now(), 1)
 		reply := func(r kernel.Result, err error) {
 			if err != nil {
 				answer(nil, err)
 				return
 			}
-			resp := encodeResult(r)
-			resp.Group, resp.Voters = v.voters.Group(), v.memberAddresses()
+			resp := EncodeResult(r)
+			resp.Group, resp.Voters, resp.Busy = v.voters.Group(), v.memberAddresses(), v.calls.isMany()
 			answer(resp, nil)
 		}
 		if req.Command == nil {
@@ -122,7 +124,8 @@
 	})
 }
 
-func encodeResult(r kernel.Result) *controlpb.ProposeResponse {
+// EncodeResult returns the response that tells the result of a command.
+func EncodeResult(r kernel.Result) *controlpb.ProposeResponse {
 	resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body}
 	if r.Err != nil {
 		resp.ErrorKind, resp.Error = kernel.EncodeError(r.Err)
@@ -140,8 +143,9 @@
 			answer(&controlpb.ProposeBatchResponse{Redirect: v.redirect()}, nil)
 			return
 		}
+		v.calls.add(v.now(), len(req.Commands))
 		resp := &controlpb.ProposeBatchResponse{
-			Group: v.voters.Group(), Responses: make([]*controlpb.ProposeResponse, len(req.Commands)),
+			Group: v.voters.Group(), Busy: v.calls.isMany(), Responses: make([]*controlpb.ProposeResponse, len(req.Commands)),
 		}
 		left := len(req.Commands)
 		var failure error
@@ -164,14 +168,14 @@
 		}
 		for i, c := range req.Commands {
 			if c == nil {
-				finish(i, encodeResult(kernel.Result{Err: kernel.ErrInvalid.New("empty proposal")}), nil)
+				finish(i, EncodeResult(kernel.Result{Err: kernel.ErrInvalid.New("empty proposal")}), nil)
 				continue
 			}
 			v.respond(CommandFromProto(c), func(r kernel.Result, err error) {
 				if errorx.IsOfType(err, kernel.ErrInvalid) {
 					r, err = kernel.Result{Err: err}, nil
 				}
-				finish(i, encodeResult(r), err)
+				finish(i, EncodeResult(r), err)
 			}, func() {
 				finish(i, nil, peer.ErrInterrupted.New("leadership was lost before a command of the batch was committed"))
 			})
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -120,6 +120,7 @@
 	proposedVoters   []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	runErr           error
 	roundTimes       roundTimes
+	calls            callRate
 	missingSince     map[string]time.Duration // since when a voter has not been caught up or a learner silent
 	limitRecordedAt  map[string]time.Duration // when the holders of a team's limit were last recorded
 	heardAt          map[string]time.Duration // when the last message of a member arrived
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -23,6 +23,8 @@
 	defaultAttemptTimeout = 500 * time.Millisecond
 	// retryInterval is the time between rounds of calls to all voters while there is no leader.
 	retryInterval = 50 * time.Millisecond
+	// busyDuration is how long calls go through other voters after the leader has said that it is busy.
+	busyDuration = 2 * time.Second
 )
 
 // ClientConfig holds the settings of a client.
@@ -44,6 +46,8 @@
 	voters []string // peer addresses
 	failed []string // those of voters that failed since they last answered, the one that failed last at the end
 	group  string   // identity of the control group, empty if unknown
+	// busyUntil is until when calls should reach the leader in batches.
+	busyUntil time.Time
 }
 
 // NewClient builds a client.
@@ -108,6 +112,23 @@
 	return c.group
 }
 
+// recordLoad records whether the leader has said that it is busy.
+func (c *Client) recordLoad(busy bool) {
+	if !busy {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busyUntil = time.Now().Add(busyDuration)
+}
+
+// LeaderIsBusy reports whether calls should reach the leader in batches, through another voter.
+func (c *Client) LeaderIsBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.busyUntil)
+}
+
 // forgetLeader removes the known leader unless its address has changed since.
 func (c *Client) forgetLeader(address string) {
 	c.mu.Lock()
@@ -276,6 +297,7 @@
 		return kernel.Result{}, repeated, err
 	}
 	c.updateVoters(resp.Voters)
+	c.recordLoad(resp.Busy)
 	return kernel.Result{
 		Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error),
 	}, repeated, nil
@@ -295,6 +317,7 @@
 	if len(resp.Responses) != len(commands) {
 		return nil, peer.ErrInterrupted.New("%d responses to %d commands", len(resp.Responses), len(commands))
 	}
+	c.recordLoad(resp.Busy)
 	results := make([]kernel.Result, len(commands))
 	for i, r := range resp.Responses {
 		results[i] = kernel.Result{Index: r.GetIndex(), Body: r.GetBody(), Err: kernel.DecodeError(r.GetErrorKind(), r.GetError())}
@@ -302,6 +325,19 @@
 	return results, nil
 }
 
+// Forward has another voter send a command to the leader in a batch. An error means what that of Propose does.
+func (c *Client) Forward(ctx context.Context, address string, cmd kernel.Command) (kernel.Result, error) {
+	req := &controlpb.ProposeRequest{Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}}
+	resp := &controlpb.ProposeResponse{}
+	if err := c.cfg.Call(ctx, address, control.ForwardKind, req, resp); err != nil {
+		return kernel.Result{}, err
+	}
+	c.recordLoad(resp.Busy)
+	return kernel.Result{
+		Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error),
+	}, nil
+}
+
 // Query reads from the leader after a quorum has confirmed its leadership.
 func (c *Client) Query(ctx context.Context, plugin string, req []byte) ([]byte, error) {
 	resp := &controlpb.QueryResponse{}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -19,7 +19,7 @@
 	// pingInterval is the longest time between two reports of a relay.
 	pingInterval = 100 * time.Millisecond
 	// flushInterval is the shortest time between two frames in a direction, so that requests and answers share frames.
-	flushInterval = 4 * time.Millisecond
+	flushInterval = 8 * time.Millisecond
 	// maxFrameAge is how old the newest ping that the leader knew may be when a request is sent. It bounds the time for
 	// which a relay or a frame may be held up.
 	maxFrameAge = 800 * time.Millisecond
--- a/internal/site/batch.go
+++ b/internal/site/batch.go
@@ -5,16 +5,17 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
 const (
-	// batchDelay is how long a command waits for others of its batch. Workers wait for a second.
-	batchDelay = 25 * time.Millisecond
+	// heartbeatDelay is how long a heartbeat waits for others of its batch. Workers wait for a second.
+	heartbeatDelay = 25 * time.Millisecond
+	// forwardDelay is how long a call that is forwarded for another process waits for others.
+	forwardDelay = 8 * time.Millisecond
 	// batchTimeout limits the call of the leader with a batch.
 	batchTimeout = 900 * time.Millisecond
 	// maxBatchCommands bounds a batch, far below the largest frame between processes.
@@ -24,6 +25,7 @@
 // batcher joins the commands of many callers into few calls of the leader, so that one that many workers send costs the
 // leader little each.
 type batcher struct {
+	delay   time.Duration // how long a command waits for others
 	propose func(ctx context.Context, commands []kernel.Command) ([]kernel.Result, error)
 
 	mu      sync.Mutex
@@ -45,20 +47,27 @@
 	if err != nil {
 		return nil, err
 	}
+	r, err := b.executeCommand(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	if r.Err != nil {
+		return nil, r.Err
+	}
+	return decodeResponse(r)
+}
+
+// executeCommand executes an idempotent command with others. Unless the error is a peer.ErrUnreachable, the command may have
+// been executed or may still be.
+func (b *batcher) executeCommand(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
 	c := &batchedCommand{command: cmd, done: make(chan struct{})}
 	b.add(c)
 	select {
 	case <-c.done:
+		return c.result, c.err
 	case <-ctx.Done():
-		return nil, errorx.Decorate(ctx.Err(), "wait for the batch")
-	}
-	if c.err != nil {
-		return nil, c.err
-	}
-	if c.result.Err != nil {
-		return nil, c.result.Err
+		return kernel.Result{}, peer.ErrInterrupted.Wrap(ctx.Err(), "wait for the batch")
 	}
-	return decodeResponse(c.result)
 }
 
 // add adds a command to the batch that waits. The first one begins the batch, and a full one is sent at once.
@@ -68,7 +77,7 @@
 	b.waiting = append(b.waiting, c)
 	switch len(b.waiting) {
 	case 1:
-		time.AfterFunc(batchDelay, func() { b.send(b.take()) })
+		time.AfterFunc(b.delay, func() { b.send(b.take()) })
 	case maxBatchCommands:
 		go b.send(b.waiting)
 		b.waiting = nil
--- a/internal/site/batch_test.go
+++ b/internal/site/batch_test.go
@@ -26,7 +26,7 @@
 func TestHeartbeatsOfManyWorkersShareCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		calls := 0
-		b := &batcher{propose: func(_ context.Context, commands []kernel.Command) ([]kernel.Result, error) {
+		b := &batcher{delay: heartbeatDelay, propose: func(_ context.Context, commands []kernel.Command) ([]kernel.Result, error) {
 			calls++
 			results := make([]kernel.Result, len(commands))
 			for i, c := range commands {
@@ -68,7 +68,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := &batcher{propose: func(ctx context.Context, _ []kernel.Command) ([]kernel.Result, error) {
+				b := &batcher{delay: heartbeatDelay, propose: func(ctx context.Context, _ []kernel.Command) ([]kernel.Result, error) {
 					if tt.silent {
 						<-ctx.Done()
 						return nil, ctx.Err()
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -19,19 +19,26 @@
 
 // Caller executes commands at the leader, whichever process that is.
 type Caller struct {
-	client  *follower.Client
-	batches *batcher
+	client *follower.Client
+	// heartbeats joins the heartbeats of workers, forwards the calls of other processes. forwarders is nil for a process
+	// that calls the leader itself in any case.
+	heartbeats, forwards *batcher
+	forwarders           *forwarders
 }
 
 func newCaller(t *peer.Transport, voters []string) Caller {
 	client := follower.NewClient(follower.ClientConfig{Voters: voters, Call: t.Call, AttemptTimeout: attemptTimeout})
-	return Caller{client: client, batches: &batcher{propose: client.ProposeBatch}}
+	return Caller{
+		client:     client,
+		heartbeats: &batcher{delay: heartbeatDelay, propose: client.ProposeBatch},
+		forwards:   &batcher{delay: forwardDelay, propose: client.ProposeBatch},
+	}
 }
 
 // ExecuteBatched executes an idempotent command at the leader together with those of other callers, and returns its
 // response. After an error, the command may have been executed or may still be.
 func (c Caller) ExecuteBatched(ctx context.Context, m *workloadpb.Command) (*workloadpb.Response, error) {
-	return c.batches.execute(ctx, m)
+	return c.heartbeats.execute(ctx, m)
 }
 
 // Execute executes a command and returns its response. If unknown is set, an attempt without an answer may have
@@ -42,7 +49,12 @@
 	if err != nil {
 		return nil, false, err
 	}
-	result, repeated, err := c.client.ProposeIdempotent(ctx, cmd)
+	result, final, forwarded := c.forward(ctx, cmd)
+	repeated := false
+	if !final {
+		result, repeated, err = c.client.ProposeIdempotent(ctx, cmd)
+		repeated = repeated || forwarded
+	}
 	if err != nil {
 		return nil, repeated || !errorx.IsOfType(err, peer.ErrUnreachable) && !errorx.IsOfType(err, kernel.ErrInvalid), err
 	}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -134,6 +134,7 @@
 		ConfirmationAge: c.voter.ConfirmationAge, LeaderLease: control.LeaderLease, Log: cfg.Log,
 	})
 	c.Caller = newCaller(c.transport, append([]string{cfg.PeerAddress}, cfg.Seeds...))
+	c.transport.Handle(control.ForwardKind, peer.UnaryHandler(c.transport, c.serveForward))
 	return nil
 }
 
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -37,7 +37,9 @@
 		_ = ln.Close() // The first error is the one to report.
 		return nil, err
 	}
-	return &Entry{Caller: newCaller(t, cfg.Seeds), transport: t}, nil
+	e := &Entry{Caller: newCaller(t, cfg.Seeds), transport: t}
+	e.forwarders = &forwarders{process: cfg.Name}
+	return e, nil
 }
 
 // Run serves until ctx is done.
--- /dev/null
+++ b/internal/site/forward.go
@@ -0,0 +1,99 @@
+package site
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/control"
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+)
+
+const (
+	// forwardTimeout limits a call through another voter, which leaves time for a call of the leader itself.
+	forwardTimeout = time.Second
+	// forwarderRest is how long a voter that failed isn't asked to forward calls.
+	forwarderRest = 5 * time.Second
+)
+
+// serveForward sends a command of another process to the leader together with others.
+func (c *Control) serveForward(ctx context.Context, _ string, req *controlpb.ProposeRequest) (proto.Message, error) {
+	if req.Command == nil {
+		return nil, kernel.ErrInvalid.New("empty proposal")
+	}
+	r, err := c.forwards.executeCommand(ctx, control.CommandFromProto(req.Command))
+	if err != nil {
+		return nil, err
+	}
+	resp := control.EncodeResult(r)
+	resp.Busy = c.client.LeaderIsBusy()
+	return resp, nil
+}
+
+// forwarders chooses the voter through which a process calls a busy leader.
+type forwarders struct {
+	process string
+
+	mu     sync.Mutex
+	failed map[string]time.Time
+}
+
+// choose returns the same voter for a process as long as it doesn't fail, and an empty string if there is none. Different
+// processes are spread over the voters.
+func (f *forwarders) choose(voters []string, leader string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best, weight := "", uint64(0)
+	for _, a := range voters {
+		if a == leader || time.Now().Before(f.failed[a].Add(forwarderRest)) {
+			continue
+		}
+		if w := xxhash.Sum64String(f.process + "@" + a); best == "" || w > weight {
+			best, weight = a, w
+		}
+	}
+	return best
+}
+
+func (f *forwarders) recordFailure(address string, voters []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed == nil {
+		f.failed = map[string]time.Time{}
+	}
+	for a := range f.failed {
+		if !slices.Contains(voters, a) {
+			delete(f.failed, a)
+		}
+	}
+	f.failed[address] = time.Now()
+}
+
+// forward executes a command through another voter if the leader is busy. It reports whether the result is final, and
+// otherwise whether the command may have been executed nevertheless.
+func (c Caller) forward(ctx context.Context, cmd kernel.Command) (r kernel.Result, final, unknown bool) {
+	leader := c.client.Leader()
+	if c.forwarders == nil || leader == "" || !c.client.LeaderIsBusy() {
+		return kernel.Result{}, false, false
+	}
+	voters := c.client.Voters()
+	address := c.forwarders.choose(voters, leader)
+	if address == "" {
+		return kernel.Result{}, false, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	r, err := c.client.Forward(ctx, address, cmd)
+	if err != nil {
+		c.forwarders.recordFailure(address, voters)
+		return kernel.Result{}, false, !errorx.IsOfType(err, peer.ErrUnreachable)
+	}
+	return r, true, false
+}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -28,7 +28,7 @@
 	replanInterval = 200 * time.Millisecond
 	// planPause is the time between two scheduling passes for each worker and each occurrence that the first one looked at.
 	// Passes cost time for each of them, and while many tasks wait, some change gives reason for a pass at any time.
-	planPause = 40 * time.Microsecond
+	planPause = 100 * time.Microsecond
 )
 
 // Config holds the settings of the engine. The durations come from the deployment.
@@ -436,16 +436,22 @@
 
 // syncSessions opens sessions for new incarnations of workers, and drops those of ended incarnations.
 func (e *Engine) syncSessions() {
-	for _, w := range e.state.Workers() {
-		if e.sessions[w.Number()] == nil {
-			// The list gives the worker's clock, and shows runs that a request for an earlier incarnation started.
-			s := e.openSession(w)
-			s.mustList, s.capacityKnownAt = true, max(e.now, 1)
-			if e.fleet.byWorker[w.ID()] == nil {
-				e.fleet.stale = true
-			}
+	workers := e.state.Workers()
+	known := len(workers)
+	for known > 0 && e.sessions[workers[known-1].Number()] == nil {
+		known-- // Incarnations are ordered by number, so the new ones come last.
+	}
+	for _, w := range workers[known:] {
+		// The list gives the worker's clock, and shows runs that a request for an earlier incarnation started.
+		s := e.openSession(w)
+		s.mustList, s.capacityKnownAt = true, max(e.now, 1)
+		if e.fleet.byWorker[w.ID()] == nil {
+			e.fleet.stale = true
 		}
 	}
+	if len(e.sessions) == len(workers) {
+		return
+	}
 	for n, s := range e.sessions {
 		if s.worker.HasEnded() {
 			delete(e.sessions, n)
