raft: a leader sends entries before its own sync

A commit thus took the leader's sync and then that of a quorum of followers.

Entries and heartbeats now go out before the leader's own sync, unless a term or vote has to be saved with it. It is safe because the leader counts its own copy only after the sync, and can't lead in the same term again if it forgets them. The random simulation plays it with power lost before the sync; it fails if the acknowledgements of followers are sent early, too.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -397,6 +397,9 @@
 				return err
 			}
 		}
+		early, late := rd.SplitMessages()
+		v.recordRounds()
+		v.sendMessages(early)
 		if rd.HardState != nil || len(rd.Entries) > 0 {
 			if err := v.cfg.Store.Save(rd.HardState, rd.Entries); err != nil {
 				return err
@@ -405,8 +408,7 @@
 				v.term.Store(rd.HardState.Term)
 			}
 		}
-		v.recordRounds()
-		v.sendMessages(rd.Messages)
+		v.sendMessages(late)
 		for _, e := range rd.CommittedEntries {
 			if err := v.applyEntry(e); err != nil {
 				return err
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -45,6 +45,12 @@
 func (s *simulation) handleReadies(id string) {
 	n := s.nodes[id]
 	for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
+		early, late := rd.SplitMessages()
+		s.addInflight(early)
+		if len(early) > 0 && s.random.IntN(50) == 0 { // power is lost before the sync
+			s.restart(id)
+			return
+		}
 		for s.random.IntN(5) == 0 { // messages arrive during the sync
 			i := slices.IndexFunc(s.inflight, func(m *raftpb.Message) bool { return m.To == id })
 			if i < 0 {
@@ -55,9 +61,7 @@
 			_ = n.core.Step(m)
 		}
 		n.handleReady(rd)
-		for _, m := range rd.Messages {
-			s.inflight = append(s.inflight, proto.CloneOf(m))
-		}
+		s.addInflight(late)
 		for _, r := range rd.Reads {
 			s.answeredReads++
 			if !r.Failed && r.Index < s.commitIndexAtRead[r.ID] {
@@ -70,6 +74,12 @@
 	}
 }
 
+func (s *simulation) addInflight(messages []*raftpb.Message) {
+	for _, m := range messages {
+		s.inflight = append(s.inflight, proto.CloneOf(m))
+	}
+}
+
 // stepRandomly delivers a message or lets a random node tick, restart or handle a request.
 func (s *simulation) stepRandomly() {
 	id := s.ids[s.random.IntN(len(s.ids))]
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -6,8 +6,8 @@
 type Ready struct {
 	// Snapshot is to be saved and then restored into the state machine. It is nil if there is none to restore.
 	Snapshot *Snapshot
-	// HardState and Entries are to be saved in one sync before any message is sent. HardState is nil if it is
-	// unchanged.
+	// HardState and Entries are to be saved in one sync before any message is sent, but for those that SplitMessages
+	// returns as early. HardState is nil if it is unchanged.
 	HardState *raftpb.HardState
 	Entries   []*raftpb.Entry
 	// Messages are to be sent to other members. They may be lost, repeated or reordered.
@@ -18,6 +18,24 @@
 	Reads []ReadResult
 }
 
+// SplitMessages returns the messages that may be sent before HardState and Entries are saved, and all others. A leader may
+// send its entries early, as it counts them as its own only once Advance tells that they are saved, and a leader that
+// forgets them can't lead in the same term again.
+func (rd *Ready) SplitMessages() (early, late []*raftpb.Message) {
+	if rd.HardState != nil || rd.Snapshot != nil {
+		return nil, rd.Messages
+	}
+	for _, m := range rd.Messages {
+		switch m.Type {
+		case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT:
+			early = append(early, m)
+		default:
+			late = append(late, m)
+		}
+	}
+	return early, late
+}
+
 // Ready returns the next work for the driver. ok is false if there is none, or if the previous Ready was not yet
 // passed to Advance.
 func (c *Core) Ready() (rd Ready, ok bool) {
