--- a/internal/relay/outbox.go
+++ b/internal/relay/outbox.go
@@ -8,7 +8,8 @@
 
 // outbox collects what is sent in the next frame. It has one reader.
 type outbox[T any] struct {
-	wake chan struct{}
+	wake    chan struct{}
+	takenAt time.Time // belongs to the reader
 
 	mu   sync.Mutex
 	list []T
@@ -27,6 +28,7 @@
 }
 
 func (o *outbox[T]) take() []T {
+	o.takenAt = time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	list := o.list
@@ -34,7 +36,8 @@
 	return list
 }
 
-// wait returns flushInterval after something was added, or once a time has passed or ctx is done.
+// wait returns once something was added, but no sooner than flushInterval after the last take. It also returns once a time
+// has passed or ctx is done.
 func (o *outbox[T]) wait(ctx context.Context, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -45,5 +48,5 @@
 	case <-ctx.Done():
 		return
 	}
-	time.Sleep(flushInterval)
+	time.Sleep(flushInterval - time.Since(o.takenAt))
 }
