workload: reject new jobs while the leader is overloaded

A leader that handles answers 400 ms late for 300 ms on end rejects new jobs at once with a Retry-After of three times the delay, 1 to 5 s, and accepts them again as soon as an answer is handled in time. A job whose earlier submission may still be accepted isn't rejected. Load: more submissions, or less processor time, than one leader carries; without it every call waits and ends with 504.

--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -29,7 +29,7 @@
 	// serveGCPercent is the GOGC value: the heap growth, in percent of the live heap, that triggers a collection. Control
 	// processes are few, and one of them is short of processor time before it is short of memory.
 	serveGCPercent   = 150
-	controlGCPercent = 300
+	controlGCPercent = 200
 )
 
 // serveCommand runs a process on the users' platform.
--- /dev/null
+++ b/internal/workload/admission_test.go
@@ -0,0 +1,75 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+func submission(id string) *workloadpb.Command {
+	return &workloadpb.Command{Change: &workloadpb.Command_Submit{
+		Submit: &workloadpb.Submit{Host: "h", Path: "/glass/" + id, Id: id, Steps: []*workloadpb.Step{step(1, 1000, 1000, 500)}},
+	}}
+}
+
+// delayAnswers makes the leader handle each answer of a time as if it had waited for the control loop for d.
+func delayAnswers(s *sim, d, duration time.Duration) {
+	for end := s.now + duration; s.now < end; s.run(simStep) {
+		s.k.Observe(s.now, workload.RenewLeaseResult{Answer: workload.Answer{EndedAt: s.now - d}})
+	}
+}
+
+// Guards against an overloaded leader that accepts jobs which then wait beside all others, or that rejects jobs because of
+// one long decision, or for longer than the overload lasts.
+func TestOverloadedLeaderRejectsNewJobs(t *testing.T) {
+	for _, tt := range []struct {
+		name            string
+		delay, duration time.Duration
+		idle            time.Duration // after the delayed answers
+		want            workloadpb.Verdict
+		minRetryAfter   time.Duration
+	}{
+		{"calm", 10 * time.Millisecond, time.Second, 0, workloadpb.Verdict_VERDICT_DONE, 0},
+		{"short", time.Second, 100 * time.Millisecond, 0, workloadpb.Verdict_VERDICT_DONE, 0},
+		{"overloaded", 500 * time.Millisecond, time.Second, 0, workloadpb.Verdict_VERDICT_BUSY, 1500 * time.Millisecond},
+		{"far-behind", 3 * time.Second, time.Second, 0, workloadpb.Verdict_VERDICT_BUSY, 5 * time.Second},
+		{"over", 3 * time.Second, time.Second, 2 * time.Second, workloadpb.Verdict_VERDICT_DONE, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			s.run(5 * time.Second)
+			delayAnswers(s, tt.delay, tt.duration)
+			s.run(tt.idle)
+			r := s.call(submission("new"))
+			assert.Equal(t, r.Verdict, tt.want)
+			assert.Equal(t, time.Duration(r.RetryAfterMs)*time.Millisecond, tt.minRetryAfter)
+		})
+	}
+}
+
+// isReplicated reports whether a command is replicated, and doesn't commit it.
+func isReplicated(s *sim, m *workloadpb.Command) bool {
+	c, err := kernel.NewCommand(workload.Name, "", m)
+	assert.NilError(s.t, err)
+	_, how := s.k.Respond(s.now, c)
+	return how == kernel.Replicate
+}
+
+// Guards against a rejection of a job that was accepted, or that may still be by an earlier attempt.
+func TestOverloadedLeaderRejectsNoAcceptedJob(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.run(5 * time.Second)
+	assert.Equal(t, s.call(submission("accepted")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+	assert.Assert(t, isReplicated(s, submission("underway")))
+	delayAnswers(s, 500*time.Millisecond, time.Second)
+	assert.Equal(t, s.call(submission("accepted")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+	assert.Assert(t, isReplicated(s, submission("underway")), "rejected, but the first attempt may be accepted")
+	assert.Equal(t, s.call(submission("other")).Verdict, workloadpb.Verdict_VERDICT_BUSY)
+}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -28,7 +28,7 @@
 	replanInterval = 200 * time.Millisecond
 	// planPause is the time between two scheduling passes for each worker and each occurrence that the first one looked at.
 	// Passes cost time for each of them, and while many tasks wait, some change gives reason for a pass at any time.
-	planPause = 100 * time.Microsecond
+	planPause = 20 * time.Microsecond
 )
 
 // Config holds the settings of the engine. The durations come from the deployment.
@@ -92,6 +92,8 @@
 	rejections            rejections
 	lateStarts            lateStartTable
 	waitingSteps          waitingSteps
+	admission             admission
+	overloaded            bool // as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
 	assigns, lastAssign uint64
 }
@@ -178,8 +180,10 @@
 	case kernel.LeadershipLost:
 		e.leading = false
 	case RenewLeaseResult:
+		e.admission.observe(ev.EndedAt, now)
 		e.handleRenewLeaseResult(ev)
 	case StartRunResult:
+		e.admission.observe(ev.EndedAt, now)
 		e.handleStartRunResult(ev)
 	case StopRunResult:
 		e.handleStopRunResult(ev)
@@ -224,6 +228,7 @@
 	e.advanceFleet()
 	e.assignTasks()
 	e.logWaits()
+	e.logOverload()
 	e.proposeResolvedAssigns()
 	d := kernel.Decision{Commands: e.commands, Actions: e.actions}
 	e.commands, e.actions = nil, nil
@@ -406,6 +411,7 @@
 			e.sendAnnounced(c.Order)
 		}
 	case *workloadpb.Command_Submit:
+		e.admission.forgetSubmission(c.Submit.Id, e.now)
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
 			j := e.state.JobByID(c.Submit.Id)
 			e.shares.chargeJob(e.state, j, e.now)
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -66,6 +66,9 @@
 		if r, ok := e.state.AnswerSubmit(c.Submit); ok {
 			return r, kernel.AfterReadIndex
 		}
+		if r := e.admit(c.Submit.Id); r != nil {
+			return r, kernel.AfterReadIndex
+		}
 	case *workloadpb.Command_Cancel:
 		j, r := e.state.FindJob(c.Cancel.Host, c.Cancel.Path, c.Cancel.Key, c.Cancel.Id)
 		if r != nil {
