--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -13,6 +13,12 @@
 // maxListedEnds is how many ends a worker lists at once; a list of this length may lack later ends.
 const maxListedEnds = 500
 
+// maxWorkersPerEnds and maxEndsPerCommand keep a command with ends far below the maximum size of a log entry.
+const (
+	maxWorkersPerEnds = 32
+	maxEndsPerCommand = 1000
+)
+
 // advanceSession sends the requests that are due for a session.
 func (e *Engine) advanceSession(s *session) {
 	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
@@ -266,7 +272,24 @@
 			end.StartIgnored = end.How == workloadpb.How_HOW_LOST && s.lastAnswerAt > r.requestedAt+overdueAfter
 		}
 	}
-	e.propose(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
+	e.pendingEnds = append(e.pendingEnds, m)
+}
+
+// flushEnds proposes the ends that were decided on since the last command. With many workers, a command for each of them
+// would cost more than all else that is decided about them.
+func (e *Engine) flushEnds() {
+	for len(e.pendingEnds) > 0 {
+		m := e.pendingEnds[0]
+		n, rows := 1, len(m.Ends)
+		for n < min(len(e.pendingEnds), maxWorkersPerEnds) && rows+len(e.pendingEnds[n].Ends) <= maxEndsPerCommand {
+			rows += len(e.pendingEnds[n].Ends)
+			n++
+		}
+		m.More = e.pendingEnds[1:n:n]
+		e.pendingEnds = e.pendingEnds[n:]
+		e.addCommand(&workloadpb.Command{Change: &workloadpb.Command_Ends{Ends: m}})
+	}
+	e.pendingEnds = nil
 }
 
 // giveUpRuns gives up the runs of a worker whose lease has certainly expired.
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxAssignmentsPerCommand keeps a command far below the maximum size of a log entry.
-	maxAssignmentsPerCommand = 256
+	maxAssignmentsPerCommand = 512
 	// proposalTimeout is the time after which a command that was proposed but not applied is decided again. A leader
 	// without a quorum steps down within an election timeout of at most 1 s.
 	proposalTimeout = 3 * time.Second
@@ -76,6 +76,7 @@
 	workerChanges         uint64 // ledger.State.WorkerChanges that the sessions reflect
 	actions               []kernel.Action
 	commands              []kernel.Command
+	pendingEnds           []*workloadpb.Ends // to be proposed with the next command
 	assignPending         bool
 	plannedAt             time.Duration
 	planAgainAt           time.Duration
@@ -202,7 +203,13 @@
 
 func (e *Engine) addAction(a kernel.Action) { e.actions = append(e.actions, a) }
 
+// propose proposes a command after the ends that were decided on before it.
 func (e *Engine) propose(m *workloadpb.Command) {
+	e.flushEnds()
+	e.addCommand(m)
+}
+
+func (e *Engine) addCommand(m *workloadpb.Command) {
 	m.Term, m.SteadyMs, m.ResolvedAssigns = e.term, e.now.Milliseconds(), e.resolvedAssigns()
 	e.lateStarts.proposedResolved, e.lateStarts.proposedResolvedAt = m.ResolvedAssigns, e.now
 	c, err := kernel.NewCommand(Name, "", m)
@@ -230,6 +237,7 @@
 	e.logWaits()
 	e.logOverload()
 	e.proposeResolvedAssigns()
+	e.flushEnds()
 	d := kernel.Decision{Commands: e.commands, Actions: e.actions}
 	e.commands, e.actions = nil, nil
 	return d
@@ -392,9 +400,9 @@
 			}
 		}
 	case *workloadpb.Command_Ends:
-		if s := e.sessions[c.Ends.Worker]; s != nil {
-			e.removeEndedRuns(s, c.Ends)
-			e.markDirty(s)
+		e.handleRecordedEnds(c.Ends)
+		for _, ends := range c.Ends.More {
+			e.handleRecordedEnds(ends)
 		}
 	case *workloadpb.Command_Occur:
 		e.occurrencesProposedAt = 0
@@ -426,6 +434,13 @@
 	}
 }
 
+func (e *Engine) handleRecordedEnds(m *workloadpb.Ends) {
+	if s := e.sessions[m.Worker]; s != nil {
+		e.removeEndedRuns(s, m)
+		e.markDirty(s)
+	}
+}
+
 // logJobsWithoutQueue writes a line if jobs wait because the configuration has no queue for them any more.
 func (e *Engine) logJobsWithoutQueue() {
 	waiting := map[string]int{}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -201,6 +201,9 @@
 		s.applyAssign(m.Assign)
 	case *workloadpb.Command_Ends:
 		s.applyEnds(m.Ends, at)
+		for _, ends := range m.Ends.GetMore() {
+			s.applyEnds(ends, at)
+		}
 	case *workloadpb.Command_Occur:
 		s.applyBeginOccurrences(m.Occur)
 	case *workloadpb.Command_Expire:
