--- a/internal/site/batch_test.go
+++ b/internal/site/batch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,9 @@
 // Guards against a response that goes to another worker's heartbeat, and against a call of the leader for each of them.
 func TestHeartbeatsOfManyWorkersShareCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := 0
+		var calls atomic.Int32
 		b := &batcher{delay: heartbeatDelay, propose: func(_ context.Context, commands []kernel.Command) ([]kernel.Result, error) {
-			calls++
+			calls.Add(1)
 			results := make([]kernel.Result, len(commands))
 			for i, c := range commands {
 				m := &workloadpb.Command{}
@@ -48,7 +49,7 @@
 			})
 		}
 		group.Wait()
-		assert.Assert(t, calls <= 5, "%d calls for 100 heartbeats in 100 ms", calls)
+		assert.Assert(t, calls.Load() <= 5, "%d calls for 100 heartbeats in 100 ms", calls.Load())
 	})
 }
 
--- /dev/null
+++ b/internal/site/forward_test.go
@@ -0,0 +1,110 @@
+package site
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/control"
+	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/follower"
+	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+// fakeVoters answers the calls of an entry process: a leader and two other voters.
+type fakeVoters struct {
+	busy bool
+	// forwardError is the error of calls through other voters, nil for a response.
+	forwardError error
+	direct       int
+	forwarded    map[string]int // by address
+}
+
+func (f *fakeVoters) call(_ context.Context, address, kind string, _, resp proto.Message) error {
+	body, err := proto.Marshal(&workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_DONE})
+	if err != nil {
+		return err
+	}
+	r := resp.(*controlpb.ProposeResponse)
+	r.Body, r.Busy, r.Voters = body, f.busy, []string{"leader", "b", "c"}
+	switch {
+	case kind == control.ForwardKind:
+		f.forwarded[address]++
+		return f.forwardError
+	case address != "leader":
+		r.Redirect = &controlpb.Redirect{Leader: "leader"}
+	default:
+		f.direct++
+	}
+	return nil
+}
+
+func newEntryCaller(f *fakeVoters) Caller {
+	f.forwarded = map[string]int{}
+	return Caller{
+		client:     follower.NewClient(follower.ClientConfig{Voters: []string{"leader"}, Call: f.call}),
+		forwarders: &forwarders{process: "entry-1"},
+	}
+}
+
+// Guards against a call that counts as not executed although a voter may have forwarded it, and against a call that fails
+// because a voter that only forwards is lost.
+func TestCallThroughVoterThatFailsReachesLeader(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		busy        bool
+		err         error
+		wantUnknown bool
+		wantDirect  int // of the last three of four calls
+	}{
+		{"calm", false, nil, false, 3},
+		{"busy", true, nil, false, 0},
+		{"voter unreachable", true, peer.ErrUnreachable.New("down"), false, 3},
+		{"no answer", true, peer.ErrInterrupted.New("paused"), true, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeVoters{busy: tt.busy, forwardError: tt.err}
+				c := newEntryCaller(f)
+				_, unknown, err := c.Execute(t.Context(), heartbeat("w"))
+				assert.NilError(t, err)
+				assert.Equal(t, unknown, false)
+				f.direct = 0
+				_, unknown, err = c.Execute(t.Context(), heartbeat("w"))
+				assert.NilError(t, err)
+				assert.Equal(t, unknown, tt.wantUnknown)
+				for range 2 {
+					_, _, err = c.Execute(t.Context(), heartbeat("w"))
+					assert.NilError(t, err)
+				}
+				assert.Equal(t, f.direct, tt.wantDirect)
+				assert.Equal(t, f.forwarded["leader"], 0)
+				for _, n := range f.forwarded {
+					assert.Assert(t, tt.err == nil || n == 1, "a voter that failed is asked again")
+				}
+			})
+		})
+	}
+}
+
+// Guards against calls that go through other voters for ever after the load has fallen.
+func TestCallsReachLeaderDirectlyOnceItIsNoLongerBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeVoters{busy: true}
+		c := newEntryCaller(f)
+		for range 2 {
+			_, _, err := c.Execute(t.Context(), heartbeat("w"))
+			assert.NilError(t, err)
+		}
+		f.busy, f.direct = false, 0
+		time.Sleep(3 * time.Second)
+		_, _, err := c.Execute(t.Context(), heartbeat("w"))
+		assert.NilError(t, err)
+		assert.Equal(t, f.direct, 1)
+	})
+}
