schedule: rank the workers once for the ordinary tasks of a step

A pass went through all workers of a pool for each task. Where the worker with the least free processors is preferred, the one that got a task stays the best for as long as the next one fits, so one ranking serves a group.

--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -286,13 +286,9 @@
 	if s.Step.RackSensitive && g.rack == "" {
 		g.rack = p.rackWithMostRoom(s, workers, required, fits)
 	}
+	ranked := rankedWorkers{group: g, fits: fits, workers: workers}
 	for len(chosen) < n && len(p.assignments)+len(chosen) < p.in.MaxAssignments+len(s.Tasks) {
-		var best *Worker
-		for _, w := range workers {
-			if fits(w) && (best == nil || g.isBetter(w, best)) {
-				best = w
-			}
-		}
+		best := ranked.best()
 		if best == nil && s.Step.Lasting && !g.isolated {
 			best = p.releasePreferred(g, workers)
 		}
@@ -334,6 +330,66 @@
 	}
 }
 
+// rankedWorkers finds the best worker for each task of a group.
+type rankedWorkers struct {
+	group   *taskGroup
+	fits    func(w *Worker) bool
+	workers []*Worker
+	// order holds the workers that fitted, the best one first. It stays valid while only the first one gets tasks.
+	order    []*Worker
+	isRanked bool
+}
+
+// best returns the best worker that fits, nil if none does.
+func (r *rankedWorkers) best() *Worker {
+	if !r.group.keepsOrder() {
+		var best *Worker
+		for _, w := range r.workers {
+			if r.fits(w) && (best == nil || r.group.isBetter(w, best)) {
+				best = w
+			}
+		}
+		return best
+	}
+	required := ledger.RequiredCapacity(r.group.step.Step)
+	for len(r.order) > 0 && !r.fits(r.order[0]) {
+		r.order = r.order[1:]
+	}
+	// A worker that has only reserved capacity left ranks behind others.
+	if !r.isRanked || len(r.order) > 0 && !required.Within(r.order[0].unreserved()) {
+		r.rank()
+	}
+	if len(r.order) == 0 {
+		return nil
+	}
+	return r.order[0]
+}
+
+func (r *rankedWorkers) rank() {
+	r.isRanked, r.order = true, nil
+	for _, w := range r.workers {
+		if r.fits(w) {
+			r.order = append(r.order, w)
+		}
+	}
+	slices.SortStableFunc(r.order, func(a, b *Worker) int {
+		switch {
+		case r.group.isBetter(a, b):
+			return -1
+		case r.group.isBetter(b, a):
+			return 1
+		}
+		return 0
+	})
+}
+
+// keepsOrder reports whether a worker that gets a task of the group stays the best one for as long as the task fits. That is
+// so where the worker with the least free processors is preferred.
+func (g *taskGroup) keepsOrder() bool {
+	s := g.step.Step
+	return !g.suspect && !s.Fills && !s.Lasting && s.TargetMs == 0
+}
+
 // TasksOnWorkers returns the number of assigned tasks of a step by the number of the worker's incarnation.
 func TasksOnWorkers(s *ledger.StepRun) map[uint64]int {
 	n := map[uint64]int{}
