--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -87,25 +87,40 @@
 
 // AddUnproven counts a run of a task that may still crash the worker. Nothing else is placed beside an isolated one.
 func (w *Worker) AddUnproven(t *ledger.Task, isolated bool) {
-	if w.unproven == nil {
-		w.unproven, w.suspects = map[uint64]int{}, map[uint64]int{}
-	}
 	job := t.Step().Occurrence.Job.Number
-	w.unproven[job]++
+	w.unproven.add(job)
 	if len(t.Losses()) > 0 {
-		w.suspects[job]++
+		w.suspects.add(job)
 	}
 	if isolated && (w.keptFor == 0 || job < w.keptFor) {
 		w.keptFor = job
 	}
 }
 
+// jobCounts holds the number of runs of each job. A worker has few, and each pass counts them anew.
+type jobCounts []jobCount
+
+type jobCount struct {
+	job uint64
+	n   int
+}
+
+func (c *jobCounts) add(job uint64) {
+	for i := range *c {
+		if (*c)[i].job == job {
+			(*c)[i].n++
+			return
+		}
+	}
+	*c = append(*c, jobCount{job, 1})
+}
+
 // countOthers returns the number of runs of jobs other than the given one.
-func countOthers(runs map[uint64]int, job uint64) int {
+func countOthers(runs jobCounts, job uint64) int {
 	n := 0
-	for j, c := range runs {
-		if j != job {
-			n += c
+	for _, c := range runs {
+		if c.job != job {
+			n += c.n
 		}
 	}
 	return n
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -21,7 +21,7 @@
 
 	// unproven and suspects count the runs by job that may still crash the worker: all of them, and those whose tasks have
 	// lost workers. keptFor is the only job that the worker takes tasks of, 0 if it takes any.
-	unproven, suspects map[uint64]int
+	unproven, suspects jobCounts
 	keptFor            uint64
 	// preferring holds the assignments of the pass that are isolated only because their tasks prefer it.
 	preferring []*workloadpb.Assignment
