--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -126,9 +126,11 @@
 func (l *leader) connect(t *testing.T) {
 	t.Helper()
 	waitFor(t, "relays", func() bool { return len(l.Route(l.ctx, stops(manyRequests))) == 0 })
-	waitFor(t, "answers", func() bool { return len(l.takeResults()) > 0 })
-	time.Sleep(50 * time.Millisecond)
-	l.takeResults()
+	answers := 0
+	waitFor(t, "answers", func() bool {
+		answers += len(l.takeResults())
+		return answers == manyRequests
+	})
 }
 
 func (l *leader) takeResults() []kernel.Event {
