rate: one counter for requests and calls

The router of the relays and the leader counted events per second in the same way. Without a change of behaviour. Voter.Observe moves beside what observes.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"context"
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
 )
 
@@ -137,3 +139,16 @@
 	}
 	return GroupStatus{}
 }
+
+// Observe passes events, such as reports of the platform, to the kernel if this voter leads.
+func (v *Voter) Observe(ctx context.Context, events ...kernel.Event) error {
+	return v.post(ctx, func() {
+		if !v.leading {
+			return
+		}
+		for _, ev := range events {
+			v.kernel.Observe(v.now(), ev)
+		}
+		v.decisionDue = true
+	})
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -31,6 +31,9 @@
 	StatusKind  = "status"
 )
 
+// manyCalls is the number of calls per second from which on other processes are asked to send them in batches.
+const manyCalls = 300
+
 // chunkSize is the maximum number of snapshot bytes in a frame.
 const chunkSize = 64 << 10
 
@@ -104,14 +107,14 @@
 			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
 			return
 		}
-		v.calls.add(v.now(), 1)
+		v.calls.Add(v.now(), 1)
 		reply := func(r kernel.Result, err error) {
 			if err != nil {
 				answer(nil, err)
 				return
 			}
 			resp := EncodeResult(r)
-			resp.Group, resp.Voters, resp.Busy = v.voters.Group(), v.memberAddresses(), v.calls.isMany()
+			resp.Group, resp.Voters, resp.Busy = v.voters.Group(), v.memberAddresses(), v.isBusy()
 			answer(resp, nil)
 		}
 		if req.Command == nil {
@@ -124,6 +127,9 @@
 	})
 }
 
+// isBusy reports whether this leader has many calls.
+func (v *Voter) isBusy() bool { return v.calls.PerSecond() >= manyCalls }
+
 // EncodeResult returns the response that tells the result of a command.
 func EncodeResult(r kernel.Result) *controlpb.ProposeResponse {
 	resp := &controlpb.ProposeResponse{Index: r.Index, Body: r.Body}
@@ -143,9 +149,9 @@
 			answer(&controlpb.ProposeBatchResponse{Redirect: v.redirect()}, nil)
 			return
 		}
-		v.calls.add(v.now(), len(req.Commands))
+		v.calls.Add(v.now(), len(req.Commands))
 		resp := &controlpb.ProposeBatchResponse{
-			Group: v.voters.Group(), Busy: v.calls.isMany(), Responses: make([]*controlpb.ProposeResponse, len(req.Commands)),
+			Group: v.voters.Group(), Busy: v.isBusy(), Responses: make([]*controlpb.ProposeResponse, len(req.Commands)),
 		}
 		left := len(req.Commands)
 		var failure error
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/quota"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/rate"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 	"github.com/hibiscusroute/hibiscusroute/internal/voter"
 )
@@ -120,7 +121,7 @@
 	proposedVoters   []*claimpb.Voter // proposed as the next membership of the at-most-once record
 	runErr           error
 	roundTimes       roundTimes
-	calls            callRate
+	calls            rate.Counter             // of other processes, heartbeats included
 	missingSince     map[string]time.Duration // since when a voter has not been caught up or a learner silent
 	limitRecordedAt  map[string]time.Duration // when the holders of a team's limit were last recorded
 	heardAt          map[string]time.Duration // when the last message of a member arrived
@@ -585,16 +586,3 @@
 		return peer.ErrUnreachable.Wrap(ctx.Err(), "the control loop is busy")
 	}
 }
-
-// Observe passes events, such as reports of the platform, to the kernel if this voter leads.
-func (v *Voter) Observe(ctx context.Context, events ...kernel.Event) error {
-	return v.post(ctx, func() {
-		if !v.leading {
-			return
-		}
-		for _, ev := range events {
-			v.kernel.Observe(v.now(), ev)
-		}
-		v.decisionDue = true
-	})
-}
--- /dev/null
+++ b/internal/rate/doc.go
@@ -0,0 +1,2 @@
+// Package rate counts events per second.
+package rate
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/rate"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 )
 
@@ -19,8 +20,6 @@
 	// minRate is the number of requests per second from which on relays are used. Below it the leader's processor time
 	// suffices, and a direct request takes one hop less.
 	minRate = 400
-	// rateWindow is the time over which requests are counted.
-	rateWindow = time.Second
 	// directInterval is how long the leader calls a worker itself after it didn't answer a relay, which may be cut off
 	// from it.
 	directInterval = 10 * time.Second
@@ -54,7 +53,7 @@
 	links map[string]*link
 	// directUntil is until when workers that didn't answer a relay are called directly, by their ID.
 	directUntil map[string]time.Duration
-	rate        requestRate
+	requests    rate.Counter
 }
 
 // NewRouter returns a router.
@@ -67,15 +66,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.term != ctx {
-		r.term, r.links, r.directUntil, r.rate = ctx, map[string]*link{}, map[string]time.Duration{}, requestRate{}
+		r.term, r.links, r.directUntil, r.requests = ctx, map[string]*link{}, map[string]time.Duration{}, rate.Counter{}
 	}
-	requests := 0
-	for _, a := range actions {
-		if _, ok := workload.HeaderOf(a); ok {
-			requests++
-		}
-	}
-	if r.rate.add(now, requests) < minRate {
+	r.requests.Add(now, countRequests(actions))
+	if r.requests.PerSecond() < minRate {
 		return actions
 	}
 	ready := r.readyLinks(ctx, now)
@@ -98,6 +92,17 @@
 	return direct
 }
 
+// countRequests returns the number of requests to workers.
+func countRequests(actions []kernel.Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := workload.HeaderOf(a); ok {
+			n++
+		}
+	}
+	return n
+}
+
 // readyLinks returns the links to relays that are ready, and opens links to those that have none.
 func (r *Router) readyLinks(ctx context.Context, now time.Duration) []*link {
 	var ready []*link
@@ -150,22 +155,3 @@
 	}
 	return ok && now < until
 }
-
-// requestRate counts requests in the current window and in the last one.
-type requestRate struct {
-	windowEnd     time.Duration
-	current, last int
-}
-
-// add counts n requests and returns the larger of both counts, so that a burst is noticed at once and a short pause
-// changes nothing.
-func (r *requestRate) add(now time.Duration, n int) int {
-	if now >= r.windowEnd {
-		if r.last = r.current; now >= r.windowEnd+rateWindow {
-			r.last = 0
-		}
-		r.current, r.windowEnd = 0, now+rateWindow
-	}
-	r.current += n
-	return max(r.current, r.last)
-}
