site: tell that a forwarded command was sent twice

Found by reading the change: a voter that forwards calls in batches repeats a batch after an attempt without an answer, and did not tell that with the result. A job that the first attempt had accepted could so be rejected as not run, if a configuration without its queue came between the two. The response now tells it, and the entry process answers such a rejection with 504, as it does for its own attempts.

TestRepeatedAttemptOfForwardingVoterIsTold fails without.

--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -304,38 +304,44 @@
 }
 
 // ProposeBatch replicates idempotent commands, each for itself, and returns their results in the same order. It retries
-// after an attempt whose outcome is unknown. After an error, each command may have been applied.
-func (c *Client) ProposeBatch(ctx context.Context, commands []kernel.Command) ([]kernel.Result, error) {
+// after an attempt whose outcome is unknown. If repeated is true, the results are those of the last attempt, and an earlier
+// one may have been applied before other changes. After an error, each command may have been applied.
+func (c *Client) ProposeBatch(
+	ctx context.Context, commands []kernel.Command,
+) (results []kernel.Result, repeated bool, err error) {
 	req := &controlpb.ProposeBatchRequest{}
 	for _, cmd := range commands {
 		req.Commands = append(req.Commands, &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body})
 	}
 	resp := &controlpb.ProposeBatchResponse{}
-	if err := c.call(ctx, control.BatchKind, req, resp, false); err != nil {
-		return nil, err
+	if repeated, err = c.callReportingRepeats(ctx, control.BatchKind, req, resp, false); err != nil {
+		return nil, repeated, err
 	}
 	if len(resp.Responses) != len(commands) {
-		return nil, peer.ErrInterrupted.New("%d responses to %d commands", len(resp.Responses), len(commands))
+		return nil, true, peer.ErrInterrupted.New("%d responses to %d commands", len(resp.Responses), len(commands))
 	}
 	c.recordLoad(resp.Busy)
-	results := make([]kernel.Result, len(commands))
+	results = make([]kernel.Result, len(commands))
 	for i, r := range resp.Responses {
 		results[i] = kernel.Result{Index: r.GetIndex(), Body: r.GetBody(), Err: kernel.DecodeError(r.GetErrorKind(), r.GetError())}
 	}
-	return results, nil
+	return results, repeated, nil
 }
 
-// Forward has another voter send a command to the leader in a batch. An error means what that of Propose does.
-func (c *Client) Forward(ctx context.Context, address string, cmd kernel.Command) (kernel.Result, error) {
+// Forward has another voter send a command to the leader in a batch. The error and repeated mean what those of
+// ProposeIdempotent do.
+func (c *Client) Forward(
+	ctx context.Context, address string, cmd kernel.Command,
+) (r kernel.Result, repeated bool, err error) {
 	req := &controlpb.ProposeRequest{Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}}
 	resp := &controlpb.ProposeResponse{}
 	if err := c.cfg.Call(ctx, address, control.ForwardKind, req, resp); err != nil {
-		return kernel.Result{}, err
+		return kernel.Result{}, false, err
 	}
 	c.recordLoad(resp.Busy)
 	return kernel.Result{
 		Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error),
-	}, nil
+	}, resp.Repeated, nil
 }
 
 // Query reads from the leader after a quorum has confirmed its leadership.
--- a/internal/site/batch.go
+++ b/internal/site/batch.go
@@ -26,7 +26,7 @@
 // leader little each.
 type batcher struct {
 	delay   time.Duration // how long a command waits for others
-	propose func(ctx context.Context, commands []kernel.Command) ([]kernel.Result, error)
+	propose func(ctx context.Context, commands []kernel.Command) (results []kernel.Result, repeated bool, err error)
 
 	mu      sync.Mutex
 	waiting []*batchedCommand
@@ -34,10 +34,11 @@
 
 // batchedCommand is a command with the result that its caller waits for.
 type batchedCommand struct {
-	command kernel.Command
-	result  kernel.Result
-	err     error
-	done    chan struct{}
+	command  kernel.Command
+	result   kernel.Result
+	repeated bool // an earlier attempt may have been handled
+	err      error
+	done     chan struct{}
 }
 
 // execute executes an idempotent command with others, and returns its response. After an error, the command may have been
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := b.executeCommand(ctx, cmd)
+	r, _, err := b.executeCommand(ctx, cmd)
 	if err != nil {
 		return nil, err
 	}
@@ -57,16 +58,18 @@
 	return decodeResponse(r)
 }
 
-// executeCommand executes an idempotent command with others. Unless the error is a peer.ErrUnreachable, the command may have
-// been executed or may still be.
-func (b *batcher) executeCommand(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
+// executeCommand executes an idempotent command with others. If repeated is set, an earlier attempt than that of the result may
+// have been handled. Unless the error is a peer.ErrUnreachable, the command may have been executed or may still be.
+func (b *batcher) executeCommand(
+	ctx context.Context, cmd kernel.Command,
+) (r kernel.Result, repeated bool, err error) {
 	c := &batchedCommand{command: cmd, done: make(chan struct{})}
 	b.add(c)
 	select {
 	case <-c.done:
-		return c.result, c.err
+		return c.result, c.repeated, c.err
 	case <-ctx.Done():
-		return kernel.Result{}, peer.ErrInterrupted.Wrap(ctx.Err(), "wait for the batch")
+		return kernel.Result{}, true, peer.ErrInterrupted.Wrap(ctx.Err(), "wait for the batch")
 	}
 }
 
@@ -102,10 +105,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
-	results, err := b.propose(ctx, commands)
+	results, repeated, err := b.propose(ctx, commands)
 	for i, c := range list {
 		if c.err = err; err == nil {
-			c.result = results[i]
+			c.result, c.repeated = results[i], repeated
 		}
 		close(c.done)
 	}
--- a/internal/site/batch_test.go
+++ b/internal/site/batch_test.go
@@ -27,7 +27,7 @@
 func TestHeartbeatsOfManyWorkersShareCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var calls atomic.Int32
-		b := &batcher{delay: heartbeatDelay, propose: func(_ context.Context, commands []kernel.Command) ([]kernel.Result, error) {
+		b := &batcher{delay: heartbeatDelay, propose: func(_ context.Context, commands []kernel.Command) ([]kernel.Result, bool, error) {
 			calls.Add(1)
 			results := make([]kernel.Result, len(commands))
 			for i, c := range commands {
@@ -36,7 +36,7 @@
 				body, err := proto.Marshal(&workloadpb.Response{State: m.GetReport().Worker.Id})
 				results[i] = kernel.Result{Body: body, Err: err}
 			}
-			return results, nil
+			return results, false, nil
 		}}
 		var group sync.WaitGroup
 		for i := range 100 {
@@ -69,12 +69,12 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := &batcher{delay: heartbeatDelay, propose: func(ctx context.Context, _ []kernel.Command) ([]kernel.Result, error) {
+				b := &batcher{delay: heartbeatDelay, propose: func(ctx context.Context, _ []kernel.Command) ([]kernel.Result, bool, error) {
 					if tt.silent {
 						<-ctx.Done()
-						return nil, ctx.Err()
+						return nil, true, ctx.Err()
 					}
-					return []kernel.Result{tt.result}, tt.err
+					return []kernel.Result{tt.result}, false, tt.err
 				}}
 				begin := time.Now()
 				_, err := b.execute(t.Context(), heartbeat("w"))
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -49,11 +49,11 @@
 	if err != nil {
 		return nil, false, err
 	}
-	result, final, forwarded := c.forward(ctx, cmd)
-	repeated := false
+	result, final, repeated := c.forward(ctx, cmd)
 	if !final {
-		result, repeated, err = c.client.ProposeIdempotent(ctx, cmd)
-		repeated = repeated || forwarded
+		var again bool
+		result, again, err = c.client.ProposeIdempotent(ctx, cmd)
+		repeated = repeated || again
 	}
 	if err != nil {
 		return nil, repeated || !errorx.IsOfType(err, peer.ErrUnreachable) && !errorx.IsOfType(err, kernel.ErrInvalid), err
--- a/internal/site/forward.go
+++ b/internal/site/forward.go
@@ -28,12 +28,12 @@
 	if req.Command == nil {
 		return nil, kernel.ErrInvalid.New("empty proposal")
 	}
-	r, err := c.forwards.executeCommand(ctx, control.CommandFromProto(req.Command))
+	r, repeated, err := c.forwards.executeCommand(ctx, control.CommandFromProto(req.Command))
 	if err != nil {
 		return nil, err
 	}
 	resp := control.EncodeResult(r)
-	resp.Busy = c.client.LeaderIsBusy()
+	resp.Busy, resp.Repeated = c.client.LeaderIsBusy(), repeated
 	return resp, nil
 }
 
@@ -76,8 +76,8 @@
 	f.failed[address] = time.Now()
 }
 
-// forward executes a command through another voter if the leader is busy. It reports whether the result is final, and
-// otherwise whether the command may have been executed nevertheless.
+// forward executes a command through another voter if the leader is busy. It reports whether the result is final, and whether
+// another attempt than that of the result may have been executed.
 func (c Caller) forward(ctx context.Context, cmd kernel.Command) (r kernel.Result, final, unknown bool) {
 	leader := c.client.Leader()
 	if c.forwarders == nil || leader == "" || !c.client.LeaderIsBusy() {
@@ -90,10 +90,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	r, err := c.client.Forward(ctx, address, cmd)
+	r, unknown, err := c.client.Forward(ctx, address, cmd)
 	if err != nil {
 		c.forwarders.recordFailure(address, voters)
 		return kernel.Result{}, false, !errorx.IsOfType(err, peer.ErrUnreachable)
 	}
-	return r, true, false
+	return r, true, unknown
 }
--- a/internal/site/forward_test.go
+++ b/internal/site/forward_test.go
@@ -21,6 +21,7 @@
 	busy bool
 	// forwardError is the error of calls through other voters, nil for a response.
 	forwardError error
+	repeated     bool // the voter that forwards has sent the command twice
 	direct       int
 	forwarded    map[string]int // by address
 }
@@ -35,6 +36,7 @@
 	switch {
 	case kind == control.ForwardKind:
 		f.forwarded[address]++
+		r.Repeated = f.repeated
 		return f.forwardError
 	case address != "leader":
 		r.Redirect = &controlpb.Redirect{Leader: "leader"}
@@ -92,6 +94,21 @@
 	}
 }
 
+// Guards against a rejection that passes for true although an earlier attempt of the voter that forwards may have been
+// accepted.
+func TestRepeatedAttemptOfForwardingVoterIsTold(t *testing.T) {
+	for _, repeated := range []bool{false, true} {
+		f := &fakeVoters{busy: true, repeated: repeated}
+		c := newEntryCaller(f)
+		for i := range 2 {
+			_, unknown, err := c.Execute(t.Context(), heartbeat("w"))
+			assert.NilError(t, err)
+			assert.Equal(t, unknown, repeated && i > 0)
+		}
+		assert.Equal(t, f.direct, 1)
+	}
+}
+
 // Guards against calls that go through other voters for ever after the load has fallen.
 func TestCallsReachLeaderDirectlyOnceItIsNoLongerBusy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
