relay: pass results on under the term, not under their stream

Results went to the control loop under the context of the stream: if that ended while the loop was busy, they were dropped although their requests were no longer pending, and the leader sent no further request of the kind for the rest of its term. They now go under the context of the term, as the dispatcher's do; the link keeps that context, so its functions take none, and withhold and its endless context are gone. chooseLink compares with cmp.Compare.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -39,7 +39,9 @@
 
 // link is the leader's side of a stream to a relay.
 type link struct {
-	cfg     *RouterConfig
+	cfg *RouterConfig
+	// ctx is that of the term. Results are passed on under it, as they outlive the stream that they came from.
+	ctx     context.Context
 	address string
 	term    uint64
 	// failed is called with the ID of a worker that doesn't answer the relay.
@@ -53,8 +55,10 @@
 	reportedAt time.Duration
 }
 
-func newLink(cfg *RouterConfig, address string, term uint64, failed func(worker string)) *link {
-	l := &link{cfg: cfg, address: address, term: term, failed: failed, pending: map[uint64]*request{}}
+func newLink(
+	ctx context.Context, cfg *RouterConfig, address string, term uint64, failed func(worker string),
+) *link {
+	l := &link{cfg: cfg, ctx: ctx, address: address, term: term, failed: failed, pending: map[uint64]*request{}}
 	l.queue.init()
 	return l
 }
@@ -66,23 +70,23 @@
 	return l.ping != 0 && now-l.reportedAt < readySilence
 }
 
-// run opens the stream again and again until ctx is done.
-func (l *link) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		streamCtx, cancel := context.WithCancel(ctx)
+// run opens the stream again and again until the term ends.
+func (l *link) run() {
+	for l.ctx.Err() == nil {
+		streamCtx, cancel := context.WithCancel(l.ctx)
 		if stream, err := l.cfg.Open(streamCtx, l.address); err != nil {
 			l.cfg.Log.V(1).Info("cannot open a stream to the relay", "address", l.address, "reason", err.Error())
 		} else {
 			err := l.serve(streamCtx, cancel, stream)
 			_ = stream.Close() // The stream is not used again.
-			if ctx.Err() == nil {
+			if l.ctx.Err() == nil {
 				l.cfg.Log.Info("stream to the relay ended", "address", l.address, "reason", err.Error())
 			}
 		}
 		cancel()
-		l.failAll(ctx)
+		l.failAll()
 		select {
-		case <-ctx.Done():
+		case <-l.ctx.Done():
 		case <-time.After(reopenDelay):
 		}
 	}
@@ -94,13 +98,13 @@
 	received := make(chan error, 1)
 	go func() {
 		defer cancel()
-		received <- l.receive(ctx, stream)
+		received <- l.receive(stream)
 	}()
 	for ctx.Err() == nil {
 		if err := l.sendQueued(stream); err != nil {
 			return err
 		}
-		if silent := l.expire(ctx, opened); silent {
+		if silent := l.expire(opened); silent {
 			return errSilent.New("no report for %s", maxSilence)
 		}
 		l.queue.wait(ctx, pingInterval)
@@ -112,13 +116,13 @@
 func (l *link) sendQueued(stream *peer.Stream) error {
 	list := l.queue.take()
 	if late := slices.DeleteFunc(slices.Clone(list), l.isFresh); len(late) > 0 {
-		l.withhold(late)
+		l.observe(late, workload.Withheld)
 		list = slices.DeleteFunc(list, func(r *request) bool { return !l.isFresh(r) })
 	}
 	for len(list) > 0 {
 		age, ok := l.cfg.ConfirmationAge()
 		if !ok || age >= workload.MaxConfirmationAge {
-			l.withhold(list)
+			l.observe(list, workload.Withheld)
 			return nil
 		}
 		b := &frameBuilder{}
@@ -145,19 +149,14 @@
 
 func (l *link) isFresh(r *request) bool { return l.cfg.Now()-r.sentAt < maxQueueAge }
 
-// withhold tells the control loop that requests were not sent.
-func (l *link) withhold(list []*request) {
-	l.observe(context.Background(), list, workload.Withheld)
-}
-
 // observe tells the control loop that requests ended with an outcome and without an answer.
-func (l *link) observe(ctx context.Context, list []*request, o workload.Outcome) {
+func (l *link) observe(list []*request, o workload.Outcome) {
 	now := l.cfg.Now()
 	events := make([]kernel.Event, 0, len(list))
 	for _, r := range list {
 		events = append(events, r.result(workload.Reply{Answer: workload.Answer{Outcome: o}}, now))
 	}
-	l.cfg.Observe(ctx, events)
+	l.cfg.Observe(l.ctx, events)
 }
 
 // result returns the event that tells the control loop of a reply that arrived at a time.
@@ -167,7 +166,7 @@
 }
 
 // receive passes the answers in the reports of the relay to the control loop.
-func (l *link) receive(ctx context.Context, stream *peer.Stream) error {
+func (l *link) receive(stream *peer.Stream) error {
 	for {
 		m := &relaypb.Report{}
 		if err := stream.Receive(m); err != nil {
@@ -192,7 +191,7 @@
 		l.mu.Unlock()
 		if len(events) > 0 {
 			// A busy control loop must not hold up the pings, or the relay would be relieved in favour of the leader.
-			go l.cfg.Observe(ctx, events)
+			go l.cfg.Observe(l.ctx, events)
 		}
 	}
 }
@@ -203,7 +202,7 @@
 }
 
 // expire ends the requests whose answers are overdue, and reports whether the relay is silent.
-func (l *link) expire(ctx context.Context, opened time.Duration) (silent bool) {
+func (l *link) expire(opened time.Duration) (silent bool) {
 	now := l.cfg.Now()
 	l.mu.Lock()
 	var overdue []*request
@@ -217,13 +216,13 @@
 	silent = now-max(l.reportedAt, opened) > maxSilence
 	l.mu.Unlock()
 	if len(overdue) > 0 {
-		l.observe(ctx, overdue, workload.NoAnswer)
+		l.observe(overdue, workload.NoAnswer)
 	}
 	return silent
 }
 
 // failAll ends all requests of a stream that has failed. Those that were in a frame may be carried out.
-func (l *link) failAll(ctx context.Context) {
+func (l *link) failAll() {
 	queued := l.queue.take()
 	l.mu.Lock()
 	l.ping = 0
@@ -233,9 +232,9 @@
 	}
 	l.pending = map[uint64]*request{}
 	l.mu.Unlock()
-	if ctx.Err() != nil {
+	if l.ctx.Err() != nil {
 		return // The term has ended.
 	}
-	l.observe(ctx, queued, workload.Withheld)
-	l.observe(ctx, sent, workload.NoAnswer)
+	l.observe(queued, workload.Withheld)
+	l.observe(sent, workload.NoAnswer)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -87,6 +87,9 @@
 	*relay.Router
 	ctx context.Context
 
+	// busy holds up the control loop while it is locked.
+	busy sync.RWMutex
+
 	mu     sync.Mutex
 	events []kernel.Event
 }
@@ -111,7 +114,12 @@
 		},
 		Term:            func() uint64 { return term },
 		ConfirmationAge: func() (time.Duration, bool) { return 0, true },
-		Observe: func(_ context.Context, events []kernel.Event) {
+		Observe: func(ctx context.Context, events []kernel.Event) {
+			l.busy.RLock()
+			defer l.busy.RUnlock()
+			if ctx.Err() != nil {
+				return // The control loop takes nothing after its context.
+			}
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.events = append(l.events, events...)
@@ -279,6 +287,24 @@
 	assert.Equal(t, len(l.Route(l.ctx, stops(manyRequests))), manyRequests, "a lost relay gets requests")
 }
 
+// Guards against a request that stays in flight for the rest of the term, because its result was dropped with the stream of its
+// relay while the control loop was busy.
+func TestResultOutlivesStreamOfRelay(t *testing.T) {
+	f := startRelay(t)
+	l := startLeader(t, 1, f)
+	l.connect(t)
+	before := len(f.sentRequests())
+	l.busy.Lock()
+	l.Route(l.ctx, stops(10))
+	waitFor(t, "the requests", func() bool { return len(f.sentRequests()) == before+10 })
+	time.Sleep(100 * time.Millisecond) // The answers arrive.
+	f.stop()
+	time.Sleep(100 * time.Millisecond) // The stream ends.
+	l.busy.Unlock()
+	results := 0
+	waitFor(t, "the results", func() bool { results += len(l.takeResults()); return results == 10 })
+}
+
 // Guards against a worker that counts as lost because the relay that calls it is cut off from it.
 func TestWorkerThatFailsThroughRelayIsCalledDirectly(t *testing.T) {
 	f := startRelay(t)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -109,9 +110,9 @@
 	for _, address := range r.cfg.Relays() {
 		l := r.links[address]
 		if l == nil {
-			l = newLink(&r.cfg, address, r.cfg.Term(), r.callDirectly)
+			l = newLink(ctx, &r.cfg, address, r.cfg.Term(), r.callDirectly)
 			r.links[address] = l
-			go l.run(ctx)
+			go l.run()
 		}
 		if l.isReady(now) {
 			ready = append(ready, l)
@@ -123,14 +124,7 @@
 // chooseLink returns the same link for a worker as long as it is ready, so that connections to workers are used again.
 func chooseLink(ready []*link, worker string) *link {
 	return slices.MaxFunc(ready, func(a, b *link) int {
-		wa, wb := linkWeight(a, worker), linkWeight(b, worker)
-		switch {
-		case wa < wb:
-			return -1
-		case wa > wb:
-			return 1
-		}
-		return 0
+		return cmp.Compare(linkWeight(a, worker), linkWeight(b, worker))
 	})
 }
 
