control: log slow saves and a process without processor time

A save is timed by itself now, and a goroutine that only waits tells when the process isn't scheduled.

--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -18,10 +19,18 @@
 
 // newFounder returns a founder of a group, which doesn't run yet, and its transport.
 func newFounder(t *testing.T, ln net.Listener, founders []string, log logr.Logger) (*Voter, *peer.Transport) {
+	t.Helper()
+	return newFounderOnDisk(t, ln, founders, log, nil)
+}
+
+// newFounderOnDisk is newFounder with another function that makes files durable, unless sync is nil.
+func newFounderOnDisk(
+	t *testing.T, ln net.Listener, founders []string, log logr.Logger, sync func(f *os.File) error,
+) (*Voter, *peer.Transport) {
 	t.Helper()
 	self := ln.Addr().String()
 	store, err := disk.Open(disk.Config{
-		Dir: filepath.Join(t.TempDir(), "group"), Log: log,
+		Dir: filepath.Join(t.TempDir(), "group"), Log: log, Sync: sync,
 		NewIdentity: func() (string, error) { return FounderIdentity(self), nil },
 	})
 	assert.NilError(t, err)
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -22,6 +22,9 @@
 // meanwhile, and loses its leadership after an election timeout.
 const slowRound = electionTicks * tickInterval / 2
 
+// slowSave is the duration of a save of the log from which on it is logged.
+const slowSave = slowRound
+
 // loopRound holds when the phases of a round of the control loop ended.
 type loopRound struct {
 	beganAt, readyAt, wokeAt, handledAt time.Duration
@@ -39,6 +42,32 @@
 		"events", r.events, "handling", (r.handledAt - r.wokeAt).String(), "deciding", (end - r.handledAt).String())
 }
 
+// observeSave records how long a save of the log took.
+func (v *Voter) observeSave(took time.Duration, entries int) {
+	v.cfg.ObserveHistogram("hibiscusroute_log_save_seconds", took.Seconds())
+	if took >= slowSave {
+		v.cfg.Log.Info("save of the log was slow", "for", took.String(), "entries", entries, "leading", v.leading)
+	}
+}
+
+// watchProcessor logs and counts when the process got no processor time, or was paused. A slow save without such a message
+// is due to the disk.
+func (v *Voter) watchProcessor(ctx context.Context) {
+	for {
+		begin := time.Now()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(tickInterval):
+		}
+		late := time.Since(begin) - tickInterval
+		v.cfg.ObserveHistogram("hibiscusroute_late_wakeup_seconds", max(late, 0).Seconds())
+		if late >= slowRound {
+			v.cfg.Log.Info("process got no processor time", "for", late.String(), "leading", v.Leading())
+		}
+	}
+}
+
 // GroupStatus is what a voter knows about the control group.
 type GroupStatus struct {
 	// Voters is the number of voters, Missing the number of those that the leader can't reach or that lag behind it; 0
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -75,7 +75,9 @@
 	Violation func(plugin string, err error)
 	// Record adds an event to the time line. It may be nil.
 	Record func(e timeline.Event)
-	Log    logr.Logger
+	// ObserveHistogram adds a value to a histogram. It may be nil, and is called from several goroutines.
+	ObserveHistogram func(name string, v float64)
+	Log              logr.Logger
 }
 
 // Voter is one member of the control group.
@@ -146,6 +148,9 @@
 	if cfg.Record == nil {
 		cfg.Record = func(timeline.Event) {}
 	}
+	if cfg.ObserveHistogram == nil {
+		cfg.ObserveHistogram = func(string, float64) {}
+	}
 	persisted := cfg.Persisted
 	cfg.Persisted = raft.PersistentState{}
 	var err error
@@ -245,6 +250,9 @@
 	defer close(v.done)
 	defer v.sender.close()
 	defer v.feed.close()
+	watchCtx, endWatch := context.WithCancel(ctx)
+	defer endWatch()
+	go v.watchProcessor(watchCtx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for v.runErr == nil {
@@ -402,9 +410,11 @@
 		v.recordRounds()
 		v.sendMessages(early)
 		if rd.HardState != nil || len(rd.Entries) > 0 {
+			beganAt := v.now()
 			if err := v.cfg.Store.Save(rd.HardState, rd.Entries); err != nil {
 				return err
 			}
+			v.observeSave(v.now()-beganAt, len(rd.Entries))
 			if rd.HardState != nil {
 				v.term.Store(rd.HardState.Term)
 			}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -58,7 +58,9 @@
 	DataDirectory string
 	Port          dispatch.Port
 	Workload      workload.Config
-	Log           logr.Logger
+	// ObserveHistogram adds a value to a histogram. It may be nil.
+	ObserveHistogram func(name string, v float64)
+	Log              logr.Logger
 }
 
 // Control is a control process, which is a voter and may be the leader.
@@ -118,7 +120,7 @@
 		Name: cfg.PeerAddress, PeerAddress: cfg.PeerAddress, AvailabilityZone: cfg.Zone, Store: c.store, Persisted: persisted,
 		Transport: c.transport, Bootstrap: founder,
 		RemoveLostAfter: cmp.Or(cfg.RemoveLostAfter, defaultRemoveLostAfter), ToleratedLosses: cfg.ToleratedLosses,
-		Record: events.Record, Log: cfg.Log,
+		Record: events.Record, ObserveHistogram: cfg.ObserveHistogram, Log: cfg.Log,
 		RunActions:        func(actions []kernel.Action) { dispatcher.Execute(actions) },
 		LeadershipChanged: func(leading bool) { dispatcher.SetLeading(leading) },
 		Setup:             c.configureWorkload,
