control: save the log beside the control loop

The control loop waited for each sync, and with it all that needs no new entry: reads, answers to heartbeats, renewals of leases, messages to other voters. Votes are synced, too, and a candidate gave up before the others had saved theirs.

Saves now run in a goroutine of their own, one at a time. The core hands out what is to be saved with the messages that promise it; everything else is sent and applied meanwhile. A member that has voted waits for the election in proportion to the time that its own save took.

--- a/internal/control/membership_sim_test.go
+++ b/internal/control/membership_sim_test.go
@@ -219,8 +219,12 @@
 // handleReady does the work of Voter.processReady.
 func (s *memberSim) handleReady(m *simMachine) {
 	for rd, ok := m.core.Ready(); ok; rd, ok = m.core.Ready() {
-		m.save(rd)
 		s.send(m, rd.Messages)
+		if rd.Save != nil {
+			m.save(rd.Save)
+			m.core.Saved(rd.Save)
+			s.send(m, rd.Save.Messages)
+		}
 		for _, e := range rd.CommittedEntries {
 			s.apply(m, e)
 		}
@@ -236,7 +240,7 @@
 	}
 }
 
-func (m *simMachine) save(rd raft.Ready) {
+func (m *simMachine) save(rd *raft.Save) {
 	if rd.Snapshot != nil {
 		m.disk.Snapshot, m.disk.Entries = rd.Snapshot, nil
 		m.state, m.applied = string(rd.Snapshot.Data), rd.Snapshot.Meta.Index
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
@@ -42,11 +43,12 @@
 		"events", r.events, "handling", (r.handledAt - r.wokeAt).String(), "deciding", (end - r.handledAt).String())
 }
 
-// observeSave records how long a save of the log took.
-func (v *Voter) observeSave(took time.Duration, entries int) {
-	v.cfg.ObserveHistogram("hibiscusroute_log_save_seconds", took.Seconds())
+// observeSave records how long a save of the log or of a snapshot took.
+func (v *Voter) observeSave(took time.Duration, kind string, entries int) {
+	v.cfg.ObserveHistogram(fmt.Sprintf("hibiscusroute_save_seconds{kind=%q}", kind), took.Seconds())
 	if took >= slowSave {
-		v.cfg.Log.Info("save of the log was slow", "for", took.String(), "entries", entries, "leading", v.leading)
+		v.cfg.Log.Info("save to the data directory was slow", "kind", kind, "for", took.String(), "entries", entries,
+			"leading", v.leading)
 	}
 }
 
--- a/internal/control/observe_test.go
+++ b/internal/control/observe_test.go
@@ -38,7 +38,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	text := strings.Join(lines, "\n")
-	assert.Assert(t, strings.Contains(text, "save of the log was slow"), text)
+	assert.Assert(t, strings.Contains(text, "save to the data directory was slow"), text)
 	assert.Assert(t, !strings.Contains(text, "process got no processor time"), text)
 }
 
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -41,7 +41,7 @@
 	maxCommandBytes = 512 << 10
 	// maxQueuedEvents bounds the functions that wait for the control loop.
 	maxQueuedEvents = 1024
-	// maxEventBatch bounds the functions that run before the next sync of the log.
+	// maxEventBatch bounds the functions that run before the output of the log is handled.
 	maxEventBatch = 256
 )
 
@@ -89,13 +89,14 @@
 	events    chan func()
 	done      chan struct{}
 	sender    *sender
+	saver     *saver
 	feed      *feed
 
 	// isLeader is a copy of leading for other goroutines.
 	isLeader atomic.Bool
 	// confirmedAt is the BootTime at which the newest heartbeat round that a quorum answered was sent.
 	confirmedAt atomic.Int64
-	// term is the newest term in the data directory.
+	// term is a copy of the newest term for other goroutines.
 	term atomic.Uint64
 	// group is a copy of the state of the group for other goroutines.
 	group atomic.Pointer[GroupStatus]
@@ -113,7 +114,8 @@
 	waitingRenewals  []func(raft.ReadResult) // renewals that wait for the quorum round of the next tick
 	lastReadID       uint64
 	snapshotIndex    uint64
-	loggedBytes      int // bytes of the entries applied since the last snapshot
+	snapshotting     bool // a snapshot is being saved
+	loggedBytes      int  // bytes of the entries applied since the last snapshot
 	rollouts         rollouts
 	lastRenewals     map[string]lastRenewal // soft state of the leader
 	members          *member.State
@@ -193,6 +195,7 @@
 	}
 	v.term.Store(v.core.Status().Term)
 	v.sender = newSender(cfg.Transport, cfg.Log)
+	v.saver = newSaver(cfg.Store)
 	v.feed = newFeed(v.kernel.Applied())
 	v.registerHandlers()
 	return v, nil
@@ -250,6 +253,8 @@
 	defer close(v.done)
 	defer v.sender.close()
 	defer v.feed.close()
+	go v.saver.run()
+	defer v.saver.stop()
 	watchCtx, endWatch := context.WithCancel(ctx)
 	defer endWatch()
 	go v.watchProcessor(watchCtx)
@@ -270,6 +275,9 @@
 			round.wokeAt = v.now()
 			f()
 			round.events = 1 + v.handleQueuedEvents()
+		case r := <-v.saver.results:
+			round.wokeAt = v.now()
+			v.runErr = v.finishJob(r)
 		case <-ticker.C:
 			round.wokeAt = v.now()
 			v.onTick()
@@ -284,7 +292,7 @@
 	return v.runErr
 }
 
-// handleQueuedEvents runs the functions that are already queued, so that their log entries share one sync. It returns
+// handleQueuedEvents runs the functions that are already queued, so that their log entries share messages. It returns
 // how many there were.
 func (v *Voter) handleQueuedEvents() (handled int) {
 	for handled < maxEventBatch {
@@ -394,32 +402,28 @@
 	return nil
 }
 
-// processReady saves, sends, applies and answers all output of the replicated log.
+// processReady sends, applies and answers all output of the replicated log, and hands over to the disk what is to be saved.
 func (v *Voter) processReady() error {
 	for {
 		rd, ok := v.core.Ready()
 		if !ok {
 			return nil
 		}
+		v.term.Store(v.core.Term())
 		if rd.Snapshot != nil {
 			if err := v.installSnapshot(rd.Snapshot); err != nil {
 				return err
 			}
 		}
-		early, late := rd.SplitMessages()
 		v.recordRounds()
-		v.sendMessages(early)
-		if rd.HardState != nil || len(rd.Entries) > 0 {
-			beganAt := v.now()
-			if err := v.cfg.Store.Save(rd.HardState, rd.Entries); err != nil {
-				return err
-			}
-			v.observeSave(v.now()-beganAt, len(rd.Entries))
-			if rd.HardState != nil {
-				v.term.Store(rd.HardState.Term)
-			}
+		v.sendMessages(rd.Messages)
+		switch {
+		case rd.Save == nil:
+		case rd.Save.IsEmpty():
+			v.finishSave(rd.Save)
+		default:
+			v.saver.jobs <- diskJob{save: rd.Save}
 		}
-		v.sendMessages(late)
 		for _, e := range rd.CommittedEntries {
 			if err := v.applyEntry(e); err != nil {
 				return err
@@ -434,10 +438,26 @@
 	}
 }
 
-func (v *Voter) installSnapshot(s *raft.Snapshot) error {
-	if err := v.cfg.Store.SaveSnapshot(s.Meta, s.Data); err != nil {
-		return err
+// finishJob handles the result of the disk.
+func (v *Voter) finishJob(r diskResult) error {
+	if r.err != nil {
+		return r.err
 	}
+	if r.snapshot != nil {
+		v.observeSave(r.took, "snapshot", 0)
+		return v.finishSnapshot(r.snapshot)
+	}
+	v.observeSave(r.took, "log", len(r.save.Entries))
+	v.finishSave(r.save)
+	return nil
+}
+
+func (v *Voter) finishSave(s *raft.Save) {
+	v.core.Saved(s)
+	v.sendMessages(s.Messages)
+}
+
+func (v *Voter) installSnapshot(s *raft.Snapshot) error {
 	if err := v.restoreSnapshot(s); err != nil {
 		return err
 	}
@@ -517,29 +537,47 @@
 	}
 }
 
-// maybeSnapshot saves a snapshot if enough entries were applied since the last one, so that a restart replays few.
+// maybeSnapshot begins to save a snapshot if enough entries were applied since the last one, so that a restart replays few.
+// The disk must hold these entries, since they are removed from it only once the snapshot is complete.
 func (v *Voter) maybeSnapshot() error {
 	applied := v.kernel.Applied()
 	due := applied >= v.snapshotIndex+snapshotEntries || v.loggedBytes >= snapshotBytes
-	if !due || applied != v.core.Status().LastApplied {
+	if !due || v.snapshotting {
 		return nil
 	}
-	meta, err := v.core.SnapshotMeta(applied)
+	if st := v.core.Status(); applied != st.LastApplied || applied > st.LastSynced {
+		return nil
+	}
+	s, err := v.takeSnapshot()
 	if err != nil {
 		return err
 	}
-	state, err := v.kernel.Snapshot(false)
+	v.snapshotting, v.loggedBytes = true, 0
+	v.saver.jobs <- diskJob{snapshot: s}
+	return nil
+}
+
+func (v *Voter) takeSnapshot() (*raft.Snapshot, error) {
+	meta, err := v.core.SnapshotMeta(v.kernel.Applied())
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if err := v.cfg.Store.SaveSnapshot(meta, state); err != nil {
-		return err
+	state, err := v.kernel.Snapshot(false)
+	return &raft.Snapshot{Meta: meta, Data: state}, err
+}
+
+// finishSnapshot removes the entries from the log that a saved snapshot covers, unless one of the leader has replaced the log
+// meanwhile.
+func (v *Voter) finishSnapshot(s *raft.Snapshot) error {
+	v.snapshotting = false
+	if s.Meta.Index < v.snapshotIndex {
+		return nil
 	}
-	if err := v.core.Compact(applied, state); err != nil {
+	if err := v.core.Compact(s.Meta.Index, s.Data); err != nil {
 		return err
 	}
-	v.snapshotIndex, v.loggedBytes = applied, 0
-	v.cfg.Log.V(1).Info("saved a snapshot", "index", applied, "bytes", len(state))
+	v.snapshotIndex = s.Meta.Index
+	v.cfg.Log.V(1).Info("saved a snapshot", "index", s.Meta.Index, "bytes", len(s.Data))
 	return nil
 }
 
--- a/internal/control/voter_test.go
+++ b/internal/control/voter_test.go
@@ -62,8 +62,9 @@
 	assert.Assert(t, ok)
 	assert.NilError(t, v.Run(ctx))
 	if snapshot {
-		v.loggedBytes = snapshotBytes
-		assert.NilError(t, v.maybeSnapshot())
+		s, err := v.takeSnapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, diskJob{snapshot: s}.write(store))
 	}
 	assert.Equal(t, len(r.terms), 1)
 	return r.terms[0]
--- a/internal/disk/bench_test.go
+++ b/internal/disk/bench_test.go
@@ -49,7 +49,10 @@
 
 func (d *singleVoter) processReady(t testing.TB) {
 	for rd, ok := d.core.Ready(); ok; rd, ok = d.core.Ready() {
-		assert.NilError(t, d.store.Save(rd.HardState, rd.Entries))
+		if rd.Save != nil {
+			assert.NilError(t, d.store.Save(rd.Save.HardState, rd.Save.Entries))
+			d.core.Saved(rd.Save)
+		}
 		for _, e := range rd.CommittedEntries {
 			assert.Equal(t, e.Index, d.lastApplied+1)
 			d.state.Write(e.Data)
--- a/internal/raft/bench_test.go
+++ b/internal/raft/bench_test.go
@@ -27,8 +27,13 @@
 					for _, id := range w.ids {
 						n := w.nodes[id]
 						for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
+							messages := rd.Messages
+							if rd.Save != nil {
+								n.core.Saved(rd.Save)
+								messages = append(messages, rd.Save.Messages...)
+							}
 							n.core.Advance(rd)
-							for _, m := range rd.Messages {
+							for _, m := range messages {
 								_ = w.nodes[m.To].core.Step(m)
 							}
 						}
@@ -71,6 +76,9 @@
 			_ = n.core.Step(m)
 			n.core.Tick()
 			for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
+				if rd.Save != nil {
+					n.core.Saved(rd.Save)
+				}
 				n.core.Advance(rd)
 			}
 			if n.core.commitIndex < commit || n.core.commitIndex > n.core.log.lastIndex() ||
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -111,9 +111,11 @@
 	pendingReads           []pendingRead
 
 	isAwaitingAdvance bool
-	lastHardState     hardState // as of the last Ready
+	saving            *Save     // that the driver saves now
+	savedHardState    hardState // that the driver saved last
 	messages          []*raftpb.Message
-	snapshotToInstall *Snapshot
+	snapshotToRestore *Snapshot
+	snapshotToSave    *Snapshot
 	readResults       []ReadResult
 }
 
@@ -144,12 +146,12 @@
 		}
 		c.log.entries = append(c.log.entries, e)
 	}
-	c.log.lastSynced = c.log.lastIndex()
+	c.log.lastTaken, c.log.lastSynced = c.log.lastIndex(), c.log.lastIndex()
 	// The log can be ahead of the hard state if the process stopped between two saves. It did not vote in that term.
 	if t := c.log.lastTerm(); t > c.term {
 		c.term, c.votedFor = t, ""
 	}
-	c.lastHardState = hardState{c.term, c.votedFor}
+	c.savedHardState = hardState{c.term, c.votedFor}
 	c.updateMembership()
 	c.becomeFollower(c.term, "")
 	return c, nil
@@ -173,7 +175,7 @@
 		return
 	}
 	switch {
-	case c.electionElapsed < c.electionTimeout:
+	case c.electionElapsed < c.electionTimeout, c.hasUnsavedHardState():
 	case c.promotable():
 		c.campaign(PreCandidate, false)
 	default:
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -31,6 +31,19 @@
 	c.resetTimeout()
 }
 
+// maxSaveWait bounds the time that awaitElection adds for slow disks, in election timeouts.
+const maxSaveWait = 10
+
+// awaitElection begins the election timeout anew once a vote is saved, which took some ticks. Disks that are as slow need as
+// long again for the votes of other members; a candidate that gave up sooner would never win.
+func (c *Core) awaitElection(ticks int) {
+	if ticks == 0 || c.leader != "" || c.votedFor == "" {
+		return
+	}
+	c.resetTimeout()
+	c.electionTimeout += min(2*ticks, maxSaveWait*c.cfg.ElectionTicks)
+}
+
 // campaign starts an election. A PreCandidate only asks the voters whether it could win, and keeps its term.
 func (c *Core) campaign(role Role, transfer bool) {
 	c.role, c.leader = role, ""
--- a/internal/raft/explore_test.go
+++ b/internal/raft/explore_test.go
@@ -98,8 +98,7 @@
 	}
 	d := &modelState{sent: w.sent, restarts: w.restarts}
 	for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
-		n.handleReady(rd)
-		for _, m := range rd.Messages {
+		for _, m := range n.handleReady(rd) {
 			data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 			if err != nil {
 				return nil, err
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -11,6 +11,7 @@
 type entryLog struct {
 	baseIndex, baseTerm uint64
 	entries             []*raftpb.Entry
+	lastTaken           uint64 // index of the last entry that the driver got to save
 	lastSynced          uint64 // index of the last entry that the driver synced
 }
 
@@ -82,7 +83,7 @@
 func (l *entryLog) truncateFrom(index uint64) {
 	n := index - l.baseIndex - 1
 	l.entries = l.entries[:n:n]
-	l.lastSynced = min(l.lastSynced, index-1)
+	l.lastTaken, l.lastSynced = min(l.lastTaken, index-1), min(l.lastSynced, index-1)
 }
 
 // discardThrough removes the entries through index, which becomes the new base.
@@ -96,8 +97,9 @@
 	l.baseIndex, l.baseTerm = index, term
 }
 
+// reset empties the log after a snapshot at index, which is yet to be saved.
 func (l *entryLog) reset(index, term uint64) {
-	*l = entryLog{baseIndex: index, baseTerm: term, lastSynced: index}
+	*l = entryLog{baseIndex: index, baseTerm: term, lastTaken: index}
 }
 
 // lastPossibleMatch returns the index and term of the last entry, at most at index, whose term is at most term. Terms
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -180,7 +180,7 @@
 			continue
 		}
 		remaining++
-		if c.isCaughtUp(other.Id) {
+		if c.isCaughtUp(other.Id) && (other.Id != c.cfg.ID || c.log.lastSynced >= c.commitIndexAtHeartbeat) {
 			caughtUp++
 		}
 	}
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -13,6 +14,7 @@
 // node is a member with its driver: a simulated disk and state machine.
 type node struct {
 	core        *Core
+	saving      *Save // in progress, if saves take time
 	disk        PersistentState
 	state       string // the commands applied so far, concatenated
 	installs    int    // number of snapshots installed
@@ -80,21 +82,40 @@
 func (w *network) restart(id string) { w.addNode(id, w.nodes[id].disk) }
 
 // save updates p as the disk does.
-func (p *PersistentState) save(rd Ready) {
-	if rd.Snapshot != nil {
-		p.Snapshot, p.Entries = rd.Snapshot, nil
+func (p *PersistentState) save(s *Save) {
+	if s.Snapshot != nil {
+		p.Snapshot, p.Entries = s.Snapshot, nil
 	}
-	if rd.HardState != nil {
-		p.HardState = rd.HardState
+	if s.HardState != nil {
+		p.HardState = s.HardState
 	}
-	for _, e := range rd.Entries {
+	for _, e := range s.Entries {
 		p.Entries = append(p.Entries[:e.Index-p.Snapshot.Meta.Index-1:e.Index-p.Snapshot.Meta.Index-1], e)
 	}
 }
 
-// handleReady does the work of the driver for a Ready, except for sending its messages.
-func (n *node) handleReady(rd Ready) {
-	n.disk.save(rd)
+// handleReady does the work of the driver for a Ready whose save takes no time, and returns its messages.
+func (n *node) handleReady(rd Ready) []*raftpb.Message {
+	n.saving = rd.Save
+	messages := slices.Concat(rd.Messages, n.finishSave())
+	n.apply(rd)
+	return messages
+}
+
+// finishSave ends the save in progress, if there is one, and returns the messages that waited for it.
+func (n *node) finishSave() []*raftpb.Message {
+	s := n.saving
+	if s == nil {
+		return nil
+	}
+	n.saving = nil
+	n.disk.save(s)
+	n.core.Saved(s)
+	return s.Messages
+}
+
+// apply does the work of the driver for a Ready, except for its messages and its save.
+func (n *node) apply(rd Ready) {
 	if rd.Snapshot != nil {
 		n.state, n.lastApplied = string(rd.Snapshot.Data), rd.Snapshot.Meta.Index
 		n.installs++
@@ -121,9 +142,9 @@
 				continue
 			}
 			busy = true
-			n.handleReady(rd)
+			messages := n.handleReady(rd)
 			assert.NilError(w.t, w.checker.check(w.allNodes()))
-			for _, m := range rd.Messages {
+			for _, m := range messages {
 				if to := w.nodes[m.To]; to != nil && !w.drop(m) {
 					_ = to.core.Step(proto.CloneOf(m))
 				}
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -19,7 +19,7 @@
 // TestMain sets defaults for the seed and the number of random runs, which the command line overrides.
 func TestMain(m *testing.M) {
 	for name, value := range map[string]string{
-		"rapid.seed": "20260101", "rapid.checks": "40", "rapid.nofailfile": "true",
+		"rapid.seed": "20260101", "rapid.checks": "160", "rapid.nofailfile": "true",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
@@ -38,20 +38,23 @@
 	commitIndexAtRead map[uint64]uint64 // by read ID: highest commit index of any member when the read was requested
 	proposals         int
 	answeredReads     int
+	slowness          int // a save ends with each Ready with a chance of one in this number
 }
 
-// handleReadies handles the Readys of a node, with further messages arriving before Advance, and verifies that its
-// reads are linearizable.
+// handleReadies handles the Readys of a node, with further messages arriving before Advance and while its disk saves, and
+// verifies that its reads are linearizable.
 func (s *simulation) handleReadies(id string) {
 	n := s.nodes[id]
 	for rd, ok := n.core.Ready(); ok; rd, ok = n.core.Ready() {
-		early, late := rd.SplitMessages()
-		s.addInflight(early)
-		if len(early) > 0 && s.random.IntN(50) == 0 { // power is lost before the sync
+		if rd.Save != nil {
+			n.saving = rd.Save
+		}
+		s.addInflight(rd.Messages)
+		if len(rd.Messages) > 0 && s.random.IntN(50) == 0 { // power is lost before the sync
 			s.restart(id)
 			return
 		}
-		for s.random.IntN(5) == 0 { // messages arrive during the sync
+		for s.random.IntN(5) == 0 { // messages arrive before Advance
 			i := slices.IndexFunc(s.inflight, func(m *raftpb.Message) bool { return m.To == id })
 			if i < 0 {
 				break
@@ -60,8 +63,10 @@
 			s.inflight = slices.Delete(s.inflight, i, i+1)
 			_ = n.core.Step(m)
 		}
-		n.handleReady(rd)
-		s.addInflight(late)
+		n.apply(rd)
+		if s.random.IntN(s.slowness) == 0 {
+			s.addInflight(n.finishSave())
+		}
 		for _, r := range rd.Reads {
 			s.answeredReads++
 			if !r.Failed && r.Index < s.commitIndexAtRead[r.ID] {
@@ -112,6 +117,8 @@
 		if s.random.IntN(100) == 0 {
 			s.restart(id)
 		}
+	case action < 120:
+		s.addInflight(n.finishSave())
 	case action < 150:
 		n.core.Tick()
 	case action < 152:
@@ -149,6 +156,9 @@
 	if err != nil || meta.Index == n.disk.Snapshot.Meta.Index {
 		return
 	}
+	if n.core.log.lastSynced < meta.Index {
+		return // the driver waits until the log holds all entries of the snapshot
+	}
 	n.disk.Entries = n.disk.Entries[meta.Index-n.disk.Snapshot.Meta.Index:]
 	n.disk.Snapshot = &Snapshot{Meta: meta, Data: []byte(n.state)}
 	if err := n.core.Compact(meta.Index, n.disk.Snapshot.Data); err != nil {
@@ -182,7 +192,8 @@
 	seen := coverage{}
 	rapid.Check(t, func(rt *rapid.T) {
 		s := &simulation{network: newNetwork(t, 3), t: rt,
-			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0)), commitIndexAtRead: map[uint64]uint64{}}
+			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0)), commitIndexAtRead: map[uint64]uint64{},
+			slowness: rapid.SampledFrom([]int{1, 2, 6, 20}).Draw(rt, "slowness")}
 		for _, id := range []string{"m4", "m5"} {
 			s.addNode(id, PersistentState{Snapshot: &Snapshot{Meta: &raftpb.SnapshotMeta{}}})
 		}
@@ -190,6 +201,9 @@
 			s.stepRandomly()
 		}
 		s.inflight = nil
+		for _, n := range s.allNodes() {
+			n.finishSave()
+		}
 		seen.count(s)
 		s.tick(20) // long enough for a leadership transfer to end
 		l := s.waitForLeader()
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -134,6 +134,9 @@
 			for _, r := range rd.Reads {
 				assert.Equal(t, r.Index, uint64(3))
 			}
+			if rd.Save != nil {
+				c.Saved(rd.Save)
+			}
 			c.Advance(rd)
 		}
 	}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -113,7 +113,7 @@
 func (c *Core) installSnapshot(s *Snapshot) {
 	c.log.reset(s.Meta.Index, s.Meta.Term)
 	c.commitIndex, c.lastApplied = s.Meta.Index, s.Meta.Index
-	c.snapshot, c.snapshotToInstall = s, s
+	c.snapshot, c.snapshotToRestore, c.snapshotToSave = s, s, s
 	c.baseMembership = s.Meta.Members
 	c.updateMembership()
 }
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -11,6 +11,7 @@
 	CommitIndex uint64
 	LastApplied uint64
 	LastIndex   uint64 // index of the last entry in the log
+	LastSynced  uint64 // index of the last entry that the own disk holds
 	Members     []MemberStatus
 }
 
@@ -31,7 +32,7 @@
 func (c *Core) Status() Status {
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, CommitIndex: c.commitIndex, LastApplied: c.lastApplied,
-		LastIndex: c.log.lastIndex(),
+		LastIndex: c.log.lastIndex(), LastSynced: c.log.lastSynced,
 	}
 	for _, m := range c.members {
 		ms := MemberStatus{Member: m}
@@ -43,6 +44,9 @@
 	return s
 }
 
+// Term returns the newest term that the member knows of.
+func (c *Core) Term() uint64 { return c.term }
+
 // HeartbeatRounds returns the number of the leader's newest heartbeat round and of the newest one that a quorum of
 // voters has answered. A member that a quorum has answered in a round was still the leader when it sent that round.
 func (c *Core) HeartbeatRounds() (newest, confirmed uint64) {
