control: events share output while saves run beside the loop

Before, events that arrived during a sync shared one decision and one round of messages.

The loop now handles its output at most every 4 ms, at once after a pause, and a save carries only the last acknowledgement for a leader.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -26,21 +26,21 @@
 // slowSave is the duration of a save of the log from which on it is logged.
 const slowSave = slowRound
 
-// loopRound holds when the phases of a round of the control loop ended.
+// loopRound holds when a round of the control loop began and its phases ended, 0 for a phase that it lacks.
 type loopRound struct {
-	beganAt, readyAt, wokeAt, handledAt time.Duration
-	events                              int // 0 for a tick
+	beganAt, handledAt, decidedAt, readyAt time.Duration
+	events                                 int
 }
 
-// logSlowRound logs a round that held up the heartbeats, without the time that it waited for an event.
+// logSlowRound logs a round that held up the heartbeats.
 func (v *Voter) logSlowRound(r loopRound) {
-	end := v.now()
-	took := end - r.beganAt - (r.wokeAt - r.readyAt)
+	took := v.now() - r.beganAt
 	if took < slowRound {
 		return
 	}
-	v.cfg.Log.Info("control loop was busy", "for", took.String(), "leading", v.leading, "log", (r.readyAt - r.beganAt).String(),
-		"events", r.events, "handling", (r.handledAt - r.wokeAt).String(), "deciding", (end - r.handledAt).String())
+	v.cfg.Log.Info("control loop was busy", "for", took.String(), "leading", v.leading, "events", r.events,
+		"handling", (r.handledAt - r.beganAt).String(), "deciding", max(r.decidedAt-r.handledAt, 0).String(),
+		"log", max(r.readyAt-r.decidedAt, 0).String())
 }
 
 // observeSave records how long a save of the log or of a snapshot took.
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -41,8 +41,11 @@
 	maxCommandBytes = 512 << 10
 	// maxQueuedEvents bounds the functions that wait for the control loop.
 	maxQueuedEvents = 1024
-	// maxEventBatch bounds the functions that run before the output of the log is handled.
+	// maxEventBatch bounds the functions that run in one round of the control loop.
 	maxEventBatch = 256
+	// outputInterval is the minimum time between rounds that decide and handle the output of the log. Events that arrive
+	// meanwhile share messages, log entries and decisions.
+	outputInterval = 4 * time.Millisecond
 )
 
 // Config configures a Voter.
@@ -107,7 +110,7 @@
 	leading          bool
 	leadTerm         uint64
 	lastAppliedTerm  uint64 // term of the last entry that was applied
-	decisionDue      bool
+	decisionDue      bool   // also with each tick
 	pendingProposals map[uint64]pendingProposal
 	readCallbacks    map[uint64]func(raft.ReadResult)
 	unappliedReads   []raft.ReadResult
@@ -260,31 +263,37 @@
 	go v.watchProcessor(watchCtx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for v.runErr == nil {
-		round := loopRound{beganAt: v.now()}
-		if err := v.processReady(); err != nil {
-			v.runErr = err
-			break
-		}
-		round.readyAt = v.now()
+	output := time.NewTimer(0)
+	defer output.Stop()
+	for outputAt := v.now() - outputInterval; v.runErr == nil; {
+		round := loopRound{}
 		select {
 		case <-ctx.Done():
 			v.failPendingProposals()
 			return nil
 		case f := <-v.events:
-			round.wokeAt = v.now()
+			round.beganAt = v.now()
 			f()
 			round.events = 1 + v.handleQueuedEvents()
 		case r := <-v.saver.results:
-			round.wokeAt = v.now()
+			round.beganAt = v.now()
 			v.runErr = v.finishJob(r)
 		case <-ticker.C:
-			round.wokeAt = v.now()
+			round.beganAt = v.now()
 			v.onTick()
+		case <-output.C:
+			round.beganAt = v.now()
 		}
 		round.handledAt = v.now()
+		if wait := outputAt + outputInterval - round.handledAt; wait > 0 {
+			output.Reset(wait)
+			v.logSlowRound(round)
+			continue
+		}
+		v.handleOutput(&round)
+		outputAt = v.now()
 		if v.decisionDue {
-			v.decide()
+			output.Reset(outputInterval)
 		}
 		v.logSlowRound(round)
 	}
@@ -292,6 +301,18 @@
 	return v.runErr
 }
 
+// handleOutput decides if that is due, and handles the output of the log.
+func (v *Voter) handleOutput(r *loopRound) {
+	if v.decisionDue {
+		v.decide()
+	}
+	r.decidedAt = v.now()
+	if v.runErr == nil {
+		v.runErr = v.processReady()
+	}
+	r.readyAt = v.now()
+}
+
 // handleQueuedEvents runs the functions that are already queued, so that their log entries share messages. It returns
 // how many there were.
 func (v *Voter) handleQueuedEvents() (handled int) {
@@ -315,7 +336,7 @@
 	if v.leading {
 		v.manageVoters()
 	}
-	v.decide()
+	v.decisionDue = true
 }
 
 // detectLostLeadership ends the leadership of this voter if its replicated log no longer leads. Leadership starts in
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+import (
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
 
 // Ready is the work that the driver has to do next, in the order that the package comment describes.
 type Ready struct {
@@ -87,7 +91,7 @@
 	}
 	s := &Save{
 		Snapshot: c.snapshotToSave, Entries: c.log.slice(c.log.lastTaken+1, c.log.lastIndex(), unlimited),
-		Messages: c.messages, startTick: c.tickCount,
+		Messages: withoutCoveredAcks(c.messages), startTick: c.tickCount,
 	}
 	if c.hasUnsavedHardState() {
 		s.HardState = &raftpb.HardState{Term: c.term, Vote: c.votedFor}
@@ -99,6 +103,23 @@
 	return s
 }
 
+// withoutCoveredAcks removes the acknowledgements that a later one to the same leader covers.
+func withoutCoveredAcks(messages []*raftpb.Message) []*raftpb.Message {
+	isAck := func(m *raftpb.Message) bool {
+		return m.Type == raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE && !m.Reject
+	}
+	var list []*raftpb.Message
+	for i, m := range messages {
+		covered := isAck(m) && slices.ContainsFunc(messages[i+1:], func(o *raftpb.Message) bool {
+			return isAck(o) && o.To == m.To && o.Term == m.Term && o.LogIndex >= m.LogIndex
+		})
+		if !covered {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // Saved records that the driver has saved s, the newest Save. It may come before or after Advance.
 func (c *Core) Saved(s *Save) {
 	c.saving = nil
