control: drop calls whose callers have gone

The context of a handler didn't end when the caller closed its stream, and the loop didn't look at it.

The context of a unary handler now ends with the stream, and the loop drops what nobody waits for. A command that is in the log stays. The handler also ends then, and no longer holds one of the session's 1,024 streams until its command is committed.

TestHandlerEndsWithItsCaller and TestCallIsDroppedOnceItsCallerHasGone failed before (the handler didn't end; the log grew by an entry for each call).

TestMembershipCases fails with and without this change ("dark voter leaves for a successor", also beside a lost one). TestWaveUnderLoadCostsNoRequest failed in one of two runs with it, beside other packages ("could not be claimed ... context deadline exceeded"), and passed alone with and without it; not traced.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -80,7 +80,8 @@
 	return &controlpb.Redirect{}
 }
 
-// runInLoop runs f in the control loop and waits until f or a callback of it has called answer.
+// runInLoop runs f in the control loop and waits until f or a callback of it has called answer. It doesn't run f once ctx is
+// done: the caller may have sent the request again, and a loop that worked off both would never catch up.
 func runInLoop[T proto.Message](ctx context.Context, v *Voter, f func(answer func(T, error))) (T, error) {
 	type outcome struct {
 		m   T
@@ -88,7 +89,12 @@
 	}
 	ch := make(chan outcome, 1)
 	var zero T
-	if err := v.post(ctx, func() { f(func(m T, err error) { ch <- outcome{m, err} }) }); err != nil {
+	err := v.post(ctx, func() {
+		if ctx.Err() == nil {
+			f(func(m T, err error) { ch <- outcome{m, err} })
+		}
+	})
+	if err != nil {
 		return zero, err
 	}
 	select {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -58,6 +58,20 @@
 	return nil
 }
 
+// watchCaller returns a context that ends when the peer closes the stream or sends anything more. Nothing else may receive
+// from the stream, neither before stop is called nor afterwards.
+func (s *Stream) watchCaller(ctx context.Context) (callCtx context.Context, stop func()) {
+	callCtx, cancel := context.WithCancel(ctx)
+	go func() {
+		_, _ = s.r.ReadByte() // ends with an error when the stream does
+		cancel()
+	}()
+	return callCtx, func() {
+		cancel()
+		_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed stream only
+	}
+}
+
 // Close ends the stream in both directions.
 func (s *Stream) Close() error {
 	s.stopContextWatch()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -167,7 +167,8 @@
 	return nil
 }
 
-// UnaryHandler returns a handler that answers the single request of a stream with the single response of h.
+// UnaryHandler returns a handler that answers the single request of a stream with the single response of h. The context of
+// h ends when the caller closes the stream.
 func UnaryHandler[T any, P interface {
 	*T
 	proto.Message
@@ -178,7 +179,13 @@
 			return err
 		}
 		m := &peerpb.Response{Stamp: t.cfg.Timestamp()}
-		resp, err := h(ctx, from, req)
+		callCtx, stop := s.watchCaller(ctx)
+		resp, err := h(callCtx, from, req)
+		gone := callCtx.Err()
+		stop()
+		if gone != nil {
+			return errorx.Decorate(gone, "caller has gone")
+		}
 		if err != nil {
 			encodeError(m, err)
 		} else if m.Body, err = proto.Marshal(resp); err != nil {
