control: one entry for a command that is sent again

A caller gives up an attempt after 700 ms and proposes the same command again.

An identical command (plug-in, ID and body) now waits for the entry that is pending in this term, once a quorum has confirmed the leader: a former leader could otherwise answer from an entry that the next one has committed long ago. Only idempotent commands share: requests say so (ProposeRequest.idempotent, unset by earlier versions), batches hold no others, and one with an ID is applied once only. What the leader decides itself shares nothing. At most 64 calls share an entry; the next one gets its own, so the memory is bounded by the entries that may be uncommitted.

Measured by TestRetriedCommandsShareAnEntry, ten submissions sent four times each while syncs take 2 s: 40 entries before, 10 now, also for commands with an ID; 40 still for those that aren't idempotent. The first two cases failed before.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -131,7 +131,7 @@
 	}
 	c, err := voter.NewSetCommand(voters)
 	if err == nil {
-		err = v.propose(c, nil)
+		_, err = v.appendCommand(c)
 	}
 	if err != nil {
 		v.cfg.Log.Info("cannot propose the membership of the at-most-once record yet", "reason", err.Error())
--- a/internal/control/proposal_test.go
+++ b/internal/control/proposal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kernelpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 	"github.com/hibiscusroute/hibiscusroute/internal/raft"
@@ -69,3 +72,111 @@
 		})
 	}
 }
+
+// Guards against retries of a command that fill the log with copies of it while commits take long.
+func TestRetriedCommandsShareAnEntry(t *testing.T) {
+	const submissions, attempts = 10, 4
+	for _, tt := range []struct {
+		name       string
+		id         string
+		idempotent bool
+		entries    int
+	}{
+		{"idempotent", "", true, submissions},
+		{"with-id", "operation-", true, submissions},
+		{"not-idempotent", "", false, submissions * attempts},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newSlowGroup(t, 3)
+			l := g.leader(10 * time.Second)
+			assert.NilError(t, <-g.propose(l))
+			before := g.status(l).LastIndex
+			g.syncDelay.Store(int64(2 * time.Second))
+			var calls sync.WaitGroup
+			for range attempts {
+				for i := range submissions {
+					c := &kernelpb.Command{Plugin: recorderName, Body: []byte{byte(i)}}
+					if tt.id != "" {
+						c.Id = fmt.Sprint(tt.id, i)
+					}
+					calls.Go(func() {
+						_, err := l.servePropose(t.Context(), "", &controlpb.ProposeRequest{Command: c, Idempotent: tt.idempotent})
+						assert.Check(t, err)
+					})
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			entries := g.status(l).LastIndex - before
+			t.Logf("%d entries for %d submissions, each sent %d times", entries, submissions, attempts)
+			g.syncDelay.Store(0)
+			calls.Wait()
+			assert.Equal(t, int(entries), tt.entries)
+		})
+	}
+}
+
+// Guards against a call that gets no reply or several ones, and against entries that are kept once they are decided.
+func TestRepliesOfSharedEntries(t *testing.T) {
+	const index, term = 7, 3
+	for _, tt := range []struct {
+		name string
+		end  func(p *proposals)
+		ok   bool
+	}{
+		{"applied", func(p *proposals) { p.finish(index, term, kernel.Result{Index: index}) }, true},
+		{"replaced-by-another-leader", func(p *proposals) { p.finish(index, term+1, kernel.Result{Index: index}) }, false},
+		{"leadership-lost", func(p *proposals) { p.fail(peer.ErrInterrupted.New("lost")) }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v := &Voter{proposals: newProposals()}
+			key := newProposalKey(kernel.Command{Plugin: recorderName, Body: []byte("a")}, true)
+			replies := make([]int, maxReplies)
+			reply := func(i int) func(kernel.Result, error) {
+				return func(r kernel.Result, err error) {
+					replies[i]++
+					assert.Equal(t, r.Index == index, tt.ok)
+					assert.Equal(t, errorx.IsOfType(err, peer.ErrInterrupted), !tt.ok, "%v", err)
+				}
+			}
+			v.proposals.add(index, term, key, reply(0))
+			for i := 1; i < maxReplies; i++ {
+				pp := v.proposals.find(key, term)
+				assert.Assert(t, pp != nil)
+				pp.replies = append(pp.replies, reply(i))
+			}
+			assert.Assert(t, v.proposals.find(key, term) == nil, "an entry has more than %d replies", maxReplies)
+			tt.end(&v.proposals)
+			tt.end(&v.proposals)
+			for i, n := range replies {
+				assert.Equal(t, n, 1, "reply %d", i)
+			}
+			assert.Equal(t, len(v.proposals.byIndex)+len(v.proposals.byKey), 0)
+		})
+	}
+}
+
+// Guards against commands that share an entry although the second one isn't a repetition of the first.
+func TestOtherCommandsShareNoEntry(t *testing.T) {
+	const term = 3
+	p := newProposals()
+	first := kernel.Command{Plugin: recorderName, Body: []byte("a")}
+	p.add(7, term, newProposalKey(first, true), func(kernel.Result, error) {})
+	for _, tt := range []struct {
+		name       string
+		command    kernel.Command
+		idempotent bool
+		term       uint64
+		shared     bool
+	}{
+		{"same", first, true, term, true},
+		{"not-idempotent", first, false, term, false},
+		{"later-term", first, true, term + 1, false},
+		{"other-body", kernel.Command{Plugin: recorderName, Body: []byte("b")}, true, term, false},
+		{"other-plug-in", kernel.Command{Plugin: "key", Body: []byte("a")}, true, term, false},
+		{"with-id", kernel.Command{Plugin: recorderName, ID: "1", Body: []byte("a")}, true, term, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, p.find(newProposalKey(tt.command, tt.idempotent), tt.term) != nil, tt.shared)
+		})
+	}
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -127,7 +127,8 @@
 			answer(nil, kernel.ErrInvalid.New("empty proposal"))
 			return
 		}
-		v.respond(CommandFromProto(req.Command), reply, func() {
+		c := CommandFromProto(req.Command)
+		v.respond(c, newProposalKey(c, req.Idempotent), reply, func() {
 			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
 		})
 	})
@@ -178,12 +179,13 @@
 		if left == 0 {
 			answer(resp, nil)
 		}
-		for i, c := range req.Commands {
-			if c == nil {
+		for i, m := range req.Commands {
+			if m == nil {
 				finish(i, EncodeResult(kernel.Result{Err: kernel.ErrInvalid.New("empty proposal")}), nil)
 				continue
 			}
-			v.respond(CommandFromProto(c), func(r kernel.Result, err error) {
+			c := CommandFromProto(m)
+			v.respond(c, newProposalKey(c, true), func(r kernel.Result, err error) {
 				if errorx.IsOfType(err, kernel.ErrInvalid) {
 					r, err = kernel.Result{Err: err}, nil
 				}
@@ -195,37 +197,45 @@
 	})
 }
 
-// respond answers a command at once, after a quorum read or after replication, as the plug-in of the command decides.
-// It calls notLeading instead of reply if this voter is not the leader.
-func (v *Voter) respond(c kernel.Command, reply func(kernel.Result, error), notLeading func()) {
+// respond answers a command at once, after a quorum read or after replication, as the plug-in of the command decides. Calls
+// with the same key may share an entry. It calls notLeading instead of reply if this voter is not the leader.
+func (v *Voter) respond(
+	c kernel.Command, key *proposalKey, reply func(kernel.Result, error), notLeading func(),
+) {
 	replicate := func() {
-		if err := v.propose(c, reply); errorx.IsOfType(err, kernel.ErrInvalid) {
+		if err := v.propose(c, key, reply); errorx.IsOfType(err, kernel.ErrInvalid) {
 			reply(kernel.Result{}, err)
 		} else if err != nil {
 			notLeading()
 		}
 		v.decisionDue = true
 	}
-	switch body, how := v.kernel.Respond(v.now(), c); how {
-	case kernel.Immediate:
-		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
-	case kernel.AfterReadIndex:
-		v.quorumRead(func(r raft.ReadResult) {
-			if r.Failed {
-				notLeading()
-				return
-			}
-			// The state may have changed during the read.
-			body, how := v.kernel.Respond(v.now(), c)
-			if how == kernel.Replicate {
-				replicate()
-				return
-			}
+	if v.proposals.find(key, v.core.Term()) == nil {
+		switch body, how := v.kernel.Respond(v.now(), c); how {
+		case kernel.Immediate:
 			reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
-		})
-	default:
-		replicate()
+			return
+		case kernel.Replicate:
+			replicate()
+			return
+		}
 	}
+	v.quorumRead(func(r raft.ReadResult) {
+		if r.Failed {
+			notLeading()
+			return
+		}
+		if v.share(key, reply) {
+			return
+		}
+		// The state may have changed during the read.
+		body, how := v.kernel.Respond(v.now(), c)
+		if how == kernel.Replicate {
+			replicate()
+			return
+		}
+		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
+	})
 }
 
 func (v *Voter) serveQuery(ctx context.Context, _ string, req *controlpb.QueryRequest) (proto.Message, error) {
--- a/internal/control/slow_disk_test.go
+++ b/internal/control/slow_disk_test.go
@@ -80,7 +80,7 @@
 	g.t.Helper()
 	done := make(chan error, 1)
 	assert.NilError(g.t, v.post(g.t.Context(), func() {
-		err := v.propose(kernel.Command{Plugin: recorderName}, func(_ kernel.Result, err error) { done <- err })
+		err := v.propose(kernel.Command{Plugin: recorderName}, nil, func(_ kernel.Result, err error) { done <- err })
 		if err != nil {
 			done <- err
 		}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/joomcode/errorx"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/claim/claimpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
@@ -104,32 +103,32 @@
 	answering atomic.Pointer[[]string]
 
 	// The fields below belong to the control loop.
-	leading          bool
-	leadTerm         uint64
-	lastAppliedTerm  uint64 // term of the last entry that was applied
-	decisionDue      bool
-	pendingProposals map[uint64]pendingProposal
-	readCallbacks    map[uint64]func(raft.ReadResult)
-	unappliedReads   []raft.ReadResult
-	waitingRenewals  []func(raft.ReadResult) // renewals that wait for the quorum round of the next tick
-	lastReadID       uint64
-	snapshotIndex    uint64
-	snapshotting     bool // a snapshot is being saved
-	loggedBytes      int  // bytes of the entries applied since the last snapshot
-	rollouts         rollouts
-	lastRenewals     map[string]lastRenewal // soft state of the leader
-	members          *member.State
-	quotas           *quota.State
-	configuration    *configuration.State
-	voters           *voter.State
-	proposedVoters   []*claimpb.Voter // proposed as the next membership of the at-most-once record
-	runErr           error
-	roundTimes       roundTimes
-	calls            rate.Counter             // of other processes, heartbeats included
-	missingSince     map[string]time.Duration // since when a voter has not been caught up or a learner silent
-	limitRecordedAt  map[string]time.Duration // when the holders of a team's limit were last recorded
-	heardAt          map[string]time.Duration // when the last message of a member arrived
-	leaderSeenAt     time.Duration            // when a leader was last known
+	leading         bool
+	leadTerm        uint64
+	lastAppliedTerm uint64 // term of the last entry that was applied
+	decisionDue     bool
+	proposals       proposals
+	readCallbacks   map[uint64]func(raft.ReadResult)
+	unappliedReads  []raft.ReadResult
+	waitingRenewals []func(raft.ReadResult) // renewals that wait for the quorum round of the next tick
+	lastReadID      uint64
+	snapshotIndex   uint64
+	snapshotting    bool // a snapshot is being saved
+	loggedBytes     int  // bytes of the entries applied since the last snapshot
+	rollouts        rollouts
+	lastRenewals    map[string]lastRenewal // soft state of the leader
+	members         *member.State
+	quotas          *quota.State
+	configuration   *configuration.State
+	voters          *voter.State
+	proposedVoters  []*claimpb.Voter // proposed as the next membership of the at-most-once record
+	runErr          error
+	roundTimes      roundTimes
+	calls           rate.Counter             // of other processes, heartbeats included
+	missingSince    map[string]time.Duration // since when a voter has not been caught up or a learner silent
+	limitRecordedAt map[string]time.Duration // when the holders of a team's limit were last recorded
+	heardAt         map[string]time.Duration // when the last message of a member arrived
+	leaderSeenAt    time.Duration            // when a leader was last known
 
 	leaderlessLoggedAt time.Duration // 0 while a leader is known
 }
@@ -140,11 +139,6 @@
 	at               time.Duration
 }
 
-type pendingProposal struct {
-	term  uint64
-	reply func(kernel.Result, error)
-}
-
 // New returns a voter with the state of its data directory.
 func New(cfg Config) (*Voter, error) {
 	if cfg.Record == nil {
@@ -162,13 +156,13 @@
 		}
 	}
 	v := &Voter{
-		cfg:              cfg,
-		startedAt:        time.Now(),
-		events:           make(chan func(), maxQueuedEvents),
-		done:             make(chan struct{}),
-		pendingProposals: map[uint64]pendingProposal{},
-		readCallbacks:    map[uint64]func(raft.ReadResult){},
-		heardAt:          map[string]time.Duration{},
+		cfg:           cfg,
+		startedAt:     time.Now(),
+		events:        make(chan func(), maxQueuedEvents),
+		done:          make(chan struct{}),
+		proposals:     newProposals(),
+		readCallbacks: map[uint64]func(raft.ReadResult){},
+		heardAt:       map[string]time.Duration{},
 	}
 	if v.kernel, err = kernel.New(kernel.Config{OnViolation: cfg.Violation, Log: cfg.Log}); err != nil {
 		return nil, err
@@ -361,10 +355,7 @@
 
 // failPendingProposals fails all pending proposals. It is unknown whether they were or will be committed.
 func (v *Voter) failPendingProposals() {
-	for index, p := range v.pendingProposals {
-		delete(v.pendingProposals, index)
-		p.reply(kernel.Result{}, peer.ErrInterrupted.New("leadership was lost before the command was committed"))
-	}
+	v.proposals.fail(peer.ErrInterrupted.New("leadership was lost before the command was committed"))
 }
 
 func (v *Voter) decide() {
@@ -375,7 +366,7 @@
 	v.publishVoters(v.core.Status().Members)
 	d := v.kernel.Decide(v.now())
 	for _, c := range d.Commands {
-		if err := v.propose(c, nil); err != nil {
+		if _, err := v.appendCommand(c); err != nil {
 			v.cfg.Log.V(1).Info("cannot propose a command that the kernel decided", "plugin", c.Plugin, "reason", err.Error())
 		}
 	}
@@ -384,24 +375,6 @@
 	}
 }
 
-func (v *Voter) propose(c kernel.Command, reply func(kernel.Result, error)) error {
-	data, err := proto.Marshal(encodeCommand(c, time.Now()))
-	if err != nil {
-		return errorx.Decorate(err, "encode command")
-	}
-	if len(data) > maxCommandBytes {
-		return kernel.ErrInvalid.New("command has %d bytes; at most %d are replicated", len(data), maxCommandBytes)
-	}
-	index, err := v.core.Propose(data)
-	if err != nil {
-		return err
-	}
-	if reply != nil {
-		v.pendingProposals[index] = pendingProposal{term: v.core.Status().Term, reply: reply}
-	}
-	return nil
-}
-
 // processReady sends, applies and answers all output of the replicated log, and hands over to the disk what is to be saved.
 func (v *Voter) processReady() error {
 	for {
@@ -519,14 +492,7 @@
 	}
 	v.lastAppliedTerm = e.Term
 	v.feed.add(update)
-	if p, ok := v.pendingProposals[e.Index]; ok {
-		delete(v.pendingProposals, e.Index)
-		if p.term == e.Term {
-			p.reply(result, nil)
-		} else {
-			p.reply(kernel.Result{}, peer.ErrInterrupted.New("another leader's command took the place in the log"))
-		}
-	}
+	v.proposals.finish(e.Index, e.Term, result)
 	return nil
 }
 
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -291,7 +291,9 @@
 func (c *Client) propose(
 	ctx context.Context, cmd kernel.Command, atMostOnce bool,
 ) (r kernel.Result, repeated bool, err error) {
-	req := &controlpb.ProposeRequest{Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}}
+	req := &controlpb.ProposeRequest{
+		Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}, Idempotent: !atMostOnce,
+	}
 	resp := &controlpb.ProposeResponse{}
 	if repeated, err = c.callReportingRepeats(ctx, control.ProposeKind, req, resp, atMostOnce); err != nil {
 		return kernel.Result{}, repeated, err
--- a/internal/follower/client_test.go
+++ b/internal/follower/client_test.go
@@ -120,3 +120,21 @@
 	assert.Equal(t, c.Leader(), "c")
 	assert.Assert(t, len(*called) <= 8, "%v", *called)
 }
+
+// Guards against a leader that takes a command that must be applied each time for a repetition of another one.
+func TestOnlyIdempotentCommandsAreMarkedAsSuch(t *testing.T) {
+	var marked bool
+	c := NewClient(ClientConfig{
+		Voters: []string{"a"},
+		Call: func(_ context.Context, _, _ string, req, _ proto.Message) error {
+			marked = req.(*controlpb.ProposeRequest).Idempotent
+			return nil
+		},
+	})
+	_, err := c.Propose(t.Context(), newCommand(""))
+	assert.NilError(t, err)
+	assert.Assert(t, !marked)
+	_, _, err = c.ProposeIdempotent(t.Context(), newCommand(""))
+	assert.NilError(t, err)
+	assert.Assert(t, marked)
+}
