control: a full log rejects commands

While 4 MiB wait to be committed the leader answered a proposal as if it didn't lead, and its callers searched through all voters, each of which sent them back, until their time was over; then a submission was answered as of unknown acceptance. A batch failed as a whole, as interrupted.

An idempotent command without an ID now gets the result kernel.ErrBusy at once: it was certainly not taken, the leader stays known, and the others of its batch keep their own results. Commands with an ID are answered as before, since their callers take a result for that of all attempts, and so is everything during a transfer of the leadership, as the next leader will take it.

TestFullLogRejectsCommands failed before (redirected; "leadership was lost before a command of the batch was committed").

Not done: a client that stays with a leader whose commits are slow. Forgetting it after 700 ms costs one redirect for each attempt, which no longer adds entries; a client that waited longer couldn't tell it from a dead one, which must be left then.

--- a/internal/control/proposal_test.go
+++ b/internal/control/proposal_test.go
@@ -180,3 +180,53 @@
 		})
 	}
 }
+
+// Guards against callers that search for another leader while the log of the one that they have reached is full.
+func TestFullLogRejectsCommands(t *testing.T) {
+	g := newSlowGroup(t, 3)
+	l := g.leader(10 * time.Second)
+	assert.NilError(t, <-g.propose(l))
+	g.syncDelay.Store(int64(3 * time.Second))
+	full := make(chan error, 1)
+	assert.NilError(t, l.post(t.Context(), func() {
+		var err error
+		for err == nil {
+			_, err = l.appendCommand(kernel.Command{Plugin: recorderName, Body: make([]byte, maxCommandBytes/2)})
+		}
+		full <- err
+	}))
+	assert.Assert(t, errorx.IsOfType(<-full, raft.ErrBusy))
+	for _, tt := range []struct {
+		name       string
+		id         string
+		idempotent bool
+		rejected   bool
+	}{
+		{"idempotent", "", true, true},
+		{"with-id", "1", true, false},
+		{"not-idempotent", "", false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &kernelpb.Command{Plugin: recorderName, Id: tt.id, Body: make([]byte, maxCommandBytes/2)}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			m, err := l.servePropose(ctx, "", &controlpb.ProposeRequest{Command: c, Idempotent: tt.idempotent})
+			assert.NilError(t, err)
+			resp := m.(*controlpb.ProposeResponse)
+			assert.Equal(t, resp.Redirect != nil, !tt.rejected)
+			err = kernel.DecodeError(resp.ErrorKind, resp.Error)
+			assert.Equal(t, errorx.IsOfType(err, kernel.ErrBusy), tt.rejected, "%v", err)
+		})
+	}
+	t.Run("batch", func(t *testing.T) {
+		c := &kernelpb.Command{Plugin: recorderName, Body: make([]byte, maxCommandBytes/2)}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		m, err := l.serveProposeBatch(ctx, "", &controlpb.ProposeBatchRequest{Commands: []*kernelpb.Command{c}})
+		assert.NilError(t, err)
+		r := m.(*controlpb.ProposeBatchResponse).Responses[0]
+		err = kernel.DecodeError(r.ErrorKind, r.Error)
+		assert.Assert(t, errorx.IsOfType(err, kernel.ErrBusy), "%v", err)
+	})
+	g.syncDelay.Store(0)
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -203,9 +203,14 @@
 	c kernel.Command, key *proposalKey, reply func(kernel.Result, error), notLeading func(),
 ) {
 	replicate := func() {
-		if err := v.propose(c, key, reply); errorx.IsOfType(err, kernel.ErrInvalid) {
+		switch err := v.propose(c, key, reply); {
+		case err == nil:
+		case errorx.IsOfType(err, kernel.ErrInvalid):
 			reply(kernel.Result{}, err)
-		} else if err != nil {
+		case errorx.IsOfType(err, raft.ErrFull) && key != nil && key.id == "":
+			// With an ID, the caller would take the result for that of its earlier attempts, too.
+			reply(kernel.Result{Err: kernel.ErrBusy.Wrap(err, "the leader has too much to commit")}, nil)
+		default:
 			notLeading()
 		}
 		v.decisionDue = true
--- a/internal/kernel/outcome.go
+++ b/internal/kernel/outcome.go
@@ -63,7 +63,7 @@
 	}
 }
 
-var storedErrorTypes = []*errorx.Type{ErrInvalid, ErrConflict, ErrNotFound, ErrHalted}
+var storedErrorTypes = []*errorx.Type{ErrInvalid, ErrConflict, ErrNotFound, ErrHalted, ErrBusy}
 
 const internalErrorKind = "internal"
 
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -20,6 +20,8 @@
 	ErrNotFound = Namespace.NewType("not-found")
 	// ErrHalted reports a command for a plug-in whose invariant was violated.
 	ErrHalted = Namespace.NewType("halted")
+	// ErrBusy reports a command that was certainly not taken because the leader has too much to commit.
+	ErrBusy = Namespace.NewType("busy")
 )
 
 // Command describes one change of the replicated state.
--- a/internal/raft/errors.go
+++ b/internal/raft/errors.go
@@ -10,6 +10,8 @@
 	ErrNotLeader = Namespace.NewType("not-leader")
 	// ErrBusy reports a request that can succeed later, such as a proposal during a leadership transfer.
 	ErrBusy = Namespace.NewType("busy")
+	// ErrFull reports a proposal for which the uncommitted entries leave no room.
+	ErrFull = ErrBusy.NewSubtype("full")
 	// ErrInvalid reports a malformed request or message.
 	ErrInvalid = Namespace.NewType("invalid")
 	// ErrNotCaughtUp reports a membership change that is rejected until a member has caught up with the leader.
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -16,7 +16,7 @@
 		return 0, ErrInvalid.New("command of %d bytes exceeds %d bytes", len(data), MaxEntryBytes)
 	}
 	if c.uncommittedBytes > 0 && c.uncommittedBytes+len(data) > maxUncommittedBytes {
-		return 0, ErrBusy.New("%d bytes wait to be committed", c.uncommittedBytes)
+		return 0, ErrFull.New("%d bytes wait to be committed", c.uncommittedBytes)
 	}
 	return c.appendEntry(raftpb.EntryType_ENTRY_TYPE_COMMAND, data), nil
 }
