platform: failed calls name the last leader

The client keeps that address beside the one to try first, which it forgets with each failure. The address that was asked in vain is in the reason already.

--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -43,6 +43,7 @@
 
 	mu     sync.Mutex
 	leader string   // peer address, empty if unknown
+	last   string   // peer address of the leader that answered last, empty if none did
 	voters []string // peer addresses
 	failed []string // those of voters that failed since they last answered, the one that failed last at the end
 	group  string   // identity of the control group, empty if unknown
@@ -65,6 +66,13 @@
 	return c.leader
 }
 
+// LastLeader returns the peer address of the leader that answered last, also if it has failed since, or an empty string.
+func (c *Client) LastLeader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
 // Voters returns the known peer addresses of voters.
 func (c *Client) Voters() []string {
 	c.mu.Lock()
@@ -101,7 +109,7 @@
 		return peer.ErrUnreachable.New(
 			"voter at %s leads group %s; this process belongs to group %s", address, group, c.group)
 	}
-	c.leader = address
+	c.leader, c.last = address, address
 	return nil
 }
 
--- a/internal/follower/search_test.go
+++ b/internal/follower/search_test.go
@@ -104,3 +104,17 @@
 	assert.Assert(t, errorx.IsOfType(err, kernel.ErrInvalid), "%v", err)
 	assert.DeepEqual(t, c.candidateAddresses(), []string{"a", "s"})
 }
+
+// Guards against a log that can't tell which leader failed, because the address is forgotten with the failure.
+func TestLastLeaderOutlastsItsFailure(t *testing.T) {
+	a := &fakeVoter{group: "g"}
+	c, _ := newTestClient(map[string]*fakeVoter{"a": a}, "a")
+	assert.Equal(t, c.LastLeader(), "")
+	_, err := c.Propose(t.Context(), newCommand("1"))
+	assert.NilError(t, err)
+	a.err = peer.ErrInterrupted.New("cut")
+	_, err = c.Propose(t.Context(), newCommand(""))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, c.Leader(), "")
+	assert.Equal(t, c.LastLeader(), "a")
+}
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -75,8 +75,8 @@
 	return m, nil
 }
 
-// Leader returns the peer address of the leader that answered last, or an empty string if none is known.
-func (c Caller) Leader() string { return c.client.Leader() }
+// LastLeader returns the peer address of the leader that answered last, also if it has failed since, or an empty string.
+func (c Caller) LastLeader() string { return c.client.LastLeader() }
 
 // SetSeeds replaces the peer addresses of the control processes.
 func (c Caller) SetSeeds(addresses []string) { c.client.SetVoters(addresses) }
