--- a/internal/control/proposal.go
+++ b/internal/control/proposal.go
@@ -57,6 +57,11 @@
 	return true
 }
 
+// failPendingProposals fails all pending proposals. It is unknown whether they were or will be committed.
+func (v *Voter) failPendingProposals() {
+	v.proposals.fail(peer.ErrInterrupted.New("leadership was lost before the command was committed"))
+}
+
 // pendingProposal is an entry of this leader that isn't applied yet, with the calls that wait for its result.
 type pendingProposal struct {
 	term    uint64
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -353,11 +353,6 @@
 	}
 }
 
-// failPendingProposals fails all pending proposals. It is unknown whether they were or will be committed.
-func (v *Voter) failPendingProposals() {
-	v.proposals.fail(peer.ErrInterrupted.New("leadership was lost before the command was committed"))
-}
-
 func (v *Voter) decide() {
 	v.decisionDue = false
 	if !v.leading {
