--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -80,7 +80,8 @@
 	return &controlpb.Redirect{}
 }
 
-// runInLoop runs f in the control loop and waits until f or a callback of it has called answer.
+// runInLoop runs f in the control loop and waits until f or a callback of it has called answer. It doesn't run f once ctx is
+// done: the caller may have sent the request again, and a loop that worked off both would never catch up.
 func runInLoop[T proto.Message](ctx context.Context, v *Voter, f func(answer func(T, error))) (T, error) {
 	type outcome struct {
 		m   T
@@ -88,7 +89,12 @@
 	}
 	ch := make(chan outcome, 1)
 	var zero T
-	if err := v.post(ctx, func() { f(func(m T, err error) { ch <- outcome{m, err} }) }); err != nil {
+	err := v.post(ctx, func() {
+		if ctx.Err() == nil {
+			f(func(m T, err error) { ch <- outcome{m, err} })
+		}
+	})
+	if err != nil {
 		return zero, err
 	}
 	select {
@@ -121,7 +127,8 @@
 			answer(nil, kernel.ErrInvalid.New("empty proposal"))
 			return
 		}
-		v.respond(CommandFromProto(req.Command), reply, func() {
+		c := CommandFromProto(req.Command)
+		v.respond(c, newProposalKey(c, req.Idempotent), reply, func() {
 			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
 		})
 	})
@@ -172,12 +179,13 @@
 		if left == 0 {
 			answer(resp, nil)
 		}
-		for i, c := range req.Commands {
-			if c == nil {
+		for i, m := range req.Commands {
+			if m == nil {
 				finish(i, EncodeResult(kernel.Result{Err: kernel.ErrInvalid.New("empty proposal")}), nil)
 				continue
 			}
-			v.respond(CommandFromProto(c), func(r kernel.Result, err error) {
+			c := CommandFromProto(m)
+			v.respond(c, newProposalKey(c, true), func(r kernel.Result, err error) {
 				if errorx.IsOfType(err, kernel.ErrInvalid) {
 					r, err = kernel.Result{Err: err}, nil
 				}
@@ -189,37 +197,50 @@
 	})
 }
 
-// respond answers a command at once, after a quorum read or after replication, as the plug-in of the command decides.
-// It calls notLeading instead of reply if this voter is not the leader.
-func (v *Voter) respond(c kernel.Command, reply func(kernel.Result, error), notLeading func()) {
+// respond answers a command at once, after a quorum read or after replication, as the plug-in of the command decides. Calls
+// with the same key may share an entry. It calls notLeading instead of reply if this voter is not the leader.
+func (v *Voter) respond(
+	c kernel.Command, key *proposalKey, reply func(kernel.Result, error), notLeading func(),
+) {
 	replicate := func() {
-		if err := v.propose(c, reply); errorx.IsOfType(err, kernel.ErrInvalid) {
+		switch err := v.propose(c, key, reply); {
+		case err == nil:
+		case errorx.IsOfType(err, kernel.ErrInvalid):
 			reply(kernel.Result{}, err)
-		} else if err != nil {
+		case errorx.IsOfType(err, raft.ErrFull) && key != nil && key.id == "":
+			// With an ID, the caller would take the result for that of its earlier attempts, too.
+			reply(kernel.Result{Err: kernel.ErrBusy.Wrap(err, "the leader has too much to commit")}, nil)
+		default:
 			notLeading()
 		}
 		v.decisionDue = true
 	}
-	switch body, how := v.kernel.Respond(v.now(), c); how {
-	case kernel.Immediate:
-		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
-	case kernel.AfterReadIndex:
-		v.quorumRead(func(r raft.ReadResult) {
-			if r.Failed {
-				notLeading()
-				return
-			}
-			// The state may have changed during the read.
-			body, how := v.kernel.Respond(v.now(), c)
-			if how == kernel.Replicate {
-				replicate()
-				return
-			}
+	if v.proposals.find(key, v.core.Term()) == nil {
+		switch body, how := v.kernel.Respond(v.now(), c); how {
+		case kernel.Immediate:
 			reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
-		})
-	default:
-		replicate()
+			return
+		case kernel.Replicate:
+			replicate()
+			return
+		}
 	}
+	v.quorumRead(func(r raft.ReadResult) {
+		if r.Failed {
+			notLeading()
+			return
+		}
+		if v.share(key, reply) {
+			return
+		}
+		// The state may have changed during the read.
+		body, how := v.kernel.Respond(v.now(), c)
+		if how == kernel.Replicate {
+			replicate()
+			return
+		}
+		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
+	})
 }
 
 func (v *Voter) serveQuery(ctx context.Context, _ string, req *controlpb.QueryRequest) (proto.Message, error) {
