control: confirm the only voter of a group with each round

A group of one voter has nothing to send for its heartbeats, so the rounds were recorded, and the leader confirmed, only beside other output.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -395,6 +395,7 @@
 func (v *Voter) processReady() error {
 	for {
 		rd, ok := v.core.Ready()
+		v.recordRounds()
 		if !ok {
 			return nil
 		}
@@ -404,7 +405,6 @@
 				return err
 			}
 		}
-		v.recordRounds()
 		v.sendMessages(rd.Messages)
 		switch {
 		case rd.Save == nil:
--- a/internal/control/voter_test.go
+++ b/internal/control/voter_test.go
@@ -81,3 +81,14 @@
 		previous = ev.Term
 	}
 }
+
+// Guards against the only voter of a group that isn't confirmed as leader while it has nothing to send.
+func TestOnlyVoterStaysConfirmed(t *testing.T) {
+	g := newSlowGroup(t, 1)
+	l := g.leader(10 * time.Second)
+	for range 20 {
+		time.Sleep(tickInterval)
+		age, ok := l.ConfirmationAge()
+		assert.Assert(t, ok && age < LeaderLease, "leads: %t, confirmed %v ago", ok, age)
+	}
+}
