workload: renew leases while ends are on their way into the log

A worker's lease was not renewed between the proposal of ends that it listed and their commit, or 3 s if that took longer. With the 1.5 s that a renewal waits for an end, little was left of a lease of 4.8 s.

Now a lease that is a second old is renewed meanwhile, at the earliest 100 ms after the proposal. Such a list proposes nothing: later ends must not be recorded without the earlier ones, whose command may be lost, and what it lacks is no vanished run while ends are pending. Only recorded ends are acknowledged, as before.

Before, TestLeasesAreRenewedWhileLogIsSlow fails: with commits of 2.5 and 3.5 s and one request lost, runs lapse and long-running tasks are absent.

Ruled out: proposing later ends in a further command. If the first one doesn't get into the log, the second one tells the worker to forget ends that nobody recorded.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -22,7 +22,7 @@
 // advanceSession sends the requests that are due for a session.
 func (e *Engine) advanceSession(s *session) {
 	if s.endsPending && e.now-s.endsProposedAt >= proposalTimeout {
-		s.endsPending, s.settled = false, false
+		s.endsPending, s.pendingEnd, s.settled = false, 0, false
 	}
 	if s.successorMs > 0 {
 		e.endReplaced(s)
@@ -90,17 +90,26 @@
 		e.isOverdue(s) || s.isDoubted()
 }
 
+// awaitsEnds reports whether the next renewal waits for ends that are not recorded yet, as the worker would list them again
+// at once. If that takes long, the lease is renewed meanwhile.
+func (s *session) awaitsEnds(now time.Duration) bool {
+	return s.endsPending &&
+		now < max(s.endsProposedAt+pendingEndsWait, s.leasedAt+pendingEndsLeaseAge, s.renewalSentAt+pendingEndsLeaseAge)
+}
+
 // renewLease renews the lease and asks for the worker's runs and ends.
 func (e *Engine) renewLease(s *session) {
-	if s.renewalInFlight || s.endsPending || e.now < s.nextRenewalAt || s.isResuming() || !e.mustAskForRuns(s) {
+	if s.renewalInFlight || s.awaitsEnds(e.now) || e.now < s.nextRenewalAt || s.isResuming() || !e.mustAskForRuns(s) {
 		return
 	}
 	h := RenewLease{RequestHeader: e.requestHeader(s), AckedEnd: s.endToAcknowledge(), Wait: renewalWait}
 	if len(s.runs) > 0 {
 		h.RequestHeader = e.leaseHeader(s)
 	}
-	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList || s.failures > 0 || s.isDoubted() {
-		// Requests to a worker that doesn't answer grant no lease, so its answer must not be put off.
+	if !s.clockKnown || len(s.runs) == 0 && !s.hasUnassignedRuns || s.mustList || s.failures > 0 || s.isDoubted() ||
+		s.pendingEnd > 0 {
+		// Requests to a worker that doesn't answer grant no lease, so its answer must not be put off. A worker that has ends
+		// to list answers at once.
 		h.Wait = 0
 	}
 	for _, r := range s.runs {
@@ -168,13 +177,19 @@
 		if row.Number <= s.worker.LastRecordedEnd() {
 			continue
 		}
-		m.Noted = max(m.Noted, row.Number)
-		if k, ok := e.runKey(row.Name); ok {
+		k, ok := e.runKey(row.Name)
+		if ok {
 			ended[k] = true
 			if r := s.runs[k]; r != nil {
 				e.lateStarts.resolve(s.worker.ID(), r, true)
 				r.startedAt = max(r.startedAt, 1) // The start isn't repeated until the end is recorded.
 			}
+		}
+		if s.pendingEnd > 0 {
+			continue // Later ends must not be recorded without those before, whose command may be lost.
+		}
+		m.Noted = max(m.Noted, row.Number)
+		if ok {
 			m.Ends = append(m.Ends, &workloadpb.End{
 				Subtask: k.TaskMessage(), Run: k.Run, How: row.How, Checkpoint: row.Checkpoint, Number: row.Number,
 			})
@@ -219,7 +234,7 @@
 			}
 			r.unlistedAt = ev.SentAt
 			e.lateStarts.resolve(s.worker.ID(), r, false)
-			if e.hasVanished(r, ev.SentAt) {
+			if e.hasVanished(r, ev.SentAt) && !s.endsPending {
 				e.cfg.IncrementCounter("hibiscusroute_unexpected_lists_total", "kind", "vanished-run")
 				e.cfg.Log.Info("worker lists a run neither as running nor as ended", "worker", s.worker.ID(),
 					"boot", s.worker.Number(), "job", r.name.Job, "step", r.name.Step, "index", r.name.Index,
@@ -263,7 +278,7 @@
 			cmp.Compare(a.Subtask.Occurrence, b.Subtask.Occurrence), cmp.Compare(a.Subtask.Step, b.Subtask.Step),
 			cmp.Compare(a.Subtask.Index, b.Subtask.Index), cmp.Compare(a.Run, b.Run))
 	})
-	s.endsPending, s.endsProposedAt = true, e.now
+	s.endsPending, s.endsProposedAt, s.pendingEnd = true, e.now, max(s.pendingEnd, m.Noted)
 	m.LateStartsRemainingMs = e.unrecordedLateStarts(s).Milliseconds()
 	for _, end := range m.Ends {
 		if r := s.runs[ledger.RunKeyOf(end.Subtask, end.Run)]; r != nil && end.How != workloadpb.How_HOW_DONE {
--- a/internal/workload/replaced.go
+++ b/internal/workload/replaced.go
@@ -21,7 +21,7 @@
 func (e *Engine) handleReplacement(s *session, startedMs int64) (mustSettle bool) {
 	if startedMs > s.successorMs {
 		s.successorMs, s.settled, s.replacedAt, s.successorHeartbeat = startedMs, false, e.now, nil
-		s.renewalInFlight = false // Its answer is not waited for.
+		s.renewalInFlight, s.pendingEnd = false, 0 // Its answer is not waited for, and lists of the successor have other numbers.
 		// Without doubtful runs, the heartbeat of the later incarnation ends this one.
 		s.nextRenewalAt = e.now + proposalTimeout
 		if s.hasDoubtfulRuns() {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -33,6 +33,10 @@
 	// renewalWait is how long a worker waits for the end of a run before it answers a lease renewal. Leases are renewed
 	// once in this time, which leaves more than half of a lease for a change of leader.
 	renewalWait = 1500 * time.Millisecond
+	// pendingEndsWait is how long a lease isn't renewed after ends were proposed, which is enough for most commits.
+	pendingEndsWait = 100 * time.Millisecond
+	// pendingEndsLeaseAge is the age from which on a lease is renewed although ends are not recorded yet.
+	pendingEndsLeaseAge = time.Second
 	// startupRenewalWait replaces renewalWait while a long-running task is starting: other tasks may wait until it is
 	// ready.
 	startupRenewalWait = 400 * time.Millisecond
@@ -75,6 +79,8 @@
 	workerClockMs int64
 	clockReadAt   time.Duration
 	clockKnown    bool
+	// leasedAt is when the last lease was granted.
+	leasedAt time.Duration
 	// leasesExpireBy is when every lease that was granted has certainly expired.
 	leasesExpireBy time.Duration
 	suspension     suspension
@@ -97,6 +103,7 @@
 	mustList        bool  // the worker is asked for its runs and ends although no run is assigned
 	endsPending     bool  // an Ends command was proposed and is not applied yet
 	endsProposedAt  time.Duration
+	pendingEnd      int64 // number of the last end of the worker's list in this command, 0 if it has none of them
 
 	failures              int
 	failingSince          time.Duration
@@ -218,7 +225,9 @@
 
 // removeEndedRuns removes the runs whose ends were recorded, and counts consecutive failures.
 func (e *Engine) removeEndedRuns(s *session, m *workloadpb.Ends) {
-	s.endsPending = false
+	if s.pendingEnd <= s.worker.LastRecordedEnd() {
+		s.endsPending, s.pendingEnd = false, 0
+	}
 	for k, r := range s.runs {
 		if s.worker.Runs()[k] == nil {
 			e.logLateStart(s, r, "run-ended")
@@ -277,7 +286,7 @@
 		return h
 	}
 	lease := e.grantedLease()
-	h.LeaseExpiryMs = s.earliestClockMs(e.now) + lease.Milliseconds()
+	h.LeaseExpiryMs, s.leasedAt = s.earliestClockMs(e.now)+lease.Milliseconds(), e.now
 	s.leasesExpireBy = max(s.leasesExpireBy, e.now+worstCaseDuration(lease))
 	return h
 }
