workload: reject new jobs at once while the log is too slow for them

A submission waits for the commit in progress and its own. With commits of more than 1.2 s its caller gives up after 2.4 s, doesn't know whether the job was accepted, and sends it again.

The voter now tells its kernel at each tick how long a commit takes: the time of the newest committed entry, or that since the last commit while older entries wait. From 1.2 s on new jobs get 429 with the time of a commit as Retry-After (1.2 to 5 s), by the reason "slow-log" in the metric and the log line.

A rejection must be true. A submission that was let through counted as lost after 3 s, although a slow log may still accept it. It now counts as under way until all commands of its time are applied, which the voter tells too, and from its last attempt on.

TestSlowLogRejectsNewJobs fails without the limit (VERDICT_DONE at 1.3 s), TestSlowLogRejectsNoJobUnderWay with the 3 s alone.

Ruled out: the age of the oldest uncommitted entry as the measure. It is up to twice the time of a save, as an entry waits for the save before its own, and would reject jobs that are accepted in time.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -130,6 +130,7 @@
 	limitRecordedAt  map[string]time.Duration // when the holders of a team's limit were last recorded
 	heardAt          map[string]time.Duration // when the last message of a member arrived
 	leaderSeenAt     time.Duration            // when a leader was last known
+	commits          commitWatch
 
 	leaderlessLoggedAt time.Duration // 0 while a leader is known
 }
@@ -311,6 +312,7 @@
 	v.core.Tick()
 	v.detectLostLeadership()
 	v.observeGroup()
+	v.observeCommits()
 	v.confirmRenewals()
 	if v.leading {
 		v.manageVoters()
--- a/internal/control/voter_test.go
+++ b/internal/control/voter_test.go
@@ -17,8 +17,11 @@
 
 const recorderName = "recorder"
 
-// recorder is a plug-in that records the terms of the leader.
-type recorder struct{ terms []kernel.LeadershipGained }
+// recorder is a plug-in that records the terms of the leader and how long its last commit took.
+type recorder struct {
+	terms       []kernel.LeadershipGained
+	commitDelay time.Duration
+}
 
 func init() {
 	kernel.Register(recorderName, nil, func(k *kernel.Kernel) kernel.Plugin {
@@ -29,8 +32,11 @@
 }
 
 func (r *recorder) observe(_ time.Duration, ev kernel.Event) {
-	if ev, ok := ev.(kernel.LeadershipGained); ok {
+	switch ev := ev.(type) {
+	case kernel.LeadershipGained:
 		r.terms = append(r.terms, ev)
+	case kernel.CommitDelay:
+		r.commitDelay = ev.Delay
 	}
 }
 
--- a/internal/kernel/plugin.go
+++ b/internal/kernel/plugin.go
@@ -83,6 +83,18 @@
 // EventName implements Event.
 func (LeadershipLost) EventName() string { return "deposed" }
 
+// CommitDelay is the event that tells how long the log takes to commit a command now.
+type CommitDelay struct {
+	// Delay is that of the last command, or of the oldest one that is not committed if it has waited longer; 0 if the log is
+	// idle.
+	Delay time.Duration
+	// AppliedBefore is a time on the leader's monotonic clock; all commands of the log that were proposed before it are applied.
+	AppliedBefore time.Duration
+}
+
+// EventName implements Event.
+func (CommitDelay) EventName() string { return "commit-delay" }
+
 // Event is unreplicated input to the leader, such as demand, usage or a response of the platform.
 type Event interface{ EventName() string }
 
--- a/internal/workload/admission.go
+++ b/internal/workload/admission.go
@@ -17,16 +17,24 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a rejected job may be handed in again.
 	minRetryAfter = time.Second
 	maxRetryAfter = 5 * time.Second
+	// maxCommitDelay is how long a commit may take while new jobs are accepted. A submission waits for up to two commits, the
+	// one in progress and its own, and its caller for 2.4 s.
+	maxCommitDelay = 1200 * time.Millisecond
 	// retryAfterFactor is the ratio of that time to the delay: the delay falls only once less comes in.
 	retryAfterFactor = 3
 )
 
 // admission decides whether new jobs are accepted. An overloaded leader serves what it has accepted, and rejects new jobs at
-// once; otherwise all answers, and with them the renewals of leases, would be late.
+// once; otherwise all answers, and with them the renewals of leases, would be late. It also rejects them while the log is too
+// slow to accept them before their callers give up, which then don't know whether the jobs were accepted.
 type admission struct {
 	delay     time.Duration // of the last answer
 	delayedAt time.Duration // when it was handled
 	lateSince time.Duration // since when all answers were handled late, 0 if the last one was not
+	// commitDelay is how long the log takes to commit a command.
+	commitDelay time.Duration
+	// appliedBefore is when the oldest command was proposed that may still be applied.
+	appliedBefore time.Duration
 	// proposed holds when submissions that are not applied yet were let through, by the ID of the job. They may still be
 	// accepted, so another attempt must not be told otherwise.
 	proposed map[string]time.Duration
@@ -42,24 +50,33 @@
 	}
 }
 
-// retryAfter returns after which time a new job may be handed in again, 0 if it is accepted now.
-func (a *admission) retryAfter(now time.Duration) time.Duration {
+// retryAfter returns after which time a new job may be handed in again and why, 0 if it is accepted now.
+func (a *admission) retryAfter(now time.Duration) (after time.Duration, reason string) {
+	if a.commitDelay >= maxCommitDelay {
+		return min(a.commitDelay, maxRetryAfter), "slow-log"
+	}
 	if a.lateSince == 0 || now-a.lateSince < overloadTime || now-a.delayedAt > overloadMemory {
-		return 0
+		return 0, ""
 	}
-	return min(max(retryAfterFactor*a.delay, minRetryAfter), maxRetryAfter)
+	return min(max(retryAfterFactor*a.delay, minRetryAfter), maxRetryAfter), "overload"
+}
+
+// mayBeApplied reports whether a command that was proposed at a time and is not applied may still be.
+func (a *admission) mayBeApplied(at, now time.Duration) bool {
+	return at >= a.appliedBefore || now-at < proposalTimeout
 }
 
 // admit returns the response to the submission of a new job that is rejected, nil if it is to be replicated.
 func (e *Engine) admit(id string) *workloadpb.Response {
 	a := &e.admission
-	if at, ok := a.proposed[id]; ok && e.now-at < proposalTimeout {
+	if at, ok := a.proposed[id]; ok && a.mayBeApplied(at, e.now) {
+		a.proposed[id] = e.now // This attempt may be applied later than the first one.
 		return nil
 	}
-	if after := a.retryAfter(e.now); after > 0 {
-		e.cfg.IncrementCounter("hibiscusroute_jobs_rejected_total", "reason", "overload")
-		e.cfg.Log.V(1).Info("rejected a job, because the leader is overloaded", "job", id, "delay", a.delay.String(),
-			"retry-after", after.String())
+	if after, reason := a.retryAfter(e.now); after > 0 {
+		e.cfg.IncrementCounter("hibiscusroute_jobs_rejected_total", "reason", reason)
+		e.cfg.Log.V(1).Info("rejected a job, because the leader is overloaded", "job", id, "reason", reason,
+			"delay", a.delay.String(), "commit-delay", a.commitDelay.String(), "retry-after", after.String())
 		return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_BUSY, RetryAfterMs: after.Milliseconds()}
 	}
 	if a.proposed == nil {
@@ -73,17 +90,18 @@
 func (a *admission) forgetSubmission(id string, now time.Duration) {
 	delete(a.proposed, id)
 	for other, at := range a.proposed {
-		if now-at >= proposalTimeout {
+		if !a.mayBeApplied(at, now) {
 			delete(a.proposed, other)
 		}
 	}
 }
 
-// logOverload writes a line when the leader begins or ceases to reject new jobs.
+// logOverload writes a line when the leader begins or ceases to reject new jobs, or does so for another reason.
 func (e *Engine) logOverload() {
-	overloaded := e.admission.retryAfter(e.now) > 0
-	if overloaded != e.overloaded {
-		e.overloaded = overloaded
-		e.cfg.Log.Info("overload of the leader changed", "rejects-new-jobs", overloaded, "delay", e.admission.delay.String())
+	_, reason := e.admission.retryAfter(e.now)
+	if reason != e.overload {
+		e.overload = reason
+		e.cfg.Log.Info("overload of the leader changed", "rejects-new-jobs", reason != "", "reason", reason,
+			"delay", e.admission.delay.String(), "commit-delay", e.admission.commitDelay.String())
 	}
 }
--- a/internal/workload/admission_test.go
+++ b/internal/workload/admission_test.go
@@ -73,3 +73,53 @@
 	assert.Assert(t, isReplicated(s, submission("underway")), "rejected, but the first attempt may be accepted")
 	assert.Equal(t, s.call(submission("other")).Verdict, workloadpb.Verdict_VERDICT_BUSY)
 }
+
+// Guards against jobs whose callers give up while the log is slow and then don't know whether they were accepted, and against
+// rejections once it is fast again.
+func TestSlowLogRejectsNewJobs(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		delays     []time.Duration // in the order in which they are told
+		want       workloadpb.Verdict
+		retryAfter time.Duration
+	}{
+		{"fast", []time.Duration{10 * time.Millisecond}, workloadpb.Verdict_VERDICT_DONE, 0},
+		{"in-time", []time.Duration{1100 * time.Millisecond}, workloadpb.Verdict_VERDICT_DONE, 0},
+		{"slow", []time.Duration{1300 * time.Millisecond}, workloadpb.Verdict_VERDICT_BUSY, 1300 * time.Millisecond},
+		{"stalled", []time.Duration{time.Minute}, workloadpb.Verdict_VERDICT_BUSY, 5 * time.Second},
+		{"fast-again", []time.Duration{3 * time.Second, 10 * time.Millisecond}, workloadpb.Verdict_VERDICT_DONE, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t)
+			s.configure(1, nil, "glass")
+			assert.Equal(t, s.call(submission("accepted")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+			assert.Assert(t, isReplicated(s, submission("underway")))
+			for _, d := range tt.delays {
+				s.k.Observe(s.now, kernel.CommitDelay{Delay: d})
+			}
+			assert.Equal(t, s.call(submission("accepted")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+			assert.Assert(t, isReplicated(s, submission("underway")), "rejected, but the first attempt may be accepted")
+			r := s.call(submission("new"))
+			assert.Equal(t, r.Verdict, tt.want)
+			assert.Equal(t, time.Duration(r.RetryAfterMs)*time.Millisecond, tt.retryAfter)
+		})
+	}
+}
+
+// Guards against a rejection of a job whose first attempt the slow log still accepts.
+func TestSlowLogRejectsNoJobUnderWay(t *testing.T) {
+	s := newSim(t)
+	s.configure(1, nil, "glass")
+	s.run(simStep)
+	proposedAt := s.now
+	assert.Assert(t, isReplicated(s, submission("underway")))
+	s.run(10 * time.Second)
+	s.k.Observe(s.now, kernel.CommitDelay{Delay: 10 * time.Second, AppliedBefore: proposedAt})
+	assert.Assert(t, isReplicated(s, submission("underway")), "rejected, but the first attempt may be accepted")
+	s.run(4 * time.Second)
+	s.k.Observe(s.now, kernel.CommitDelay{Delay: 10 * time.Second, AppliedBefore: s.now - 4*time.Second})
+	assert.Assert(t, isReplicated(s, submission("underway")), "rejected, but the second attempt may be accepted")
+	s.run(4 * time.Second)
+	s.k.Observe(s.now, kernel.CommitDelay{Delay: 10 * time.Second, AppliedBefore: s.now})
+	assert.Equal(t, s.call(submission("underway")).Verdict, workloadpb.Verdict_VERDICT_BUSY)
+}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -94,7 +94,7 @@
 	lateStarts            lateStartTable
 	waitingSteps          waitingSteps
 	admission             admission
-	overloaded            bool // as last logged
+	overload              string // reason to reject new jobs, as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
 	assigns, lastAssign uint64
 }
@@ -180,6 +180,8 @@
 		e.inheritLeases(ev.PreviousTerm)
 	case kernel.LeadershipLost:
 		e.leading = false
+	case kernel.CommitDelay:
+		e.admission.commitDelay, e.admission.appliedBefore = ev.Delay, ev.AppliedBefore
 	case RenewLeaseResult:
 		e.admission.observe(ev.EndedAt, now)
 		e.handleRenewLeaseResult(ev)
