serve, node: log lines don't wait for their output

A logging goroutine held the mutex of the log buffer while it wrote to the output, or waited for it behind a flush. A write to a file blocks while the kernel throttles writers, so the control loop stood still with the file of its log. `node` wrote each line unbuffered. Lines now wait in at most 1 MiB; a goroutine writes them, and tells how many it dropped once the output goes on. One failed write no longer silences the log for good, as it did with bufio.Writer.

Ruled out: yamux discards its own lines. Not mended: net/http writes its rare lines (failed accepts, panics of handlers) to the standard error stream without this buffer, in the goroutine of the connection.

--- a/cmd/hibiscusroute/node.go
+++ b/cmd/hibiscusroute/node.go
@@ -35,7 +35,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(nodeGCPercent)
 	}
-	n, err := node.New(node.Config{Process: p, Log: c.Log.Logger(c.app.err)})
+	log, logOutput := startLog(c.app.err, 0, c.Log.Logger)
+	defer logOutput.close()
+	n, err := node.New(node.Config{Process: p, Log: log})
 	if err != nil {
 		return err
 	}
--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -1,17 +1,16 @@
 package main
 
 import (
-	"bufio"
 	"io"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"runtime/pprof"
-	"sync"
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/setting"
@@ -19,10 +18,8 @@
 )
 
 const (
-	// logFlushInterval is the maximum time that a log line stays in the buffer.
+	// logFlushInterval is the maximum time that a log line waits for others, which saves system calls.
 	logFlushInterval = 200 * time.Millisecond
-	// logBufferBytes is the size of the log buffer.
-	logBufferBytes = 16 << 10
 	// memoryLimitShare is the share of the configured memory that becomes the soft memory limit of the Go runtime, above
 	// which it collects garbage regardless of the cost.
 	memoryLimitShare = 0.7
@@ -68,9 +65,10 @@
 	if s.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMiB) * (1 << 20)))
 	}
-	out := newBufferedWriter(c.app.out)
-	defer out.close()
-	log := c.Log.Logger(out).WithValues("process", s.Name)
+	log, logOutput := startLog(c.app.out, logFlushInterval, func(w io.Writer) logr.Logger {
+		return c.Log.Logger(w).WithValues("process", s.Name)
+	})
+	defer logOutput.close()
 	log.Info("starting; traffic between processes is neither encrypted nor authenticated", "control", s.ServesControl,
 		"entry", s.ServesClients, "peer", s.PeerAddress, "seeds", s.Seeds, "founds", s.Bootstrap)
 	stopProfile, err := startCPUProfile(c.Profile)
@@ -110,45 +108,3 @@
 	}
 	return err.Error()
 }
-
-// bufferedWriter buffers log lines and flushes them periodically, which saves system calls.
-type bufferedWriter struct {
-	mu   sync.Mutex
-	w    *bufio.Writer
-	done chan struct{}
-}
-
-func newBufferedWriter(w io.Writer) *bufferedWriter {
-	f := &bufferedWriter{w: bufio.NewWriterSize(w, logBufferBytes), done: make(chan struct{})}
-	go func() {
-		t := time.NewTicker(logFlushInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-f.done:
-				return
-			case <-t.C:
-				f.flush()
-			}
-		}
-	}()
-	return f
-}
-
-func (f *bufferedWriter) flush() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_ = f.w.Flush() // A failure to write the log can't be logged.
-}
-
-func (f *bufferedWriter) close() {
-	close(f.done)
-	f.flush()
-}
-
-// Write implements io.Writer.
-func (f *bufferedWriter) Write(p []byte) (int, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.w.Write(p)
-}
