raft: elections settle when some disks are fast and others slow

A candidate waited for votes by the speed of its own disk only. One with a fast disk among slow ones asked for the next term after 5 to 9 ticks; the slow members granted its pre-vote at once, and their saved votes were always those of an older term. The group never got a leader: the term rises by one each 6 ticks. The wait after a vote now doubles with each vote without a leader, up to the same bound as before (10 election timeouts).

Ruled out: with disks that are all as slow, candidates don't undo each other, and proposals take no longer than two saves and two ticks, reads no longer than three ticks. Not mended: a trial with saves of 60 ticks (6 s) on all disks of 3 members elects no leader in 100,000 ticks, since the wait ends before the votes are saved.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -28,20 +28,32 @@
 	c.role, c.leader = Follower, leader
 	c.votes, c.progress, c.transferTarget, c.hasUnsentEntries, c.uncommittedBytes = nil, nil, "", false, 0
 	c.hasUnsentCommitIndex = false
+	if leader != "" {
+		c.leaderlessVotes = 0
+	}
 	c.resetTimeout()
 }
 
-// maxSaveWait bounds the time that awaitElection adds for slow disks, in election timeouts.
-const maxSaveWait = 10
+// maxElectionWait bounds the time that awaitElection adds to the election timeout, in minimum election timeouts.
+const maxElectionWait = 10
 
 // awaitElection begins the election timeout anew once a vote is saved, which took some ticks. Disks that are as slow need as
-// long again for the votes of other members; a candidate that gave up sooner would never win.
+// long again for the votes of other members; a candidate that gave up sooner would never win. The own disk may be the fast one
+// among slow ones, so the time also doubles with each vote that brought no leader.
 func (c *Core) awaitElection(ticks int) {
-	if ticks == 0 || c.leader != "" || c.votedFor == "" {
+	if c.leader != "" || c.votedFor == "" {
+		return
+	}
+	wait, limit := 2*ticks, maxElectionWait*c.cfg.ElectionTicks
+	for range c.leaderlessVotes {
+		wait = min(2*wait+c.cfg.ElectionTicks, limit)
+	}
+	c.leaderlessVotes++
+	if wait == 0 {
 		return
 	}
 	c.resetTimeout()
-	c.electionTimeout += min(2*ticks, maxSaveWait*c.cfg.ElectionTicks)
+	c.electionTimeout += min(wait, limit)
 }
 
 // campaign starts an election. A PreCandidate only asks the voters whether it could win, and keeps its term.
@@ -120,7 +132,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes, c.incoming = Leader, c.cfg.ID, nil, nil
-	c.electionElapsed, c.heartbeatElapsed, c.commitIndexAtHeartbeat = 0, 0, c.commitIndex
+	c.electionElapsed, c.leaderlessVotes, c.heartbeatElapsed, c.commitIndexAtHeartbeat = 0, 0, 0, c.commitIndex
 	c.progress = map[string]*progress{}
 	c.updateProgress()
 	c.termStartIndex = c.log.lastIndex() + 1
