--- a/cmd/hibiscusroute/serve.go
+++ b/cmd/hibiscusroute/serve.go
@@ -36,10 +36,11 @@
 type serveCommand struct {
 	app *app
 
-	Settings string      `long:"settings" env:"HIBISCUSROUTE_CONFIG" description:"path of the infrastructure's settings file" required:"true"`
-	Trusted  bool        `long:"trusted-network" env:"HIBISCUSROUTE_TRUSTED_NETWORK" description:"processes of hibiscusroute talk to each other without TLS; needed, as the infrastructure hands out no keys"`
-	Profile  string      `long:"cpu-profile" env:"HIBISCUSROUTE_CPU_PROFILE" description:"file that gets a processor profile when the process stops"`
-	Log      setting.Log `group:"Logging"`
+	Settings      string      `long:"settings" env:"HIBISCUSROUTE_CONFIG" description:"path of the infrastructure's settings file" required:"true"`
+	Trusted       bool        `long:"trusted-network" env:"HIBISCUSROUTE_TRUSTED_NETWORK" description:"processes of hibiscusroute talk to each other without TLS; needed, as the infrastructure hands out no keys"`
+	Profile       string      `long:"cpu-profile" env:"HIBISCUSROUTE_CPU_PROFILE" description:"file that gets a processor profile when the process stops"`
+	SyncDelayFile string      `long:"sync-delay-file" env:"HIBISCUSROUTE_SYNC_DELAY_FILE" description:"for experiments: file with a duration that each sync of the data directory takes in addition, read at each sync; none if it is missing or empty"`
+	Log           setting.Log `group:"Logging"`
 }
 
 func init() {
@@ -80,7 +81,9 @@
 	defer stopProfile()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	err = platform.Serve(c.app.ctx, platform.Config{SettingsPath: c.Settings, Settings: s, Reload: reload, Log: log})
+	err = platform.Serve(c.app.ctx, platform.Config{
+		SettingsPath: c.Settings, Settings: s, Reload: reload, SyncDelayFile: c.SyncDelayFile, Log: log,
+	})
 	log.Info("stopped", "fault", errorText(err))
 	return err
 }
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -56,8 +57,10 @@
 	// Bootstrap is set at the first start of the whole deployment.
 	Bootstrap     bool
 	DataDirectory string
-	Port          dispatch.Port
-	Workload      workload.Config
+	// Sync makes a file or a directory durable; nil uses the operating system.
+	Sync     func(f *os.File) error
+	Port     dispatch.Port
+	Workload workload.Config
 	// ObserveHistogram adds a value to a histogram. It may be nil.
 	ObserveHistogram func(name string, v float64)
 	Log              logr.Logger
@@ -90,7 +93,9 @@
 func (c *Control) open(ln net.Listener) error {
 	cfg := c.cfg
 	founder := cfg.Bootstrap && slices.Contains(cfg.Seeds, cfg.PeerAddress)
-	storeConfig := disk.Config{Dir: filepath.Join(cfg.DataDirectory, "group"), SegmentBytes: segmentBytes, Log: cfg.Log}
+	storeConfig := disk.Config{
+		Dir: filepath.Join(cfg.DataDirectory, "group"), SegmentBytes: segmentBytes, Sync: cfg.Sync, Log: cfg.Log,
+	}
 	if founder {
 		storeConfig.NewIdentity = func() (string, error) { return control.FounderIdentity(cfg.PeerAddress), nil }
 	}
