--- a/internal/control/slow_disk_test.go
+++ b/internal/control/slow_disk_test.go
@@ -122,3 +122,30 @@
 	next := g.leader(15 * time.Second)
 	assert.NilError(t, <-g.propose(next))
 }
+
+// Guards against logs that wait for a snapshot of each voter, taken at the same time, while disks are slow.
+func TestSlowDisksDeferSnapshots(t *testing.T) {
+	g := newSlowGroup(t, 3)
+	l := g.leader(10 * time.Second)
+	assert.NilError(t, <-g.propose(l))
+	snapshotIndex := func() uint64 {
+		ch := make(chan uint64, 1)
+		assert.NilError(t, l.post(t.Context(), func() { ch <- l.snapshotIndex }))
+		return <-ch
+	}
+	first := snapshotIndex()
+	g.syncDelay.Store(int64(slowSave))
+	for range 2 {
+		var done chan error
+		for range snapshotEntries {
+			done = g.propose(l)
+		}
+		assert.NilError(t, <-done)
+		assert.Equal(t, snapshotIndex(), first)
+	}
+	g.syncDelay.Store(0)
+	for end := time.Now().Add(5 * time.Second); snapshotIndex() == first; time.Sleep(10 * time.Millisecond) {
+		assert.NilError(t, <-g.propose(l))
+		assert.Assert(t, time.Now().Before(end), "no snapshot although the disks are fast again")
+	}
+}
--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -36,6 +36,9 @@
 	// snapshotBytes is the size of the entries that triggers a snapshot earlier, for the same reason. The largest entries
 	// are configuration documents.
 	snapshotBytes = 2 << 20
+	// slowSnapshotFactor multiplies both while the disk is slow: a snapshot takes several syncs, for which the log waits, and the
+	// voters take theirs at about the same time.
+	slowSnapshotFactor = 8
 	// maxCommandBytes bounds the size of a command, so that a message with it fits into a frame between processes.
 	maxCommandBytes = 512 << 10
 	// maxQueuedEvents bounds the functions that wait for the control loop.
@@ -116,8 +119,9 @@
 	waitingRenewals []func(raft.ReadResult) // renewals that wait for the quorum round of the next tick
 	lastReadID      uint64
 	snapshotIndex   uint64
-	snapshotting    bool // a snapshot is being saved
-	loggedBytes     int  // bytes of the entries applied since the last snapshot
+	snapshotting    bool          // a snapshot is being saved
+	lastSaveTook    time.Duration // of the log
+	loggedBytes     int           // bytes of the entries applied since the last snapshot
 	rollouts        rollouts
 	lastRenewals    map[string]lastRenewal // soft state of the leader
 	members         *member.State
@@ -224,17 +228,6 @@
 	}
 }
 
-func (v *Voter) restoreSnapshot(s *raft.Snapshot) error {
-	if len(s.Data) > 0 {
-		if err := v.kernel.Restore(s.Data); err != nil {
-			return err
-		}
-	}
-	v.kernel.Skip(s.Meta.Index)
-	v.snapshotIndex, v.loggedBytes, v.lastAppliedTerm = s.Meta.Index, 0, s.Meta.Term
-	return nil
-}
-
 // Leading reports whether this voter leads the control group as far as it knows; see QuorumConfirmed.
 func (v *Voter) Leading() bool { return v.isLeader.Load() }
 
@@ -438,6 +431,7 @@
 		v.observeSave(r.took, "snapshot", 0)
 		return v.finishSnapshot(r.snapshot)
 	}
+	v.lastSaveTook = r.took
 	v.observeSave(r.took, "log", len(r.save.Entries))
 	v.finishSave(r.save)
 	return nil
@@ -448,15 +442,6 @@
 	v.sendMessages(s.Messages)
 }
 
-func (v *Voter) installSnapshot(s *raft.Snapshot) error {
-	if err := v.restoreSnapshot(s); err != nil {
-		return err
-	}
-	v.feed.reset(v.kernel.Applied())
-	v.cfg.Log.Info("installed a snapshot from the leader", "index", s.Meta.Index)
-	return nil
-}
-
 func (v *Voter) sendMessages(messages []*raftpb.Message) {
 	if len(messages) == 0 {
 		return
@@ -521,50 +506,6 @@
 	}
 }
 
-// maybeSnapshot begins to save a snapshot if enough entries were applied since the last one, so that a restart replays few.
-// The disk must hold these entries, since they are removed from it only once the snapshot is complete.
-func (v *Voter) maybeSnapshot() error {
-	applied := v.kernel.Applied()
-	due := applied >= v.snapshotIndex+snapshotEntries || v.loggedBytes >= snapshotBytes
-	if !due || v.snapshotting {
-		return nil
-	}
-	if st := v.core.Status(); applied != st.LastApplied || applied > st.LastSynced {
-		return nil
-	}
-	s, err := v.takeSnapshot()
-	if err != nil {
-		return err
-	}
-	v.snapshotting, v.loggedBytes = true, 0
-	v.saver.jobs <- diskJob{snapshot: s}
-	return nil
-}
-
-func (v *Voter) takeSnapshot() (*raft.Snapshot, error) {
-	meta, err := v.core.SnapshotMeta(v.kernel.Applied())
-	if err != nil {
-		return nil, err
-	}
-	state, err := v.kernel.Snapshot(false)
-	return &raft.Snapshot{Meta: meta, Data: state}, err
-}
-
-// finishSnapshot removes the entries from the log that a saved snapshot covers, unless one of the leader has replaced the log
-// meanwhile.
-func (v *Voter) finishSnapshot(s *raft.Snapshot) error {
-	v.snapshotting = false
-	if s.Meta.Index < v.snapshotIndex {
-		return nil
-	}
-	if err := v.core.Compact(s.Meta.Index, s.Data); err != nil {
-		return err
-	}
-	v.snapshotIndex = s.Meta.Index
-	v.cfg.Log.V(1).Info("saved a snapshot", "index", s.Meta.Index, "bytes", len(s.Data))
-	return nil
-}
-
 // answerReads calls the callbacks of reads that failed, and of confirmed reads whose index is applied.
 func (v *Voter) answerReads(reads []raft.ReadResult) {
 	reads = append(v.unappliedReads, reads...)
