--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -34,17 +34,13 @@
 	return &raft.Snapshot{Meta: meta, Data: state}, err
 }
 
-// finishSnapshot removes the entries from the log that a saved snapshot covers, unless one of the leader has replaced the log
-// meanwhile.
+// finishSnapshot removes the entries from the log that a saved snapshot covers.
 func (v *Voter) finishSnapshot(s *raft.Snapshot) error {
 	v.snapshotting = false
-	if s.Meta.Index < v.snapshotIndex {
-		return nil
-	}
 	if err := v.core.Compact(s.Meta.Index, s.Data); err != nil {
 		return err
 	}
-	v.snapshotIndex = s.Meta.Index
+	v.snapshotIndex = max(v.snapshotIndex, s.Meta.Index)
 	v.cfg.Log.V(1).Info("saved a snapshot", "index", s.Meta.Index, "bytes", len(s.Data))
 	return nil
 }
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -14,7 +14,8 @@
 // node is a member with its driver: a simulated disk and state machine.
 type node struct {
 	core        *Core
-	saving      *Save // in progress, if saves take time
+	saving      *Save     // in progress, if saves take time
+	snapshot    *Snapshot // of the own state, whose save is in progress
 	disk        PersistentState
 	state       string // the commands applied so far, concatenated
 	installs    int    // number of snapshots installed
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -144,26 +144,50 @@
 		_, _ = n.core.ProposeMemberChange(&raftpb.MemberChange{Kind: kind, Member: &raftpb.Member{Id: target}, Force: force})
 	case action < 196:
 		_ = n.core.TransferLeadership(s.ids[s.random.IntN(len(s.ids))])
+	case action < 198:
+		n.finishSnapshot()
 	default:
-		n.compact()
+		n.beginSnapshot()
 	}
 	s.handleReadies(id)
 }
 
 // compact takes a snapshot of the applied state and truncates the log on the disk, as the driver does.
 func (n *node) compact() {
+	n.beginSnapshot()
+	n.finishSnapshot()
+}
+
+// beginSnapshot begins to save a snapshot of the applied state.
+func (n *node) beginSnapshot() {
 	meta, err := n.core.SnapshotMeta(n.lastApplied)
-	if err != nil || meta.Index == n.disk.Snapshot.Meta.Index {
+	if err != nil || meta.Index == n.disk.Snapshot.Meta.Index || n.snapshot != nil {
 		return
 	}
 	if n.core.log.lastSynced < meta.Index {
 		return // the driver waits until the log holds all entries of the snapshot
 	}
-	n.disk.Entries = n.disk.Entries[meta.Index-n.disk.Snapshot.Meta.Index:]
-	n.disk.Snapshot = &Snapshot{Meta: meta, Data: []byte(n.state)}
-	if err := n.core.Compact(meta.Index, n.disk.Snapshot.Data); err != nil {
+	n.snapshot = &Snapshot{Meta: meta, Data: []byte(n.state)}
+}
+
+// finishSnapshot ends the save of a snapshot, which takes time as others do.
+func (n *node) finishSnapshot() {
+	s := n.snapshot
+	if n.snapshot = nil; s == nil {
+		return
+	}
+	meta := s.Meta
+	if meta.Index > n.disk.Snapshot.Meta.Index { // the disk has got no later one of the leader meanwhile
+		n.disk.Entries = n.disk.Entries[meta.Index-n.disk.Snapshot.Meta.Index:]
+		n.disk.Snapshot = s
+	}
+	isOutdated := meta.Index < n.core.snapshot.Meta.Index
+	if err := n.core.Compact(meta.Index, s.Data); err != nil {
 		panic(err)
 	}
+	if isOutdated {
+		return
+	}
 	n.core.log.discardThrough(meta.Index) // also discards the trailing entries, so that members that lag need snapshots
 	n.core.baseMembership = meta.Members
 }
--- a/internal/raft/slow_save_test.go
+++ b/internal/raft/slow_save_test.go
@@ -165,3 +165,18 @@
 	}
 	assert.NilError(s.t, s.checker.check(s.allNodes()))
 }
+
+// Guards against a voter that ends because its own snapshot is saved after one of the leader has replaced its log.
+func TestOutdatedSnapshotIsIgnored(t *testing.T) {
+	w := newNetwork(t, 3)
+	w.propose("a")
+	l := w.waitForLeader()
+	n := w.nodes["m1"]
+	if n.core == l {
+		n = w.nodes["m2"]
+	}
+	n.beginSnapshot()
+	n.core.installSnapshot(&Snapshot{Meta: &raftpb.SnapshotMeta{Index: 5000, Term: l.term, Members: testMembers(3)}})
+	assert.NilError(t, n.core.Compact(n.snapshot.Meta.Index, n.snapshot.Data))
+	assert.Equal(t, n.core.snapshot.Meta.Index, uint64(5000))
+}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -128,8 +128,12 @@
 }
 
 // Compact records that the driver has saved a snapshot of the state after the entry at index, and discards the
-// entries that the snapshot covers, except for the trailing ones that members which lag slightly may need.
+// entries that the snapshot covers, except for the trailing ones that members which lag slightly may need. It does nothing if a
+// later snapshot of the leader has replaced the log meanwhile.
 func (c *Core) Compact(index uint64, state []byte) error {
+	if c.snapshot != nil && index < c.snapshot.Meta.Index {
+		return nil
+	}
 	meta, err := c.SnapshotMeta(index)
 	if err != nil {
 		return err
