--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -34,18 +34,21 @@
 	c.resetTimeout()
 }
 
+// ordinaryVotes is the number of votes without a leader that split votes and lost messages explain without slow disks.
+const ordinaryVotes = 2
+
 // maxElectionWait bounds the time that awaitElection adds to the election timeout, in minimum election timeouts.
 const maxElectionWait = 10
 
 // awaitElection begins the election timeout anew once a vote is saved, which took some ticks. Disks that are as slow need as
 // long again for the votes of other members; a candidate that gave up sooner would never win. The own disk may be the fast one
-// among slow ones, so the time also doubles with each vote that brought no leader.
+// among slow ones, so the time also doubles with each further vote that brought no leader.
 func (c *Core) awaitElection(ticks int) {
 	if c.leader != "" || c.votedFor == "" {
 		return
 	}
 	wait, limit := 2*ticks, maxElectionWait*c.cfg.ElectionTicks
-	for range c.leaderlessVotes {
+	for range max(c.leaderlessVotes-ordinaryVotes, 0) {
 		wait = min(2*wait+c.cfg.ElectionTicks, limit)
 	}
 	c.leaderlessVotes++
