raft: bound the entries of a save

A save takes 16 MiB, and messages that promise more wait for the one that covers them. TestSaveIsBounded failed before.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -16,6 +16,9 @@
 	maxUncommittedBytes = 4 << 20
 	// maxCommittedBytes limits the committed entries of one Ready.
 	maxCommittedBytes = 1 << 20
+	// maxSaveBytes limits the entries of one Save, far below what a record of the disk may hold. Many can wait after a save that
+	// hung.
+	maxSaveBytes = 16 << 20
 	// maxTrailingEntries limits the entries that stay in memory although a snapshot covers them, so that a member
 	// which lags slightly needs no snapshot transfer.
 	maxTrailingEntries = 256
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -12,7 +12,7 @@
 	baseIndex, baseTerm uint64
 	entries             []*raftpb.Entry
 	lastTaken           uint64 // index of the last entry that the driver got to save
-	lastSynced          uint64 // index of the last entry that the driver synced
+	lastSynced          uint64 // index of the last entry that the driver is known to have synced
 }
 
 func (l *entryLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -90,16 +90,20 @@
 		return nil
 	}
 	s := &Save{
-		Snapshot: c.snapshotToSave, Entries: c.log.slice(c.log.lastTaken+1, c.log.lastIndex(), unlimited),
-		Messages: withoutCoveredAcks(c.messages), startTick: c.tickCount,
+		Snapshot: c.snapshotToSave, Entries: c.log.slice(c.log.lastTaken+1, c.log.lastIndex(), maxSaveBytes),
+		startTick: c.tickCount,
 	}
 	if c.hasUnsavedHardState() {
 		s.HardState = &raftpb.HardState{Term: c.term, Vote: c.votedFor}
 	}
+	c.log.lastTaken += uint64(len(s.Entries))
+	if c.log.lastTaken == c.log.lastIndex() {
+		s.Messages, c.messages = withoutCoveredAcks(c.messages), nil
+	}
 	if s.IsEmpty() && len(s.Messages) == 0 {
 		return nil
 	}
-	c.saving, c.snapshotToSave, c.messages, c.log.lastTaken = s, nil, nil, c.log.lastIndex()
+	c.saving, c.snapshotToSave = s, nil
 	return s
 }
 
--- a/internal/raft/slow_save_test.go
+++ b/internal/raft/slow_save_test.go
@@ -166,6 +166,36 @@
 	assert.NilError(s.t, s.checker.check(s.allNodes()))
 }
 
+// Guards against a save that is larger than a record of the disk can be, after a disk that hung while others committed.
+func TestSaveIsBounded(t *testing.T) {
+	c, err := New(Config{
+		ID: "m1", PersistentState: Bootstrap(testMembers(3)), ElectionTicks: 5, HeartbeatTicks: 1, Rand: func(int) int { return 0 },
+	})
+	assert.NilError(t, err)
+	data := make([]byte, MaxEntryBytes)
+	const entries = 3 * maxSaveBytes / MaxEntryBytes
+	for i := range uint64(entries) {
+		assert.NilError(t, c.Step(&raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, From: "m2", To: "m1", Term: 2, LogIndex: 1 + i, LogTerm: min(1+i, 2),
+			Entries: []*raftpb.Entry{{Index: 2 + i, Term: 2, Data: data}},
+		}))
+	}
+	saved := 0
+	for rd, ok := c.Ready(); ok; rd, ok = c.Ready() {
+		size := 0
+		for _, e := range rd.Save.Entries {
+			size += entrySize(e)
+			saved++
+		}
+		assert.Assert(t, size <= maxSaveBytes)
+		assert.Assert(t, saved == entries || len(rd.Save.Messages) == 0, "acknowledged after %d entries", saved)
+		c.Saved(rd.Save)
+		c.Advance(rd)
+	}
+	assert.Equal(t, saved, entries)
+	assert.Equal(t, c.log.lastSynced, uint64(1+entries))
+}
+
 // Guards against a voter that ends because its own snapshot is saved after one of the leader has replaced its log.
 func TestOutdatedSnapshotIsIgnored(t *testing.T) {
 	w := newNetwork(t, 3)
