--- a/internal/raft/slow_save_test.go
+++ b/internal/raft/slow_save_test.go
@@ -166,6 +166,77 @@
 	assert.NilError(s.t, s.checker.check(s.allNodes()))
 }
 
+// Guards against a member that promises before its disk holds what it promises, and forgets that when it loses power.
+func TestPromisesWaitForSave(t *testing.T) {
+	newFollower := func(members []*raftpb.Member) *Core {
+		p := Bootstrap(members)
+		c, err := New(Config{ID: "m1", PersistentState: p, ElectionTicks: 5, HeartbeatTicks: 1, Rand: func(int) int { return 0 }})
+		assert.NilError(t, err)
+		return c
+	}
+	learner := &raftpb.Member{Id: "m2"}
+	entry := &raftpb.Entry{Index: 2, Term: 2}
+	for _, tt := range []struct {
+		name    string
+		members []*raftpb.Member
+		act     func(c *Core) error
+		promise raftpb.MessageType
+	}{
+		{"granted vote", testMembers(3), func(c *Core) error {
+			return c.Step(&raftpb.Message{
+				Type: raftpb.MessageType_MESSAGE_TYPE_VOTE, From: "m2", To: "m1", Term: 2, LogIndex: 1, LogTerm: 1,
+			})
+		}, raftpb.MessageType_MESSAGE_TYPE_VOTE_RESPONSE},
+		{"request for a vote", testMembers(3), func(c *Core) error { c.campaign(Candidate, false); return nil },
+			raftpb.MessageType_MESSAGE_TYPE_VOTE},
+		{"acknowledged entry", testMembers(3), func(c *Core) error {
+			return c.Step(&raftpb.Message{
+				Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, From: "m2", To: "m1", Term: 2, LogIndex: 1, LogTerm: 1,
+				Entries: []*raftpb.Entry{entry},
+			})
+		}, raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE},
+		{"entries of the only voter", append(testMembers(1), learner), func(c *Core) error { c.campaign(Candidate, false); return nil },
+			raftpb.MessageType_MESSAGE_TYPE_APPEND},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newFollower(tt.members)
+			assert.NilError(t, tt.act(c))
+			isPromise := func(m *raftpb.Message) bool { return m.Type == tt.promise }
+			rd, ok := c.Ready()
+			assert.Assert(t, ok && !slices.ContainsFunc(rd.Messages, isPromise), "%v", rd.Messages)
+			assert.Assert(t, !rd.Save.IsEmpty() && slices.ContainsFunc(rd.Save.Messages, isPromise), "%v", rd.Save.Messages)
+			c.Advance(rd)
+			assert.NilError(t, tt.act(c)) // repeated, as by an election that times out
+			rd, _ = c.Ready()
+			assert.Assert(t, rd.Save == nil && !slices.ContainsFunc(rd.Messages, isPromise), "%v", rd.Messages)
+		})
+	}
+}
+
+// Guards against an acknowledgement that is left out although no later one makes up for it.
+func TestOnlyCoveredAcknowledgementsAreLeftOut(t *testing.T) {
+	const ack, beat = raftpb.MessageType_MESSAGE_TYPE_APPEND_RESPONSE, raftpb.MessageType_MESSAGE_TYPE_VOTE_RESPONSE
+	newest := &raftpb.Message{Type: ack, To: "m2", Term: 3, LogIndex: 7}
+	for _, tt := range []struct {
+		name    string
+		m       *raftpb.Message
+		covered bool
+	}{
+		{"earlier entry", &raftpb.Message{Type: ack, To: "m2", Term: 3, LogIndex: 5}, true},
+		{"later entry", &raftpb.Message{Type: ack, To: "m2", Term: 3, LogIndex: 8}, false},
+		{"another leader", &raftpb.Message{Type: ack, To: "m3", Term: 3, LogIndex: 5}, false},
+		{"another term", &raftpb.Message{Type: ack, To: "m2", Term: 2, LogIndex: 5}, false},
+		{"rejection", &raftpb.Message{Type: ack, To: "m2", Term: 3, LogIndex: 5, Reject: true}, false},
+		{"another kind", &raftpb.Message{Type: beat, To: "m2", Term: 3}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			list := withoutCoveredAcks([]*raftpb.Message{tt.m, newest})
+			assert.Equal(t, len(list) == 1, tt.covered)
+			assert.Assert(t, list[len(list)-1] == newest)
+		})
+	}
+}
+
 // Guards against a save that is larger than a record of the disk can be, after a disk that hung while others committed.
 func TestSaveIsBounded(t *testing.T) {
 	c, err := New(Config{
