control: end calls before the disk is waited for

When the loop ends, calls waited for up to two jobs of the disk, since done was closed after them; and after a failed job the loop decided once more. Found by reading in the review.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -241,11 +241,11 @@
 
 // Run runs the control loop until ctx is done or the data directory fails.
 func (v *Voter) Run(ctx context.Context) error {
+	go v.saver.run()
+	defer v.saver.stop() // After close(v.done), as a job may take long.
 	defer close(v.done)
 	defer v.sender.close()
 	defer v.feed.close()
-	go v.saver.run()
-	defer v.saver.stop()
 	watchCtx, endWatch := context.WithCancel(ctx)
 	defer endWatch()
 	go v.watchProcessor(watchCtx)
@@ -278,7 +278,9 @@
 			v.logSlowRound(round)
 			continue
 		}
-		v.handleOutput(&round)
+		if v.runErr == nil {
+			v.handleOutput(&round)
+		}
 		outputAt = v.now()
 		if v.decisionDue {
 			output.Reset(outputInterval)
@@ -295,9 +297,7 @@
 		v.decide()
 	}
 	r.decidedAt = v.now()
-	if v.runErr == nil {
-		v.runErr = v.processReady()
-	}
+	v.runErr = v.processReady()
 	r.readyAt = v.now()
 }
 
