--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -97,7 +97,7 @@
 	tickCount       uint64 // since the core was built
 	electionElapsed int    // ticks since a message of the leader, a granted vote or a change of role
 	electionTimeout int
-	leaderlessVotes int // votes that were saved since a leader was known
+	leaderlessVotes int // votes for any member that were saved since a leader was known
 	votes           map[string]bool
 	incoming        *incomingSnapshot
 
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -180,6 +180,7 @@
 			continue
 		}
 		remaining++
+		// The leader counts as caught up, but entries may be committed that its own disk lacks.
 		if c.isCaughtUp(other.Id) && (other.Id != c.cfg.ID || c.log.lastSynced >= c.commitIndexAtHeartbeat) {
 			caughtUp++
 		}
