control: a batch that is answered leaves no timer

Each batch that waited for anything woke the control loop 200 ms later, answered or not; the function checked that in three places. The timer is stopped with the answer. No change of behaviour; tests of control and site pass but for the two known failures.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -166,9 +166,11 @@
 		}
 		left := len(req.Commands)
 		answered := false
+		stopTimer := func() bool { return false }
 		var failure error
 		answerBatch := func() {
 			answered = true
+			stopTimer()
 			if failure != nil {
 				answer(nil, failure)
 				return
@@ -208,26 +210,28 @@
 		if answered || !req.AcceptsPending {
 			return
 		}
-		v.after(ctx, batchWait, func() {
+		stopTimer = v.after(ctx, batchWait, func() {
+			if answered {
+				return
+			}
 			for i, r := range resp.Responses {
-				if r == nil && !answered {
+				if r == nil {
 					resp.Responses[i] = &controlpb.ProposeResponse{Pending: true}
 				}
 			}
-			if !answered {
-				answerBatch()
-			}
+			answerBatch()
 		})
 	})
 }
 
-// after runs f in the control loop once d has passed, unless ctx ends first.
-func (v *Voter) after(ctx context.Context, d time.Duration, f func()) {
-	time.AfterFunc(d, func() {
+// after runs f in the control loop once d has passed, unless ctx ends or stop is called first.
+func (v *Voter) after(ctx context.Context, d time.Duration, f func()) (stop func() bool) {
+	t := time.AfterFunc(d, func() {
 		if err := v.post(ctx, f); err != nil {
 			v.cfg.Log.V(1).Info("control loop did not take a function in time", "reason", err.Error())
 		}
 	})
+	return t.Stop
 }
 
 // respond answers a command at once, after a quorum read or after replication, as the plug-in of the command decides. Calls
