review: case 6, a deregistration without confirmation lets two runs work

The ledger ends the runs of a worker once its deregistration is in the log, and the scheduler starts their subtasks elsewhere at once. A worker whose confirmation is lost is up for a second and more, and works on.

--- /dev/null
+++ b/review/rig/worker.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxListedEnds is how many ends a worker lists at once.
+const maxListedEnds = 500
+
+type resources struct {
+	CPU   int64 `json:"cpu"`
+	MemMB int64 `json:"memMb"`
+	GPU   int64 `json:"gpu"`
+}
+
+// worker is one life of a worker, as PROTOCOL.md describes it.
+type worker struct {
+	rig         *rig
+	id, service string
+	address     string
+	labels      []string
+	capacity    resources
+	born        time.Time
+	server      *http.Server
+	// controls are the addresses that the worker calls in turn.
+	controls []string
+
+	mu        sync.Mutex
+	up        bool
+	draining  time.Time // when the drain ends, zero if it doesn't drain
+	sequence  int64
+	token     uint64
+	leaseEnd  time.Time
+	runs      map[string]*taskRun
+	highest   map[string]int
+	ends      []end
+	lastEnd   int
+	changed   chan struct{} // closed when a run has ended
+	nextIndex int
+}
+
+type taskRun struct {
+	task  string
+	run   int
+	begun time.Time
+	work  time.Duration
+	timer *time.Timer
+}
+
+type end struct {
+	number int
+	task   string
+	run    int
+	how    string
+}
+
+// order is the body of a call of the system.
+type order struct {
+	Task         string `json:"task"`
+	Run          int    `json:"run"`
+	Spec         string `json:"spec"`
+	DeadlineMS   int64  `json:"deadlineMs"`
+	FencingToken uint64 `json:"fencingToken"`
+	AckCursor    int    `json:"ackCursor"`
+	WaitMS       int64  `json:"waitMs"`
+	Percent      int    `json:"percent"`
+}
+
+// spec is the specification of the jobs of the scenarios. It tells the worker how long a subtask works.
+type spec struct {
+	WorkMS int64 `json:"workMs"`
+}
+
+// startWorker starts a worker and its heartbeats.
+func (r *rig) startWorker(ctx context.Context, id, service string, n int, controls []string) (*worker, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s.4.%d:0", r.network, n))
+	if err != nil {
+		return nil, err
+	}
+	w := &worker{
+		rig: r, id: id, service: service, address: l.Addr().String(), labels: []string{"a", "r1-1"},
+		capacity: resources{CPU: 16000, MemMB: 65536}, born: time.Now(), controls: controls, up: true,
+		runs: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", w.handle(w.startRun))
+	mux.HandleFunc("POST /run-stop", w.handle(w.stopRun))
+	mux.HandleFunc("POST /pace", w.handle(func(order) (int, map[string]any) { return http.StatusOK, map[string]any{} }))
+	mux.HandleFunc("POST /hold", w.hold)
+	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
+	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = w.server.Serve(l) }() // returns when the worker closes it
+	go w.expire()
+	r.mu.Lock()
+	r.workers = append(r.workers, w)
+	r.mu.Unlock()
+	r.rec.printf("%s starts at %s", id, w.address)
+	go w.beat(ctx)
+	return w, nil
+}
+
+func (w *worker) isUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up
+}
+
+func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
+
+// beat sends heartbeats until the worker ends.
+func (w *worker) beat(ctx context.Context) {
+	for w.isUp() {
+		begin := time.Now()
+		for range w.controls {
+			if w.report(ctx) {
+				break
+			}
+		}
+		if sleep(ctx, max(heartbeat-time.Since(begin), 10*time.Millisecond)) != nil {
+			return
+		}
+	}
+}
+
+// report sends a heartbeat to the next control process and reports whether it was confirmed.
+func (w *worker) report(ctx context.Context) bool {
+	w.mu.Lock()
+	if !w.up {
+		w.mu.Unlock()
+		return true
+	}
+	w.sequence++
+	body := w.description()
+	address := w.controls[w.nextIndex%len(w.controls)]
+	w.mu.Unlock()
+	status, _, err := call(ctx, http.MethodPost, "http://"+address+"/Instances.Heartbeat/"+w.id, nil, body, time.Second)
+	if err == nil && status < 300 {
+		return true
+	}
+	w.mu.Lock()
+	w.nextIndex++
+	w.mu.Unlock()
+	return false
+}
+
+// description returns what the worker says of itself. The caller must hold w.mu.
+func (w *worker) description() map[string]any {
+	body := map[string]any{
+		"service": w.service, "address": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": w.capacity, "labels": w.labels, "clockMs": w.clock(), "sequence": w.sequence,
+		"born": w.born.UnixMilli(),
+	}
+	if !w.draining.IsZero() {
+		body["state"], body["drainRemainingMs"] = "draining", max(time.Until(w.draining), 0).Milliseconds()
+	}
+	return body
+}
+
+// drain announces that the worker leaves, and returns once that is confirmed.
+func (w *worker) drain(ctx context.Context) error {
+	w.mu.Lock()
+	w.draining = time.Now().Add(drainTime)
+	w.mu.Unlock()
+	return until(ctx, 10*time.Second, func() bool { return w.report(ctx) })
+}
+
+// deregister sends a deregistration to a control process and reports whether it was confirmed within a second.
+func (w *worker) deregister(ctx context.Context, address string) bool {
+	w.mu.Lock()
+	w.sequence++
+	body := w.description()
+	w.mu.Unlock()
+	w.rig.rec.printf("%s sends its deregistration to %s", w.id, address)
+	status, _, err := call(ctx, http.MethodPost, "http://"+address+"/Instances.Deregister/"+w.id, nil, body, time.Second)
+	w.rig.rec.printf("%s: deregistration answered with %d, error %v", w.id, status, err)
+	return err == nil && status < 300
+}
+
+// end ends the worker, and with it all that runs on it.
+func (w *worker) end(reason string) {
+	w.mu.Lock()
+	if !w.up {
+		w.mu.Unlock()
+		return
+	}
+	w.up = false
+	for _, r := range w.runs {
+		r.timer.Stop()
+		w.rig.watch.ended(w.id, r.task, r.run, "worker ended")
+	}
+	clear(w.runs)
+	w.mu.Unlock()
+	w.rig.rec.printf("%s ends: %s", w.id, reason)
+	_ = w.server.Close() // Nobody waits for its answers.
+}
+
+// expire ends all runs once the lease has expired.
+func (w *worker) expire() {
+	for w.isUp() {
+		w.mu.Lock()
+		if time.Now().After(w.leaseEnd) {
+			for _, r := range w.runs {
+				w.endRun(r, "lapsed")
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// endRun ends a run and lists its end. The caller must hold w.mu.
+func (w *worker) endRun(r *taskRun, how string) {
+	if w.runs[r.task] != r {
+		return
+	}
+	r.timer.Stop()
+	delete(w.runs, r.task)
+	w.lastEnd++
+	w.ends = append(w.ends, end{w.lastEnd, r.task, r.run, how})
+	w.rig.watch.ended(w.id, r.task, r.run, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// decode reads the body of a call that is meant for this worker.
+func (w *worker) decode(rw http.ResponseWriter, r *http.Request) (order, bool) {
+	o := order{}
+	if r.Header.Get("X-Hibiscusroute-Target-Instance") != w.id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return o, false
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return o, false
+	}
+	return o, true
+}
+
+// handle returns the handler of a call that is answered at once.
+func (w *worker) handle(f func(o order) (int, map[string]any)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		o, ok := w.decode(rw, r)
+		if !ok {
+			return
+		}
+		w.mu.Lock()
+		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+		if w.accept(o) {
+			status, body = f(o)
+		}
+		body["clockMs"], body["born"] = w.clock(), w.born.UnixMilli()
+		w.mu.Unlock()
+		writeJSON(rw, status, body)
+	}
+}
+
+// accept takes the fencing token and the lease of a call. It returns false if the token is lower than one before. The caller
+// must hold w.mu.
+func (w *worker) accept(o order) bool {
+	if o.FencingToken < w.token {
+		return false
+	}
+	w.token = o.FencingToken
+	until := time.Now().Add(min(time.Duration(o.DeadlineMS-w.clock())*time.Millisecond, maxLease))
+	if o.DeadlineMS > 0 && until.After(w.leaseEnd) {
+		w.leaseEnd = until
+	}
+	return true
+}
+
+func (w *worker) startRun(o order) (int, map[string]any) {
+	if o.DeadlineMS < w.clock() {
+		return http.StatusConflict, map[string]any{"reason": "late"}
+	}
+	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
+		return http.StatusOK, map[string]any{}
+	}
+	if o.Run <= w.highest[o.Task] {
+		return http.StatusConflict, map[string]any{"reason": "old"}
+	}
+	s := spec{}
+	if err := json.Unmarshal([]byte(o.Spec), &s); err != nil {
+		return http.StatusBadRequest, map[string]any{}
+	}
+	r := &taskRun{task: o.Task, run: o.Run, begun: time.Now(), work: time.Duration(s.WorkMS) * time.Millisecond}
+	w.runs[o.Task], w.highest[o.Task] = r, o.Run
+	w.rig.watch.started(w.id, o.Task, o.Run)
+	r.timer = time.AfterFunc(r.work, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.endRun(r, "done")
+	})
+	return http.StatusOK, map[string]any{}
+}
+
+func (w *worker) stopRun(o order) (int, map[string]any) {
+	w.highest[o.Task] = max(w.highest[o.Task], o.Run)
+	if r := w.runs[o.Task]; r != nil && r.run <= o.Run {
+		w.endRun(r, "stopped")
+	}
+	return http.StatusOK, map[string]any{}
+}
+
+// hold renews the lease and answers with the lists of runs.
+func (w *worker) hold(rw http.ResponseWriter, r *http.Request) {
+	o, ok := w.decode(rw, r)
+	if !ok {
+		return
+	}
+	w.mu.Lock()
+	if !w.accept(o) {
+		body := map[string]any{"reason": "fence", "clockMs": w.clock(), "born": w.born.UnixMilli()}
+		w.mu.Unlock()
+		writeJSON(rw, http.StatusConflict, body)
+		return
+	}
+	for len(w.ends) > 0 && w.ends[0].number <= o.AckCursor {
+		w.ends = w.ends[1:]
+	}
+	changed, waits := w.changed, o.WaitMS > 0 && len(w.ends) == 0
+	w.mu.Unlock()
+	if waits {
+		select {
+		case <-changed:
+		case <-time.After(min(time.Duration(o.WaitMS)*time.Millisecond, 2*time.Second)):
+		case <-r.Context().Done():
+		}
+	}
+	w.mu.Lock()
+	running, ended := []any{}, []any{}
+	for _, r := range w.runs {
+		running = append(running, []any{r.task, r.run, "", 100, 0})
+	}
+	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	body := map[string]any{"clockMs": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended}
+	w.mu.Unlock()
+	writeJSON(rw, http.StatusOK, body)
+}
