review: case 7, a late start of a long-running subtask runs beside the next run

A start without an answer is carried out by the next boot with the worker's id, while the subtask already works elsewhere: long-running subtasks don't wait for such starts.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -57,7 +57,7 @@
 	})
 }
 
-// state returns the state of a job, or an empty string.
+// state asks for the state of a job, and returns it or an empty string.
 func (r *rig) state(ctx context.Context, id string) string {
 	status, data, err := r.callFront(ctx, 0, http.MethodGet, id, nil)
 	answer := struct{ State string }{}
--- a/review/rig/deregistration.go
+++ b/review/rig/deregistration.go
@@ -65,6 +65,6 @@
 	if err := sleep(ctx, 2*time.Second); err != nil {
 		return err
 	}
-	r.state(ctx, id)
+	r.rec.printf("client: the job is %s", r.state(ctx, id))
 	return r.watch.result()
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 // could not run, and nil if the rule held.
 var scenarios = map[string]func(ctx context.Context, r *rig) error{
 	"unconfirmed-deregistration": runUnconfirmedDeregistration,
+	"late-start":                 runLateStart,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -35,10 +35,11 @@
 	mu      sync.Mutex
 	workers []*worker
 	closers []func()
+	gangs   map[string]*gang
 }
 
 func newRig(rec *record, program, dir string, trouble bool) *rig {
-	return &rig{rec: rec, program: program, dir: dir, trouble: trouble, watch: newWatch(rec)}
+	return &rig{rec: rec, program: program, dir: dir, trouble: trouble, watch: newWatch(rec), gangs: map[string]*gang{}}
 }
 
 func (r *rig) cloudAddress() string { return fmt.Sprintf("%s.3.1:%d", r.network, cloudPort) }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -31,8 +31,12 @@
 	// controls are the addresses that the worker calls in turn.
 	controls []string
 
+	// unanswered is called with each order to start a run; if it returns true, the order gets no answer. It may be nil.
+	unanswered func(w *worker, o order) bool
+
 	mu        sync.Mutex
 	up        bool
+	cut       bool      // is partitioned from all control processes
 	draining  time.Time // when the drain ends, zero if it doesn't drain
 	sequence  int64
 	token     uint64
@@ -46,11 +50,14 @@
 }
 
 type taskRun struct {
-	task  string
-	run   int
-	begun time.Time
-	work  time.Duration
-	timer *time.Timer
+	task   string
+	run    int
+	begun  time.Time // zero while a member of a gang waits for the others
+	work   time.Duration
+	timer  *time.Timer
+	gang   *gang
+	worker *worker
+	saved  int
 }
 
 type end struct {
@@ -58,6 +65,7 @@
 	task   string
 	run    int
 	how    string
+	saved  string
 }
 
 // order is the body of a call of the system.
@@ -69,25 +77,41 @@
 	FencingToken uint64 `json:"fencingToken"`
 	AckCursor    int    `json:"ackCursor"`
 	WaitMS       int64  `json:"waitMs"`
+	Checkpoint   string `json:"checkpoint"`
 	Percent      int    `json:"percent"`
 }
 
 // spec is the specification of the jobs of the scenarios. It tells the worker how long a subtask works.
 type spec struct {
 	WorkMS int64 `json:"workMs"`
+	// Gang is the number of members of the gangs of the job, 0 if it has none.
+	Gang int `json:"gang"`
+	// Saves is set if the subtasks checkpoint their progress.
+	Saves bool `json:"saves"`
 }
 
 // startWorker starts a worker and its heartbeats.
 func (r *rig) startWorker(ctx context.Context, id, service string, n int, controls []string) (*worker, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s.4.%d:0", r.network, n))
-	if err != nil {
-		return nil, err
+	w := &worker{rig: r, id: id, service: service, address: fmt.Sprintf("%s.4.%d:0", r.network, n), controls: controls}
+	return w, w.boot(ctx)
+}
+
+// bootAgain starts a worker that has ended under its ID and at its address. It holds and knows nothing of before.
+func (w *worker) bootAgain(ctx context.Context) (*worker, error) {
+	next := &worker{
+		rig: w.rig, id: w.id, service: w.service, address: w.address, controls: w.controls, unanswered: w.unanswered, cut: w.isCut(),
 	}
-	w := &worker{
-		rig: r, id: id, service: service, address: l.Addr().String(), labels: []string{"a", "r1-1"},
-		capacity: resources{CPU: 16000, MemMB: 65536}, born: time.Now(), controls: controls, up: true,
-		runs: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{}),
+	return next, next.boot(ctx)
+}
+
+func (w *worker) boot(ctx context.Context) error {
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
 	}
+	r := w.rig
+	w.address, w.labels, w.capacity, w.born, w.up = l.Addr().String(), []string{"a", "r1-1"}, resources{CPU: 16000, MemMB: 65536}, time.Now(), true
+	w.runs, w.highest, w.changed = map[string]*taskRun{}, map[string]int{}, make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.handle(w.startRun))
 	mux.HandleFunc("POST /run-stop", w.handle(w.stopRun))
@@ -100,9 +124,23 @@
 	r.mu.Lock()
 	r.workers = append(r.workers, w)
 	r.mu.Unlock()
-	r.rec.printf("%s starts at %s", id, w.address)
+	r.rec.printf("%s boots at %s, born %d", w.id, w.address, w.born.UnixMilli())
 	go w.beat(ctx)
-	return w, nil
+	return nil
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
+// setCut begins or ends the partition of the worker from all control processes.
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+	w.rig.rec.printf("%s is cut off: %t", w.id, cut)
 }
 
 func (w *worker) isUp() bool {
@@ -135,6 +173,10 @@
 		w.mu.Unlock()
 		return true
 	}
+	if w.cut {
+		w.mu.Unlock()
+		return sleep(ctx, time.Second) != nil // No answer comes.
+	}
 	w.sequence++
 	body := w.description()
 	address := w.controls[w.nextIndex%len(w.controls)]
@@ -193,6 +235,9 @@
 	for _, r := range w.runs {
 		r.timer.Stop()
 		w.rig.watch.ended(w.id, r.task, r.run, "worker ended")
+		if r.gang != nil {
+			go r.gang.leave(r, "worker ended")
+		}
 	}
 	clear(w.runs)
 	w.mu.Unlock()
@@ -222,8 +267,11 @@
 	r.timer.Stop()
 	delete(w.runs, r.task)
 	w.lastEnd++
-	w.ends = append(w.ends, end{w.lastEnd, r.task, r.run, how})
+	w.ends = append(w.ends, end{w.lastEnd, r.task, r.run, how, r.checkpoint()})
 	w.rig.watch.ended(w.id, r.task, r.run, how)
+	if r.gang != nil {
+		go r.gang.leave(r, how)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -231,6 +279,10 @@
 // decode reads the body of a call that is meant for this worker.
 func (w *worker) decode(rw http.ResponseWriter, r *http.Request) (order, bool) {
 	o := order{}
+	if w.isCut() {
+		<-r.Context().Done() // The call doesn't arrive.
+		return o, false
+	}
 	if r.Header.Get("X-Hibiscusroute-Target-Instance") != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return o, false
@@ -249,6 +301,10 @@
 		if !ok {
 			return
 		}
+		if r.URL.Path == "/run-start" && w.unanswered != nil && w.unanswered(w, o) {
+			<-r.Context().Done()
+			return
+		}
 		w.mu.Lock()
 		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
 		if w.accept(o) {
@@ -260,6 +316,17 @@
 	}
 }
 
+// carryOutLate carries out a start that got no answer.
+func (w *worker) carryOutLate(o order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+	if w.accept(o) {
+		status, body = w.startRun(o)
+	}
+	w.rig.rec.printf("%s carries out the late start of %s run %d, token %d: %d %v", w.id, o.Task, o.Run, o.FencingToken, status, body)
+}
+
 // accept takes the fencing token and the lease of a call. It returns false if the token is lower than one before. The caller
 // must hold w.mu.
 func (w *worker) accept(o order) bool {
@@ -288,9 +355,14 @@
 	if err := json.Unmarshal([]byte(o.Spec), &s); err != nil {
 		return http.StatusBadRequest, map[string]any{}
 	}
-	r := &taskRun{task: o.Task, run: o.Run, begun: time.Now(), work: time.Duration(s.WorkMS) * time.Millisecond}
+	r := &taskRun{task: o.Task, run: o.Run, work: time.Duration(s.WorkMS) * time.Millisecond, worker: w, timer: time.NewTimer(0)}
 	w.runs[o.Task], w.highest[o.Task] = r, o.Run
 	w.rig.watch.started(w.id, o.Task, o.Run)
+	if s.Gang > 0 {
+		r.gang = w.rig.joinGang(r, s.Gang, o.Checkpoint)
+		return http.StatusOK, map[string]any{}
+	}
+	r.begun = time.Now()
 	r.timer = time.AfterFunc(r.work, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -335,10 +407,10 @@
 	w.mu.Lock()
 	running, ended := []any{}, []any{}
 	for _, r := range w.runs {
-		running = append(running, []any{r.task, r.run, "", 100, 0})
+		running = append(running, []any{r.task, r.run, r.checkpoint(), 100, 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
-		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	body := map[string]any{"clockMs": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended}
 	w.mu.Unlock()
