--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -13,17 +13,18 @@
 	routePrefix = "/plates/"
 	tenantKey   = "k5jw0e9d2mq8x7hs1v3b"
 	serviceName = "desk"
+	maxAttempts = 3
 )
 
 type object = map[string]any
 
 // configuration returns a configuration with a route, a service without a spare pool, and a tenant.
-func configuration(version int) object {
+func configuration() object {
 	return object{
-		"version": version,
+		"version": 1,
 		"routes": []any{object{
 			"name": "r-plates", "host": routeHost, "pathPrefix": routePrefix, "kind": "non_idempotent", "timeoutMs": 3000,
-			"targetLatencyMs": 600, "priority": 0, "service": serviceName, "maxAttempts": 3, "stretch": 1.6, "public": false,
+			"targetLatencyMs": 600, "priority": 0, "service": serviceName, "maxAttempts": maxAttempts, "stretch": 1.6, "public": false,
 		}},
 		"services": []any{object{
 			"name": serviceName, "healthPath": "/healthz", "maxConnections": 64, "protocol": "h1", "tls": false,
--- a/review/rig/deregistration.go
+++ b/review/rig/deregistration.go
@@ -9,7 +9,7 @@
 // runUnconfirmedDeregistration lets a draining worker whose subtask takes longer than its estimate deregister, on a channel
 // that goes silent after the request. The worker calls the next control process a second later, and ends once it gets an answer.
 func runUnconfirmedDeregistration(ctx context.Context, r *rig) error {
-	if err := r.startDeployment(ctx, configuration(1)); err != nil {
+	if err := r.startDeployment(ctx, configuration()); err != nil {
 		return err
 	}
 	var proxies []*proxy
@@ -23,7 +23,7 @@
 	}
 	workers := map[string]*worker{}
 	for i := 1; i <= 3; i++ {
-		w, err := r.startWorker(ctx, fmt.Sprintf("w-%d", i), serviceName, i, addresses)
+		w, err := r.startWorker(ctx, fmt.Sprintf("w-%d", i), i, addresses)
 		if err != nil {
 			return err
 		}
--- a/review/rig/gang.go
+++ b/review/rig/gang.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// gangTimeout is how long a member of a gang waits for the others.
-const gangTimeout = 3 * time.Second
+const (
+	// gangTimeout is how long a member of a gang waits for the others.
+	gangTimeout = 3 * time.Second
+	// startupTime is how long after their start members fail on a worker that fails all that it starts.
+	startupTime = 50 * time.Millisecond
+)
 
 // gang is one run of a gang.
 type gang struct {
@@ -20,6 +24,7 @@
 	members map[*taskRun]bool
 	works   bool
 	over    bool
+	failed  bool
 	from    map[string]bool // checkpoints of the starts
 }
 
@@ -42,6 +47,7 @@
 	if len(g.members) == size && !g.over {
 		g.works = true
 		r.rec.printf("%s works", name)
+		time.AfterFunc(startupTime, g.failAtOnce)
 		time.AfterFunc(t.work, func() { g.finish("done") })
 		return g
 	}
@@ -89,13 +95,50 @@
 	}
 }
 
+// failAtOnce ends the members on workers that fail all that they start, each by itself, and then the others.
+func (g *gang) failAtOnce() {
+	g.mu.Lock()
+	var failing []*taskRun
+	for m := range g.members {
+		if m.worker.isFailing() {
+			failing = append(failing, m)
+		}
+	}
+	if len(failing) == 0 || g.over {
+		g.mu.Unlock()
+		return
+	}
+	g.failed = true
+	g.rig.rec.printf("%s fails", g.name)
+	g.mu.Unlock()
+	for _, m := range failing {
+		m.end("failed")
+	}
+	g.finish("broken")
+}
+
 // leave removes a member that has ended. The others end as broken if they work together.
 func (g *gang) leave(t *taskRun, how string) {
 	g.mu.Lock()
 	delete(g.members, t)
-	works := g.works
+	works := g.works && !g.failed
 	g.mu.Unlock()
 	if how != "done" && works {
 		g.finish("broken")
 	}
 }
+
+// failedGangs returns how many runs of gangs have failed.
+func (r *rig) failedGangs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, g := range r.gangs {
+		g.mu.Lock()
+		if g.failed {
+			n++
+		}
+		g.mu.Unlock()
+	}
+	return n
+}
--- a/review/rig/latestart.go
+++ b/review/rig/latestart.go
@@ -20,7 +20,7 @@
 // runLateStart leaves the start of a long-running subtask without an answer. Its worker is cut off at that moment, crashes
 // behind the cut and starts again under its ID. The start is carried out when the cut has healed.
 func runLateStart(ctx context.Context, r *rig) error {
-	if err := r.startDeployment(ctx, configuration(1)); err != nil {
+	if err := r.startDeployment(ctx, configuration()); err != nil {
 		return err
 	}
 	var addresses []string
@@ -35,7 +35,7 @@
 	}
 	lost := make(chan lostStart, 1)
 	for i := 1; i <= lateStartWorkers; i++ {
-		w, err := r.startWorker(ctx, fmt.Sprintf("w-%d", i), serviceName, i, addresses)
+		w, err := r.startWorker(ctx, fmt.Sprintf("w-%d", i), i, addresses)
 		if err != nil {
 			return err
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,8 @@
 var scenarios = map[string]func(ctx context.Context, r *rig) error{
 	"unconfirmed-deregistration": runUnconfirmedDeregistration,
 	"late-start":                 runLateStart,
+	"gang-on-failing-workers":    runGangOnFailingWorkers,
+	"lost-worker":                runLostWorker,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/watch.go
+++ b/review/rig/watch.go
@@ -76,3 +76,10 @@
 	}
 	return list
 }
+
+// isDone reports whether a run of a subtask has ended done.
+func (w *watch) isDone(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.done[task]
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -37,6 +37,7 @@
 	mu        sync.Mutex
 	up        bool
 	cut       bool      // is partitioned from all control processes
+	fails     bool      // fails all that it starts
 	draining  time.Time // when the drain ends, zero if it doesn't drain
 	sequence  int64
 	token     uint64
@@ -91,8 +92,8 @@
 }
 
 // startWorker starts a worker and its heartbeats.
-func (r *rig) startWorker(ctx context.Context, id, service string, n int, controls []string) (*worker, error) {
-	w := &worker{rig: r, id: id, service: service, address: fmt.Sprintf("%s.4.%d:0", r.network, n), controls: controls}
+func (r *rig) startWorker(ctx context.Context, id string, n int, controls []string) (*worker, error) {
+	w := &worker{rig: r, id: id, service: serviceName, address: fmt.Sprintf("%s.4.%d:0", r.network, n), controls: controls}
 	return w, w.boot(ctx)
 }
 
@@ -245,6 +246,20 @@
 	_ = w.server.Close() // Nobody waits for its answers.
 }
 
+// goDark ends the worker for good, and with it all that runs on it. Nothing answers at its address from then on.
+func (w *worker) goDark() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut, w.up = true, false
+	for _, r := range w.runs {
+		r.timer.Stop()
+		w.rig.watch.ended(w.id, r.task, r.run, "worker lost")
+	}
+	clear(w.runs)
+	w.rig.rec.printf("%s is lost for good, and silent", w.id)
+	w.rig.onStop(func() { _ = w.server.Close() }) // Nobody waits for its answers.
+}
+
 // expire ends all runs once the lease has expired.
 func (w *worker) expire() {
 	for w.isUp() {
@@ -316,6 +331,20 @@
 	}
 }
 
+// setFails makes the worker fail all that it starts, or ends that.
+func (w *worker) setFails(fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fails = fails
+	w.rig.rec.printf("%s fails all that it starts: %t", w.id, fails)
+}
+
+func (w *worker) isFailing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fails
+}
+
 // carryOutLate carries out a start that got no answer.
 func (w *worker) carryOutLate(o order) {
 	w.mu.Lock()
