review: case 9, the loss of one worker stalls a job beside idle workers

A subtask whose start got no answer waits for 13 s and a new list of machines before it starts elsewhere, although the lost worker is gone from the list.

--- a/review/rig/gang.go
+++ b/review/rig/gang.go
@@ -98,19 +98,24 @@
 // failAtOnce ends the members on workers that fail all that they start, each by itself, and then the others.
 func (g *gang) failAtOnce() {
 	g.mu.Lock()
-	var failing []*taskRun
+	var members, failing []*taskRun
 	for m := range g.members {
-		if m.worker.isFailing() {
+		members = append(members, m)
+	}
+	over := g.over
+	g.mu.Unlock()
+	for _, m := range members {
+		if m.worker.isFailing() { // without g.mu, as a start takes both locks in the other order
 			failing = append(failing, m)
 		}
 	}
-	if len(failing) == 0 || g.over {
-		g.mu.Unlock()
+	if len(failing) == 0 || over {
 		return
 	}
+	g.mu.Lock()
 	g.failed = true
-	g.rig.rec.printf("%s fails", g.name)
 	g.mu.Unlock()
+	g.rig.rec.printf("%s fails", g.name)
 	for _, m := range failing {
 		m.end("failed")
 	}
