--- a/review/rig/gang.go
+++ b/review/rig/gang.go
@@ -31,13 +31,13 @@
 // joinGang adds a run to its gang, which works from the moment when all members are present.
 func (r *rig) joinGang(t *taskRun, size int, checkpoint string) *gang {
 	name := fmt.Sprintf("%s run %d", t.task[:strings.LastIndexByte(t.task, '.')], t.run)
-	r.mu.Lock()
+	r.gangMu.Lock()
 	g := r.gangs[name]
 	if g == nil {
 		g = &gang{rig: r, name: name, size: size, members: map[*taskRun]bool{}, from: map[string]bool{}}
 		r.gangs[name] = g
 	}
-	r.mu.Unlock()
+	r.gangMu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members[t], g.from[checkpoint] = true, true
@@ -135,8 +135,8 @@
 
 // failedGangs returns how many runs of gangs have failed.
 func (r *rig) failedGangs() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.gangMu.Lock()
+	defer r.gangMu.Unlock()
 	n := 0
 	for _, g := range r.gangs {
 		g.mu.Lock()
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -35,7 +35,10 @@
 	mu      sync.Mutex
 	workers []*worker
 	closers []func()
-	gangs   map[string]*gang
+
+	// gangMu guards gangs. A worker that holds its own lock takes it.
+	gangMu sync.Mutex
+	gangs  map[string]*gang
 }
 
 func newRig(rec *record, program, dir string, trouble bool) *rig {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -248,6 +249,7 @@
 
 // goDark ends the worker for good, and with it all that runs on it. Nothing answers at its address from then on.
 func (w *worker) goDark() {
+	w.rig.onStop(func() { _ = w.server.Close() }) // Nobody waits for its answers.
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cut, w.up = true, false
@@ -257,7 +259,6 @@
 	}
 	clear(w.runs)
 	w.rig.rec.printf("%s is lost for good, and silent", w.id)
-	w.rig.onStop(func() { _ = w.server.Close() }) // Nobody waits for its answers.
 }
 
 // expire ends all runs once the lease has expired.
@@ -291,6 +292,17 @@
 	w.changed = make(chan struct{})
 }
 
+// finish ends the runs of a job as done.
+func (w *worker) finish(job string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		if strings.HasPrefix(r.task, job) {
+			w.endRun(r, "done")
+		}
+	}
+}
+
 // decode reads the body of a call that is meant for this worker.
 func (w *worker) decode(rw http.ResponseWriter, r *http.Request) (order, bool) {
 	o := order{}
