review: the scripts of the cases read TROUBLE themselves

The stand-ins read it from the environment, so a run.sh showed nothing of it. Each run.sh now passes it on as an argument.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -38,8 +38,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig SCENARIO PROGRAM RECORD")
+	if len(os.Args) != 5 || scenarios[os.Args[1]] == nil || os.Args[4] != "0" && os.Args[4] != "1" {
+		fmt.Fprintln(os.Stderr, "usage: rig SCENARIO PROGRAM RECORD 0|1 (1: with the disruption)")
 		return exitNotRun
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -63,7 +63,7 @@
 		rec.printf("cannot run: %v", err)
 		return exitNotRun
 	}
-	r := newRig(rec, program, dir, os.Getenv("TROUBLE") != "0")
+	r := newRig(rec, program, dir, os.Args[4] == "1")
 	rec.printf("scenario %s, trouble %t", os.Args[1], r.trouble)
 	err = scenarios[os.Args[1]](ctx, r)
 	r.stop()
