workload: a late acknowledgement forgets no end of a later incarnation

Cause: a start and an acknowledgement before it, neither with an answer, had one fencing token, so a later incarnation that nothing else had reached carried out the start, and then the acknowledgement, which forgot the end of that run. On the way back the same: an acknowledgement was sent while a start was in flight (found by reading, TestAcknowledgementWaitsForStartInFlight).

The low 32 bits of the token now rise before a start if an acknowledgement has no answer, so an incarnation that has carried out the start rejects it. As the term stands above them, later leaders need no record of them. No end is acknowledged while a start is in flight. A request that the start overtakes is sent again (TestOvertakenAcknowledgementIsSentAgain).

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -67,6 +67,11 @@
 	r.startInFlight = true
 	r.attempts++
 	r.requestedAt = e.now
+	if s.unansweredAcks > 0 {
+		// A later incarnation that has executed the start must not forget its end.
+		s.startEpoch++
+		s.unansweredAcks = 0
+	}
 	r.ticket = e.advice.ticket(st, s.worker.Number())
 	e.lateStarts.recordSent(s.worker.ID(), r)
 	e.addAction(StartRun{
@@ -126,6 +131,9 @@
 	if s.lastAnswerAt > 0 && h.AckedEnd == 0 && s.ackedEnd < s.worker.LastRecordedEnd() {
 		s.nextRenewalAt = e.now + minRetryDelay // The worker lists these ends again, so it doesn't wait.
 	}
+	if h.AckedEnd > 0 {
+		s.unansweredAcks++
+	}
 	e.addAction(h)
 }
 
@@ -137,7 +145,7 @@
 	}
 	for _, r := range s.runs {
 		// The end of the run may be missing in a list that is full until others are forgotten.
-		if r.doubtful && !r.listed && !s.listFull {
+		if (r.doubtful || r.startInFlight) && !r.listed && !s.listFull {
 			return 0
 		}
 	}
@@ -151,6 +159,12 @@
 	}
 	s.renewalInFlight = false
 	e.markDirty(s)
+	if ev.Request.AckedEnd > 0 && ev.Request.FencingToken == e.tokenFor(s) && ev.Outcome != NoAnswer && !ev.Repeated {
+		s.unansweredAcks--
+	}
+	if e.isOvertaken(s, ev.Outcome, ev.Request.RequestHeader) {
+		return // It is sent again with the higher token.
+	}
 	switch ev.Outcome {
 	case Accepted:
 		e.recordAnswer(s, ev.Answer)
@@ -456,6 +470,10 @@
 	switch ev.Outcome {
 	case Accepted:
 		r.stoppedAt = ev.EndedAt
+	case Fenced:
+		if !e.isOvertaken(s, ev.Outcome, ev.Request.RequestHeader) {
+			r.retryAt = e.now + maxRetryDelay
+		}
 	case OtherIncarnation:
 		// The list of the later incarnation shows whether the run has ended there.
 	case NoAnswer, Unreachable:
--- a/internal/workload/later_incarnation_test.go
+++ b/internal/workload/later_incarnation_test.go
@@ -99,6 +99,67 @@
 	assert.Equal(t, s.done["job.0.0.0"], 1)
 }
 
+// delayFirst lets the first request that matches reach a worker and get its answer only after a delay. It returns the
+// acknowledgements of ends from a number on that are sent until then, and after it.
+func (s *sim) delayFirst(w *fakeWorker, end int64, d time.Duration, matches func(a kernel.Action) bool) (before, after *[]uint64) {
+	before, after = &[]uint64{}, &[]uint64{}
+	delayed, answered := false, false
+	s.intercept = func(a kernel.Action) bool {
+		if ack, ok := a.(workload.RenewLease); ok && ack.AckedEnd >= end {
+			list := before
+			if answered {
+				list = after
+			}
+			*list = append(*list, ack.FencingToken)
+		}
+		if delayed || !matches(a) {
+			return false
+		}
+		delayed = true
+		sent := s.sentAt
+		s.schedule(d, func() {
+			answered = true
+			s.observeAnswer(a, w.answer(w.execute(a, sent), sent))
+		})
+		return true
+	}
+	return before, after
+}
+
+// Guards against an acknowledgement that a later incarnation may get after a start that was in flight when it was sent.
+func TestAcknowledgementWaitsForStartInFlight(t *testing.T) {
+	s, w := newRecordedEndsSim(t, 1)
+	s.submit("p", "second", step(1, 2000, 1000, 1000))
+	s.runUntil(time.Second, func() bool { return len(w.runs) == 1 })
+	s.run(w.runs["second.0.0.0"].endsAt - 50*time.Millisecond - s.now)
+	before, after := s.delayFirst(w, 2, 150*time.Millisecond, func(a kernel.Action) bool {
+		start, ok := a.(workload.StartRun)
+		return ok && start.Name.Job == "job"
+	})
+	s.submit("p", "job", step(1, 2000, 1000, 5000))
+	s.run(300 * time.Millisecond)
+	assert.Equal(t, s.jobState("p", "second"), "completed")
+	assert.Equal(t, len(*before), 0)
+	assert.Equal(t, len(*after), 1)
+}
+
+// Guards against an acknowledgement that is taken for a failure of the worker, because a later start overtakes it.
+func TestOvertakenAcknowledgementIsSentAgain(t *testing.T) {
+	s, w := newRecordedEndsSim(t, 1)
+	s.submit("p", "second", step(1, 2000, 1000, 1000))
+	before, after := s.delayFirst(w, 2, 100*time.Millisecond, func(a kernel.Action) bool {
+		ack, ok := a.(workload.RenewLease)
+		return ok && ack.AckedEnd >= 2
+	})
+	s.runUntil(3*time.Second, func() bool { return len(*before) == 1 })
+	s.submit("p", "job", step(1, 2000, 1000, 5000))
+	s.run(50 * time.Millisecond)
+	assert.Equal(t, len(w.runs), 1)
+	s.run(80 * time.Millisecond)
+	assert.DeepEqual(t, *after, []uint64{w.fencingToken})
+	assert.Assert(t, (*before)[0] < w.fencingToken)
+}
+
 // Guards against a run that is given up although the first copy of its start got no answer, because the second couldn't be
 // sent.
 func TestRepeatedStartIsNotReleased(t *testing.T) {
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -29,8 +29,8 @@
 // RequestHeader is the part that every request to a worker has.
 type RequestHeader struct {
 	Target
-	// FencingToken rises with the term of the leader and with the incarnations of the worker's ID; workers reject requests with
-	// a lower one than they have seen.
+	// FencingToken rises with the term of the leader, with the incarnations of the worker's ID, and between an acknowledgement
+	// without an answer and the next start; workers reject requests with a lower one than they have seen.
 	FencingToken uint64
 	// LeaseExpiryMs is the end of the lease on the worker's clock in milliseconds; 0 grants none.
 	LeaseExpiryMs int64
@@ -122,7 +122,7 @@
 	// Unreachable means that the request was not sent, as the receiver could not be reached.
 	Unreachable
 	Accepted
-	// Fenced means that the receiver has seen a later leader.
+	// Fenced means that the receiver has seen a higher token, of a later leader or of a later request.
 	Fenced
 	// Outdated means that the worker has stopped or ended this run or a later one of the task.
 	Outdated
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -48,6 +48,9 @@
 	// heartbeatDelay is how late a heartbeat may be before an idle worker is asked for its runs, and gets none until it
 	// answers. A worker that is lost while it is idle is noticed before the runs of others that were lost with it restart.
 	heartbeatDelay = 500 * time.Millisecond
+	// startEpochBits is the number of low bits of a fencing token that count the starts after acknowledgements. Tokens stay
+	// exact in a double-precision number for two million terms.
+	startEpochBits = 32
 	// maxMissedHeartbeats is how many heartbeats in a row a worker may miss before it gets no further runs, because its
 	// capacity may have shrunk.
 	maxMissedHeartbeats = 2
@@ -100,10 +103,14 @@
 	renewalSentAt   time.Duration
 	nextRenewalAt   time.Duration
 	ackedEnd        int64 // last recorded end whose acknowledgement reached the worker
-	mustList        bool  // the worker is asked for its runs and ends although no run is assigned
-	endsPending     bool  // an Ends command was proposed and is not applied yet
-	endsProposedAt  time.Duration
-	pendingEnd      int64 // number of the last end of the worker's list in this command, 0 if it has none of them
+	// startEpoch is the part of the fencing token that separates starts from the acknowledgements before them, and
+	// unansweredAcks is the number of these that were sent with the current token and may be carried out later.
+	startEpoch     uint64
+	unansweredAcks int
+	mustList       bool // the worker is asked for its runs and ends although no run is assigned
+	endsPending    bool // an Ends command was proposed and is not applied yet
+	endsProposedAt time.Duration
+	pendingEnd     int64 // number of the last end of the worker's list in this command, 0 if it has none of them
 
 	failures              int
 	failingSince          time.Duration
@@ -264,9 +271,14 @@
 func (e *Engine) tokenFor(s *session) uint64 {
 	token := e.term + s.worker.Predecessors()
 	if s.successorMs > 0 {
-		token++
+		return (token + 1) << startEpochBits
 	}
-	return token
+	return token<<startEpochBits + s.startEpoch
+}
+
+// isOvertaken reports whether the worker rejected a request because one with a higher token of this leader came first.
+func (e *Engine) isOvertaken(s *session, o Outcome, h RequestHeader) bool {
+	return o == Fenced && h.FencingToken < e.tokenFor(s)
 }
 
 // recordFence records that an incarnation has carried out a request of this leader at a time, and so rejects those for earlier
