workload: the runs of a worker that leaves end before their tasks start elsewhere

Cause: a deregistration ended all runs of the worker in the ledger as soon as it was committed, but the worker ends when it has the answer, or seconds later without one.

The worker now stays in the ledger until its runs have ended. They are stopped, get no lease any more, and end when the worker lists that, when the lease has expired, or when nothing listens at its address. Logs of earlier versions keep their meaning.

The simulations send deregistrations as the platform does now.

Ruled out: waiting for the lease alone, as tasks would wait 5 s whenever a worker leaves with runs.

--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -99,7 +99,7 @@
 func encodeAnswer(number uint64, r workload.Reply) *relaypb.Answer {
 	m := &relaypb.Answer{
 		Number: number, Outcome: int32(r.Outcome), ExecutedBy: r.ExecutedBy, Unattributed: r.Unattributed,
-		Repeated: r.Repeated, Closed: r.Closed, ClockMs: r.ClockMs,
+		Repeated: r.Repeated, Closed: r.Closed, Refused: r.Refused, ClockMs: r.ClockMs,
 	}
 	for _, row := range r.Running {
 		m.Running = append(m.Running, &relaypb.Running{
@@ -117,7 +117,7 @@
 func decodeAnswer(m *relaypb.Answer) workload.Reply {
 	r := workload.Reply{Answer: workload.Answer{
 		Outcome: workload.Outcome(m.GetOutcome()), ExecutedBy: m.GetExecutedBy(), Unattributed: m.GetUnattributed(),
-		Repeated: m.GetRepeated(), Closed: m.GetClosed(), ClockMs: m.GetClockMs(),
+		Repeated: m.GetRepeated(), Closed: m.GetClosed(), Refused: m.GetRefused(), ClockMs: m.GetClockMs(),
 	}}
 	if r.Outcome < workload.NoAnswer || r.Outcome > workload.Withheld {
 		// A relay of another version knows outcomes that this one doesn't; the request may have been carried out.
--- a/internal/workload/crash_evidence_test.go
+++ b/internal/workload/crash_evidence_test.go
@@ -170,7 +170,7 @@
 	task := &s.e.State().JobByID("innocent").Occurrences()[0].Steps[0].Tasks[0]
 	assert.Equal(t, len(task.Losses()), 1)
 	s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-		Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs},
+		Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs, Announced: true},
 	}})
 	assert.Equal(t, len(task.Losses()), 0)
 }
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -178,7 +178,7 @@
 	case Withheld:
 		s.nextRenewalAt = e.now + minRetryDelay
 	default:
-		e.recordFailure(s, "hold", ev.Outcome, ev.SentAt+ev.Request.Wait)
+		e.recordFailure(s, "hold", ev.Answer, ev.SentAt+ev.Request.Wait)
 		s.nextRenewalAt = e.now + s.retryDelay()
 	}
 }
@@ -446,7 +446,7 @@
 	case OtherIncarnation:
 		// Either its end was proposed, or the run is stopped at the later incarnation.
 	default:
-		e.recordFailure(s, "start", ev.Outcome, ev.SentAt)
+		e.recordFailure(s, "start", ev.Answer, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
 	}
 }
@@ -477,21 +477,25 @@
 	case OtherIncarnation:
 		// The list of the later incarnation shows whether the run has ended there.
 	case NoAnswer, Unreachable:
-		e.recordFailure(s, "stop", ev.Outcome, ev.SentAt)
+		e.recordFailure(s, "stop", ev.Answer, ev.SentAt)
 		r.retryAt = e.now + s.retryDelay()
 	default:
 		r.retryAt = e.now + maxRetryDelay
 	}
 }
 
-// stopRunsOutlastingDrain stops the runs that can't end before their draining worker leaves, so that they continue
-// elsewhere in time.
+// stopRunsOutlastingDrain stops the runs that can't end before their draining worker leaves, and those of one that has left, so
+// that they continue elsewhere in time.
 func (e *Engine) stopRunsOutlastingDrain(s *session) {
 	if !s.worker.IsDraining() {
 		return
 	}
 	left := s.drainDeadline - e.now
 	for _, r := range s.runs {
+		if s.worker.HasLeft() {
+			r.shouldStop = true
+			continue
+		}
 		step := r.task.Step().Step
 		remaining := time.Duration(step.EstimateMs)*time.Millisecond - (e.now - r.startedAt)
 		if r.startedAt > 0 && (step.Lasting || remaining > left) {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -406,6 +406,13 @@
 		for _, ends := range c.Ends.More {
 			e.handleRecordedEnds(ends)
 		}
+	case *workloadpb.Command_Leave:
+		if w := e.state.WorkerByID(c.Leave.Id); w != nil && w.HasLeft() && c.Leave.Announced {
+			s := e.sessions[w.Number()]
+			e.cfg.Log.Info("stopping the runs of a worker that leaves", "worker", w.ID(), "boot", w.Number(), "runs", len(s.runs),
+				"lease-ends-in", (s.leasesExpireBy - e.now).String())
+			e.markDirty(s)
+		}
 	case *workloadpb.Command_Occur:
 		e.occurrencesProposedAt = 0
 	case *workloadpb.Command_LeaseSuspension:
--- a/internal/workload/faults_test.go
+++ b/internal/workload/faults_test.go
@@ -292,7 +292,7 @@
 	p.logf("leaves: %s", w.m.Id)
 	if !w.unreachable && !w.mute {
 		p.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-			Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs},
+			Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs, Announced: true},
 		}})
 	}
 	w.dead, p.instances[name].Up = true, false
--- a/internal/workload/later_incarnation_test.go
+++ b/internal/workload/later_incarnation_test.go
@@ -234,7 +234,7 @@
 	s.report(later)
 	later.dead = true
 	s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-		Leave: &workloadpb.Leave{Id: later.m.Id, BornMs: later.m.BornMs},
+		Leave: &workloadpb.Leave{Id: later.m.Id, BornMs: later.m.BornMs, Announced: true},
 	}})
 	s.run(8 * time.Second)
 	assert.Assert(t, s.e.State().WorkerByID(later.m.Id) == nil)
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -266,6 +266,9 @@
 		s.endJobIfFinished(t, at)
 	}
 	w.info.Noted = max(w.info.Noted, m.Noted)
+	if w.HasLeft() && len(w.runs) == 0 {
+		s.removeWorker(w, false)
+	}
 	s.markChanged()
 }
 
--- a/internal/workload/ledger/loss.go
+++ b/internal/workload/ledger/loss.go
@@ -93,10 +93,10 @@
 	return isolated >= minIsolatedCrashes && (len(addresses) >= minCrashes || crashes > minCrashes)
 }
 
-// recordLoss records that a worker was lost under one of its runs, before the run is released.
+// recordLoss records that a worker was lost under one of its runs, before the run is released. A worker that has left was not.
 func (s *State) recordLoss(w *Worker, k RunKey) {
 	t := w.runs[k]
-	if t == nil || t.Done || !t.step.Occurrence.Job.IsActive() {
+	if t == nil || w.HasLeft() || t.Done || !t.step.Occurrence.Job.IsActive() {
 		return
 	}
 	i := slices.IndexFunc(t.ActiveRuns, func(a ActiveRun) bool { return a.Run == k.Run && a.Worker == w })
--- a/internal/workload/ledger/worker.go
+++ b/internal/workload/ledger/worker.go
@@ -59,6 +59,9 @@
 // IsDraining reports whether the worker has announced that it leaves.
 func (w *Worker) IsDraining() bool { return w.info.Draining }
 
+// HasLeft reports whether the worker has deregistered while runs were assigned to it. They may go on until it has the answer.
+func (w *Worker) HasLeft() bool { return w.info.Left }
+
 // LastRecordedEnd returns the number of the last recorded end in the list of ends that the worker keeps.
 func (w *Worker) LastRecordedEnd() int64 { return w.info.Noted }
 
@@ -147,6 +150,7 @@
 			m.LeasesEndMs, m.Sequence = w.info.LeasesEndMs, r.Sequence
 			m.Predecessors, m.AssignedSinceMs = w.info.Predecessors, w.info.AssignedSinceMs
 			m.LateStartsEndMs, m.UnansweredStartMs = w.info.LateStartsEndMs, w.info.UnansweredStartMs
+			m.Left = w.info.Left
 			w.info, w.capacity = m, ResourcesOf(m.Capacity)
 			s.markChanged()
 			return
@@ -179,10 +183,16 @@
 
 func (s *State) applyLeave(m *workloadpb.Leave) {
 	if w := s.WorkerByID(m.Id); w != nil && w.info.BornMs == m.BornMs {
-		if !m.Lost {
+		switch {
+		case m.Announced && len(w.runs) > 0:
+			w.info.Draining, w.info.Left = true, true
+			s.markChanged()
+		case m.Lost:
+			s.removeWorker(w, true)
+		default:
 			s.setLateStarts(w)
+			s.removeWorker(w, false)
 		}
-		s.removeWorker(w, m.Lost)
 	}
 	if !m.Lost {
 		s.forgetLosses(m.Id, m.BornMs)
--- a/internal/workload/pinned_task_test.go
+++ b/internal/workload/pinned_task_test.go
@@ -70,7 +70,7 @@
 // leave records that a worker has left by itself.
 func (s *sim) leave(w *fakeWorker) {
 	s.t.Helper()
-	s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs}}})
+	s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs, Announced: true}}})
 }
 
 // Guards against a task that is pinned to a worker which takes no runs, and starts elsewhere while the late start may still be
--- a/internal/workload/port.go
+++ b/internal/workload/port.go
@@ -164,6 +164,8 @@
 	Repeated bool
 	// Closed is set if the request got no answer as its connection was closed, possibly before it was sent.
 	Closed bool
+	// Refused is set if nothing listens at the address of the target any more, so its process has ended.
+	Refused bool
 	// ClockMs is the worker's clock in milliseconds since the incarnation started.
 	ClockMs int64
 	// SentAt and EndedAt are the times of the request and of its end on the leader's monotonic clock.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -294,7 +294,7 @@
 // A request to a worker that doesn't answer must not postpone the time at which its runs are given up.
 func (e *Engine) leaseHeader(s *session) RequestHeader {
 	h := e.requestHeader(s)
-	if !s.clockKnown || s.failures > 0 || s.suspension.active {
+	if !s.clockKnown || s.failures > 0 || s.suspension.active || s.worker.HasLeft() {
 		return h
 	}
 	lease := e.grantedLease()
@@ -341,12 +341,15 @@
 }
 
 // recordFailure records that a request, whose answer was due at a time, failed.
-func (e *Engine) recordFailure(s *session, request string, o Outcome, due time.Duration) {
+func (e *Engine) recordFailure(s *session, request string, a Answer, due time.Duration) {
 	s.failures++
+	if a.Refused && s.worker.HasLeft() {
+		s.leasesExpireBy = min(s.leasesExpireBy, e.now-1)
+	}
 	if s.failures == 1 {
 		s.failingSince, s.unansweredAt = e.now, due
 		e.cfg.Log.Info("request to worker failed", "worker", s.worker.ID(), "boot", s.worker.Number(), "order", request,
-			"outcome", o.String(), "runs", len(s.runs), "lease-ends-in", (s.leasesExpireBy - e.now).String())
+			"outcome", a.Outcome.String(), "runs", len(s.runs), "lease-ends-in", (s.leasesExpireBy - e.now).String())
 	}
 }
 
--- a/internal/workload/waiting_test.go
+++ b/internal/workload/waiting_test.go
@@ -184,7 +184,7 @@
 		if slices.ContainsFunc(slices.Collect(maps.Keys(w.runs)), isLast) {
 			w.dead = true
 			s.call(&workloadpb.Command{Change: &workloadpb.Command_Leave{
-				Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs},
+				Leave: &workloadpb.Leave{Id: w.m.Id, BornMs: w.m.BornMs, Announced: true},
 			}})
 		}
 	}
