workload: long-running tasks await late starts at workers that are cut off

Cause: long-running tasks started elsewhere when the lease was over, though a start of their run was still on its way, as a worker that is lost for good and one that is cut off were taken to look the same. The list of instances tells them apart: up, or down and gone.

Such a task now waits as long as the worker doesn't answer and is listed as up. If an incarnation answers, it starts there, or anywhere if there is no room. For later leaders, the log tells of long-running runs whose only start was carried out.

TestLongRunningTaskAwaitsLateStartBehindCut failed before ("job.0.0.0 runs twice, on w-m-p-1-9200 and on w-m-p-0-0").

Two tests that cut a worker off for good while it is listed as up ask for the run when the wait is over, not after 15 s. The test that long-running tasks don't wait lists the lost worker as down, as the platform does, and has three more variants.

--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -34,6 +34,8 @@
 	proposedResolvedAt time.Duration
 	// checkAt is when starts are to be recorded next.
 	checkAt time.Duration
+	// started holds the long-running runs whose only start was carried out, as a list has shown, until that is in the log.
+	started []*run
 }
 
 // lateStarts tells until when starts for the incarnations of an ID may be carried out late.
@@ -95,6 +97,9 @@
 // resolve notes that a list has shown a run for an ID, and so its only start was carried out, or that the start may still be
 // carried out late, as a list lacks the run or the run has ended otherwise.
 func (t *lateStartTable) resolve(id string, r *run, isListed bool) {
+	if isListed && !r.carriedOut && r.startCopies <= 1 && r.task.Step().Step.Lasting {
+		t.started = append(t.started, r)
+	}
 	r.carriedOut = r.carriedOut || isListed
 	if !r.startUnresolved {
 		return
@@ -116,11 +121,20 @@
 	}
 }
 
+// assignment returns the run as the ledger has it, the zero value if it has ended.
+func (r *run) assignment() ledger.ActiveRun {
+	for _, a := range r.task.ActiveRuns {
+		if a.Run == r.key.Run {
+			return a
+		}
+	}
+	return ledger.ActiveRun{}
+}
+
 // hasRecord reports whether the log has told of starts of the run's worker without an answer since the run was assigned.
 func (r *run) hasRecord() bool {
-	return slices.ContainsFunc(r.task.ActiveRuns, func(a ledger.ActiveRun) bool {
-		return a.Run == r.key.Run && a.Worker.MayRunLate(a)
-	})
+	a := r.assignment()
+	return a.Worker != nil && a.Worker.MayRunLate(a)
 }
 
 // recordSent notes that the start of a run for an ID is sent.
@@ -211,10 +225,10 @@
 	if l.possibleUntil > 0 {
 		r.startCopies = 2
 	}
-	if s.worker.MayRunLate(a) {
+	if s.worker.MayRunLate(a) && !a.HasStarted() {
 		r.lateUntil = l.possibleUntil
 	}
-	if !e.state.IsStartResolved(a) {
+	if !e.state.IsStartResolved(a) && !a.HasStarted() {
 		r.lateUntil = max(r.lateUntil, until)
 	}
 	if r.lateUntil > 0 {
@@ -238,9 +252,31 @@
 // proposeResolvedAssigns tells the next leader of resolved starts if no other command does so.
 func (e *Engine) proposeResolvedAssigns() {
 	t := &e.lateStarts
-	if e.now-t.proposedResolvedAt >= resolvedDelay && e.resolvedAssigns() > t.proposedResolved {
-		e.propose(&workloadpb.Command{Change: &workloadpb.Command_LateStarts{LateStarts: &workloadpb.LateStarts{}}})
+	if e.now-t.proposedResolvedAt < resolvedDelay {
+		return
+	}
+	m := &workloadpb.LateStarts{Started: t.unrecordedStarted(e.now)}
+	if len(m.Started) > 0 || e.resolvedAssigns() > t.proposedResolved {
+		e.propose(&workloadpb.Command{Change: &workloadpb.Command_LateStarts{LateStarts: m}})
+	}
+}
+
+// unrecordedStarted returns the runs of which the log has to tell that their starts were carried out.
+func (t *lateStartTable) unrecordedStarted(now time.Duration) []*workloadpb.StartedRun {
+	t.started = slices.DeleteFunc(t.started, func(r *run) bool {
+		a := r.assignment()
+		return a.Worker == nil || a.HasStarted()
+	})
+	var list []*workloadpb.StartedRun
+	for _, r := range t.started {
+		if r.startedProposedAt == 0 || now-r.startedProposedAt >= proposalTimeout {
+			r.startedProposedAt = now
+			list = append(list, &workloadpb.StartedRun{
+				Subtask: r.key.TaskMessage(), Run: r.key.Run, Worker: r.assignment().Worker.Number(),
+			})
+		}
 	}
+	return list
 }
 
 // lateStartsUntil returns until when the next incarnation on an instance, in a pool, could carry out a late start if it had
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -212,8 +212,12 @@
 	harmless   bool  // the task has proven harmless since the assignment
 	// assignNumber is the number of the Assign command, 0 if it has none.
 	assignNumber uint64
+	started      bool // see HasStarted
 }
 
+// HasStarted reports whether the log tells that the only start of a long-running run was carried out.
+func (r ActiveRun) HasStarted() bool { return r.started }
+
 // RunKey identifies a run of a task.
 type RunKey struct {
 	Job                     uint64
--- a/internal/workload/ledger/late_start.go
+++ b/internal/workload/ledger/late_start.go
@@ -15,8 +15,8 @@
 const lateStartsAfterEnd = MaxRequestDelay + 4*time.Second
 
 // AwaitsLateStarts reports whether tasks of a step wait as long as a start of an ended run may be carried out late.
-// Long-running tasks don't, as they have to run again soon, and speculative ones may run twice.
-func AwaitsLateStarts(step *workloadpb.Step) bool { return !step.Lasting && !step.Speculative }
+// Speculative ones don't, as they may run twice.
+func AwaitsLateStarts(step *workloadpb.Step) bool { return !step.Speculative }
 
 // setLateStart records that a start of a run of a task that has ended on a worker may be carried out late.
 func (s *State) setLateStart(t *Task, w *Worker, end *workloadpb.End) {
@@ -72,6 +72,19 @@
 	}
 }
 
+// recordStarted records that the only start of a run was carried out.
+func (s *State) recordStarted(m *workloadpb.StartedRun) {
+	t := s.findTask(RunKeyOf(m.Subtask, m.Run))
+	if t == nil {
+		return
+	}
+	for i := range t.ActiveRuns {
+		if a := &t.ActiveRuns[i]; a.Run == m.Run && a.Worker.Number() == m.Worker {
+			a.started = true
+		}
+	}
+}
+
 // recordLateStarts records that starts for an ID may be carried out late.
 func (s *State) recordLateStarts(id string, remainingMs int64) {
 	end := s.clockMs + remainingMs
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -53,7 +53,7 @@
 				for _, a := range t.ActiveRuns {
 					tm.Attempts = append(tm.Attempts, &workloadpb.ActiveRun{
 						Run: a.Run, Worker: a.Worker.info.Number, AssignedMs: a.assignedMs, Isolated: a.Isolated,
-						Harmless: a.harmless, AssignNumber: a.assignNumber,
+						Harmless: a.harmless, AssignNumber: a.assignNumber, Started: a.started,
 					})
 				}
 				sm.Subtasks = append(sm.Subtasks, tm)
@@ -118,7 +118,7 @@
 					if w := s.workers[a.Worker]; w != nil {
 						s.assignRun(t, ActiveRun{
 							Run: a.Run, Worker: w, Isolated: a.Isolated, assignedMs: a.AssignedMs, harmless: a.Harmless,
-							assignNumber: a.AssignNumber,
+							assignNumber: a.AssignNumber, started: a.Started,
 						})
 					}
 				}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -225,6 +225,9 @@
 		for _, id := range m.LateStarts.Workers {
 			s.recordUnansweredStarts(id, m.LateStarts.RemainingMs)
 		}
+		for _, r := range m.LateStarts.Started {
+			s.recordStarted(r)
+		}
 	case *workloadpb.Command_LeaseBound:
 		s.leaseTerm, s.leaseMs = c.Term, m.LeaseBound.LeaseMs
 		s.fullLeaseAgeMs = m.LeaseBound.FullLeaseAgeMs
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -8,6 +8,9 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
+// maxPinListAge is the age from which a list of instances tells nothing of a worker that a long-running task is pinned to.
+const maxPinListAge = 2 * time.Second
+
 // noWorker is the pin of a task that may start on no worker.
 const noWorker = "\x00"
 
@@ -49,7 +52,7 @@
 		}
 		id, ok := ids[l]
 		if !ok {
-			id = e.pinnedTo(l)
+			id = e.pinnedTo(l, t)
 			ids[l] = id
 		}
 		return id
@@ -59,14 +62,20 @@
 // pinnedTo returns the ID of the only worker that a task with a late start may start on, because an incarnation with the ID
 // may still carry out that start, or work on its run. A later one with the ID can start the task, as a worker takes runs only
 // once it rejects that start. If the worker seems to lose starts, or is lost again, the task waits instead: two late starts of
-// different runs at one incarnation would both be carried out. The ID is empty if the task may start anywhere.
-func (e *Engine) pinnedTo(l *workloadpb.LateStart) string {
-	if e.isOutOfReach(l) {
+// different runs at one incarnation would both be carried out. The ID is empty if the task may start anywhere. A long-running one,
+// which has to run again soon, waits only while the worker is listed as up and doesn't answer, so that an incarnation that nobody
+// knows may have the ID. If one answers, a long-running task starts on it or, without room there, anywhere.
+func (e *Engine) pinnedTo(l *workloadpb.LateStart, t *ledger.Task) string {
+	step := t.Step().Step
+	if e.isOutOfReach(l) || step.Lasting && e.answersSince(l) && (l.Blocked || step.Gang || !e.hasRoomFor(l, step)) {
 		return ""
 	}
 	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
 	switch {
 	case over <= 0:
+		if step.Lasting && !e.hasLaterIncarnation(l) && !e.mayBeUp(l.Worker, e.now-maxPinListAge) {
+			return ""
+		}
 	case over > worstCaseDuration(e.cfg.MaxLease): // Even a run that started last has ended.
 		return ""
 	case !e.hasLaterIncarnation(l) && !e.mayBeUp(l.Worker, e.now-over) || e.hasListedSince(l.Worker, e.now-over):
@@ -85,6 +94,23 @@
 	return l.LaterKnown || w != nil && (w.StartedMs() > l.StartedMs || e.sessions[w.Number()].successorMs > 0)
 }
 
+// answersSince reports whether the incarnation that a late start was sent to, or a later one that rejects the start, answers and
+// lists only runs that are assigned to it.
+func (e *Engine) answersSince(l *workloadpb.LateStart) bool {
+	w := e.state.WorkerByID(l.Worker)
+	if w == nil || w.StartedMs() < l.StartedMs {
+		return false
+	}
+	s := e.sessions[w.Number()]
+	return s.successorMs == 0 && s.failures == 0 && s.fenced && s.listedAt > 0 && !s.hasUnassignedRuns
+}
+
+// hasRoomFor reports whether the worker that a late start was sent to takes a task of a step at once.
+func (e *Engine) hasRoomFor(l *workloadpb.LateStart, step *workloadpb.Step) bool {
+	w := e.state.WorkerByID(l.Worker)
+	return e.isUsable(e.sessions[w.Number()]) && ledger.RequiredCapacity(step).Within(w.Free())
+}
+
 // mayBeUp reports whether the instance of a worker may be up, by a list of instances that was requested after a time. If there is
 // no such list, one is requested.
 func (e *Engine) mayBeUp(id string, at time.Duration) bool {
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -149,23 +149,25 @@
 	startUnresolved bool          // the only one has no answer, and no list has told yet whether it was carried out
 	unresolvedUntil time.Duration // if startUnresolved, the start may be carried out late until then
 	// lateUntil is until when starts without an answer, as far as they are known, may be carried out; 0 if there are none.
-	lateUntil     time.Duration
-	carriedOut    bool // a list has shown the run
-	startInFlight bool
-	stopInFlight  bool
-	attempts      int
-	requestedAt   time.Duration // its start was last requested
-	unlistedAt    time.Duration // the worker was last asked for a list that lacks the run
-	retryAt       time.Duration
-	startedAt     time.Duration // the worker acknowledged the start
-	shouldStop    bool
-	doubtful      bool          // a request to start it got no answer of this incarnation, so a later one may execute it
-	unattributed  bool          // the answer to its start may be that of a later incarnation
-	repeated      bool          // a request to start it was sent twice
-	givenUp       bool          // its end is or will be proposed, so it must not start
-	harmlessAt    time.Duration // its task was last proposed to be recorded as harmless
-	lost          bool          // was given up because its worker doesn't answer, and may have started
-	stoppedAt     time.Duration // the worker acknowledged the stop
+	lateUntil  time.Duration
+	carriedOut bool // a list has shown the run
+	// startedProposedAt is when it was last proposed to record that the start was carried out.
+	startedProposedAt time.Duration
+	startInFlight     bool
+	stopInFlight      bool
+	attempts          int
+	requestedAt       time.Duration // its start was last requested
+	unlistedAt        time.Duration // the worker was last asked for a list that lacks the run
+	retryAt           time.Duration
+	startedAt         time.Duration // the worker acknowledged the start
+	shouldStop        bool
+	doubtful          bool          // a request to start it got no answer of this incarnation, so a later one may execute it
+	unattributed      bool          // the answer to its start may be that of a later incarnation
+	repeated          bool          // a request to start it was sent twice
+	givenUp           bool          // its end is or will be proposed, so it must not start
+	harmlessAt        time.Duration // its task was last proposed to be recorded as harmless
+	lost              bool          // was given up because its worker doesn't answer, and may have started
+	stoppedAt         time.Duration // the worker acknowledged the stop
 
 	listed         bool
 	lastCheckpoint string
