raft, control: a learner takes the place of a silent voter in one change

Cause: a voter that doesn't answer may only be dark, but its removal takes its disk for the one that may be lost. From the removal to the promotion of the learner, both remaining disks are needed.

REPLACE puts the learner in its place, and until the replaced voter is removed, votes and commits need a quorum of the former voters and one of the next ones. So the loss of any one disk leaves both, once those that are dark are back. If the successor is lost and the voter is back, the successor is removed.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -21,7 +21,11 @@
 	members := v.core.Status().Members
 	v.kernel.Observe(v.now(), maintenance.Redundancy{Full: hasRedundancy(members)})
 	v.trackLostMembers(members)
-	if ch := newMemberPolicy(v.cfg).chooseMemberChange(members, v.missingFor); ch != nil {
+	switch ch := newMemberPolicy(v.cfg).chooseMemberChange(members, v.missingFor); {
+	case ch == nil:
+	case ch.Member.Id == v.core.Status().ID:
+		v.transferLeadership() // A leader doesn't remove itself.
+	default:
 		v.proposeMemberChange(ch)
 	}
 }
@@ -83,14 +87,18 @@
 	return voters > p.targetVoters
 }
 
-// chooseMemberChange returns the next membership change, or nil. It never raises the quorum while a voter is missing: a
-// group of four with a lost voter doesn't tolerate the loss of one more. A lost voter leaves if a learner can take its
-// place, or if the group has more voters than its target, as beside a replacement. Otherwise it stays, so that entries
-// are committed by as many voters as the group needs to tolerate the loss of disks. A removeLostAfter of 0 keeps all lost
-// members, except voters that joined again under the same name.
+// chooseMemberChange returns the next membership change, or nil. A lost voter leaves once a learner has taken its place, or if
+// the group has more voters than its target, as beside a replacement. Otherwise it stays, so that entries are committed by as
+// many voters as the group needs to tolerate the loss of disks. The learner takes the place of the lost voter in one change: the
+// voter may only be dark, and another voter, or the learner, may just have lost its disk, so neither a group without the lost
+// voter nor one with both may be left without a quorum for good. A removeLostAfter of 0 keeps all lost members, except voters
+// that joined again under the same name.
 func (p memberPolicy) chooseMemberChange(
 	members []raft.MemberStatus, missingFor func(id string) time.Duration,
 ) *raftpb.MemberChange {
+	if ch := p.chooseEndOfReplacement(members, missingFor); ch != nil {
+		return ch
+	}
 	learner := findCaughtUpLearner(members)
 	voters := 0
 	var lost *raftpb.Member     // the voter that has been missing for the longest time
@@ -117,13 +125,42 @@
 	if replaced != nil {
 		return removal(replaced)
 	}
-	mayLeave := learner != nil || p.hasSurplus(voters)
-	if p.removeLostAfter > 0 && lost != nil && mayLeave && missingFor(lost.Id) >= p.removeLostAfter {
-		return removal(lost)
+	if p.removeLostAfter > 0 && lost != nil && missingFor(lost.Id) >= p.removeLostAfter {
+		switch {
+		case p.hasSurplus(voters):
+			return removal(lost)
+		case learner != nil:
+			return &raftpb.MemberChange{
+				Kind: raftpb.ChangeKind_CHANGE_KIND_REPLACE, Member: learner, Replaced: lost.Id,
+			}
+		}
 	}
 	return p.chooseLearnerRemoval(members, missingFor)
 }
 
+// chooseEndOfReplacement returns the removal that ends the replacement of a voter, nil if none is being replaced: of that voter,
+// or of its successor if that one is lost and the voter is back.
+func (p memberPolicy) chooseEndOfReplacement(
+	members []raft.MemberStatus, missingFor func(id string) time.Duration,
+) *raftpb.MemberChange {
+	var joining, leaving raft.MemberStatus
+	for _, m := range members {
+		switch {
+		case m.Member.Joining:
+			joining = m
+		case m.Member.Leaving:
+			leaving = m
+		}
+	}
+	switch {
+	case leaving.Member == nil:
+		return nil
+	case joining.Member != nil && leaving.CaughtUp && missingFor(joining.Member.Id) >= p.removeLostAfter:
+		return removal(joining.Member)
+	}
+	return removal(leaving.Member)
+}
+
 // chooseLearnerRemoval returns the removal of a learner that is lost, or nil.
 func (p memberPolicy) chooseLearnerRemoval(
 	members []raft.MemberStatus, missingFor func(id string) time.Duration,
@@ -140,7 +177,7 @@
 func (p memberPolicy) mayLeave(members []raft.MemberStatus, id string) bool {
 	voters, caughtUpOthers, member := 0, 0, false
 	for _, m := range members {
-		if !m.Member.Voter {
+		if !m.Member.Voter || m.Member.Leaving {
 			continue
 		}
 		voters++
--- a/internal/control/membership_sim_test.go
+++ b/internal/control/membership_sim_test.go
@@ -371,7 +371,11 @@
 		}
 		return 0
 	}
-	if ch := s.policy.chooseMemberChange(members, missingFor); ch != nil {
+	switch ch := s.policy.chooseMemberChange(members, missingFor); {
+	case ch == nil:
+	case ch.Member.Id == m.id:
+		s.transfer(m)
+	default:
 		s.propose(m, ch)
 	}
 }
@@ -386,8 +390,13 @@
 	var list []string
 	for _, ms := range c.Status().Members {
 		text := ms.Member.Id
-		if !ms.Member.Voter {
+		switch {
+		case !ms.Member.Voter:
 			text += " (learner)"
+		case ms.Member.Joining:
+			text += " (joining)"
+		case ms.Member.Leaving:
+			text += " (leaving)"
 		}
 		list = append(list, text)
 	}
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -14,8 +14,8 @@
 	return raft.MemberStatus{Member: &raftpb.Member{Id: "id-" + name, Name: name, Voter: true}, CaughtUp: caughtUp}
 }
 
-// Guards against a quorum that is raised while a voter is missing, against a lost voter that counts longer than its
-// replacement needs, against a group that grows by voters that are gone, and against the removal of a voter that is only
+// Guards against a quorum that is raised while a voter is missing, against a lost voter that leaves before its replacement is a
+// voter or counts longer than that one needs, against a group that grows by voters that are gone, and against the removal of a voter that is only
 // restarting, and against learners that are gone and stay.
 func TestChooseMemberChange(t *testing.T) {
 	learner := func(id, name string, caughtUp bool) raft.MemberStatus {
@@ -24,6 +24,13 @@
 	ready, behind := learner("id-n", "n", true), learner("id-n", "n", false)
 	a, b, c, d, e := voterStatus("a", true), voterStatus("b", true), voterStatus("c", true), voterStatus("d", true), voterStatus("e", true)
 	lostA, lostB := voterStatus("a", false), voterStatus("b", false)
+	leavingA, backA := voterStatus("a", false), voterStatus("a", true)
+	leavingA.Member.Leaving, backA.Member.Leaving = true, true
+	joining := func(caughtUp bool) raft.MemberStatus {
+		m := voterStatus("n", caughtUp)
+		m.Member.Id, m.Member.Joining = "id-b", true // missing for missingB
+		return m
+	}
 	const removeLostAfter = time.Second
 	tests := []struct {
 		name            string
@@ -40,14 +47,26 @@
 		{"restart", []raft.MemberStatus{lostA, b, c}, time.Minute, 0, removeLostAfter, 3, ""},
 		{"short absence beside a learner", []raft.MemberStatus{lostA, b, c, ready}, 900 * time.Millisecond, 0, removeLostAfter, 3,
 			""},
-		{"replacement", []raft.MemberStatus{lostA, b, c, ready}, time.Second, 0, removeLostAfter, 3, "remove id-a"},
+		{"replacement", []raft.MemberStatus{lostA, b, c, ready}, time.Second, 0, removeLostAfter, 3, "replace id-a by id-n"},
 		{"replacement that is not caught up", []raft.MemberStatus{lostA, b, c, behind}, time.Minute, 0, removeLostAfter, 3, ""},
 		{"after the removal", []raft.MemberStatus{b, c, ready}, 0, 0, removeLostAfter, 3, "promote id-n"},
 		{"replacement that came first", []raft.MemberStatus{lostA, b, c, d}, time.Second, 0, removeLostAfter, 3, "remove id-a"},
 		{"short absence in an even group", []raft.MemberStatus{lostA, b, c, d}, 900 * time.Millisecond, 0, removeLostAfter, 3,
 			""},
 		{"two replacements, first", []raft.MemberStatus{lostA, lostB, c, d, e, ready}, 2 * time.Second, 3 * time.Second,
-			removeLostAfter, 5, "remove id-b"},
+			removeLostAfter, 5, "replace id-b by id-n"},
+		{"replaced voter", []raft.MemberStatus{leavingA, b, c, joining(true)}, 2 * time.Second, 0, removeLostAfter, 3, "remove id-a"},
+		{"replaced voter that is back", []raft.MemberStatus{backA, b, c, joining(true)}, 0, 0, removeLostAfter, 3, "remove id-a"},
+		{"replaced voter beside another learner", []raft.MemberStatus{leavingA, b, c, joining(true), ready}, 2 * time.Second, 0,
+			removeLostAfter, 3, "remove id-a"},
+		{"replaced voter and its lost successor", []raft.MemberStatus{leavingA, b, c, joining(false)}, 2 * time.Second,
+			2 * time.Second, removeLostAfter, 3, "remove id-a"},
+		{"replaced voter that is back, and its lost successor", []raft.MemberStatus{backA, b, c, joining(false)}, 0, 2 * time.Second,
+			removeLostAfter, 3, "remove id-b"},
+		{"replaced voter that is back, and its restarting successor", []raft.MemberStatus{backA, b, c, joining(false)}, 0,
+			900 * time.Millisecond, removeLostAfter, 3, "remove id-a"},
+		{"two replacements, short absences", []raft.MemberStatus{lostA, lostB, c, d, e, ready}, 900 * time.Millisecond,
+			800 * time.Millisecond, removeLostAfter, 5, ""},
 		{"two replacements, promotion", []raft.MemberStatus{lostA, c, d, e, ready}, 2 * time.Second, 0, removeLostAfter, 5,
 			"promote id-n"},
 		{"no replacement", []raft.MemberStatus{lostA, b, c, d, e}, time.Minute, 0, removeLostAfter, 5, ""},
@@ -88,6 +107,7 @@
 			if ch := policy.chooseMemberChange(test.members, missingFor); ch != nil {
 				got = map[raftpb.ChangeKind]string{
 					raftpb.ChangeKind_CHANGE_KIND_PROMOTE: "promote ", raftpb.ChangeKind_CHANGE_KIND_REMOVE: "remove ",
+					raftpb.ChangeKind_CHANGE_KIND_REPLACE: "replace " + ch.Replaced + " by ",
 				}[ch.Kind] + ch.Member.Id
 			}
 			assert.Equal(t, got, test.want)
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+import (
+	"slices"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
+)
 
 // hasActiveLeader reports whether this member leads or heard from a leader within the minimum election timeout.
 // Requests for votes are ignored then unless they belong to a leadership transfer, because an election would only
@@ -113,22 +117,15 @@
 }
 
 func (c *Core) countVotes() {
-	granted, rejected := 0, 0
-	for _, m := range c.members {
-		if v, ok := c.votes[m.Id]; m.Voter && ok {
-			if v {
-				granted++
-			} else {
-				rejected++
-			}
-		}
-	}
-	switch q := c.quorum(); {
-	case granted >= q && c.role == PreCandidate:
+	isRejected := slices.ContainsFunc(voterSets(c.members), func(set []*raftpb.Member) bool {
+		return countMembers(set, func(id string) bool { v, ok := c.votes[id]; return ok && !v }) >= Quorum(len(set))
+	})
+	switch isGranted := isQuorum(c.members, func(id string) bool { return c.votes[id] }); {
+	case isGranted && c.role == PreCandidate:
 		c.campaign(Candidate, false)
-	case granted >= q:
+	case isGranted:
 		c.becomeLeader()
-	case rejected >= q:
+	case isRejected:
 		c.becomeFollower(c.term, "")
 	}
 }
@@ -144,15 +141,7 @@
 }
 
 // hasActiveQuorum reports whether the leader heard from a quorum of voters within the minimum election timeout.
-func (c *Core) hasActiveQuorum() bool {
-	n := 0
-	for _, m := range c.members {
-		if m.Voter && c.isActive(m.Id) {
-			n++
-		}
-	}
-	return n >= c.quorum()
-}
+func (c *Core) hasActiveQuorum() bool { return isQuorum(c.members, c.isActive) }
 
 // TransferLeadership transfers the leadership to a voter as soon as that voter has the whole log. Until then, and for
 // at most the minimum election timeout, proposals are rejected.
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -27,36 +27,78 @@
 
 func isMemberChange(e *raftpb.Entry) bool { return e.Type == raftpb.EntryType_ENTRY_TYPE_MEMBER_CHANGE }
 
-func countVoters(members []*raftpb.Member) int {
+// Quorum returns how many voters of a group decide.
+func Quorum(voters int) int { return voters/2 + 1 }
+
+// voterSets returns the sets of voters of which a quorum is needed each: the voters, and two sets while one of them is being
+// replaced.
+func voterSets(members []*raftpb.Member) [][]*raftpb.Member {
+	var former, next []*raftpb.Member
+	for _, m := range members {
+		if m.Voter && !m.Joining {
+			former = append(former, m)
+		}
+		if m.Voter && !m.Leaving {
+			next = append(next, m)
+		}
+	}
+	if findReplaced(members) == nil {
+		return [][]*raftpb.Member{next}
+	}
+	return [][]*raftpb.Member{former, next}
+}
+
+// findReplaced returns the voter that is being replaced, nil if there is none.
+func findReplaced(members []*raftpb.Member) *raftpb.Member {
+	if i := slices.IndexFunc(members, func(m *raftpb.Member) bool { return m.Leaving }); i >= 0 {
+		return members[i]
+	}
+	return nil
+}
+
+// isQuorum reports whether the members that a condition holds for are a quorum of each set of voters.
+func isQuorum(members []*raftpb.Member, holds func(id string) bool) bool {
+	for _, set := range voterSets(members) {
+		if countMembers(set, holds) < Quorum(len(set)) {
+			return false
+		}
+	}
+	return true
+}
+
+func countMembers(members []*raftpb.Member, holds func(id string) bool) int {
 	n := 0
 	for _, m := range members {
-		if m.Voter {
+		if holds(m.Id) {
 			n++
 		}
 	}
 	return n
 }
 
-// Quorum returns how many voters of a group decide.
-func Quorum(voters int) int { return voters/2 + 1 }
-
-func (c *Core) quorum() int { return Quorum(countVoters(c.members)) }
-
 // applyMemberChange returns the membership after the change, and leaves members as it is.
 func applyMemberChange(members []*raftpb.Member, ch *raftpb.MemberChange) []*raftpb.Member {
 	id := ch.Member.GetId()
+	removed := findMember(members, id)
+	endsReplacement := ch.Kind == raftpb.ChangeKind_CHANGE_KIND_REMOVE && (removed.GetJoining() || removed.GetLeaving())
 	list := make([]*raftpb.Member, 0, len(members)+1)
 	for _, m := range members {
+		m = proto.CloneOf(m)
+		if endsReplacement {
+			m.Joining, m.Leaving = false, false
+		}
 		if m.Id != id {
+			m.Leaving = m.Leaving || ch.Kind == raftpb.ChangeKind_CHANGE_KIND_REPLACE && m.Id == ch.Replaced
 			list = append(list, m)
 			continue
 		}
-		m = proto.CloneOf(m)
 		switch ch.Kind {
 		case raftpb.ChangeKind_CHANGE_KIND_REMOVE:
 			continue
 		case raftpb.ChangeKind_CHANGE_KIND_PROMOTE:
 			m.Voter = true
+		case raftpb.ChangeKind_CHANGE_KIND_REPLACE:
+			m.Voter, m.Joining = true, true
 		case raftpb.ChangeKind_CHANGE_KIND_UPDATE:
 			m.Name, m.Address, m.AvailabilityZone = ch.Member.Name, ch.Member.Address, ch.Member.AvailabilityZone
 		}
@@ -64,7 +106,7 @@
 	}
 	if ch.Kind == raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER && findMember(members, id) == nil {
 		m := proto.CloneOf(ch.Member)
-		m.Voter = false
+		m.Voter, m.Joining, m.Leaving = false, false, false
 		list = append(list, m)
 	}
 	return sortedMembers(list)
@@ -142,11 +184,16 @@
 	if id == "" || m == nil && ch.Kind != raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER {
 		return ErrInvalid.New("no member %q", id)
 	}
+	if findReplaced(c.members) != nil && changesVoters(m, ch) && !m.Joining && !m.Leaving {
+		return ErrBusy.New("a voter is being replaced")
+	}
 	switch ch.Kind {
 	case raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER:
 		if m != nil {
 			return ErrInvalid.New("member %s is already part of the group", id)
 		}
+	case raftpb.ChangeKind_CHANGE_KIND_REPLACE:
+		return c.checkReplacement(m, ch)
 	case raftpb.ChangeKind_CHANGE_KIND_PROMOTE:
 		if m.Voter {
 			return ErrInvalid.New("member %s is already a voter", id)
@@ -163,6 +210,32 @@
 	return nil
 }
 
+// changesVoters reports whether a change of a member is one of the voters.
+func changesVoters(m *raftpb.Member, ch *raftpb.MemberChange) bool {
+	switch ch.Kind {
+	case raftpb.ChangeKind_CHANGE_KIND_PROMOTE, raftpb.ChangeKind_CHANGE_KIND_REPLACE:
+		return true
+	case raftpb.ChangeKind_CHANGE_KIND_REMOVE:
+		return m.Voter
+	}
+	return false
+}
+
+func (c *Core) checkReplacement(m *raftpb.Member, ch *raftpb.MemberChange) error {
+	replaced := findMember(c.members, ch.Replaced)
+	switch {
+	case m.Voter:
+		return ErrInvalid.New("member %s is already a voter", m.Id)
+	case replaced == nil || !replaced.Voter:
+		return ErrInvalid.New("no voter %q", ch.Replaced)
+	case replaced.Id == c.cfg.ID:
+		return ErrInvalid.New("member %s leads; transfer the leadership before its replacement", replaced.Id)
+	case !c.isCaughtUp(m.Id) || !isQuorum(applyMemberChange(c.members, ch), c.isCaughtUp):
+		return ErrNotCaughtUp.New("too few voters are caught up to replace %s by %s", replaced.Id, m.Id)
+	}
+	return nil
+}
+
 func (c *Core) checkRemoval(m *raftpb.Member, force bool) error {
 	if !m.Voter {
 		return nil
@@ -185,9 +258,10 @@
 			caughtUp++
 		}
 	}
-	// The removal of a voter that is missing itself never costs redundancy, as long as the others have a quorum.
+	// The removal of a voter that is missing itself never costs redundancy, as long as the others have a quorum. The same holds for
+	// one that ends a replacement, which leaves one set of voters of two.
 	required := remaining
-	if !c.isCaughtUp(m.Id) {
+	if !c.isCaughtUp(m.Id) || m.Joining || m.Leaving {
 		required = remaining/2 + 1
 	}
 	if caughtUp < required {
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -139,9 +139,12 @@
 		_ = n.core.ReadIndex(read)
 	case action < 193:
 		target := s.ids[s.random.IntN(len(s.ids))]
-		kind := raftpb.ChangeKind(1 + s.random.IntN(4))
+		kind := raftpb.ChangeKind(1 + s.random.IntN(5))
 		force := s.random.IntN(2) == 0 // safety must hold also for forced removals
-		_, _ = n.core.ProposeMemberChange(&raftpb.MemberChange{Kind: kind, Member: &raftpb.Member{Id: target}, Force: force})
+		replaced := s.ids[s.random.IntN(len(s.ids))]
+		_, _ = n.core.ProposeMemberChange(&raftpb.MemberChange{
+			Kind: kind, Member: &raftpb.Member{Id: target}, Force: force, Replaced: replaced,
+		})
 	case action < 196:
 		_ = n.core.TransferLeadership(s.ids[s.random.IntN(len(s.ids))])
 	case action < 198:
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math"
 	"slices"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/raft/raftpb"
@@ -181,14 +182,16 @@
 
 // quorumValue returns the highest value that a quorum of voters has reached, such as the highest match index.
 func (c *Core) quorumValue(value func(p *progress) uint64) uint64 {
-	var values []uint64
-	for _, m := range c.members {
-		if m.Voter {
+	lowest := uint64(math.MaxUint64)
+	for _, set := range voterSets(c.members) {
+		values := make([]uint64, 0, len(set))
+		for _, m := range set {
 			values = append(values, value(c.progress[m.Id]))
 		}
+		slices.Sort(values)
+		lowest = min(lowest, values[len(values)-Quorum(len(set))])
 	}
-	slices.Sort(values)
-	return values[len(values)-c.quorum()]
+	return lowest
 }
 
 func (c *Core) commitTo(index uint64) { c.commitIndex = max(c.commitIndex, index) }
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -335,3 +335,57 @@
 	assert.Equal(t, len(l.Status().Members), 5)
 	assert.Equal(t, w.nodes["m7"].state, w.nodes[l.cfg.ID].state)
 }
+
+// Guards against a replacement that one set of voters decides alone: the former ones may elect another leader than the next ones.
+func TestReplacementNeedsBothQuorums(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// silent are the members that answer nothing: the replaced voter, the other one, and the successor.
+		replaced, other, successor bool
+		commits                    bool
+	}{
+		{"all answer", false, false, false, true},
+		{"without the replaced voter", true, false, false, true},
+		{"without the successor", false, false, true, true},
+		{"without both", true, false, true, true},
+		{"without the other voter", false, true, false, true},
+		{"without a quorum of the former voters", true, true, false, false},
+		{"without a quorum of the next voters", false, true, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newNetwork(t, 3)
+			l := w.waitForLeader()
+			replaced := w.otherMember(l.cfg.ID)
+			other := w.otherMember(l.cfg.ID, replaced)
+			const successor = "m9"
+			change := func(kind raftpb.ChangeKind, id, replaced string) error {
+				_, err := l.ProposeMemberChange(&raftpb.MemberChange{
+					Kind: kind, Member: &raftpb.Member{Id: id, Name: id, Address: "127.0.0.1:2"}, Replaced: replaced,
+				})
+				return err
+			}
+			w.addNode(successor, PersistentState{Snapshot: &Snapshot{Meta: &raftpb.SnapshotMeta{}}})
+			assert.NilError(t, change(raftpb.ChangeKind_CHANGE_KIND_ADD_LEARNER, successor, ""))
+			w.tick(5)
+			silent := map[string]bool{replaced: tt.replaced, other: tt.other, successor: tt.successor}
+			w.drop = func(m *raftpb.Message) bool { return silent[m.From] || silent[m.To] }
+			replace := raftpb.ChangeKind_CHANGE_KIND_REPLACE
+			assert.Assert(t, errorx.IsOfType(change(replace, successor, l.cfg.ID), ErrInvalid))
+			assert.NilError(t, change(replace, successor, replaced))
+			index := l.log.lastIndex()
+			w.deliverAll()
+			assert.Equal(t, l.commitIndex >= index, tt.commits)
+			assert.Assert(t, errorx.IsOfType(change(raftpb.ChangeKind_CHANGE_KIND_REMOVE, other, ""), ErrBusy))
+			w.heal()
+			w.tick(20)
+			l = w.waitForLeader()
+			assert.NilError(t, change(raftpb.ChangeKind_CHANGE_KIND_REMOVE, replaced, ""))
+			w.deliverAll()
+			w.tick(5)
+			for _, m := range l.Status().Members {
+				assert.Assert(t, m.Member.Voter && !m.Member.Joining && !m.Member.Leaving && m.Member.Id != replaced, m.Member.Id)
+			}
+			assert.Equal(t, len(l.Status().Members), 3)
+		})
+	}
+}
