workload: runs that no list has shown may be of an incarnation nobody knows

Cause: the answer to a start names no incarnation and counted as that of the one that it was meant for. A later one that had carried it out, and was cut off before it sent a heartbeat or a list, held a lease of the longest time by its own clock, while the leader gave the run up by the 4.8 s that it had granted. The log couldn't tell that from a lost worker; it has a line for it now.

If such a run is given up with its worker, its task waits for the longest lease, unless the instance is listed as down or gone or a list lacks the run. Commands tell later leaders which runs have been listed.

For it, renewals in the simulation wait at a later incarnation as they do at workers, and an instance whose worker has crashed is listed as down. Reproduced in the simulation only, so that the users saw this course is likely and not shown.

Ruled out: the longest lease for the whole worker; a list after each start.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -195,7 +195,7 @@
 		if ok {
 			ended[k] = true
 			if r := s.runs[k]; r != nil {
-				e.lateStarts.resolve(s.worker.ID(), r, true)
+				e.lateStarts.noteListed(s.worker.ID(), r)
 				r.startedAt = max(r.startedAt, 1) // The start isn't repeated until the end is recorded.
 			}
 		}
@@ -234,7 +234,7 @@
 			continue
 		}
 		listed[k] = true
-		e.lateStarts.resolve(s.worker.ID(), r, true)
+		e.lateStarts.noteListed(s.worker.ID(), r)
 		r.inherited, r.unattributed, r.listed = false, false, true
 		if r.startedAt == 0 {
 			r.startedAt = ev.EndedAt
@@ -296,7 +296,7 @@
 	m.LateStartsRemainingMs = e.unrecordedLateStarts(s).Milliseconds()
 	for _, end := range m.Ends {
 		if r := s.runs[ledger.RunKeyOf(end.Subtask, end.Run)]; r != nil && end.How != workloadpb.How_HOW_DONE {
-			end.LateStartRemainingMs = e.remainingLateStart(r).Milliseconds()
+			end.LateStartRemainingMs = e.remainingLateStart(s, r).Milliseconds()
 			end.LaterKnown = s.successorMs > 0
 			end.StartIgnored = end.How == workloadpb.How_HOW_LOST && s.lastAnswerAt > r.requestedAt+overdueAfter
 		}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -212,7 +212,8 @@
 }
 
 func (e *Engine) addCommand(m *workloadpb.Command) {
-	m.Term, m.SteadyMs, m.ResolvedAssigns = e.term, e.now.Milliseconds(), e.resolvedAssigns()
+	m.Term, m.SteadyMs = e.term, e.now.Milliseconds()
+	m.ResolvedAssigns, m.ListedAssigns = e.lastAssignBefore(e.lateStarts.open), e.lastAssignBefore(e.lateStarts.unlisted)
 	e.lateStarts.proposedResolved, e.lateStarts.proposedResolvedAt = m.ResolvedAssigns, e.now
 	c, err := kernel.NewCommand(Name, "", m)
 	if err != nil {
@@ -488,7 +489,7 @@
 			for _, r := range s.runs {
 				e.logLateStart(s, r, "incarnation-ended")
 				e.lateStarts.resolve(s.worker.ID(), r, false)
-				delete(e.lateStarts.open, r)
+				e.lateStarts.forget(r)
 			}
 			e.cfg.Log.Info("incarnation of a worker ended", "worker", s.worker.ID(), "boot", n)
 		}
--- a/internal/workload/late_start.go
+++ b/internal/workload/late_start.go
@@ -27,8 +27,9 @@
 // executes them as long as it has got no request of its own.
 type lateStartTable struct {
 	byID map[string]*lateStarts
-	// open holds the runs with a start that may be on its way without a record of it.
-	open map[*run]bool
+	// open holds the runs with a start that may be on its way without a record of it, unlisted those that their incarnation has not
+	// listed.
+	open, unlisted map[*run]bool
 	// proposedResolved is the last number that a command has told of the others, at proposedResolvedAt.
 	proposedResolved   uint64
 	proposedResolvedAt time.Duration
@@ -97,9 +98,6 @@
 // resolve notes that a list has shown a run for an ID, and so its only start was carried out, or that the start may still be
 // carried out late, as a list lacks the run or the run has ended otherwise.
 func (t *lateStartTable) resolve(id string, r *run, isListed bool) {
-	if isListed && !r.carriedOut && r.startCopies <= 1 && r.task.Step().Step.Lasting {
-		t.started = append(t.started, r)
-	}
 	r.carriedOut = r.carriedOut || isListed
 	if !r.startUnresolved {
 		return
@@ -114,6 +112,15 @@
 	t.extend(id, r.unresolvedUntil)
 }
 
+// noteListed notes that the incarnation that a run is assigned to has listed it.
+func (t *lateStartTable) noteListed(id string, r *run) {
+	if !r.carriedOut && r.startCopies <= 1 && r.task.Step().Step.Lasting {
+		t.started = append(t.started, r)
+	}
+	delete(t.unlisted, r)
+	t.resolve(id, r, true)
+}
+
 // closeRecorded notes that no start of a run is on its way without a record of it, if that is so.
 func (t *lateStartTable) closeRecorded(id string, r *run) {
 	if r.lateUntil == 0 || r.lateUntil <= t.of(id).recordedUntil && r.hasRecord() {
@@ -183,10 +190,19 @@
 	return until
 }
 
+// mayBeOfSuccessor reports whether a later incarnation may have answered the start of the run, as no list has shown it.
+func (r *run) mayBeOfSuccessor() bool { return r.unattributed && !r.carriedOut }
+
 // logLateStart writes a line on a run that ends while a start of it may still be carried out.
 func (e *Engine) logLateStart(s *session, r *run, kind string) {
 	until := r.lateStartUntil(e.now)
 	if until == 0 {
+		if r.mayBeOfSuccessor() {
+			e.cfg.IncrementCounter("hibiscusroute_runs_ended_before_late_starts_total", "kind", "unlisted")
+			e.cfg.Log.Info("run ended that a later incarnation may have started", "worker", s.worker.ID(), "boot", s.worker.Number(),
+				"kind", kind, "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.name.Run,
+				"answers", s.failures == 0, "replaced", s.successorMs > 0)
+		}
 		return
 	}
 	e.cfg.IncrementCounter("hibiscusroute_runs_ended_before_late_starts_total", "kind", kind)
@@ -208,7 +224,7 @@
 
 // inheritLateStarts takes over what earlier leaders recorded.
 func (e *Engine) inheritLateStarts() {
-	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}, open: map[*run]bool{}}
+	e.lateStarts = lateStartTable{byID: map[string]*lateStarts{}, open: map[*run]bool{}, unlisted: map[*run]bool{}}
 	for id, endMs := range e.state.LateStarts() {
 		until := e.now + millis(endMs-e.state.Clock())
 		*e.lateStarts.of(id) = lateStarts{possibleUntil: until}
@@ -231,6 +247,10 @@
 	if !e.state.IsStartResolved(a) && !a.HasStarted() {
 		r.lateUntil = max(r.lateUntil, until)
 	}
+	r.unattributed = !e.state.IsListed(a)
+	if !r.unattributed {
+		delete(e.lateStarts.unlisted, r)
+	}
 	if r.lateUntil > 0 {
 		e.lateStarts.mustRecord(l, r.lateUntil)
 	} else {
@@ -239,14 +259,19 @@
 	e.lateStarts.addUnresolved(id, r, until)
 }
 
-// resolvedAssigns returns the last number of an Assign command such that no start of its runs, and of those of the commands
-// before, is on its way without a record of it.
-func (e *Engine) resolvedAssigns() uint64 {
-	resolved := max(e.term<<assignNumberBits, e.lastAssign)
-	for r := range e.lateStarts.open {
-		resolved = min(resolved, max(r.assignNumber, 1)-1)
+// lastAssignBefore returns the last number of an Assign command before those of the given runs.
+func (e *Engine) lastAssignBefore(runs map[*run]bool) uint64 {
+	last := max(e.term<<assignNumberBits, e.lastAssign)
+	for r := range runs {
+		last = min(last, max(r.assignNumber, 1)-1)
 	}
-	return resolved
+	return last
+}
+
+// forget removes a run that has ended.
+func (t *lateStartTable) forget(r *run) {
+	delete(t.open, r)
+	delete(t.unlisted, r)
 }
 
 // proposeResolvedAssigns tells the next leader of resolved starts if no other command does so.
@@ -256,7 +281,7 @@
 		return
 	}
 	m := &workloadpb.LateStarts{Started: t.unrecordedStarted(e.now)}
-	if len(m.Started) > 0 || e.resolvedAssigns() > t.proposedResolved {
+	if len(m.Started) > 0 || e.lastAssignBefore(t.open) > t.proposedResolved {
 		e.propose(&workloadpb.Command{Change: &workloadpb.Command_LateStarts{LateStarts: m}})
 	}
 }
--- a/internal/workload/ledger/late_start.go
+++ b/internal/workload/ledger/late_start.go
@@ -45,6 +45,11 @@
 	return r.assignNumber > 0 && r.assignNumber <= s.resolvedAssigns
 }
 
+// IsListed reports whether leaders know that the incarnation to which a run is assigned, and no later one, has started it.
+func (s *State) IsListed(r ActiveRun) bool {
+	return r.started || r.assignNumber > 0 && r.assignNumber <= s.listedAssigns
+}
+
 // MayRunLate reports whether a leader has recorded a start for the worker without an answer since a run was assigned to it.
 func (w *Worker) MayRunLate(r ActiveRun) bool {
 	return w.info.UnansweredStartMs > 0 && w.info.UnansweredStartMs >= r.assignedMs
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -15,7 +15,7 @@
 	m := &workloadpb.State{
 		Document: s.document, Waves: s.Waves(), NextJob: s.nextJob, NextWorker: s.nextWorker,
 		ClockMs: s.clockMs, ClockTerm: s.clockTerm, ClockSteadyMs: s.clockSteadyMs,
-		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, FullLeaseAgeMs: s.fullLeaseAgeMs, ResolvedAssigns: s.resolvedAssigns,
+		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, FullLeaseAgeMs: s.fullLeaseAgeMs, ResolvedAssigns: s.resolvedAssigns, ListedAssigns: s.listedAssigns,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.lastOrders)) {
 		m.Ordered = append(m.Ordered, s.lastOrders[name])
@@ -78,7 +78,7 @@
 	s.nextJob, s.nextWorker = m.NextJob, m.NextWorker
 	s.clockMs, s.clockTerm, s.clockSteadyMs = m.ClockMs, m.ClockTerm, m.ClockSteadyMs
 	s.leaseTerm, s.leaseMs, s.fullLeaseAgeMs = m.LeaseTerm, m.LeaseMs, m.FullLeaseAgeMs
-	s.resolvedAssigns = m.ResolvedAssigns
+	s.resolvedAssigns, s.listedAssigns = m.ResolvedAssigns, m.ListedAssigns
 	for _, o := range m.Ordered {
 		s.lastOrders[o.Instance] = o
 	}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -34,8 +34,10 @@
 	endedWorkers map[string]*workloadpb.EndedWorker
 	// resolvedAssigns is the last number of an Assign command whose runs have no start on its way without a record of it.
 	resolvedAssigns uint64
-	usage           map[string]Resources // of active runs, by client account
-	waves           map[int64]*workloadpb.Wave
+	// listedAssigns is the last number of an Assign command whose runs have ended or been listed by their incarnations.
+	listedAssigns uint64
+	usage         map[string]Resources // of active runs, by client account
+	waves         map[int64]*workloadpb.Wave
 
 	lastOrders    map[string]*workloadpb.LastOrder // by instance
 	clockMs       int64                            // see Clock
@@ -174,7 +176,7 @@
 // Apply applies a command; at is the wall clock of the leader in Unix milliseconds.
 func (s *State) Apply(c *workloadpb.Command, at int64) *workloadpb.Response {
 	s.advanceClock(c)
-	s.resolvedAssigns = max(s.resolvedAssigns, c.ResolvedAssigns)
+	s.resolvedAssigns, s.listedAssigns = max(s.resolvedAssigns, c.ResolvedAssigns), max(s.listedAssigns, c.ListedAssigns)
 	switch m := c.Change.(type) {
 	case *workloadpb.Command_Order:
 		for i, name := range m.Order.Instances {
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -14,18 +14,24 @@
 // noWorker is the pin of a task that may start on no worker.
 const noWorker = "\x00"
 
-// remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not.
-func (e *Engine) remainingLateStart(r *run) time.Duration {
-	if !ledger.AwaitsLateStarts(r.task.Step().Step) {
+// remainingLateStart returns for how long the task of a run that ends now has to wait for a start of the run, 0 if it has not. If
+// an incarnation that nobody knows may work on the run, the task has to wait for its lease.
+func (e *Engine) remainingLateStart(s *session, r *run) time.Duration {
+	switch remaining := r.lateStartUntil(e.now) - e.now; {
+	case !ledger.AwaitsLateStarts(r.task.Step().Step):
 		return 0
+	case remaining > 0:
+		return remaining
+	case r.lost && s.successorMs == 0 && r.mayBeOfSuccessor():
+		return time.Millisecond
 	}
-	return max(r.lateStartUntil(e.now)-e.now, 0)
+	return 0
 }
 
 // hasLateStarts reports whether tasks of a session's runs have to wait for starts of these.
 func (e *Engine) hasLateStarts(s *session) bool {
 	for _, r := range s.runs {
-		if e.remainingLateStart(r) > 0 {
+		if e.remainingLateStart(s, r) > 0 {
 			return true
 		}
 	}
@@ -35,7 +41,7 @@
 // giveUpLateRuns gives up the runs of a worker that is lost whose tasks have to wait, so that the log tells of that.
 func (e *Engine) giveUpLateRuns(s *session) {
 	for _, r := range s.runs {
-		if e.remainingLateStart(r) > 0 {
+		if e.remainingLateStart(s, r) > 0 {
 			r.giveUpAsLost()
 		}
 	}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -214,7 +214,7 @@
 		if s.runs[k] == nil {
 			r := newRun(k, t)
 			r.assignNumber = t.RunOn(s.worker).AssignNumber()
-			s.runs[k], e.lateStarts.open[r] = r, true
+			s.runs[k], e.lateStarts.open[r], e.lateStarts.unlisted[r] = r, true, true
 		}
 	}
 }
@@ -241,7 +241,7 @@
 		if s.worker.Runs()[k] == nil {
 			e.logLateStart(s, r, "run-ended")
 			e.lateStarts.resolve(s.worker.ID(), r, false)
-			delete(e.lateStarts.open, r)
+			e.lateStarts.forget(r)
 			delete(s.runs, k)
 		}
 	}
--- a/internal/workload/sim_delivery_test.go
+++ b/internal/workload/sim_delivery_test.go
@@ -100,6 +100,8 @@
 	renewal, isRenewal := a.(workload.RenewLease)
 	attributed := isRenewal || s.attributesAnswers
 	switch {
+	case w.m.BornMs != h.StartedMs && attributed && isRenewal && o == workload.Accepted:
+		s.answerLater(w, renewal, s.now+renewal.Wait, sent)
 	case w.m.BornMs != h.StartedMs && attributed:
 		s.answerAsSuccessor(w, a, o, sent)
 	case isRenewal && o == workload.Accepted:
@@ -111,6 +113,18 @@
 	}
 }
 
+// answerLater passes the list of a later incarnation once it has an end to list or the wait is over.
+func (s *sim) answerLater(w *fakeWorker, a workload.RenewLease, deadline, sent time.Duration) {
+	switch {
+	case s.worker(a.Target) != w:
+		s.schedule(max(deadline-s.now, 0)+workload.RequestTimeout, func() { s.fail(a, workload.NoAnswer, sent) })
+	case len(w.ended) > 0 || s.now >= deadline:
+		s.answerAsSuccessor(w, a, workload.Accepted, sent)
+	default:
+		s.schedule(simStep, func() { s.answerLater(w, a, deadline, sent) })
+	}
+}
+
 // answerAsSuccessor passes the answer of a later incarnation with the ID of the one that a request was sent to.
 func (s *sim) answerAsSuccessor(w *fakeWorker, a kernel.Action, o workload.Outcome, sent time.Duration) {
 	answer := workload.Answer{Outcome: o, SentAt: sent}
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -465,8 +465,10 @@
 	w.dead = true
 	for name, row := range s.instances {
 		if row.Worker == w.m.Id {
+			row.Up = false
 			s.scheduleLasting(d, func() {
 				if s.workers[row.Worker] == w { // An operation may have started another one meanwhile, even with its ID.
+					row.Up = true
 					id, address := fmt.Sprintf("w-%s-%d", name, s.now.Milliseconds()), w.m.Address
 					if s.rebootAs != nil {
 						id, address = s.rebootAs(name, w)
