ledger: a wait for a late start never becomes shorter

Cause: run 1 ended while its start could be late for 11.2 s more. Run 2, at the next incarnation, was given up 4.3 s later before a list had shown it, and since that sets the wait of its task anew, for the lease alone. Evidence: the log of control-1, "run ended while a start of it may be carried out late" for run 1 and "run ended that a later incarnation may have started" for run 2.

The later of the two ends counts now. TestUnlistedRunKeepsLateStartOfFormerRun failed before ("job.0.0.0 runs twice, on w-m-p-0-0 and on w-m-p-1-9200").

--- a/internal/workload/ledger/late_start.go
+++ b/internal/workload/ledger/late_start.go
@@ -23,10 +23,13 @@
 	if t.Done || !AwaitsLateStarts(t.step.Step) {
 		return
 	}
-	last := t.lateStart
+	last, endMs := t.lateStart, s.clockMs+end.LateStartRemainingMs
 	isRepeated := last.GetWorker() == w.ID() && last.GetEndMs()+lateStartsAfterEnd.Milliseconds() > s.clockMs
+	if isRepeated {
+		endMs = max(endMs, last.EndMs) // A start of a former run may be carried out later than one of this run.
+	}
 	t.lateStart = &workloadpb.LateStart{
-		Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: s.clockMs + end.LateStartRemainingMs,
+		Worker: w.ID(), Address: w.Address(), StartedMs: w.StartedMs(), EndMs: endMs,
 		Blocked: isRepeated || end.StartIgnored, LaterKnown: end.LaterKnown,
 	}
 }
--- a/internal/workload/recut_test.go
+++ b/internal/workload/recut_test.go
@@ -44,3 +44,21 @@
 		}
 	}
 }
+
+// Guards against a run of the next incarnation that is given up before a list has shown it, and lets its task forget that the start
+// of the former run may still be carried out.
+func TestUnlistedRunKeepsLateStartOfFormerRun(t *testing.T) {
+	s := newPinnedSimAt(t, 9*time.Second, step(1, 12000, 1000, 30_000))
+	s.run(500 * time.Millisecond)
+	between := s.restartLost(1)
+	s.runUntil(5*time.Second, func() bool { return len(between.runs) == 1 })
+	between.unreachable = true
+	s.run(10 * time.Second)
+	between.dead = true
+	s.run(s.late.sent + 11500*time.Millisecond - s.now)
+	later := s.restartLost(0)
+	later.unreachable = true
+	assert.Equal(t, len(later.runs), 1)
+	s.runUntil(30*time.Second, func() bool { return len(s.other.runs) == 1 })
+	assert.Equal(t, s.running("job"), 1)
+}
