--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -215,7 +215,7 @@
 	started      bool // see HasStarted
 }
 
-// HasStarted reports whether the log tells that the only start of a long-running run was carried out.
+// HasStarted reports whether the log tells that the only start of a long-running run was carried out, so that it can't be late.
 func (r ActiveRun) HasStarted() bool { return r.started }
 
 // RunKey identifies a run of a task.
--- a/internal/workload/pin.go
+++ b/internal/workload/pin.go
@@ -11,6 +11,9 @@
 // maxPinListAge is the age from which a list of instances tells nothing of a worker that a long-running task is pinned to.
 const maxPinListAge = 2 * time.Second
 
+// unlistedRunWait is the shortest wait that the log can tell. A task also waits for the longest lease after the end of its wait.
+const unlistedRunWait = time.Millisecond
+
 // noWorker is the pin of a task that may start on no worker.
 const noWorker = "\x00"
 
@@ -23,7 +26,7 @@
 	case remaining > 0:
 		return remaining
 	case r.lost && s.successorMs == 0 && r.mayBeOfSuccessor():
-		return time.Millisecond
+		return unlistedRunWait
 	}
 	return 0
 }
@@ -73,7 +76,7 @@
 // knows may have the ID. If one answers, a long-running task starts on it or, without room there, anywhere.
 func (e *Engine) pinnedTo(l *workloadpb.LateStart, t *ledger.Task) string {
 	step := t.Step().Step
-	if e.isOutOfReach(l) || step.Lasting && e.answersSince(l) && (l.Blocked || step.Gang || !e.hasRoomFor(l, step)) {
+	if e.isOutOfReach(l) || step.Lasting && e.isAnswering(l) && (l.Blocked || step.Gang || !e.hasRoomFor(l, step)) {
 		return ""
 	}
 	over := millis(e.state.ClockAt(e.term, e.now.Milliseconds()) - l.EndMs)
@@ -100,9 +103,9 @@
 	return l.LaterKnown || w != nil && (w.StartedMs() > l.StartedMs || e.sessions[w.Number()].successorMs > 0)
 }
 
-// answersSince reports whether the incarnation that a late start was sent to, or a later one that rejects the start, answers and
+// isAnswering reports whether the incarnation that a late start was sent to, or a later one that rejects the start, answers and
 // lists only runs that are assigned to it.
-func (e *Engine) answersSince(l *workloadpb.LateStart) bool {
+func (e *Engine) isAnswering(l *workloadpb.LateStart) bool {
 	w := e.state.WorkerByID(l.Worker)
 	if w == nil || w.StartedMs() < l.StartedMs {
 		return false
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -346,7 +346,7 @@
 func (e *Engine) recordFailure(s *session, request string, a Answer, due time.Duration) {
 	s.failures++
 	if a.Refused && s.worker.HasLeft() {
-		s.leasesExpireBy = min(s.leasesExpireBy, e.now-1)
+		s.leasesExpireBy = min(s.leasesExpireBy, e.now-1) // Its runs have ended with it.
 	}
 	if s.failures == 1 {
 		s.failingSince, s.unansweredAt = e.now, due
