raft: members that all have just started elect a leader before the election timeout

After a loss of power of all voters, 0.55 s of the 0.75 s until the first accepted job were the election timeout. Voters ask for pre-votes 0.1 to 0.4 s after their start now, and need those of all voters, so that no leader can be within its lease. A shorter timeout alone was ruled out: TestElectionAtStart shows four restarted voters that elect a leader beside an old one.

--- a/internal/control/voter.go
+++ b/internal/control/voter.go
@@ -31,6 +31,8 @@
 	// heartbeatTicks and electionTicks give a heartbeat every 100 ms and an election timeout of 0.5 to 1 s.
 	heartbeatTicks = 1
 	electionTicks  = 5
+	// startElectionTicks spreads the pre-votes of voters that start at the same moment over 0.4 s.
+	startElectionTicks = 4
 	// snapshotEntries is the number of entries between snapshots; a restart replays them in well under a second.
 	snapshotEntries = 1000
 	// snapshotBytes is the size of the entries that triggers a snapshot earlier, for the same reason. The largest entries
@@ -190,7 +192,7 @@
 	}
 	v.core, err = raft.New(raft.Config{
 		ID: cfg.Store.Identity(), PersistentState: persisted,
-		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: rand.IntN,
+		ElectionTicks: electionTicks, StartElectionTicks: startElectionTicks, HeartbeatTicks: heartbeatTicks, Rand: rand.IntN,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -66,6 +66,9 @@
 	PersistentState PersistentState
 	// ElectionTicks is the minimum election timeout; the actual timeout is random and less than twice this value.
 	ElectionTicks int
+	// StartElectionTicks bounds the random time from the start of a member to its first pre-vote, see campaignAtStart; 0 for
+	// none before the election timeout.
+	StartElectionTicks int
 	// HeartbeatTicks is the interval at which the leader sends heartbeats.
 	HeartbeatTicks int
 	// Rand returns a random number in the half-open interval [0,n).
@@ -96,6 +99,8 @@
 
 	tickCount       uint64 // since the core was built
 	electionElapsed int    // ticks since a message of the leader, a granted vote or a change of role
+	startElection   uint64 // tick of the pre-vote of a member that has just started, 0 for none
+	needsAllVotes   bool   // the pre-vote that is running needs the votes of all voters
 	electionTimeout int
 	leaderlessVotes int // votes for any member that were saved since a leader was known
 	votes           map[string]bool
@@ -158,6 +163,9 @@
 	c.savedHardState = hardState{c.term, c.votedFor}
 	c.updateMembership()
 	c.becomeFollower(c.term, "")
+	if n := cfg.StartElectionTicks; n > 0 {
+		c.startElection = uint64(1 + cfg.Rand(n))
+	}
 	return c, nil
 }
 
@@ -179,6 +187,8 @@
 		return
 	}
 	switch {
+	case c.tickCount == c.startElection && c.leader == "" && c.role == Follower && c.promotable():
+		c.campaignAtStart()
 	case c.electionElapsed < c.electionTimeout, c.hasUnsavedHardState():
 	case c.promotable():
 		c.campaign(PreCandidate, false)
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -63,8 +63,25 @@
 	c.electionTimeout += min(wait, limit)
 }
 
+// campaignAtStart asks the voters for a pre-vote before an election timeout has passed since the start. After a loss of power
+// there is no leader to wait for. It needs the votes of all voters: none of them leads or hears from a leader then. With a
+// mere quorum that has just restarted, the leader that it heard from before could still act within its lease.
+func (c *Core) campaignAtStart() {
+	elapsed, timeout := c.electionElapsed, c.electionTimeout
+	c.requestVotes(PreCandidate, false)
+	c.electionElapsed, c.electionTimeout = elapsed, timeout
+	c.needsAllVotes = true
+	c.countVotes()
+}
+
 // campaign starts an election. A PreCandidate only asks the voters whether it could win, and keeps its term.
 func (c *Core) campaign(role Role, transfer bool) {
+	c.requestVotes(role, transfer)
+	c.needsAllVotes = false
+	c.countVotes()
+}
+
+func (c *Core) requestVotes(role Role, transfer bool) {
 	c.role, c.leader = role, ""
 	c.votes = map[string]bool{c.cfg.ID: true}
 	c.resetTimeout()
@@ -80,7 +97,6 @@
 			})
 		}
 	}
-	c.countVotes()
 }
 
 // onVoteRequest answers a request for a vote or pre-vote. Learners, and members that their own log doesn't list, answer
@@ -120,7 +136,11 @@
 	isRejected := slices.ContainsFunc(voterSets(c.members), func(set []*raftpb.Member) bool {
 		return countMembers(set, func(id string) bool { v, ok := c.votes[id]; return ok && !v }) >= Quorum(len(set))
 	})
-	switch isGranted := isQuorum(c.members, func(id string) bool { return c.votes[id] }); {
+	isGranted := isQuorum(c.members, func(id string) bool { return c.votes[id] })
+	if c.needsAllVotes {
+		isGranted = !slices.ContainsFunc(c.members, func(m *raftpb.Member) bool { return m.Voter && !c.votes[m.Id] })
+	}
+	switch {
 	case isGranted && c.role == PreCandidate:
 		c.campaign(Candidate, false)
 	case isGranted:
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -30,6 +30,8 @@
 	nodes map[string]*node
 	drop  func(m *raftpb.Message) bool
 	rand  func(n int) int
+	// startElectionTicks is Config.StartElectionTicks of members that start from now on.
+	startElectionTicks int
 
 	checker checker
 }
@@ -66,7 +68,9 @@
 	if p.Snapshot != nil {
 		n.state, n.lastApplied = string(p.Snapshot.Data), p.Snapshot.Meta.Index
 	}
-	core, err := New(Config{ID: id, PersistentState: p, ElectionTicks: 5, HeartbeatTicks: 1, Rand: w.rand})
+	core, err := New(Config{
+		ID: id, PersistentState: p, ElectionTicks: 5, StartElectionTicks: w.startElectionTicks, HeartbeatTicks: 1, Rand: w.rand,
+	})
 	assert.NilError(w.t, err)
 	n.core = core
 	w.nodes[id] = n
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -221,6 +221,7 @@
 		s := &simulation{network: newNetwork(t, 3), t: rt,
 			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0)), commitIndexAtRead: map[uint64]uint64{},
 			slowness: rapid.SampledFrom([]int{1, 2, 6, 20}).Draw(rt, "slowness")}
+		s.startElectionTicks = 4
 		for _, id := range []string{"m4", "m5"} {
 			s.addNode(id, PersistentState{Snapshot: &Snapshot{Meta: &raftpb.SnapshotMeta{}}})
 		}
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -47,6 +48,41 @@
 	assert.Equal(t, w.nodes[isolated].state, "a")
 }
 
+// Guards against an election at the start of members that takes the place of a leader within its lease, whose voters have
+// restarted, and against a group that waits for an election timeout although all members have restarted.
+func TestElectionAtStart(t *testing.T) {
+	const startTicks = 4
+	for _, test := range []struct {
+		name      string
+		leaderRan bool // the leader isn't restarted, and its messages are lost
+		elects    bool // before an election timeout
+	}{
+		{name: "all members restart", elects: true},
+		{name: "all but the leader restart", leaderRan: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newNetwork(t, 5)
+			old := w.waitForLeader()
+			w.propose("a")
+			w.startElectionTicks = startTicks
+			if test.leaderRan {
+				w.isolate(old.cfg.ID)
+			}
+			for _, id := range w.ids {
+				if id != old.cfg.ID || !test.leaderRan {
+					w.restart(id)
+				}
+			}
+			w.tick(startTicks)
+			elected := slices.ContainsFunc(w.allNodes(), func(n *node) bool { return n.core != old && n.core.role == Leader })
+			assert.Equal(t, elected, test.elects)
+			w.heal()
+			w.propose("b")
+			assert.Equal(t, w.nodes[w.waitForLeader().cfg.ID].state, "ab")
+		})
+	}
+}
+
 // Guards against a leader that keeps leading, confirms reads or commits proposals without a quorum.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
 	w := newNetwork(t, 5)
