workload, platform: evacuate availability zones

The calls Evacuate.Start and Evacuate.Finish record evacuated zones in the replicated log. Nothing is assigned to the workers of such a zone, and runs there that have not started are given up as on workers that leave.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -414,6 +414,8 @@
 				"lease-ends-in", (s.leasesExpireBy - e.now).String())
 			e.markDirty(s)
 		}
+	case *workloadpb.Command_EvacuateZone:
+		e.handleZoneOrder(c.EvacuateZone)
 	case *workloadpb.Command_Occur:
 		e.occurrencesProposedAt = 0
 	case *workloadpb.Command_LeaseSuspension:
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -202,7 +202,7 @@
 	w := s.workers[a.Worker]
 	step := t.step.Step
 	j := t.step.Occurrence.Job
-	if w == nil || w.IsDraining() || t.Done || !j.IsActive() || a.Run <= t.LastRun || !t.step.Ready() {
+	if w == nil || !s.MayTakeRuns(w) || t.Done || !j.IsActive() || a.Run <= t.LastRun || !t.step.Ready() {
 		return false
 	}
 	if len(t.ActiveRuns) > 0 && !step.Speculative {
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -17,6 +17,7 @@
 		ClockMs: s.clockMs, ClockTerm: s.clockTerm, ClockSteadyMs: s.clockSteadyMs,
 		LeaseTerm: s.leaseTerm, LeaseMs: s.leaseMs, FullLeaseAgeMs: s.fullLeaseAgeMs, ResolvedAssigns: s.resolvedAssigns, ListedAssigns: s.listedAssigns,
 	}
+	m.EvacuatedZones = slices.Sorted(maps.Keys(s.evacuatedZones))
 	for _, name := range slices.Sorted(maps.Keys(s.lastOrders)) {
 		m.Ordered = append(m.Ordered, s.lastOrders[name])
 	}
@@ -79,6 +80,9 @@
 	s.clockMs, s.clockTerm, s.clockSteadyMs = m.ClockMs, m.ClockTerm, m.ClockSteadyMs
 	s.leaseTerm, s.leaseMs, s.fullLeaseAgeMs = m.LeaseTerm, m.LeaseMs, m.FullLeaseAgeMs
 	s.resolvedAssigns, s.listedAssigns = m.ResolvedAssigns, m.ListedAssigns
+	for _, zone := range m.EvacuatedZones {
+		s.evacuatedZones[zone] = true
+	}
 	for _, o := range m.Ordered {
 		s.lastOrders[o.Instance] = o
 	}
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -38,6 +38,8 @@
 	listedAssigns uint64
 	usage         map[string]Resources // of active runs, by client account
 	waves         map[int64]*workloadpb.Wave
+	// evacuatedZones holds the availability zones in which nothing may start.
+	evacuatedZones map[string]bool
 
 	lastOrders    map[string]*workloadpb.LastOrder // by instance
 	clockMs       int64                            // see Clock
@@ -96,7 +98,7 @@
 		jobs: map[uint64]*Job{}, jobsByID: map[string]*Job{}, workers: map[uint64]*Worker{},
 		workersByID: map[string]*Worker{}, endedWorkers: map[string]*workloadpb.EndedWorker{},
 		lastOrders: map[string]*workloadpb.LastOrder{}, usage: map[string]Resources{},
-		waves: map[int64]*workloadpb.Wave{}, changes: s.changes + 1,
+		waves: map[int64]*workloadpb.Wave{}, evacuatedZones: map[string]bool{}, changes: s.changes + 1,
 		workerChanges: s.workerChanges + 1,
 	}
 }
@@ -214,6 +216,8 @@
 		s.applyWave(m.Wave, at)
 	case *workloadpb.Command_Maintained:
 		s.applyMaintained(m.Maintained)
+	case *workloadpb.Command_EvacuateZone:
+		s.applyEvacuateZone(m.EvacuateZone)
 	case *workloadpb.Command_HarmlessTasks:
 		for _, m := range m.HarmlessTasks.Tasks {
 			if t := s.findTask(RunKeyOf(m, 0)); t != nil {
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -97,6 +97,10 @@
 		if d := e.state.Document(); d != nil && c.Document.Version <= d.Version {
 			return done, kernel.AfterReadIndex
 		}
+	case *workloadpb.Command_EvacuateZone:
+		if e.state.IsEvacuated(c.EvacuateZone.Zone) != c.EvacuateZone.Restored {
+			return done, kernel.AfterReadIndex
+		}
 	case *workloadpb.Command_Report:
 		if e.handleHeartbeat(c.Report) || e.state.IsRecorded(c.Report.Worker) {
 			return done, kernel.Immediate
--- a/internal/workload/release.go
+++ b/internal/workload/release.go
@@ -3,10 +3,10 @@
 import "github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 
 // releaseUnstartableRuns gives up the runs that have not started and mustn't any more, because their worker leaves, sends
-// no heartbeats, or its capacity has shrunk since they were assigned. Runs that have started stay.
+// no heartbeats, its zone is evacuated, or its capacity has shrunk since they were assigned. Runs that have started stay.
 func (e *Engine) releaseUnstartableRuns(s *session) {
 	switch {
-	case s.worker.IsDraining() || s.failures == 0 && e.isCapacityOutdated(s):
+	case !e.state.MayTakeRuns(s.worker) || s.failures == 0 && e.isCapacityOutdated(s):
 		for _, r := range s.sortedRuns((*run).isAwaitingStart) {
 			e.releaseRun(s, r)
 		}
@@ -57,7 +57,7 @@
 		return
 	}
 	e.cfg.Log.Info("giving up a run that its worker can't start any more", "worker", s.worker.ID(),
-		"draining", s.worker.IsDraining(), "job", r.name.Job, "step", r.name.Step, "index", r.name.Index,
+		"draining", s.worker.IsDraining(), "zone-evacuated", e.isEvacuated(s), "job", r.name.Job, "step", r.name.Step, "index", r.name.Index,
 		"run", r.name.Run, "requested", r.attempts > 0)
 	e.releaseGang(r)
 }
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -425,6 +425,8 @@
 		return "not-fenced"
 	case s.worker.IsDraining():
 		return "draining"
+	case e.isEvacuated(s):
+		return "zone-evacuated"
 	case s.hasUnassignedRuns:
 		return "lists-unassigned-runs"
 	case s.reservedForOperation || s.operationUntil > 0:
