workload: compute arrival rates over a time

The rate over the last four jobs with a mean gap of at least 300 ms took 70 jobs per second for 10. All resources of the jobs count, beside what long-running tasks need.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/forecast"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -88,7 +89,7 @@
 	advice                advice
 	fleet                 fleet
 	shares                accountShares
-	rates                 arrivalRates
+	forecasts             *forecast.Forecaster
 	waits                 waitLog
 	rejections            rejections
 	lateStarts            lateStartTable
@@ -154,7 +155,7 @@
 	e.advice.reset()
 	e.fleet.reset()
 	e.shares.reset()
-	e.rates = arrivalRates{}
+	e.forecasts = forecast.New(forecast.Config{MoveDuration: e.cfg.MoveDuration})
 	e.rejections = rejections{}
 	e.fleet.startClockMs = e.state.Clock()
 	for _, w := range e.state.Waves() {
@@ -433,7 +434,7 @@
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
 			j := e.state.JobByID(c.Submit.Id)
 			e.shares.chargeJob(e.state, j, e.now)
-			e.rates.addJob(e.state.QueueOf(j).GetPool(), j, e.now)
+			e.observeArrival(j)
 			e.cfg.IncrementCounter("hibiscusroute_jobs_accepted_total", "queue", j.Queue)
 			e.cfg.Log.Info("job accepted", "job", j.ID, "queue", j.Queue, "account", j.Account, "steps", len(j.Steps),
 				"beyond-share", e.shares.isBeyondShare(j), "configuration", e.state.Document().Version)
--- a/internal/workload/ledger/resources.go
+++ b/internal/workload/ledger/resources.go
@@ -32,6 +32,11 @@
 	return Resources{max(r.CPU, 0), max(r.Memory, 0), max(r.Accelerators, 0)}
 }
 
+// Max returns the larger of r and o for each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.CPU * int64(n), r.Memory * int64(n), r.Accelerators * int64(n)}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -19,13 +19,6 @@
 	idleTimeout = 500 * time.Millisecond
 	// shrinkDelay is how long a pool keeps its instances after it last had no surplus.
 	shrinkDelay = 500 * time.Millisecond
-	// rateWindowJobs is the number of jobs over which the arrival rate of a pool's work is computed. With fewer, two jobs
-	// in quick succession by chance look like the start of a busy period; with more, a busy period is detected late.
-	rateWindowJobs = 4
-	// maxSilentGaps is the time without a new job, in mean gaps between jobs, after which a busy period ends.
-	maxSilentGaps = 3
-	// minRateGap is the lower bound of the mean gap between jobs.
-	minRateGap = 300 * time.Millisecond
 	// unplacedGrowDelay is how long a long-running task waits for released capacity before its pool gets one more
 	// instance.
 	unplacedGrowDelay = 600 * time.Millisecond
@@ -41,9 +34,10 @@
 	name             string
 	spare            bool
 	demand           ledger.Resources
-	minInstances     int // instances that the long-running tasks need
-	have             int // instances that serve the pool or are moving to it
-	growing          int // instances that are moving to the pool
+	lasting          ledger.Resources // the part of demand that long-running tasks need
+	minInstances     int              // instances that the long-running tasks need
+	have             int              // instances that serve the pool or are moving to it
+	growing          int              // instances that are moving to the pool
 	instanceCapacity ledger.Resources
 	// shortfall is what the workers of the pool have less than their instances.
 	shortfall ledger.Resources
@@ -105,10 +99,8 @@
 	}
 	e.measureDemand(pools)
 	for _, v := range pools {
-		if rate := e.rates.cpuRate(v.name, e.now); rate > v.demand.CPU {
-			v.demand.Memory = int64(float64(v.demand.Memory) * float64(rate) / float64(max(v.demand.CPU, 1)))
-			v.demand.CPU = rate
-		}
+		expected, _ := e.forecasts.Expected(v.name, e.now)
+		v.demand = v.demand.Max(v.lasting.Plus(expected))
 	}
 	var off, idle []*instance
 	for _, in := range e.fleet.sortedInstances() {
@@ -214,8 +206,10 @@
 						n++
 					}
 				}
-				v.demand = v.demand.Plus(ledger.RequiredCapacity(st.Step).Times(n))
+				need := ledger.RequiredCapacity(st.Step).Times(n)
+				v.demand = v.demand.Plus(need)
 				if st.Step.Lasting {
+					v.lasting = v.lasting.Plus(need)
 					per := schedule.PreferredPerWorker(st.Step)
 					v.minInstances = max(v.minInstances, (n+per-1)/per)
 					if st.Waiting() > 0 && e.isWithinQuota(st) {
@@ -308,43 +302,14 @@
 		"have", v.have, "want", v.want, "demand-cpu", v.demand.CPU, "demand-memory", v.demand.Memory)
 }
 
-// arrivalRates holds the newest jobs of each pool.
-type arrivalRates map[string][]arrival
-
-type arrival struct {
-	at              time.Duration
-	cpuMilliSeconds int64
-}
-
-// addJob records an accepted job.
-func (r arrivalRates) addJob(pool string, j *ledger.Job, now time.Duration) {
-	a := arrival{at: now}
-	for _, s := range j.Steps {
-		if s.Lasting || j.MaxRuns > 0 {
+// observeArrival records the work of an accepted job for forecasts.
+func (e *Engine) observeArrival(j *ledger.Job) {
+	work := ledger.Resources{}
+	for _, st := range j.Steps {
+		if st.Lasting || j.MaxRuns > 0 {
 			return
 		}
-		a.cpuMilliSeconds += int64(s.Count) * s.Need.GetCpu() * s.EstimateMs / 1000
-	}
-	r[pool] = append(r[pool], a)
-	if extra := len(r[pool]) - rateWindowJobs; extra > 0 {
-		r[pool] = r[pool][extra:]
-	}
-}
-
-// cpuRate returns the work that arrives per second, in thousandths of a core; 0 outside a busy period.
-func (r arrivalRates) cpuRate(pool string, now time.Duration) int64 {
-	list := r[pool]
-	if len(list) < rateWindowJobs {
-		return 0
-	}
-	first, last := list[0].at, list[rateWindowJobs-1].at
-	gap := max((last-first)/(rateWindowJobs-1), minRateGap)
-	if now-last > maxSilentGaps*gap {
-		return 0
-	}
-	work := int64(0)
-	for _, a := range list[1:] {
-		work += a.cpuMilliSeconds
+		work = work.Plus(ledger.RequiredCapacity(st).Times(int(st.Count) * int(st.EstimateMs)))
 	}
-	return int64(float64(work) / max(last-first, minRateGap).Seconds())
+	e.forecasts.ObserveArrival(e.state.QueueOf(j).GetPool(), e.now, work)
 }
