workload: count the next steps of accepted jobs for the size of pools

A step that becomes ready within the time of a move, by the estimates of the steps before it, now counts for its pool before it is ready. A job counts for the most that its steps need at once, not for their sum.

--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/forecast"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 )
@@ -31,14 +32,16 @@
 
 // poolView is the state of a pool that decisions on its size are based on.
 type poolView struct {
-	name             string
-	spare            bool
-	demand           ledger.Resources
-	lasting          ledger.Resources // the part of demand that long-running tasks need
-	minInstances     int              // instances that the long-running tasks need
-	have             int              // instances that serve the pool or are moving to it
-	growing          int              // instances that are moving to the pool
-	instanceCapacity ledger.Resources
+	name   string
+	spare  bool
+	demand ledger.Resources
+	// lasting is the part of demand that long-running tasks need, ready what other tasks need that run or could run now, and
+	// accepted the latter with the next steps of their jobs.
+	lasting, ready, accepted ledger.Resources
+	minInstances             int // instances that the long-running tasks need
+	have                     int // instances that serve the pool or are moving to it
+	growing                  int // instances that are moving to the pool
+	instanceCapacity         ledger.Resources
 	// shortfall is what the workers of the pool have less than their instances.
 	shortfall ledger.Resources
 	want      int
@@ -188,7 +191,8 @@
 	return ""
 }
 
-// measureDemand adds up the demand of the tasks that run or could run now.
+// measureDemand adds up the demand of the tasks that run or could run now, and of those that will be ready when an instance
+// that moves now arrives.
 func (e *Engine) measureDemand(pools map[string]*poolView) {
 	for _, j := range e.state.ActiveJobs() {
 		v := pools[e.state.QueueOf(j).GetPool()]
@@ -196,33 +200,88 @@
 			continue
 		}
 		for _, o := range j.Occurrences() {
+			ready, hasNext := ledger.Resources{}, false
 			for _, st := range o.Steps {
-				if st.Done() || !st.Ready() {
+				if st.Done() {
 					continue
 				}
-				n := 0
-				for i := range st.Tasks {
-					if !st.Tasks[i].Done {
-						n++
-					}
+				if !st.Ready() {
+					hasNext = true
+					continue
 				}
+				n := countUndone(st)
 				need := ledger.RequiredCapacity(st.Step).Times(n)
-				v.demand = v.demand.Plus(need)
-				if st.Step.Lasting {
-					v.lasting = v.lasting.Plus(need)
-					per := schedule.PreferredPerWorker(st.Step)
-					v.minInstances = max(v.minInstances, (n+per-1)/per)
-					if st.Waiting() > 0 && e.isWithinQuota(st) {
-						tasks := st.Waiting()
-						if e.rejections.wasRejected(st, e.now) {
-							tasks = 0
-						}
-						e.addUnplaced(v, st, tasks)
+				if !st.Step.Lasting {
+					ready = ready.Plus(need)
+					continue
+				}
+				v.lasting = v.lasting.Plus(need)
+				per := schedule.PreferredPerWorker(st.Step)
+				v.minInstances = max(v.minInstances, (n+per-1)/per)
+				if st.Waiting() > 0 && e.isWithinQuota(st) {
+					tasks := st.Waiting()
+					if e.rejections.wasRejected(st, e.now) {
+						tasks = 0
 					}
+					e.addUnplaced(v, st, tasks)
+				}
+			}
+			v.ready = v.ready.Plus(ready)
+			if hasNext {
+				ready = ready.Max(forecast.Peak(e.stepsOf(o), e.cfg.MoveDuration))
+			}
+			v.accepted = v.accepted.Plus(ready)
+		}
+	}
+	for _, v := range pools {
+		v.demand = v.lasting.Plus(v.accepted)
+	}
+}
+
+// stepsOf describes the steps of an occurrence for a forecast.
+func (e *Engine) stepsOf(o *ledger.Occurrence) []forecast.Step {
+	list := make([]forecast.Step, len(o.Steps))
+	for i, st := range o.Steps {
+		list[i] = forecast.Step{After: st.Step.After, Lasting: st.Step.Lasting}
+		if !st.Done() {
+			list[i].Need = ledger.RequiredCapacity(st.Step).Times(countUndone(st))
+			list[i].Remaining = e.remainingTime(st)
+		}
+	}
+	return list
+}
+
+// remainingTime returns how long the tasks of a step will run once all of them have started, by the estimate of their run
+// time.
+func (e *Engine) remainingTime(st *ledger.StepRun) time.Duration {
+	estimate := millis(st.Step.EstimateMs)
+	if estimate <= e.cfg.MoveDuration || st.Waiting() > 0 {
+		return estimate
+	}
+	remaining := time.Duration(0)
+	for i := range st.Tasks {
+		t := &st.Tasks[i]
+		for _, a := range t.ActiveRuns {
+			elapsed := time.Duration(0)
+			if s := e.sessions[a.Worker.Number()]; s != nil {
+				if r := s.runs[t.Key(a.Run)]; r != nil && r.startedAt > 0 {
+					elapsed = e.now - r.startedAt
 				}
 			}
+			remaining = max(remaining, estimate-elapsed)
+		}
+	}
+	return remaining
+}
+
+func countUndone(st *ledger.StepRun) int {
+	n := 0
+	for i := range st.Tasks {
+		if !st.Tasks[i].Done {
+			n++
 		}
 	}
+	return n
 }
 
 func (v *poolView) computeWant() {
