--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/forecast"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 )
@@ -19,13 +20,6 @@
 	idleTimeout = 500 * time.Millisecond
 	// shrinkDelay is how long a pool keeps its instances after it last had no surplus.
 	shrinkDelay = 500 * time.Millisecond
-	// rateWindowJobs is the number of jobs over which the arrival rate of a pool's work is computed. With fewer, two jobs
-	// in quick succession by chance look like the start of a busy period; with more, a busy period is detected late.
-	rateWindowJobs = 4
-	// maxSilentGaps is the time without a new job, in mean gaps between jobs, after which a busy period ends.
-	maxSilentGaps = 3
-	// minRateGap is the lower bound of the mean gap between jobs.
-	minRateGap = 300 * time.Millisecond
 	// unplacedGrowDelay is how long a long-running task waits for released capacity before its pool gets one more
 	// instance.
 	unplacedGrowDelay = 600 * time.Millisecond
@@ -38,13 +32,16 @@
 
 // poolView is the state of a pool that decisions on its size are based on.
 type poolView struct {
-	name             string
-	spare            bool
-	demand           ledger.Resources
-	minInstances     int // instances that the long-running tasks need
-	have             int // instances that serve the pool or are moving to it
-	growing          int // instances that are moving to the pool
-	instanceCapacity ledger.Resources
+	name   string
+	spare  bool
+	demand ledger.Resources
+	// lasting is the part of demand that long-running tasks need, ready what other tasks need that run or could run now, and
+	// accepted the latter with the next steps of their jobs.
+	lasting, ready, accepted ledger.Resources
+	minInstances             int // instances that the long-running tasks need
+	have                     int // instances that serve the pool or are moving to it
+	growing                  int // instances that are moving to the pool
+	instanceCapacity         ledger.Resources
 	// shortfall is what the workers of the pool have less than their instances.
 	shortfall ledger.Resources
 	want      int
@@ -105,10 +102,8 @@
 	}
 	e.measureDemand(pools)
 	for _, v := range pools {
-		if rate := e.rates.cpuRate(v.name, e.now); rate > v.demand.CPU {
-			v.demand.Memory = int64(float64(v.demand.Memory) * float64(rate) / float64(max(v.demand.CPU, 1)))
-			v.demand.CPU = rate
-		}
+		expected, _ := e.forecasts.Expected(v.name, e.now)
+		v.demand = v.demand.Max(v.lasting.Plus(expected))
 	}
 	var off, idle []*instance
 	for _, in := range e.fleet.sortedInstances() {
@@ -196,7 +191,8 @@
 	return ""
 }
 
-// measureDemand adds up the demand of the tasks that run or could run now.
+// measureDemand adds up the demand of the tasks that run or could run now, and of those that will be ready when an instance
+// that moves now arrives.
 func (e *Engine) measureDemand(pools map[string]*poolView) {
 	for _, j := range e.state.ActiveJobs() {
 		v := pools[e.state.QueueOf(j).GetPool()]
@@ -204,31 +200,88 @@
 			continue
 		}
 		for _, o := range j.Occurrences() {
+			ready, hasNext := ledger.Resources{}, false
 			for _, st := range o.Steps {
-				if st.Done() || !st.Ready() {
+				if st.Done() {
 					continue
 				}
-				n := 0
-				for i := range st.Tasks {
-					if !st.Tasks[i].Done {
-						n++
-					}
+				if !st.Ready() {
+					hasNext = true
+					continue
+				}
+				n := countUndone(st)
+				need := ledger.RequiredCapacity(st.Step).Times(n)
+				if !st.Step.Lasting {
+					ready = ready.Plus(need)
+					continue
 				}
-				v.demand = v.demand.Plus(ledger.RequiredCapacity(st.Step).Times(n))
-				if st.Step.Lasting {
-					per := schedule.PreferredPerWorker(st.Step)
-					v.minInstances = max(v.minInstances, (n+per-1)/per)
-					if st.Waiting() > 0 && e.isWithinQuota(st) {
-						tasks := st.Waiting()
-						if e.rejections.wasRejected(st, e.now) {
-							tasks = 0
-						}
-						e.addUnplaced(v, st, tasks)
+				v.lasting = v.lasting.Plus(need)
+				per := schedule.PreferredPerWorker(st.Step)
+				v.minInstances = max(v.minInstances, (n+per-1)/per)
+				if st.Waiting() > 0 && e.isWithinQuota(st) {
+					tasks := st.Waiting()
+					if e.rejections.wasRejected(st, e.now) {
+						tasks = 0
 					}
+					e.addUnplaced(v, st, tasks)
+				}
+			}
+			v.ready = v.ready.Plus(ready)
+			if hasNext {
+				ready = ready.Max(forecast.Peak(e.stepsOf(o), e.cfg.MoveDuration))
+			}
+			v.accepted = v.accepted.Plus(ready)
+		}
+	}
+	for _, v := range pools {
+		v.demand = v.lasting.Plus(v.accepted)
+	}
+}
+
+// stepsOf describes the steps of an occurrence for a forecast.
+func (e *Engine) stepsOf(o *ledger.Occurrence) []forecast.Step {
+	list := make([]forecast.Step, len(o.Steps))
+	for i, st := range o.Steps {
+		list[i] = forecast.Step{After: st.Step.After, Lasting: st.Step.Lasting}
+		if !st.Done() {
+			list[i].Need = ledger.RequiredCapacity(st.Step).Times(countUndone(st))
+			list[i].Remaining = e.remainingTime(st)
+		}
+	}
+	return list
+}
+
+// remainingTime returns how long the tasks of a step will run once all of them have started, by the estimate of their run
+// time.
+func (e *Engine) remainingTime(st *ledger.StepRun) time.Duration {
+	estimate := millis(st.Step.EstimateMs)
+	if estimate <= e.cfg.MoveDuration || st.Waiting() > 0 {
+		return estimate
+	}
+	remaining := time.Duration(0)
+	for i := range st.Tasks {
+		t := &st.Tasks[i]
+		for _, a := range t.ActiveRuns {
+			elapsed := time.Duration(0)
+			if s := e.sessions[a.Worker.Number()]; s != nil {
+				if r := s.runs[t.Key(a.Run)]; r != nil && r.startedAt > 0 {
+					elapsed = e.now - r.startedAt
 				}
 			}
+			remaining = max(remaining, estimate-elapsed)
+		}
+	}
+	return remaining
+}
+
+func countUndone(st *ledger.StepRun) int {
+	n := 0
+	for i := range st.Tasks {
+		if !st.Tasks[i].Done {
+			n++
 		}
 	}
+	return n
 }
 
 func (v *poolView) computeWant() {
@@ -308,43 +361,14 @@
 		"have", v.have, "want", v.want, "demand-cpu", v.demand.CPU, "demand-memory", v.demand.Memory)
 }
 
-// arrivalRates holds the newest jobs of each pool.
-type arrivalRates map[string][]arrival
-
-type arrival struct {
-	at              time.Duration
-	cpuMilliSeconds int64
-}
-
-// addJob records an accepted job.
-func (r arrivalRates) addJob(pool string, j *ledger.Job, now time.Duration) {
-	a := arrival{at: now}
-	for _, s := range j.Steps {
-		if s.Lasting || j.MaxRuns > 0 {
+// observeArrival records the work of an accepted job for forecasts.
+func (e *Engine) observeArrival(j *ledger.Job) {
+	work := ledger.Resources{}
+	for _, st := range j.Steps {
+		if st.Lasting || j.MaxRuns > 0 {
 			return
 		}
-		a.cpuMilliSeconds += int64(s.Count) * s.Need.GetCpu() * s.EstimateMs / 1000
-	}
-	r[pool] = append(r[pool], a)
-	if extra := len(r[pool]) - rateWindowJobs; extra > 0 {
-		r[pool] = r[pool][extra:]
-	}
-}
-
-// cpuRate returns the work that arrives per second, in thousandths of a core; 0 outside a busy period.
-func (r arrivalRates) cpuRate(pool string, now time.Duration) int64 {
-	list := r[pool]
-	if len(list) < rateWindowJobs {
-		return 0
-	}
-	first, last := list[0].at, list[rateWindowJobs-1].at
-	gap := max((last-first)/(rateWindowJobs-1), minRateGap)
-	if now-last > maxSilentGaps*gap {
-		return 0
-	}
-	work := int64(0)
-	for _, a := range list[1:] {
-		work += a.cpuMilliSeconds
+		work = work.Plus(ledger.RequiredCapacity(st).Times(int(st.Count) * int(st.EstimateMs)))
 	}
-	return int64(float64(work) / max(last-first, minRateGap).Seconds())
+	e.forecasts.ObserveArrival(e.state.QueueOf(j).GetPool(), e.now, work)
 }
