workload: place tasks apart from kinds that slow them down

The leader learns from run times and tail latencies which kinds of tasks slow each other down on one worker. The scheduler prefers workers without such a kind, after all other rules and before the order by free capacity.

--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -197,6 +197,7 @@
 			if r := s.runs[k]; r != nil {
 				e.lateStarts.noteListed(s.worker.ID(), r)
 				r.startedAt = max(r.startedAt, 1) // The start isn't repeated until the end is recorded.
+				e.noteEnded(s, r, row.How, ev.SentAt, ev.EndedAt)
 			}
 		}
 		if s.pendingEnd > 0 {
@@ -240,7 +241,9 @@
 			r.startedAt = ev.EndedAt
 		}
 		r.lastCheckpoint, r.progress, r.load = cmp.Or(row.Checkpoint, r.lastCheckpoint), row.Percent, row.Load
+		e.noteListed(s, r, row, ev.EndedAt)
 	}
+	s.listAnsweredAt = ev.EndedAt
 	if !s.listFull {
 		for k, r := range s.runs {
 			if listed[k] || ended[k] {
@@ -424,6 +427,9 @@
 	case Accepted, Outdated:
 		// An outdated run is in the worker's lists, or has vanished.
 		r.startedAt, r.unattributed = ev.EndedAt, ev.Unattributed
+		if ev.Outcome == Accepted {
+			e.noteStartResult(s, r, ev)
+		}
 		delete(e.rejections, r.task.Step())
 	case NoCapacity, BadTicket, Unhealthy, Malformed:
 		e.cfg.Log.Info("worker rejected the start of a run", "worker", s.worker.ID(), "job", r.name.Job, "step", r.name.Step,
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/interference"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -53,10 +54,11 @@
 	JobRetention time.Duration
 	// JobOrder is the order in which jobs are served.
 	JobOrder schedule.JobOrder
-	// IncrementCounter adds one to a counter with a label, ObserveHistogram adds a value to a histogram; both may be
-	// nil.
+	// IncrementCounter adds one to a counter with a label, ObserveHistogram adds a value to a histogram, SetGauge sets a
+	// gauge; all may be nil.
 	IncrementCounter func(name, label, value string)
 	ObserveHistogram func(name string, v float64)
+	SetGauge         func(name string, v float64)
 	Log              logr.Logger
 }
 
@@ -94,13 +96,14 @@
 	lateStarts            lateStartTable
 	waitingSteps          waitingSteps
 	admission             admission
+	interference          *interference.Table
 	overload              string // reason to reject new jobs, as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
 	assigns, lastAssign uint64
 }
 
 func newEngine(state *ledger.State) *Engine {
-	e := &Engine{state: state}
+	e := &Engine{state: state, interference: interference.New()}
 	e.Configure(Config{})
 	return e
 }
@@ -130,6 +133,9 @@
 	if cfg.ObserveHistogram == nil {
 		cfg.ObserveHistogram = func(string, float64) {}
 	}
+	if cfg.SetGauge == nil {
+		cfg.SetGauge = func(string, float64) {}
+	}
 	if cfg.WallClock == nil {
 		cfg.WallClock = time.Now
 	}
@@ -149,7 +155,7 @@
 func (e *Engine) resetLeaderState(now time.Duration) {
 	*e = Engine{
 		cfg: e.cfg, state: e.state, leadingSince: now, now: now, scannedAt: now - sessionScanInterval,
-		sessions: map[uint64]*session{},
+		sessions: map[uint64]*session{}, interference: interference.New(),
 	}
 	e.advice.reset()
 	e.fleet.reset()
@@ -180,6 +186,7 @@
 		e.inheritLeases(ev.PreviousTerm)
 	case kernel.LeadershipLost:
 		e.leading = false
+		e.cfg.SetGauge("hibiscusroute_interference_pairs", 0) // The next leader learns anew.
 	case kernel.CommitDelay:
 		e.admission.commitDelay, e.admission.appliedBefore = ev.Delay, ev.AppliedBefore
 	case RenewLeaseResult:
@@ -236,6 +243,7 @@
 	e.startDueOccurrences()
 	e.updateAdvice()
 	e.advanceFleet()
+	e.updateInterference()
 	e.assignTasks()
 	e.logWaits()
 	e.logOverload()
@@ -320,6 +328,7 @@
 		Order: e.cfg.JobOrder, MaxAssignments: maxAssignmentsPerCommand,
 		BeyondShare: e.shares.isBeyondShare, Allowed: e.adviserAllows, MayReserve: e.advice.mayReserve,
 		IsDelayed: func(s *ledger.StepRun) bool { return e.rejections.isDelayed(s, e.now) }, PinnedTo: e.newPinnedTo(),
+		Kinds: e.kindsFor, CountDiverted: e.countDiverted,
 	}
 	in.Candidates = schedule.RankCandidates(in)
 	pools := map[string]bool{}
--- a/internal/workload/pace.go
+++ b/internal/workload/pace.go
@@ -61,6 +61,9 @@
 	r.throttleInFlight, r.throttledAt = false, e.now
 	if ev.Outcome == Accepted {
 		r.throttlePercent = ev.Request.Percent
+		if r.timing.run != nil {
+			s.kinds.Throttle(e.now, r.timing.run, r.throttlePercent < 100)
+		}
 		return
 	}
 	e.cfg.Log.Info("failed to throttle run", "worker", s.worker.ID(), "job", r.name.Job, "percent", ev.Request.Percent,
--- a/internal/workload/schedule/isolate.go
+++ b/internal/workload/schedule/isolate.go
@@ -35,6 +35,11 @@
 	// rack is the preferred rack, and tasksOnWorker the number of tasks of the step by the number of the incarnation.
 	rack          string
 	tasksOnWorker map[uint64]int
+	// kind is the kind of the tasks, avoided the kinds that should not be beside it, and ignoresKinds is set to compare workers
+	// without regard to them. diverted is the number of tasks that were placed on other workers because of them.
+	kind, avoided uint64
+	ignoresKinds  bool
+	diverted      int
 }
 
 func (g *taskGroup) job() uint64 { return g.step.Occurrence.Job.Number }
--- a/internal/workload/schedule/schedule.go
+++ b/internal/workload/schedule/schedule.go
@@ -18,6 +18,8 @@
 	LongRunningUsage ledger.Resources
 	// Suspect marks a worker that is chosen only if no other worker has enough free capacity.
 	Suspect bool
+	// Kinds is the set of the kinds of the assigned runs, one bit for each, see Input.Kinds.
+	Kinds uint64
 
 	// unproven and suspects count the runs by job that may still crash the worker: all of them, and those whose tasks have
 	// lost workers. keptFor is the only job that the worker takes tasks of, 0 if it takes any.
@@ -75,6 +77,12 @@
 	// Allowed reports whether the adviser lets a worker run a step now, and MayReserve whether its last answer did, even
 	// if that isn't valid any more. Both may be nil.
 	Allowed, MayReserve func(s *ledger.StepRun, w *Worker) bool
+	// Kinds returns the kind of the tasks of a step and the kinds of which none should be beside it, because they slow it or
+	// are slowed by it, as sets with one bit for each kind. It may be nil.
+	Kinds func(s *ledger.StepRun) (own, avoided uint64)
+	// CountDiverted is called with the number of tasks of a step that are assigned to other workers because of Kinds. It may
+	// be nil.
+	CountDiverted func(s *ledger.StepRun, n int)
 }
 
 // pass is the state of a scheduling pass.
@@ -221,6 +229,10 @@
 			w.preferring = append(w.preferring, a)
 		}
 		w.AddUnproven(t, a.Isolated)
+		w.Kinds |= g.kind
+	}
+	if g.diverted > 0 && p.in.CountDiverted != nil {
+		p.in.CountDiverted(s, g.diverted)
 	}
 	account, need := s.Occurrence.Job.Account, ledger.ResourcesOf(s.Step.Need)
 	p.plannedUsage[account] = p.plannedUsage[account].Plus(need.Times(len(chosen)))
@@ -268,6 +280,9 @@
 		g.tasksOnWorker = TasksOnWorkers(s)
 		p.tasksOnWorkers[s] = g.tasksOnWorker
 	}
+	if p.in.Kinds != nil {
+		g.kind, g.avoided = p.in.Kinds(s)
+	}
 	g.rack = s.Step.DataRack
 	for i := range s.Tasks {
 		for _, a := range s.Tasks[i].ActiveRuns {
@@ -303,6 +318,9 @@
 			}
 			break
 		}
+		if g.avoided != 0 && g.isDiverted(best, workers, fits) {
+			g.diverted++
+		}
 		best.free = best.free.Minus(required)
 		best.addTasks(s.Step, 1)
 		g.tasksOnWorker[best.Number()]++
@@ -387,7 +405,7 @@
 // so where the worker with the least free processors is preferred.
 func (g *taskGroup) keepsOrder() bool {
 	s := g.step.Step
-	return !g.suspect && !s.Fills && !s.Lasting && s.TargetMs == 0
+	return !g.suspect && !s.Fills && !s.Lasting && s.TargetMs == 0 && g.kind&g.avoided == 0
 }
 
 // TasksOnWorkers returns the number of assigned tasks of a step by the number of the worker's incarnation.
@@ -531,6 +549,17 @@
 			return x
 		}
 	}
+	spreads := !s.Fills && (s.TargetMs > 0 || s.Lasting)
+	if spreads {
+		// Few tasks of a step share a worker, so that its loss or maintenance affects few of them.
+		preferred := PreferredPerWorker(s)
+		if x, y := g.tasksOnWorker[a.Number()] < preferred, g.tasksOnWorker[b.Number()] < preferred; x != y {
+			return x
+		}
+	}
+	if x, y := g.interferes(a), g.interferes(b); x != y {
+		return y
+	}
 	switch {
 	case s.Fills:
 		// Best-effort tasks disturb latency-sensitive ones and run on processor time that is left unused.
@@ -541,13 +570,8 @@
 			return a.BestEffort < b.BestEffort
 		}
 		return a.UnusedCPU > b.UnusedCPU
-	case s.TargetMs > 0 || s.Lasting:
-		// Few tasks of a step share a worker, so that its loss or maintenance affects few of them. Otherwise workers
-		// that already run long-running tasks are preferred, so that the others can move to another pool.
-		preferred := PreferredPerWorker(s)
-		if x, y := g.tasksOnWorker[a.Number()] < preferred, g.tasksOnWorker[b.Number()] < preferred; x != y {
-			return x
-		}
+	case spreads:
+		// Workers that already run long-running tasks are preferred, so that the others can move to another pool.
 		if s.TargetMs > 0 && a.LatencySensitive+a.BestEffort != b.LatencySensitive+b.BestEffort {
 			return a.LatencySensitive+a.BestEffort < b.LatencySensitive+b.BestEffort
 		}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/interference"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
@@ -131,6 +132,9 @@
 	doubtedAt time.Duration
 	// confirmedAt is when the latest request was sent that the incarnation answered.
 	confirmedAt time.Duration
+	// kinds records which kinds of tasks run on the worker. listAnsweredAt is when the last list was answered.
+	kinds          *interference.Worker
+	listAnsweredAt time.Duration
 }
 
 // run is what the leader knows about an assigned run.
@@ -177,10 +181,14 @@
 	throttlePercent  int
 	throttleInFlight bool // a change was requested and has no result yet
 	throttledAt      time.Duration
+	timing           runTiming
 }
 
 func (e *Engine) openSession(w *ledger.Worker) *session {
-	s := &session{worker: w, runs: map[ledger.RunKey]*run{}, fenced: w.Predecessors() == 0 || w.AssignedSinceMs() > 0}
+	s := &session{
+		worker: w, runs: map[ledger.RunKey]*run{}, fenced: w.Predecessors() == 0 || w.AssignedSinceMs() > 0,
+		kinds: interference.NewWorker(w.Number()),
+	}
 	e.sessions[w.Number()] = s
 	e.markDirty(s)
 	e.cfg.Log.Info("worker registered", "worker", w.ID(), "boot", w.Number(), "predecessors", w.Predecessors(),
@@ -214,6 +222,7 @@
 		if s.runs[k] == nil {
 			r := newRun(k, t)
 			r.assignNumber = t.RunOn(s.worker).AssignNumber()
+			r.timing.kind = e.kindOf(t.Step())
 			s.runs[k], e.lateStarts.open[r], e.lateStarts.unlisted[r] = r, true, true
 		}
 	}
@@ -242,6 +251,7 @@
 			e.logLateStart(s, r, "run-ended")
 			e.lateStarts.resolve(s.worker.ID(), r, false)
 			e.lateStarts.forget(r)
+			e.noteGone(s, r, e.now)
 			delete(s.runs, k)
 		}
 	}
@@ -456,7 +466,11 @@
 			v.LongRunning++
 			v.LongRunningUsage = v.LongRunningUsage.Plus(ledger.RequiredCapacity(step))
 		}
-		if r := s.runs[k]; r == nil || !s.isHarmless(r) {
+		r := s.runs[k]
+		if r != nil {
+			v.Kinds |= uint64(r.timing.kind.Set())
+		}
+		if r == nil || !s.isHarmless(r) {
 			v.AddUnproven(t, t.IsIsolatedOn(s.worker))
 		}
 	}
