--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -69,6 +69,9 @@
 	return b.String()
 }
 
+// CountingPairs returns the number of pairs of kinds that slow each other down.
+func (e *Engine) CountingPairs() int { return e.interference.Counting() }
+
 const (
 	// MaxGrantedLease is the longest lease that leaders grant.
 	MaxGrantedLease = maxGrantedLease
--- a/internal/workload/interference.go
+++ b/internal/workload/interference.go
@@ -62,7 +62,7 @@
 // noteStartResult records that a worker acknowledged the start of a run. The run time is known only if this was the only
 // request, and the run starts from the beginning.
 func (e *Engine) noteStartResult(s *session, r *run, ev StartRunResult) {
-	if r.timing.run == nil && !r.repeated && !r.doubtful && r.attempts == 1 && r.checkpoint == "" && !ev.Unattributed {
+	if r.timing.run == nil && !r.repeated && !r.doubtful && r.attempts == 1 && r.checkpoint == "" {
 		r.timing.isTimed, r.timing.startError = true, ev.EndedAt-ev.SentAt
 	}
 	e.noteStarted(s, r, ev.EndedAt)
--- a/internal/workload/interference/sample.go
+++ b/internal/workload/interference/sample.go
@@ -30,7 +30,7 @@
 }
 
 // add adds a sample, unless there are enough of its group.
-func (s *samples) add(m sample) bool {
+func (s *samples) add(m sample) {
 	if m.group != 0 {
 		same := 0
 		for _, o := range s.list[:min(s.n, maxSamples)] {
@@ -39,20 +39,19 @@
 			}
 		}
 		if same >= maxSamplesPerGroup {
-			return false
+			return
 		}
 	}
 	s.list[s.n%maxSamples] = m
 	s.n++
-	return true
 }
 
-// newest returns when the last sample was added, and whether there is one.
-func (s *samples) newest() (time.Duration, bool) {
+// newest returns when the last sample was added, 0 if there is none.
+func (s *samples) newest() time.Duration {
 	if s.n == 0 {
-		return 0, false
+		return 0
 	}
-	return s.list[(s.n-1)%maxSamples].at, true
+	return s.list[(s.n-1)%maxSamples].at
 }
 
 // since returns the samples that are not older than a time, the latest ones first.
--- a/internal/workload/interference/table.go
+++ b/internal/workload/interference/table.go
@@ -16,10 +16,13 @@
 	// maxSpread is the ratio of the interquartile range to the median, without the other kind, from which the values of a
 	// kind vary too widely by nature.
 	maxSpread = 0.4
-	// stableWindow and volatileWindow are how long evidence is used. The effects of best-effort tasks change within
-	// seconds.
+	// stableWindow and volatileWindow are how long evidence is used. The effects of best-effort tasks and those on
+	// latency-sensitive ones change within seconds.
 	stableWindow   = 30 * time.Second
 	volatileWindow = 5 * time.Second
+	// volatileHold is how long a pair with a volatile kind counts after the last evidence for it. Most tasks avoid each other
+	// meanwhile, and each time that the pair is learned anew, some don't.
+	volatileHold = 15 * time.Second
 	// updateInterval is the time between two evaluations of the evidence.
 	updateInterval = 250 * time.Millisecond
 )
@@ -145,7 +148,7 @@
 			if p == nil || p.counts {
 				continue
 			}
-			if newest, _ := p.with.newest(); oldest == nil || newest < at {
+			if newest := p.with.newest(); oldest == nil || newest < at {
 				oldest, at = p, newest
 			}
 		}
@@ -188,7 +191,7 @@
 func (t *Table) evaluate(now time.Duration, p *pair, kind, other int) {
 	f := p.figures(now)
 	switch {
-	case p.counts && f.with == 0:
+	case p.counts && now-p.with.newest() > p.hold():
 		t.setCounts(p, f, "evidence-too-old")
 	case p.counts && f.isContradicted():
 		t.setCounts(p, f, "contradicted")
@@ -232,8 +235,8 @@
 }
 
 func (p *pair) figures(now time.Duration) figures {
-	after := now - min(p.kind.window, p.other.window)
-	with, without := p.with.since(after), p.without.since(after)
+	// Values without the other kind change less than its effect. If they do, their spread tells.
+	with, without := p.with.since(now-min(p.kind.window, p.other.window)), p.without.since(now-stableWindow)
 	f := figures{with: len(with), without: len(without)}
 	if len(with) < minSamples/2 || len(without) < minSamples/2 {
 		return f
@@ -247,6 +250,14 @@
 	return f
 }
 
+// hold returns how long the pair counts after the last evidence for it.
+func (p *pair) hold() time.Duration {
+	if min(p.kind.window, p.other.window) == volatileWindow {
+		return volatileHold
+	}
+	return stableWindow
+}
+
 // isClear reports whether the evidence is enough for a pair to count.
 func (f figures) isClear() bool {
 	return f.with >= minSamples && f.without >= minSamples && f.workers >= minWorkers && f.ratio >= minEffect &&
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -103,6 +103,8 @@
 	startupTime, stopTime time.Duration
 	// checkTicket reports whether the ticket of a start is valid; it may be nil.
 	checkTicket func(w *fakeWorker, a workload.StartRun) bool
+	// slowdown returns how many times as long a run on a worker takes now; it may be nil.
+	slowdown func(w *fakeWorker, r *fakeRun) float64
 }
 
 // uncommitted is a command that was proposed.
@@ -406,6 +408,11 @@
 	if w.dead {
 		return
 	}
+	if s.slowdown != nil {
+		for _, r := range w.runs {
+			r.endsAt += time.Duration((1 - 1/s.slowdown(w, r)) * float64(simStep))
+		}
+	}
 	for _, r := range w.sortedRuns(func(r *fakeRun) bool { return s.now >= r.endsAt && !r.longRunning && !w.stuck }) {
 		w.end(r, w.how)
 	}
