interference: require independent runs, and hold pairs of ordinary kinds for 60 s

In a load with run times between 0.2 and 1.7 s by nature, pairs began to count by chance: two runs of a job count once now, and 12 runs without the other kind are needed. With that, pairs are learned more slowly, so they count for longer.

--- a/internal/workload/interference/sample.go
+++ b/internal/workload/interference/sample.go
@@ -8,11 +8,10 @@
 const (
 	// maxSamples is how many samples are kept of each sort.
 	maxSamples = 24
-	// minSamples is how many samples of each sort a decision needs.
-	minSamples = 8
-	// maxSamplesPerGroup is how many samples of a group are kept: the run times of the tasks of a job are alike, so that
-	// one large job would pass for an effect.
-	maxSamplesPerGroup = 2
+	// minSamples is how many samples with the other kind a pair needs to count, and minBaseline how many without it. With 8 of
+	// these, run times that vary between 0.2 and 1.7 s by nature gave pairs by chance.
+	minSamples  = 8
+	minBaseline = 12
 )
 
 // sample is a measurement of a run.
@@ -29,18 +28,11 @@
 	n    int // number of samples that were ever added
 }
 
-// add adds a sample, unless there are enough of its group.
+// add adds a sample, unless there is one of its group. The run times of the tasks of a job are alike, so that one large job
+// would pass for an effect.
 func (s *samples) add(m sample) {
-	if m.group != 0 {
-		same := 0
-		for _, o := range s.list[:min(s.n, maxSamples)] {
-			if o.group == m.group {
-				same++
-			}
-		}
-		if same >= maxSamplesPerGroup {
-			return
-		}
+	if m.group != 0 && slices.ContainsFunc(s.list[:min(s.n, maxSamples)], func(o sample) bool { return o.group == m.group }) {
+		return
 	}
 	s.list[s.n%maxSamples] = m
 	s.n++
--- a/internal/workload/interference/table.go
+++ b/internal/workload/interference/table.go
@@ -20,8 +20,9 @@
 	// latency-sensitive ones change within seconds.
 	stableWindow   = 30 * time.Second
 	volatileWindow = 5 * time.Second
-	// volatileHold is how long a pair with a volatile kind counts after the last evidence for it. Most tasks avoid each other
+	// stableHold and volatileHold are how long a pair counts after the last evidence for it. Most tasks avoid each other
 	// meanwhile, and each time that the pair is learned anew, some don't.
+	stableHold   = 60 * time.Second
 	volatileHold = 15 * time.Second
 	// updateInterval is the time between two evaluations of the evidence.
 	updateInterval = 250 * time.Millisecond
@@ -255,12 +256,12 @@
 	if min(p.kind.window, p.other.window) == volatileWindow {
 		return volatileHold
 	}
-	return stableWindow
+	return stableHold
 }
 
 // isClear reports whether the evidence is enough for a pair to count.
 func (f figures) isClear() bool {
-	return f.with >= minSamples && f.without >= minSamples && f.workers >= minWorkers && f.ratio >= minEffect &&
+	return f.with >= minSamples && f.without >= minBaseline && f.workers >= minWorkers && f.ratio >= minEffect &&
 		f.lowRatio >= endedEffect && f.separate && f.spread <= maxSpread
 }
 
--- a/internal/workload/interference/table_test.go
+++ b/internal/workload/interference/table_test.go
@@ -182,7 +182,7 @@
 		reason   string
 	}{
 		{"contradicted", false, func(f *fixture) { f.play(2, 0, 4, 1, 1) }, "contradicted"},
-		{"old", false, func(f *fixture) { f.now += stableWindow }, "evidence-too-old"},
+		{"old", false, func(f *fixture) { f.now += stableHold }, "evidence-too-old"},
 		{"old-volatile", true, func(f *fixture) { f.now += volatileHold }, "evidence-too-old"},
 		{"recent", false, func(f *fixture) { f.now += volatileHold }, ""},
 		{"recent-volatile", true, func(f *fixture) { f.now += volatileWindow }, ""},
