workload: count instances that have just returned

Between the end of a move and the next list, the last list may show the instance as down, so that its pool took another one in its place.

--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -94,6 +94,8 @@
 	lateMovesUntil time.Duration
 	// changedAt is when an operation on it last ended. An older list shows another pool or worker.
 	changedAt time.Duration
+	// returnedTo is the pool to which that operation returned it, empty if the operation was given up.
+	returnedTo string
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
 	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
@@ -346,7 +348,7 @@
 	e.cfg.Log.Info("requests for an instance operation get no answer and a task waits; trying again later",
 		"instance", in.Name, "wave", op.wave, "pool", op.pool)
 	e.postponeOperation(in)
-	in.changedAt = e.now
+	in.changedAt, in.returnedTo = e.now, ""
 	if op.wave > 0 {
 		in.maybeAwayUntil = settledAt + e.cfg.MaintenanceDuration
 		if op.first {
@@ -378,6 +380,7 @@
 	case s != nil:
 		e.doubt(s)
 	}
+	in.returnedTo = cmp.Or(op.pool, in.Pool)
 	in.operation, in.changedAt, e.fleet.stale = nil, e.now, true
 }
 
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -108,11 +108,11 @@
 	var off, idle []*instance
 	for _, in := range e.fleet.sortedInstances() {
 		e.updateIdleSince(in)
-		v := pools[in.effectivePool()]
+		v := pools[e.poolOf(in)]
 		if v == nil {
 			continue
 		}
-		if in.operation == nil && !in.Up && !e.isReturning(in) {
+		if in.operation == nil && !in.Up && !e.hasJustReturned(in) {
 			continue
 		}
 		s := e.sessionOf(in)
@@ -308,17 +308,21 @@
 	return e.state.Usage(account).Plus(ledger.ResourcesOf(st.Step.Need)).WithinQuota(quota)
 }
 
-// effectivePool returns the pool that an instance serves or is moving to.
-func (in *instance) effectivePool() string {
-	if in.operation != nil && in.operation.pool != "" {
+// poolOf returns the pool that an instance serves or is moving to.
+func (e *Engine) poolOf(in *instance) string {
+	switch {
+	case in.operation != nil && in.operation.pool != "":
 		return in.operation.pool
+	case e.hasJustReturned(in):
+		return in.returnedTo
 	}
 	return in.Pool
 }
 
-// isReturning reports whether a move or maintenance of an instance was accepted and has not ended yet.
-func (e *Engine) isReturning(in *instance) bool {
-	return in.operation != nil && in.operation.awayUntil > 0
+// hasJustReturned reports whether an operation on an instance has ended since the instances were listed. The list may show it
+// as down, so that its pool would get another one in its place.
+func (e *Engine) hasJustReturned(in *instance) bool {
+	return in.operation == nil && in.returnedTo != "" && e.fleet.listSentAt < in.changedAt
 }
 
 func (e *Engine) updateIdleSince(in *instance) {
