workload: move instances ahead of busy periods that follow each other

A peak that asks for more than its pool lost its first jobs for as long as a move takes. The leader now remembers by how much the busy period of one pool follows that of another one or its own last one, and what it needed, and moves instances one move ahead. What jobs need comes first. A forecast that isn't confirmed lapses, and a pool whose forecasts prove wrong gets none until its rhythm returns.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -59,6 +59,9 @@
 	IncrementCounter func(name, label, value string)
 	ObserveHistogram func(name string, v float64)
 	Log              logr.Logger
+
+	// withoutRhythm makes the size of pools depend on accepted and arriving jobs alone, which tests compare with.
+	withoutRhythm bool
 }
 
 // Engine decides for the leader which runs workers execute and which instances are moved or maintained. It must be
@@ -155,7 +158,7 @@
 	e.advice.reset()
 	e.fleet.reset()
 	e.shares.reset()
-	e.forecasts = forecast.New(forecast.Config{MoveDuration: e.cfg.MoveDuration})
+	e.forecasts = forecast.New(forecast.Config{MoveDuration: e.cfg.MoveDuration, WithoutRhythm: e.cfg.withoutRhythm})
 	e.rejections = rejections{}
 	e.fleet.startClockMs = e.state.Clock()
 	for _, w := range e.state.Waves() {
--- a/internal/workload/export_test.go
+++ b/internal/workload/export_test.go
@@ -5,6 +5,12 @@
 	"strings"
 )
 
+// WithoutRhythm returns settings by which the size of pools depends on accepted and arriving jobs alone.
+func (cfg Config) WithoutRhythm() Config {
+	cfg.withoutRhythm = true
+	return cfg
+}
+
 // Explain describes, for a failing test, what the leader knows about a worker and a step.
 func (e *Engine) Explain(workerID, job string, step int32) string {
 	w := e.state.WorkerByID(workerID)
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/forecast"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
@@ -54,6 +55,8 @@
 	noSurplusAt  map[string]time.Duration // when a pool last had no more instances than it needs
 	// unplacedSince is the time since which a pool has had a long-running task without a worker.
 	unplacedSince map[string]time.Duration
+	// loggedReason is the reason of the last log line on a forecast that changes what a pool wants.
+	loggedReason map[string]forecast.Reason
 	// triedAt is when a pool last got an instance for steps that the adviser has denied each worker.
 	triedAt      map[string]time.Duration
 	startClockMs int64 // the ledger's clock when this leader started
@@ -146,7 +149,7 @@
 	*f = fleet{
 		instances: map[string]*instance{}, byWorker: map[string]*instance{}, stale: true,
 		noSurplusAt: map[string]time.Duration{}, unplacedSince: map[string]time.Duration{},
-		triedAt:         map[string]time.Duration{},
+		triedAt: map[string]time.Duration{}, loggedReason: map[string]forecast.Reason{},
 		maybeMaintained: map[waveInstance]bool{},
 		waveKnownAt:     map[int64]time.Duration{},
 	}
--- a/internal/workload/forecast/forecast.go
+++ b/internal/workload/forecast/forecast.go
@@ -6,6 +6,12 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 )
 
+// slackJobs is the number of jobs over which their slack is averaged.
+const slackJobs = 16
+
+// movePrice is the price of a move, as the time for which an instance in a pool costs the same: 0.037 at 0.033 per second.
+const movePrice = 1100 * time.Millisecond
+
 // Reason tells what a forecast is based on; it is empty if nothing is expected.
 type Reason string
 
@@ -13,12 +19,18 @@
 const (
 	// Arrivals is the rate at which jobs arrive.
 	Arrivals Reason = "arrivals"
+	// BusyPeriod is what earlier busy periods needed at their height, in one that has begun.
+	BusyPeriod Reason = "busy-period"
+	// Rhythm is a busy period that hasn't begun, but followed busy periods like the last ones before.
+	Rhythm Reason = "rhythm"
 )
 
 // Config holds the settings of a forecaster.
 type Config struct {
 	// MoveDuration is how long an instance is out of service when it moves to another pool.
 	MoveDuration time.Duration
+	// WithoutRhythm leaves out everything but the arrival rate.
+	WithoutRhythm bool
 }
 
 // Forecaster predicts the demand of pools. It must be used by one goroutine.
@@ -30,6 +42,9 @@
 // pool is what the forecaster knows about a pool.
 type pool struct {
 	arrivals arrivals
+	// slack is the mean slack of the last jobs, see ObserveSlack.
+	slack time.Duration
+	rhythm
 }
 
 // New returns a forecaster that has seen no demand.
@@ -43,19 +58,67 @@
 	p.arrivals = p.arrivals.add(now, work)
 }
 
+// ObserveSlack records how much longer the latency objective of an accepted job of a pool is than its estimated run time.
+func (f *Forecaster) ObserveSlack(name string, slack time.Duration) {
+	p := f.pool(name)
+	if len(p.arrivals) <= 1 {
+		p.slack = slack
+	}
+	p.slack += (slack - p.slack) / slackJobs
+}
+
 func (f *Forecaster) pool(name string) *pool {
 	if f.pools[name] == nil {
-		f.pools[name] = &pool{}
+		f.pools[name] = &pool{rhythm: rhythm{after: map[string]*lag{}}}
 	}
 	return f.pools[name]
 }
 
 // Expected returns the resources that jobs of limited duration will need in a pool when an instance that moves now arrives,
-// as far as arrivals tell, and the reason.
+// as far as arrivals and busy periods tell, and the reason. Needs that are expected because of a rhythm are not confirmed by
+// arrivals yet.
 func (f *Forecaster) Expected(name string, now time.Duration) (ledger.Resources, Reason) {
-	r := f.pool(name).arrivals.rate(now)
-	if r == (ledger.Resources{}) {
-		return r, ""
+	p := f.pool(name)
+	r, reason := p.arrivals.rate(now), Reason("")
+	if r != (ledger.Resources{}) {
+		reason = Arrivals
+	}
+	switch {
+	case p.busy && now+f.cfg.MoveDuration < p.start+p.duration && size(p.height) > size(r):
+		return p.height.Max(r), BusyPeriod
+	case p.forecast != nil && p.forecast.Acted && size(p.height) > size(r):
+		return p.height.Max(r), Rhythm
+	}
+	return r, reason
+}
+
+// KeptFor returns what a pool will need in a busy period that is predicted soon enough that its idle instances cost less
+// than to turn them off and on again.
+func (f *Forecaster) KeptFor(name string, now time.Duration) ledger.Resources {
+	return f.upcoming(name, now+2*movePrice)
+}
+
+// TakenFor returns what a pool will need in a busy period that is predicted soon enough that idle instances of other pools
+// cost less until they are moved to it than to turn them off.
+func (f *Forecaster) TakenFor(name string, now time.Duration) ledger.Resources {
+	return f.upcoming(name, now+f.lead(f.pool(name))+movePrice)
+}
+
+func (f *Forecaster) upcoming(name string, until time.Duration) ledger.Resources {
+	p := f.pool(name)
+	if fc := p.forecast; fc != nil && fc.confidence >= minConfidence && fc.Begin <= until {
+		return p.height
+	}
+	return ledger.Resources{}
+}
+
+// HasSeen reports whether a job of a pool was accepted.
+func (f *Forecaster) HasSeen(name string) bool { return len(f.pool(name).arrivals) > 0 }
+
+// Upcoming returns the forecast of a pool that counts for its size, nil if there is none.
+func (f *Forecaster) Upcoming(name string) *Forecast {
+	if fc := f.pool(name).forecast; fc != nil && fc.Acted {
+		return fc
 	}
-	return r, Arrivals
+	return nil
 }
--- a/internal/workload/forecast/rate.go
+++ b/internal/workload/forecast/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -46,11 +47,17 @@
 
 // rate returns the work that arrives per millisecond, which is the resources that it keeps in use; zero outside a busy period.
 func (l arrivals) rate(now time.Duration) ledger.Resources {
-	r := l.lowRate(now)
-	for _, window := range windows {
+	r, _ := l.windowRate(now)
+	return r.Max(l.lowRate(now))
+}
+
+// windowRate returns the largest rate of a window, and the first arrival in the shortest window with a rate.
+func (l arrivals) windowRate(now time.Duration) (r ledger.Resources, since time.Duration) {
+	for _, window := range slices.Backward(windows) {
 		sum, n := ledger.Resources{}, 0
+		first := now
 		for i := len(l) - 1; i >= 0 && now-l[i].at < window; i-- {
-			sum, n = sum.Plus(l[i].work), n+1
+			sum, n, first = sum.Plus(l[i].work), n+1, l[i].at
 		}
 		if n < minWindowJobs {
 			continue
@@ -58,9 +65,9 @@
 		// The number of jobs in a window varies by about its square root. Without that much less, each short cluster of a
 		// steady load would look like a rise.
 		certain := (float64(n) - math.Sqrt(float64(n))) / float64(n)
-		r = r.Max(scale(sum, certain/float64(window.Milliseconds())))
+		r, since = r.Max(scale(sum, certain/float64(window.Milliseconds()))), first
 	}
-	return r
+	return r, since
 }
 
 // lowRate returns the rate over the last lowRateJobs jobs, which may be longer ago than the windows.
--- /dev/null
+++ b/internal/workload/forecast/rhythm.go
@@ -0,0 +1,239 @@
+package forecast
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+)
+
+const (
+	// beginRatio is the ratio of a rate to the height of the last busy periods from which another one begins. The rate of
+	// the first 100 ms is about half of the height, because it leaves out what may be chance.
+	beginRatio = 0.4
+	// endRatio is the ratio of a rate to the highest one of a busy period below which the period ends, after endDelay.
+	endRatio = 0.2
+	endDelay = 500 * time.Millisecond
+	// endLag is how long the longest window shows more than endRatio after the last job.
+	endLag = 600 * time.Millisecond
+	// minPeriod is the shortest busy period that counts. A shorter one is over before an instance has moved.
+	minPeriod = time.Second
+	// maxLag is the longest time between busy periods of which one is predicted from the other.
+	maxLag = 2 * time.Minute
+	// minTolerance and maxTolerance bound how much earlier or later than predicted a busy period may begin, which is a part
+	// of 1/toleranceShare of the lag. Until then a forecast that isn't confirmed keeps its instances.
+	minTolerance, maxTolerance = 400 * time.Millisecond, time.Second
+	toleranceShare             = 8
+	// startupMargin is how much longer than a move it takes until a worker gets runs: the announcement of the move, the
+	// worker's first heartbeat and its first lease.
+	startupMargin = 400 * time.Millisecond
+	// minConfidence is the probability of a forecast from which it is used. Without the instance, jobs worth about 0.6 are
+	// late; a wrong forecast costs two moves of 0.037 and 3 s of 0.033. So it pays from 0.23; the rest is a margin for
+	// deployments whose jobs are worth less. A lag that was seen once is used until it has been wrong once.
+	minConfidence = 0.4
+	// recordDecay is the weight that the earlier forecasts of a pool keep when one more has proven right or wrong.
+	recordDecay = 0.8
+	// maxReadyRatio bounds the height of a busy period by the rate of its work, because jobs that waited for instances
+	// add to what it seemed to need.
+	maxReadyRatio = 1.5
+)
+
+// rhythm is what is known about the busy periods of a pool.
+type rhythm struct {
+	begun  bool // there was a busy period
+	busy   bool
+	start  time.Duration // of the present or last busy period
+	busyAt time.Duration // when the present one last had a sufficient rate
+	counts bool          // the last busy period was long enough, or may become so
+
+	highest  ledger.Resources // rate of the present busy period
+	readySum ledger.Resources // what ready tasks needed in the present busy period, for readyNum observations
+	readyNum int64
+	lags     map[string]time.Duration // by which the present one follows those of the other pools
+
+	// height and duration are those of the last busy periods, the latest counting half.
+	height   ledger.Resources
+	duration time.Duration
+	// after holds the lags that have been seen, by the pool whose busy period came before.
+	after map[string]*lag
+	// right and wrong are the numbers of forecasts that have proven so, the earlier ones counting less.
+	right, wrong float64
+	forecast     *Forecast
+}
+
+// lag is the time by which the busy period of a pool follows that of another one, or its own last one.
+type lag struct {
+	length time.Duration
+	seen   int // successive times with about this length
+	// lapsedFor is the start of the busy period after which the lag last proved wrong.
+	lapsedFor time.Duration
+	lapsed    bool
+}
+
+// Forecast is a predicted busy period.
+type Forecast struct {
+	// Pool is the pool that will be busy, After the one whose busy period it follows.
+	Pool, After string
+	// Begin is when it is predicted to begin.
+	Begin time.Duration
+	// Seen is how often in succession this was seen.
+	Seen int
+	// Acted reports whether the forecast counted for the size of the pool.
+	Acted bool
+	// Right reports whether the busy period began about when it was predicted.
+	Right bool
+
+	tolerance  time.Duration
+	confidence float64
+}
+
+func tolerance(lag time.Duration) time.Duration {
+	return min(max(lag/toleranceShare, minTolerance), maxTolerance)
+}
+
+// size makes rates of a pool comparable.
+func size(r ledger.Resources) float64 {
+	if r.CPU > 0 {
+		return float64(r.CPU)
+	}
+	return float64(r.Memory)
+}
+
+// Advance updates the busy periods and forecasts of all pools, and returns the forecasts that have ended. It is called
+// periodically, several times within minPeriod.
+func (f *Forecaster) Advance(now time.Duration) []Forecast {
+	if f.cfg.WithoutRhythm {
+		return nil
+	}
+	var ended []Forecast
+	names := slices.Sorted(maps.Keys(f.pools))
+	for _, name := range names {
+		p := f.pools[name]
+		rate, since := p.arrivals.windowRate(now)
+		switch {
+		case p.busy && size(rate) >= endRatio*size(p.highest) && size(rate) > 0:
+			p.busyAt, p.highest = now, p.highest.Max(rate)
+		case p.busy && now-p.busyAt >= endDelay:
+			p.endPeriod()
+		case !p.busy && size(rate) > 0 && size(rate) >= beginRatio*size(p.height):
+			f.beginPeriod(name, since, now)
+			if fc := p.forecast; fc != nil && (fc.Acted || since >= fc.Begin-fc.tolerance) {
+				fc.Right = true
+				ended = append(ended, p.endForecast())
+			}
+			p.forecast = nil
+		}
+	}
+	for _, name := range names {
+		if fc, ok := f.updateForecast(name, now); ok {
+			ended = append(ended, fc)
+		}
+	}
+	return ended
+}
+
+// ObserveReady records what the ready tasks of a pool need that run for a limited time.
+func (f *Forecaster) ObserveReady(name string, need ledger.Resources) {
+	if p := f.pool(name); p.busy {
+		p.readySum, p.readyNum = p.readySum.Plus(need), p.readyNum+1
+	}
+}
+
+func (f *Forecaster) beginPeriod(name string, start, now time.Duration) {
+	p := f.pools[name]
+	lags := map[string]time.Duration{}
+	for other, o := range f.pools {
+		// Of several busy periods of this pool, only the first follows that of another pool.
+		if o.begun && o.counts && start-o.start <= maxLag && o.start < start && (other == name || !p.begun || p.start < o.start) {
+			lags[other] = start - o.start
+		}
+	}
+	p.begun, p.busy, p.counts, p.start, p.busyAt, p.lags = true, true, true, start, now, lags
+	p.highest, p.readySum, p.readyNum = ledger.Resources{}, ledger.Resources{}, 0
+}
+
+func (p *pool) endPeriod() {
+	p.busy = false
+	duration := p.busyAt - p.start - endLag
+	if p.counts = duration >= minPeriod; !p.counts {
+		return
+	}
+	height := p.highest
+	if p.readyNum > 0 {
+		mean := scale(p.readySum, 1/float64(p.readyNum))
+		height = height.Max(mean)
+		if limit := maxReadyRatio * size(p.highest); size(height) > limit {
+			height = scale(height, limit/size(height))
+		}
+	}
+	if p.duration > 0 {
+		height, duration = scale(height.Plus(p.height), 0.5), (duration+p.duration)/2
+	}
+	p.height, p.duration = height, duration
+	for other, length := range p.lags {
+		l := p.after[other]
+		if l == nil || (l.length-length).Abs() > tolerance(length) {
+			p.after[other] = &lag{length: length, seen: 1}
+			continue
+		}
+		l.length, l.seen = (l.length+length)/2, l.seen+1
+	}
+}
+
+// updateForecast makes, replaces or ends the forecast of a pool. It returns one that has proven wrong.
+func (f *Forecaster) updateForecast(name string, now time.Duration) (Forecast, bool) {
+	p := f.pools[name]
+	if fc := p.forecast; fc != nil && now > fc.Begin+fc.tolerance {
+		for other, l := range p.after {
+			// Another lag that predicts the same busy period is no further chance for it.
+			if o := f.pools[other]; o.start+l.length < now+maxTolerance {
+				l.lapsed, l.lapsedFor = true, o.start
+			}
+		}
+		return p.endForecast(), true
+	}
+	last := p.forecast
+	p.forecast = nil
+	if p.busy || p.duration == 0 {
+		return Forecast{}, false
+	}
+	for _, other := range slices.Sorted(maps.Keys(p.after)) {
+		l, o := p.after[other], f.pools[other]
+		begin, tol := o.start+l.length, tolerance(l.length)
+		if !o.counts || o.start < p.start || l.lapsed && l.lapsedFor == o.start || now > begin+tol {
+			continue
+		}
+		if fc := p.forecast; fc == nil || l.seen > fc.Seen || l.seen == fc.Seen && tol < fc.tolerance {
+			seen := float64(l.seen)
+			p.forecast = &Forecast{
+				Pool: name, After: other, Begin: begin, Seen: l.seen, tolerance: tol,
+				confidence: (p.right + seen) / (p.right + p.wrong + seen + 1),
+			}
+		}
+	}
+	if fc := p.forecast; fc != nil {
+		fc.Acted = fc.confidence >= minConfidence && now >= fc.Begin-f.lead(p) ||
+			last != nil && last.Acted && (last.Begin-fc.Begin).Abs() <= maxTolerance
+	}
+	return Forecast{}, false
+}
+
+// lead returns how long before a predicted busy period instances move to a pool. Jobs with more slack than a move takes can
+// wait for a part of it.
+func (f *Forecaster) lead(p *pool) time.Duration {
+	return max(f.cfg.MoveDuration+startupMargin-max(p.slack-f.cfg.MoveDuration, 0), 0)
+}
+
+// endForecast ends a forecast that has proven right or wrong, and weighs the next ones by that.
+func (p *pool) endForecast() Forecast {
+	fc := *p.forecast
+	p.forecast = nil
+	p.right, p.wrong = p.right*recordDecay, p.wrong*recordDecay
+	if fc.Right {
+		p.right++
+	} else {
+		p.wrong++
+	}
+	return fc
+}
--- /dev/null
+++ b/internal/workload/forecast/rhythm_test.go
@@ -0,0 +1,110 @@
+package forecast
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+)
+
+// busy is a busy period of a pool.
+type busy struct {
+	pool       string
+	begin, end time.Duration
+}
+
+// playUntil plays busy periods with 50 jobs per second that keep 50 cores in use, and returns the forecasts that have ended.
+func playUntil(f *Forecaster, from, to time.Duration, list []busy) []Forecast {
+	var ended []Forecast
+	for now := from; now < to; now += 20 * time.Millisecond {
+		for _, b := range list {
+			if b.begin <= now && now < b.end {
+				f.ObserveArrival(b.pool, now, ledger.Resources{CPU: 1_000_000})
+				f.ObserveReady(b.pool, ledger.Resources{CPU: 50_000})
+			}
+		}
+		if now%(100*time.Millisecond) == 0 {
+			ended = append(ended, f.Advance(now)...)
+		}
+	}
+	return ended
+}
+
+// inTurn returns busy periods of 4 s in turn.
+func inTurn(n int, pools ...string) []busy {
+	var list []busy
+	for i := range n {
+		begin := time.Duration(i) * 4 * time.Second
+		list = append(list, busy{pools[i%len(pools)], begin, begin + 4*time.Second})
+	}
+	return list
+}
+
+// Guards against busy periods that are predicted too late for a move, too early, or from what is no rhythm.
+func TestRhythm(t *testing.T) {
+	const s = time.Second
+	for _, tt := range []struct {
+		name   string
+		load   []busy
+		at     time.Duration
+		pool   string
+		cpu    int64 // thousandths of a core, 0 if none may be expected
+		reason Reason
+	}{
+		{"nothing seen", nil, 10 * s, "a", 0, ""},
+		{"first cycle", inTurn(1, "a", "b"), 3 * s, "b", 0, ""},
+		{"too early", inTurn(5, "a", "b"), 17900 * time.Millisecond, "b", 0, ""},
+		{"a move ahead", inTurn(5, "a", "b"), 18300 * time.Millisecond, "b", 50_000, Rhythm},
+		{"not confirmed yet", inTurn(5, "a", "b"), 20300 * time.Millisecond, "b", 50_000, Rhythm},
+		{"lapsed", inTurn(5, "a", "b"), 20700 * time.Millisecond, "b", 0, ""},
+		{"begun", inTurn(6, "a", "b"), 20300 * time.Millisecond, "b", 50_000, BusyPeriod},
+		{"ends before a move", inTurn(6, "a", "b"), 23 * s, "b", 44_000, Arrivals},
+		{"one pool alone", []busy{{"a", 0, 4 * s}, {"a", 10 * s, 14 * s}}, 18500 * time.Millisecond, "a", 50_000, Rhythm},
+		{"jobs at once", []busy{{"a", 0, s / 5}, {"a", 10 * s, 10*s + s/5}, {"a", 20 * s, 20*s + s/5}}, 28500 * time.Millisecond, "a", 0, ""},
+		{"without an end", []busy{{"a", 0, 40 * s}}, 39 * s, "a", 44_000, Arrivals},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := New(Config{MoveDuration: 1500 * time.Millisecond})
+			playUntil(f, 0, tt.at, tt.load)
+			r, reason := f.Expected(tt.pool, tt.at)
+			assert.Equal(t, reason, tt.reason)
+			assert.Assert(t, float64(r.CPU) >= 0.9*float64(tt.cpu) && float64(r.CPU) <= 1.1*float64(tt.cpu), "%d", r.CPU)
+		})
+	}
+}
+
+// Guards against forecasts that are used again and again although the pool shows no rhythm.
+func TestForecastsWithoutRhythmStop(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	var load []busy
+	begin := time.Duration(0)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 40 {
+		begin += 5*time.Second + time.Duration(random.Int64N(int64(20*time.Second)))
+		load = append(load, busy{"a", begin, begin + 3*time.Second})
+	}
+	wrong := 0
+	for _, fc := range playUntil(f, 0, begin, load) {
+		if fc.Acted && !fc.Right {
+			wrong++
+		}
+	}
+	t.Logf("%d wrong", wrong)
+	assert.Assert(t, wrong <= 8, "%d of 40", wrong)
+}
+
+// Guards against jobs with little slack that wait for a move, and instances that wait for jobs with much slack.
+func TestLeadDependsOnSlack(t *testing.T) {
+	for _, tt := range []struct{ slack, lead time.Duration }{
+		{0, 1900 * time.Millisecond}, {time.Second, 1900 * time.Millisecond}, {2500 * time.Millisecond, 900 * time.Millisecond},
+		{time.Minute, 0},
+	} {
+		f := New(Config{MoveDuration: 1500 * time.Millisecond})
+		f.ObserveArrival("a", 0, ledger.Resources{CPU: 1})
+		f.ObserveSlack("a", tt.slack)
+		assert.Equal(t, f.lead(f.pool("a")), tt.lead)
+	}
+}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -6,9 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusroute/hibiscusroute/internal/workload/forecast"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
-	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 )
 
 const (
@@ -44,7 +42,10 @@
 	instanceCapacity         ledger.Resources
 	// shortfall is what the workers of the pool have less than their instances.
 	shortfall ledger.Resources
-	want      int
+	// needed is how many instances its accepted and arriving jobs need, and want that with what a rhythm lets expect.
+	needed, want int
+	// keep is how many instances it keeps rather than turning them off.
+	keep int
 	// unplaced holds the long-running steps with tasks that wait for a worker, or for another one before maintenance.
 	unplaced []*ledger.StepRun
 	// unplacedTasks is the number of these tasks, where all of those that the adviser has denied each worker count as one.
@@ -101,10 +102,10 @@
 		return
 	}
 	e.measureDemand(pools)
-	for _, v := range pools {
-		expected, _ := e.forecasts.Expected(v.name, e.now)
-		v.demand = v.demand.Max(v.lasting.Plus(expected))
+	for _, v := range order {
+		e.forecasts.ObserveReady(v.name, v.ready)
 	}
+	e.countForecasts(e.forecasts.Advance(e.now))
 	var off, idle []*instance
 	for _, in := range e.fleet.sortedInstances() {
 		e.updateIdleSince(in)
@@ -149,36 +150,40 @@
 		} else {
 			e.fleet.unplacedSince[v.name] = e.now
 		}
-		v.computeWant()
+		if !v.spare {
+			e.expectDemand(v)
+		}
 	}
-	for _, v := range order {
-		for !v.spare {
-			in := e.takeInstance(v, &off, &idle, pools)
-			if in == nil {
-				break
-			}
+	grow := func(v *poolView, target int) {
+		for in := e.takeInstance(v, target, &off, &idle, pools); in != nil; in = e.takeInstance(v, target, &off, &idle, pools) {
 			e.fleet.noSurplusAt[v.name] = e.now
-			if v.deniedTasks && v.have >= v.want {
+			if v.deniedTasks && v.have >= target {
 				e.fleet.triedAt[v.name] = e.now
 			}
+			if v.have >= v.needed && v.have < v.want {
+				e.cfg.IncrementCounter("hibiscusroute_instances_moved_ahead_total", "pool", v.name)
+			}
 			pools[in.Pool].have--
 			v.have++
 			v.growing++
 			e.moveInstance(in, v.name, v)
 		}
-		if !v.spare && v.have <= v.want {
-			e.fleet.noSurplusAt[v.name] = e.now
+	}
+	// What jobs need comes before what is only expected.
+	for _, v := range order {
+		if !v.spare {
+			grow(v, v.needed)
 		}
 	}
-	for _, in := range idle {
-		v := pools[in.Pool]
-		noSurplusAt, ok := e.fleet.noSurplusAt[in.Pool]
-		if in.operation == nil && e.hasSurplus(v, in) && e.now-in.idleSince >= idleTimeout &&
-			(!ok || e.now-noSurplusAt >= shrinkDelay) {
-			v.have--
-			e.moveInstance(in, spare, v)
+	for _, v := range order {
+		if !v.spare {
+			grow(v, v.want)
+			if v.have <= v.want {
+				e.fleet.noSurplusAt[v.name] = e.now
+			}
 		}
 	}
+	e.shrinkPools(idle, pools, order, spare)
 }
 
 // sparePool returns the name of the spare pool, empty if there is none.
@@ -191,114 +196,19 @@
 	return ""
 }
 
-// measureDemand adds up the demand of the tasks that run or could run now, and of those that will be ready when an instance
-// that moves now arrives.
-func (e *Engine) measureDemand(pools map[string]*poolView) {
-	for _, j := range e.state.ActiveJobs() {
-		v := pools[e.state.QueueOf(j).GetPool()]
-		if v == nil {
-			continue
-		}
-		for _, o := range j.Occurrences() {
-			ready, hasNext := ledger.Resources{}, false
-			for _, st := range o.Steps {
-				if st.Done() {
-					continue
-				}
-				if !st.Ready() {
-					hasNext = true
-					continue
-				}
-				n := countUndone(st)
-				need := ledger.RequiredCapacity(st.Step).Times(n)
-				if !st.Step.Lasting {
-					ready = ready.Plus(need)
-					continue
-				}
-				v.lasting = v.lasting.Plus(need)
-				per := schedule.PreferredPerWorker(st.Step)
-				v.minInstances = max(v.minInstances, (n+per-1)/per)
-				if st.Waiting() > 0 && e.isWithinQuota(st) {
-					tasks := st.Waiting()
-					if e.rejections.wasRejected(st, e.now) {
-						tasks = 0
-					}
-					e.addUnplaced(v, st, tasks)
-				}
-			}
-			v.ready = v.ready.Plus(ready)
-			if hasNext {
-				ready = ready.Max(forecast.Peak(e.stepsOf(o), e.cfg.MoveDuration))
-			}
-			v.accepted = v.accepted.Plus(ready)
-		}
-	}
-	for _, v := range pools {
-		v.demand = v.lasting.Plus(v.accepted)
-	}
-}
-
-// stepsOf describes the steps of an occurrence for a forecast.
-func (e *Engine) stepsOf(o *ledger.Occurrence) []forecast.Step {
-	list := make([]forecast.Step, len(o.Steps))
-	for i, st := range o.Steps {
-		list[i] = forecast.Step{After: st.Step.After, Lasting: st.Step.Lasting}
-		if !st.Done() {
-			list[i].Need = ledger.RequiredCapacity(st.Step).Times(countUndone(st))
-			list[i].Remaining = e.remainingTime(st)
-		}
-	}
-	return list
-}
-
-// remainingTime returns how long the tasks of a step will run once all of them have started, by the estimate of their run
-// time.
-func (e *Engine) remainingTime(st *ledger.StepRun) time.Duration {
-	estimate := millis(st.Step.EstimateMs)
-	if estimate <= e.cfg.MoveDuration || st.Waiting() > 0 {
-		return estimate
-	}
-	remaining := time.Duration(0)
-	for i := range st.Tasks {
-		t := &st.Tasks[i]
-		for _, a := range t.ActiveRuns {
-			elapsed := time.Duration(0)
-			if s := e.sessions[a.Worker.Number()]; s != nil {
-				if r := s.runs[t.Key(a.Run)]; r != nil && r.startedAt > 0 {
-					elapsed = e.now - r.startedAt
-				}
-			}
-			remaining = max(remaining, estimate-elapsed)
-		}
-	}
-	return remaining
-}
-
-func countUndone(st *ledger.StepRun) int {
-	n := 0
-	for i := range st.Tasks {
-		if !st.Tasks[i].Done {
-			n++
-		}
-	}
-	return n
-}
-
-func (v *poolView) computeWant() {
-	if v.spare {
-		return
-	}
+// instancesFor returns the number of instances that the pool needs for a demand.
+func (v *poolView) instancesFor(demand ledger.Resources) int {
 	needed := 0.0
 	for _, r := range [][3]int64{
-		{v.demand.CPU, v.instanceCapacity.CPU, v.shortfall.CPU},
-		{v.demand.Memory, v.instanceCapacity.Memory, v.shortfall.Memory},
-		{v.demand.Accelerators, v.instanceCapacity.Accelerators, v.shortfall.Accelerators},
+		{demand.CPU, v.instanceCapacity.CPU, v.shortfall.CPU},
+		{demand.Memory, v.instanceCapacity.Memory, v.shortfall.Memory},
+		{demand.Accelerators, v.instanceCapacity.Accelerators, v.shortfall.Accelerators},
 	} {
 		if r[0] > 0 && r[1] > 0 {
 			needed = math.Max(needed, float64(r[0])/float64(r[1])*headroom+float64(r[2])/float64(r[1]))
 		}
 	}
-	v.want = max(int(math.Ceil(needed)), v.minInstances, minPoolInstances)
+	return max(int(math.Ceil(needed)), v.minInstances, minPoolInstances)
 }
 
 // isWithinQuota reports whether the quota of its client account allows one more task of a step.
@@ -336,15 +246,16 @@
 }
 
 // takeInstance removes and returns an instance for a pool, an idle one of a pool with a surplus, or else one that is
-// off. It returns nil if the pool needs no further instance or if there is none. The free capacity of a pool may be
-// fragmented, so the pool also grows by one instance for each unplaced task, if the instance can run it.
-func (e *Engine) takeInstance(v *poolView, off, idle *[]*instance, pools map[string]*poolView) *instance {
-	if v.have >= v.want && (!v.growsForUnplaced || v.growing >= v.unplacedTasks) {
+// off, or else one that another pool only expects to need. It returns nil if the pool has the target or if there is none.
+// The free capacity of a pool may be fragmented, so the pool also grows by one instance for each unplaced task, if the
+// instance can run it.
+func (e *Engine) takeInstance(v *poolView, target int, off, idle *[]*instance, pools map[string]*poolView) *instance {
+	if v.have >= target && (!v.growsForUnplaced || v.growing >= v.unplacedTasks) {
 		return nil
 	}
 	take := func(list *[]*instance, mayTake func(in *instance) bool) *instance {
 		i := slices.IndexFunc(*list, func(in *instance) bool {
-			return (v.have < v.want || e.suitsUnplaced(v, in)) && mayTake(in) && e.lateStartsUntil(in, v.name) == 0
+			return (v.have < target || e.suitsUnplaced(v, in)) && mayTake(in) && e.lateStartsUntil(in, v.name) == 0
 		})
 		if i < 0 {
 			return nil
@@ -356,7 +267,13 @@
 	if in := take(idle, func(in *instance) bool { return in.Pool != v.name && e.hasSurplus(pools[in.Pool], in) }); in != nil {
 		return in
 	}
-	return take(off, func(*instance) bool { return true })
+	if in := take(off, func(*instance) bool { return true }); in != nil || v.have >= v.needed {
+		return in
+	}
+	return take(idle, func(in *instance) bool {
+		o := pools[in.Pool]
+		return in.Pool != v.name && o.have > o.needed && !e.suitsUnplaced(o, in)
+	})
 }
 
 func (e *Engine) moveInstance(in *instance, pool string, v *poolView) {
@@ -364,15 +281,3 @@
 	e.cfg.Log.Info("moving instance to another pool", "instance", in.Name, "from", in.Pool, "to", pool,
 		"have", v.have, "want", v.want, "demand-cpu", v.demand.CPU, "demand-memory", v.demand.Memory)
 }
-
-// observeArrival records the work of an accepted job for forecasts.
-func (e *Engine) observeArrival(j *ledger.Job) {
-	work := ledger.Resources{}
-	for _, st := range j.Steps {
-		if st.Lasting || j.MaxRuns > 0 {
-			return
-		}
-		work = work.Plus(ledger.RequiredCapacity(st).Times(int(st.Count) * int(st.EstimateMs)))
-	}
-	e.forecasts.ObserveArrival(e.state.QueueOf(j).GetPool(), e.now, work)
-}
