forecast: a pool that is busy out of turn doesn't end a rhythm

One busy period out of turn replaced a lag that had been seen several times, and predicted the next pool's busy period at the wrong time. Lags are now replaced only after as many other ones, and pairs of pools that predict the same begin support each other. Begins are compared with the highest rates instead of the height, which counts waiting jobs too: a peak of 15 jobs per second was seen up to 1 s late, after its forecast had lapsed.

--- a/internal/workload/forecast/rhythm.go
+++ b/internal/workload/forecast/rhythm.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// beginRatio is the ratio of a rate to the height of the last busy periods from which another one begins. The rate of
-	// the first 100 ms is about half of the height, because it leaves out what may be chance.
+	// beginRatio is the ratio of a rate to the highest ones of the last busy periods from which another one begins. The rate of
+	// the first 100 ms is about half of these, because it leaves out what may be chance.
 	beginRatio = 0.4
 	// endRatio is the ratio of a rate to the highest one of a busy period below which the period ends, after endDelay.
 	endRatio = 0.2
@@ -22,9 +22,11 @@
 	// maxLag is the longest time between busy periods of which one is predicted from the other.
 	maxLag = 2 * time.Minute
 	// minTolerance and maxTolerance bound how much earlier or later than predicted a busy period may begin, which is a part
-	// of 1/toleranceShare of the lag. Until then a forecast that isn't confirmed keeps its instances.
+	// of 1/toleranceShare of the lag. A forecast that isn't confirmed by then, and confirmDelay later, ends.
 	minTolerance, maxTolerance = 400 * time.Millisecond, time.Second
 	toleranceShare             = 8
+	// confirmDelay is how long a rate of 15 jobs per second takes until a window has enough of them.
+	confirmDelay = 400 * time.Millisecond
 	// startupMargin is how much longer than a move it takes until a worker gets runs: the announcement of the move, the
 	// worker's first heartbeat and its first lease.
 	startupMargin = 400 * time.Millisecond
@@ -34,6 +36,8 @@
 	minConfidence = 0.4
 	// recordDecay is the weight that the earlier forecasts of a pool keep when one more has proven right or wrong.
 	recordDecay = 0.8
+	// maxSeen bounds how often a lag counts, and so the number of busy periods out of turn after which it is replaced.
+	maxSeen = 4
 	// maxReadyRatio bounds the height of a busy period by the rate of its work, because jobs that waited for instances
 	// add to what it seemed to need.
 	maxReadyRatio = 1.5
@@ -52,7 +56,8 @@
 	readyNum int64
 	lags     map[string]time.Duration // by which the present one follows those of the other pools
 
-	// height and duration are those of the last busy periods, the latest counting half.
+	// usual is the highest rate of the last busy periods, height what they needed, the latest counting half.
+	usual    ledger.Resources
 	height   ledger.Resources
 	duration time.Duration
 	// after holds the lags that have been seen, by the pool whose busy period came before.
@@ -65,7 +70,7 @@
 // lag is the time by which the busy period of a pool follows that of another one, or its own last one.
 type lag struct {
 	length time.Duration
-	seen   int // successive times with about this length
+	seen   int // times with about this length, less those with another one
 	// lapsedFor is the start of the busy period after which the lag last proved wrong.
 	lapsedFor time.Duration
 	lapsed    bool
@@ -77,7 +82,7 @@
 	Pool, After string
 	// Begin is when it is predicted to begin.
 	Begin time.Duration
-	// Seen is how often in succession this was seen.
+	// Seen is how often this was seen, less how often the other pool was busy at another time.
 	Seen int
 	// Acted reports whether the forecast counted for the size of the pool.
 	Acted bool
@@ -92,6 +97,9 @@
 	return min(max(lag/toleranceShare, minTolerance), maxTolerance)
 }
 
+// lapsesAt returns when a forecast that isn't confirmed ends.
+func (fc *Forecast) lapsesAt() time.Duration { return fc.Begin + fc.tolerance + confirmDelay }
+
 // size makes rates of a pool comparable.
 func size(r ledger.Resources) float64 {
 	if r.CPU > 0 {
@@ -116,7 +124,7 @@
 			p.busyAt, p.highest = now, p.highest.Max(rate)
 		case p.busy && now-p.busyAt >= endDelay:
 			p.endPeriod()
-		case !p.busy && size(rate) > 0 && size(rate) >= beginRatio*size(p.height):
+		case !p.busy && size(rate) > 0 && size(rate) >= beginRatio*size(p.usual):
 			f.beginPeriod(name, since, now)
 			if fc := p.forecast; fc != nil && (fc.Acted || since >= fc.Begin-fc.tolerance) {
 				fc.Right = true
@@ -159,7 +167,7 @@
 	if p.counts = duration >= minPeriod; !p.counts {
 		return
 	}
-	height := p.highest
+	height, usual := p.highest, p.highest
 	if p.readyNum > 0 {
 		mean := scale(p.readySum, 1/float64(p.readyNum))
 		height = height.Max(mean)
@@ -168,23 +176,28 @@
 		}
 	}
 	if p.duration > 0 {
-		height, duration = scale(height.Plus(p.height), 0.5), (duration+p.duration)/2
+		// Instances that are missing cost more than some that aren't needed.
+		height, duration = height.Max(scale(height.Plus(p.height), 0.5)), (duration+p.duration)/2
+		usual = scale(usual.Plus(p.usual), 0.5)
 	}
-	p.height, p.duration = height, duration
+	p.height, p.duration, p.usual = height, duration, usual
 	for other, length := range p.lags {
 		l := p.after[other]
-		if l == nil || (l.length-length).Abs() > tolerance(length) {
+		switch {
+		case l != nil && (l.length-length).Abs() <= tolerance(length):
+			l.length, l.seen = (l.length+length)/2, min(l.seen+1, maxSeen)
+		case l != nil && l.seen > 1:
+			l.seen--
+		default:
 			p.after[other] = &lag{length: length, seen: 1}
-			continue
 		}
-		l.length, l.seen = (l.length+length)/2, l.seen+1
 	}
 }
 
 // updateForecast makes, replaces or ends the forecast of a pool. It returns one that has proven wrong.
 func (f *Forecaster) updateForecast(name string, now time.Duration) (Forecast, bool) {
 	p := f.pools[name]
-	if fc := p.forecast; fc != nil && now > fc.Begin+fc.tolerance {
+	if fc := p.forecast; fc != nil && now > fc.lapsesAt() {
 		for other, l := range p.after {
 			// Another lag that predicts the same busy period is no further chance for it.
 			if o := f.pools[other]; o.start+l.length < now+maxTolerance {
@@ -198,20 +211,15 @@
 	if p.busy || p.duration == 0 {
 		return Forecast{}, false
 	}
+	var candidates []*Forecast
 	for _, other := range slices.Sorted(maps.Keys(p.after)) {
 		l, o := p.after[other], f.pools[other]
-		begin, tol := o.start+l.length, tolerance(l.length)
-		if !o.counts || o.start < p.start || l.lapsed && l.lapsedFor == o.start || now > begin+tol {
-			continue
-		}
-		if fc := p.forecast; fc == nil || l.seen > fc.Seen || l.seen == fc.Seen && tol < fc.tolerance {
-			seen := float64(l.seen)
-			p.forecast = &Forecast{
-				Pool: name, After: other, Begin: begin, Seen: l.seen, tolerance: tol,
-				confidence: (p.right + seen) / (p.right + p.wrong + seen + 1),
-			}
+		fc := &Forecast{Pool: name, After: other, Begin: o.start + l.length, Seen: l.seen, tolerance: tolerance(l.length)}
+		if o.counts && o.start >= p.start && (!l.lapsed || l.lapsedFor != o.start) && now <= fc.lapsesAt() {
+			candidates = append(candidates, fc)
 		}
 	}
+	p.forecast = p.choose(candidates)
 	if fc := p.forecast; fc != nil {
 		fc.Acted = fc.confidence >= minConfidence && now >= fc.Begin-f.lead(p) ||
 			last != nil && last.Acted && (last.Begin-fc.Begin).Abs() <= maxTolerance
@@ -219,6 +227,31 @@
 	return Forecast{}, false
 }
 
+// choose returns the candidate that most of the others agree with, nil if there is none. A pool that was busy out of turn
+// predicts busy periods that the other pools don't.
+func (p *pool) choose(candidates []*Forecast) *Forecast {
+	var best *Forecast
+	total, bestSupport := 0, 0
+	for _, c := range candidates {
+		total += c.Seen
+		support := 0
+		for _, o := range candidates {
+			if (o.Begin - c.Begin).Abs() <= maxTolerance {
+				support += o.Seen
+			}
+		}
+		if best == nil || support > bestSupport || support == bestSupport &&
+			(c.Seen > best.Seen || c.Seen == best.Seen && c.tolerance < best.tolerance) {
+			best, bestSupport = c, support
+		}
+	}
+	if best != nil {
+		seen := float64(best.Seen)
+		best.confidence = (p.right + seen) / (p.right + p.wrong + seen + 1) * float64(bestSupport) / float64(total)
+	}
+	return best
+}
+
 // lead returns how long before a predicted busy period instances move to a pool. Jobs with more slack than a move takes can
 // wait for a part of it.
 func (f *Forecaster) lead(p *pool) time.Duration {
