--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/forecast"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
@@ -54,6 +55,8 @@
 	noSurplusAt  map[string]time.Duration // when a pool last had no more instances than it needs
 	// unplacedSince is the time since which a pool has had a long-running task without a worker.
 	unplacedSince map[string]time.Duration
+	// loggedReason is the reason of the last log line on a forecast that changes what a pool wants.
+	loggedReason map[string]forecast.Reason
 	// triedAt is when a pool last got an instance for steps that the adviser has denied each worker.
 	triedAt      map[string]time.Duration
 	startClockMs int64 // the ledger's clock when this leader started
@@ -94,6 +97,8 @@
 	lateMovesUntil time.Duration
 	// changedAt is when an operation on it last ended. An older list shows another pool or worker.
 	changedAt time.Duration
+	// returnedTo is the pool to which that operation returned it, empty if the operation was given up.
+	returnedTo string
 	// maybeAwayUntil is when maintenance is over that was given up and may have been carried out nevertheless.
 	maybeAwayUntil time.Duration
 	// outlivedBy is the incarnation that outlived requests for its first maintenance in a wave, so that they were not
@@ -144,7 +149,7 @@
 	*f = fleet{
 		instances: map[string]*instance{}, byWorker: map[string]*instance{}, stale: true,
 		noSurplusAt: map[string]time.Duration{}, unplacedSince: map[string]time.Duration{},
-		triedAt:         map[string]time.Duration{},
+		triedAt: map[string]time.Duration{}, loggedReason: map[string]forecast.Reason{},
 		maybeMaintained: map[waveInstance]bool{},
 		waveKnownAt:     map[int64]time.Duration{},
 	}
@@ -346,7 +351,7 @@
 	e.cfg.Log.Info("requests for an instance operation get no answer and a task waits; trying again later",
 		"instance", in.Name, "wave", op.wave, "pool", op.pool)
 	e.postponeOperation(in)
-	in.changedAt = e.now
+	in.changedAt, in.returnedTo = e.now, ""
 	if op.wave > 0 {
 		in.maybeAwayUntil = settledAt + e.cfg.MaintenanceDuration
 		if op.first {
@@ -378,6 +383,7 @@
 	case s != nil:
 		e.doubt(s)
 	}
+	in.returnedTo = cmp.Or(op.pool, in.Pool)
 	in.operation, in.changedAt, e.fleet.stale = nil, e.now, true
 }
 
