workload: move work out of evacuated availability zones

Long-running tasks leave as mayMiss allows, where other workers have room. Pools count and take instances of other zones only, and turn off idle instances of an evacuated zone while they have what they need elsewhere.

--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -93,6 +93,7 @@
 	rejections            rejections
 	lateStarts            lateStartTable
 	waitingSteps          waitingSteps
+	evacuation            zoneEvacuation
 	admission             admission
 	overload              string // reason to reject new jobs, as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
@@ -231,6 +232,7 @@
 	}
 	e.recordLeaseBound()
 	e.recordLateStarts()
+	e.evacuateZones()
 	e.advanceSessions()
 	e.expireEndedJobs()
 	e.startDueOccurrences()
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -110,7 +110,13 @@
 			v.demand.CPU = rate
 		}
 	}
-	var off, idle []*instance
+	for pool, steps := range e.evacuation.lacksRoom {
+		// One after the other moves, so the pool grows by one instance for them.
+		if v := pools[pool]; v != nil {
+			e.addUnplaced(v, steps[0], 1)
+		}
+	}
+	var off, idle, evacuated []*instance
 	for _, in := range e.fleet.sortedInstances() {
 		e.updateIdleSince(in)
 		v := pools[in.effectivePool()]
@@ -121,8 +127,11 @@
 			continue
 		}
 		s := e.sessionOf(in)
+		isEvacuated := e.isInstanceEvacuated(in, s)
 		if op := in.operation; op != nil && op.pool != "" {
-			v.growing++
+			if !isEvacuated {
+				v.growing++
+			}
 		} else if op != nil && op.lacksRoom && !op.requested && s != nil {
 			for st := range s.longRunningCounts() {
 				e.addUnplaced(v, st, 1)
@@ -131,6 +140,13 @@
 		if s != nil && (s.worker.IsDraining() || s.failures > 0) {
 			continue
 		}
+		if isEvacuated {
+			v.instanceCapacity = cmp.Or(v.instanceCapacity, ledger.ResourcesOf(in.Capacity))
+			if !v.spare && s != nil && in.idleSince > 0 && s.clockKnown && e.mayOperate(in) && e.now >= in.lateMovesUntil {
+				evacuated = append(evacuated, in)
+			}
+			continue
+		}
 		v.have++
 		v.instanceCapacity = ledger.ResourcesOf(in.Capacity)
 		if s != nil {
@@ -175,6 +191,7 @@
 			e.fleet.noSurplusAt[v.name] = e.now
 		}
 	}
+	e.turnOffEvacuated(evacuated, pools, spare)
 	for _, in := range idle {
 		v := pools[in.Pool]
 		noSurplusAt, ok := e.fleet.noSurplusAt[in.Pool]
--- a/internal/workload/sim_test.go
+++ b/internal/workload/sim_test.go
@@ -47,6 +47,8 @@
 	// onListInstances is called when the list of instances is read; it may be nil.
 	onListInstances func()
 	moves           int
+	// zones are the availability zones over which instances are spread; without any, theirs are not known.
+	zones []string
 	// lastWave holds the wave of the last maintenance of each instance.
 	lastWave map[string]int64
 	// advisedWorker is the worker that the adviser allows.
@@ -252,7 +254,7 @@
 	for i := range n {
 		name := fmt.Sprintf("m-%s-%d", pool, i)
 		s.instances[name] = &workload.Instance{
-			Name: name, Pool: pool, Up: true, Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
+			Name: name, Pool: pool, Up: true, Zone: s.zoneOf(i), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 			Capacity: &workloadpb.Resources{Cpu: 16000, MemoryMib: 65536},
 		}
 		if pool != "spare" {
@@ -262,6 +264,13 @@
 	return list
 }
 
+func (s *sim) zoneOf(instance int) string {
+	if len(s.zones) == 0 {
+		return ""
+	}
+	return s.zones[instance%len(s.zones)]
+}
+
 // startWorker starts the worker of an instance.
 func (s *sim) startWorker(instance string) *fakeWorker {
 	id := fmt.Sprintf("w-%s-%d", instance, s.now.Milliseconds())
@@ -278,7 +287,7 @@
 	w := &fakeWorker{
 		sim: s, startedAt: s.now, runs: map[string]*fakeRun{}, highestRun: map[string]int32{}, how: workloadpb.How_HOW_DONE,
 		m: &workloadpb.Worker{
-			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: address, Pool: row.Pool,
+			Id: id, BornMs: 1_000_000 + s.now.Milliseconds(), Address: address, Pool: row.Pool, Zone: row.Zone,
 			Capacity: row.Capacity, Labels: row.Labels,
 		},
 	}
--- a/internal/workload/wave.go
+++ b/internal/workload/wave.go
@@ -314,7 +314,7 @@
 // request for the operation has failed, ordinary tasks count too, but for those that a usable worker could run now or when
 // other ordinary tasks have ended.
 func (e *Engine) couldRunWaitingTask(op *operation, s *session) bool {
-	if s.failures > 0 || s.worker.IsDraining() {
+	if s.failures > 0 || !e.state.MayTakeRuns(s.worker) {
 		return false
 	}
 	in, v := schedule.Input{Allowed: e.advice.mayAllow}, s.schedulerView()
