--- a/cmd/hibiscusroute/command.go
+++ b/cmd/hibiscusroute/command.go
@@ -36,6 +36,7 @@
 	"wave":     "Control planned maintenance",
 	"key":      "Grant, revoke and list the keys of teams",
 	"member":   "List and change the members of the control group",
+	"zone":     "Evacuate availability zones and return them to service",
 }
 
 func register(c command) { commands = append(commands, c) }
--- a/cmd/hibiscusroute/script_test.go
+++ b/cmd/hibiscusroute/script_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 	"github.com/rogpeppe/go-internal/testscript"
 	"gotest.tools/v3/assert"
@@ -22,6 +23,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator/operatortest"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+	"github.com/hibiscusroute/hibiscusroute/platform"
 )
 
 func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"hibiscusroute": main}) }
@@ -97,6 +100,14 @@
 			env.Values["fake"] = f
 			env.Setenv("HIBISCUSROUTE_OPERATORS", srv.URL)
 			env.Setenv("EXAMPLES", examples)
+			execute := func(context.Context, *workloadpb.Command) (*workloadpb.Response, bool, error) {
+				return &workloadpb.Response{}, false, nil
+			}
+			zones := httptest.NewServer((&platform.ControlServer{
+				Zones: []string{"zone-b"}, Execute: execute, Log: logr.Discard(),
+			}).Handler())
+			env.Defer(zones.Close)
+			env.Setenv("CONTROL", strings.TrimPrefix(zones.URL, "http://"))
 			// The race detector otherwise sleeps for 1 s at the end of each run of the program.
 			env.Setenv("GORACE", "atexit_sleep_ms=0")
 			return nil
