workload: gangs and tasks bound to an evacuated zone

A gang is assigned whole or not at all when one of its workers is in a zone that was evacuated meanwhile. Tasks whose label only instances of evacuated zones have wait and don't make their pool grow.

--- a/internal/workload/evacuation.go
+++ b/internal/workload/evacuation.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
@@ -109,3 +110,22 @@
 		}
 	}
 }
+
+// labelsInEvacuatedZones returns the labels that only instances in evacuated zones have, such as those of their racks.
+func (e *Engine) labelsInEvacuatedZones() map[string]bool {
+	if !e.state.HasEvacuatedZones() {
+		return nil
+	}
+	labels, elsewhere := map[string]bool{}, map[string]bool{}
+	for _, in := range e.fleet.instances {
+		m := elsewhere
+		if e.isInstanceEvacuated(in, e.sessionOf(in)) {
+			m = labels
+		}
+		for _, l := range in.Labels {
+			m[l] = true
+		}
+	}
+	maps.DeleteFunc(labels, func(l string, _ bool) bool { return elsewhere[l] })
+	return labels
+}
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -180,9 +180,10 @@
 }
 
 func (s *State) applyAssign(m *workloadpb.Assign) {
+	rejected := s.gangsInEvacuatedZones(m)
 	for _, a := range m.Assignments {
 		k := RunKeyOf(a.Subtask, a.Run)
-		if t := s.findTask(k); t != nil && s.mayAssign(t, a, m.RecordsLosses) {
+		if t := s.findTask(k); t != nil && !rejected[t.step] && s.mayAssign(t, a, m.RecordsLosses) {
 			r := ActiveRun{Run: k.Run, Worker: s.workers[a.Worker], Isolated: a.Isolated, assignNumber: m.Number}
 			if m.RecordsLosses {
 				r.assignedMs = max(s.clockMs, 1)
--- a/internal/workload/ledger/evacuation.go
+++ b/internal/workload/ledger/evacuation.go
@@ -23,3 +23,19 @@
 	}
 	s.markChanged()
 }
+
+// gangsInEvacuatedZones returns the gangs of which a command assigns tasks to workers in evacuated zones. No task of them is
+// assigned, because those in other zones would wait for the others in vain.
+func (s *State) gangsInEvacuatedZones(m *workloadpb.Assign) map[*StepRun]bool {
+	if !s.HasEvacuatedZones() {
+		return nil
+	}
+	gangs := map[*StepRun]bool{}
+	for _, a := range m.Assignments {
+		t, w := s.findTask(RunKeyOf(a.Subtask, a.Run)), s.workers[a.Worker]
+		if t != nil && t.step.Step.Gang && w != nil && s.IsEvacuated(w.Zone()) {
+			gangs[t.step] = true
+		}
+	}
+	return gangs
+}
--- a/internal/workload/ledger/evacuation_test.go
+++ b/internal/workload/ledger/evacuation_test.go
@@ -15,7 +15,7 @@
 }
 
 // Guards against a run that is assigned to a worker of an evacuated zone because the command was on its way, against an
-// order that a snapshot forgets, and against one that a repeat undoes.
+// order that a snapshot forgets, one that a repeat undoes, and a gang of which only a part is assigned.
 func TestNothingIsAssignedInEvacuatedZone(t *testing.T) {
 	f := newFixture(t)
 	for _, id := range []string{"a", "b"} {
@@ -52,6 +52,23 @@
 			f.State = f.restored()
 			assert.Equal(t, mayRun("a"), tt.a)
 			assert.Equal(t, mayRun("b"), tt.b)
+			run++
+			gang := newStep(2)
+			gang.Gang = true
+			j := f.submit(&workloadpb.Submit{Id: string('j' + run), Steps: []*workloadpb.Step{gang}})
+			m := &workloadpb.Assign{}
+			for i, id := range []string{"a", "b"} {
+				k := j.Occurrences()[0].Steps[0].Tasks[i].Key(1)
+				m.Assignments = append(m.Assignments, &workloadpb.Assignment{
+					Subtask: k.TaskMessage(), Run: 1, Worker: f.WorkerByID(id).Number(),
+				})
+			}
+			f.apply(&workloadpb.Command{Change: &workloadpb.Command_Assign{Assign: m}})
+			waiting := 2
+			if tt.a && tt.b {
+				waiting = 0
+			}
+			assert.Equal(t, j.Occurrences()[0].Steps[0].Waiting(), waiting)
 		})
 	}
 }
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -213,8 +213,10 @@
 	return ""
 }
 
-// measureDemand adds up the demand of the tasks that run or could run now.
+// measureDemand adds up the demand of the tasks that run or could run now. Tasks that wait for an instance of an evacuated
+// zone don't count, because no other instance serves them.
 func (e *Engine) measureDemand(pools map[string]*poolView) {
+	evacuated := e.labelsInEvacuatedZones()
 	for _, j := range e.state.ActiveJobs() {
 		v := pools[e.state.QueueOf(j).GetPool()]
 		if v == nil {
@@ -231,11 +233,15 @@
 						n++
 					}
 				}
+				waitsForZone := evacuated[st.Step.Label]
+				if waitsForZone {
+					n -= st.Waiting()
+				}
 				v.demand = v.demand.Plus(ledger.RequiredCapacity(st.Step).Times(n))
 				if st.Step.Lasting {
 					per := schedule.PreferredPerWorker(st.Step)
 					v.minInstances = max(v.minInstances, (n+per-1)/per)
-					if st.Waiting() > 0 && e.isWithinQuota(st) {
+					if st.Waiting() > 0 && !waitsForZone && e.isWithinQuota(st) {
 						tasks := st.Waiting()
 						if e.rejections.wasRejected(st, e.now) {
 							tasks = 0
