--- a/internal/workload/demand.go
+++ b/internal/workload/demand.go
@@ -13,8 +13,10 @@
 const startHold = 3 * time.Second
 
 // measureDemand adds up the demand of the tasks that run or could run now, and of those that will be ready when an instance
-// that moves now arrives.
+// that moves now arrives. Tasks that wait for an instance of an evacuated zone don't count, because no other instance serves
+// them.
 func (e *Engine) measureDemand(pools map[string]*poolView) {
+	evacuated := e.labelsInEvacuatedZones()
 	for _, j := range e.state.ActiveJobs() {
 		v := pools[e.state.QueueOf(j).GetPool()]
 		if v == nil {
@@ -31,6 +33,10 @@
 					continue
 				}
 				n := countUndone(st)
+				waitsForZone := evacuated[st.Step.Label]
+				if waitsForZone {
+					n -= st.Waiting()
+				}
 				need := ledger.RequiredCapacity(st.Step).Times(n)
 				if !st.Step.Lasting {
 					ready = ready.Plus(need)
@@ -39,7 +45,7 @@
 				v.lasting = v.lasting.Plus(need)
 				per := schedule.PreferredPerWorker(st.Step)
 				v.minInstances = max(v.minInstances, (n+per-1)/per)
-				if st.Waiting() > 0 && e.isWithinQuota(st) {
+				if st.Waiting() > 0 && !waitsForZone && e.isWithinQuota(st) {
 					tasks := st.Waiting()
 					if e.rejections.wasRejected(st, e.now) {
 						tasks = 0
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -99,6 +99,7 @@
 	rejections            rejections
 	lateStarts            lateStartTable
 	waitingSteps          waitingSteps
+	evacuation            zoneEvacuation
 	admission             admission
 	interference          *interference.Table
 	overload              string // reason to reject new jobs, as last logged
@@ -242,6 +243,7 @@
 	}
 	e.recordLeaseBound()
 	e.recordLateStarts()
+	e.evacuateZones()
 	e.advanceSessions()
 	e.expireEndedJobs()
 	e.startDueOccurrences()
