--- a/internal/workload/admission.go
+++ b/internal/workload/admission.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/backlog"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -67,15 +68,19 @@
 }
 
 // admit returns the response to the submission of a new job that is rejected, nil if it is to be replicated.
-func (e *Engine) admit(id string) *workloadpb.Response {
-	a := &e.admission
+func (e *Engine) admit(m *workloadpb.Submit) *workloadpb.Response {
+	a, id := &e.admission, m.Id
 	if at, ok := a.proposed[id]; ok && a.mayBeApplied(at, e.now) {
 		a.proposed[id] = e.now // This attempt may be applied later than the first one.
 		return nil
 	}
-	if after, reason := a.retryAfter(e.now); after > 0 {
+	after, reason := a.retryAfter(e.now)
+	if after == 0 {
+		after, reason = e.rejectBacklog(m)
+	}
+	if after > 0 {
 		e.cfg.IncrementCounter("hibiscusroute_jobs_rejected_total", "reason", reason)
-		e.cfg.Log.V(1).Info("rejected a job, because the leader is overloaded", "job", id, "reason", reason,
+		e.cfg.Log.V(1).Info("rejected a job", "job", id, "reason", reason,
 			"delay", a.delay.String(), "commit-delay", a.commitDelay.String(), "retry-after", after.String())
 		return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_BUSY, RetryAfterMs: after.Milliseconds()}
 	}
@@ -87,11 +92,14 @@
 }
 
 // forgetSubmission forgets a submission that was applied, and those whose entry was lost.
-func (a *admission) forgetSubmission(id string, now time.Duration) {
+func (e *Engine) forgetSubmission(id string) {
+	a := &e.admission
 	delete(a.proposed, id)
+	e.backlog.forget(id)
 	for other, at := range a.proposed {
-		if !a.mayBeApplied(at, now) {
+		if !a.mayBeApplied(at, e.now) {
 			delete(a.proposed, other)
+			e.backlog.forget(other)
 		}
 	}
 }
@@ -99,6 +107,9 @@
 // logOverload writes a line when the leader begins or ceases to reject new jobs, or does so for another reason.
 func (e *Engine) logOverload() {
 	_, reason := e.admission.retryAfter(e.now)
+	if reason == "" && e.backlog.rejectsJobs(e.now) {
+		reason = backlog.Reason
+	}
 	if reason != e.overload {
 		e.overload = reason
 		e.cfg.Log.Info("overload of the leader changed", "rejects-new-jobs", reason != "", "reason", reason,
--- /dev/null
+++ b/internal/workload/backlog.go
@@ -0,0 +1,294 @@
+package workload
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/backlog"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
+)
+
+const (
+	// backlogAge is how long the work of a pool is used for decisions before it is added up again. A pool of 80 instances works
+	// off less than a percent of what it may accept in this time.
+	backlogAge = 50 * time.Millisecond
+	// unreachableCapacityTime is how long an unreachable worker counts as capacity of its pool.
+	unreachableCapacityTime = 5 * time.Second
+)
+
+// backlogTable is the accepted work of each pool as decisions on new jobs need it. It is computed from the jobs of the ledger;
+// the ratios, the returns and the unapplied submissions are known to this leader only.
+type backlogTable struct {
+	// pools is nil if the work has to be added up again, which happens when a job has ended, and after backlogAge.
+	pools   map[string]*poolBacklog
+	builtAt time.Duration
+	// movable holds the numbers of instances that may come to each pool, from the last decision on moves; nil before the first.
+	movable map[string]float64
+	ratios  backlog.Ratios
+	returns map[string]*backlog.Returns
+	// unapplied holds the jobs of submissions that were let through and are not applied yet, by their IDs.
+	unapplied map[string]unappliedJob
+	// rejectedAt is when a job was last rejected, 0 if none was.
+	rejectedAt time.Duration
+}
+
+// unappliedJob is a job that may be accepted at any moment.
+type unappliedJob struct {
+	job         *ledger.Job
+	queue       *workloadpb.Queue
+	beyondShare bool
+}
+
+// poolBacklog is the accepted work of a pool, in the order in which it runs.
+type poolBacklog struct {
+	instances  float64 // without the part that long-running tasks reserve
+	capacity   ledger.Resources
+	labels     map[string]int // instances by label
+	candidates []schedule.Candidate
+	jobs       []backlog.Job // parallel to candidates
+	limits     []backlog.Work
+	limitIDs   map[string]int
+}
+
+// rejectBacklog returns after which time a new job may be handed in again because the accepted work leaves no time for it, 0 if
+// it may be accepted. It then counts as accepted until its submission is forgotten.
+func (e *Engine) rejectBacklog(m *workloadpb.Submit) (after time.Duration, reason string) {
+	q, account, _ := e.state.Route(m.Host, m.Path, m.Id, m.Key)
+	if !e.cfg.LimitsBacklog || q == nil || m.MaxRuns > 0 || q.SloMs <= 0 && q.Stretch <= 0 ||
+		slices.ContainsFunc(m.Steps, func(s *workloadpb.Step) bool { return s.Lasting }) {
+		return 0, ""
+	}
+	if e.sparePool() != "" && (!e.fleet.listed || e.backlog.movable == nil) {
+		return 0, "" // What the pool can have is not known yet.
+	}
+	b := &e.backlog
+	if b.pools == nil || e.now-b.builtAt >= backlogAge {
+		e.buildBacklog()
+	}
+	p := b.pools[q.Pool]
+	if p == nil || p.capacity.CPU <= 0 {
+		return 0, ""
+	}
+	u := unappliedJob{
+		job: ledger.NewJob(m, q, account, e.wallClockMs()), queue: q, beyondShare: !e.shares.hasToken(e.state, account, e.now),
+	}
+	in := e.backlogOrder()
+	in.BeyondShare = func(*ledger.Job) bool { return u.beyondShare }
+	c := in.NewCandidate(u.job.Occurrences()[0], q)
+	compare := in.CompareFunc()
+	position, _ := slices.BinarySearchFunc(p.candidates, c, func(a, b schedule.Candidate) int {
+		if compare(a, b) <= 0 {
+			return -1 // The new job is the last one of its rank.
+		}
+		return 1
+	})
+	job := e.backlogJob(p, &c, q)
+	input := backlog.Input{
+		New: job, Accepted: p.jobs, Position: position, Instances: p.instances, Arriving: b.movable[q.Pool],
+		MoveDuration: e.cfg.MoveDuration, Limits: p.limits,
+	}
+	if after, reason = backlog.Decide(input); after > 0 {
+		if b.returns == nil {
+			b.returns = map[string]*backlog.Returns{}
+		}
+		if b.returns[q.Pool] == nil {
+			b.returns[q.Pool] = &backlog.Returns{}
+		}
+		b.rejectedAt = max(e.now, 1)
+		return b.returns[q.Pool].Schedule(e.now, after, input.TimeFor(job.Work)), reason
+	}
+	if b.unapplied == nil {
+		b.unapplied = map[string]unappliedJob{}
+	}
+	b.unapplied[m.Id] = u
+	p.candidates, p.jobs = slices.Insert(p.candidates, position, c), slices.Insert(p.jobs, position, job)
+	return 0, ""
+}
+
+// backlogOrder returns the input that orders jobs as the scheduler does.
+func (e *Engine) backlogOrder() schedule.Input {
+	return schedule.Input{
+		State: e.state, NowMs: e.wallClockMs(), Order: e.cfg.JobOrder, BeyondShare: e.shares.isBeyondShare,
+	}
+}
+
+// buildBacklog adds up the work of each pool.
+func (e *Engine) buildBacklog() {
+	b := &e.backlog
+	b.pools, b.builtAt = map[string]*poolBacklog{}, e.now
+	e.countCapacity()
+	in := e.backlogOrder()
+	add := func(o *ledger.Occurrence, q *workloadpb.Queue) {
+		p := b.pools[q.GetPool()]
+		if p == nil {
+			return
+		}
+		if c := in.NewCandidate(o, q); c.IsLongRunning() {
+			p.reserve(o)
+		} else if !c.IsTooLate() {
+			p.candidates = append(p.candidates, c)
+		}
+	}
+	for _, j := range e.state.ActiveJobs() {
+		for _, o := range j.Occurrences() {
+			add(o, e.state.QueueOf(j))
+		}
+	}
+	for _, u := range b.unapplied {
+		in.BeyondShare = func(*ledger.Job) bool { return u.beyondShare }
+		add(u.job.Occurrences()[0], u.queue)
+	}
+	for _, p := range b.pools {
+		slices.SortStableFunc(p.candidates, in.CompareFunc())
+		p.instances = max(p.instances, 0)
+		p.jobs = make([]backlog.Job, len(p.candidates))
+		for i := range p.candidates {
+			p.jobs[i] = e.backlogJob(p, &p.candidates[i], p.candidates[i].Queue())
+		}
+	}
+}
+
+// countCapacity counts the instances of each pool and their mean capacity.
+func (e *Engine) countCapacity() {
+	for _, w := range e.state.Workers() {
+		s := e.sessions[w.Number()]
+		if w.IsDraining() || w.HasLeft() || s == nil || s.failures > 0 && e.now-s.failingSince > unreachableCapacityTime {
+			continue
+		}
+		p := e.backlog.pools[w.Pool()]
+		if p == nil {
+			p = &poolBacklog{labels: map[string]int{}, limits: make([]backlog.Work, 1), limitIDs: map[string]int{}}
+			e.backlog.pools[w.Pool()] = p
+		}
+		p.instances++
+		p.capacity = p.capacity.Plus(w.Capacity())
+		for _, l := range w.Labels() {
+			p.labels[l]++
+		}
+	}
+	for _, p := range e.backlog.pools {
+		n := int64(p.instances)
+		p.capacity = ledger.Resources{CPU: p.capacity.CPU / n, Memory: p.capacity.Memory / n}
+	}
+}
+
+// countMovable records how many instances may come to each pool: those that move there already, and its part of the spare ones
+// and of the surplus of other pools. Pools that lack instances get them in proportion to what they lack.
+func (e *Engine) countMovable(pools []*poolView, spare int) {
+	free, lacking := float64(spare), 0.0
+	for _, v := range pools {
+		if !v.spare {
+			free += float64(max(v.have-v.want, 0))
+			lacking += float64(max(v.want-v.have, 0))
+		}
+	}
+	e.backlog.movable = map[string]float64{}
+	for _, v := range pools {
+		lacks := float64(max(v.want-v.have, 0))
+		surplus := float64(max(v.have-v.want, 0))
+		part := lacks + max(free-surplus-lacking, 0)
+		if lacking > free {
+			part = free * lacks / lacking
+		}
+		e.backlog.movable[v.name] = float64(v.growing) + part
+	}
+}
+
+// reserve takes the part of the pool that long-running tasks use.
+func (p *poolBacklog) reserve(o *ledger.Occurrence) {
+	for _, s := range o.Steps {
+		need := ledger.RequiredCapacity(s.Step)
+		part := max(float64(need.CPU)/float64(max(p.capacity.CPU, 1)), float64(need.Memory)/float64(max(p.capacity.Memory, 1)))
+		p.instances -= part * float64(s.Unfinished())
+	}
+}
+
+// backlogJob returns what is left of a job. A task that runs counts half, as it has done half of its work on average.
+func (e *Engine) backlogJob(p *poolBacklog, c *schedule.Candidate, q *workloadpb.Queue) backlog.Job {
+	o := c.Occurrence()
+	ratio := e.backlog.ratios.Ratio(q.Name)
+	j := backlog.Job{BeyondShare: c.IsBeyondShare(), Priority: q.Priority}
+	label := ""
+	for _, s := range o.Steps {
+		n := float64(s.Waiting()) + float64(s.Unfinished()-s.Waiting())/2
+		if n > 0 {
+			j.Work = j.Work.Plus(p.taskWork(s.Step).Times(n * ratio * float64(s.Step.EstimateMs)))
+			label = s.Step.Label
+		}
+	}
+	j.Chain = time.Duration(ratio * float64(c.ChainMs()) * float64(time.Millisecond))
+	j.Until = e.usefulUntil(c, q) - time.Duration(e.wallClockMs())*time.Millisecond
+	allowance := ledger.ResourcesOf(e.state.Account(o.Job.Account).GetAllowance())
+	switch {
+	case label != "":
+		n := float64(p.labels[label])
+		j.Limit = p.limit("label "+label, backlog.Work{CPU: n, Memory: n})
+	case allowance.CPU > 0 || allowance.Memory > 0:
+		j.Limit = p.limit("account "+o.Job.Account, backlog.Work{
+			CPU:    float64(allowance.CPU) / float64(max(p.capacity.CPU, 1)),
+			Memory: float64(allowance.Memory) / float64(max(p.capacity.Memory, 1)),
+		})
+	}
+	return j
+}
+
+// usefulUntil returns until when the result of a job is of use, as the time since the Unix epoch. The objective follows from the
+// real time of the steps, which the estimates may understate, so it is at least that of steps with the mean run time of the
+// queue.
+func (e *Engine) usefulUntil(c *schedule.Candidate, q *workloadpb.Queue) time.Duration {
+	total := c.ObjectiveMs()
+	if typical := e.backlog.ratios.RunTime(q.Name); typical > 0 {
+		total = max(total, q.SloMs+int64(q.Stretch*float64(c.ChainSteps())*float64(typical.Milliseconds())))
+	}
+	return time.Duration(c.DueAtMs()-c.ObjectiveMs()+schedule.LateFactor*total) * time.Millisecond
+}
+
+// taskWork returns the part of an instance that a task of a step occupies, counting what remains unused on a full instance.
+func (p *poolBacklog) taskWork(s *workloadpb.Step) backlog.Work {
+	need := ledger.RequiredCapacity(s)
+	part := func(need, capacity int64) float64 {
+		if need <= 0 || capacity <= 0 {
+			return 0
+		}
+		return 1 / float64(max(capacity/need, 1))
+	}
+	return backlog.Work{CPU: part(need.CPU, p.capacity.CPU), Memory: part(need.Memory, p.capacity.Memory)}
+}
+
+// limit returns the index of a limit.
+func (p *poolBacklog) limit(name string, rate backlog.Work) int {
+	if i, ok := p.limitIDs[name]; ok {
+		return i
+	}
+	p.limits = append(p.limits, rate)
+	p.limitIDs[name] = len(p.limits) - 1
+	return len(p.limits) - 1
+}
+
+// forget removes the submission of a job, which was applied or is lost.
+func (b *backlogTable) forget(id string) {
+	if _, ok := b.unapplied[id]; ok {
+		delete(b.unapplied, id)
+		b.pools = nil // The job may have another rank or be lost.
+	}
+}
+
+// rejectsJobs reports whether jobs are rejected because of the backlog.
+func (b *backlogTable) rejectsJobs(now time.Duration) bool {
+	return b.rejectedAt > 0 && now-b.rejectedAt < overloadMemory
+}
+
+// observeRunTime learns from the end of a run how far the estimates of its queue are off.
+func (e *Engine) observeRunTime(r *run, how workloadpb.How, endedAt time.Duration) {
+	step := r.task.Step()
+	if how != workloadpb.How_HOW_DONE || r.requestedAt == 0 || r.startedAt < r.requestedAt || r.measured || step.Step.Lasting ||
+		step.Step.Fills {
+		return
+	}
+	r.measured = true
+	if q := e.state.QueueOf(step.Occurrence.Job); q != nil {
+		e.backlog.ratios.Observe(q.Name, millis(step.Step.EstimateMs), endedAt-r.startedAt)
+	}
+}
--- a/internal/workload/drive.go
+++ b/internal/workload/drive.go
@@ -196,6 +196,7 @@
 			ended[k] = true
 			if r := s.runs[k]; r != nil {
 				e.lateStarts.noteListed(s.worker.ID(), r)
+				e.observeRunTime(r, row.How, ev.EndedAt)
 				r.startedAt = max(r.startedAt, 1) // The start isn't repeated until the end is recorded.
 			}
 		}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -53,6 +53,8 @@
 	JobRetention time.Duration
 	// JobOrder is the order in which jobs are served.
 	JobOrder schedule.JobOrder
+	// LimitsBacklog rejects jobs that can't end within three times their latency objective beside the accepted work.
+	LimitsBacklog bool
 	// IncrementCounter adds one to a counter with a label, ObserveHistogram adds a value to a histogram; both may be
 	// nil.
 	IncrementCounter func(name, label, value string)
@@ -94,6 +96,7 @@
 	lateStarts            lateStartTable
 	waitingSteps          waitingSteps
 	admission             admission
+	backlog               backlogTable
 	overload              string // reason to reject new jobs, as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
 	assigns, lastAssign uint64
@@ -375,6 +378,9 @@
 		return
 	}
 	e.logLosses(losses)
+	if len(ended) > 0 {
+		e.backlog.pools = nil
+	}
 	for _, j := range ended {
 		e.shares.forgetJob(j)
 		e.cfg.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", string(j.State()), "after-ms", j.EndedMs-j.AcceptedMs)
@@ -429,7 +435,7 @@
 			e.sendAnnounced(c.Order)
 		}
 	case *workloadpb.Command_Submit:
-		e.admission.forgetSubmission(c.Submit.Id, e.now)
+		e.forgetSubmission(c.Submit.Id)
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
 			j := e.state.JobByID(c.Submit.Id)
 			e.shares.chargeJob(e.state, j, e.now)
@@ -439,6 +445,7 @@
 				"beyond-share", e.shares.isBeyondShare(j), "configuration", e.state.Document().Version)
 		}
 	case *workloadpb.Command_Document:
+		e.backlog.pools = nil
 		e.cfg.Log.Info("configuration is in force", "version", e.state.Document().Version)
 		e.logJobsWithoutQueue()
 	}
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -48,19 +48,25 @@
 		return r
 	}
 	q, account, _ := s.Route(m.Host, m.Path, m.Id, m.Key)
+	j := NewJob(m, q, account, at)
 	s.nextJob++
+	j.Number = s.nextJob
+	s.addJob(j)
+	s.activeJobs = append(s.activeJobs, j)
+	s.markChanged()
+	return newResponse(workloadpb.Verdict_VERDICT_DONE)
+}
+
+// NewJob returns the job of a submission to a queue that is accepted at a time, without a number. It changes no state.
+func NewJob(m *workloadpb.Submit, q *workloadpb.Queue, account string, at int64) *Job {
 	j := &Job{
-		Number: s.nextJob, ID: m.Id, Queue: q.Name, Account: account, Spec: m.Spec, Steps: m.Steps,
-		MaxRuns: m.MaxRuns, StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: at, state: Queued,
-		route: routeOf(q),
+		ID: m.Id, Queue: q.Name, Account: account, Spec: m.Spec, Steps: m.Steps, MaxRuns: m.MaxRuns,
+		StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: at, state: Queued, route: routeOf(q),
 	}
 	if j.MaxRuns == 0 {
 		j.beginOccurrence(0)
 	}
-	s.addJob(j)
-	s.activeJobs = append(s.activeJobs, j)
-	s.markChanged()
-	return newResponse(workloadpb.Verdict_VERDICT_DONE)
+	return j
 }
 
 func (s *State) addJob(j *Job) {
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -122,6 +122,9 @@
 // Done reports whether all tasks of the step are done.
 func (s *StepRun) Done() bool { return s.doneTasks == len(s.Tasks) }
 
+// Unfinished returns the number of tasks that are not done.
+func (s *StepRun) Unfinished() int { return len(s.Tasks) - s.doneTasks }
+
 // Waiting returns the number of tasks that are neither done nor assigned.
 func (s *StepRun) Waiting() int { return s.waitingTasks }
 
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -66,7 +66,7 @@
 		if r, ok := e.state.AnswerSubmit(c.Submit); ok {
 			return r, kernel.AfterReadIndex
 		}
-		if r := e.admit(c.Submit.Id); r != nil {
+		if r := e.admit(c.Submit); r != nil {
 			return r, kernel.AfterReadIndex
 		}
 	case *workloadpb.Command_Cancel:
--- a/internal/workload/schedule/order.go
+++ b/internal/workload/schedule/order.go
@@ -8,8 +8,8 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
-// lateFactor is the multiple of its latency objective after which the result of a job is of no use to its users.
-const lateFactor = 3
+// LateFactor is the multiple of its latency objective after which the result of a job is of no use to its users.
+const LateFactor = 3
 
 // class is the first criterion of the order of jobs.
 type class int
@@ -29,11 +29,50 @@
 	beyondShare   bool  // the job exceeds the share of its client account
 	dueAtMs       int64 // time of the latency objective in Unix milliseconds
 	remainingWork int64 // in thousandths of a core times milliseconds
+	objectiveMs   int64
+	chainMs       int64 // remainder of the longest chain of steps
 }
 
 // Pool returns the name of the pool whose workers run the occurrence.
 func (c *Candidate) Pool() string { return c.queue.Pool }
 
+// Occurrence returns the occurrence.
+func (c *Candidate) Occurrence() *ledger.Occurrence { return c.occurrence }
+
+// IsLongRunning reports whether the occurrence has long-running steps.
+func (c *Candidate) IsLongRunning() bool { return c.class == longRunning }
+
+// IsTooLate reports whether the result can't be of use any more.
+func (c *Candidate) IsTooLate() bool { return c.class == tooLate }
+
+// IsBeyondShare reports whether the job exceeds the share of its client account.
+func (c *Candidate) IsBeyondShare() bool { return c.beyondShare }
+
+// Queue returns the queue of the job.
+func (c *Candidate) Queue() *workloadpb.Queue { return c.queue }
+
+// ObjectiveMs returns the latency objective in milliseconds.
+func (c *Candidate) ObjectiveMs() int64 { return c.objectiveMs }
+
+// ChainSteps returns the number of steps of the longest chain.
+func (c *Candidate) ChainSteps() int {
+	depths, longest := make([]int, len(c.occurrence.Steps)), 0
+	for i, s := range c.occurrence.Steps {
+		for _, n := range s.Step.After {
+			depths[i] = max(depths[i], depths[n])
+		}
+		depths[i]++
+		longest = max(longest, depths[i])
+	}
+	return longest
+}
+
+// DueAtMs returns the time of the latency objective in Unix milliseconds.
+func (c *Candidate) DueAtMs() int64 { return c.dueAtMs }
+
+// ChainMs returns the estimated time in milliseconds that the steps take which are not done.
+func (c *Candidate) ChainMs() int64 { return c.chainMs }
+
 // RankCandidates returns the occurrences with tasks that may start, in the order in which they are to be scheduled. It
 // ignores the workers and the candidates of in.
 func RankCandidates(in Input) []Candidate {
@@ -45,11 +84,11 @@
 		}
 		for _, o := range j.Occurrences() {
 			if hasReadyTasks(o) {
-				list = append(list, in.newCandidate(o, q))
+				list = append(list, in.NewCandidate(o, q))
 			}
 		}
 	}
-	slices.SortStableFunc(list, in.compareFunc())
+	slices.SortStableFunc(list, in.CompareFunc())
 	return list
 }
 
@@ -58,15 +97,17 @@
 	return slices.ContainsFunc(o.Steps, func(s *ledger.StepRun) bool { return s.Waiting() > 0 && s.Ready() })
 }
 
-func (in *Input) newCandidate(o *ledger.Occurrence, q *workloadpb.Queue) Candidate {
+// NewCandidate returns an occurrence of a job of a queue, whether or not it has tasks that may start now.
+func (in *Input) NewCandidate(o *ledger.Occurrence, q *workloadpb.Queue) Candidate {
 	c := Candidate{occurrence: o, queue: q, class: onTime}
 	begin := o.Job.AcceptedMs
 	if o.Job.MaxRuns > 0 {
 		begin = o.Job.StartAtMs + int64(o.Number)*o.Job.IntervalMs
 	}
 	total, remaining := longestChains(o)
+	c.chainMs = remaining
 	objective := int64(q.Stretch*float64(total)) + q.SloMs
-	c.dueAtMs = begin + objective
+	c.dueAtMs, c.objectiveMs = begin+objective, objective
 	for _, s := range o.Steps {
 		if s.Step.Lasting {
 			c.class = longRunning
@@ -78,7 +119,7 @@
 	c.beyondShare = in.BeyondShare != nil && in.BeyondShare(o.Job)
 	switch end := in.NowMs + remaining; {
 	case end <= c.dueAtMs:
-	case end <= begin+lateFactor*objective:
+	case end <= begin+LateFactor*objective:
 		c.class = late
 	default:
 		c.class = tooLate
@@ -113,7 +154,8 @@
 	ByArrival                       // first accepted first
 )
 
-func (in *Input) compareFunc() func(a, b Candidate) int {
+// CompareFunc returns the order in which occurrences are scheduled.
+func (in *Input) CompareFunc() func(a, b Candidate) int {
 	if in.Order == ByArrival {
 		return func(a, b Candidate) int { return cmp.Compare(a.occurrence.Job.Number, b.occurrence.Job.Number) }
 	}
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -170,6 +170,7 @@
 	stoppedAt         time.Duration // the worker acknowledged the stop
 
 	listed         bool
+	measured       bool // its run time was recorded
 	lastCheckpoint string
 	progress       int
 	load           int64
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -29,22 +29,35 @@
 
 // chargeJob charges a new job to the share of its account, and records it if it exceeds the share.
 func (s *accountShares) chargeJob(state *ledger.State, j *ledger.Job, now time.Duration) {
-	a := state.Account(j.Account)
+	switch b := s.bucketOf(state, j.Account, now); {
+	case b == nil:
+	case b.tokens < 1:
+		s.beyondShare[j.Number] = true
+	default:
+		b.tokens--
+	}
+}
+
+// bucketOf returns the token bucket of an account at a time, nil if the account has no share.
+func (s *accountShares) bucketOf(state *ledger.State, account string, now time.Duration) *bucket {
+	a := state.Account(account)
 	if a == nil || a.Weight <= 0 {
-		return
+		return nil
 	}
-	b := s.buckets[j.Account]
+	b := s.buckets[account]
 	if b == nil {
 		b = &bucket{tokens: a.Weight * shareBurstSeconds, updatedAt: now}
-		s.buckets[j.Account] = b
+		s.buckets[account] = b
 	}
 	b.tokens = min(b.tokens+a.Weight*(now-b.updatedAt).Seconds(), a.Weight*shareBurstSeconds)
 	b.updatedAt = now
-	if b.tokens < 1 {
-		s.beyondShare[j.Number] = true
-		return
-	}
-	b.tokens--
+	return b
+}
+
+// hasToken reports whether a new job of an account would be within its share.
+func (s *accountShares) hasToken(state *ledger.State, account string, now time.Duration) bool {
+	b := s.bucketOf(state, account, now)
+	return b == nil || b.tokens >= 1
 }
 
 // forgetJob removes an ended job.
