--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -19,7 +19,7 @@
 )
 
 // backlogTable is the accepted work of each pool as decisions on new jobs need it. It is computed from the jobs of the ledger;
-// the ratios, the returns and the unapplied submissions are known to this leader only.
+// the ratios, the gates and the unapplied submissions are known to this leader only.
 type backlogTable struct {
 	// pools is nil if the work has to be added up again, which happens when a job has ended, and after backlogAge.
 	pools   map[string]*poolBacklog
@@ -27,13 +27,19 @@
 	// movable holds the numbers of instances that may come to each pool, from the last decision on moves; nil before the first.
 	movable map[string]float64
 	ratios  backlog.Ratios
-	returns map[string]*backlog.Returns
+	gates   map[gateKey]*backlog.Gate
 	// unapplied holds the jobs of submissions that were let through and are not applied yet, by their IDs.
 	unapplied map[string]unappliedJob
 	// rejectedAt is when a job was last rejected, 0 if none was.
 	rejectedAt time.Duration
 }
 
+// gateKey identifies jobs on which one gate decides: those of a queue within or beyond the shares of their accounts.
+type gateKey struct {
+	queue       string
+	beyondShare bool
+}
+
 // unappliedJob is a job that may be accepted at any moment.
 type unappliedJob struct {
 	job         *ledger.Job
@@ -50,8 +56,12 @@
 	jobs       []backlog.Job // parallel to candidates
 	limits     []backlog.Work
 	limitIDs   map[string]int
+	estimates  map[string]estimates // of the accepted jobs, by queue
 }
 
+// estimates are sums over the steps of jobs.
+type estimates struct{ totalMs, steps, chainSteps, jobs int64 }
+
 // rejectBacklog returns after which time a new job may be handed in again because the accepted work leaves no time for it, 0 if
 // it may be accepted. It then counts as accepted until its submission is forgotten.
 func (e *Engine) rejectBacklog(m *workloadpb.Submit) (after time.Duration, reason string) {
@@ -84,20 +94,23 @@
 		}
 		return 1
 	})
+	p.addEstimates(&c, q.Name)
 	job := e.backlogJob(p, &c, q)
 	input := backlog.Input{
 		New: job, Accepted: p.jobs, Position: position, Instances: p.instances, Arriving: b.movable[q.Pool],
 		MoveDuration: e.cfg.MoveDuration, Limits: p.limits,
+		Objective: e.typicalObjective(p, q),
 	}
-	if after, reason = backlog.Decide(input); after > 0 {
-		if b.returns == nil {
-			b.returns = map[string]*backlog.Returns{}
-		}
-		if b.returns[q.Pool] == nil {
-			b.returns[q.Pool] = &backlog.Returns{}
-		}
+	key := gateKey{q.Name, u.beyondShare}
+	if b.gates == nil {
+		b.gates = map[gateKey]*backlog.Gate{}
+	}
+	if b.gates[key] == nil {
+		b.gates[key] = &backlog.Gate{}
+	}
+	if after, reason = b.gates[key].Decide(e.now, m.Id, input); after > 0 {
 		b.rejectedAt = max(e.now, 1)
-		return b.returns[q.Pool].Schedule(e.now, after, input.TimeFor(job.Work)), reason
+		return after, reason
 	}
 	if b.unapplied == nil {
 		b.unapplied = map[string]unappliedJob{}
@@ -125,9 +138,13 @@
 		if p == nil {
 			return
 		}
-		if c := in.NewCandidate(o, q); c.IsLongRunning() {
+		c := in.NewCandidate(o, q)
+		if c.IsLongRunning() {
 			p.reserve(o)
-		} else if !c.IsTooLate() {
+			return
+		}
+		p.addEstimates(&c, q.Name)
+		if !c.IsTooLate() {
 			p.candidates = append(p.candidates, c)
 		}
 	}
@@ -159,7 +176,8 @@
 		}
 		p := e.backlog.pools[w.Pool()]
 		if p == nil {
-			p = &poolBacklog{labels: map[string]int{}, limits: make([]backlog.Work, 1), limitIDs: map[string]int{}}
+			p = &poolBacklog{labels: map[string]int{}, limits: make([]backlog.Work, 1), limitIDs: map[string]int{},
+				estimates: map[string]estimates{}}
 			e.backlog.pools[w.Pool()] = p
 		}
 		p.instances++
@@ -176,13 +194,15 @@
 
 // countMovable records how many instances may come to each pool: those that move there already, and its part of the spare ones
 // and of the surplus of other pools. Pools that lack instances get them in proportion to what they lack.
-func (e *Engine) countMovable(pools []*poolView, spare int) {
-	free, lacking := float64(spare), 0.0
+func (e *Engine) countMovable(pools []*poolView) {
+	free, lacking := 0.0, 0.0
 	for _, v := range pools {
-		if !v.spare {
-			free += float64(max(v.have-v.want, 0))
-			lacking += float64(max(v.want-v.have, 0))
+		if v.spare {
+			free += float64(v.have)
+			continue
 		}
+		free += float64(max(v.have-v.want, 0))
+		lacking += float64(max(v.want-v.have, 0))
 	}
 	e.backlog.movable = map[string]float64{}
 	for _, v := range pools {
@@ -205,11 +225,22 @@
 	}
 }
 
+func (p *poolBacklog) addEstimates(c *schedule.Candidate, queue string) {
+	sum := p.estimates[queue]
+	sum.jobs++
+	sum.chainSteps += int64(c.ChainSteps())
+	for _, s := range c.Occurrence().Steps {
+		sum.totalMs += s.Step.EstimateMs
+		sum.steps++
+	}
+	p.estimates[queue] = sum
+}
+
 // backlogJob returns what is left of a job. A task that runs counts half, as it has done half of its work on average.
 func (e *Engine) backlogJob(p *poolBacklog, c *schedule.Candidate, q *workloadpb.Queue) backlog.Job {
 	o := c.Occurrence()
 	ratio := e.backlog.ratios.Ratio(q.Name)
-	j := backlog.Job{BeyondShare: c.IsBeyondShare(), Priority: q.Priority}
+	j := backlog.Job{Queue: q.Name, BeyondShare: c.IsBeyondShare(), Priority: q.Priority}
 	label := ""
 	for _, s := range o.Steps {
 		n := float64(s.Waiting()) + float64(s.Unfinished()-s.Waiting())/2
@@ -219,7 +250,9 @@
 		}
 	}
 	j.Chain = time.Duration(ratio * float64(c.ChainMs()) * float64(time.Millisecond))
-	j.Until = e.usefulUntil(c, q) - time.Duration(e.wallClockMs())*time.Millisecond
+	objective := max(c.ObjectiveMs(), q.SloMs+int64(q.Stretch*float64(c.ChainSteps())*e.typicalRunMs(p, q.Name)))
+	begin := c.DueAtMs() - c.ObjectiveMs() - e.wallClockMs()
+	j.Due, j.Until = millis(begin+objective), millis(begin+schedule.LateFactor*objective)
 	allowance := ledger.ResourcesOf(e.state.Account(o.Job.Account).GetAllowance())
 	switch {
 	case label != "":
@@ -234,15 +267,21 @@
 	return j
 }
 
-// usefulUntil returns until when the result of a job is of use, as the time since the Unix epoch. The objective follows from the
-// real time of the steps, which the estimates may understate, so it is at least that of steps with the mean run time of the
-// queue.
-func (e *Engine) usefulUntil(c *schedule.Candidate, q *workloadpb.Queue) time.Duration {
-	total := c.ObjectiveMs()
-	if typical := e.backlog.ratios.RunTime(q.Name); typical > 0 {
-		total = max(total, q.SloMs+int64(q.Stretch*float64(c.ChainSteps())*float64(typical.Milliseconds())))
+// typicalRunMs returns the run time of a typical task of a queue, 0 if it is not known. The objective of a job follows from its
+// real run times, which its own estimate may understate by far.
+func (e *Engine) typicalRunMs(p *poolBacklog, queue string) float64 {
+	if d := e.backlog.ratios.RunTime(queue); d > 0 {
+		return float64(d.Milliseconds())
 	}
-	return time.Duration(c.DueAtMs()-c.ObjectiveMs()+schedule.LateFactor*total) * time.Millisecond
+	sum := p.estimates[queue]
+	return float64(sum.totalMs) / float64(max(sum.steps, 1))
+}
+
+// typicalObjective returns the latency objective of a typical job of a queue.
+func (e *Engine) typicalObjective(p *poolBacklog, q *workloadpb.Queue) time.Duration {
+	sum := p.estimates[q.Name]
+	chain := float64(sum.chainSteps) / float64(max(sum.jobs, 1)) * e.typicalRunMs(p, q.Name)
+	return millis(q.SloMs + int64(q.Stretch*chain))
 }
 
 // taskWork returns the part of an instance that a task of a step occupies, counting what remains unused on a full instance.
--- a/internal/workload/backlog/decide.go
+++ b/internal/workload/backlog/decide.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// lateFactor is the multiple of its objective after which the result of a job is of no use.
+const lateFactor = 3
+
 // Reason is the reason of a rejection.
 const Reason = "backlog"
 
@@ -24,11 +27,12 @@
 
 // Job is the work that is left of a job.
 type Job struct {
-	Work Work
+	Queue string
+	Work  Work
 	// Chain is the time that the longest chain of its steps takes.
 	Chain time.Duration
-	// Until is the time from now until its result is of no use any more.
-	Until time.Duration
+	// Due is the time from now until its latency objective, Until the one until its result is of no use any more.
+	Due, Until time.Duration
 	// BeyondShare and Priority are its rank: jobs within the share of their account come first, then lower priorities.
 	BeyondShare bool
 	Priority    int32
@@ -55,67 +59,106 @@
 	// MoveDuration.
 	Instances, Arriving float64
 	MoveDuration        time.Duration
+	// Objective is the latency objective of a typical job of the queue.
+	Objective time.Duration
+	// Overloaded is set from a rejection on until the work that is accepted has nearly been done. The scheduler serves jobs first
+	// that can meet their objective, so others that are accepted all the time would take the time of those that wait.
+	Overloaded bool
 	// Limits are rates in instances that groups of jobs can't exceed, as the quota of an account. The first one is not used.
 	Limits []Work
 }
 
-// Decide returns after which time a new job should be handed in again and why, 0 if it is accepted. It is rejected if what runs
-// before it leaves no time for it, or if there is no order in which it and the accepted jobs of equal or higher rank end while
-// their results are of use.
+// Decide returns after which time a new job should be handed in again and why, 0 if it is accepted. It is rejected if it could
+// not end while its result is of use, because of what runs before it in the order of jobs, or because of what was accepted
+// before it and would miss its own time otherwise. While the pool is overloaded, a job has to meet its objective.
 func Decide(in Input) (retryAfter time.Duration, reason string) {
 	if in.Instances+in.Arriving <= 0 || in.New.Until <= 0 {
 		return 0, "" // Nothing is known of the pool, or the job has no objective.
 	}
-	late := max(in.lateInOrder(), in.lateByDeadlines())
-	if late <= 0 {
-		return 0, ""
+	if late := max(in.lateInOrder(), in.lateByDeadlines()); late > 0 {
+		return late, Reason
 	}
-	return late, Reason
+	return 0, ""
 }
 
-// TimeFor returns how long the pool takes for work that no other work delays.
-func (in *Input) TimeFor(w Work) time.Duration { return in.duration(w) }
-
 // lateInOrder returns how late the new job ends if the accepted jobs before it run first; negative if it ends in time.
 func (in *Input) lateInOrder() time.Duration {
+	deadline := in.deadline(&in.New)
 	s := in.newSum()
 	for i := range in.Accepted[:in.Position] {
 		if j := &in.Accepted[i]; !in.New.outranks(j) {
 			s.add(j)
 		}
 	}
-	begin := in.duration(s.within(in.New.Until))
+	begin := in.Duration(s.within(deadline))
 	s.add(&in.New)
-	end := max(in.duration(s.within(in.New.Until)), begin+in.New.Chain)
+	end := in.Duration(s.within(deadline))
+	if !in.Overloaded {
+		end = max(end, begin+min(in.New.Chain, deadline))
+	}
 	if l := in.New.Limit; l > 0 {
 		end = max(end, timeFor(s.limited[l], in.Limits[l]))
 	}
-	return end - in.New.Until
+	return end - deadline
 }
 
-// lateByDeadlines returns the excess of the work of equal or higher rank that has to end by the deadline of the new job or a
-// later one of an accepted job, as the time that it takes.
+// lateByDeadlines returns by how much the work of equal or higher rank exceeds what the pool can do by the deadline of the new
+// job, or by a later one of an accepted job. The jobs of one queue are not served by their deadlines, so all of them must be done
+// in the time that a typical one has.
 func (in *Input) lateByDeadlines() time.Duration {
-	due := make([]*Job, 0, len(in.Accepted)+1)
+	type item struct {
+		*Job
+		by time.Duration
+	}
+	deadline, typical := in.deadline(&in.New), in.Objective
+	if !in.Overloaded {
+		typical *= lateFactor
+	}
+	due := make([]item, 0, len(in.Accepted)+1)
 	for i := range in.Accepted {
-		if j := &in.Accepted[i]; !in.New.outranks(j) {
-			due = append(due, j)
+		j := &in.Accepted[i]
+		if in.New.outranks(j) {
+			continue
+		}
+		by := in.deadline(j)
+		if j.Queue == in.New.Queue {
+			by = min(by, max(deadline, typical))
 		}
+		due = append(due, item{j, by})
 	}
-	due = append(due, &in.New)
-	slices.SortStableFunc(due, func(a, b *Job) int { return cmp.Compare(a.Until, b.Until) })
-	s, late := in.newSum(), -in.New.Until
-	for _, j := range due {
-		s.add(j)
-		if j.Until >= in.New.Until {
-			late = max(late, in.duration(s.within(j.Until))-j.Until)
+	due = append(due, item{&in.New, deadline})
+	slices.SortFunc(due, func(a, b item) int { return cmp.Compare(a.by, b.by) })
+	s, late := in.newSum(), -deadline
+	for i, j := range due {
+		s.add(j.Job)
+		if j.by >= deadline && (i+1 == len(due) || due[i+1].by > j.by) {
+			late = max(late, in.Duration(s.within(j.by))-j.by)
 		}
 	}
 	return late
 }
 
-// duration returns how long the pool takes for work.
-func (in *Input) duration(w Work) time.Duration {
+// deadline returns the time until a job has to end.
+func (in *Input) deadline(j *Job) time.Duration {
+	if in.Overloaded {
+		return j.Due
+	}
+	return j.Until
+}
+
+// isNearlyIdle reports whether the accepted work of equal or higher rank takes a small part of the objective of the new job.
+func (in *Input) isNearlyIdle() bool {
+	s := in.newSum()
+	for i := range in.Accepted {
+		if j := &in.Accepted[i]; !in.New.outranks(j) {
+			s.add(j)
+		}
+	}
+	return in.Duration(s.within(in.New.Due)) < in.New.Due/4
+}
+
+// Duration returns how long the pool takes for work.
+func (in *Input) Duration(w Work) time.Duration {
 	work := max(w.CPU, w.Memory)
 	move := milliseconds(in.MoveDuration)
 	if now := in.Instances * move; in.Arriving > 0 && work > now {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -157,6 +157,9 @@
 	e.advice.reset()
 	e.fleet.reset()
 	e.shares.reset()
+	if e.cfg.LimitsBacklog {
+		e.shares.restore(e.state, now, e.wallClockMs())
+	}
 	e.rates = arrivalRates{}
 	e.rejections = rejections{}
 	e.fleet.startClockMs = e.state.Clock()
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -156,7 +156,7 @@
 		}
 		v.computeWant()
 	}
-	e.countMovable(order, len(off))
+	e.countMovable(order)
 	for _, v := range order {
 		for !v.spare {
 			in := e.takeInstance(v, &off, &idle, pools)
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -49,8 +49,10 @@
 		b = &bucket{tokens: a.Weight * shareBurstSeconds, updatedAt: now}
 		s.buckets[account] = b
 	}
-	b.tokens = min(b.tokens+a.Weight*(now-b.updatedAt).Seconds(), a.Weight*shareBurstSeconds)
-	b.updatedAt = now
+	if now > b.updatedAt {
+		b.tokens = min(b.tokens+a.Weight*(now-b.updatedAt).Seconds(), a.Weight*shareBurstSeconds)
+		b.updatedAt = now
+	}
 	return b
 }
 
@@ -60,6 +62,13 @@
 	return b == nil || b.tokens >= 1
 }
 
+// restore charges the jobs of earlier leaders that have not ended, at the times when they were accepted.
+func (s *accountShares) restore(state *ledger.State, now time.Duration, nowMs int64) {
+	for _, j := range state.ActiveJobs() {
+		s.chargeJob(state, j, now-millis(max(nowMs-j.AcceptedMs, 0)))
+	}
+}
+
 // forgetJob removes an ended job.
 func (s *accountShares) forgetJob(j *ledger.Job) { delete(s.beyondShare, j.Number) }
 
