--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -89,8 +90,10 @@
 	}
 	ch := make(chan outcome, 1)
 	var zero T
+	var taken atomic.Bool
 	err := v.post(ctx, func() {
 		if ctx.Err() == nil {
+			taken.Store(true)
 			f(func(m T, err error) { ch <- outcome{m, err} })
 		}
 	})
@@ -101,6 +104,9 @@
 	case o := <-ch:
 		return o.m, o.err
 	case <-v.done:
+		if !taken.Load() {
+			return zero, peer.ErrUnreachable.New("the voter has stopped before it took the call")
+		}
 		return zero, peer.ErrInterrupted.New("the voter has stopped")
 	case <-ctx.Done():
 		return zero, peer.ErrInterrupted.Wrap(ctx.Err(), "no answer of the control loop")
@@ -109,17 +115,26 @@
 
 func (v *Voter) servePropose(ctx context.Context, _ string, req *controlpb.ProposeRequest) (proto.Message, error) {
 	return runInLoop(ctx, v, func(answer func(proto.Message, error)) {
+		redirect := func() {
+			answer(&controlpb.ProposeResponse{Redirect: v.redirect(), Term: v.core.Term()}, nil)
+		}
 		if !v.leading {
-			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
+			redirect()
+			return
+		}
+		if req.MaxTerm > 0 && v.leadTerm > req.MaxTerm {
+			answer(&controlpb.ProposeResponse{LaterTerm: true, Term: v.leadTerm}, nil)
 			return
 		}
 		v.calls.Add(v.now(), 1)
-		reply := func(r kernel.Result, err error) {
+		term := v.leadTerm
+		reply := func(r kernel.Result, err error, confirmed bool) {
 			if err != nil {
 				answer(nil, err)
 				return
 			}
 			resp := EncodeResult(r)
+			resp.Term, resp.Confirmed = term, confirmed
 			resp.Group, resp.Voters, resp.Busy = v.voters.Group(), v.memberAddresses(), v.isBusy()
 			answer(resp, nil)
 		}
@@ -128,9 +143,7 @@
 			return
 		}
 		c := CommandFromProto(req.Command)
-		v.respond(c, newProposalKey(c, req.Idempotent), reply, func() {
-			answer(&controlpb.ProposeResponse{Redirect: v.redirect()}, nil)
-		})
+		v.respond(c, newProposalKey(c, req.Idempotent), reply, redirect)
 	})
 }
 
@@ -198,7 +211,7 @@
 				continue
 			}
 			c := CommandFromProto(m)
-			v.respond(c, newProposalKey(c, true), func(r kernel.Result, err error) {
+			v.respond(c, newProposalKey(c, true), func(r kernel.Result, err error, _ bool) {
 				if errorx.IsOfType(err, kernel.ErrInvalid) {
 					r, err = kernel.Result{Err: err}, nil
 				}
@@ -235,18 +248,26 @@
 }
 
 // respond answers a command at once, after a quorum read or after replication, as the plug-in of the command decides. Calls
-// with the same key may share an entry. It calls notLeading instead of reply if this voter is not the leader.
+// with the same key may share an entry. It calls notLeading instead of reply if this voter is not the leader, or not of the same
+// term any more. The result is confirmed if it follows from a state with all entries of earlier terms that will ever be
+// committed.
 func (v *Voter) respond(
-	c kernel.Command, key *proposalKey, reply func(kernel.Result, error), notLeading func(),
+	c kernel.Command, key *proposalKey, reply func(r kernel.Result, err error, confirmed bool), notLeading func(),
 ) {
+	term := v.leadTerm
+	committed := func(r kernel.Result, err error) { reply(r, err, true) }
 	replicate := func() {
-		switch err := v.propose(c, key, reply); {
+		if v.core.Term() != term {
+			notLeading()
+			return
+		}
+		switch err := v.propose(c, key, committed); {
 		case err == nil:
 		case errorx.IsOfType(err, kernel.ErrInvalid):
-			reply(kernel.Result{}, err)
+			reply(kernel.Result{}, err, false)
 		case errorx.IsOfType(err, raft.ErrFull) && key != nil && key.id == "":
 			// With an ID, the caller would take the result for that of its earlier attempts, too.
-			reply(kernel.Result{Err: kernel.ErrBusy.Wrap(err, "the leader has too much to commit")}, nil)
+			reply(kernel.Result{Err: kernel.ErrBusy.Wrap(err, "the leader has too much to commit")}, nil, false)
 		default:
 			notLeading()
 		}
@@ -255,7 +276,7 @@
 	if v.proposals.find(key, v.core.Term()) == nil {
 		switch body, how := v.kernel.Respond(v.now(), c); how {
 		case kernel.Immediate:
-			reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
+			reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil, false)
 			return
 		case kernel.Replicate:
 			replicate()
@@ -267,7 +288,7 @@
 			notLeading()
 			return
 		}
-		if v.share(key, reply) {
+		if v.share(key, committed) {
 			return
 		}
 		// The state may have changed during the read.
@@ -276,7 +297,7 @@
 			replicate()
 			return
 		}
-		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil)
+		reply(kernel.Result{Index: v.kernel.Applied(), Body: body}, nil, true)
 	})
 }
 
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -47,6 +47,10 @@
 	voters []string // peer addresses
 	failed []string // those of voters that failed since they last answered, the one that failed last at the end
 	group  string   // identity of the control group, empty if unknown
+	// term is the latest term of the control group that a voter has told, and bounded holds the voters that observe
+	// ProposeRequest.max_term: those that have told a term.
+	term    uint64
+	bounded map[string]bool
 	// busyUntil is until when calls should reach the leader in batches.
 	busyUntil time.Time
 }
@@ -191,6 +195,53 @@
 	return list
 }
 
+// recordTerm records the term that a voter told in a response.
+func (c *Client) recordTerm(address string, term uint64) {
+	if term == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.term = max(c.term, term)
+	if c.bounded == nil {
+		c.bounded = map[string]bool{}
+	}
+	c.bounded[address] = true
+}
+
+// latestTerm returns the latest known term, 0 if none is known or a voter may not observe it as a bound.
+func (c *Client) latestTerm(address string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.bounded[address] {
+		return 0
+	}
+	return c.term
+}
+
+// unknownAttempts records the attempts of a call that got no answer and may still be handled.
+type unknownAttempts struct {
+	maxTerm   uint64 // no later leader handles one of them
+	unbounded bool   // any leader may
+}
+
+// add records an attempt. A request of another kind than ProposeRequest has no bound.
+func (u *unknownAttempts) add(req proto.Message) {
+	r, ok := req.(*controlpb.ProposeRequest)
+	if !ok || r.MaxTerm == 0 {
+		u.unbounded = true
+		return
+	}
+	u.maxTerm = max(u.maxTerm, r.MaxTerm)
+}
+
+// areExcludedBy reports whether a response shows that none of the attempts has been handled or ever will be, unless it tells
+// the effect of one: a leader of a later term has committed an entry of its term, after which no log has room for theirs.
+func (u *unknownAttempts) areExcludedBy(resp proto.Message) bool {
+	r, ok := resp.(*controlpb.ProposeResponse)
+	return ok && r.Confirmed && !u.unbounded && r.Term > u.maxTerm
+}
+
 // leaderResponse is a response of the leader, or a redirect to it.
 type leaderResponse interface {
 	proto.Message
@@ -211,6 +262,7 @@
 ) (repeated bool, err error) {
 	lastErr := peer.ErrUnreachable.New("no leader of the control group was found")
 	failures := 0
+	var unknown unknownAttempts
 	for {
 		for _, address := range c.candidateAddresses() {
 			err := c.attempt(ctx, address, kind, req, resp)
@@ -223,12 +275,15 @@
 			}
 			if err == nil && resp.GetRedirect() == nil {
 				if err = c.acceptLeader(address, resp.GetGroup()); err == nil {
-					return errorx.IsOfType(lastErr, peer.ErrInterrupted), nil
+					return errorx.IsOfType(lastErr, peer.ErrInterrupted) && !unknown.areExcludedBy(resp), nil
 				}
 			}
 			if err != nil {
 				c.forgetLeader(address)
 				interrupted := errorx.IsOfType(err, peer.ErrInterrupted)
+				if interrupted {
+					unknown.add(req)
+				}
 				answered := !interrupted && !errorx.IsOfType(err, peer.ErrUnreachable)
 				// A voter may be sound if ctx cut its attempt short. The next call then starts with it, unless this call had
 				// time for no other one.
@@ -259,12 +314,28 @@
 func (c *Client) attempt(ctx context.Context, address, kind string, req proto.Message, resp proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
 	defer cancel()
-	proto.Reset(resp)
-	if err := c.cfg.Call(ctx, address, kind, req, resp); err != nil {
-		return err
+	for {
+		propose, _ := req.(*controlpb.ProposeRequest)
+		if propose != nil {
+			propose.MaxTerm = c.latestTerm(address)
+		}
+		proto.Reset(resp)
+		if err := c.cfg.Call(ctx, address, kind, req, resp); err != nil {
+			return err
+		}
+		c.recordAnswer(address)
+		r, _ := resp.(*controlpb.ProposeResponse)
+		if propose == nil || r == nil {
+			return nil
+		}
+		c.recordTerm(address, r.Term)
+		if !r.LaterTerm {
+			return nil
+		}
+		if propose.MaxTerm >= c.latestTerm(address) {
+			return peer.ErrUnreachable.New("voter at %s rejects its own term", address)
+		}
 	}
-	c.recordAnswer(address)
-	return nil
 }
 
 // ProposeIdempotent replicates an idempotent command and retries it after an attempt whose outcome is unknown. If
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -150,6 +150,14 @@
 		return err
 	}
 	defer func() { _ = s.Close() }() // best-effort cleanup
+	return t.callOn(ctx, s, address, kind, req, resp)
+}
+
+// callOn sends the request of a call on its stream and waits for the response.
+func (t *Transport) callOn(ctx context.Context, s *Stream, address, kind string, req, resp proto.Message) error {
+	if ctx.Err() != nil || s.tracked.isClosed() {
+		return ErrUnreachable.New("connection to %s was closed before the call %s was sent", address, kind)
+	}
 	if err := s.Send(req); err != nil {
 		return ErrInterrupted.Wrap(err, "call %s at %s", kind, address)
 	}
@@ -356,6 +364,13 @@
 	}
 }
 
+// isClosed reports whether the connection was closed, so that nothing can be written to it.
+func (c *trackedConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *trackedConn) removeStream(stream net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
