--- a/internal/control/max_term_test.go
+++ b/internal/control/max_term_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// Guards against a batch in which a later leader appends a command that must not be appended any more.
+func TestLeaderAppendsNothingOfBatchBeyondMaxTerm(t *testing.T) {
+	g := newSlowGroup(t, 3)
+	l := g.leader(10 * time.Second)
+	assert.NilError(t, <-g.propose(l))
+	st := g.status(l)
+	req := &controlpb.ProposeBatchRequest{MaxTerms: []uint64{st.Term - 1, st.Term}}
+	for _, body := range []string{"a", "b"} {
+		req.Commands = append(req.Commands, &kernelpb.Command{Plugin: recorderName, Body: []byte(body)})
+	}
+	m, err := l.serveProposeBatch(t.Context(), "", req)
+	assert.NilError(t, err)
+	r := m.(*controlpb.ProposeBatchResponse)
+	assert.Assert(t, r.Responses[0].LaterTerm && !r.Responses[1].LaterTerm)
+	assert.Equal(t, g.status(l).LastIndex, st.LastIndex+1)
+}
+
 // Guards against a call that passes for one that may have been handled although the voter stopped before it took it.
 func TestStoppedVoterTellsWhetherItTookCall(t *testing.T) {
 	for _, taken := range []bool{false, true} {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -170,12 +170,12 @@
 ) (proto.Message, error) {
 	return runInLoop(ctx, v, func(answer func(proto.Message, error)) {
 		if !v.leading {
-			answer(&controlpb.ProposeBatchResponse{Redirect: v.redirect()}, nil)
+			answer(&controlpb.ProposeBatchResponse{Redirect: v.redirect(), Term: v.core.Term()}, nil)
 			return
 		}
 		v.calls.Add(v.now(), len(req.Commands))
 		resp := &controlpb.ProposeBatchResponse{
-			Group: v.voters.Group(), Busy: v.isBusy(), Responses: make([]*controlpb.ProposeResponse, len(req.Commands)),
+			Group: v.voters.Group(), Busy: v.isBusy(), Term: v.leadTerm, Responses: make([]*controlpb.ProposeResponse, len(req.Commands)),
 		}
 		left := len(req.Commands)
 		answered := false
@@ -210,6 +210,10 @@
 				finish(i, EncodeResult(kernel.Result{Err: kernel.ErrInvalid.New("empty proposal")}), nil)
 				continue
 			}
+			if i < len(req.MaxTerms) && req.MaxTerms[i] > 0 && v.leadTerm > req.MaxTerms[i] {
+				finish(i, &controlpb.ProposeResponse{LaterTerm: true, Term: v.leadTerm}, nil)
+				continue
+			}
 			c := CommandFromProto(m)
 			v.respond(c, newProposalKey(c, true), func(r kernel.Result, err error, _ bool) {
 				if errorx.IsOfType(err, kernel.ErrInvalid) {
--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -209,6 +209,9 @@
 	c.bounded[address] = true
 }
 
+// Term returns the latest known term of the control group, 0 if the leader is not known to observe bounds of terms.
+func (c *Client) Term() uint64 { return c.latestTerm(c.Leader()) }
+
 // latestTerm returns the latest known term, 0 if none is known or a voter may not observe it as a bound.
 func (c *Client) latestTerm(address string) uint64 {
 	c.mu.Lock()
@@ -219,14 +222,16 @@
 	return c.term
 }
 
-// unknownAttempts records the attempts of a call that got no answer and may still be handled.
-type unknownAttempts struct {
+// UnknownAttempts records the attempts of a call that got no answer and may still be handled. The zero value has none.
+type UnknownAttempts struct {
+	any       bool
 	maxTerm   uint64 // no later leader handles one of them
 	unbounded bool   // any leader may
 }
 
 // add records an attempt. A request of another kind than ProposeRequest has no bound.
-func (u *unknownAttempts) add(req proto.Message) {
+func (u *UnknownAttempts) add(req proto.Message) {
+	u.any = true
 	r, ok := req.(*controlpb.ProposeRequest)
 	if !ok || r.MaxTerm == 0 {
 		u.unbounded = true
@@ -237,7 +242,7 @@
 
 // areExcludedBy reports whether a response shows that none of the attempts has been handled or ever will be, unless it tells
 // the effect of one: a leader of a later term has committed an entry of its term, after which no log has room for theirs.
-func (u *unknownAttempts) areExcludedBy(resp proto.Message) bool {
+func (u *UnknownAttempts) areExcludedBy(resp proto.Message) bool {
 	r, ok := resp.(*controlpb.ProposeResponse)
 	return ok && r.Confirmed && !u.unbounded && r.Term > u.maxTerm
 }
@@ -252,17 +257,17 @@
 // call sends a request to the leader, follows redirects and retries until ctx is done. With atMostOnce it doesn't retry
 // after an attempt whose outcome is unknown.
 func (c *Client) call(ctx context.Context, kind string, req proto.Message, resp leaderResponse, atMostOnce bool) error {
-	_, err := c.callReportingRepeats(ctx, kind, req, resp, atMostOnce)
+	_, err := c.callReportingRepeats(ctx, kind, req, resp, atMostOnce, UnknownAttempts{})
 	return err
 }
 
-// callReportingRepeats is like call, and reports whether an attempt before the last one may have been handled, too.
+// callReportingRepeats is like call, and reports whether an attempt before the last one, or an earlier one, may have been
+// handled, too.
 func (c *Client) callReportingRepeats(
-	ctx context.Context, kind string, req proto.Message, resp leaderResponse, atMostOnce bool,
+	ctx context.Context, kind string, req proto.Message, resp leaderResponse, atMostOnce bool, unknown UnknownAttempts,
 ) (repeated bool, err error) {
 	lastErr := peer.ErrUnreachable.New("no leader of the control group was found")
 	failures := 0
-	var unknown unknownAttempts
 	for {
 		for _, address := range c.candidateAddresses() {
 			err := c.attempt(ctx, address, kind, req, resp)
@@ -275,7 +280,7 @@
 			}
 			if err == nil && resp.GetRedirect() == nil {
 				if err = c.acceptLeader(address, resp.GetGroup()); err == nil {
-					return errorx.IsOfType(lastErr, peer.ErrInterrupted) && !unknown.areExcludedBy(resp), nil
+					return unknown.any && !unknown.areExcludedBy(resp), nil
 				}
 			}
 			if err != nil {
@@ -290,7 +295,10 @@
 				if failures++; !answered && (failures == 1 || ctx.Err() == nil) {
 					c.demote(address)
 				}
-				if answered || interrupted && atMostOnce {
+				if answered {
+					return unknown.any, err
+				}
+				if interrupted && atMostOnce {
 					return errorx.IsOfType(lastErr, peer.ErrInterrupted), err
 				}
 				// After an attempt that may have been handled, later failures leave the outcome unknown.
@@ -299,12 +307,12 @@
 				}
 			}
 			if ctx.Err() != nil {
-				return false, lastErr
+				return unknown.any, lastErr
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return false, lastErr
+			return unknown.any, lastErr
 		case <-time.After(retryInterval):
 		}
 	}
@@ -314,6 +322,12 @@
 func (c *Client) attempt(ctx context.Context, address, kind string, req proto.Message, resp proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.AttemptTimeout)
 	defer cancel()
+	if batch, _ := req.(*controlpb.ProposeBatchRequest); batch != nil &&
+		slices.ContainsFunc(batch.MaxTerms, func(t uint64) bool { return t > 0 }) {
+		if err := c.checkBounded(ctx, address); err != nil {
+			return err
+		}
+	}
 	for {
 		propose, _ := req.(*controlpb.ProposeRequest)
 		if propose != nil {
@@ -324,11 +338,13 @@
 			return err
 		}
 		c.recordAnswer(address)
+		if t, ok := resp.(interface{ GetTerm() uint64 }); ok && kind != control.RenewKind {
+			c.recordTerm(address, t.GetTerm())
+		}
 		r, _ := resp.(*controlpb.ProposeResponse)
 		if propose == nil || r == nil {
 			return nil
 		}
-		c.recordTerm(address, r.Term)
 		if !r.LaterTerm {
 			return nil
 		}
@@ -338,13 +354,36 @@
 	}
 }
 
+// checkBounded fails if a voter is not known to observe bounds of terms. An empty batch makes it tell its term.
+func (c *Client) checkBounded(ctx context.Context, address string) error {
+	if c.latestTerm(address) > 0 {
+		return nil
+	}
+	resp := &controlpb.ProposeBatchResponse{}
+	if err := c.cfg.Call(ctx, address, control.BatchKind, &controlpb.ProposeBatchRequest{}, resp); err != nil {
+		return peer.ErrUnreachable.Wrap(err, "ask the voter at %s for its term", address)
+	}
+	if resp.Term == 0 {
+		return peer.ErrUnreachable.New("voter at %s is not known to observe bounds of terms", address)
+	}
+	c.recordTerm(address, resp.Term)
+	return nil
+}
+
 // ProposeIdempotent replicates an idempotent command and retries it after an attempt whose outcome is unknown. If
 // repeated is true, the result is that of the last attempt, and an earlier attempt may have been applied before other
 // changes. The error is the same as for Propose.
 func (c *Client) ProposeIdempotent(
 	ctx context.Context, cmd kernel.Command,
 ) (r kernel.Result, repeated bool, err error) {
-	return c.propose(ctx, cmd, false)
+	return c.propose(ctx, cmd, false, UnknownAttempts{})
+}
+
+// ProposeAgain is like ProposeIdempotent for a command whose earlier attempts got no answer. They count as earlier ones.
+func (c *Client) ProposeAgain(
+	ctx context.Context, cmd kernel.Command, earlier UnknownAttempts,
+) (r kernel.Result, repeated bool, err error) {
+	return c.propose(ctx, cmd, false, earlier)
 }
 
 // SetVoters replaces the configured addresses of voters.
@@ -363,18 +402,18 @@
 // error has the type peer.ErrUnreachable; in this case the call did not propose the command.
 func (c *Client) Propose(ctx context.Context, cmd kernel.Command) (kernel.Result, error) {
 	// Retries of a command with an ID are applied only once.
-	r, _, err := c.propose(ctx, cmd, cmd.ID == "")
+	r, _, err := c.propose(ctx, cmd, cmd.ID == "", UnknownAttempts{})
 	return r, err
 }
 
 func (c *Client) propose(
-	ctx context.Context, cmd kernel.Command, atMostOnce bool,
+	ctx context.Context, cmd kernel.Command, atMostOnce bool, earlier UnknownAttempts,
 ) (r kernel.Result, repeated bool, err error) {
 	req := &controlpb.ProposeRequest{
 		Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}, Idempotent: !atMostOnce,
 	}
 	resp := &controlpb.ProposeResponse{}
-	if repeated, err = c.callReportingRepeats(ctx, control.ProposeKind, req, resp, atMostOnce); err != nil {
+	if repeated, err = c.callReportingRepeats(ctx, control.ProposeKind, req, resp, atMostOnce, earlier); err != nil {
 		return kernel.Result{}, repeated, err
 	}
 	c.updateVoters(resp.Voters)
@@ -387,16 +426,17 @@
 // ProposeBatch replicates idempotent commands, each for itself, and returns their results in the same order. It retries
 // after an attempt whose outcome is unknown. If repeated is true, the results are those of the last attempt, and an earlier
 // one may have been applied before other changes. After an error, each command may have been applied. So may a command whose
-// result has a peer.ErrInterrupted; it waits for the log and has no result yet.
+// result has a peer.ErrInterrupted; it waits for the log and has no result yet. Only leaders whose term is at most that in
+// maxTerms take a command, where that is not 0; a command that was not taken has a peer.ErrUnreachable.
 func (c *Client) ProposeBatch(
-	ctx context.Context, commands []kernel.Command,
+	ctx context.Context, commands []kernel.Command, maxTerms []uint64,
 ) (results []kernel.Result, repeated bool, err error) {
-	req := &controlpb.ProposeBatchRequest{AcceptsPending: true}
+	req := &controlpb.ProposeBatchRequest{AcceptsPending: true, MaxTerms: maxTerms}
 	for _, cmd := range commands {
 		req.Commands = append(req.Commands, &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body})
 	}
 	resp := &controlpb.ProposeBatchResponse{}
-	if repeated, err = c.callReportingRepeats(ctx, control.BatchKind, req, resp, false); err != nil {
+	if repeated, err = c.callReportingRepeats(ctx, control.BatchKind, req, resp, false, UnknownAttempts{}); err != nil {
 		return nil, repeated, err
 	}
 	if len(resp.Responses) != len(commands) {
@@ -409,24 +449,33 @@
 		if r.GetPending() {
 			results[i].Err = peer.ErrInterrupted.New("the command waits for the log")
 		}
+		if r.GetLaterTerm() {
+			results[i].Err = peer.ErrUnreachable.New("the leader of term %d does not take the command", r.GetTerm())
+		}
 	}
 	return results, repeated, nil
 }
 
 // Forward has another voter send a command to the leader in a batch. The error and repeated mean what those of
-// ProposeIdempotent do.
+// ProposeIdempotent do; after an error, unknown holds the attempt if it may have been handled.
 func (c *Client) Forward(
 	ctx context.Context, address string, cmd kernel.Command,
-) (r kernel.Result, repeated bool, err error) {
-	req := &controlpb.ProposeRequest{Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}}
+) (r kernel.Result, repeated bool, unknown UnknownAttempts, err error) {
+	req := &controlpb.ProposeRequest{
+		Command: &kernelpb.Command{Plugin: cmd.Plugin, Id: cmd.ID, Body: cmd.Body}, MaxTerm: c.latestTerm(address),
+	}
 	resp := &controlpb.ProposeResponse{}
 	if err := c.cfg.Call(ctx, address, control.ForwardKind, req, resp); err != nil {
-		return kernel.Result{}, false, err
+		if !errorx.IsOfType(err, peer.ErrUnreachable) {
+			unknown.add(req)
+		}
+		return kernel.Result{}, false, unknown, err
 	}
+	c.recordTerm(address, resp.Term)
 	c.recordLoad(resp.Busy)
 	return kernel.Result{
 		Index: resp.Index, Body: resp.Body, Err: kernel.DecodeError(resp.ErrorKind, resp.Error),
-	}, resp.Repeated, nil
+	}, resp.Repeated, unknown, nil
 }
 
 // Query reads from the leader after a quorum has confirmed its leadership.
--- a/internal/site/batch.go
+++ b/internal/site/batch.go
@@ -29,7 +29,7 @@
 // leader little each.
 type batcher struct {
 	delay   time.Duration // how long a command waits for others
-	propose func(ctx context.Context, commands []kernel.Command) (results []kernel.Result, repeated bool, err error)
+	propose func(ctx context.Context, commands []kernel.Command, maxTerms []uint64) (results []kernel.Result, repeated bool, err error)
 
 	mu      sync.Mutex
 	waiting []*batchedCommand
@@ -38,6 +38,7 @@
 // batchedCommand is a command with the result that its caller waits for.
 type batchedCommand struct {
 	command  kernel.Command
+	maxTerm  uint64 // see controlpb.ProposeRequest
 	result   kernel.Result
 	repeated bool // an earlier attempt may have been handled
 	err      error
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, _, err := b.executeCommand(ctx, cmd)
+	r, _, err := b.executeCommand(ctx, cmd, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -65,9 +66,9 @@
 // executeCommand executes an idempotent command with others. If repeated is set, an earlier attempt than that of the result may
 // have been handled. Unless the error is a peer.ErrUnreachable, the command may have been executed or may still be.
 func (b *batcher) executeCommand(
-	ctx context.Context, cmd kernel.Command,
+	ctx context.Context, cmd kernel.Command, maxTerm uint64,
 ) (r kernel.Result, repeated bool, err error) {
-	c := &batchedCommand{command: cmd, done: make(chan struct{}), ctx: ctx}
+	c := &batchedCommand{command: cmd, maxTerm: maxTerm, done: make(chan struct{}), ctx: ctx}
 	b.add(c)
 	select {
 	case <-c.done:
@@ -105,13 +106,13 @@
 	if len(list) == 0 {
 		return
 	}
-	commands := make([]kernel.Command, len(list))
+	commands, maxTerms := make([]kernel.Command, len(list)), make([]uint64, len(list))
 	for i, c := range list {
-		commands[i] = c.command
+		commands[i], maxTerms[i] = c.command, c.maxTerm
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
-	results, repeated, err := b.propose(ctx, commands)
+	results, repeated, err := b.propose(ctx, commands, maxTerms)
 	for i, c := range list {
 		if err == nil && errorx.IsOfType(results[i].Err, peer.ErrInterrupted) {
 			c.repeated = true
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -41,19 +41,17 @@
 	return c.heartbeats.execute(ctx, m)
 }
 
-// Execute executes a command and returns its response. If unknown is set, an attempt without an answer may have
-// executed the command or may still do so, and a response is that of a later attempt. An error without unknown means
+// Execute executes a command and returns its response. If mayBeDone is set, an attempt without an answer may have
+// executed the command or may still do so, and a response is that of a later attempt. An error without mayBeDone means
 // that the command is never executed.
-func (c Caller) Execute(ctx context.Context, m *workloadpb.Command) (r *workloadpb.Response, unknown bool, err error) {
+func (c Caller) Execute(ctx context.Context, m *workloadpb.Command) (r *workloadpb.Response, mayBeDone bool, err error) {
 	cmd, err := kernel.NewCommand(workload.Name, "", m)
 	if err != nil {
 		return nil, false, err
 	}
-	result, final, repeated := c.forward(ctx, cmd)
+	result, final, repeated, unknown := c.forward(ctx, cmd)
 	if !final {
-		var again bool
-		result, again, err = c.client.ProposeIdempotent(ctx, cmd)
-		repeated = repeated || again
+		result, repeated, err = c.client.ProposeAgain(ctx, cmd, unknown)
 	}
 	if err != nil {
 		return nil, repeated || !errorx.IsOfType(err, peer.ErrUnreachable) && !errorx.IsOfType(err, kernel.ErrInvalid), err
--- a/internal/site/forward.go
+++ b/internal/site/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/control"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/follower"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
 )
@@ -28,12 +29,18 @@
 	if req.Command == nil {
 		return nil, kernel.ErrInvalid.New("empty proposal")
 	}
-	r, repeated, err := c.forwards.executeCommand(ctx, control.CommandFromProto(req.Command))
+	r, repeated, err := c.forwards.executeCommand(ctx, control.CommandFromProto(req.Command), req.MaxTerm)
 	if err != nil {
 		return nil, err
 	}
+	if errorx.IsOfType(r.Err, peer.ErrUnreachable) {
+		if repeated {
+			return nil, peer.ErrInterrupted.Wrap(r.Err, "an earlier attempt may have been handled")
+		}
+		return nil, r.Err
+	}
 	resp := control.EncodeResult(r)
-	resp.Busy, resp.Repeated = c.client.LeaderIsBusy(), repeated
+	resp.Busy, resp.Repeated, resp.Term = c.client.LeaderIsBusy(), repeated, c.client.Term()
 	return resp, nil
 }
 
@@ -77,23 +84,25 @@
 }
 
 // forward executes a command through another voter if the leader is busy. It reports whether the result is final, and whether
-// another attempt than that of the result may have been executed.
-func (c Caller) forward(ctx context.Context, cmd kernel.Command) (r kernel.Result, final, unknown bool) {
+// another attempt than that of the result may have been executed; without a result, unknown holds the attempt if it may.
+func (c Caller) forward(
+	ctx context.Context, cmd kernel.Command,
+) (r kernel.Result, final, repeated bool, unknown follower.UnknownAttempts) {
 	leader := c.client.Leader()
 	if c.forwarders == nil || leader == "" || !c.client.LeaderIsBusy() {
-		return kernel.Result{}, false, false
+		return kernel.Result{}, false, false, unknown
 	}
 	voters := c.client.Voters()
 	address := c.forwarders.choose(voters, leader)
 	if address == "" {
-		return kernel.Result{}, false, false
+		return kernel.Result{}, false, false, unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	r, unknown, err := c.client.Forward(ctx, address, cmd)
+	r, repeated, unknown, err := c.client.Forward(ctx, address, cmd)
 	if err != nil {
 		c.forwarders.recordFailure(address, voters)
-		return kernel.Result{}, false, !errorx.IsOfType(err, peer.ErrUnreachable)
+		return kernel.Result{}, false, false, unknown
 	}
-	return r, true, unknown
+	return r, true, repeated, unknown
 }
--- a/internal/site/forward_test.go
+++ b/internal/site/forward_test.go
@@ -6,13 +6,16 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/control"
 	"github.com/hibiscusroute/hibiscusroute/internal/control/controlpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/follower"
+	"github.com/hibiscusroute/hibiscusroute/internal/kernel/kernelpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -125,3 +128,83 @@
 		assert.Equal(t, f.direct, 1)
 	})
 }
+
+// Guards against a forwarded submission that passes for one that may have been accepted although no leader can append it any
+// more, and against one that passes for rejected although the other voter may still send it.
+func TestForwardedAttemptIsExcludedByLaterLeader(t *testing.T) {
+	for _, tt := range []struct {
+		name                    string
+		forwarderTerm, nextTerm uint64
+		wantUnknown             bool
+		wantBound               uint64
+	}{
+		{"later leader", 5, 7, false, 5},
+		{"same leader", 5, 5, true, 5},
+		{"voter without bounds", 0, 7, true, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var bounds []uint64
+			term, confirmed := tt.forwarderTerm, false
+			call := func(_ context.Context, _, kind string, req, resp proto.Message) error {
+				r := resp.(*controlpb.ProposeResponse)
+				r.Busy, r.Voters, r.Term, r.Confirmed = true, []string{"leader", "b"}, term, confirmed
+				if kind != control.ForwardKind {
+					return nil
+				}
+				bounds = append(bounds, req.(*controlpb.ProposeRequest).MaxTerm)
+				if len(bounds) > 1 {
+					term, confirmed = tt.nextTerm, true
+					return peer.ErrInterrupted.New("no answer")
+				}
+				return nil
+			}
+			c := Caller{
+				client:     follower.NewClient(follower.ClientConfig{Voters: []string{"leader"}, Call: call}),
+				forwarders: &forwarders{process: "entry-1"},
+			}
+			var unknown bool
+			for range 3 { // A direct call, which tells of the load, and two forwarded ones.
+				var err error
+				_, unknown, err = c.Execute(t.Context(), heartbeat("w"))
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, unknown, tt.wantUnknown)
+			assert.Equal(t, bounds[1], tt.wantBound)
+		})
+	}
+}
+
+// Guards against a voter that forwards a command to a leader that may append it beyond the bound of its caller.
+func TestForwardedCommandKeepsItsBound(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		leaderTerm  uint64 // 0 for an earlier version
+		unreachable bool
+	}{{"earlier version", 0, true}, {"within", 5, false}, {"later term", 7, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			call := func(_ context.Context, _, _ string, req, resp proto.Message) error {
+				batch := req.(*controlpb.ProposeBatchRequest)
+				r := resp.(*controlpb.ProposeBatchResponse)
+				r.Term = tt.leaderTerm
+				for _, bound := range batch.MaxTerms {
+					assert.Assert(t, bound == 0 || tt.leaderTerm > 0, "a bound was sent to a leader that ignores it")
+					r.Responses = append(r.Responses, &controlpb.ProposeResponse{LaterTerm: bound > 0 && tt.leaderTerm > bound})
+				}
+				return nil
+			}
+			client := follower.NewClient(follower.ClientConfig{Voters: []string{"leader"}, Call: call})
+			c := &Control{Caller: Caller{client: client, forwards: &batcher{propose: client.ProposeBatch}}}
+			forward := func(maxTerm uint64) error {
+				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				defer cancel()
+				_, err := c.serveForward(ctx, "entry-1", &controlpb.ProposeRequest{
+					Command: &kernelpb.Command{Plugin: workload.Name, Body: []byte("c")}, MaxTerm: maxTerm,
+				})
+				return err
+			}
+			err := forward(5) // The first call of the voter to this leader.
+			assert.Equal(t, err != nil, tt.unreachable, "%v", err)
+			assert.Assert(t, err == nil || errorx.IsOfType(err, peer.ErrUnreachable) || tt.leaderTerm == 0, "%v", err)
+		})
+	}
+}
--- a/internal/workload/admission.go
+++ b/internal/workload/admission.go
@@ -107,12 +107,15 @@
 // logOverload writes a line when the leader begins or ceases to reject new jobs, or does so for another reason.
 func (e *Engine) logOverload() {
 	_, reason := e.admission.retryAfter(e.now)
-	if reason == "" && e.backlog.rejectsJobs(e.now) {
-		reason = backlog.Reason
+	var queues []string
+	if reason == "" {
+		if queues = e.backlog.rejectingQueues(e.now); len(queues) > 0 {
+			reason = backlog.Reason
+		}
 	}
 	if reason != e.overload {
 		e.overload = reason
 		e.cfg.Log.Info("overload of the leader changed", "rejects-new-jobs", reason != "", "reason", reason,
-			"delay", e.admission.delay.String(), "commit-delay", e.admission.commitDelay.String())
+			"delay", e.admission.delay.String(), "commit-delay", e.admission.commitDelay.String(), "queues", queues)
 	}
 }
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -33,8 +33,8 @@
 	gates   map[gateKey]*backlog.Gate
 	// unapplied holds the jobs of submissions that were let through and are not applied yet, by their IDs.
 	unapplied map[string]unappliedJob
-	// rejectedAt is when a job was last rejected, 0 if none was.
-	rejectedAt time.Duration
+	// rejectedAt is when a job was last rejected, by queue.
+	rejectedAt map[string]time.Duration
 }
 
 // gateKey identifies jobs on which one gate decides: those of a queue within or beyond the shares of their accounts.
@@ -110,7 +110,10 @@
 		b.gates[key] = &backlog.Gate{}
 	}
 	if after, reason = b.gates[key].Decide(e.now, m.Id, input); after > 0 {
-		b.rejectedAt = max(e.now, 1)
+		if b.rejectedAt == nil {
+			b.rejectedAt = map[string]time.Duration{}
+		}
+		b.rejectedAt[q.Name] = e.now
 		return after, reason
 	}
 	if b.unapplied == nil {
@@ -322,9 +325,16 @@
 	}
 }
 
-// rejectsJobs reports whether jobs are rejected because of the backlog.
-func (b *backlogTable) rejectsJobs(now time.Duration) bool {
-	return b.rejectedAt > 0 && now-b.rejectedAt < overloadMemory
+// rejectingQueues returns the queues whose jobs are rejected because of the backlog.
+func (b *backlogTable) rejectingQueues(now time.Duration) []string {
+	var list []string
+	for q, at := range b.rejectedAt {
+		if now-at < overloadMemory {
+			list = append(list, q)
+		}
+	}
+	slices.Sort(list)
+	return list
 }
 
 // observeRunTime learns from the end of a run how far the estimates of its queue are off.
