--- a/internal/workload/backlog_test.go
+++ b/internal/workload/backlog_test.go
@@ -33,7 +33,7 @@
 }
 
 func newBacklogTest(t testing.TB, limits bool) *backlogTest {
-	b := &backlogTest{sim: newSim(t), rng: rand.New(rand.NewPCG(1, 2))} //nolint:gosec // A seed must give the same load again.
+	b := &backlogTest{sim: newSim(t), rng: rand.New(rand.NewPCG(1, 2))}
 	b.e.Configure(workload.Config{
 		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(b.now) }, MaxLease: b.maxLease, LimitsBacklog: limits,
 	})
