--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -17,6 +17,8 @@
 	// backlogAge is how long the sums of work are used for decisions before they are computed again, which took 0.9 ms with 600
 	// jobs and 350 workers. Objectives are several times longer.
 	backlogAge = 100 * time.Millisecond
+	// minLabelRate is the number of instances that jobs with a label count for that no worker of the pool has, as they don't run.
+	minLabelRate = 0.01
 	// unreachableCapacityTime is how long an unreachable worker counts as capacity of its pool.
 	unreachableCapacityTime = 5 * time.Second
 )
@@ -52,7 +54,8 @@
 
 // poolBacklog is the accepted work of a pool, in the order in which it runs.
 type poolBacklog struct {
-	instances  float64 // without the part that long-running tasks reserve
+	instances  float64
+	reserved   backlog.Work // by long-running tasks, in instances
 	capacity   ledger.Resources
 	labels     map[string]int // instances by label
 	candidates []schedule.Candidate
@@ -97,10 +100,12 @@
 	})
 	p.addEstimates(&c, q.Name)
 	job := e.backlogJob(p, &c, q)
+	if label := m.Steps[len(m.Steps)-1].Label; label != "" && p.labels[label] == 0 {
+		job.Limit = 0 // An instance with the label may come.
+	}
 	input := backlog.Input{
 		New: job, Accepted: p.jobs, Position: position, Instances: p.instances, Arriving: b.movable[q.Pool],
-		MoveDuration: e.cfg.MoveDuration, Limits: p.limits,
-		Objective: e.typicalObjective(p, q),
+		Reserved: p.reserved, MoveDuration: e.cfg.MoveDuration, Limits: p.limits, Objective: e.typicalObjective(p, q),
 	}
 	key := gateKey{q.Name, u.beyondShare}
 	if b.gates == nil {
@@ -164,7 +169,6 @@
 	}
 	for _, p := range b.pools {
 		slices.SortStableFunc(p.candidates, in.CompareFunc())
-		p.instances = max(p.instances, 0)
 		p.jobs = make([]backlog.Job, len(p.candidates))
 		for i := range p.candidates {
 			p.jobs[i] = e.backlogJob(p, &p.candidates[i], p.candidates[i].Queue())
@@ -225,8 +229,14 @@
 func (p *poolBacklog) reserve(o *ledger.Occurrence) {
 	for _, s := range o.Steps {
 		need := ledger.RequiredCapacity(s.Step)
-		part := max(float64(need.CPU)/float64(max(p.capacity.CPU, 1)), float64(need.Memory)/float64(max(p.capacity.Memory, 1)))
-		p.instances -= part * float64(s.Unfinished())
+		p.reserved = p.reserved.Plus(p.rateOf(need).Times(float64(s.Unfinished())))
+	}
+}
+
+// rateOf returns resources as a number of instances.
+func (p *poolBacklog) rateOf(r ledger.Resources) backlog.Work {
+	return backlog.Work{
+		CPU: float64(r.CPU) / float64(max(p.capacity.CPU, 1)), Memory: float64(r.Memory) / float64(max(p.capacity.Memory, 1)),
 	}
 }
 
@@ -261,13 +271,11 @@
 	allowance := ledger.ResourcesOf(e.state.Account(o.Job.Account).GetAllowance())
 	switch {
 	case label != "":
-		n := float64(p.labels[label])
-		j.Limit = p.limit("label "+label, backlog.Work{CPU: n, Memory: n})
+		// Instances that come to the pool have the label as often as those that it has.
+		rate := max(float64(p.labels[label]), minLabelRate) * (1 + e.backlog.movable[q.Pool]/p.instances)
+		j.Limit = p.limit("label "+label, backlog.Work{CPU: rate, Memory: rate})
 	case allowance.CPU > 0 || allowance.Memory > 0:
-		j.Limit = p.limit("account "+o.Job.Account, backlog.Work{
-			CPU:    float64(allowance.CPU) / float64(max(p.capacity.CPU, 1)),
-			Memory: float64(allowance.Memory) / float64(max(p.capacity.Memory, 1)),
-		})
+		j.Limit = p.limit("account "+o.Job.Account, p.rateOf(allowance))
 	}
 	return j
 }
--- a/internal/workload/backlog/decide.go
+++ b/internal/workload/backlog/decide.go
@@ -9,6 +9,9 @@
 // lateFactor is the multiple of its objective after which the result of a job is of no use.
 const lateFactor = 3
 
+// minInstances is the number of instances of a pool that long-running tasks fill. Something always remains free.
+const minInstances = 0.1
+
 // Reason is the reason of a rejection.
 const Reason = "backlog"
 
@@ -55,10 +58,11 @@
 	// runs before the one at Position.
 	Accepted []Job
 	Position int
-	// Instances is the number of instances that the pool has for these jobs, Arriving the number of those that it can get after
-	// MoveDuration.
+	// Instances is the number of instances of the pool, Arriving the number of those that it can get after MoveDuration.
 	Instances, Arriving float64
-	MoveDuration        time.Duration
+	// Reserved is what long-running tasks take, in instances.
+	Reserved     Work
+	MoveDuration time.Duration
 	// Objective is the latency objective of a typical job of the queue.
 	Objective time.Duration
 	// Overloaded is set from a rejection on until the work that is accepted has nearly been done. The scheduler serves jobs first
@@ -159,12 +163,16 @@
 
 // Duration returns how long the pool takes for work.
 func (in *Input) Duration(w Work) time.Duration {
-	work := max(w.CPU, w.Memory)
-	move := milliseconds(in.MoveDuration)
-	if now := in.Instances * move; in.Arriving > 0 && work > now {
-		return fromMilliseconds(move + (work-now)/(in.Instances+in.Arriving))
+	return max(in.durationOf(w.CPU, in.Reserved.CPU), in.durationOf(w.Memory, in.Reserved.Memory))
+}
+
+// durationOf returns how long the pool takes for the work of one resource.
+func (in *Input) durationOf(work, reserved float64) time.Duration {
+	instances, move := max(in.Instances-reserved, minInstances), milliseconds(in.MoveDuration)
+	if now := instances * move; in.Arriving > 0 && work > now {
+		return fromMilliseconds(move + (work-now)/(instances+in.Arriving))
 	}
-	return fromMilliseconds(work / in.Instances)
+	return fromMilliseconds(work / instances)
 }
 
 // timeFor returns how long work takes at a rate, where 0 is unlimited.
