--- a/internal/peer/caller_test.go
+++ b/internal/peer/caller_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -44,3 +45,21 @@
 	_, err := call(t, a, b, "wait", &peerpb.Hello{})
 	assert.NilError(t, err)
 }
+
+// Guards against a call that passes for one that may have been handled although nothing was written to its connection.
+func TestCallOnClosedConnectionIsNotSent(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		a, b := startTransport(t, "a", nil), startTransport(t, "b", nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		s, err := a.Open(ctx, b.Address(), "echo")
+		assert.NilError(t, err)
+		if closed {
+			assert.NilError(t, s.tracked.Close())
+		} else {
+			cancel() // The caller gives up.
+		}
+		err = a.callOn(ctx, s, b.Address(), "echo", &peerpb.Hello{}, &peerpb.Hello{})
+		assert.Assert(t, errorx.IsOfType(err, ErrUnreachable), "%v", err)
+		cancel()
+	}
+}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -55,6 +55,8 @@
 	JobRetention time.Duration
 	// JobOrder is the order in which jobs are served.
 	JobOrder schedule.JobOrder
+	// LimitsBacklog rejects jobs that can't end within three times their latency objective beside the accepted work.
+	LimitsBacklog bool
 	// IncrementCounter adds one to a counter with a label, ObserveHistogram adds a value to a histogram, SetGauge sets a
 	// gauge; all may be nil.
 	IncrementCounter func(name, label, value string)
@@ -102,6 +104,7 @@
 	evacuation            zoneEvacuation
 	admission             admission
 	interference          *interference.Table
+	backlog               backlogTable
 	overload              string // reason to reject new jobs, as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
 	assigns, lastAssign uint64
@@ -165,6 +168,9 @@
 	e.advice.reset()
 	e.fleet.reset()
 	e.shares.reset()
+	if e.cfg.LimitsBacklog {
+		e.shares.restore(e.state, now, e.wallClockMs())
+	}
 	e.forecasts = forecast.New(forecast.Config{MoveDuration: e.cfg.MoveDuration, WithoutRhythm: e.cfg.withoutRhythm})
 	e.rejections = rejections{}
 	e.fleet.startClockMs = e.state.Clock()
@@ -391,6 +397,7 @@
 	}
 	e.logLosses(losses)
 	for _, j := range ended {
+		e.backlog.removeJob(j)
 		e.shares.forgetJob(j)
 		e.cfg.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", string(j.State()), "after-ms", j.EndedMs-j.AcceptedMs)
 		e.cfg.IncrementCounter("hibiscusroute_jobs_ended_total", "state", string(j.State()))
@@ -446,7 +453,7 @@
 			e.sendAnnounced(c.Order)
 		}
 	case *workloadpb.Command_Submit:
-		e.admission.forgetSubmission(c.Submit.Id, e.now)
+		e.forgetSubmission(c.Submit.Id)
 		if r.Verdict == workloadpb.Verdict_VERDICT_DONE {
 			j := e.state.JobByID(c.Submit.Id)
 			e.shares.chargeJob(e.state, j, e.now)
@@ -456,6 +463,7 @@
 				"beyond-share", e.shares.isBeyondShare(j), "configuration", e.state.Document().Version)
 		}
 	case *workloadpb.Command_Document:
+		e.backlog.pools = nil
 		e.cfg.Log.Info("configuration is in force", "version", e.state.Document().Version)
 		e.logJobsWithoutQueue()
 	}
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -170,6 +170,7 @@
 			e.expectDemand(v)
 		}
 	}
+	e.countMovable(order)
 	grow := func(v *poolView, target int) {
 		for in := e.takeInstance(v, target, &off, &idle, pools); in != nil; in = e.takeInstance(v, target, &off, &idle, pools) {
 			e.fleet.noSurplusAt[v.name] = e.now
