inbound: failing tests of processes that meet clients beyond the limits

The tests start processes with lowered limits and play 400 connections of one kind against one address.

--- /dev/null
+++ b/internal/inbound/processtest/crowd_test.go
@@ -0,0 +1,275 @@
+package processtest
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hibiscusroute/hibiscusroute/internal/operator"
+)
+
+const (
+	// crowdSize is the number of connections of a crowd. It exceeds the descriptor limits of the processes.
+	crowdSize = 400
+	// sendTimeout bounds the time that a client sends; then its connection stays open.
+	sendTimeout = 8 * time.Second
+	// holdTime is how long the connections stay open before the process is checked, so that it reads what was sent.
+	holdTime = time.Second
+	// bodyBytes is a legal body size, close to the limit of 262,144 bytes.
+	bodyBytes = 255 << 10
+	// oneByteChunks is the number of one-byte chunks that a client sends.
+	oneByteChunks = 48 << 10
+	// missingBytes is how far from its end a body stops.
+	missingBytes = 8
+	// finishedShare is the share of clients, one in so many, that send their body whole.
+	finishedShare = 10
+)
+
+// limitsOfEntry and limitsOfControl are about a third and a quarter of the memory of the deployments' instances.
+// A crowd of full bodies needs 100 MiB.
+var (
+	limitsOfEntry   = limits{memoryMiB: 64, descriptors: 256}
+	limitsOfControl = limits{memoryMiB: 96, descriptors: 384}
+	limitsOfNode    = limits{memoryMiB: 64, descriptors: 256}
+)
+
+// target is the request that a crowd begins, and the ordinary request that is sent afterwards.
+type target struct {
+	address  string
+	request  string // request line and headers without the end of the header
+	ordinary call
+	status   int
+}
+
+// crowd describes clients that exceed the limits; send sends the bytes of the n-th client.
+type crowd struct {
+	name string
+	send func(c net.Conn, tg target, n int) error
+}
+
+var crowds = []crowd{
+	{"headers", sendHeader},
+	{"empty-lines", sendEmptyLines},
+	{"bodies", sendBody},
+	{"chunks", sendChunks},
+	{"together", func(c net.Conn, tg target, n int) error {
+		return []func(net.Conn, target, int) error{sendHeader, sendEmptyLines, sendBody, sendChunks}[n%4](c, tg, n/4)
+	}},
+}
+
+var (
+	filler     = bytes.Repeat([]byte("x"), 64<<10)
+	emptyLines = bytes.Repeat([]byte("\r\n"), 8<<10)
+	chunks     = bytes.Repeat([]byte("1\r\nx\r\n"), 1024)
+)
+
+// sendHeader sends a header of 2 MiB that does not end: a third of the clients in one line, a third in lines of 1 KiB;
+// the others end it after 900 KiB, which is within the default of net/http.
+func sendHeader(c net.Conn, tg target, n int) error {
+	if err := sendAll(c, []byte(tg.request)); err != nil {
+		return err
+	}
+	if n%3 == 0 {
+		if err := sendAll(c, []byte("X-Long: ")); err != nil {
+			return err
+		}
+		return repeat(2<<20/len(filler), func(int) error { return sendAll(c, filler) })
+	}
+	lines := 2 << 10
+	if n%3 == 1 {
+		lines = 900
+	}
+	err := repeat(lines, func(i int) error { return sendAll(c, fmt.Appendf(nil, "X-Line-%d: %s\r\n", i, filler[:1024])) })
+	if err == nil && n%3 == 1 {
+		err = sendAll(c, []byte("\r\n"))
+	}
+	return err
+}
+
+func sendEmptyLines(c net.Conn, _ target, _ int) error {
+	return repeat(64, func(int) error { return sendAll(c, emptyLines) })
+}
+
+// sendBody sends a body of legal size that mostly stops short of its end, in one write or in pieces of 4 KiB.
+func sendBody(c net.Conn, tg target, n int) error {
+	header := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", tg.request, bodyBytes)
+	if err := sendAll(c, []byte(header)); err != nil {
+		return err
+	}
+	left, piece := bodyBytes, len(filler)
+	if n%finishedShare != 0 {
+		left -= missingBytes
+	}
+	if n%2 == 0 {
+		piece = 4 << 10
+	}
+	for left > 0 {
+		if err := sendAll(c, filler[:min(piece, left)]); err != nil {
+			return err
+		}
+		left -= min(piece, left)
+	}
+	return nil
+}
+
+// sendChunks sends a chunked body of legal size that mostly has no end, in chunks of 32 KiB or of one byte.
+func sendChunks(c net.Conn, tg target, n int) error {
+	if err := sendAll(c, []byte(tg.request+"Transfer-Encoding: chunked\r\n\r\n")); err != nil {
+		return err
+	}
+	var err error
+	if n%2 == 0 {
+		err = repeat(oneByteChunks*6/len(chunks), func(int) error { return sendAll(c, chunks) })
+	} else {
+		chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", 32<<10, filler[:32<<10])
+		err = repeat(7, func(int) error { return sendAll(c, chunk) })
+	}
+	if err == nil && n%finishedShare == 0 {
+		err = sendAll(c, []byte("0\r\n\r\n"))
+	}
+	return err
+}
+
+func sendAll(c net.Conn, data []byte) error {
+	_, err := c.Write(data)
+	return err
+}
+
+func repeat(n int, f func(i int) error) error {
+	for i := range n {
+		if err := f(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play opens the connections of the crowd and returns once all have sent what the process takes. They stay open until
+// the end of the test, and their responses are not read.
+func (cr crowd) play(t *testing.T, tg target) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	for n := range crowdSize {
+		group.Go(func() {
+			c, err := net.DialTimeout("tcp", tg.address, sendTimeout)
+			if err != nil {
+				return // the process may refuse connections
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			if c.SetWriteDeadline(time.Now().Add(sendTimeout)) == nil {
+				_ = cr.send(c, tg, n) // the process may close the connection or stop reading
+			}
+		})
+	}
+	group.Wait()
+	t.Cleanup(func() {
+		for _, c := range conns {
+			_ = c.Close() // the process may have closed it
+		}
+	})
+}
+
+// bearWith plays a crowd against a process and checks the process and the ordinary request.
+func (cr crowd) bearWith(t *testing.T, p *process, tg target) {
+	t.Helper()
+	tg.ordinary.await(t, tg.status, startTimeout)
+	p.check("before the crowd")
+	cr.play(t, tg)
+	time.Sleep(holdTime)
+	p.check("after the crowd")
+	tg.ordinary.await(t, tg.status, answerTimeout)
+	p.check("after the ordinary request")
+}
+
+// Guards against an entry process that runs out of memory or descriptors because of what clients send.
+func TestEntryProcessBearsCrowds(t *testing.T) {
+	control := startControl(t, limits{memoryMiB: 400, descriptors: 4096})
+	for _, cr := range crowds {
+		t.Run(cr.name, func(t *testing.T) {
+			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
+			cr.bearWith(t, p, target{
+				address: p.address(servePort), status: http.StatusOK,
+				request:  "POST /a/0123456789abcdef HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n",
+				ordinary: call{method: http.MethodGet, url: p.url(servePort, "/a/"), host: "h", key: "k1"},
+			})
+		})
+	}
+	for _, tt := range []struct {
+		name string
+		port int
+	}{{"readiness", readyPort}, {"metrics", firstPort + 3}} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
+			crowds[len(crowds)-1].bearWith(t, p, target{
+				address: p.address(tt.port), request: "POST / HTTP/1.1\r\nHost: h\r\n", status: http.StatusOK,
+				ordinary: call{method: http.MethodGet, url: p.url(tt.port, "/")},
+			})
+		})
+	}
+}
+
+// Guards against a control process that runs out of memory or descriptors because of what is sent to the address for
+// workers and operators.
+func TestControlProcessBearsCrowds(t *testing.T) {
+	for _, tt := range []struct{ name, path string }{
+		{"configuration", "/Config.Replace"}, {"heartbeat", "/Instances.Heartbeat/i-1"},
+	} {
+		for _, cr := range crowds {
+			t.Run(tt.name+"/"+cr.name, func(t *testing.T) {
+				p := startControl(t, limitsOfControl)
+				cr.bearWith(t, p, target{
+					address: p.address(servePort), status: http.StatusOK,
+					request:  "POST " + tt.path + " HTTP/1.1\r\nHost: h\r\n",
+					ordinary: call{method: http.MethodGet, url: p.url(servePort, "/Config.Read")},
+				})
+			})
+		}
+	}
+}
+
+// Guards against a process of the subcommand node that runs out of memory or descriptors because of what callers,
+// endpoints and operators send.
+func TestNodeBearsCrowds(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		port    int
+		request string
+		crowds  []crowd
+	}{
+		{"callers", callerPort, "PUT /queues/" + nodeQueue + "/x HTTP/1.1\r\n", crowds},
+		{"jobs", callerPort, "POST /jobs HTTP/1.1\r\n", crowds[2:]},
+		{"endpoints", endpointPort, "POST /announce HTTP/1.1\r\n", crowds[len(crowds)-1:]},
+		{"operators", operatorPort, "PUT /configuration HTTP/1.1\r\n", crowds[len(crowds)-1:]},
+	} {
+		for _, cr := range tt.crowds {
+			t.Run(tt.name+"/"+cr.name, func(t *testing.T) {
+				p, key := startNode(t, limitsOfNode)
+				ordinary, status := call{method: http.MethodGet, url: p.url(callerPort, "/jobs/none"), key: key}, http.StatusNotFound
+				switch tt.port {
+				case endpointPort:
+					ordinary = call{method: http.MethodPost, url: p.url(endpointPort, "/announce"), body: `{"instance":"worker-1",
+						"address":"127.0.0.1:9","incarnation":1,"sequence":1,"state":"ready","running":0}`}
+					status = http.StatusOK
+				case operatorPort:
+					ordinary, status = call{method: http.MethodGet, url: p.url(operatorPort, "/metrics")}, http.StatusOK
+				}
+				header := []string{
+					"Host: h", "Authorization: Bearer " + key, operator.HeaderOperationID + ": crowd",
+					operator.HeaderBaseVersion + ": 1",
+				}
+				cr.bearWith(t, p, target{
+					address: p.address(tt.port), request: tt.request + strings.Join(header, "\r\n") + "\r\n",
+					ordinary: ordinary, status: status,
+				})
+			})
+		}
+	}
+}
