node: limit what callers, endpoints and operators send

The gate replaces the limit of the caller's listener for buffered bodies, which counted declared sizes. Submissions of operators take one of the two slots once their body is there, so that slow senders don't keep others out.

--- a/cmd/hibiscusroute/node.go
+++ b/cmd/hibiscusroute/node.go
@@ -35,6 +35,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(nodeGCPercent)
 	}
+	if p.MemoryMiB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(p.MemoryMiB) * (1 << 20)))
+	}
 	log, logOutput := startLog(c.app.err, 0, c.Log.Logger)
 	defer logOutput.close()
 	n, err := node.New(node.Config{Process: p, Log: log})
--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/internal/job"
 	"github.com/hibiscusroute/hibiscusroute/internal/job/jobpb"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
@@ -84,11 +86,13 @@
 	}
 	req, err := decodeJobRequest(w, r)
 	if err != nil {
-		status := http.StatusBadRequest
-		if errors.As(err, new(*http.MaxBytesError)) {
-			status = http.StatusRequestEntityTooLarge
+		status, _ := inbound.Status(err)
+		reason := "malformed"
+		if status == http.StatusServiceUnavailable {
+			reason = "overloaded"
+			w.Header().Set("Retry-After", "1")
 		}
-		j.reject(w, r, status, Rejection{outcomeNotRun, "malformed", err.Error()})
+		j.reject(w, r, status, Rejection{outcomeNotRun, reason, err.Error()})
 		return
 	}
 	r.SetPathValue("id", req.ID)
@@ -190,7 +194,11 @@
 }
 
 func decodeJobRequest(w http.ResponseWriter, r *http.Request) (*JobRequest, error) {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSubmitBytes))
+	data, err := inbound.ReadBody(w, r, maxSubmitBytes)
+	if err != nil {
+		return nil, errorx.Decorate(err, "read job")
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	req := &JobRequest{}
 	if err := dec.Decode(req); err != nil {
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/internal/view"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
@@ -47,7 +48,7 @@
 	body          []byte
 	stream        *streamedBody // nil when body is complete
 	contentLength int64         // of the body, -1 when unknown
-	reservedBytes int64         // charged to Server.bufferedBytes
+	releaseBody   func()        // returns what the buffered body occupies; nil if there is none
 
 	waitTime     time.Duration
 	endpointTime time.Duration // run time at endpoints
@@ -175,25 +176,18 @@
 		q.contentLength = 0
 		return nil
 	}
-	reservation := int64(maxBufferedBodyBytes)
-	if r.ContentLength > 0 {
-		reservation = min(reservation, r.ContentLength)
-	}
-	if s.bufferedBytes.Add(reservation) > s.cfg.MaxBufferedBytes {
-		s.bufferedBytes.Add(-reservation)
-		return &errorResponse{http.StatusServiceUnavailable, "overloaded", "too many bodies are buffered in this process"}
-	}
-	q.reservedBytes = reservation
 	control := http.NewResponseController(w)
 	// Setting a deadline fails only on a closed connection, on which the next read fails too, and on a writer without
 	// deadlines, as in tests; then only the request's context bounds the read.
 	_ = control.SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes+1))
-	if err != nil {
+	body, whole, release, err := inbound.Buffer(r, maxBufferedBodyBytes)
+	if status, _ := inbound.Status(err); err != nil && status == http.StatusServiceUnavailable {
+		return &errorResponse{status, "overloaded", "too many bodies are buffered in this process"}
+	} else if err != nil {
 		return &errorResponse{http.StatusRequestTimeout, "body-incomplete", "read body: " + err.Error()}
 	}
-	q.body = body
-	if len(body) <= maxBufferedBodyBytes {
+	q.body, q.releaseBody = body, release
+	if whole {
 		q.contentLength = int64(len(body))
 		_ = control.SetReadDeadline(time.Time{}) // fails only on a closed connection
 		return nil
@@ -204,7 +198,11 @@
 	return nil
 }
 
-func (q *request) releaseBodyBytes() { q.server.bufferedBytes.Add(-q.reservedBytes) }
+func (q *request) releaseBodyBytes() {
+	if q.releaseBody != nil {
+		q.releaseBody()
+	}
+}
 
 var errBodyTooLarge = errors.New("body is longer than allowed")
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/internal/timeline"
 	"github.com/hibiscusroute/hibiscusroute/internal/view"
 )
@@ -66,8 +67,8 @@
 
 	// MaxBodyBytes is the maximum size of a request's body; 0 uses 64 MiB.
 	MaxBodyBytes int64
-	// MaxBufferedBytes is the maximum size of all bodies that are buffered at once; 0 uses 64 MiB.
-	MaxBufferedBytes int64
+	// Inbound limits what callers occupy; nil uses a gate with 64 MiB for what they send.
+	Inbound *inbound.Gate
 	// MaxRequests is the maximum number of requests in the process, waiting ones included; 0 uses 4,096.
 	MaxRequests int
 	// MaxConnections is the maximum number of connections from callers; 0 uses 8,192.
@@ -90,7 +91,6 @@
 
 func (c *Config) setDefaults() {
 	setDefault(&c.MaxBodyBytes, 64<<20)
-	setDefault(&c.MaxBufferedBytes, 64<<20)
 	setDefault(&c.MaxRequests, 4096)
 	setDefault(&c.MaxConnections, 8192)
 	setDefault(&c.BodyTimeout, 30*time.Second)
@@ -103,6 +103,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	if c.Inbound == nil {
+		c.Inbound = inbound.New(inbound.Config{Limits: inbound.Limits{Bytes: 64 << 20}, Metrics: c.Metrics, Log: c.Log})
+	}
 	if c.Record == nil {
 		c.Record = func(timeline.Event) {}
 	}
@@ -123,9 +126,8 @@
 	retryBudget *retryBudget
 	server      *http.Server
 
-	stopping      atomic.Bool  // the readiness check fails
-	rejecting     atomic.Bool  // new requests are rejected
-	bufferedBytes atomic.Int64 // bytes of buffered bodies
+	stopping  atomic.Bool // the readiness check fails
+	rejecting atomic.Bool // new requests are rejected
 
 	mu          sync.Mutex
 	active      int // requests in handlers and detached attempts
@@ -146,9 +148,9 @@
 		metrics: cfg.Metrics, reportViolation: s.reportViolation,
 	})
 	s.server = &http.Server{
-		Handler: s, ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackUnusedConn,
+		Handler: s, ReadHeaderTimeout: cfg.HeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.trackUnusedConn,
 	}
+	cfg.Inbound.Protect(s.server, cfg.BodyTimeout)
 	return s
 }
 
@@ -156,10 +158,6 @@
 	// idleTimeout is longer than the usual idle timeouts of load balancers, so that the load balancer closes an idle
 	// connection first.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes is the maximum size of a request's header; net/http allows 4 KiB more.
-	maxHeaderBytes = 32 << 10
-	// maxJobRequestBytes is the maximum size of a body on the job paths.
-	maxJobRequestBytes = 1 << 20
 )
 
 // ServeHTTP serves one request of a caller.
@@ -227,7 +225,6 @@
 		return
 	}
 	r.SetPathValue("id", id)
-	r.Body = http.MaxBytesReader(rp.w, r.Body, maxJobRequestBytes)
 	rp.answered = true // by the job handler
 	h(rp.w, r)
 }
--- a/internal/caller/stop.go
+++ b/internal/caller/stop.go
@@ -17,10 +17,11 @@
 
 // Serve accepts connections from callers until Stop. It closes connections above MaxConnections at once.
 func (s *Server) Serve(l net.Listener) error {
+	s.cfg.Inbound.SetReceiveBuffer(l)
 	l = &boundedListener{
 		Listener: l, sem: make(chan struct{}, s.cfg.MaxConnections), refusedConns: s.metrics.refusedConns,
 	}
-	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(s.cfg.Inbound.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 		return errorx.Decorate(err, "serve callers")
 	}
 	return nil
@@ -130,3 +131,11 @@
 	c.once.Do(func() { <-c.sem })
 	return err
 }
+
+// CloseWrite lets the server end its side of the connection first.
+func (c *boundedConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/internal/endpoint/announce.go
+++ b/internal/endpoint/announce.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"bytes"
 	"crypto/subtle"
 	"encoding/json"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint/endpointpb"
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 )
 
 // maxAnnouncementBytes limits the body of an announcement, which normally has about 150 bytes.
@@ -61,7 +63,19 @@
 		}
 	}
 	var a Announcement
-	dec := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAnnouncementBytes))
+	data, err := inbound.ReadBody(w, req, maxAnnouncementBytes)
+	if err != nil {
+		status, _ := inbound.Status(err)
+		switch status {
+		case http.StatusServiceUnavailable:
+			w.Header().Set("Retry-After", "1")
+		case http.StatusRequestEntityTooLarge:
+			status = http.StatusBadRequest // as for other malformed announcements
+		}
+		r.rejectRequest(w, status, "bad announcement: "+err.Error())
+		return
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&a); err != nil {
 		r.rejectRequest(w, http.StatusBadRequest, "bad announcement: "+err.Error())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/disk"
 	"github.com/hibiscusroute/hibiscusroute/internal/endpoint"
 	"github.com/hibiscusroute/hibiscusroute/internal/follower"
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 	"github.com/hibiscusroute/hibiscusroute/internal/peer"
@@ -28,9 +29,13 @@
 )
 
 const (
-	// maxHeaderBytes and headerTimeout bound the memory and time that a slow or faulty client can occupy.
-	maxHeaderBytes = 32 << 10
-	headerTimeout  = 5 * time.Second
+	// headerTimeout bounds the time for which a slow or faulty client can occupy a connection.
+	headerTimeout = 5 * time.Second
+	// connectionShare is the share of the process's file descriptors that incoming connections may use; as many are kept
+	// for connections to endpoints.
+	connectionShare = 0.5
+	// defaultInboundBytes limits what clients send if the memory of the process is not limited.
+	defaultInboundBytes = 64 << 20
 	// idleTimeout exceeds the keep-alive time of common load balancers, so that they close idle connections first.
 	idleTimeout = 2 * time.Minute
 	// joinInterval is the time between requests to become a voter. The leader changes nothing if the process is one
@@ -54,6 +59,7 @@
 type Node struct {
 	cfg       Config
 	metrics   *metrics.Set
+	inbound   *inbound.Gate
 	listeners listeners
 	transport *peer.Transport
 	store     *disk.Store
@@ -89,6 +95,7 @@
 	events := timeline.Config{
 		Process: cfg.Process.Name, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), Now: time.Now,
 	}
+	n.inbound = n.newGate()
 	n.timeline = timeline.New(events)
 	events.Incarnation += ".requests"
 	n.requests = timeline.New(events)
@@ -241,7 +248,7 @@
 	}
 	endpoints := n.httpServer(n.registry)
 	startComponent("caller listener", func(context.Context) error { return n.caller.Serve(n.listeners.caller) })
-	startComponent("endpoint listener", serveOn(endpoints, n.listeners.endpoint))
+	startComponent("endpoint listener", serveOn(endpoints, n.inbound.Listener(n.listeners.endpoint)))
 	n.cfg.Log.Info("process started", "name", n.cfg.Process.Name, "caller", n.listeners.caller.Addr().String())
 	select {
 	case err := <-failed:
@@ -256,9 +263,19 @@
 }
 
 func (n *Node) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.inbound.Protect(srv, inbound.DefaultBodyTimeout)
+	return srv
+}
+
+// newGate returns the limits for the listeners for callers, endpoints and operators.
+func (n *Node) newGate() *inbound.Gate {
+	p := n.cfg.Process
+	l := inbound.NewLimits(p.MemoryMiB, inbound.Descriptors(p.Descriptors), connectionShare)
+	if l.Bytes == 0 {
+		l.Bytes = defaultInboundBytes
 	}
+	return inbound.New(inbound.Config{Limits: l, Metrics: n.metrics, Log: n.cfg.Log})
 }
 
 func serveOn(srv *http.Server, ln net.Listener) func(context.Context) error {
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -28,7 +28,7 @@
 	n.operator, err = operator.New(operator.Config{
 		Propose: n.client.Propose, Query: n.client.Query, WaitInForce: n.awaitInForce, Status: n.status,
 		Members: n.listMembers, ChangeMember: n.changeMember, Ready: n.checkReady, Timeline: n.dumpTimeline,
-		Metrics: n.metrics, Key: n.cfg.Process.OperatorKey, Log: n.cfg.Log,
+		Inbound: n.inbound, Metrics: n.metrics, Key: n.cfg.Process.OperatorKey, Log: n.cfg.Log,
 	})
 	return err
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -30,7 +30,7 @@
 		View: n.follower.View, Registry: n.registry, Dispatcher: dispatcher,
 		TryAcquire: acquire, SetDemand: holder.SetDemand, AllocationGrown: holder.AllocationGrown, Claim: n.claimRequest,
 		SubmitJob: jobs.Submit, GetJob: jobs.Get, CancelJob: jobs.Cancel,
-		Record:    n.requests.Record,
+		Record: n.requests.Record, Inbound: n.inbound,
 		StopDelay: n.cfg.Process.ShutdownWait, Metrics: n.metrics, Log: n.cfg.Log,
 	})
 }
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 )
 
@@ -57,9 +58,13 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return newError(http.StatusRequestEntityTooLarge, KindTooLarge, "the body is too large: "+err.Error())
+	switch status, _ := inbound.Status(err); status {
+	case http.StatusRequestEntityTooLarge:
+		return newError(status, KindTooLarge, "the body is too large: "+err.Error())
+	case http.StatusServiceUnavailable:
+		return newError(status, KindUnavailable, "read body: "+err.Error()+"; resend with the same operation ID")
+	case http.StatusRequestTimeout:
+		return newError(status, KindMalformed, "read body: "+err.Error())
 	}
 	return newError(http.StatusInternalServerError, KindInternal, err.Error())
 }
@@ -70,6 +75,9 @@
 	if e.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
+	if e.Status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
 	w.WriteHeader(e.Status)
 	// Encoding fails only if the connection is broken; the client then sees a truncated response.
 	_ = json.NewEncoder(w).Encode(e)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/joomcode/errorx"
 
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 )
 
@@ -21,13 +22,12 @@
 	defaultProposeTimeout = 5 * time.Second
 	// defaultInForceTimeout leaves headroom above the 6 s within which a change is in force in all processes.
 	defaultInForceTimeout = 15 * time.Second
-	maxHeaderBytes        = 16 << 10
 	// maxBodyBytes limits request bodies other than configurations.
 	maxBodyBytes = 16 << 10
 	// maxCommandBytes limits an encoded command: frames between processes hold 1 MiB, of which 16 KiB are reserved for the
 	// envelope.
 	maxCommandBytes = 1<<20 - 16<<10
-	// maxConcurrentSubmissions limits how many submissions, each of up to 8 MiB, are read and checked at once.
+	// maxConcurrentSubmissions limits how many submissions, each of up to 8 MiB, are checked at once.
 	maxConcurrentSubmissions = 2
 	shutdownTimeout          = 5 * time.Second
 )
@@ -52,6 +52,8 @@
 	Timeline func(ctx context.Context, w io.Writer) error
 	// Ready returns nil while the process accepts work. If Ready is nil, the process is always ready.
 	Ready func() error
+	// Inbound limits what operators occupy; nil sets no limit.
+	Inbound *inbound.Gate
 	// Metrics is the set that GET /metrics writes and in which the server registers its own metrics.
 	Metrics *metrics.Set
 	// Key is the operators' bearer key. If empty, only loopback clients are served.
@@ -98,12 +100,16 @@
 	}
 	srv := &http.Server{
 		Handler:           s.handler,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    inbound.MaxHeaderBytes,
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       30 * time.Second,
 		WriteTimeout:      s.cfg.ProposeTimeout + s.cfg.InForceTimeout + 30*time.Second,
 		IdleTimeout:       time.Minute,
 	}
+	if s.cfg.Inbound != nil {
+		s.cfg.Inbound.Protect(srv, 0) // ReadTimeout limits bodies too
+		ln = s.cfg.Inbound.Listener(ln)
+	}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	select {
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/configuration"
+	"github.com/hibiscusroute/hibiscusroute/internal/inbound"
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
@@ -100,12 +100,10 @@
 	return id != "" && len(id) <= 64
 }
 
-// readBody reads a body of at most limit bytes. For a larger one it returns an http.MaxBytesError, which asError
-// converts to status 413.
+// readBody reads a body of at most limit bytes. asError converts what the limits of the process reject.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if err != nil && !errors.As(err, &tooLarge) {
+	data, err := inbound.ReadBody(nil, r, limit)
+	if status, _ := inbound.Status(err); err != nil && status == http.StatusBadRequest {
 		return nil, newError(http.StatusBadRequest, KindMalformed, "read body: "+err.Error())
 	}
 	return data, err
@@ -153,16 +151,17 @@
 	if wait != "" && wait != "in-force" {
 		return nil, newError(http.StatusBadRequest, KindMalformed, "wait must be in-force or left out")
 	}
+	data, err := readBody(r, configuration.MaxDocumentBytes)
+	if err != nil {
+		return nil, err
+	}
+	// A slot is taken once the body is there, so that slow senders don't keep others from submitting.
 	select {
 	case s.submissionSlots <- struct{}{}:
 		defer func() { <-s.submissionSlots }()
 	default:
 		return nil, newError(http.StatusServiceUnavailable, KindUnavailable,
-			"other submissions are being read; resend with the same operation ID")
-	}
-	data, err := readBody(r, configuration.MaxDocumentBytes)
-	if err != nil {
-		return nil, err
+			"other submissions are being checked; resend with the same operation ID")
 	}
 	cfg, err := fleet.Parse(data)
 	if err != nil {
--- a/internal/setting/node.go
+++ b/internal/setting/node.go
@@ -13,6 +13,13 @@
 	"github.com/hibiscusroute/hibiscusroute/pkg/fleet"
 )
 
+const (
+	// minMemoryMiB is twice the memory of an idle process.
+	minMemoryMiB = 48
+	// minDescriptors leaves a process 64 connections of clients.
+	minDescriptors = 128
+)
+
 // Node holds the settings of a process as text; Load checks them.
 type Node struct {
 	Name             string   `long:"name" env:"HIBISCUSROUTE_NAME" description:"name of the process, unique and in kebab case"`
@@ -32,6 +39,8 @@
 	TLSAuthority     string   `long:"tls-authority" env:"HIBISCUSROUTE_TLS_AUTHORITY" description:"PEM file with the authorities that sign certificates of peers"`
 	Platform         string   `long:"platform-url" env:"HIBISCUSROUTE_PLATFORM_URL" description:"URL of the platform; empty for none"`
 	ShutdownWait     string   `long:"shutdown-wait" env:"HIBISCUSROUTE_SHUTDOWN_WAIT" default:"10s" description:"time between failing the readiness check and closing the listeners"`
+	MemoryMiB        int      `long:"memory-mib" env:"HIBISCUSROUTE_MEMORY_MIB" default:"0" description:"memory of the process in MiB, of which clients may occupy a quarter; 0 for no limit but 64 MiB for what clients send"`
+	Descriptors      int      `long:"max-file-descriptors" env:"HIBISCUSROUTE_MAX_FILE_DESCRIPTORS" default:"0" description:"number of file descriptors of the process, of which clients may use half; 0 for the limit of the operating system"`
 	Log              Log      `group:"Logging"`
 }
 
@@ -52,6 +61,9 @@
 	// Platform is nil when no platform is set.
 	Platform     *url.URL
 	ShutdownWait time.Duration
+	// MemoryMiB and Descriptors are the limits of the process; 0 means no limit of the memory, and that of the operating
+	// system for the number of descriptors.
+	MemoryMiB, Descriptors int
 }
 
 // Load checks the settings and reads the files to which they refer; it fails with ErrFaults, which lists every fault.
@@ -59,7 +71,7 @@
 	f := &faults{settingsType: reflect.TypeFor[Node]()}
 	p := &Process{
 		Name: n.Name, AvailabilityZone: n.AvailabilityZone, Voter: n.Voter, DataDirectory: n.DataDirectory,
-		Bootstrap:    n.Bootstrap,
+		Bootstrap: n.Bootstrap, MemoryMiB: n.MemoryMiB, Descriptors: n.Descriptors,
 		ShutdownWait: f.parseDuration("ShutdownWait", n.ShutdownWait, 0, 10*time.Minute),
 		OperatorKey:  f.readKey("OperatorKeyFile", n.OperatorKeyFile),
 		EndpointKey:  f.readKey("EndpointKeyFile", n.EndpointKeyFile),
@@ -71,6 +83,12 @@
 		f.addFault("AvailabilityZone", "must be kebab case and at most %d bytes long, is %q", fleet.MaxName,
 			n.AvailabilityZone)
 	}
+	if n.MemoryMiB != 0 && n.MemoryMiB < minMemoryMiB {
+		f.addFault("MemoryMiB", "must be 0 or at least %d, is %d", minMemoryMiB, n.MemoryMiB)
+	}
+	if n.Descriptors != 0 && n.Descriptors < minDescriptors {
+		f.addFault("Descriptors", "must be 0 or at least %d, is %d", minDescriptors, n.Descriptors)
+	}
 	n.checkAddresses(f, p)
 	n.checkControlGroup(f, p)
 	n.loadTLS(f, p)
