--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -25,6 +26,9 @@
 	// handlingCopies is how often the content of a complete body may exist while it is handled: as received, decoded, and
 	// encoded for another process.
 	handlingCopies = 3
+	// objectBytes is what an object of JSON occupies while it is decoded and encoded, however short its text is: the
+	// largest structs have some 200 and 400 bytes in the two forms, and slices of them grow by copying.
+	objectBytes = 1 << 10
 )
 
 type segment [segmentBytes]byte
@@ -57,6 +61,24 @@
 	return data, err
 }
 
+// HoldObjects counts what a body occupies while at most so many objects of JSON are decoded from it, until the handler
+// returns. Without room it fails with ErrPressure.
+func HoldObjects(r *http.Request, body []byte, atMost int) error {
+	c := connOf(r)
+	if c == nil {
+		return nil
+	}
+	n := int64(min(bytes.Count(body, []byte{'{'}), atMost)) * objectBytes
+	if !c.hold(n) {
+		countBody(r, "pressure")
+		return ErrPressure.New("the process has no room to decode the body")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestHold += n
+	return nil
+}
+
 // Buffer reads the body up to limit bytes and one more, and reports whether that is all of it. What the returned data
 // occupies counts until release is called.
 func Buffer(r *http.Request, limit int64) (data []byte, whole bool, release func(), err error) {
--- a/internal/inbound/processtest/crowd_test.go
+++ b/internal/inbound/processtest/crowd_test.go
@@ -65,6 +65,7 @@
 var (
 	filler     = bytes.Repeat([]byte("x"), 64<<10)
 	emptyLines = bytes.Repeat([]byte("\r\n"), 8<<10)
+	manySteps  = fmt.Appendf(nil, `{"steps":[{}%s]}`, strings.Repeat(",{}", 80000))
 	chunks     = bytes.Repeat([]byte("1\r\nx\r\n"), 1024)
 )
 
@@ -135,6 +136,14 @@
 	return err
 }
 
+// sendSteps sends whole bodies of legal size whose decoded form is a hundred times as large.
+func sendSteps(c net.Conn, tg target, _ int) error {
+	if err := sendAll(c, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", tg.request, len(manySteps))); err != nil {
+		return err
+	}
+	return sendAll(c, manySteps)
+}
+
 func sendAll(c net.Conn, data []byte) error {
 	_, err := c.Write(data)
 	return err
@@ -192,7 +201,7 @@
 // Guards against an entry process that runs out of memory or descriptors because of what clients send.
 func TestEntryProcessBearsCrowds(t *testing.T) {
 	control := startControl(t, limits{memoryMiB: 400, descriptors: 4096})
-	for _, cr := range crowds {
+	for _, cr := range append([]crowd{{"steps", sendSteps}}, crowds...) {
 		t.Run(cr.name, func(t *testing.T) {
 			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
 			cr.bearWith(t, p, target{
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -163,6 +164,9 @@
 		return nil, newError(http.StatusServiceUnavailable, KindUnavailable,
 			"other submissions are being checked; resend with the same operation ID")
 	}
+	if err := inbound.HoldObjects(r, data, math.MaxInt); err != nil {
+		return nil, err
+	}
 	cfg, err := fleet.Parse(data)
 	if err != nil {
 		return nil, newError(http.StatusBadRequest, KindMalformed, err.Error())
