inbound: don't let a shutdown wait for new connections

A new connection may be idle for 15 s before its first request, and the shutdown of a server waits up to 5 s for it, longer than an entry process has. On a shutdown such a connection gets the time for a header, as before.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -43,8 +43,8 @@
 	net.Conn
 	gate *Gate
 
-	// headerTimeout and idleTimeout are those of the server, set before the first read.
-	headerTimeout, idleTimeout time.Duration
+	// server is set before the first read, and nil for a server that the gate does not protect.
+	server *http.Server
 
 	mu    sync.Mutex // not held while the gate is charged; Gate.mu is taken before it
 	phase phase
@@ -76,9 +76,9 @@
 		first := c.phase == phaseNew
 		c.phase, c.since = phaseHeader, time.Now()
 		cost = int64(c.gate.cfg.ReceiveBuffer)
-		if first && c.headerTimeout > 0 {
+		if first && c.server != nil && c.server.ReadHeaderTimeout > 0 {
 			// A failure shows at the next read.
-			_ = c.Conn.SetReadDeadline(c.since.Add(c.headerTimeout))
+			_ = c.Conn.SetReadDeadline(c.since.Add(c.server.ReadHeaderTimeout))
 		}
 	case phaseHeader:
 	case phaseClosed:
@@ -294,14 +294,24 @@
 	if c.rejected {
 		return os.ErrDeadlineExceeded
 	}
-	if c.phase == phaseNew && !t.IsZero() && c.idleTimeout > 0 {
-		if late := c.since.Add(min(c.idleTimeout, newConnectionTimeout)); late.After(t) {
+	if c.phase == phaseNew && !t.IsZero() && c.server != nil && c.server.IdleTimeout > 0 {
+		if late := c.since.Add(min(c.server.IdleTimeout, newConnectionTimeout)); late.After(t) {
 			t = late
 		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// expire ends the wait for the first request on a new connection of a server that shuts down, which waits for new
+// connections. A connection that is younger than the time for a header keeps that time, as its request may be under way.
+func (c *conn) expire(srv *http.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseNew && c.server == srv {
+		_ = c.Conn.SetReadDeadline(c.since.Add(srv.ReadHeaderTimeout)) // fails if the connection is closed
+	}
+}
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
--- a/internal/inbound/gate_test.go
+++ b/internal/inbound/gate_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -153,6 +154,26 @@
 	assert.Equal(t, g.connections.Load(), int64(0))
 }
 
+// Guards against a shutdown that waits for connections on which no request has begun.
+func TestShutdownDoesNotWaitForNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{})
+		srv := &http.Server{ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+		g.Protect(srv, DefaultBodyTimeout)
+		ln := pipeListener{make(chan net.Conn, 1)}
+		client, server := net.Pipe()
+		defer func() { assert.NilError(t, client.Close()) }()
+		ln.conns <- server
+		go func() { _ = srv.Serve(g.Listener(ln)) }() // ends with the listener
+		time.Sleep(time.Second)
+		close(ln.conns)
+		ctx, cancel := context.WithTimeout(t.Context(), 3100*time.Millisecond)
+		defer cancel()
+		assert.NilError(t, srv.Shutdown(ctx))
+		assert.Equal(t, g.connections.Load(), int64(0))
+	})
+}
+
 // Guards against a body that is read whole although only its beginning is wanted, or counted without a gate.
 func TestBufferStopsAtTheLimit(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -23,7 +23,9 @@
 			ctx = connContext(ctx, nc)
 		}
 		if c, ok := nc.(*conn); ok {
-			c.headerTimeout, c.idleTimeout = srv.ReadHeaderTimeout, srv.IdleTimeout
+			c.mu.Lock()
+			c.server = srv
+			c.mu.Unlock()
 			ctx = context.WithValue(ctx, connKey{}, c)
 		}
 		return ctx
@@ -36,6 +38,13 @@
 			connState(nc, state)
 		}
 	}
+	srv.RegisterOnShutdown(func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for c := range g.conns {
+			c.expire(srv)
+		}
+	})
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
 		if c == nil {
