--- a/internal/workload/evacuation.go
+++ b/internal/workload/evacuation.go
@@ -12,7 +12,7 @@
 type zoneEvacuation struct {
 	advancedAt time.Duration
 	// lacksRoom holds the long-running steps, by pool, of which a task could leave its worker if another one had room.
-	lacksRoom map[string][]*ledger.StepRun
+	lacksRoom map[string]map[*ledger.StepRun]bool
 }
 
 // isEvacuated reports whether the availability zone of a worker is evacuated.
@@ -70,7 +70,7 @@
 			}
 		}
 	}
-	e.evacuation.lacksRoom = map[string][]*ledger.StepRun{}
+	e.evacuation.lacksRoom = map[string]map[*ledger.StepRun]bool{}
 	for _, s := range list {
 		if pool := s.worker.Pool(); !busy[pool] {
 			busy[pool] = e.stopLongRunning(s)
@@ -87,7 +87,10 @@
 		switch {
 		case !e.mayMiss(r.task):
 		case !e.hasRoomElsewhere(st, s):
-			e.evacuation.lacksRoom[pool] = append(e.evacuation.lacksRoom[pool], st)
+			if e.evacuation.lacksRoom[pool] == nil {
+				e.evacuation.lacksRoom[pool] = map[*ledger.StepRun]bool{}
+			}
+			e.evacuation.lacksRoom[pool][st] = true
 		default:
 			r.shouldStop = true
 			stopped++
@@ -101,6 +104,19 @@
 	return stopped > 0
 }
 
+// addEvacuatedSteps makes pools grow by one instance for each long-running step that lacks room outside of evacuated zones, as
+// its tasks leave one after the other.
+func (e *Engine) addEvacuatedSteps(pools map[string]*poolView) {
+	evacuated := e.labelsInEvacuatedZones()
+	for pool, steps := range e.evacuation.lacksRoom {
+		for st := range steps {
+			if v := pools[pool]; v != nil && !evacuated[st.Step.Label] {
+				e.addUnplaced(v, st, 1)
+			}
+		}
+	}
+}
+
 // turnOffEvacuated turns off idle instances in evacuated zones, while their pools have what they need in other zones. The
 // others stay, so that they are used at once when the zone returns to service.
 func (e *Engine) turnOffEvacuated(idle []*instance, pools map[string]*poolView, spare string) {
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -110,12 +110,7 @@
 			v.demand.CPU = rate
 		}
 	}
-	for pool, steps := range e.evacuation.lacksRoom {
-		// One after the other moves, so the pool grows by one instance for them.
-		if v := pools[pool]; v != nil {
-			e.addUnplaced(v, steps[0], 1)
-		}
-	}
+	e.addEvacuatedSteps(pools)
 	var off, idle, evacuated []*instance
 	for _, in := range e.fleet.sortedInstances() {
 		e.updateIdleSince(in)
