inbound: don't wait for clients that read no responses

Such a client kept its connection for good, as its request may have been accepted and is not rejected any more; with enough of them the process would refuse all others. A write now fails after 30 s unless the server has set a deadline. The response to a client that has to leave gets 100 ms, and a goroutine of its own if the send buffer may be full.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -18,6 +18,11 @@
 	// newConnectionTimeout is the time in which a new connection must begin its first request, as far as the server
 	// keeps idle connections that long. It equals the limit of the deployments for idle connections.
 	newConnectionTimeout = 15 * time.Second
+	// writeTimeout limits a write to a client that doesn't read, unless the server has set a deadline. The request of such
+	// a client can't be rejected any more, so its connection would be kept for good.
+	writeTimeout = 30 * time.Second
+	// evictionTimeout limits the write of the response to a client that has to leave.
+	evictionTimeout = 100 * time.Millisecond
 )
 
 // unavailable is the response to a request of which nothing was accepted.
@@ -53,6 +58,10 @@
 	own, held int64
 	// rejected is set if the body is not read any more, because another client needs the room.
 	rejected, closed bool
+	// answered is whether a response was sent, which the client may not have read.
+	answered bool
+	// ownWriteDeadline is whether the server has set the deadline of writes.
+	ownWriteDeadline bool
 	// bodyDeadline is whether the gate has set the deadline of reads.
 	bodyDeadline bool
 	// requestHold is released when the handler returns.
@@ -196,7 +205,7 @@
 	if c.closed || c.rejected {
 		return
 	}
-	c.phase, c.since, c.bodyDeadline = phaseIdle, time.Now(), false
+	c.phase, c.since, c.bodyDeadline, c.answered = phaseIdle, time.Now(), false, true
 	c.gate.release(c.own - connectionBytes)
 	c.own = connectionBytes
 }
@@ -227,13 +236,24 @@
 		return
 	}
 	reason := phaseNames[c.phase]
-	answer := c.phase == phaseHeader
+	respond, mayBlock := c.phase == phaseHeader, c.answered
 	c.phase = phaseClosed
 	c.mu.Unlock()
 	c.gate.countClosed(reason)
-	if answer {
-		_, _ = c.Conn.Write(unavailable) // the connection is closed in any case
+	switch {
+	case !respond:
+		_ = c.Close() // nothing was received
+	case mayBlock:
+		go c.refuse()
+	default:
+		c.refuse()
 	}
+}
+
+// refuse responds to a request of which nothing was accepted, and closes the connection.
+func (c *conn) refuse() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(evictionTimeout)) // the connection is closed in any case
+	_, _ = c.Conn.Write(unavailable)
 	_ = c.Close() // the client has to send the request again
 }
 
@@ -278,14 +298,28 @@
 	return nil
 }
 
-// Write implements net.Conn and counts responses to headers beyond the limit, which net/http writes by itself.
+// Write implements net.Conn. It limits the time of a write, and counts responses to headers beyond the limit, which net/http writes by itself.
 func (c *conn) Write(p []byte) (int, error) {
 	if bytes.HasPrefix(p, []byte("HTTP/1.1 431 ")) && c.inHeader() {
 		c.gate.countRejected("header-size")
 	}
+	c.mu.Lock()
+	own := c.ownWriteDeadline
+	c.mu.Unlock()
+	if !own {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows at the write
+	}
 	return c.Conn.Write(p)
 }
 
+// SetWriteDeadline implements net.Conn and leaves writes without a deadline of the server to the gate.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownWriteDeadline = !t.IsZero()
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // SetReadDeadline implements net.Conn. It leaves the deadline of a rejected request, and gives a new connection the time
 // of an idle one to begin its first request.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/internal/inbound/gate_test.go
+++ b/internal/inbound/gate_test.go
@@ -154,6 +154,24 @@
 	assert.Equal(t, g.connections.Load(), int64(0))
 }
 
+// Guards against connections that are kept for good because their clients don't read the responses.
+func TestUnreadResponsesEndTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{})
+		srv := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.NotFoundHandler()}
+		g.Protect(srv, DefaultBodyTimeout)
+		ln := pipeListener{make(chan net.Conn, 1)}
+		client, server := net.Pipe()
+		ln.conns <- server
+		go func() { _ = srv.Serve(g.Listener(ln)) }() // ends with the listener
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		time.Sleep(time.Minute)
+		assert.Equal(t, g.connections.Load(), int64(0))
+		close(ln.conns)
+	})
+}
+
 // Guards against a shutdown that waits for connections on which no request has begun.
 func TestShutdownDoesNotWaitForNewConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
