follower, site: calls of clients search for a leader for 1.2 s

Without a quorum, entry processes held each call for 2.4 s of the client's 3 s before they answered that the job was not accepted. They answer after 1.2 s now, unless an attempt may have been accepted.

--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -35,6 +35,8 @@
 	Call func(ctx context.Context, address, kind string, req, resp proto.Message) error
 	// AttemptTimeout limits one call to one voter; 0 uses 500 ms.
 	AttemptTimeout time.Duration
+	// SearchTimeout is how long a call that no voter may have handled searches for a leader; 0 means until its deadline.
+	SearchTimeout time.Duration
 }
 
 // Client sends requests to the leader of the control group. It is safe for concurrent use.
@@ -267,7 +269,11 @@
 	ctx context.Context, kind string, req proto.Message, resp leaderResponse, atMostOnce bool, unknown UnknownAttempts,
 ) (repeated bool, err error) {
 	lastErr := peer.ErrUnreachable.New("no leader of the control group was found")
-	failures := 0
+	failures, begin := 0, time.Now()
+	// Further attempts may settle what became of one without an answer, so only a call without such attempts ends early.
+	givesUp := func() bool {
+		return ctx.Err() != nil || c.cfg.SearchTimeout > 0 && !unknown.any && time.Since(begin) >= c.cfg.SearchTimeout
+	}
 	for {
 		for _, address := range c.candidateAddresses() {
 			err := c.attempt(ctx, address, kind, req, resp)
@@ -306,7 +312,7 @@
 					lastErr = errorx.Cast(err)
 				}
 			}
-			if ctx.Err() != nil {
+			if givesUp() {
 				return unknown.any, lastErr
 			}
 		}
--- a/internal/follower/search_test.go
+++ b/internal/follower/search_test.go
@@ -118,3 +118,37 @@
 	assert.Equal(t, c.Leader(), "")
 	assert.Equal(t, c.LastLeader(), "a")
 }
+
+// Guards against calls that wait for their deadline while there is no leader, and against a call that ends early although a
+// further attempt may settle what became of an earlier one.
+func TestSearchTimeout(t *testing.T) {
+	const deadline, search = 2400 * time.Millisecond, 1200 * time.Millisecond
+	for _, tt := range []struct {
+		name    string
+		err     *errorx.Type // of each attempt, which takes 700 ms
+		atLeast time.Duration
+		atMost  time.Duration
+	}{
+		{"no-voter-reached", peer.ErrUnreachable, search, search + 700*time.Millisecond},
+		{"attempt-without-answer", peer.ErrInterrupted, deadline, deadline},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := NewClient(ClientConfig{
+					Voters: []string{"s1", "s2", "s3"}, AttemptTimeout: 700 * time.Millisecond, SearchTimeout: search,
+					Call: func(ctx context.Context, address, _ string, _, _ proto.Message) error {
+						<-ctx.Done()
+						return tt.err.Wrap(ctx.Err(), "call %s", address)
+					},
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				begin := time.Now()
+				_, _, err := c.ProposeIdempotent(ctx, newCommand("1"))
+				assert.Assert(t, errorx.IsOfType(err, tt.err), "%v", err)
+				took := time.Since(begin)
+				assert.Assert(t, tt.atLeast <= took && took <= tt.atMost, "%s", took)
+			})
+		})
+	}
+}
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -17,6 +17,10 @@
 // attemptTimeout limits one call to one voter. It covers two syncs of a disk that is ten times slower than usual.
 const attemptTimeout = 700 * time.Millisecond
 
+// clientSearchTimeout is how long a call of a client waits for a leader. An election takes about a second. Without a leader for
+// longer, the group lacks a quorum, probably for seconds, and the client should know that before half of its 3 s are over.
+const clientSearchTimeout = 1200 * time.Millisecond
+
 // Caller executes commands at the leader, whichever process that is.
 type Caller struct {
 	client *follower.Client
@@ -26,8 +30,10 @@
 	forwarders           *forwarders
 }
 
-func newCaller(t *peer.Transport, voters []string) Caller {
-	client := follower.NewClient(follower.ClientConfig{Voters: voters, Call: t.Call, AttemptTimeout: attemptTimeout})
+func newCaller(t *peer.Transport, voters []string, searchTimeout time.Duration) Caller {
+	client := follower.NewClient(follower.ClientConfig{
+		Voters: voters, Call: t.Call, AttemptTimeout: attemptTimeout, SearchTimeout: searchTimeout,
+	})
 	return Caller{
 		client:     client,
 		heartbeats: &batcher{delay: heartbeatDelay, propose: client.ProposeBatch},
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -140,7 +140,7 @@
 		Port: cfg.Port, Observe: c.voter.Observe, Route: c.newRouter().Route, Now: c.voter.Now, QuorumConfirmed: c.voter.QuorumConfirmed,
 		ConfirmationAge: c.voter.ConfirmationAge, LeaderLease: control.LeaderLease, Log: cfg.Log,
 	})
-	c.Caller = newCaller(c.transport, append([]string{cfg.PeerAddress}, cfg.Seeds...))
+	c.Caller = newCaller(c.transport, append([]string{cfg.PeerAddress}, cfg.Seeds...), 0)
 	c.transport.Handle(control.ForwardKind, peer.UnaryHandler(c.transport, c.serveForward))
 	return nil
 }
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -37,7 +37,7 @@
 		_ = ln.Close() // The first error is the one to report.
 		return nil, err
 	}
-	e := &Entry{Caller: newCaller(t, cfg.Seeds), transport: t}
+	e := &Entry{Caller: newCaller(t, cfg.Seeds, clientSearchTimeout), transport: t}
 	e.forwarders = &forwarders{process: cfg.Name}
 	return e, nil
 }
