--- a/internal/workload/backlog/gate.go
+++ b/internal/workload/backlog/gate.go
@@ -1,6 +1,9 @@
 package backlog
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// minRetryAfter is the shortest time after which a rejected job returns. HTTP tells whole seconds.
@@ -18,6 +21,11 @@
 	returns    map[string]time.Duration // when rejected jobs return, by ID
 }
 
+// Clone returns a copy of the gate, on which a decision without effect can be made.
+func (g *Gate) Clone() *Gate {
+	return &Gate{overloaded: g.overloaded, next: g.next, returns: maps.Clone(g.returns)}
+}
+
 // Decide is like the function Decide for the job with an ID. The time after which it returns is within the bounds of HTTP
 // responses, and the next rejected job returns later by the time that the pool takes for this one.
 func (g *Gate) Decide(now time.Duration, id string, in Input) (retryAfter time.Duration, reason string) {
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -105,7 +105,8 @@
 	admission             admission
 	interference          *interference.Table
 	backlog               backlogTable
-	overload              string // reason to reject new jobs, as last logged
+	poolViews             []*poolView // of the last decision on the sizes of pools, for explanations
+	overload              string      // reason to reject new jobs, as last logged
 	// assigns counts the Assign commands that this leader has proposed, lastAssign is the number of the last one that was applied.
 	assigns, lastAssign uint64
 }
--- a/internal/workload/plugin.go
+++ b/internal/workload/plugin.go
@@ -86,6 +86,8 @@
 		}
 		done.Source = e.state.Document().Source
 		return done, kernel.AfterReadIndex
+	case *workloadpb.Command_Explain:
+		return e.answerExplain(c.Explain), kernel.AfterReadIndex
 	case *workloadpb.Command_InspectWave:
 		w := e.state.Wave(c.InspectWave.Number)
 		if w == nil {
--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -166,6 +166,7 @@
 		}
 	}
 	e.countMovable(order)
+	e.poolViews = order
 	grow := func(v *poolView, target int) {
 		for in := e.takeInstance(v, target, &off, &idle, pools); in != nil; in = e.takeInstance(v, target, &off, &idle, pools) {
 			e.fleet.noSurplusAt[v.name] = e.now
