--- a/cmd/hibiscusroute/script_test.go
+++ b/cmd/hibiscusroute/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +24,7 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 	"github.com/hibiscusroute/hibiscusroute/internal/operator/operatortest"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/explanation"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 	"github.com/hibiscusroute/hibiscusroute/platform"
 )
@@ -100,7 +102,15 @@
 			env.Values["fake"] = f
 			env.Setenv("HIBISCUSROUTE_OPERATORS", srv.URL)
 			env.Setenv("EXAMPLES", examples)
-			execute := func(context.Context, *workloadpb.Command) (*workloadpb.Response, bool, error) {
+			execute := func(_ context.Context, m *workloadpb.Command) (*workloadpb.Response, bool, error) {
+				if q := m.GetExplain().GetJob(); q != nil {
+					x := explanation.Explanation{Queue: q.Host + q.Path, Pool: "glass", Account: q.Key, Steps: []explanation.Step{{
+						Tasks: int(q.Steps[0].Count), Starting: 1, StartsOn: []explanation.Count{{Name: "w-1", Count: 1}},
+						Workers: []explanation.Count{{Name: "no-capacity", Count: 2}}, WaitsFor: []string{explanation.Capacity},
+					}}}
+					body, err := json.Marshal(x)
+					return &workloadpb.Response{Explanation: body}, false, err
+				}
 				return &workloadpb.Response{}, false, nil
 			}
 			zones := httptest.NewServer((&platform.ControlServer{
