--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -180,7 +180,7 @@
 func (e *Engine) countCapacity() {
 	for _, w := range e.state.Workers() {
 		s := e.sessions[w.Number()]
-		if w.IsDraining() || w.HasLeft() || s == nil || s.failures > 0 && e.now-s.failingSince > unreachableCapacityTime {
+		if !e.state.MayTakeRuns(w) || w.HasLeft() || s == nil || s.failures > 0 && e.now-s.failingSince > unreachableCapacityTime {
 			continue
 		}
 		p := e.backlog.pools[w.Pool()]
--- a/internal/workload/backlog_test.go
+++ b/internal/workload/backlog_test.go
@@ -31,8 +31,9 @@
 	jobs []*offeredJob
 }
 
-func newBacklogTest(t testing.TB, limits bool) *backlogTest {
+func newBacklogTest(t testing.TB, limits bool, zones ...string) *backlogTest {
 	b := &backlogTest{sim: newSim(t), rng: rand.New(rand.NewPCG(1, 2))}
+	b.zones = zones
 	b.e.Configure(workload.Config{
 		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(b.now) }, MaxLease: b.maxLease, LimitsBacklog: limits,
 	})
@@ -181,3 +182,23 @@
 	}
 	assert.Assert(t, b.wouldAccept("large", "large-3"), "cancelled jobs keep their place")
 }
+
+// Guards against jobs that are accepted for instances of an evacuated zone, on which nothing starts.
+func TestEvacuatedZoneIsNoCapacityForBacklog(t *testing.T) {
+	var accepted [2]int
+	for i, evacuated := range []bool{false, true} {
+		b := newBacklogTest(t, true, "a", "b")
+		for range 8 {
+			b.offer("large", 0) // Workers that are busy stay in the pool.
+		}
+		b.run(200 * time.Millisecond)
+		if evacuated {
+			b.orderZone("a", false)
+		}
+		b.run(200 * time.Millisecond)
+		for b.offer("large", 0).Verdict == workloadpb.Verdict_VERDICT_DONE {
+			accepted[i]++
+		}
+	}
+	assert.Assert(t, accepted[1]*10 <= accepted[0]*7, "%d jobs accepted, %d with one of two zones", accepted[0], accepted[1])
+}
