backlog: keep the gate open after a rejection because of a quota or label

A job that exceeded the quota of its account made its queue count as overloaded, so that jobs of other accounts were rejected although they could end in time.

--- a/internal/workload/backlog/decide_test.go
+++ b/internal/workload/backlog/decide_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// Guards against jobs of all accounts that are rejected although they can end in time, because one account exceeded its quota.
+func TestQuotaOfOneAccountDoesNotCloseGate(t *testing.T) {
+	var g Gate
+	limited := with(newJob(time.Second), func(j *Job) { j.Limit = 1 })
+	in := Input{
+		New: limited, Accepted: append(accept(3, newJob(time.Second)), limited), Position: 4, Instances: 1,
+		Objective: 2 * time.Second, Limits: []Work{{}, {CPU: 0.2, Memory: 0.2}},
+	}
+	after, _ := g.Decide(0, "limited", in)
+	assert.Assert(t, after > 0)
+	in.New = newJob(time.Second)
+	after, _ = g.Decide(0, "other", in)
+	assert.Equal(t, after, time.Duration(0))
+}
+
 // Guards against estimates that are taken at their word, and against a ratio that follows a single job.
 func TestRatios(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/workload/backlog/gate.go
+++ b/internal/workload/backlog/gate.go
@@ -27,8 +27,13 @@
 	if after <= 0 {
 		return 0, ""
 	}
-	g.overloaded = true
-	return g.schedule(now, id, after, in.Duration(in.New.Work)), reason
+	takes := in.Duration(in.New.Work)
+	// A job that is rejected only because of its own limit doesn't show that the pool lacks time for others.
+	in.New.Limit = 0
+	if late, _ := Decide(in); late > 0 {
+		g.overloaded = true
+	}
+	return g.schedule(now, id, after, takes), reason
 }
 
 func (g *Gate) schedule(now time.Duration, id string, after, takes time.Duration) time.Duration {
