forecast: a pool that isn't busy any more loses its rhythm

The share of wrong forecasts approaches 5 of 10 beside a lag that counts 4 times, so that the confidence stayed above 0.4 for good: a pool that fell silent got instances in each cycle of the others.

--- a/internal/workload/forecast/rhythm.go
+++ b/internal/workload/forecast/rhythm.go
@@ -201,7 +201,8 @@
 		for other, l := range p.after {
 			// Another lag that predicts the same busy period is no further chance for it.
 			if o := f.pools[other]; o.start+l.length < now+maxTolerance {
-				l.lapsed, l.lapsedFor = true, o.start
+				// Without a busy period, nothing else reduces how often the lag counts.
+				l.lapsed, l.lapsedFor, l.seen = true, o.start, max(l.seen-1, 1)
 			}
 		}
 		return p.endForecast(), true
--- a/internal/workload/forecast/rhythm_test.go
+++ b/internal/workload/forecast/rhythm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +99,19 @@
 	assert.Assert(t, wrong <= 8, "%d of 40", wrong)
 }
 
+// Guards against a pool that gets instances in each cycle of the others although it isn't busy any more.
+func TestForecastsOfSilentPoolStop(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	load := slices.DeleteFunc(inTurn(120, "a", "b", "c", "d"), func(b busy) bool { return b.pool == "c" && b.begin > 100*time.Second })
+	wrong := 0
+	for _, fc := range playUntil(f, 0, 480*time.Second, load) {
+		if fc.Acted && !fc.Right {
+			wrong++
+		}
+	}
+	assert.Assert(t, wrong >= 1 && wrong <= 6, "%d of 24", wrong)
+}
+
 // Guards against jobs with little slack that wait for a move, and instances that wait for jobs with much slack.
 func TestLeadDependsOnSlack(t *testing.T) {
 	for _, tt := range []struct{ slack, lead time.Duration }{
