--- a/internal/workload/interference.go
+++ b/internal/workload/interference.go
@@ -76,7 +76,7 @@
 		t.kind, t.ended, t.isTimed = e.kindOf(r.task.Step()), false, false
 	}
 	e.noteStarted(s, r, at)
-	if r.task.Step().Step.TargetMs <= 0 {
+	if t.run == nil || r.task.Step().Step.TargetMs <= 0 { // There is none if a list has shown the end.
 		return
 	}
 	switch d := at - t.run.Since(); {
--- a/internal/workload/interference_test.go
+++ b/internal/workload/interference_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
 // mix is a load of jobs of kinds "a" and "b", of which "a" takes twice as long beside "b".
@@ -186,3 +187,28 @@
 	play(6)
 	assert.Equal(t, m.e.CountingPairs(), 0)
 }
+
+// Guards against a leader that panics because a worker lists a latency-sensitive run as running and as ended.
+func TestRunListedAfterItsEnd(t *testing.T) {
+	m := newMix(t)
+	st := lastingStep(1, 1, 0)
+	st.TargetMs, st.Image = 100, "c"
+	m.submit("glass", "j", st)
+	m.run(2 * time.Second)
+	for _, w := range m.workers {
+		for _, r := range w.runs {
+			m.awaitRenewal(w)
+			list := w.list(*w.renewal)
+			list.Ended = append(list.Ended, workload.EndedRun{Number: w.lastEnd + 1, Name: r.name, How: workloadpb.How_HOW_FAILED})
+			m.k.Observe(m.now, list)
+			return
+		}
+	}
+	t.Fatal("no run was started")
+}
+
+func (m *mix) awaitRenewal(w *fakeWorker) {
+	for w.renewal == nil {
+		m.run(simStep)
+	}
+}
