forecast: predict a busy period from at most 8 other pools

With 110 pools that are busy in turn, a decision took 4 ms for forecasts, as each pool compared the lags behind all others with each other.

--- a/internal/workload/forecast/rhythm.go
+++ b/internal/workload/forecast/rhythm.go
@@ -1,6 +1,7 @@
 package forecast
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -21,6 +22,9 @@
 	minPeriod = time.Second
 	// maxLag is the longest time between busy periods of which one is predicted from the other.
 	maxLag = 2 * time.Minute
+	// maxPredecessors is the number of other pools whose busy periods one is predicted from, those that began last. The cost
+	// of a decision grows with its square for each pool.
+	maxPredecessors = 8
 	// minTolerance and maxTolerance bound how much earlier or later than predicted a busy period may begin, which is a part
 	// of 1/toleranceShare of the lag. A forecast that isn't confirmed by then, and confirmDelay later, ends.
 	minTolerance, maxTolerance = 400 * time.Millisecond, time.Second
@@ -123,7 +127,7 @@
 		case p.busy && size(rate) >= endRatio*size(p.highest) && size(rate) > 0:
 			p.busyAt, p.highest = now, p.highest.Max(rate)
 		case p.busy && now-p.busyAt >= endDelay:
-			p.endPeriod()
+			p.endPeriod(name)
 		case !p.busy && size(rate) > 0 && size(rate) >= beginRatio*size(p.usual):
 			f.beginPeriod(name, since, now)
 			if fc := p.forecast; fc != nil && (fc.Acted || since >= fc.Begin-fc.tolerance) {
@@ -151,17 +155,27 @@
 func (f *Forecaster) beginPeriod(name string, start, now time.Duration) {
 	p := f.pools[name]
 	lags := map[string]time.Duration{}
+	var others []string
 	for other, o := range f.pools {
 		// Of several busy periods of this pool, only the first follows that of another pool.
 		if o.begun && o.counts && start-o.start <= maxLag && o.start < start && (other == name || !p.begun || p.start < o.start) {
 			lags[other] = start - o.start
+			if other != name {
+				others = append(others, other)
+			}
+		}
+	}
+	if len(others) > maxPredecessors {
+		slices.SortFunc(others, func(a, b string) int { return cmp.Or(cmp.Compare(lags[a], lags[b]), cmp.Compare(a, b)) })
+		for _, other := range others[maxPredecessors:] {
+			delete(lags, other)
 		}
 	}
 	p.begun, p.busy, p.counts, p.start, p.busyAt, p.lags = true, true, true, start, now, lags
 	p.highest, p.readySum, p.readyNum = ledger.Resources{}, ledger.Resources{}, 0
 }
 
-func (p *pool) endPeriod() {
+func (p *pool) endPeriod(name string) {
 	p.busy = false
 	duration := p.busyAt - p.start - endLag
 	if p.counts = duration >= minPeriod; !p.counts {
@@ -192,6 +206,11 @@
 			p.after[other] = &lag{length: length, seen: 1}
 		}
 	}
+	for _, other := range slices.Sorted(maps.Keys(p.after)) {
+		if _, ok := p.lags[other]; !ok && other != name && len(p.after) > maxPredecessors+1 {
+			delete(p.after, other)
+		}
+	}
 }
 
 // updateForecast makes, replaces or ends the forecast of a pool. It returns one that has proven wrong.
--- a/internal/workload/forecast/rhythm_test.go
+++ b/internal/workload/forecast/rhythm_test.go
@@ -1,6 +1,7 @@
 package forecast
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -112,6 +113,23 @@
 	assert.Assert(t, wrong >= 1 && wrong <= 6, "%d of 24", wrong)
 }
 
+// Guards against a cost of each decision that grows with the third power of the number of pools, and against a rhythm of many
+// pools that isn't seen.
+func TestLagsAreLimited(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	names := make([]string, 25)
+	for i := range names {
+		names[i] = fmt.Sprint("pool-", i)
+	}
+	at := 26*4*time.Second + 2300*time.Millisecond
+	playUntil(f, 0, at, inTurn(27, names...))
+	for name, p := range f.pools {
+		assert.Assert(t, len(p.after) <= 9, "%s: %d", name, len(p.after))
+	}
+	_, reason := f.Expected("pool-2", at)
+	assert.Equal(t, reason, Rhythm)
+}
+
 // Guards against jobs with little slack that wait for a move, and instances that wait for jobs with much slack.
 func TestLeadDependsOnSlack(t *testing.T) {
 	for _, tt := range []struct{ slack, lead time.Duration }{
