--- a/internal/workload/forecast/forecast.go
+++ b/internal/workload/forecast/forecast.go
@@ -12,6 +12,10 @@
 // movePrice is the price of a move, as the time for which an instance in a pool costs the same: 0.037 at 0.033 per second.
 const movePrice = 1100 * time.Millisecond
 
+// maxHeightTime is how long a busy period is expected to need its usual height whatever its rate. The height may come from a
+// burst in one that lasted for minutes.
+const maxHeightTime = 15 * time.Second
+
 // Reason tells what a forecast is based on; it is empty if nothing is expected.
 type Reason string
 
@@ -84,7 +88,7 @@
 		reason = Arrivals
 	}
 	switch {
-	case p.busy && now+f.cfg.MoveDuration < p.start+p.duration && size(p.height) > size(r):
+	case p.busy && now+f.cfg.MoveDuration < p.start+min(p.duration, maxHeightTime) && size(p.height) > size(r):
 		return p.height.Max(r), BusyPeriod
 	case p.forecast != nil && p.forecast.Acted && size(p.height) > size(r):
 		return p.height.Max(r), Rhythm
--- a/internal/workload/forecast/rhythm_test.go
+++ b/internal/workload/forecast/rhythm_test.go
@@ -130,6 +130,24 @@
 	assert.Equal(t, reason, Rhythm)
 }
 
+// Guards against a burst in a long busy period for whose height the pool keeps instances all through later ones.
+func TestLongPeriodsKeepNoHeight(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	steady := func(from, to, gap time.Duration) (list []busy) {
+		for ; from < to; from += gap {
+			list = append(list, busy{"a", from, from + 1})
+		}
+		return list
+	}
+	const s = time.Second
+	playUntil(f, 0, 2*s, []busy{{"a", 0, 2 * s}})
+	playUntil(f, 2*s, 120*s, steady(2*s, 120*s, 40*time.Millisecond))
+	playUntil(f, 120*s, 170*s, steady(130*s, 170*s, 40*time.Millisecond))
+	r, reason := f.Expected("a", 170*s)
+	assert.Equal(t, reason, Arrivals)
+	assert.Assert(t, r.CPU < 25_000, "%d", r.CPU)
+}
+
 // Guards against jobs with little slack that wait for a move, and instances that wait for jobs with much slack.
 func TestLeadDependsOnSlack(t *testing.T) {
 	for _, tt := range []struct{ slack, lead time.Duration }{
