--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -48,8 +49,10 @@
 	net.Conn
 	gate *Gate
 
-	// server is set before the first read, and nil for a server that the gate does not protect.
-	server *http.Server
+	// server and stopping are set before the first read, and nil for a server that the gate does not protect. stopping is
+	// whether the server shuts down.
+	server   *http.Server
+	stopping *atomic.Bool
 
 	mu    sync.Mutex // not held while the gate is charged; Gate.mu is taken before it
 	phase phase
@@ -328,7 +331,7 @@
 	if c.rejected {
 		return os.ErrDeadlineExceeded
 	}
-	if c.phase == phaseNew && !t.IsZero() && c.server != nil && c.server.IdleTimeout > 0 {
+	if c.phase == phaseNew && !t.IsZero() && c.server != nil && c.server.IdleTimeout > 0 && !c.stopping.Load() {
 		if late := c.since.Add(min(c.server.IdleTimeout, newConnectionTimeout)); late.After(t) {
 			t = late
 		}
--- a/internal/inbound/gate_test.go
+++ b/internal/inbound/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -192,6 +193,27 @@
 	})
 }
 
+// Guards against a connection that the server begins to read after its shutdown has begun, which would wait for it.
+func TestNewConnectionDuringShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{})
+		srv := &http.Server{ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+		g.Protect(srv, DefaultBodyTimeout)
+		client, server := net.Pipe()
+		defer func() { assert.NilError(t, client.Close()) }()
+		c := g.admit(server)
+		srv.ConnContext(t.Context(), c)
+		assert.NilError(t, srv.Shutdown(t.Context()))
+		synctest.Wait()
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(srv.ReadHeaderTimeout)))
+		began := time.Now()
+		_, err := c.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.Equal(t, time.Since(began), srv.ReadHeaderTimeout)
+		assert.NilError(t, c.Close())
+	})
+}
+
 // Guards against a body that is read whole although only its beginning is wanted, or counted without a gate.
 func TestBufferStopsAtTheLimit(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 // body must arrive within bodyTimeout, unless the handler sets another deadline; 0 means no limit.
 func (g *Gate) Protect(srv *http.Server, bodyTimeout time.Duration) {
 	srv.MaxHeaderBytes = MaxHeaderBytes
+	stopping := &atomic.Bool{}
 	handler, connState, connContext := srv.Handler, srv.ConnState, srv.ConnContext
 	srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		if connContext != nil {
@@ -24,7 +26,7 @@
 		}
 		if c, ok := nc.(*conn); ok {
 			c.mu.Lock()
-			c.server = srv
+			c.server, c.stopping = srv, stopping
 			c.mu.Unlock()
 			ctx = context.WithValue(ctx, connKey{}, c)
 		}
@@ -39,6 +41,7 @@
 		}
 	}
 	srv.RegisterOnShutdown(func() {
+		stopping.Store(true) // also for connections that the server has accepted and not begun to read
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for c := range g.conns {
