--- a/internal/workload/forecast/rhythm_test.go
+++ b/internal/workload/forecast/rhythm_test.go
@@ -1,7 +1,9 @@
 package forecast
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +100,54 @@
 	assert.Assert(t, wrong <= 8, "%d of 40", wrong)
 }
 
+// Guards against a pool that gets instances in each cycle of the others although it isn't busy any more.
+func TestForecastsOfSilentPoolStop(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	load := slices.DeleteFunc(inTurn(120, "a", "b", "c", "d"), func(b busy) bool { return b.pool == "c" && b.begin > 100*time.Second })
+	wrong := 0
+	for _, fc := range playUntil(f, 0, 480*time.Second, load) {
+		if fc.Acted && !fc.Right {
+			wrong++
+		}
+	}
+	assert.Assert(t, wrong >= 1 && wrong <= 6, "%d of 24", wrong)
+}
+
+// Guards against a cost of each decision that grows with the third power of the number of pools, and against a rhythm of many
+// pools that isn't seen.
+func TestLagsAreLimited(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	names := make([]string, 25)
+	for i := range names {
+		names[i] = fmt.Sprint("pool-", i)
+	}
+	at := 26*4*time.Second + 2300*time.Millisecond
+	playUntil(f, 0, at, inTurn(27, names...))
+	for name, p := range f.pools {
+		assert.Assert(t, len(p.after) <= 9, "%s: %d", name, len(p.after))
+	}
+	_, reason := f.Expected("pool-2", at)
+	assert.Equal(t, reason, Rhythm)
+}
+
+// Guards against a burst in a long busy period for whose height the pool keeps instances all through later ones.
+func TestLongPeriodsKeepNoHeight(t *testing.T) {
+	f := New(Config{MoveDuration: 1500 * time.Millisecond})
+	steady := func(from, to, gap time.Duration) (list []busy) {
+		for ; from < to; from += gap {
+			list = append(list, busy{"a", from, from + 1})
+		}
+		return list
+	}
+	const s = time.Second
+	playUntil(f, 0, 2*s, []busy{{"a", 0, 2 * s}})
+	playUntil(f, 2*s, 120*s, steady(2*s, 120*s, 40*time.Millisecond))
+	playUntil(f, 120*s, 170*s, steady(130*s, 170*s, 40*time.Millisecond))
+	r, reason := f.Expected("a", 170*s)
+	assert.Equal(t, reason, Arrivals)
+	assert.Assert(t, r.CPU < 25_000, "%d", r.CPU)
+}
+
 // Guards against jobs with little slack that wait for a move, and instances that wait for jobs with much slack.
 func TestLeadDependsOnSlack(t *testing.T) {
 	for _, tt := range []struct{ slack, lead time.Duration }{
