--- a/internal/workload/demand.go
+++ b/internal/workload/demand.go
@@ -8,9 +8,9 @@
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/schedule"
 )
 
-// startHold is how long a leader keeps the instances of pools of which it has seen no busy period. The first one comes without
-// a forecast, and most of its jobs can't wait for a move; a pool that is never busy costs no more than this time.
-const startHold = 30 * time.Second
+// startHold is how long a new leader keeps the instances of a pool of which it has seen no job. It covers the time for which
+// instances are moved ahead of a predicted busy period, so that a change of leader doesn't turn these off.
+const startHold = 3 * time.Second
 
 // measureDemand adds up the demand of the tasks that run or could run now, and of those that will be ready when an instance
 // that moves now arrives. Tasks that wait for an instance of an evacuated zone don't count, because no other instance serves
@@ -173,7 +173,7 @@
 		switch {
 		case in.operation != nil || !e.hasSurplus(v, in) || e.now-in.idleSince < idleTimeout:
 		case ok && e.now-noSurplusAt < shrinkDelay:
-		case v.have <= v.keep || e.now-e.leadingSince < startHold && !e.forecasts.HasBeenBusy(v.name):
+		case v.have <= v.keep || e.now-e.leadingSince < startHold && !e.forecasts.HasSeen(v.name):
 		case taken > 0:
 			taken--
 		default:
--- a/internal/workload/forecast/forecast.go
+++ b/internal/workload/forecast/forecast.go
@@ -116,8 +116,8 @@
 	return ledger.Resources{}
 }
 
-// HasBeenBusy reports whether a busy period of a pool was seen.
-func (f *Forecaster) HasBeenBusy(name string) bool { return f.pool(name).begun }
+// HasSeen reports whether a job of a pool was accepted.
+func (f *Forecaster) HasSeen(name string) bool { return len(f.pool(name).arrivals) > 0 }
 
 // Upcoming returns the forecast of a pool that counts for its size, nil if there is none.
 func (f *Forecaster) Upcoming(name string) *Forecast {
