workload: a pool's remembered height doesn't count as what its jobs need

A pool early in the configuration took spare instances for the height of earlier busy periods before a later pool got those for its accepted jobs.

--- a/internal/workload/demand.go
+++ b/internal/workload/demand.go
@@ -116,9 +116,7 @@
 	expected, reason := e.forecasts.Expected(v.name, e.now)
 	expected = v.lasting.Plus(expected)
 	accepted := v.instancesFor(v.demand)
-	if reason != forecast.Rhythm {
-		v.demand = v.demand.Max(expected)
-	}
+	v.demand = v.demand.Max(v.lasting.Plus(e.forecasts.Arriving(v.name, e.now)))
 	v.needed = v.instancesFor(v.demand)
 	v.want = max(v.needed, v.instancesFor(expected))
 	v.keep = max(v.want, v.instancesFor(v.lasting.Plus(e.forecasts.KeptFor(v.name, e.now))))
