--- a/internal/workload/forecast/forecast.go
+++ b/internal/workload/forecast/forecast.go
@@ -79,7 +79,9 @@
 }
 
 // Arriving returns the resources that the work that arrives keeps in use.
-func (f *Forecaster) Arriving(name string, now time.Duration) ledger.Resources { return f.pool(name).arrivals.rate(now) }
+func (f *Forecaster) Arriving(name string, now time.Duration) ledger.Resources {
+	return f.pool(name).arrivals.rate(now)
+}
 
 // Expected returns the resources that jobs of limited duration will need in a pool when an instance that moves now arrives,
 // as far as arrivals and busy periods tell, and the reason. Needs that are expected because of a rhythm are not confirmed by
