follower, site: a response that doesn't look for the job excludes no earlier attempt

A later leader answers 404 or 401 without a look at the job's ID. After a lost answer of the former leader, a job that it had accepted was reported as rejected if the queue or the key was withdrawn meanwhile.

--- a/internal/follower/client.go
+++ b/internal/follower/client.go
@@ -35,6 +35,8 @@
 	Call func(ctx context.Context, address, kind string, req, resp proto.Message) error
 	// AttemptTimeout limits one call to one voter; 0 uses 500 ms.
 	AttemptTimeout time.Duration
+	// TellsOutcome reports whether the result of a command says what became of all attempts with it; nil means that each does.
+	TellsOutcome func(result []byte) bool
 	// SearchTimeout is how long a call that no voter may have handled searches for a leader; 0 means until its deadline.
 	SearchTimeout time.Duration
 }
@@ -243,10 +245,11 @@
 }
 
 // areExcludedBy reports whether a response shows that none of the attempts has been handled or ever will be, unless it tells
-// the effect of one: a leader of a later term has committed an entry of its term, after which no log has room for theirs.
-func (u *UnknownAttempts) areExcludedBy(resp proto.Message) bool {
+// the effect of one: a leader of a later term has committed an entry of its term, after which no log has room for theirs. A
+// result that depends on something else, such as a queue that is gone since, tells nothing of an attempt in the log.
+func (c *Client) areExcludedBy(u *UnknownAttempts, resp proto.Message) bool {
 	r, ok := resp.(*controlpb.ProposeResponse)
-	return ok && r.Confirmed && !u.unbounded && r.Term > u.maxTerm
+	return ok && r.Confirmed && !u.unbounded && r.Term > u.maxTerm && (c.cfg.TellsOutcome == nil || c.cfg.TellsOutcome(r.Body))
 }
 
 // leaderResponse is a response of the leader, or a redirect to it.
@@ -286,7 +289,7 @@
 			}
 			if err == nil && resp.GetRedirect() == nil {
 				if err = c.acceptLeader(address, resp.GetGroup()); err == nil {
-					return unknown.any && !unknown.areExcludedBy(resp), nil
+					return unknown.any && !c.areExcludedBy(&unknown, resp), nil
 				}
 			}
 			if err != nil {
--- a/internal/follower/unknown_test.go
+++ b/internal/follower/unknown_test.go
@@ -40,6 +40,9 @@
 		bounds   []uint64 // MaxTerm of the attempts
 	}{
 		{"later-leader", led(5, true), []answer{{"a", nil, errNoAnswer}, {"b", led(7, true), nil}}, false, []uint64{5, 0}},
+		{"later-leader-that-answers-before-it-looks-for-the-command", led(5, true), []answer{
+			{"a", nil, errNoAnswer}, {"b", &controlpb.ProposeResponse{Term: 7, Confirmed: true, Body: []byte("no queue")}, nil},
+		}, true, nil},
 		{"later-leader-that-was-not-confirmed", led(5, true), []answer{{"a", nil, errNoAnswer}, {"b", led(7, false), nil}}, true, nil},
 		{"same-leader", led(5, true), []answer{{"a", nil, errNoAnswer}, {"b", led(5, true), nil}}, true, nil},
 		{"term-not-known", nil, []answer{{"a", nil, errNoAnswer}, {"b", led(7, true), nil}}, true, []uint64{0, 0}},
@@ -58,7 +61,7 @@
 			var answers []answer
 			var bounds []uint64
 			c := NewClient(ClientConfig{
-				Voters: []string{"a", "b"},
+				Voters: []string{"a", "b"}, TellsOutcome: func(result []byte) bool { return string(result) != "no queue" },
 				Call: func(_ context.Context, address, _ string, req, resp proto.Message) error {
 					next := answers[0]
 					answers = answers[1:]
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -33,6 +33,7 @@
 func newCaller(t *peer.Transport, voters []string, searchTimeout time.Duration) Caller {
 	client := follower.NewClient(follower.ClientConfig{
 		Voters: voters, Call: t.Call, AttemptTimeout: attemptTimeout, SearchTimeout: searchTimeout,
+		TellsOutcome: tellsOutcome,
 	})
 	return Caller{
 		client:     client,
@@ -71,6 +72,13 @@
 	return r, repeated, nil
 }
 
+// tellsOutcome reports whether a response depends on whether the job of the command is known. Others are given before that is
+// looked up: the queue or the key may be gone since an earlier attempt was accepted.
+func tellsOutcome(result []byte) bool {
+	m, err := decodeResponse(kernel.Result{Body: result})
+	return err == nil && (m.Verdict == workloadpb.Verdict_VERDICT_DONE || m.Verdict == workloadpb.Verdict_VERDICT_BUSY)
+}
+
 func decodeResponse(r kernel.Result) (*workloadpb.Response, error) {
 	m := &workloadpb.Response{}
 	if err := proto.Unmarshal(r.Body, m); err != nil {
