workload, docs: say that the height of a begun busy period is expected, not needed

Since the instances for it come after what jobs need and count as moved ahead; a comment, the metric and the page still told of predicted periods only.

--- a/internal/workload/pools.go
+++ b/internal/workload/pools.go
@@ -42,7 +42,8 @@
 	instanceCapacity         ledger.Resources
 	// shortfall is what the workers of the pool have less than their instances.
 	shortfall ledger.Resources
-	// needed is how many instances its accepted and arriving jobs need, and want that with what a rhythm lets expect.
+	// needed is how many instances its accepted and arriving jobs need, and want that with what busy periods, begun or
+	// predicted, let expect.
 	needed, want int
 	// keep is how many instances it keeps rather than turning them off.
 	keep int
