inbound/processtest: count the unread bytes of a process, and play crowds that are faster than it reads

The users' machines count bytes that have arrived but were not read toward the memory of a process. The tests read only its resident memory, and their crowds stop sending before the kernel has to keep much.

The check now covers the sum of both, sampled every 20 ms, beside the peak of the resident memory as before. A new crowd plays at each address of each kind of process: 800 clients send bodies whole and in pieces, and chunks of 32 KiB and of one byte, most stop short of the end and stay open; who is refused connects again for 8 s. The process runs 10 of 50 ms. The limits are those of the other crowds.

--- a/internal/inbound/processtest/crowd_test.go
+++ b/internal/inbound/processtest/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,8 @@
 	crowdSize = 400
 	// sendTimeout bounds the time that a client sends; then its connection stays open.
 	sendTimeout = 8 * time.Second
+	// reconnectDelay is the time after which a persistent client replaces a connection that was closed.
+	reconnectDelay = 100 * time.Millisecond
 	// holdTime is how long the connections stay open before the process is checked, so that it reads what was sent.
 	holdTime = time.Second
 	// bodyBytes is a legal body size, close to the limit of 262,144 bytes.
@@ -50,18 +53,33 @@
 type crowd struct {
 	name string
 	send func(c net.Conn, tg target, n int) error
+	// size is the number of clients; 0 means crowdSize.
+	size int
+	// persistent is whether a client whose connection is closed opens another one.
+	persistent bool
+	// slow is whether the process has less of the processor than its senders.
+	slow bool
 }
 
 var crowds = []crowd{
-	{"headers", sendHeader},
-	{"empty-lines", sendEmptyLines},
-	{"bodies", sendBody},
-	{"chunks", sendChunks},
-	{"together", func(c net.Conn, tg target, n int) error {
+	{name: "headers", send: sendHeader},
+	{name: "empty-lines", send: sendEmptyLines},
+	{name: "bodies", send: sendBody},
+	{name: "chunks", send: sendChunks},
+	{name: "together", send: func(c net.Conn, tg target, n int) error {
 		return []func(net.Conn, target, int) error{sendHeader, sendEmptyLines, sendBody, sendChunks}[n%4](c, tg, n/4)
 	}},
 }
 
+// persistentCrowd sends bodies whole and in pieces and chunks of both sizes, faster than the process reads them, on more
+// connections than it accepts.
+var persistentCrowd = crowd{
+	name: "persistent", size: 800, persistent: true, slow: true,
+	send: func(c net.Conn, tg target, n int) error {
+		return []func(net.Conn, target, int) error{sendBody, sendChunks}[n%2](c, tg, n/2)
+	},
+}
+
 var (
 	filler     = bytes.Repeat([]byte("x"), 64<<10)
 	emptyLines = bytes.Repeat([]byte("\r\n"), 8<<10)
@@ -164,17 +182,34 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var conns []net.Conn
-	for n := range crowdSize {
+	size := cr.size
+	if size == 0 {
+		size = crowdSize
+	}
+	end := time.Now().Add(sendTimeout)
+	attempt := func(n int) {
+		c, err := net.DialTimeout("tcp", tg.address, time.Until(end))
+		if err != nil {
+			return // the process may refuse connections
+		}
+		// The process may close the connection or stop reading.
+		if c.SetDeadline(end) == nil && cr.send(c, tg, n) == nil && cr.persistent {
+			_, _ = io.Copy(io.Discard, c)
+		}
+		if cr.persistent && time.Until(end) > reconnectDelay {
+			_ = c.Close() // the process has closed it
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		conns = append(conns, c)
+	}
+	for n := range size {
 		group.Go(func() {
-			c, err := net.DialTimeout("tcp", tg.address, sendTimeout)
-			if err != nil {
-				return // the process may refuse connections
-			}
-			mu.Lock()
-			conns = append(conns, c)
-			mu.Unlock()
-			if c.SetWriteDeadline(time.Now().Add(sendTimeout)) == nil {
-				_ = cr.send(c, tg, n) // the process may close the connection or stop reading
+			attempt(n)
+			for cr.persistent && time.Until(end) > reconnectDelay {
+				time.Sleep(reconnectDelay)
+				attempt(n)
 			}
 		})
 	}
@@ -191,6 +226,9 @@
 	t.Helper()
 	tg.ordinary.await(t, tg.status, startTimeout)
 	p.check("before the crowd")
+	if cr.slow {
+		p.slowDown()
+	}
 	cr.play(t, tg)
 	time.Sleep(holdTime)
 	p.check("after the crowd")
@@ -198,29 +236,66 @@
 	p.check("after the ordinary request")
 }
 
+// entryTarget is the address for clients of an entry process, or another one of its addresses.
+func entryTarget(p *process, port int) target {
+	tg := target{address: p.address(port), request: "POST / HTTP/1.1\r\nHost: h\r\n", status: http.StatusOK}
+	tg.ordinary = call{method: http.MethodGet, url: p.url(port, "/")}
+	if port == servePort {
+		tg.request = "POST /a/0123456789abcdef HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n"
+		tg.ordinary = call{method: http.MethodGet, url: p.url(port, "/a/"), host: "h", key: "k1"}
+	}
+	return tg
+}
+
+// controlTarget is the address for workers and operators of a control process.
+func controlTarget(p *process, path string) target {
+	return target{
+		address: p.address(servePort), status: http.StatusOK,
+		request:  "POST " + path + " HTTP/1.1\r\nHost: h\r\n",
+		ordinary: call{method: http.MethodGet, url: p.url(servePort, "/Config.Read")},
+	}
+}
+
+// nodeTarget is one of the addresses of a process of the subcommand node.
+func nodeTarget(p *process, key string, port int, request string) target {
+	ordinary, status := call{method: http.MethodGet, url: p.url(callerPort, "/jobs/none"), key: key}, http.StatusNotFound
+	switch port {
+	case endpointPort:
+		ordinary = call{method: http.MethodPost, url: p.url(endpointPort, "/announce"), body: `{"instance":"worker-1",
+			"address":"127.0.0.1:9","incarnation":1,"sequence":1,"state":"ready","running":0}`}
+		status = http.StatusOK
+	case operatorPort:
+		ordinary, status = call{method: http.MethodGet, url: p.url(operatorPort, "/metrics")}, http.StatusOK
+	}
+	header := []string{
+		"Host: h", "Authorization: Bearer " + key, operator.HeaderOperationID + ": crowd", operator.HeaderBaseVersion + ": 1",
+	}
+	return target{
+		address: p.address(port), request: request + strings.Join(header, "\r\n") + "\r\n", ordinary: ordinary,
+		status: status,
+	}
+}
+
 // Guards against an entry process that runs out of memory or descriptors because of what clients send.
 func TestEntryProcessBearsCrowds(t *testing.T) {
 	control := startControl(t, limits{memoryMiB: 400, descriptors: 4096})
-	for _, cr := range append([]crowd{{"steps", sendSteps}}, crowds...) {
+	for _, cr := range append([]crowd{{name: "steps", send: sendSteps}, persistentCrowd}, crowds...) {
 		t.Run(cr.name, func(t *testing.T) {
 			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
-			cr.bearWith(t, p, target{
-				address: p.address(servePort), status: http.StatusOK,
-				request:  "POST /a/0123456789abcdef HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n",
-				ordinary: call{method: http.MethodGet, url: p.url(servePort, "/a/"), host: "h", key: "k1"},
-			})
+			cr.bearWith(t, p, entryTarget(p, servePort))
 		})
 	}
 	for _, tt := range []struct {
 		name string
 		port int
-	}{{"readiness", readyPort}, {"metrics", firstPort + 3}} {
+	}{{"readiness", readyPort}, {"metrics", entryMetricsPort}} {
 		t.Run(tt.name, func(t *testing.T) {
 			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
-			crowds[len(crowds)-1].bearWith(t, p, target{
-				address: p.address(tt.port), request: "POST / HTTP/1.1\r\nHost: h\r\n", status: http.StatusOK,
-				ordinary: call{method: http.MethodGet, url: p.url(tt.port, "/")},
-			})
+			crowds[len(crowds)-1].bearWith(t, p, entryTarget(p, tt.port))
+		})
+		t.Run(tt.name+"/persistent", func(t *testing.T) {
+			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
+			persistentCrowd.bearWith(t, p, entryTarget(p, tt.port))
 		})
 	}
 }
@@ -231,14 +306,10 @@
 	for _, tt := range []struct{ name, path string }{
 		{"configuration", "/Config.Replace"}, {"heartbeat", "/Instances.Heartbeat/i-1"},
 	} {
-		for _, cr := range crowds {
+		for _, cr := range append([]crowd{persistentCrowd}, crowds...) {
 			t.Run(tt.name+"/"+cr.name, func(t *testing.T) {
 				p := startControl(t, limitsOfControl)
-				cr.bearWith(t, p, target{
-					address: p.address(servePort), status: http.StatusOK,
-					request:  "POST " + tt.path + " HTTP/1.1\r\nHost: h\r\n",
-					ordinary: call{method: http.MethodGet, url: p.url(servePort, "/Config.Read")},
-				})
+				cr.bearWith(t, p, controlTarget(p, tt.path))
 			})
 		}
 	}
@@ -247,37 +318,22 @@
 // Guards against a process of the subcommand node that runs out of memory or descriptors because of what callers,
 // endpoints and operators send.
 func TestNodeBearsCrowds(t *testing.T) {
+	last := crowds[len(crowds)-1]
 	for _, tt := range []struct {
 		name    string
 		port    int
 		request string
 		crowds  []crowd
 	}{
-		{"callers", callerPort, "PUT /queues/" + nodeQueue + "/x HTTP/1.1\r\n", crowds},
-		{"jobs", callerPort, "POST /jobs HTTP/1.1\r\n", crowds[2:]},
-		{"endpoints", endpointPort, "POST /announce HTTP/1.1\r\n", crowds[len(crowds)-1:]},
-		{"operators", operatorPort, "PUT /configuration HTTP/1.1\r\n", crowds[len(crowds)-1:]},
+		{"callers", callerPort, "PUT /queues/" + nodeQueue + "/x HTTP/1.1\r\n", append([]crowd{persistentCrowd}, crowds...)},
+		{"jobs", callerPort, "POST /jobs HTTP/1.1\r\n", append([]crowd{persistentCrowd}, crowds[2:]...)},
+		{"endpoints", endpointPort, "POST /announce HTTP/1.1\r\n", []crowd{last, persistentCrowd}},
+		{"operators", operatorPort, "PUT /configuration HTTP/1.1\r\n", []crowd{last, persistentCrowd}},
 	} {
 		for _, cr := range tt.crowds {
 			t.Run(tt.name+"/"+cr.name, func(t *testing.T) {
 				p, key := startNode(t, limitsOfNode)
-				ordinary, status := call{method: http.MethodGet, url: p.url(callerPort, "/jobs/none"), key: key}, http.StatusNotFound
-				switch tt.port {
-				case endpointPort:
-					ordinary = call{method: http.MethodPost, url: p.url(endpointPort, "/announce"), body: `{"instance":"worker-1",
-						"address":"127.0.0.1:9","incarnation":1,"sequence":1,"state":"ready","running":0}`}
-					status = http.StatusOK
-				case operatorPort:
-					ordinary, status = call{method: http.MethodGet, url: p.url(operatorPort, "/metrics")}, http.StatusOK
-				}
-				header := []string{
-					"Host: h", "Authorization: Bearer " + key, operator.HeaderOperationID + ": crowd",
-					operator.HeaderBaseVersion + ": 1",
-				}
-				cr.bearWith(t, p, target{
-					address: p.address(tt.port), request: tt.request + strings.Join(header, "\r\n") + "\r\n",
-					ordinary: ordinary, status: status,
-				})
+				cr.bearWith(t, p, nodeTarget(p, key, tt.port, tt.request))
 			})
 		}
 	}
--- a/internal/inbound/processtest/process_test.go
+++ b/internal/inbound/processtest/process_test.go
@@ -5,13 +5,16 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,10 +53,17 @@
 const (
 	readyPort, servePort = 7000, 7001
 	firstPort            = 7100
+	entryMetricsPort     = firstPort + 3
 	// startTimeout bounds the wait until a started process answers.
 	startTimeout = 30 * time.Second
 	// answerTimeout bounds the wait for the answer to the ordinary request, which is repeated as its client would.
 	answerTimeout = 30 * time.Second
+	// watchInterval is the time between samples of the use of memory and descriptors.
+	watchInterval = 20 * time.Millisecond
+	// stoppedTime and runningTime are those of a process that is slowed down.
+	stoppedTime, runningTime = 40 * time.Millisecond, 10 * time.Millisecond
+	// tcpListen is the state of a listener in the kernel's table of sockets.
+	tcpListen = "0A"
 )
 
 // process is a running process of the system.
@@ -65,6 +75,8 @@
 	log             string
 	exited          chan struct{}
 	peakDescriptors atomic.Int64
+	peakMemory      atomic.Int64 // of the resident memory and the unread bytes together
+	peakUnread      atomic.Int64
 }
 
 // addresses hands out loopback addresses; those of test binaries that run at the same time differ by the process ID.
@@ -88,7 +100,7 @@
 		_ = p.cmd.Wait() // the test reports a process that has ended
 		_ = out.Close()  // only the test reads the file
 	}()
-	go p.watchDescriptors()
+	go p.watch()
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill() // fails if the process has ended, which the test reports
 		<-p.exited
@@ -96,37 +108,85 @@
 	return p
 }
 
-// watchDescriptors records the peak number of open descriptors until the process ends.
-func (p *process) watchDescriptors() {
+// watch records the peaks of descriptors and memory until the process ends.
+func (p *process) watch() {
 	for {
 		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
-		if n := int64(len(entries)); err == nil && n > p.peakDescriptors.Load() {
-			p.peakDescriptors.Store(n)
+		if err == nil {
+			raise(&p.peakDescriptors, int64(len(entries)))
 		}
+		unread := p.unreadBytes()
+		raise(&p.peakUnread, unread)
+		raise(&p.peakMemory, p.statusBytes("VmRSS:")+unread)
 		select {
 		case <-p.exited:
 			return
-		case <-time.After(20 * time.Millisecond):
+		case <-time.After(watchInterval):
 		}
 	}
 }
 
-// peakMemoryKiB returns the peak resident memory of the process.
-func (p *process) peakMemoryKiB() int {
+func raise(peak *atomic.Int64, n int64) {
+	if n > peak.Load() {
+		peak.Store(n)
+	}
+}
+
+// statusBytes returns a field of the status of the process that is given in KiB, or 0 once the process has ended.
+func (p *process) statusBytes(field string) int64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
-		return 0 // the process has ended
+		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			n, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")))
-			assert.NilError(p.t, err)
-			return n
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == field {
+			n, err := strconv.ParseInt(fields[1], 10, 64)
+			assert.Check(p.t, err)
+			return n << 10
 		}
 	}
 	return 0
 }
 
+// unreadBytes returns what has arrived for the address of the process and was not read, including what the kernel keeps
+// for connections that were not accepted yet.
+func (p *process) unreadBytes() int64 {
+	data, err := os.ReadFile("/proc/net/tcp")
+	assert.Check(p.t, err)
+	ip := net.ParseIP(p.ip).To4()
+	slices.Reverse(ip)
+	prefix := fmt.Sprintf("%X:", []byte(ip))
+	sum := int64(0)
+	for line := range strings.Lines(string(data)) {
+		// The fields are the number of the line, both addresses, the state and the sizes of the queues.
+		if fields := strings.Fields(line); len(fields) > 4 && strings.HasPrefix(fields[1], prefix) && fields[3] != tcpListen {
+			_, queue, _ := strings.Cut(fields[4], ":")
+			n, err := strconv.ParseInt(queue, 16, 64)
+			assert.Check(p.t, err)
+			sum += n
+		}
+	}
+	return sum
+}
+
+// slowDown stops the process in turns until it ends, so that it gets the share of the processor of the smallest
+// instances, and its senders are faster.
+func (p *process) slowDown() {
+	go func() {
+		for {
+			// Signals fail once the process has ended.
+			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(stoppedTime)
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			select {
+			case <-p.exited:
+				return
+			case <-time.After(runningTime):
+			}
+		}
+	}()
+}
+
 // check checks that the process is alive and within its limits.
 func (p *process) check(when string) {
 	p.t.Helper()
@@ -136,11 +196,13 @@
 		p.t.Fatalf("%s: the process has ended: %v\n%s (%v)", when, p.cmd.ProcessState, log[max(0, len(log)-2000):], err)
 	default:
 	}
-	memory, descriptors := p.peakMemoryKiB(), p.peakDescriptors.Load()
-	p.t.Logf("%s: peak resident memory %d KiB of %d MiB, peak descriptors %d of %d", when, memory, p.limits.memoryMiB,
-		descriptors, p.limits.descriptors)
-	assert.Check(p.t, memory <= p.limits.memoryMiB<<10, "%s: peak resident memory is %d KiB, the limit is %d KiB", when,
-		memory, p.limits.memoryMiB<<10)
+	resident, descriptors := p.statusBytes("VmHWM:")>>10, p.peakDescriptors.Load()
+	memory, limit := p.peakMemory.Load()>>10, int64(p.limits.memoryMiB)<<10
+	p.t.Logf("%s: peak memory %d KiB of %d KiB, resident alone %d KiB, unread alone %d KiB, peak descriptors %d of %d", when,
+		memory, limit, resident, p.peakUnread.Load()>>10, descriptors, p.limits.descriptors)
+	assert.Check(p.t, resident <= limit, "%s: peak resident memory is %d KiB, the limit is %d KiB", when, resident, limit)
+	assert.Check(p.t, memory <= limit, "%s: resident memory and unread bytes peak at %d KiB, the limit is %d KiB", when,
+		memory, limit)
 	assert.Check(p.t, descriptors <= int64(p.limits.descriptors), "%s: %d descriptors were open, the limit is %d", when,
 		descriptors, p.limits.descriptors)
 }
