inbound: limit what the kernel keeps for connections that wait to be accepted

Cause: a client may send before its connection is accepted, and the queue of connections to accept had the length of the operating system (4,096), each with a receive buffer that Linux fills to twice the size that was set. A process also set the size after it had opened the listener, and a control process reads its log in between.

Gate.Listen sets the size before the listener opens, and limits each queue to 1/32 of the memory; 64 connections may wait at the addresses for readiness, metrics and operators of node. The kernel drops what opens a further connection, and the client repeats it after a second.

Ruled out: a shorter queue by somaxconn, which is the machine's; reading faster, as the process is slower than its senders.

--- a/internal/caller/stop.go
+++ b/internal/caller/stop.go
@@ -17,7 +17,6 @@
 
 // Serve accepts connections from callers until Stop. It closes connections above MaxConnections at once.
 func (s *Server) Serve(l net.Listener) error {
-	s.cfg.Inbound.SetReceiveBuffer(l)
 	l = &boundedListener{
 		Listener: l, sem: make(chan struct{}, s.cfg.MaxConnections), refusedConns: s.metrics.refusedConns,
 	}
--- a/internal/inbound/gate.go
+++ b/internal/inbound/gate.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -65,29 +64,9 @@
 	return g
 }
 
-// SetReceiveBuffer limits the kernel's receive buffers of the connections that a TCP listener accepts.
-func (g *Gate) SetReceiveBuffer(ln net.Listener) {
-	tcp, ok := ln.(*net.TCPListener)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err == nil {
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, g.cfg.ReceiveBuffer)
-		})
-		if err == nil {
-			err = controlErr
-		}
-	}
-	if err != nil {
-		g.cfg.Log.Error(err, "failed to set the receive buffer of a listener", "address", ln.Addr().String())
-	}
-}
-
-// Listener returns a listener whose connections count against the limits. It must be the outermost one.
+// Listener returns a listener whose connections count against the limits. It must be the outermost one; the innermost one
+// should come from Listen.
 func (g *Gate) Listener(ln net.Listener) net.Listener {
-	g.SetReceiveBuffer(ln)
 	return &listener{Listener: ln, gate: g}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,18 +132,22 @@
 
 func (n *Node) listen() error {
 	p := n.cfg.Process
+	var err error
+	if n.listeners.peer, err = net.Listen("tcp", p.Peer.String()); err != nil {
+		return errorx.Decorate(err, "listen on %s", p.Peer)
+	}
 	for _, l := range []struct {
 		address string
+		waiting int
 		to      *net.Listener
 	}{
-		{p.Caller.String(), &n.listeners.caller},
-		{p.Endpoint.String(), &n.listeners.endpoint},
-		{p.Operator.String(), &n.listeners.operator},
-		{p.Peer.String(), &n.listeners.peer},
+		{p.Caller.String(), 0, &n.listeners.caller},
+		{p.Endpoint.String(), 0, &n.listeners.endpoint},
+		{p.Operator.String(), inbound.ProbeConnections, &n.listeners.operator},
 	} {
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := n.inbound.Listen(l.address, l.waiting)
 		if err != nil {
-			return errorx.Decorate(err, "listen on %s", l.address)
+			return err
 		}
 		*l.to = ln
 	}
