inbound: count receive buffers from the start, as large as Linux lets them become

A process that was suspended for 2 s used more than the memory of its machine: 125 of 96 MiB at a control process, 110 of 64 at node; 59 of 64 at an entry process.

Cause: a receive buffer counted from the first byte that was read of a request, and with the size that was set, while clients fill up to twice that size as soon as the connection is accepted. Memory for 716 connections admits them with 20 KiB each, and each takes 128 KiB.

A connection now begins with a buffer of 6 KiB that counts twice from the start. A body that doesn't fit gets the larger one, if there is room for it in 1/32 of the memory, and otherwise arrives more slowly. No request is refused for its buffer.

The rows of TestEveryExitReturnsWhatItTook that find no room have limits that lie as far above what a connection takes as before.

Ruled out: counting the large buffer from the start, which leaves memory for 550 idle connections of 184 MiB; shrinking buffers of connections that are idle, as their clients may use what was offered. Enlarging must not shrink the buffer of a plain listener: TestSlowAndOversizedRequests then waited 200 ms for a window probe.

--- a/internal/caller/stop.go
+++ b/internal/caller/stop.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -131,6 +132,15 @@
 	return err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *boundedConn) SyscallConn() (syscall.RawConn, error) {
+	sock, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sock.SyscallConn()
+}
+
 // CloseWrite lets the server end its side of the connection first.
 func (c *boundedConn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -12,8 +12,8 @@
 
 const (
 	// connectionBytes is what an open connection occupies without a request: the stack of its goroutine, the buffers of
-	// net/http for reading and writing, and the connection itself.
-	connectionBytes = 20 << 10
+	// net/http for reading and writing, the connection itself, and what the kernel keeps until it is read.
+	connectionBytes = 20<<10 + bufferFactor*initialBuffer
 	// lineBytes is what a line of a header occupies besides its text; net/textproto counts the same for an entry.
 	lineBytes = 200
 	// newConnectionTimeout is the time in which a new connection must begin its first request, as far as the server
@@ -59,6 +59,7 @@
 	since time.Time // start of the request, or of the wait for one
 	// own is charged for the connection and the header of its request, held for bodies of the request.
 	own, held int64
+	grown     int64 // the part of own for a larger receive buffer
 	// rejected is set if the body is not read any more, because another client needs the room.
 	rejected, closed bool
 	// answered is whether a response was sent, which the client may not have read.
@@ -82,12 +83,10 @@
 
 func (c *conn) chargeHeader(data []byte) bool {
 	c.mu.Lock()
-	cost := int64(0)
 	switch c.phase {
 	case phaseNew, phaseIdle:
 		first := c.phase == phaseNew
 		c.phase, c.since = phaseHeader, time.Now()
-		cost = int64(c.gate.cfg.ReceiveBuffer)
 		if first && c.server != nil && c.server.ReadHeaderTimeout > 0 {
 			// A failure shows at the next read.
 			_ = c.Conn.SetReadDeadline(c.since.Add(c.server.ReadHeaderTimeout))
@@ -101,8 +100,7 @@
 		return true // bodies are charged as they are kept
 	}
 	c.mu.Unlock()
-	cost += int64(len(data) + lineBytes*bytes.Count(data, []byte{'\n'}))
-	return c.chargeOwn(cost)
+	return c.chargeOwn(int64(len(data) + lineBytes*bytes.Count(data, []byte{'\n'})))
 }
 
 // chargeOwn charges bytes until the connection is idle or closed. It reports false if the connection is closed.
@@ -171,7 +169,7 @@
 		}
 	}
 	c.mu.Unlock()
-	return !pipelined || c.chargeOwn(int64(c.gate.cfg.ReceiveBuffer))
+	return true
 }
 
 // endBody is called when the body is complete, or as far as the handler buffers it. It reports false if the body was
@@ -209,8 +207,8 @@
 		return
 	}
 	c.phase, c.since, c.bodyDeadline, c.answered = phaseIdle, time.Now(), false, true
-	c.gate.release(c.own - connectionBytes)
-	c.own = connectionBytes
+	c.gate.release(c.own - connectionBytes - c.grown)
+	c.own = connectionBytes + c.grown
 }
 
 // candidate describes the connection to the search for the slowest and largest senders. A request whose body is
@@ -289,6 +287,7 @@
 		g.leavingConnections.Add(-1)
 	}
 	g.release(c.own)
+	g.buffers.Add(-c.grown)
 	g.connections.Add(-1)
 	return err
 }
--- a/internal/inbound/gate.go
+++ b/internal/inbound/gate.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// defaultReceiveBuffer is the size of the kernel's receive buffer of a connection unless the configuration has one.
+	// defaultReceiveBuffer is the size of the kernel's receive buffer for large bodies unless the configuration has one.
 	defaultReceiveBuffer = 64 << 10
 	// logInterval limits the log lines about closed connections and rejected requests.
 	logInterval = 5 * time.Second
@@ -21,8 +21,8 @@
 // Config configures a Gate.
 type Config struct {
 	Limits Limits
-	// ReceiveBuffer is the size of the kernel's receive buffer of a connection in bytes; 0 uses 64 KiB. It bounds the speed
-	// of a body to this size per round trip.
+	// ReceiveBuffer is the size in bytes of the kernel's receive buffer of a connection on which a large body is sent; 0
+	// uses 64 KiB. It bounds the speed of a body to this size per round trip.
 	ReceiveBuffer int
 	// Metrics is the set in which the metrics are registered; nil uses none.
 	Metrics *metrics.Set
@@ -35,6 +35,8 @@
 
 	bytes       atomic.Int64
 	connections atomic.Int64
+	// buffers is the part of bytes that larger receive buffers add to those of new connections.
+	buffers atomic.Int64
 	// leavingBytes and leavingConnections are the parts of bytes and connections that belong to rejected requests whose
 	// handlers have not returned yet.
 	leavingBytes       atomic.Int64
--- a/internal/inbound/gate_test.go
+++ b/internal/inbound/gate_test.go
@@ -22,14 +22,17 @@
 		memoryMiB, descriptors int
 		share                  float64
 		want                   Limits
+		waiting                int
 	}{
-		{184, 4100, 0.875, Limits{Bytes: 46 << 20, Connections: 3587}},
-		{408, 4096, 0.375, Limits{Bytes: 102 << 20, Connections: 1536}},
-		{64, 100, 0.875, Limits{Bytes: 16 << 20, Connections: 68}},
-		{0, 20, 0.5, Limits{Connections: 1}},
-		{0, 0, 0.5, Limits{}},
+		{184, 4100, 0.875, Limits{Bytes: 46 << 20, Connections: 3587}, 490},
+		{408, 4096, 0.375, Limits{Bytes: 102 << 20, Connections: 1536}, 1088},
+		{64, 100, 0.875, Limits{Bytes: 16 << 20, Connections: 68}, 170},
+		{0, 20, 0.5, Limits{Connections: 1}, 0},
+		{0, 0, 0.5, Limits{}, 0},
 	} {
-		assert.Equal(t, NewLimits(tt.memoryMiB, tt.descriptors, tt.share), tt.want)
+		l := NewLimits(tt.memoryMiB, tt.descriptors, tt.share)
+		assert.Equal(t, l, tt.want)
+		assert.Equal(t, l.waiting(), tt.waiting)
 	}
 }
 
@@ -95,9 +98,9 @@
 		{"oversized-header", post + "A: " + strings.Repeat("x", 21<<10) + "\r\n\r\n", "431", 1 << 20},
 		{"late-body", post + "Content-Length: 3\r\n\r\nab", "408", 1 << 20},
 		{"late-header", post, "", 1 << 20},
-		{"no-room-for-the-header", post + "\r\n", "503", 30 << 10},
-		{"no-room-for-the-body", post + "Content-Length: 30000\r\n\r\n" + strings.Repeat("x", 20000), "503", 104 << 10},
-		{"no-room-to-handle", post + "Content-Length: 30000\r\n\r\n" + strings.Repeat("x", 30000), "503", 170 << 10},
+		{"no-room-for-the-header", post + "\r\n", "503", 36 << 10},
+		{"no-room-for-the-body", post + "Content-Length: 30000\r\n\r\n" + strings.Repeat("x", 20000), "503", 52 << 10},
+		{"no-room-to-handle", post + "Content-Length: 30000\r\n\r\n" + strings.Repeat("x", 30000), "503", 118 << 10},
 		{"not-read", "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab", "200", 1 << 20},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/inbound/processtest/crowd_test.go
+++ b/internal/inbound/processtest/crowd_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hibiscusroute/hibiscusroute/internal/operator"
 )
 
@@ -21,6 +24,10 @@
 	sendTimeout = 8 * time.Second
 	// reconnectDelay is the time after which a persistent client replaces a connection that was closed.
 	reconnectDelay = 100 * time.Millisecond
+	// pauseTime is how long a process is stopped while late clients send.
+	pauseTime = 2 * time.Second
+	// connectInterval is the time between the connections of late clients, in which the process accepts them.
+	connectInterval = 2 * time.Millisecond
 	// holdTime is how long the connections stay open before the process is checked, so that it reads what was sent.
 	holdTime = time.Second
 	// bodyBytes is a legal body size, close to the limit of 262,144 bytes.
@@ -41,6 +48,9 @@
 	limitsOfNode    = limits{memoryMiB: 64, descriptors: 256}
 )
 
+// manyDescriptors is that of the deployments' instances, of whom late clients open as many as the memory allows.
+const manyDescriptors = 4096
+
 // target is the request that a crowd begins, and the ordinary request that is sent afterwards.
 type target struct {
 	address  string
@@ -59,6 +69,8 @@
 	persistent bool
 	// slow is whether the process has less of the processor than its senders.
 	slow bool
+	// late is whether all clients connect before one of them sends, and the process is stopped while they send.
+	late bool
 }
 
 var crowds = []crowd{
@@ -87,6 +99,9 @@
 	chunks     = bytes.Repeat([]byte("1\r\nx\r\n"), 1024)
 )
 
+// lateCrowd sends bodies and chunks on connections that the process has accepted before.
+var lateCrowd = crowd{name: "late", size: 800, late: true, send: persistentCrowd.send}
+
 // sendHeader sends a header of 2 MiB that does not end: a third of the clients in one line, a third in lines of 1 KiB;
 // the others end it after 900 KiB, which is within the default of net/http.
 func sendHeader(c net.Conn, tg target, n int) error {
@@ -221,15 +236,52 @@
 	})
 }
 
+// playLate opens the connections of a late crowd and lets them send while the process is stopped. They stay open until
+// the end of the test.
+func (cr crowd) playLate(t *testing.T, p *process, tg target) {
+	var conns []net.Conn
+	for range cr.size {
+		c, err := net.DialTimeout("tcp", tg.address, sendTimeout)
+		if err != nil {
+			break // the process may refuse connections
+		}
+		conns = append(conns, c)
+		time.Sleep(connectInterval)
+	}
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	end := time.Now().Add(pauseTime)
+	var group sync.WaitGroup
+	for n, c := range conns {
+		group.Go(func() {
+			if c.SetWriteDeadline(end) == nil {
+				_ = cr.send(c, tg, n) // the process may have closed the connection
+			}
+		})
+	}
+	group.Wait()
+	time.Sleep(time.Until(end))
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGCONT))
+	t.Cleanup(func() {
+		for _, c := range conns {
+			_ = c.Close() // the process may have closed it
+		}
+	})
+}
+
 // bearWith plays a crowd against a process and checks the process and the ordinary request.
 func (cr crowd) bearWith(t *testing.T, p *process, tg target) {
 	t.Helper()
 	tg.ordinary.await(t, tg.status, startTimeout)
 	p.check("before the crowd")
-	if cr.slow {
+	switch {
+	case cr.late:
+		cr.playLate(t, p, tg)
+	case cr.slow:
 		p.slowDown()
+		fallthrough
+	default:
+		cr.play(t, tg)
 	}
-	cr.play(t, tg)
 	time.Sleep(holdTime)
 	p.check("after the crowd")
 	tg.ordinary.await(t, tg.status, answerTimeout)
@@ -338,3 +390,31 @@
 		}
 	}
 }
+
+// Guards against connections that take more memory than they were counted with once their clients send, while the process
+// is suspended.
+func TestSuspendedProcessesBearCrowds(t *testing.T) {
+	control := startControl(t, limits{memoryMiB: 400, descriptors: 4096})
+	for _, tt := range []struct {
+		name  string
+		start func(t *testing.T) (*process, target)
+	}{
+		{"entry", func(t *testing.T) (*process, target) {
+			p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry.with(manyDescriptors))
+			return p, entryTarget(p, servePort)
+		}},
+		{"control", func(t *testing.T) (*process, target) {
+			p := startControl(t, limitsOfControl.with(manyDescriptors))
+			return p, controlTarget(p, "/Config.Replace")
+		}},
+		{"node", func(t *testing.T) (*process, target) {
+			p, key := startNode(t, limitsOfNode.with(manyDescriptors))
+			return p, nodeTarget(p, key, callerPort, "PUT /queues/"+nodeQueue+"/x HTTP/1.1\r\n")
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, tg := tt.start(t)
+			lateCrowd.bearWith(t, p, tg)
+		})
+	}
+}
--- a/internal/inbound/processtest/process_test.go
+++ b/internal/inbound/processtest/process_test.go
@@ -50,6 +50,8 @@
 // limits are those in the settings of a process.
 type limits struct{ memoryMiB, descriptors int }
 
+func (l limits) with(descriptors int) limits { return limits{l.memoryMiB, descriptors} }
+
 const (
 	readyPort, servePort = 7000, 7001
 	firstPort            = 7100
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -58,6 +58,7 @@
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
 		defer c.endRequest()
+		c.growBuffer(r.ContentLength)
 		handler.ServeHTTP(w, r)
 	})
 }
