workload: limit what accepted jobs occupy in the memory of control processes

A control process used more than the memory of its machine, and its callers got 503 for 30 s and more, when clients sent whole jobs of legal size through several entry processes: 151 of 128 MiB with eight of them.

Cause: a job of 180 KB with 9,000 steps occupies 3.9 MB in the state, and 100 bytes that ask for 10,000 tasks 1 MB; nothing but the time until jobs end bounded their number. Each scheduling pass goes through all steps, so that the control loop answered nobody in time.

The leader rejects a job with 429 that needs more than a quarter of what is free of a quarter of the memory, before the job is proposed; jobs that are proposed count until they can't be applied any more. A quarter, so that small jobs are accepted when there is no room for large ones. Further occurrences of scheduled jobs, which may begin each millisecond, wait by the same rule.

TestJobsBeyondTheMemoryAreRejected, TestOccurrencesBeyondTheMemoryWait, TestJobsOccupyNoMoreThanTheyCountFor.

--- a/internal/inbound/processtest/crowd_test.go
+++ b/internal/inbound/processtest/crowd_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +47,8 @@
 	limitsOfEntry   = limits{memoryMiB: 64, descriptors: 256}
 	limitsOfControl = limits{memoryMiB: 96, descriptors: 384}
 	limitsOfNode    = limits{memoryMiB: 64, descriptors: 256}
+	// limitsOfControlWithJobs are about half of those of the instances, as jobs are not smaller here.
+	limitsOfControlWithJobs = limits{memoryMiB: 128, descriptors: 384}
 )
 
 // manyDescriptors is that of the deployments' instances, of whom late clients open as many as the memory allows.
@@ -102,6 +105,23 @@
 // lateCrowd sends bodies and chunks on connections that the process has accepted before.
 var lateCrowd = crowd{name: "late", size: 800, late: true, send: persistentCrowd.send}
 
+// jobCrowd sends whole jobs through several entry processes to a control process that is slower than they are.
+var jobCrowd = crowd{name: "jobs", size: 100, persistent: true, send: sendJob}
+
+// jobSteps is the number of steps of a job of the crowd, close to the limit of 10,000.
+const jobSteps = 9000
+
+var (
+	largeJob = fmt.Sprintf(`{"steps":[{"count":1,"cpu":1}%s]}`, strings.Repeat(`,{"count":1,"cpu":1}`, jobSteps-1))
+	lastJob  atomic.Int64
+)
+
+// sendJob sends a job of legal size that was not sent before. Its connection ends with the response.
+func sendJob(c net.Conn, tg target, _ int) error {
+	request := strings.Replace(tg.request, jobID, fmt.Sprintf("%016x", lastJob.Add(1)), 1)
+	return sendAll(c, fmt.Appendf(nil, "%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", request, len(largeJob), largeJob))
+}
+
 // sendHeader sends a header of 2 MiB that does not end: a third of the clients in one line, a third in lines of 1 KiB;
 // the others end it after 900 KiB, which is within the default of net/http.
 func sendHeader(c net.Conn, tg target, n int) error {
@@ -277,7 +297,7 @@
 	case cr.late:
 		cr.playLate(t, p, tg)
 	case cr.slow:
-		p.slowDown()
+		p.slowDown(entryTurn)
 		fallthrough
 	default:
 		cr.play(t, tg)
@@ -288,12 +308,15 @@
 	p.check("after the ordinary request")
 }
 
+// jobID is the ID of the job in the requests to an entry process.
+const jobID = "0123456789abcdef"
+
 // entryTarget is the address for clients of an entry process, or another one of its addresses.
 func entryTarget(p *process, port int) target {
 	tg := target{address: p.address(port), request: "POST / HTTP/1.1\r\nHost: h\r\n", status: http.StatusOK}
 	tg.ordinary = call{method: http.MethodGet, url: p.url(port, "/")}
 	if port == servePort {
-		tg.request = "POST /a/0123456789abcdef HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n"
+		tg.request = "POST /a/" + jobID + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n"
 		tg.ordinary = call{method: http.MethodGet, url: p.url(port, "/a/"), host: "h", key: "k1"}
 	}
 	return tg
@@ -418,3 +441,30 @@
 		})
 	}
 }
+
+// Guards against a control process that runs out of memory because of the jobs that several entry processes pass on.
+func TestControlProcessBearsJobsOfCrowds(t *testing.T) {
+	control := startControl(t, limitsOfControlWithJobs)
+	var entries []*process
+	for range 8 {
+		p := startServe(t, "front", newAddress(), control.ip, limitsOfEntry)
+		tg := entryTarget(p, servePort)
+		tg.ordinary.await(t, tg.status, startTimeout)
+		entries = append(entries, p)
+	}
+	control.check("before the crowd")
+	control.slowDown(controlTurn)
+	var group sync.WaitGroup
+	for _, p := range entries {
+		group.Go(func() { jobCrowd.play(t, entryTarget(p, servePort)) })
+	}
+	group.Wait()
+	time.Sleep(holdTime)
+	control.check("after the crowd")
+	for _, p := range entries {
+		p.check("after the crowd")
+		tg := entryTarget(p, servePort)
+		tg.ordinary.await(t, tg.status, answerTimeout)
+	}
+	control.check("after the ordinary requests")
+}
--- a/internal/inbound/processtest/process_test.go
+++ b/internal/inbound/processtest/process_test.go
@@ -62,8 +62,9 @@
 	answerTimeout = 30 * time.Second
 	// watchInterval is the time between samples of the use of memory and descriptors.
 	watchInterval = 20 * time.Millisecond
-	// stoppedTime and runningTime are those of a process that is slowed down.
-	stoppedTime, runningTime = 40 * time.Millisecond, 10 * time.Millisecond
+	// A process that is slowed down runs for a part of each turn, which is the share of the processor of the smallest
+	// instances, and of the smallest ones for control processes.
+	slowTurn, entryTurn, controlTurn = 50 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond
 	// tcpListen is the state of a listener in the kernel's table of sockets.
 	tcpListen = "0A"
 )
@@ -171,14 +172,13 @@
 	return sum
 }
 
-// slowDown stops the process in turns until it ends, so that it gets the share of the processor of the smallest
-// instances, and its senders are faster.
-func (p *process) slowDown() {
+// slowDown stops the process for the rest of each turn until it ends, so that its senders are faster.
+func (p *process) slowDown(runningTime time.Duration) {
 	go func() {
 		for {
 			// Signals fail once the process has ended.
 			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
-			time.Sleep(stoppedTime)
+			time.Sleep(slowTurn - runningTime)
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 			select {
 			case <-p.exited:
--- a/internal/workload/admission.go
+++ b/internal/workload/admission.go
@@ -1,9 +1,11 @@
 package workload
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/backlog"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -21,6 +23,13 @@
 	// maxCommitDelay is how long a commit may take while new jobs are accepted. A submission waits for up to two commits, the
 	// one in progress and its own, and its caller for 2.4 s.
 	maxCommitDelay = 1200 * time.Millisecond
+	// freeParts is the number of parts of the free memory for jobs of which a job may take one.
+	freeParts = 4
+	// memoryWarningParts is the part of the memory for jobs for which there is no room once the leader says that it rejects
+	// jobs for it.
+	memoryWarningParts = 8
+	// memoryReason is the reason of rejections because of MaxJobBytes in the log and the metrics.
+	memoryReason = "memory"
 	// retryAfterFactor is the ratio of that time to the delay: the delay falls only once less comes in.
 	retryAfterFactor = 3
 )
@@ -36,9 +45,15 @@
 	commitDelay time.Duration
 	// appliedBefore is when the oldest command was proposed that may still be applied.
 	appliedBefore time.Duration
-	// proposed holds when submissions that are not applied yet were let through, by the ID of the job. They may still be
+	// proposed holds the submissions that were let through and are not applied yet, by the ID of the job. They may still be
 	// accepted, so another attempt must not be told otherwise.
-	proposed map[string]time.Duration
+	proposed map[string]proposedJob
+}
+
+// proposedJob is a submission that was let through.
+type proposedJob struct {
+	at    time.Duration // when it was let through last
+	bytes int64         // what the job will occupy
 }
 
 // observe records that an answer that arrived at a time is handled now.
@@ -70,11 +85,12 @@
 // admit returns the response to the submission of a new job that is rejected, nil if it is to be replicated.
 func (e *Engine) admit(m *workloadpb.Submit) *workloadpb.Response {
 	a, id := &e.admission, m.Id
-	if at, ok := a.proposed[id]; ok && a.mayBeApplied(at, e.now) {
-		a.proposed[id] = e.now // This attempt may be applied later than the first one.
+	bytes := ledger.SubmitBytes(m)
+	if p, ok := a.proposed[id]; ok && a.mayBeApplied(p.at, e.now) {
+		a.proposed[id] = proposedJob{e.now, bytes} // This attempt may be applied later than the first one.
 		return nil
 	}
-	after, reason := a.retryAfter(e.now)
+	after, reason := e.rejectForLoad(bytes)
 	if after == 0 {
 		after, reason = e.rejectBacklog(m)
 	}
@@ -85,19 +101,48 @@
 		return &workloadpb.Response{Verdict: workloadpb.Verdict_VERDICT_BUSY, RetryAfterMs: after.Milliseconds()}
 	}
 	if a.proposed == nil {
-		a.proposed = map[string]time.Duration{}
+		a.proposed = map[string]proposedJob{}
 	}
-	a.proposed[id] = e.now
+	a.proposed[id] = proposedJob{e.now, bytes}
 	return nil
 }
 
+// rejectForLoad returns after which time a job of a size may be handed in again and why, 0 if neither the load of the leader
+// nor its memory forbids the job now.
+func (e *Engine) rejectForLoad(bytes int64) (after time.Duration, reason string) {
+	if after, reason = e.admission.retryAfter(e.now); after == 0 && !e.fitsMemory(bytes) {
+		return minRetryAfter, memoryReason
+	}
+	return after, reason
+}
+
+// fitsMemory reports whether there is memory for a job of a size. A job may take a part of what is free, so that small ones
+// are still accepted when there is no room for large ones.
+func (e *Engine) fitsMemory(bytes int64) bool {
+	return bytes <= e.freeJobBytes()/freeParts
+}
+
+// freeJobBytes returns the memory that is left for jobs.
+func (e *Engine) freeJobBytes() int64 {
+	if e.cfg.MaxJobBytes == 0 {
+		return math.MaxInt64
+	}
+	free := e.cfg.MaxJobBytes - e.state.JobBytes()
+	for _, p := range e.admission.proposed {
+		if e.admission.mayBeApplied(p.at, e.now) {
+			free -= p.bytes
+		}
+	}
+	return free
+}
+
 // forgetSubmission forgets a submission that was applied, and those whose entry was lost.
 func (e *Engine) forgetSubmission(id string) {
 	a := &e.admission
 	delete(a.proposed, id)
 	e.backlog.forget(id)
-	for other, at := range a.proposed {
-		if !a.mayBeApplied(at, e.now) {
+	for other, p := range a.proposed {
+		if !a.mayBeApplied(p.at, e.now) {
 			delete(a.proposed, other)
 			e.backlog.forget(other)
 		}
@@ -113,6 +158,9 @@
 			reason = backlog.Reason
 		}
 	}
+	if reason == "" && !e.fitsMemory(e.cfg.MaxJobBytes/memoryWarningParts) {
+		reason = memoryReason
+	}
 	if reason != e.overload {
 		e.overload = reason
 		e.cfg.Log.Info("overload of the leader changed", "rejects-new-jobs", reason != "", "reason", reason,
--- a/internal/workload/admission_test.go
+++ b/internal/workload/admission_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscusroute/hibiscusroute/internal/kernel"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload"
+	"github.com/hibiscusroute/hibiscusroute/internal/workload/ledger"
 	"github.com/hibiscusroute/hibiscusroute/internal/workload/workloadpb"
 )
 
@@ -123,3 +124,56 @@
 	s.k.Observe(s.now, kernel.CommitDelay{Delay: 10 * time.Second, AppliedBefore: s.now})
 	assert.Equal(t, s.call(submission("underway")).Verdict, workloadpb.Verdict_VERDICT_BUSY)
 }
+
+// Guards against a leader that runs out of memory by the jobs that it accepts, and against one that then accepts no small
+// ones, rejects those that were accepted, or rejects jobs for longer than the memory is used.
+func TestJobsBeyondTheMemoryAreRejected(t *testing.T) {
+	large := func(id string) *workloadpb.Command {
+		m := submission(id)
+		m.GetSubmit().Steps = []*workloadpb.Step{step(ledger.MaxTasks, 1000, 1000, 500)}
+		return m
+	}
+	s := newSim(t)
+	s.e.Configure(workload.Config{
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, JobRetention: 2 * time.Minute,
+		MaxJobBytes: 5 * ledger.SubmitBytes(large("").GetSubmit()), Log: s.log,
+	})
+	s.configure(1, nil, "glass")
+	assert.Equal(t, s.call(large("a")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+	assert.Assert(t, isReplicated(s, large("underway")))
+	r := s.call(large("b"))
+	assert.Equal(t, r.Verdict, workloadpb.Verdict_VERDICT_BUSY)
+	assert.Equal(t, r.RetryAfterMs, int64(1000))
+	assert.Equal(t, s.call(large("a")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+	assert.Assert(t, isReplicated(s, large("underway")), "rejected, but the first attempt may be accepted")
+	assert.Equal(t, s.call(submission("small")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+	s.cancel("glass", "a")
+	s.run(4 * time.Second)
+	s.k.Observe(s.now, kernel.CommitDelay{AppliedBefore: s.now}) // the attempt under way was lost
+	assert.Equal(t, s.call(large("b")).Verdict, workloadpb.Verdict_VERDICT_DONE)
+}
+
+// Guards against a scheduled job whose occurrences begin faster than they end until there is no memory left, and against
+// one that holds up the others.
+func TestOccurrencesBeyondTheMemoryWait(t *testing.T) {
+	scheduled := submission("often")
+	m := scheduled.GetSubmit()
+	m.Steps, m.MaxRuns, m.IntervalMs = []*workloadpb.Step{step(1000, 1000, 1000, 500)}, 1000, 1
+	s := newSim(t)
+	limit := 5 * ledger.SubmitBytes(m)
+	s.e.Configure(workload.Config{
+		WallClock: func() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }, MaxJobBytes: limit, Log: s.log,
+	})
+	s.configure(1, nil, "glass")
+	assert.Equal(t, s.call(scheduled).Verdict, workloadpb.Verdict_VERDICT_DONE)
+	s.run(5 * time.Second)
+	other := submission("seldom")
+	other.GetSubmit().MaxRuns = 1
+	other.GetSubmit().StartAtMs = 1_000_000 + s.now.Milliseconds() + 1000
+	s.call(other)
+	s.run(5 * time.Second)
+	occurrences := len(s.e.State().JobByID("often").Occurrences())
+	assert.Assert(t, occurrences > 1 && s.e.State().JobBytes() <= limit, "%d occurrences, %d of %d bytes", occurrences,
+		s.e.State().JobBytes(), limit)
+	assert.Equal(t, len(s.e.State().JobByID("seldom").Occurrences()), 1)
+}
--- a/internal/workload/engine.go
+++ b/internal/workload/engine.go
@@ -57,6 +57,8 @@
 	JobOrder schedule.JobOrder
 	// LimitsBacklog rejects jobs that can't end within three times their latency objective beside the accepted work.
 	LimitsBacklog bool
+	// MaxJobBytes bounds what accepted jobs occupy in memory, in bytes; 0 means no limit.
+	MaxJobBytes int64
 	// IncrementCounter adds one to a counter with a label, ObserveHistogram adds a value to a histogram, SetGauge sets a
 	// gauge; all may be nil.
 	IncrementCounter func(name, label, value string)
@@ -307,15 +309,21 @@
 	}
 }
 
-// startDueOccurrences starts the occurrences of scheduled jobs that are due.
+// startDueOccurrences starts the occurrences of scheduled jobs that are due. Without memory, those of jobs with an
+// unfinished occurrence wait.
 func (e *Engine) startDueOccurrences() {
 	if e.occurrencesProposedAt != 0 && e.now-e.occurrencesProposedAt < proposalTimeout {
 		return
 	}
 	m := &workloadpb.BeginOccurrences{}
-	wall := e.wallClockMs()
+	wall, free := e.wallClockMs(), e.freeJobBytes()
 	for _, j := range e.state.ActiveJobs() {
-		if n, due, ok := j.NextDue(); ok && due <= wall {
+		n, due, ok := j.NextDue()
+		if !ok || due > wall {
+			continue
+		}
+		if bytes := j.NextOccurrenceBytes(); bytes == 0 || bytes <= free/freeParts {
+			free -= bytes
 			m.Jobs, m.Occurrences = append(m.Jobs, j.Number), append(m.Occurrences, n)
 		}
 	}
--- a/internal/workload/explain.go
+++ b/internal/workload/explain.go
@@ -50,7 +50,7 @@
 		x.Rejection = explanation.Invalid
 		return x
 	}
-	after, reason := e.admission.retryAfter(e.now)
+	after, reason := e.rejectForLoad(ledger.SubmitBytes(m))
 	if after == 0 {
 		after, reason = e.copyForAdmission(account).rejectBacklog(m)
 	}
--- a/internal/workload/ledger/apply.go
+++ b/internal/workload/ledger/apply.go
@@ -62,6 +62,7 @@
 	j := &Job{
 		ID: m.Id, Queue: q.Name, Account: account, Spec: m.Spec, Steps: m.Steps, MaxRuns: m.MaxRuns,
 		StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: at, state: Queued, route: routeOf(q),
+		size: sizeOf(m.Spec, m.Steps),
 	}
 	if j.MaxRuns == 0 {
 		j.beginOccurrence(0)
@@ -72,6 +73,7 @@
 func (s *State) addJob(j *Job) {
 	s.jobs[j.Number], s.jobsByID[j.ID] = j, j
 	j.queue = s.findQueue(j.route, j.Queue)
+	s.resize(j)
 }
 
 // FindJob returns the job that a call refers to, or the response to the call if there is no such job.
@@ -145,6 +147,7 @@
 func (s *State) compactJob(j *Job) {
 	if !j.IsActive() && j.activeRuns == 0 {
 		j.Spec, j.Steps, j.occurrences = "", nil, nil
+		s.resize(j)
 	}
 }
 
@@ -154,6 +157,7 @@
 			j.nextOccurrence < j.MaxRuns {
 			j.beginOccurrence(j.nextOccurrence)
 			j.nextOccurrence++
+			s.resize(j)
 			s.markChanged()
 		}
 	}
@@ -164,6 +168,7 @@
 		if j := s.jobs[n]; j != nil && !j.IsActive() && j.activeRuns == 0 {
 			delete(s.jobs, n)
 			delete(s.jobsByID, j.ID)
+			s.resize(j)
 		}
 	}
 }
@@ -367,6 +372,7 @@
 	}
 	if o.isIdle() {
 		j.occurrences = slices.DeleteFunc(j.occurrences, func(other *Occurrence) bool { return other == o })
+		s.resize(j)
 	}
 	if j.MaxRuns == 0 || j.nextOccurrence == j.MaxRuns &&
 		!slices.ContainsFunc(j.occurrences, func(o *Occurrence) bool { return !o.Complete() }) {
--- a/internal/workload/ledger/job.go
+++ b/internal/workload/ledger/job.go
@@ -42,6 +42,8 @@
 	nextOccurrence int32 // number of the next occurrence
 	occurrences    []*Occurrence
 	activeRuns     int
+	size           jobSize
+	bytes          int64 // see State.resize
 }
 
 // State returns the state of the job.
--- a/internal/workload/ledger/ledger_test.go
+++ b/internal/workload/ledger/ledger_test.go
@@ -224,6 +224,7 @@
 	assert.NilError(p.t, err)
 	other := ledger.New()
 	assert.NilError(p.t, other.Restore(data))
+	assert.Equal(p.t, other.JobBytes(), p.JobBytes())
 	again, err := other.Snapshot()
 	assert.NilError(p.t, err)
 	assert.DeepEqual(p.t, data, again)
--- a/internal/workload/ledger/snapshot.go
+++ b/internal/workload/ledger/snapshot.go
@@ -106,7 +106,7 @@
 		Number: m.Number, ID: m.Id, Queue: m.Queue, Account: m.Account, Spec: m.Spec, Steps: m.Steps, MaxRuns: m.MaxRuns,
 		StartAtMs: m.StartAtMs, IntervalMs: m.IntervalMs, AcceptedMs: m.AcceptedMs, EndedMs: m.EndedMs,
 		HasStarted: m.Begun, endedClockMs: m.EndedClockMs, nextOccurrence: m.NextOccurrence,
-		route: route{m.Host, m.Prefix},
+		route: route{m.Host, m.Prefix}, size: sizeOf(m.Spec, m.Steps),
 	}
 	s.addJob(j)
 	// assignRun changes the state of the job, so the state from the snapshot is set after the active runs are restored.
@@ -139,4 +139,5 @@
 	} else if j.endedClockMs == 0 {
 		s.undatedEnds = append(s.undatedEnds, j)
 	}
+	s.resize(j)
 }
--- a/internal/workload/ledger/state.go
+++ b/internal/workload/ledger/state.go
@@ -23,6 +23,7 @@
 	jobs       map[uint64]*Job
 	jobsByID   map[string]*Job
 	activeJobs []*Job // in order of acceptance
+	jobBytes   int64  // see JobBytes
 
 	workers map[uint64]*Worker
 	// workersByID holds the incarnations that have not ended. A later incarnation with the same ID ends the earlier
