--- a/internal/inbound/buffer.go
+++ b/internal/inbound/buffer.go
@@ -19,7 +19,7 @@
 	bufferShare = 0.125
 )
 
-// ProbeConnections is the number of waiting connections for a listener that only the operator's tools call.
+// ProbeConnections is the number of connections that may wait at a listener for probes, metrics or operators, which few call.
 const ProbeConnections = 64
 
 // Listen opens a TCP listener at which at most the given number of connections wait to be accepted; 0 derives the number
@@ -27,7 +27,7 @@
 func (g *Gate) Listen(address string, waiting int) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// Set before the first client can connect, since a connection keeps the size that the listener had then.
-		g.control(raw, address, func(fd int) error {
+		g.setOption(raw, address, func(fd int) error {
 			return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, initialBuffer)
 		})
 		return nil
@@ -43,16 +43,17 @@
 	if tcp, ok := ln.(*net.TCPListener); ok && waiting > 0 {
 		raw, err := tcp.SyscallConn()
 		if err != nil {
+			_ = ln.Close() // nothing was accepted
 			return nil, errorx.Decorate(err, "limit the queue of connections on %s", address)
 		}
 		// The net package uses the limit of the operating system; a further call replaces it.
-		g.control(raw, address, func(fd int) error { return syscall.Listen(fd, waiting) })
+		g.setOption(raw, address, func(fd int) error { return syscall.Listen(fd, waiting) })
 	}
 	return ln, nil
 }
 
-// control sets an option of a socket. Without it the process may exceed its memory, but serves.
-func (g *Gate) control(raw syscall.RawConn, address string, set func(fd int) error) {
+// setOption sets an option of a socket. Without it the process may exceed its memory, but serves.
+func (g *Gate) setOption(raw syscall.RawConn, address string, set func(fd int) error) {
 	var err error
 	if controlErr := raw.Control(func(fd uintptr) { err = set(int(fd)) }); controlErr != nil {
 		err = controlErr
@@ -101,7 +102,7 @@
 	}
 	c.own += n
 	c.grown = n
-	g.control(raw, c.RemoteAddr().String(), func(fd int) error { return enlarge(fd, g.cfg.ReceiveBuffer) })
+	g.setOption(raw, c.RemoteAddr().String(), func(fd int) error { return enlarge(fd, g.cfg.ReceiveBuffer) })
 }
 
 // enlarge sets the size of a receive buffer. One that is larger, of a listener with other settings, is left, as clients that
