--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -37,6 +37,7 @@
 	play   func(d *drill) (broken bool, err error)
 }{
 	"attempts": {smallDeployment(), playAttempts},
+	"pending":  {smallDeployment(), playPending},
 	"upkeep":   {fencedDeployment(), playUpkeep},
 }
 
--- a/review/drill/worker.go
+++ b/review/drill/worker.go
@@ -82,6 +82,7 @@
 	lastEnd, cursor, sequence int64
 	changed                   chan struct{}
 	gone                      bool
+	cutUntil                  time.Time // the worker is cut off silently
 }
 
 // fleet holds the workers and what they have done.
@@ -177,6 +178,10 @@
 func (w *worker) announce(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second}
 	for next := int(w.born); ctx.Err() == nil; {
+		if w.isCut() {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
 		w.mu.Lock()
 		w.sequence++
 		body := map[string]any{
@@ -256,10 +261,34 @@
 	Percent      int    `json:"percent"`
 }
 
+// cut cuts a worker off silently for a while: nothing reaches it, and nothing comes from it.
+func (w *worker) cut(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutUntil = time.Now().Add(d)
+	w.fleet.rec.add("worker %s is cut off for %s", w.id, d)
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.cutUntil)
+}
+
+// drop holds a request or its answer back while the worker is cut off, and then loses it.
+func (w *worker) drop(r *http.Request) {
+	if !w.isCut() {
+		return
+	}
+	await(time.Minute, func() bool { return !w.isCut() || r.Context().Err() != nil })
+	panic(http.ErrAbortHandler)
+}
+
 // decode reads a request and answers one that the worker doesn't take. It locks w.mu if the request is taken.
 func (w *worker) decode(rw http.ResponseWriter, r *http.Request) (*request, bool) {
 	m := &request{}
 	data, err := io.ReadAll(r.Body)
+	w.drop(r)
 	if err != nil || json.Unmarshal(data, m) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return nil, false
@@ -458,6 +487,7 @@
 			return
 		}
 	}
+	w.drop(r)
 	w.mu.Lock()
 	running, ended := [][]any{}, [][]any{}
 	for _, n := range w.runs {
