--- a/review/drill/attempts.go
+++ b/review/drill/attempts.go
@@ -6,17 +6,17 @@
 // that run has failed. The rule BUDGET forbids a further start.
 func playAttempts(d *drill) (bool, error) {
 	const maxAttempts = 2
-	plates := route{"r-plates", prefix, "plates-desk", maxAttempts}
-	other := route{"r-other", otherPath, "plates-desk", maxAttempts}
-	services := []string{"plates-desk"}
+	plates := route{"r-plates", prefix, pool, maxAttempts}
+	other := route{"r-other", otherPath, pool, maxAttempts}
+	services := []string{pool}
 	if err := d.configure(services, []route{plates, other}); err != nil {
 		return false, err
 	}
-	if err := d.addWorkers("plates-desk", 100, 3); err != nil {
+	if err := d.addWorkers(3); err != nil {
 		return false, err
 	}
 	id := newID()
-	if !d.caller.submit(prefix, id, behavior{WorkMS: 3000, FailRuns: 99}, []step{{Count: 1, CPU: 1000, MemMB: 100, EstimateMS: 3000}}) {
+	if !d.caller.submit(id, behavior{WorkMS: 3000, FailRuns: 99}, []step{{Count: 1, CPU: 1000, MemMB: 100, EstimateMS: 3000}}) {
 		return false, errNotRun
 	}
 	if !await(20*time.Second, func() bool { return len(d.fleet.startsOf(id)) == maxAttempts }) {
@@ -39,7 +39,7 @@
 		return false, err
 	}
 	time.Sleep(8 * time.Second)
-	d.rec.add("state of the job: %s", d.caller.state(prefix, id))
+	d.rec.add("state of the job: %s", d.caller.state(id))
 	starts := d.fleet.startsOf(id)
 	d.rec.add("%d starts of a task that may be attempted %d times", len(starts), maxAttempts)
 	return len(starts) > maxAttempts, nil
--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -12,6 +12,7 @@
 const (
 	host      = "plates.example"
 	prefix    = "/plates/"
+	pool      = "plates-desk"
 	otherPath = "/other/"
 	apiKey    = "k3y-of-the-first-tenant"
 )
@@ -116,19 +117,19 @@
 	return 0, nil
 }
 
-// submit submits a job to a path and reports whether it was accepted.
-func (c *caller) submit(path, id string, b behavior, steps []step) bool {
+// submit submits a job to the queue of the cases and reports whether it was accepted.
+func (c *caller) submit(id string, b behavior, steps []step) bool {
 	spec, err := json.Marshal(b)
 	if err != nil {
 		return false
 	}
-	status, _ := c.do(http.MethodPost, path+id, map[string]any{"spec": string(spec), "steps": steps}, 10*time.Second)
+	status, _ := c.do(http.MethodPost, prefix+id, map[string]any{"spec": string(spec), "steps": steps}, 10*time.Second)
 	return status/100 == 2
 }
 
 // state returns the state of a job, empty if it is not known.
-func (c *caller) state(path, id string) string {
-	_, text := c.do(http.MethodGet, path+id, nil, 5*time.Second)
+func (c *caller) state(id string) string {
+	_, text := c.do(http.MethodGet, prefix+id, nil, 5*time.Second)
 	var m struct {
 		State string `json:"state"`
 	}
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -14,6 +14,8 @@
 	exitBroken  = 1
 	exitNotRun  = 2
 	configLimit = 20 * time.Second
+	// firstWorker is the number of the first worker, which gives its address.
+	firstWorker = 100
 )
 
 // errNotRun reports a case that couldn't run.
@@ -37,6 +39,7 @@
 	play   func(d *drill) (broken bool, err error)
 }{
 	"attempts": {smallDeployment(), playAttempts},
+	"gang":     {smallDeployment(), playGang},
 	"pending":  {smallDeployment(), playPending},
 	"upkeep":   {fencedDeployment(), playUpkeep},
 }
@@ -104,12 +107,12 @@
 	return nil
 }
 
-// addWorkers adds n machines with a worker each to a pool.
-func (d *drill) addWorkers(pool string, first, n int) error {
+// addWorkers adds n machines with a worker each.
+func (d *drill) addWorkers(n int) error {
 	for i := range n {
 		m := &machine{
 			name: fmt.Sprintf("m-%s-%d", pool, i), pool: pool, zone: zones[i%len(zones)], rack: fmt.Sprintf("r-%d", i%len(zones)),
-			number: first + i, cpu: 16000, memory: 65536,
+			number: firstWorker + i, cpu: 16000, memory: 65536,
 		}
 		if err := d.cloud.add(m); err != nil {
 			return err
--- a/review/drill/pending.go
+++ b/review/drill/pending.go
@@ -14,11 +14,11 @@
 		cutFor  = 8 * time.Second
 		mayLack = 5 * time.Second // visible_ms and 2 s
 	)
-	services := []string{"plates-desk"}
-	if err := d.configure(services, []route{{"r-plates", prefix, "plates-desk", 2}}); err != nil {
+	services := []string{pool}
+	if err := d.configure(services, []route{{"r-plates", prefix, pool, 2}}); err != nil {
 		return false, err
 	}
-	if err := d.addWorkers("plates-desk", 100, workers); err != nil {
+	if err := d.addWorkers(workers); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
@@ -28,7 +28,7 @@
 	}
 	if d.trouble {
 		d.fleet.mu.Lock()
-		w := d.fleet.workers["m-plates-desk-0"]
+		w := d.fleet.workers["m-"+pool+"-0"]
 		d.fleet.mu.Unlock()
 		w.cut(cutFor)
 	}
@@ -62,7 +62,7 @@
 	accepted = map[string]time.Duration{}
 	for range n {
 		id := newID()
-		if !d.caller.submit(prefix, id, behavior{WorkMS: 500}, steps) {
+		if !d.caller.submit(id, behavior{WorkMS: 500}, steps) {
 			return nil, false
 		}
 		accepted[id] = d.rec.since()
--- a/review/drill/upkeep.go
+++ b/review/drill/upkeep.go
@@ -15,16 +15,16 @@
 		late     = 10 * time.Second // of 2 to 12 s
 		wave     = 1
 	)
-	services := []string{"plates-desk"}
-	if err := d.configure(services, []route{{"r-plates", prefix, "plates-desk", 2}}); err != nil {
+	services := []string{pool}
+	if err := d.configure(services, []route{{"r-plates", prefix, pool, 2}}); err != nil {
 		return false, err
 	}
-	if err := d.addWorkers("plates-desk", 100, machines); err != nil {
+	if err := d.addWorkers(machines); err != nil {
 		return false, err
 	}
 	id := newID()
 	steps := []step{{Count: busy, CPU: 16000, MemMB: 100, EstimateMS: 4000}}
-	if !d.caller.submit(prefix, id, behavior{WorkMS: 4000}, steps) {
+	if !d.caller.submit(id, behavior{WorkMS: 4000}, steps) {
 		return false, errNotRun
 	}
 	if !await(10*time.Second, func() bool { return len(d.fleet.startsOf(id)) == busy }) {
--- a/review/drill/worker.go
+++ b/review/drill/worker.go
@@ -83,6 +83,7 @@
 	changed                   chan struct{}
 	gone                      bool
 	cutUntil                  time.Time // the worker is cut off silently
+	failsUntil                time.Time // the worker fails all that it starts
 }
 
 // fleet holds the workers and what they have done.
@@ -269,6 +270,14 @@
 	w.fleet.rec.add("worker %s is cut off for %s", w.id, d)
 }
 
+// failAll makes a worker fail all that it starts for a while.
+func (w *worker) failAll(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failsUntil = time.Now().Add(d)
+	w.fleet.rec.add("worker %s fails all that it starts for %s", w.id, d)
+}
+
 func (w *worker) isCut() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -353,7 +362,7 @@
 	w.answer(rw, status, reason)
 }
 
-// begin begins a run; w.mu is held.
+// begin begins a run, which ends at once on a worker that fails all that it starts; w.mu is held.
 func (w *worker) begin(m *request) {
 	nr := &run{task: m.Task, number: m.Run, arrivedAt: time.Now()}
 	if err := json.Unmarshal([]byte(m.Spec), &nr.spec); err != nil {
@@ -376,6 +385,9 @@
 		g.members[m.Task] = w
 	}
 	w.fleet.mu.Unlock()
+	if nr.arrivedAt.Before(w.failsUntil) {
+		w.finish(nr, "failed")
+	}
 }
 
 // advanceGangs begins the gangs of which all members are present, and ends those that are done or lack a member.
