--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -40,6 +40,7 @@
 }{
 	"attempts": {smallDeployment(), playAttempts},
 	"gang":     {smallDeployment(), playGang},
+	"lasting":  {smallDeployment(), playLasting},
 	"pending":  {smallDeployment(), playPending},
 	"upkeep":   {fencedDeployment(), playUpkeep},
 }
--- a/review/drill/worker.go
+++ b/review/drill/worker.go
@@ -22,7 +22,7 @@
 	WorkMS int `json:"workMs"`
 	// FailRuns is the number of the first runs of each task that fail by the task's own fault.
 	FailRuns int `json:"failRuns"`
-	// Last is set for tasks that work until they are stopped.
+	// Last is set for tasks that work until they are stopped, but for the runs that fail.
 	Last bool `json:"last"`
 	// GangSize is the number of members of a gang, 0 for other tasks.
 	GangSize int `json:"gangSize"`
@@ -219,7 +219,7 @@
 				if now.Sub(r.arrivedAt) > gangTimeout {
 					w.finish(r, "alone")
 				}
-			case r.spec.Last || r.spec.GangSize > 0:
+			case r.spec.Last && r.number > r.spec.FailRuns || r.spec.GangSize > 0:
 			case now.Sub(r.startsAt) >= time.Duration(r.spec.WorkMS)*time.Millisecond:
 				if r.number <= r.spec.FailRuns {
 					w.finish(r, "failed")
